--- /dev/null
+++ b/common/http_server.c
@@ -0,0 +1,359 @@
+#include "common/http_server.h"
+
+#include <assert.h>
+#include <h2o.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "common/json.h"
+
+enum
+{
+  LISTEN_BACKLOG = 512
+};
+
+struct http_server
+{
+  uv_tcp_t listener;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  http_handler_fn *handler;
+  void *data;
+  size_t in_progress;
+  bool listening;
+};
+
+/* h2o hands the handler a pointer to this struct; SERVER follows HANDLER.  */
+struct server_handler
+{
+  h2o_handler_t handler;
+  struct http_server *server;
+};
+
+struct http_exchange
+{
+  h2o_req_t *req; /* null once the connection is gone */
+  struct exchange_link *link;
+  struct http_server *server;
+  char *method;
+  char *path; /* without the query */
+  char *query;
+  char *header_value; /* storage of the last header looked up */
+};
+
+/* Owned by h2o's request; lets the exchange outlive the connection.  */
+struct exchange_link
+{
+  struct http_exchange *exchange;
+};
+
+static void
+exchange_free (struct http_exchange *x)
+{
+  if (x->req != NULL)
+    x->link->exchange = NULL;
+  x->server->in_progress--;
+  free (x->method);
+  free (x->path);
+  free (x->query);
+  free (x->header_value);
+  free (x);
+}
+
+/* Runs when h2o frees the request, possibly before it was answered.  */
+static void
+on_request_dispose (void *p)
+{
+  struct exchange_link *link = p;
+  if (link->exchange != NULL)
+    link->exchange->req = NULL;
+}
+
+static char *
+copy_bytes (const char *s, size_t n)
+{
+  char *copy = malloc (n + 1);
+  assert (copy != NULL);
+  memcpy (copy, s, n);
+  copy[n] = '\0';
+  return copy;
+}
+
+static int
+on_request (h2o_handler_t *self, h2o_req_t *req)
+{
+  struct http_server *s = ((struct server_handler *)self)->server;
+  struct http_exchange *x = calloc (1, sizeof *x);
+  assert (x != NULL);
+  struct exchange_link *link
+      = h2o_mem_alloc_shared (&req->pool, sizeof *link, on_request_dispose);
+  link->exchange = x;
+  x->link = link;
+  x->req = req;
+  x->server = s;
+  x->method = copy_bytes (req->method.base, req->method.len);
+  size_t path_len = req->query_at != SIZE_MAX ? req->query_at : req->path.len;
+  x->path = copy_bytes (req->path.base, path_len);
+  if (req->query_at != SIZE_MAX)
+    x->query = copy_bytes (req->path.base + path_len + 1,
+                           req->path.len - path_len - 1);
+  s->in_progress++;
+  s->handler (s->data, x);
+  return 0;
+}
+
+static void
+on_connection_closed (uv_handle_t *h)
+{
+  free (h);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct http_server *s = listener->data;
+  if (status != 0)
+    return;
+  uv_tcp_t *conn = h2o_mem_alloc (sizeof *conn);
+  uv_tcp_init (listener->loop, conn);
+  if (uv_accept (listener, (uv_stream_t *)conn) != 0)
+    {
+      uv_close ((uv_handle_t *)conn, on_connection_closed);
+      return;
+    }
+  uv_tcp_nodelay (conn, 1);
+  h2o_socket_t *sock
+      = h2o_uv_socket_create ((uv_stream_t *)conn, on_connection_closed);
+  h2o_accept (&s->accept, sock);
+}
+
+/* Starts to listen on ADDRESS (an IP number) and PORT; every request goes to
+   HANDLER.  Returns null and fills ERR when the address can't be bound.  The
+   server lives as long as the process.  */
+struct http_server *
+http_server_open (uv_loop_t *loop, const char *address, uint16_t port,
+                  const struct http_server_limits *limits,
+                  http_handler_fn *handler, void *data, struct rr_error *err)
+{
+  struct sockaddr_in sin;
+  int rc = uv_ip4_addr (address, port, &sin);
+  if (rc != 0)
+    {
+      rr_error_set (err, RR_ERROR_INVALID, "%s is not an IP address", address);
+      return NULL;
+    }
+  struct http_server *s = calloc (1, sizeof *s);
+  assert (s != NULL);
+  s->handler = handler;
+  s->data = data;
+  uv_tcp_init (loop, &s->listener);
+  s->listener.data = s;
+  rc = uv_tcp_bind (&s->listener, (struct sockaddr *)&sin, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&s->listener, LISTEN_BACKLOG,
+                    on_connection);
+  if (rc != 0)
+    {
+      rr_error_set (err, RR_ERROR_SYSTEM, "can't listen on %s:%u: %s", address,
+                    port, uv_strerror (rc));
+      return NULL;
+    }
+  s->listening = true;
+  h2o_config_init (&s->config);
+  s->config.server_name = (h2o_iovec_t){ H2O_STRLIT ("rosemaryrail") };
+  s->config.max_request_entity_size = limits->body_max_bytes;
+  s->config.http1.req_timeout = limits->request_timeout_ms;
+  h2o_hostconf_t *host = h2o_config_register_host (
+      &s->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  h2o_pathconf_t *path = h2o_config_register_path (host, "/", 0);
+  struct server_handler *h
+      = (struct server_handler *)h2o_create_handler (path, sizeof *h);
+  h->handler.on_req = on_request;
+  h->server = s;
+  h2o_context_init (&s->context, loop, &s->config);
+  s->accept.ctx = &s->context;
+  s->accept.hosts = s->config.hosts;
+  return s;
+}
+
+/* Closes the listening socket; open connections go on.  */
+void
+http_server_stop_accepting (struct http_server *s)
+{
+  if (!s->listening)
+    return;
+  s->listening = false;
+  uv_close ((uv_handle_t *)&s->listener, NULL);
+}
+
+/* Closes the listening socket and lets each connection end with the request
+   in progress on it.  */
+void
+http_server_shutdown (struct http_server *s)
+{
+  http_server_stop_accepting (s);
+  h2o_context_request_shutdown (&s->context);
+}
+
+/* Returns the number of requests handed to the handler and not answered.  */
+size_t
+http_server_in_progress (const struct http_server *s)
+{
+  return s->in_progress;
+}
+
+/* Returns the request's method, such as "GET".  */
+const char *
+http_exchange_method (const struct http_exchange *x)
+{
+  return x->method;
+}
+
+/* Returns the request's path without its query.  */
+const char *
+http_exchange_path (const struct http_exchange *x)
+{
+  return x->path;
+}
+
+/* Returns the request body, not terminated, and its LENGTH in bytes; valid
+   until the exchange is answered or control returns to the loop.  */
+const char *
+http_exchange_body (const struct http_exchange *x, size_t *length)
+{
+  *length = x->req == NULL ? 0 : x->req->entity.len;
+  return *length == 0 ? "" : x->req->entity.base;
+}
+
+/* Returns the value of header NAME or null; valid until the next look-up.  */
+const char *
+http_exchange_header (struct http_exchange *x, const char *name)
+{
+  if (x->req == NULL)
+    return NULL;
+  char lower[64];
+  size_t n = strlen (name);
+  assert (n < sizeof lower);
+  for (size_t i = 0; i <= n; i++)
+    lower[i]
+        = (char)(name[i] >= 'A' && name[i] <= 'Z' ? name[i] + 32 : name[i]);
+  ssize_t at = -1;
+  const h2o_token_t *token = h2o_lookup_token (lower, n);
+  if (token != NULL)
+    at = h2o_find_header (&x->req->headers, token, -1);
+  else
+    at = h2o_find_header_by_str (&x->req->headers, lower, n, -1);
+  if (at < 0)
+    return NULL;
+  h2o_iovec_t v = x->req->headers.entries[at].value;
+  free (x->header_value);
+  x->header_value = copy_bytes (v.base, v.len);
+  return x->header_value;
+}
+
+/* Copies the query parameter NAME into VALUE; false when it is absent or does
+   not fit into SIZE bytes.  Values are taken as they are, not decoded.  */
+bool
+http_exchange_query (const struct http_exchange *x, const char *name,
+                     char *value, size_t size)
+{
+  size_t n = strlen (name);
+  for (const char *p = x->query; p != NULL && *p != '\0';)
+    {
+      const char *end = strchrnul (p, '&');
+      if (strncmp (p, name, n) == 0 && p[n] == '=')
+        {
+          size_t len = (size_t)(end - p) - n - 1;
+          if (len >= size)
+            return false;
+          memcpy (value, p + n + 1, len);
+          value[len] = '\0';
+          return true;
+        }
+      p = *end == '&' ? end + 1 : NULL;
+    }
+  return false;
+}
+
+/* Answers X with STATUS, HEADERS and a copy of BODY, and frees X.  When the
+   peer has gone the answer is dropped.  */
+void
+http_exchange_respond (struct http_exchange *x, int status,
+                       const struct http_header *headers, size_t header_count,
+                       const char *body, size_t length)
+{
+  h2o_req_t *req = x->req;
+  if (req != NULL)
+    {
+      req->res.status = status;
+      req->res.reason = "-";
+      for (size_t i = 0; i < header_count; i++)
+        {
+          h2o_iovec_t name
+              = h2o_strdup (&req->pool, headers[i].name, SIZE_MAX);
+          h2o_iovec_t lower
+              = h2o_strdup (&req->pool, headers[i].name, SIZE_MAX);
+          h2o_iovec_t value
+              = h2o_strdup (&req->pool, headers[i].value, SIZE_MAX);
+          h2o_strtolower (lower.base, lower.len);
+          h2o_add_header_by_str (&req->pool, &req->res.headers, lower.base,
+                                 lower.len, 1, name.base, value.base,
+                                 value.len);
+        }
+      h2o_send_inline (req, body, length);
+    }
+  exchange_free (x);
+}
+
+/* Answers X with a JSON text.  */
+void
+http_exchange_respond_json (struct http_exchange *x, int status,
+                            const char *json)
+{
+  struct http_header type = { "content-type", "application/json" };
+  http_exchange_respond (x, status, &type, 1, json, strlen (json));
+}
+
+/* Answers X with the JSON form of ERR.  */
+void
+http_exchange_respond_error (struct http_exchange *x, int status,
+                             const struct rr_error *err)
+{
+  struct json_object *o = json_object_new_object ();
+  struct json_object *e = json_object_new_object ();
+  json_object_object_add (
+      e, "code", json_object_new_string (rr_error_code_name (err->code)));
+  json_object_object_add (e, "message", json_object_new_string (err->message));
+  json_object_object_add (o, "error", e);
+  http_exchange_respond_json (x, status, json_text (o));
+  json_object_put (o);
+}
+
+/* Returns the HTTP status that callers see for a failure of kind CODE.  */
+int
+http_status_from_error (enum rr_error_code code)
+{
+  switch (code)
+    {
+    case RR_OK:
+      return 200;
+    case RR_ERROR_INVALID:
+      return 400;
+    case RR_ERROR_NOT_FOUND:
+      return 404;
+    case RR_ERROR_CONFLICT:
+      return 409;
+    case RR_ERROR_LIMIT:
+      return 429;
+    case RR_ERROR_UNAVAILABLE:
+      return 503;
+    case RR_ERROR_TIMEOUT:
+      return 504;
+    case RR_ERROR_SYSTEM:
+      return 500;
+    }
+  return 500;
+}
--- /dev/null
+++ b/common/json.c
@@ -0,0 +1,121 @@
+#include "common/json.h"
+
+#include <limits.h>
+
+/* Parses one JSON value that fills TEXT; comments are allowed.  Returns null
+   and fills ERR with the reason and the offset in bytes otherwise.  The
+   caller owns the value (json_object_put).  */
+struct json_object *
+json_parse (const char *text, size_t length, struct rr_error *err)
+{
+  if (length == 0 || length > INT_MAX)
+    {
+      rr_error_set (err, RR_ERROR_INVALID, "empty or oversized JSON text");
+      return NULL;
+    }
+  struct json_tokener *tok = json_tokener_new ();
+  struct json_object *o = json_tokener_parse_ex (tok, text, (int)length);
+  enum json_tokener_error rc = json_tokener_get_error (tok);
+  size_t end = json_tokener_get_parse_end (tok);
+  if (rc == json_tokener_success)
+    {
+      while (end < length
+             && (text[end] == ' ' || text[end] == '\n' || text[end] == '\r'
+                 || text[end] == '\t'))
+        end++;
+      if (end < length)
+        {
+          rr_error_set (err, RR_ERROR_INVALID,
+                        "text after the JSON value at byte %zu", end);
+          json_object_put (o);
+          o = NULL;
+        }
+    }
+  else
+    {
+      rr_error_set (err, RR_ERROR_INVALID, "%s at byte %zu",
+                    json_tokener_error_desc (rc), end);
+      json_object_put (o);
+      o = NULL;
+    }
+  json_tokener_free (tok);
+  return o;
+}
+
+/* Returns O as compact text, owned by O.  */
+const char *
+json_text (struct json_object *o)
+{
+  return json_object_to_json_string_ext (
+      o, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+}
+
+static struct json_object *
+member (struct json_object *o, const char *name, enum json_type type)
+{
+  struct json_object *v = NULL;
+  if (!json_object_is_type (o, json_type_object)
+      || !json_object_object_get_ex (o, name, &v)
+      || !json_object_is_type (v, type))
+    return NULL;
+  return v;
+}
+
+/* Reads the integer member NAME of O; false with ERR when it is missing or of
+   another type.  */
+bool
+json_get_int (struct json_object *o, const char *name, int64_t *value,
+              struct rr_error *err)
+{
+  struct json_object *v = member (o, name, json_type_int);
+  if (v == NULL)
+    return rr_error_set (err, RR_ERROR_INVALID,
+                         "field \"%s\" is missing or not an integer", name);
+  *value = json_object_get_int64 (v);
+  return true;
+}
+
+/* Returns the string member NAME of O, owned by O; null with ERR when it is
+   missing or of another type.  */
+const char *
+json_get_string (struct json_object *o, const char *name, struct rr_error *err)
+{
+  struct json_object *v = member (o, name, json_type_string);
+  if (v == NULL)
+    {
+      rr_error_set (err, RR_ERROR_INVALID,
+                    "field \"%s\" is missing or not a string", name);
+      return NULL;
+    }
+  return json_object_get_string (v);
+}
+
+/* Returns the integer member NAME of O, or FALLBACK.  */
+int64_t
+json_int_or (struct json_object *o, const char *name, int64_t fallback)
+{
+  struct json_object *v = member (o, name, json_type_int);
+  return v == NULL ? fallback : json_object_get_int64 (v);
+}
+
+/* Returns the string member NAME of O, owned by O, or FALLBACK.  */
+const char *
+json_string_or (struct json_object *o, const char *name, const char *fallback)
+{
+  struct json_object *v = member (o, name, json_type_string);
+  return v == NULL ? fallback : json_object_get_string (v);
+}
+
+/* Adds the integer member NAME to O.  */
+void
+json_add_int (struct json_object *o, const char *name, int64_t value)
+{
+  json_object_object_add (o, name, json_object_new_int64 (value));
+}
+
+/* Adds the string member NAME to O.  */
+void
+json_add_string (struct json_object *o, const char *name, const char *value)
+{
+  json_object_object_add (o, name, json_object_new_string (value));
+}
--- /dev/null
+++ b/include/rosemaryrail/clock.h
@@ -0,0 +1,20 @@
+#ifndef ROSEMARYRAIL_CLOCK_H
+#define ROSEMARYRAIL_CLOCK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A point in time in milliseconds.  The origin is whatever clock it was read
+   from (a process's monotonic clock, a worker's own clock, a test's virtual
+   clock); points of different clocks must not be compared.  */
+struct rr_time
+{
+  int64_t ms;
+};
+
+struct rr_time rr_time_from_ms (int64_t ms);
+struct rr_time rr_time_add (struct rr_time t, int64_t ms);
+int64_t rr_time_diff (struct rr_time later, struct rr_time earlier);
+bool rr_time_before (struct rr_time a, struct rr_time b);
+
+#endif
