--- /dev/null
+++ b/common/base64.c
@@ -0,0 +1,42 @@
+#include "common/base64.h"
+
+#include <assert.h>
+#include <openssl/evp.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Returns LENGTH bytes as base64 text that the caller frees.  */
+char *
+base64_encode (const char *bytes, size_t length)
+{
+  char *text = malloc ((length + 2) / 3 * 4 + 1);
+  assert (text != NULL);
+  EVP_EncodeBlock ((unsigned char *)text, (const unsigned char *)bytes,
+                   (int)length);
+  return text;
+}
+
+/* Decodes base64 TEXT into BYTES, terminated, which the caller frees.  Returns
+   false for text that is not base64.  */
+bool
+base64_decode (const char *text, char **bytes, size_t *length)
+{
+  size_t n = strlen (text);
+  *bytes = malloc (n / 4 * 3 + 4);
+  assert (*bytes != NULL);
+  int decoded = n == 0 ? 0
+                       : EVP_DecodeBlock ((unsigned char *)*bytes,
+                                          (const unsigned char *)text, (int)n);
+  if (n % 4 != 0 || decoded < 0)
+    {
+      free (*bytes);
+      *bytes = NULL;
+      return false;
+    }
+  size_t padding = 0;
+  while (padding < 2 && padding < n && text[n - 1 - padding] == '=')
+    padding++;
+  *length = (size_t)decoded - padding;
+  (*bytes)[*length] = '\0';
+  return true;
+}
--- /dev/null
+++ b/include/common/rpc.h
@@ -0,0 +1,65 @@
+#ifndef COMMON_RPC_H
+#define COMMON_RPC_H
+
+#include <rpc/rpc.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "rosemaryrail/error.h"
+
+struct rpc_server;
+struct rpc_client;
+struct rpc_request;
+
+/* Called for each well-formed call of our program.  ARGS are the XDR bytes of
+   the arguments, valid only during the call.  The handler answers now or
+   later, exactly once, with rpc_request_reply or rpc_request_reject.  */
+typedef void rpc_handler_fn (void *data, struct rpc_request *request,
+                             uint32_t procedure, const char *args,
+                             size_t length);
+
+enum rpc_call_state
+{
+  RPC_CALL_ANSWERED,
+  RPC_CALL_NOT_SENT, /* no byte of the call left this process */
+  RPC_CALL_REJECTED, /* the peer did not execute the procedure */
+  RPC_CALL_UNKNOWN   /* sent, no answer */
+};
+
+typedef void rpc_done_fn (void *data, enum rpc_call_state state,
+                          const char *result, size_t length);
+
+struct rpc_counters
+{
+  uint64_t bytes_in;
+  uint64_t bytes_out;
+  uint64_t calls_in;
+  uint64_t calls_out;
+  uint64_t malformed;
+};
+
+struct rpc_server *rpc_server_open (uv_loop_t *loop, const char *address,
+                                    uint16_t port, uint32_t program,
+                                    uint32_t version, rpc_handler_fn *handler,
+                                    void *data, struct rr_error *err);
+void rpc_request_reply (struct rpc_request *request, const char *result,
+                        size_t length);
+void rpc_request_reject (struct rpc_request *request);
+
+struct rpc_client *rpc_client_open (uv_loop_t *loop, const char *address,
+                                    uint16_t port, uint32_t program,
+                                    uint32_t version);
+void rpc_client_close (struct rpc_client *c);
+void rpc_client_call (struct rpc_client *c, uint32_t procedure,
+                      const char *args, size_t length, uint64_t timeout_ms,
+                      rpc_done_fn *done, void *data);
+
+const struct rpc_counters *rpc_counters_get (void);
+
+bool xdr_encode (xdrproc_t proc, void *object, char **bytes, size_t *length);
+bool xdr_decode (xdrproc_t proc, void *object, const char *bytes,
+                 size_t length);
+
+#endif
--- /dev/null
+++ b/include/rosemaryraild/config_keeper.h
@@ -0,0 +1,28 @@
+#ifndef ROSEMARYRAILD_CONFIG_KEEPER_H
+#define ROSEMARYRAILD_CONFIG_KEEPER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "rosemaryrail/config.h"
+#include "rosemaryrail/error.h"
+#include "rosemaryraild/message.h"
+
+struct daemon;
+struct config_keeper;
+
+struct config_keeper *config_keeper_open (struct daemon *d,
+                                          struct rr_error *err);
+void config_keeper_handle (void *state, struct message *m);
+
+/* Read-only views for the other actors.  The configuration is replaced as a
+   whole; a pointer into it is valid until control returns to the loop.  */
+const struct rr_config *config_keeper_config (const struct config_keeper *k);
+int64_t config_keeper_generation (const struct config_keeper *k);
+const char *config_keeper_digest (const struct config_keeper *k);
+const char *config_keeper_alarm (const struct config_keeper *k,
+                                 int64_t *since_ms);
+const struct rr_config_parts *
+config_keeper_parts (const struct config_keeper *k);
+
+#endif
--- /dev/null
+++ b/include/rosemaryraild/metrics.h
@@ -0,0 +1,61 @@
+#ifndef ROSEMARYRAILD_METRICS_H
+#define ROSEMARYRAILD_METRICS_H
+
+#include <stdint.h>
+
+#include "rosemaryrail/counter.h"
+
+/* Counters of the daemon without labels that vary at run time.  */
+enum metric
+{
+  METRIC_REQUESTS_ANSWERED,
+  METRIC_REQUESTS_NOT_RUN,
+  METRIC_REQUESTS_UNKNOWN,
+  METRIC_REQUESTS_FORWARDED,
+  METRIC_REQUEST_RETRIES,
+  METRIC_REQUESTS_BAD,
+  METRIC_GRANTS,
+  METRIC_GRANT_DUPLICATES,
+  METRIC_RPC_MALFORMED,
+  METRIC_RPC_BYTES_IN,
+  METRIC_RPC_BYTES_OUT,
+  METRIC_PLATFORM_READS,
+  METRIC_PLATFORM_WRITES,
+  METRIC_PLATFORM_WATCHES,
+  METRIC_PLATFORM_FAILURES,
+  METRIC_PLATFORM_BYTES,
+  METRIC_WORKER_CALLS,
+  METRIC_WORKER_BYTES,
+  METRIC_WORKER_CLAIMS,
+  METRIC_WORKER_LEASES_LOST,
+  METRIC_WORKER_BAD_ANSWERS,
+  METRIC_TASKS_STARTED,
+  METRIC_TASKS_ENDED,
+  METRIC_TASKS_EVICTED,
+  METRIC_TASK_START_REFUSALS,
+  METRIC_SHARD_TAKEOVERS,
+  METRIC_SHARD_LOSSES,
+  METRIC_SHARD_APPENDS,
+  METRIC_CONFIG_APPLIED,
+  METRIC_CONFIG_CONFLICTS,
+  METRIC_CONFIG_IGNORED,
+  METRIC_PAUSES,
+  METRIC_CONFIG_GENERATION,
+  METRIC_WORKERS_OWNED,
+  METRIC_SHARDS_OWNED,
+  METRIC_DAEMONS_ALIVE,
+  METRIC_COUNT
+};
+
+struct metrics
+{
+  struct rr_counters *counters;
+  int series[METRIC_COUNT];
+};
+
+void metrics_open (struct metrics *m);
+void metric_add (struct metrics *m, enum metric which, uint64_t n);
+void metric_set (struct metrics *m, enum metric which, int64_t value);
+char *metrics_expose (const struct metrics *m);
+
+#endif
--- /dev/null
+++ b/include/rosemaryraild/shards_internal.h
@@ -0,0 +1,116 @@
+#ifndef ROSEMARYRAILD_SHARDS_INTERNAL_H
+#define ROSEMARYRAILD_SHARDS_INTERNAL_H
+
+#include <uv.h>
+
+#include "rosemaryrail/shard_log.h"
+#include "rosemaryraild/daemon.h"
+#include "rosemaryraild/peers.h"
+#include "rosemaryraild/shards.h"
+
+enum
+{
+  SHARD_CALL_TIMEOUT_MS = 2000,
+  TASK_NAME_SIZE = RR_NAME_MAX + 12
+};
+
+struct shard
+{
+  struct shards *ss;
+  uint32_t number;
+  struct rr_shard_log *log;
+  struct rr_time elected_since; /* 0: not elected */
+  bool dirty;                   /* its jobs may have something to do */
+  struct rr_time next_scan;
+};
+
+/* What has to happen once a queued record has an outcome.  */
+enum pending_kind
+{
+  PENDING_RECORD, /* nothing but another look at the shard's jobs */
+  PENDING_GRANT,
+  PENDING_RESULT,
+  PENDING_SUBMIT,
+  PENDING_CANCEL,
+  PENDING_END
+};
+
+struct pending
+{
+  enum pending_kind kind;
+  struct call_origin origin;
+  char id[REQUEST_ID_SIZE];
+};
+
+/* A task for which a call to another actor or daemon is in progress, or that
+   is to be left alone for a while.  */
+struct busy_task
+{
+  struct shard *shard;
+  char job[RR_NAME_MAX + 1];
+  uint32_t task;
+  uint32_t attempt;
+  char name[TASK_NAME_SIZE];
+  bool calling;
+  struct rr_time until; /* when not calling: look again after this */
+  unsigned tries;
+  unsigned outstanding; /* lease proofs */
+  bool proof_failed;
+  bool extend_pending; /* the ledger owner has to learn of a longer grant */
+  bool lease_expired;
+  char filters[160];
+};
+
+/* Offset of a worker's clock to ours, as last seen.  */
+struct worker_clock
+{
+  char worker[NAME_SIZE];
+  uint64_t incarnation;
+  int64_t offset_ms;
+};
+
+struct shards
+{
+  struct daemon *d;
+  struct shard shard[RR_SHARD_COUNT];
+  uv_timer_t timer;
+  struct rr_table *pending; /* of struct pending */
+  struct rr_table *busy;    /* of struct busy_task */
+  struct rr_index *busy_index;
+  struct worker_clock clocks[1024];
+  size_t clock_count;
+  char alarm[REASON_SIZE];
+  int64_t alarm_since_ms;
+};
+
+/* shards.c */
+void shard_drive (struct shard *s);
+bool shard_append (struct shard *s, struct rr_record *r, uint64_t token,
+                   struct rr_error *err);
+uint64_t pending_add (struct shards *ss, enum pending_kind kind,
+                      const struct call_origin *origin, const char *id);
+
+/* shards_tasks.c */
+void shard_scan (struct shard *s, struct rr_time now);
+void shards_task_ended (struct shards *ss, const struct message_rpc_request *q);
+const char *shards_task_filters (struct shards *ss, const char *job,
+                                 uint32_t task);
+
+/* shards_grants.c */
+void shards_ask (struct shards *ss, struct request *r);
+void shards_result (struct shards *ss, struct request *r);
+void shards_answer_grant (struct shards *ss,
+                          const struct message_rpc_request *q);
+void shards_answer_result (struct shards *ss,
+                           const struct message_rpc_request *q);
+void shards_grant_settled (struct shard *s, const struct pending *p,
+                           enum rr_commit commit, bool applied);
+
+/* shards_jobs.c */
+void shards_answer_job (struct shards *ss, const struct message_rpc_request *q);
+void shards_job_settled (struct shard *s, const struct pending *p,
+                         enum rr_commit commit, bool applied,
+                         const struct rr_error *reason);
+void shards_sync_config (struct shard *s);
+
+#endif
--- /dev/null
+++ b/include/rosemaryraild/workers_internal.h
@@ -0,0 +1,125 @@
+#ifndef ROSEMARYRAILD_WORKERS_INTERNAL_H
+#define ROSEMARYRAILD_WORKERS_INTERNAL_H
+
+#include <uv.h>
+
+#include "rosemaryrail/admission.h"
+#include "rosemaryrail/ledger.h"
+#include "rosemaryrail/table.h"
+#include "rosemaryraild/daemon.h"
+#include "rosemaryraild/worker_api.h"
+#include "rosemaryraild/workers.h"
+
+enum
+{
+  WORKERS_MAX = 1024,
+  SERVICES_MAX = 256,
+  INSTANCES_MAX = 1024,
+  HOSTED_MAX = 64
+};
+
+/* Numbers of the states and events of charts/worker.jsonc.  */
+struct worker_chart
+{
+  struct rr_chart *chart;
+  int unclaimed, claiming, rebuilding, open, quarantined, leaving, unconfirmed,
+      lease_lost, abandoned, gone;
+  int elected, claim_granted, claim_refused, rebuilt, confirmed, report_failed,
+      lease_expired, epoch_refused, paused, quarantine, quarantine_ended, left,
+      release, abandon, disappeared;
+};
+
+/* A task that is reserved, starting, running or ended on a worker.  */
+struct hosted_task
+{
+  char task[RR_TASK_ID_SIZE];
+  uint32_t attempt;
+  char kind[16];
+  char service[NAME_SIZE];
+  char task_class[NAME_SIZE];
+  char team[NAME_SIZE];
+  struct rr_resources need;
+  uint64_t reservation;
+  bool running;
+  bool ended;
+  bool end_reported; /* being told to the shard owner */
+  int64_t sequence;
+  char result[32];
+  char checkpoint[WORKER_CHECKPOINT_SIZE];
+  int instance; /* number in the route of its service, or -1 */
+};
+
+struct worker
+{
+  struct workers *ws;
+  char name[NAME_SIZE];
+  char rack[NAME_SIZE];
+  uint64_t incarnation;
+  struct worker_endpoint at;
+  struct rr_ledger *ledger;
+  int state;
+  bool call_pending;   /* claim, report or release */
+  unsigned references; /* other calls in progress */
+  struct rr_time call_sent;
+  struct rr_time next_call;
+  struct rr_time reported;
+  unsigned failures;
+  int64_t ended_after;
+  struct hosted_task hosted[HOSTED_MAX];
+  size_t hosted_count;
+};
+
+/* Requests of one service to the workers whose ledgers this daemon owns.  */
+struct route
+{
+  struct workers *ws;
+  char service[NAME_SIZE];
+  struct rr_admission *admission;
+  struct worker *instances[INSTANCES_MAX]; /* by admission's number */
+  size_t instance_count;
+};
+
+struct workers
+{
+  struct daemon *d;
+  struct worker_chart chart;
+  struct worker *workers[WORKERS_MAX];
+  size_t count;
+  uv_timer_t timer;
+  struct route *routes[SERVICES_MAX];
+  size_t route_count;
+  struct rr_table *requests; /* of struct request * */
+  uv_timer_t queue_timer;
+  bool queue_timer_active;
+  struct rr_retry_budget retry_budget;
+  size_t in_progress;
+};
+
+/* workers.c */
+struct worker *workers_find (struct workers *ws, const char *name,
+                             uint64_t incarnation);
+bool worker_event (struct worker *w, int event);
+bool worker_is_open (const struct worker *w, struct rr_time now);
+struct hosted_task *worker_hosted (struct worker *w, const char *task,
+                                   uint32_t attempt);
+struct hosted_task *worker_host (struct worker *w, const char *task,
+                                 uint32_t attempt);
+void worker_unhost (struct worker *w, struct hosted_task *t);
+void worker_lease_lost (struct worker *w, int event);
+
+/* workers_tasks.c */
+void workers_handle_rpc (struct workers *ws, struct message_rpc_request *q);
+void worker_take_account (struct worker *w, const struct worker_account *a);
+void worker_tell_ends (struct worker *w);
+
+/* workers_requests.c */
+void workers_run_request (struct workers *ws, struct request *r);
+void workers_forwarded_request (struct workers *ws,
+                                const struct message_rpc_request *q);
+struct route *workers_route (struct workers *ws, const char *service);
+void route_add_instance (struct worker *w, struct hosted_task *t);
+void route_remove_instance (struct worker *w, struct hosted_task *t);
+void workers_requests_open (struct workers *ws);
+void workers_unblock (struct workers *ws);
+
+#endif
--- /dev/null
+++ b/rosemaryraild/main.c
@@ -0,0 +1,209 @@
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "rosemaryraild/config_keeper.h"
+#include "rosemaryraild/daemon.h"
+#include "rosemaryraild/front.h"
+#include "rosemaryraild/peers.h"
+#include "rosemaryraild/shards.h"
+#include "rosemaryraild/workers.h"
+
+enum
+{
+  EXIT_USAGE = 2,
+  OVERRIDES_MAX = 64,
+  SHUTDOWN_TICK_MS = 50,
+  HANDOVER_MS = 3000
+};
+
+/* State of a graceful shutdown.  */
+struct shutdown
+{
+  struct daemon *d;
+  uv_signal_t term;
+  uv_signal_t interrupt;
+  uv_timer_t timer;
+  struct rr_time drain_until;
+  struct rr_time handover_until;
+  bool closed;
+};
+
+/* Ends the process once nothing is in progress: readiness has been 503 for the
+   drain time, shards and workers are handed over or can't be, and every
+   request has been answered.  */
+static void
+on_shutdown_tick (uv_timer_t *timer)
+{
+  struct shutdown *s = timer->data;
+  struct daemon *d = s->d;
+  struct rr_time now = daemon_now ();
+  if (rr_time_before (now, s->drain_until))
+    return;
+  if (!s->closed)
+    {
+      s->closed = true;
+      s->handover_until = rr_time_add (now, HANDOVER_MS);
+      front_shutdown (d->front);
+      log_event (LOG_LEVEL_INFO, "listener_closed", "in_progress=%zu",
+                 front_in_progress (d->front));
+    }
+  if (front_in_progress (d->front) > 0
+      || workers_in_progress (d->workers) > 0)
+    return;
+  if (!shards_all_released (d->shards)
+      && rr_time_before (now, s->handover_until))
+    return;
+  log_event (LOG_LEVEL_INFO, "stopped", "handed_over=%s",
+             shards_all_released (d->shards) ? "true" : "false");
+  uv_stop (d->loop);
+}
+
+static void
+on_signal (uv_signal_t *signal, int number)
+{
+  struct shutdown *s = signal->data;
+  if (s->d->stopping)
+    return;
+  s->d->stopping = true;
+  log_event (LOG_LEVEL_INFO, "stopping", "signal=%d drain_ms=%lld", number,
+             (long long)s->d->settings.drain_ms);
+  s->drain_until = rr_time_add (daemon_now (), s->d->settings.drain_ms);
+  uv_timer_start (&s->timer, on_shutdown_tick, 0, SHUTDOWN_TICK_MS);
+  daemon_broadcast (s->d, MESSAGE_STOP);
+}
+
+static void
+watch_signals (struct shutdown *s, struct daemon *d)
+{
+  s->d = d;
+  s->timer.data = s;
+  s->term.data = s;
+  s->interrupt.data = s;
+  uv_timer_init (d->loop, &s->timer);
+  uv_signal_init (d->loop, &s->term);
+  uv_signal_init (d->loop, &s->interrupt);
+  uv_signal_start (&s->term, on_signal, SIGTERM);
+  uv_signal_start (&s->interrupt, on_signal, SIGINT);
+}
+
+static void
+set_actor (struct actor *a, const char *name, void *state,
+           void (*handle) (void *, struct message *))
+{
+  *a = (struct actor){ .name = name, .state = state, .handle = handle };
+}
+
+/* Starts all actors; false with ERR when one can't start.  */
+static bool
+start (struct daemon *d, struct rr_error *err)
+{
+  const struct settings *s = &d->settings;
+  d->loop = uv_default_loop ();
+  d->incarnation = (uint64_t)daemon_wall_ms ();
+  d->rng = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (d->rng, d->incarnation ^ (uint64_t)getpid () << 20);
+  mailroom_open (&d->mailroom, d->loop);
+  metrics_open (&d->metrics);
+  d->histograms = rr_histogram_set_new ();
+  d->http = http_client_open (d->loop, err);
+  if (d->http == NULL)
+    return false;
+  d->platform = platform_open (d->http, s->platform_address,
+                               (uint16_t)s->platform_port,
+                               (uint64_t)s->platform_timeout_ms);
+  d->config = config_keeper_open (d, err);
+  d->shards = shards_open (d, err);
+  d->workers = workers_open (d, err);
+  if (d->config == NULL || d->shards == NULL || d->workers == NULL)
+    return false;
+  d->peers = peers_open (d, err);
+  d->front = d->peers == NULL ? NULL : front_open (d, err);
+  if (d->front == NULL)
+    return false;
+  set_actor (&d->front_actor, "front", d->front, front_handle);
+  set_actor (&d->peers_actor, "peers", d->peers, peers_handle);
+  set_actor (&d->config_actor, "config", d->config, config_keeper_handle);
+  set_actor (&d->shards_actor, "shards", d->shards, shards_handle);
+  set_actor (&d->workers_actor, "workers", d->workers, workers_handle);
+  return true;
+}
+
+/* Reads command line and settings.  Returns -1 to go on, or the exit
+   status.  */
+static int
+read_settings (int argc, char **argv, struct settings *settings)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "show this help");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check", "check the settings and exit");
+  struct arg_str *set = arg_strn (NULL, "set", "NAME=VALUE", 0, OVERRIDES_MAX,
+                                  "override one setting");
+  struct arg_file *file
+      = arg_file0 (NULL, NULL, "SETTINGS", "settings, JSON with comments");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, check, set, file, end };
+  int errors = arg_parse (argc, argv, table);
+  int status = -1;
+  if (help->count > 0)
+    {
+      printf ("Usage: rosemaryraild");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      status = EXIT_SUCCESS;
+    }
+  else if (errors > 0)
+    {
+      arg_print_errors (stderr, end, "rosemaryraild");
+      status = EXIT_USAGE;
+    }
+  else
+    {
+      struct rr_config_errors list = { 0 };
+      const char *path = file->count > 0 ? file->filename[0] : NULL;
+      if (!settings_load (path, set->sval, (size_t)set->count, settings,
+                          &list))
+        {
+          char *text = rr_config_errors_text (&list);
+          fprintf (stderr, "%s", text);
+          free (text);
+          status = EXIT_USAGE;
+        }
+      else if (check->count > 0)
+        status = EXIT_SUCCESS;
+      rr_config_errors_free (&list);
+    }
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct daemon d;
+  static struct shutdown s;
+  struct rr_error err = { 0 };
+  int status = read_settings (argc, argv, &d.settings);
+  if (status >= 0)
+    return status;
+  enum log_level level = LOG_LEVEL_INFO;
+  log_level_from_name (d.settings.log_level, &level);
+  log_open ("rosemaryraild", level);
+  signal (SIGPIPE, SIG_IGN);
+  if (!start (&d, &err))
+    {
+      fprintf (stderr, "rosemaryraild: %s\n", err.message);
+      return EXIT_FAILURE;
+    }
+  watch_signals (&s, &d);
+  log_event (LOG_LEVEL_INFO, "started",
+             "name=%s zone=%s incarnation=%llu http_port=%lld rpc_port=%lld",
+             d.settings.name, d.settings.zone,
+             (unsigned long long)d.incarnation,
+             (long long)d.settings.http_port, (long long)d.settings.rpc_port);
+  uv_run (d.loop, UV_RUN_DEFAULT);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/rosemaryraild/shards.c
@@ -0,0 +1,530 @@
+#include "rosemaryraild/shards.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "rosemaryraild/shards_internal.h"
+
+enum
+{
+  TICK_MS = 50,
+  SCAN_MS = 250,
+  /* A daemon that has just started hears its peers before it takes a shard
+     that one of them owns.  */
+  ELECTION_MS = 1500,
+  RETENTION_MS = 24 * 3600 * 1000,
+  FINISHED_JOBS_MAX = 400,
+  EXPIRED_BATCH = 16
+};
+
+/* A read or write of a shard's log.  */
+struct log_call
+{
+  struct shard *s;
+  uint64_t ticket;
+};
+
+static void
+on_log_call (void *data, const struct platform_result *r)
+{
+  struct log_call *c = data;
+  struct rr_kv_result out = { .status = RR_KV_OK,
+                              .revision = r->revision,
+                              .value = (const uint8_t *)r->value,
+                              .length = r->length };
+  switch (r->state)
+    {
+    case PLATFORM_OK:
+    case PLATFORM_UNCHANGED:
+      break;
+    case PLATFORM_ABSENT:
+      out.revision = 0;
+      out.value = NULL;
+      break;
+    case PLATFORM_CONFLICT:
+      out.status = RR_KV_CONFLICT;
+      break;
+    case PLATFORM_NOT_SENT:
+      out.status = RR_KV_NOT_SENT;
+      break;
+    case PLATFORM_UNKNOWN:
+      out.status = RR_KV_NO_ANSWER;
+      break;
+    }
+  rr_shard_log_complete (c->s->log, c->ticket, &out, daemon_now ());
+  shard_drive (c->s);
+  free (c);
+}
+
+static void
+carry_out_call (struct shard *s, const struct rr_shard_output *o)
+{
+  struct log_call *c = calloc (1, sizeof *c);
+  assert (c != NULL);
+  c->s = s;
+  c->ticket = o->ticket;
+  if (o->kind == RR_SHARD_READ)
+    platform_get (s->ss->d->platform, o->key, on_log_call, c);
+  else
+    platform_put (s->ss->d->platform, o->key, (const char *)o->value,
+                  o->length, o->expect, on_log_call, c);
+}
+
+static uint64_t
+token_of (struct rr_handle h)
+{
+  return (uint64_t)h.generation << 32 | h.index;
+}
+
+/* Remembers what to do once the record with the returned token has an
+   outcome.  */
+uint64_t
+pending_add (struct shards *ss, enum pending_kind kind,
+             const struct call_origin *origin, const char *id)
+{
+  struct rr_handle h;
+  struct pending *p = rr_table_insert (ss->pending, &h);
+  memset (p, 0, sizeof *p);
+  p->kind = kind;
+  if (origin != NULL)
+    p->origin = *origin;
+  snprintf (p->id, sizeof p->id, "%s", id);
+  return token_of (h);
+}
+
+static void
+reply_status (struct shard *s, const struct call_origin *origin,
+              enum rr_error_code code, const char *text)
+{
+  peer_status out = { .code = (int)code, .message = (char *)text };
+  daemon_reply (s->ss->d, origin, (xdrproc_t)xdr_peer_status, &out);
+}
+
+static void
+take_settled (struct shard *s, const struct rr_shard_output *o)
+{
+  struct shards *ss = s->ss;
+  struct rr_handle h = { .index = (uint32_t)o->token,
+                         .generation = (uint32_t)(o->token >> 32) };
+  struct pending *row = rr_table_get (ss->pending, h);
+  s->dirty = true;
+  if (row == NULL)
+    return;
+  struct pending p = *row;
+  rr_table_remove (ss->pending, h);
+  switch (p.kind)
+    {
+    case PENDING_RECORD:
+      break;
+    case PENDING_GRANT:
+      shards_grant_settled (s, &p, o->commit, o->applied);
+      break;
+    case PENDING_RESULT:
+      reply_status (s, &p.origin,
+                    o->commit == RR_COMMITTED ? RR_OK : RR_ERROR_TIMEOUT, "");
+      break;
+    case PENDING_END:
+      /* A refused record is an end that is recorded already.  */
+      reply_status (s, &p.origin,
+                    o->commit == RR_COMMITTED ? RR_OK : RR_ERROR_TIMEOUT, "");
+      break;
+    case PENDING_SUBMIT:
+    case PENDING_CANCEL:
+      shards_job_settled (s, &p, o->commit, o->applied, &o->reason);
+      break;
+    }
+}
+
+static void
+count_owned (struct shards *ss)
+{
+  int64_t owned = 0;
+  for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+    owned += rr_shard_log_is_owner (ss->shard[i].log);
+  metric_set (&ss->d->metrics, METRIC_SHARDS_OWNED, owned);
+}
+
+static void
+take_output (struct shard *s, const struct rr_shard_output *o)
+{
+  struct shards *ss = s->ss;
+  switch (o->kind)
+    {
+    case RR_SHARD_READ:
+    case RR_SHARD_WRITE:
+      carry_out_call (s, o);
+      break;
+    case RR_SHARD_SETTLED:
+      take_settled (s, o);
+      break;
+    case RR_SHARD_OWNED:
+      metric_add (&ss->d->metrics, METRIC_SHARD_TAKEOVERS, 1);
+      log_event (LOG_LEVEL_INFO, "shard_owned", "shard=%u epoch=%llu",
+                 s->number,
+                 (unsigned long long)rr_shard_log_epoch (s->log));
+      s->dirty = true;
+      shards_sync_config (s);
+      break;
+    case RR_SHARD_CONFIRMED:
+      s->dirty = true;
+      break;
+    case RR_SHARD_LOST:
+      metric_add (&ss->d->metrics, METRIC_SHARD_LOSSES, 1);
+      log_event (LOG_LEVEL_INFO, "shard_lost", "shard=%u reason=\"%s\"",
+                 s->number, o->reason.message);
+      break;
+    case RR_SHARD_RELEASED:
+      log_event (LOG_LEVEL_INFO, "shard_released", "shard=%u", s->number);
+      break;
+    case RR_SHARD_ALARM:
+      snprintf (ss->alarm, sizeof ss->alarm, "shard %u: %.70s", s->number,
+                o->reason.message);
+      ss->alarm_since_ms = daemon_wall_ms ();
+      log_event (LOG_LEVEL_ERROR, "alarm", "name=shard shard=%u detail=\"%s\"",
+                 s->number, o->reason.message);
+      break;
+    }
+  count_owned (ss);
+}
+
+/* Carries out everything that the shard's log asks for.  */
+void
+shard_drive (struct shard *s)
+{
+  struct rr_shard_output o;
+  while (rr_shard_log_next (s->log, daemon_now (), &o))
+    take_output (s, &o);
+}
+
+/* Queues R, whose writer time it sets, for the shard's log.  Returns false
+   with ERR when the log does not take it; nothing will be written then.  */
+bool
+shard_append (struct shard *s, struct rr_record *r, uint64_t token,
+              struct rr_error *err)
+{
+  r->at_ms = daemon_wall_ms ();
+  if (!rr_shard_log_append (s->log, r, token, daemon_now (), err))
+    {
+      struct rr_handle h = { .index = (uint32_t)token,
+                             .generation = (uint32_t)(token >> 32) };
+      rr_table_remove (s->ss->pending, h);
+      return false;
+    }
+  shard_drive (s);
+  return true;
+}
+
+/* Tells whether the daemon M can own shards: it is live, not leaving and
+   reaches the platform.  */
+static bool
+can_own (struct shards *ss, const struct rr_member *m)
+{
+  struct daemon *d = ss->d;
+  if (m->info.role != RR_ROLE_ENTRY || !m->alive
+      || m->state != RR_MEMBER_LIVE)
+    return false;
+  if (rr_membership_is_self (peers_membership (d->peers), m))
+    return platform_reachable (d->platform) && !d->stopping;
+  const peer_heartbeat *h = peers_load (d->peers, m->info.name);
+  return h != NULL && h->platform_reachable && !h->stopping;
+}
+
+/* Names the daemon that should own SHARD: rendezvous hashing over those that
+   can.  Daemons that disagree for a moment only hand a shard to and fro; the
+   log decides who owns it.  */
+static bool
+elect (struct shards *ss, uint32_t shard, char *name, size_t size)
+{
+  struct rr_membership *m = peers_membership (ss->d->peers);
+  struct rr_time now = daemon_now ();
+  uint64_t best = 0;
+  bool found = false;
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      if (!can_own (ss, member))
+        continue;
+      uint64_t score = rr_rendezvous_score (member->info.name, shard);
+      if (!found || score > best)
+        {
+          best = score;
+          found = true;
+          snprintf (name, size, "%s", member->info.name);
+        }
+    }
+  return found;
+}
+
+/* Finds a live peer that claims SHARD and reaches the platform.  */
+static bool
+claimed_by_peer (struct shards *ss, uint32_t shard, char *name, size_t size)
+{
+  struct rr_membership *m = peers_membership (ss->d->peers);
+  struct rr_time now = daemon_now ();
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      if (rr_membership_is_self (m, member) || !member->alive
+          || (member->shards & 1u << shard) == 0)
+        continue;
+      const peer_heartbeat *h = peers_load (ss->d->peers, member->info.name);
+      if (h == NULL || !h->platform_reachable)
+        continue;
+      snprintf (name, size, "%s", member->info.name);
+      return true;
+    }
+  return false;
+}
+
+static void
+tick_election (struct shard *s, struct rr_time now)
+{
+  struct shards *ss = s->ss;
+  struct daemon *d = ss->d;
+  char elected[NAME_SIZE];
+  char claimant[NAME_SIZE];
+  bool found = elect (ss, s->number, elected, sizeof elected);
+  bool ours = found && strcmp (elected, d->settings.name) == 0;
+  struct rr_error err = { 0 };
+  if (rr_shard_log_is_owner (s->log))
+    {
+      if (found && !ours)
+        rr_shard_log_release (s->log, elected, now, daemon_wall_ms (), &err);
+      else if (d->stopping)
+        rr_shard_log_release (s->log, "", now, daemon_wall_ms (), &err);
+      return;
+    }
+  if (!ours || rr_shard_log_state (s->log) != RR_SHARD_IDLE)
+    {
+      s->elected_since.ms = 0;
+      return;
+    }
+  if (s->elected_since.ms == 0)
+    s->elected_since = now;
+  if (rr_time_diff (now, s->elected_since) < ELECTION_MS
+      || claimed_by_peer (ss, s->number, claimant, sizeof claimant))
+    return;
+  s->elected_since = now;
+  rr_shard_log_take_over (s->log, now, daemon_wall_ms (), &err);
+}
+
+/* Queues the records that drop finished jobs and old requests.  */
+static void
+expire (struct shard *s)
+{
+  struct rr_shard_state *data = rr_shard_log_data (s->log);
+  struct rr_job_retention retention
+      = { .max_finished = FINISHED_JOBS_MAX, .max_age_ms = RETENTION_MS };
+  struct rr_record records[EXPIRED_BATCH];
+  size_t n = rr_job_store_expired (data->jobs, &retention, daemon_wall_ms (),
+                                   records, EXPIRED_BATCH);
+  for (size_t i = 0; i < n; i++)
+    shard_append (s, &records[i],
+                  pending_add (s->ss, PENDING_RECORD, NULL, ""), NULL);
+  struct rr_record record;
+  if (rr_request_log_expired (data->requests,
+                              s->ss->d->settings.request_retention_ms,
+                              daemon_wall_ms (), &record))
+    shard_append (s, &record, pending_add (s->ss, PENDING_RECORD, NULL, ""),
+                  NULL);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct shards *ss = timer->data;
+  struct rr_time now = daemon_now ();
+  for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+    {
+      struct shard *s = &ss->shard[i];
+      tick_election (s, now);
+      shard_drive (s);
+      if (!rr_shard_log_is_owner (s->log))
+        continue;
+      bool due = !rr_time_before (now, s->next_scan);
+      if (due)
+        {
+          s->next_scan = rr_time_add (now, SCAN_MS);
+          expire (s);
+        }
+      if (due || s->dirty)
+        {
+          s->dirty = false;
+          shard_scan (s, now);
+        }
+      shard_drive (s);
+    }
+}
+
+static void
+after_pause (struct shards *ss)
+{
+  struct rr_time now = daemon_now ();
+  for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+    if (rr_shard_log_is_owner (ss->shard[i].log))
+      {
+        rr_shard_log_confirm (ss->shard[i].log, now);
+        shard_drive (&ss->shard[i]);
+      }
+}
+
+static void
+handle_rpc (struct shards *ss, const struct message_rpc_request *q)
+{
+  switch (q->procedure)
+    {
+    case REQUEST_GRANT:
+      shards_answer_grant (ss, q);
+      break;
+    case REQUEST_RESULT:
+      shards_answer_result (ss, q);
+      break;
+    case TASK_ENDED:
+      shards_task_ended (ss, q);
+      break;
+    default:
+      shards_answer_job (ss, q);
+      break;
+    }
+}
+
+/* Handles one message to the shards actor.  */
+void
+shards_handle (void *state, struct message *m)
+{
+  struct shards *ss = state;
+  switch (m->type)
+    {
+    case MESSAGE_RPC_REQUEST:
+      handle_rpc (ss, &m->u.rpc_request);
+      break;
+    case MESSAGE_GRANT_ASK:
+      shards_ask (ss, request_take (m));
+      break;
+    case MESSAGE_GRANT_RESULT:
+      shards_result (ss, request_take (m));
+      break;
+    case MESSAGE_CONFIG:
+      for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+        if (rr_shard_log_is_owner (ss->shard[i].log))
+          shards_sync_config (&ss->shard[i]);
+      break;
+    case MESSAGE_PAUSED:
+      after_pause (ss);
+      break;
+    default:
+      message_rpc_done_run (m);
+      break;
+    }
+}
+
+/* Creates the actor that owns shards.  */
+struct shards *
+shards_open (struct daemon *d, struct rr_error *err)
+{
+  (void)err;
+  struct shards *ss = calloc (1, sizeof *ss);
+  assert (ss != NULL);
+  ss->d = d;
+  ss->pending = rr_table_new (sizeof (struct pending));
+  ss->busy = rr_table_new (sizeof (struct busy_task));
+  ss->busy_index = rr_index_new ();
+  for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+    {
+      struct shard *s = &ss->shard[i];
+      struct rr_shard_log_options options
+          = { .shard = i,
+              .incarnation = d->incarnation,
+              .seed = gsl_rng_get (d->rng) };
+      snprintf (options.owner, sizeof options.owner, "%s", d->settings.name);
+      s->ss = ss;
+      s->number = i;
+      s->log = rr_shard_log_new (&options);
+    }
+  uv_timer_init (d->loop, &ss->timer);
+  ss->timer.data = ss;
+  uv_timer_start (&ss->timer, on_tick, TICK_MS, TICK_MS);
+  return ss;
+}
+
+/* Fills the shards of a heartbeat; the array stays valid until the next
+   call.  */
+void
+shards_load (struct shards *ss, peer_heartbeat *h)
+{
+  static peer_shard owned[RR_SHARD_COUNT];
+  u_int n = 0;
+  for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+    if (rr_shard_log_is_owner (ss->shard[i].log))
+      owned[n++] = (peer_shard){ i, rr_shard_log_epoch (ss->shard[i].log) };
+  h->shards.shards_len = n;
+  h->shards.shards_val = owned;
+}
+
+/* Names the daemon that owns SHARD as far as this one knows.  */
+bool
+shards_owner (struct shards *ss, uint32_t shard, char *name, size_t size)
+{
+  if (rr_shard_log_is_owner (ss->shard[shard].log))
+    {
+      snprintf (name, size, "%s", ss->d->settings.name);
+      return true;
+    }
+  return claimed_by_peer (ss, shard, name, size);
+}
+
+static const char *
+state_name (enum rr_shard_log_state state)
+{
+  switch (state)
+    {
+    case RR_SHARD_IDLE:
+      return "foreign";
+    case RR_SHARD_TAKING:
+      return "taking";
+    case RR_SHARD_OWNER:
+      return "owned";
+    case RR_SHARD_RELEASING:
+      return "releasing";
+    case RR_SHARD_HALTED:
+      return "halted";
+    }
+  return "invalid";
+}
+
+/* Fills OUT for SHARD; false when there is no such shard.  */
+bool
+shards_status_at (struct shards *ss, uint32_t shard, struct shard_status *out)
+{
+  if (shard >= RR_SHARD_COUNT)
+    return false;
+  memset (out, 0, sizeof *out);
+  out->state = state_name (rr_shard_log_state (ss->shard[shard].log));
+  out->epoch = rr_shard_log_epoch (ss->shard[shard].log);
+  shards_owner (ss, shard, out->owner, sizeof out->owner);
+  return true;
+}
+
+/* Tells whether this daemon owns no shard any more.  */
+bool
+shards_all_released (const struct shards *ss)
+{
+  for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+    {
+      enum rr_shard_log_state st = rr_shard_log_state (ss->shard[i].log);
+      if (st == RR_SHARD_OWNER || st == RR_SHARD_RELEASING)
+        return false;
+    }
+  return true;
+}
+
+/* Returns the alarm's text or null, and since when (wall clock) it stands.  */
+const char *
+shards_alarm (const struct shards *ss, int64_t *since_ms)
+{
+  *since_ms = ss->alarm_since_ms;
+  return ss->alarm[0] == '\0' ? NULL : ss->alarm;
+}
--- /dev/null
+++ b/rosemaryraild/shards_grants.c
@@ -0,0 +1,411 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "rosemaryraild/shards_internal.h"
+
+enum
+{
+  PENDING_POLL_MS = 100,
+  RESULT_TRIES_MAX = 4,
+  /* A granted request whose holder is silent this long after its deadline will
+     not get a result any more.  */
+  RESULT_GRACE_MS = 1000
+};
+
+/* A request that asks for permission.  */
+struct ask
+{
+  struct shards *ss;
+  struct request *r;
+  uv_timer_t timer;
+  bool tried; /* an ask may have reached an owner */
+};
+
+static void
+on_ask_closed (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+/* Gives the request back to the front.  */
+static void
+ask_end (struct ask *a, enum peer_grant_verdict verdict)
+{
+  struct message m = { .type = MESSAGE_GRANT_VERDICT };
+  m.u.verdict.request = a->r;
+  m.u.verdict.verdict = verdict;
+  daemon_send (a->ss->d, &a->ss->d->front_actor, &m);
+  uv_close ((uv_handle_t *)&a->timer, on_ask_closed);
+}
+
+static void ask_send (struct ask *a);
+
+static void
+on_poll (uv_timer_t *timer)
+{
+  ask_send (timer->data);
+}
+
+/* Tries again in a moment, or ends when the deadline is too near.  */
+static void
+ask_again (struct ask *a, enum peer_grant_verdict at_deadline)
+{
+  int64_t left = rr_time_diff (a->r->deadline, daemon_now ());
+  if (left <= 2 * PENDING_POLL_MS)
+    {
+      ask_end (a, at_deadline);
+      return;
+    }
+  uv_timer_start (&a->timer, on_poll, PENDING_POLL_MS, 0);
+}
+
+static void
+take_recorded (struct request *r, peer_grant_result *g)
+{
+  r->status = g->status;
+  snprintf (r->reason, sizeof r->reason, "%s", g->reason);
+  snprintf (r->content_type, sizeof r->content_type, "%s", g->content_type);
+  r->outcome = g->outcome == PEER_ANSWERED ? RR_OUTCOME_ANSWERED
+               : g->outcome == PEER_NOT_RUN ? RR_OUTCOME_NOT_RUN
+                                            : RR_OUTCOME_UNKNOWN;
+  free (r->answer);
+  r->answer = g->body.body_val;
+  r->answer_length = g->body.body_len;
+  g->body.body_val = NULL;
+  g->body.body_len = 0;
+}
+
+static void
+on_grant_answer (void *data, enum rpc_call_state state, const char *result,
+                 size_t length)
+{
+  struct ask *a = data;
+  peer_grant_result g = { 0 };
+  if (state == RPC_CALL_ANSWERED
+      && !xdr_decode ((xdrproc_t)xdr_peer_grant_result, &g, result, length))
+    state = RPC_CALL_UNKNOWN;
+  if (state == RPC_CALL_UNKNOWN)
+    {
+      /* The permission may have been recorded for this ask; it is not used, and
+         a later ask for the same id tells.  */
+      a->tried = true;
+      ask_end (a, PEER_GRANT_UNKNOWN);
+      return;
+    }
+  if (state != RPC_CALL_ANSWERED)
+    {
+      ask_again (a, PEER_GRANT_REFUSED);
+      return;
+    }
+  switch (g.verdict)
+    {
+    case PEER_GRANT_RECORDED:
+      take_recorded (a->r, &g);
+      ask_end (a, PEER_GRANT_RECORDED);
+      break;
+    case PEER_GRANT_PENDING:
+      ask_again (a, PEER_GRANT_UNKNOWN);
+      break;
+    case PEER_GRANT_NOT_OWNER:
+      ask_again (a, PEER_GRANT_REFUSED);
+      break;
+    case PEER_GRANT_GO:
+    case PEER_GRANT_REFUSED:
+    case PEER_GRANT_UNKNOWN:
+      ask_end (a, g.verdict);
+      break;
+    }
+  xdr_free ((xdrproc_t)xdr_peer_grant_result, &g);
+}
+
+/* Sends the ask to the owner of the request's shard.  The deadline of the call
+   is the caller's: an owner that is merely slow still answers in time.  */
+static void
+ask_send (struct ask *a)
+{
+  struct shards *ss = a->ss;
+  struct request *r = a->r;
+  char owner[NAME_SIZE];
+  int64_t left = rr_time_diff (r->deadline, daemon_now ());
+  if (left <= 1)
+    {
+      ask_end (a, PEER_GRANT_REFUSED);
+      return;
+    }
+  if (!shards_owner (ss, rr_shard_of (r->id), owner, sizeof owner))
+    {
+      ask_again (a, PEER_GRANT_REFUSED);
+      return;
+    }
+  peer_grant_args args = { .id = r->id,
+                           .service = r->service,
+                           .holder = ss->d->settings.name,
+                           .holder_incarnation = ss->d->incarnation,
+                           .ask = r->ask,
+                           .timeout_ms = (u_int)left };
+  daemon_call (ss->d, &ss->d->shards_actor, owner, REQUEST_GRANT,
+               (xdrproc_t)xdr_peer_grant_args, &args, (uint64_t)left,
+               on_grant_answer, a);
+}
+
+/* Asks for the permission to send the non-repeatable request R; the front
+   gets R back with the verdict.  */
+void
+shards_ask (struct shards *ss, struct request *r)
+{
+  struct ask *a = calloc (1, sizeof *a);
+  assert (a != NULL);
+  a->ss = ss;
+  a->r = r;
+  uint64_t high = gsl_rng_get (ss->d->rng);
+  r->ask = high << 32 ^ gsl_rng_get (ss->d->rng);
+  uv_timer_init (ss->d->loop, &a->timer);
+  a->timer.data = a;
+  ask_send (a);
+}
+
+/* The result of a granted request on its way to the record.  */
+struct result_call
+{
+  struct shards *ss;
+  struct request *r;
+  uv_timer_t timer;
+  unsigned tries;
+};
+
+static void result_send (struct result_call *c);
+
+static void
+on_result_retry (uv_timer_t *timer)
+{
+  result_send (timer->data);
+}
+
+static void
+result_end (struct result_call *c)
+{
+  request_free (c->r);
+  uv_close ((uv_handle_t *)&c->timer, on_ask_closed);
+}
+
+static void
+result_retry (struct result_call *c)
+{
+  if (++c->tries == RESULT_TRIES_MAX)
+    {
+      log_event (LOG_LEVEL_WARN, "result_not_recorded", "request=%s",
+                 c->r->id);
+      result_end (c);
+      return;
+    }
+  uv_timer_start (&c->timer, on_result_retry, 200u << c->tries, 0);
+}
+
+static void
+on_result_recorded (void *data, enum rpc_call_state state, const char *result,
+                    size_t length)
+{
+  struct result_call *c = data;
+  peer_status s = { 0 };
+  bool ok = state == RPC_CALL_ANSWERED
+            && xdr_decode ((xdrproc_t)xdr_peer_status, &s, result, length)
+            && s.code == RR_OK;
+  xdr_free ((xdrproc_t)xdr_peer_status, &s);
+  if (ok)
+    result_end (c);
+  else
+    result_retry (c);
+}
+
+static void
+result_send (struct result_call *c)
+{
+  struct shards *ss = c->ss;
+  const struct request *r = c->r;
+  char owner[NAME_SIZE];
+  if (!shards_owner (ss, rr_shard_of (r->id), owner, sizeof owner))
+    {
+      result_retry (c);
+      return;
+    }
+  bool kept = r->answer_length <= RR_BODY_MAX;
+  peer_result_args args
+      = { .id = (char *)r->id,
+          .holder_incarnation = ss->d->incarnation,
+          .ask = r->ask,
+          .outcome = r->outcome == RR_OUTCOME_ANSWERED  ? PEER_ANSWERED
+                     : r->outcome == RR_OUTCOME_NOT_RUN ? PEER_NOT_RUN
+                                                        : PEER_UNKNOWN,
+          .status = r->status,
+          .content_type = (char *)r->content_type,
+          .body_kept = kept,
+          .body = { .body_len = kept ? (u_int)r->answer_length : 0,
+                    .body_val = r->answer } };
+  daemon_call (ss->d, &ss->d->shards_actor, owner, REQUEST_RESULT,
+               (xdrproc_t)xdr_peer_result_args, &args, SHARD_CALL_TIMEOUT_MS,
+               on_result_recorded, c);
+}
+
+/* Records what became of the granted request R.  */
+void
+shards_result (struct shards *ss, struct request *r)
+{
+  struct result_call *c = calloc (1, sizeof *c);
+  assert (c != NULL);
+  c->ss = ss;
+  c->r = r;
+  uv_timer_init (ss->d->loop, &c->timer);
+  c->timer.data = c;
+  result_send (c);
+}
+
+static void
+reply_grant (struct shards *ss, const struct call_origin *origin,
+             enum peer_grant_verdict verdict,
+             const struct rr_request_entry *e)
+{
+  peer_grant_result out
+      = { .verdict = verdict, .reason = "", .content_type = "" };
+  if (e != NULL)
+    {
+      out.outcome = e->outcome == RR_REQUEST_ANSWERED  ? PEER_ANSWERED
+                    : e->outcome == RR_REQUEST_NOT_RUN ? PEER_NOT_RUN
+                                                       : PEER_UNKNOWN;
+      out.status = (int)e->status;
+      out.content_type = (char *)e->content_type;
+      if (e->body_kept)
+        {
+          out.body.body_val = (char *)e->body;
+          out.body.body_len = e->body_length;
+        }
+      else if (out.outcome == PEER_ANSWERED)
+        out.reason = "the response was not kept";
+    }
+  daemon_reply (ss->d, origin, (xdrproc_t)xdr_peer_grant_result, &out);
+}
+
+/* Answers a duplicate: with the record, or "pending" while its result may
+   still come.  */
+static void
+answer_duplicate (struct shard *s, const struct call_origin *origin,
+                  const char *id)
+{
+  struct rr_request_entry e
+      = rr_request_log_find (rr_shard_log_data (s->log)->requests, id);
+  metric_add (&s->ss->d->metrics, METRIC_GRANT_DUPLICATES, 1);
+  switch (e.state)
+    {
+    case RR_REQUEST_DONE:
+      reply_grant (s->ss, origin, PEER_GRANT_RECORDED, &e);
+      break;
+    case RR_REQUEST_GRANTED:
+      reply_grant (s->ss, origin,
+                   daemon_wall_ms () > e.deadline_ms + RESULT_GRACE_MS
+                       ? PEER_GRANT_UNKNOWN
+                       : PEER_GRANT_PENDING,
+                   NULL);
+      break;
+    case RR_REQUEST_NEW:
+    case RR_REQUEST_PENDING:
+      reply_grant (s->ss, origin, PEER_GRANT_PENDING, NULL);
+      break;
+    }
+}
+
+/* Answers another daemon that asks for the permission to send.  */
+void
+shards_answer_grant (struct shards *ss, const struct message_rpc_request *q)
+{
+  peer_grant_args a = { 0 };
+  if (!xdr_decode ((xdrproc_t)xdr_peer_grant_args, &a, q->args, q->length))
+    {
+      daemon_reject (ss->d, &q->origin);
+      return;
+    }
+  struct shard *s = &ss->shard[rr_shard_of (a.id)];
+  if (!rr_shard_log_is_owner (s->log))
+    reply_grant (ss, &q->origin, PEER_GRANT_NOT_OWNER, NULL);
+  else if (rr_request_log_find (rr_shard_log_data (s->log)->requests, a.id)
+               .state
+           != RR_REQUEST_NEW)
+    answer_duplicate (s, &q->origin, a.id);
+  else
+    {
+      struct rr_record r = { .kind = RR_RECORD_REQUEST_GRANTED };
+      struct rr_record_request_granted *g = &r.u.request_granted;
+      snprintf (g->request, sizeof g->request, "%s", a.id);
+      snprintf (g->holder, sizeof g->holder, "%s", a.holder);
+      g->holder_incarnation = a.holder_incarnation;
+      g->ask = a.ask;
+      g->deadline_ms = daemon_wall_ms () + a.timeout_ms;
+      struct rr_error err = { 0 };
+      uint64_t token = pending_add (ss, PENDING_GRANT, &q->origin, a.id);
+      if (!platform_reachable (ss->d->platform))
+        rr_error_set (&err, RR_ERROR_UNAVAILABLE, "platform unreachable");
+      if (err.code != RR_OK || !shard_append (s, &r, token, &err))
+        reply_grant (ss, &q->origin, PEER_GRANT_REFUSED, NULL);
+    }
+  xdr_free ((xdrproc_t)xdr_peer_grant_args, &a);
+}
+
+/* The record of a permission has an outcome.  */
+void
+shards_grant_settled (struct shard *s, const struct pending *p,
+                      enum rr_commit commit, bool applied)
+{
+  switch (commit)
+    {
+    case RR_COMMITTED:
+      if (applied)
+        {
+          metric_add (&s->ss->d->metrics, METRIC_GRANTS, 1);
+          reply_grant (s->ss, &p->origin, PEER_GRANT_GO, NULL);
+        }
+      else
+        answer_duplicate (s, &p->origin, p->id);
+      break;
+    case RR_COMMIT_LOST:
+      reply_grant (s->ss, &p->origin, PEER_GRANT_REFUSED, NULL);
+      break;
+    case RR_COMMIT_UNKNOWN:
+      reply_grant (s->ss, &p->origin, PEER_GRANT_UNKNOWN, NULL);
+      break;
+    }
+}
+
+/* Records the result of a request for the daemon that sent it.  */
+void
+shards_answer_result (struct shards *ss, const struct message_rpc_request *q)
+{
+  peer_result_args a = { 0 };
+  if (!xdr_decode ((xdrproc_t)xdr_peer_result_args, &a, q->args, q->length)
+      || a.body.body_len > RR_BODY_MAX)
+    {
+      xdr_free ((xdrproc_t)xdr_peer_result_args, &a);
+      daemon_reject (ss->d, &q->origin);
+      return;
+    }
+  struct shard *s = &ss->shard[rr_shard_of (a.id)];
+  struct rr_record r = { .kind = RR_RECORD_REQUEST_RESULT };
+  struct rr_record_request_result *res = &r.u.request_result;
+  snprintf (res->request, sizeof res->request, "%s", a.id);
+  res->holder_incarnation = a.holder_incarnation;
+  res->ask = a.ask;
+  res->outcome = a.outcome == PEER_ANSWERED  ? RR_REQUEST_ANSWERED
+                 : a.outcome == PEER_NOT_RUN ? RR_REQUEST_NOT_RUN
+                                             : RR_REQUEST_UNKNOWN;
+  res->status = (uint32_t)a.status;
+  snprintf (res->content_type, sizeof res->content_type, "%s", a.content_type);
+  res->body_kept = a.body_kept;
+  res->body.data = (uint8_t *)a.body.body_val;
+  res->body.length = a.body.body_len;
+  peer_status out = { .code = RR_ERROR_UNAVAILABLE, .message = "not owner" };
+  if (!rr_shard_log_is_owner (s->log)
+      || !shard_append (
+          s, &r, pending_add (ss, PENDING_RESULT, &q->origin, a.id), NULL))
+    daemon_reply (ss->d, &q->origin, (xdrproc_t)xdr_peer_status, &out);
+  xdr_free ((xdrproc_t)xdr_peer_result_args, &a);
+}
--- /dev/null
+++ b/rosemaryraild/shards_tasks.c
@@ -0,0 +1,800 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "rosemaryraild/shards_internal.h"
+
+enum
+{
+  RESERVE_CALLS_MAX = 64, /* in progress from this daemon */
+  RETRY_MIN_MS = 200,
+  RETRY_MAX_MS = 5000,
+  PROOF_RETRY_MS = 1000,
+  CLOCK_QUERY_MS = 60000
+};
+
+/* Finds the note about a task, or makes one.  */
+static struct busy_task *
+busy_get (struct shard *s, const struct rr_job *job, uint32_t task)
+{
+  struct shards *ss = s->ss;
+  char name[TASK_NAME_SIZE];
+  rr_task_name (job->spec.job, task, name, sizeof name);
+  struct rr_handle h = rr_index_get (ss->busy_index, name);
+  struct busy_task *b = rr_table_get (ss->busy, h);
+  if (b != NULL)
+    return b;
+  b = rr_table_insert (ss->busy, &h);
+  memset (b, 0, sizeof *b);
+  b->shard = s;
+  strcpy (b->job, job->spec.job);
+  b->task = task;
+  strcpy (b->name, name);
+  rr_index_put (ss->busy_index, name, h);
+  return b;
+}
+
+static struct busy_task *
+busy_find (struct shards *ss, const char *name)
+{
+  return rr_table_get (ss->busy, rr_index_get (ss->busy_index, name));
+}
+
+static void
+busy_drop (struct shards *ss, struct busy_task *b)
+{
+  struct rr_handle h = rr_index_get (ss->busy_index, b->name);
+  rr_index_remove (ss->busy_index, b->name);
+  rr_table_remove (ss->busy, h);
+}
+
+/* Leaves the task alone for a delay that doubles with each try.  */
+static void
+busy_back_off (struct busy_task *b)
+{
+  int64_t delay = (int64_t)RETRY_MIN_MS << (b->tries < 5 ? b->tries : 5);
+  if (delay > RETRY_MAX_MS)
+    delay = RETRY_MAX_MS;
+  b->tries++;
+  b->calling = false;
+  b->until = rr_time_add (daemon_now (), delay);
+}
+
+/* The task may be looked at again now.  */
+static void
+busy_ready (struct busy_task *b)
+{
+  b->calling = false;
+  b->until.ms = 0;
+  b->shard->dirty = true;
+}
+
+static struct rr_job *
+job_of (const struct busy_task *b)
+{
+  if (!rr_shard_log_is_owner (b->shard->log))
+    return NULL;
+  return rr_job_store_find (rr_shard_log_data (b->shard->log)->jobs, b->job);
+}
+
+static void
+append (struct shard *s, struct rr_record *r)
+{
+  shard_append (s, r, pending_add (s->ss, PENDING_RECORD, NULL, ""), NULL);
+}
+
+static struct worker_clock *
+clock_of (struct shards *ss, const char *worker, uint64_t incarnation)
+{
+  for (size_t i = 0; i < ss->clock_count; i++)
+    if (ss->clocks[i].incarnation == incarnation
+        && strcmp (ss->clocks[i].worker, worker) == 0)
+      return &ss->clocks[i];
+  return NULL;
+}
+
+/* Remembers a reading of a worker's clock.  */
+static void
+learn_clock (struct shards *ss, const char *worker, uint64_t incarnation,
+             int64_t worker_now_ms)
+{
+  if (worker_now_ms == 0)
+    return;
+  struct worker_clock *c = clock_of (ss, worker, incarnation);
+  if (c == NULL)
+    {
+      size_t n = sizeof ss->clocks / sizeof ss->clocks[0];
+      c = &ss->clocks[ss->clock_count < n
+                          ? ss->clock_count++
+                          : gsl_rng_uniform_int (ss->d->rng, n)];
+      snprintf (c->worker, sizeof c->worker, "%s", worker);
+      c->incarnation = incarnation;
+    }
+  c->offset_ms = worker_now_ms - daemon_now ().ms;
+}
+
+static peer_task
+task_args (struct shard *s, const struct rr_job *job, uint32_t task,
+           uint32_t attempt, const char *name)
+{
+  const struct rr_record_job_submitted *spec = &job->spec;
+  return (peer_task){
+    .task = (char *)name,
+    .attempt = attempt,
+    .shard = s->number,
+    .shard_epoch = rr_shard_log_epoch (s->log),
+    .kind = spec->kind == RR_JOB_SERVICE ? "service" : "batch",
+    .service = (char *)spec->service,
+    .task_class = (char *)spec->job_class,
+    .team = (char *)spec->team,
+    .cores_milli = spec->cores_milli,
+    .memory_mb = spec->memory_mb,
+    .accelerators = spec->accelerators,
+    .work_ms = (u_quad_t)spec->work_ms,
+    .checkpoint = job->tasks[task].checkpoint,
+    .urgent = spec->urgent,
+  };
+}
+
+/* A reserve, start, seal or stop in progress.  */
+struct task_call
+{
+  struct shards *ss;
+  char name[TASK_NAME_SIZE];
+  uint32_t attempt;
+  char worker[NAME_SIZE];
+  uint64_t incarnation;
+  char zone[NAME_SIZE];
+  int64_t granted_until_ms;
+};
+
+static struct task_call *
+call_new (struct busy_task *b, uint32_t attempt)
+{
+  struct task_call *c = calloc (1, sizeof *c);
+  assert (c != NULL);
+  c->ss = b->shard->ss;
+  strcpy (c->name, b->name);
+  c->attempt = attempt;
+  b->calling = true;
+  b->attempt = attempt;
+  return c;
+}
+
+/* Returns the note and job that CALL is about, if the shard is still ours and
+   the attempt still the one it was made for.  */
+static struct busy_task *
+call_subject (const struct task_call *c, struct rr_job **job)
+{
+  struct busy_task *b = busy_find (c->ss, c->name);
+  if (b == NULL || !b->calling || b->attempt != c->attempt)
+    return NULL;
+  *job = job_of (b);
+  if (*job == NULL)
+    {
+      busy_drop (c->ss, b);
+      return NULL;
+    }
+  return b;
+}
+
+/* Whether the daemon described by H may have room for the task.  */
+static bool
+has_room (const peer_heartbeat *h, const struct rr_job *job)
+{
+  return h->workers > 0 && h->free_slots > 0
+         && h->free_cores_milli >= job->spec.cores_milli
+         && h->free_memory_mb >= job->spec.memory_mb
+         && h->free_accelerators >= job->spec.accelerators;
+}
+
+/* Number of live attempts of JOB in ZONE.  */
+static unsigned
+attempts_in_zone (const struct rr_job *job, const char *zone)
+{
+  unsigned n = 0;
+  for (uint32_t i = 0; i < job->spec.tasks; i++)
+    n += rr_attempt_is_live (&job->tasks[i].attempt)
+         && strcmp (job->tasks[i].attempt.zone, zone) == 0;
+  return n;
+}
+
+/* Picks the daemon that is asked to reserve: fewest attempts of the job in its
+   zone, then most free processors with some randomness, so that owners with
+   the same view do not all pick one.  */
+static bool
+choose_daemon (struct shards *ss, const struct rr_job *job, char *name,
+               char *zone)
+{
+  struct daemon *d = ss->d;
+  struct rr_membership *m = peers_membership (d->peers);
+  struct rr_time now = daemon_now ();
+  double best = -1e18;
+  peer_heartbeat own = { 0 };
+  workers_load (d->workers, &own);
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      if (member->info.role != RR_ROLE_ENTRY || !member->alive
+          || member->state != RR_MEMBER_LIVE)
+        continue;
+      bool self = rr_membership_is_self (m, member);
+      const peer_heartbeat *h
+          = self ? &own : peers_load (d->peers, member->info.name);
+      if (h == NULL || h->stopping || !has_room (h, job))
+        continue;
+      double score = h->free_cores_milli * gsl_rng_uniform (d->rng)
+                     - 1e9 * attempts_in_zone (job, member->info.zone);
+      if (score > best)
+        {
+          best = score;
+          snprintf (name, NAME_SIZE, "%s", member->info.name);
+          snprintf (zone, NAME_SIZE, "%s", member->info.zone);
+        }
+    }
+  return best > -1e18;
+}
+
+static void
+on_reserved (void *data, enum rpc_call_state state, const char *result,
+             size_t length)
+{
+  struct task_call *c = data;
+  struct rr_job *job;
+  struct busy_task *b = call_subject (c, &job);
+  peer_reserve_result r = { 0 };
+  bool decoded
+      = state == RPC_CALL_ANSWERED
+        && xdr_decode ((xdrproc_t)xdr_peer_reserve_result, &r, result, length);
+  if (b != NULL && (!decoded || r.code != RR_OK))
+    {
+      if (decoded)
+        snprintf (b->filters, sizeof b->filters, "%.*s",
+                  (int)r.filters.filters_len, r.filters.filters_val);
+      busy_back_off (b);
+    }
+  else if (b != NULL)
+    {
+      struct shard *s = b->shard;
+      learn_clock (c->ss, r.worker, r.incarnation, r.worker_now_ms);
+      struct rr_record rec = { .kind = RR_RECORD_ATTEMPT_PLACED };
+      struct rr_record_attempt_placed *p = &rec.u.attempt_placed;
+      snprintf (p->job, sizeof p->job, "%s", b->job);
+      p->task = b->task;
+      p->attempt = c->attempt;
+      snprintf (p->worker, sizeof p->worker, "%s", r.worker);
+      snprintf (p->zone, sizeof p->zone, "%s", c->zone);
+      p->worker_incarnation = r.incarnation;
+      p->controller_epoch = r.controller_epoch;
+      /* Both limits count from a clock reading older than the append, so that
+         a successor knows when they have passed.  */
+      p->void_after_ms = r.worker_now_ms + RR_START_WINDOW_MS;
+      p->granted_until_ms = r.worker_now_ms + job->spec.isolation_limit_ms;
+      b->tries = 0;
+      b->filters[0] = '\0';
+      busy_ready (b);
+      append (s, &rec);
+    }
+  if (decoded)
+    xdr_free ((xdrproc_t)xdr_peer_reserve_result, &r);
+  free (c);
+}
+
+static void
+place (struct shard *s, struct rr_job *job, uint32_t task, uint32_t attempt)
+{
+  struct shards *ss = s->ss;
+  struct busy_task *b = busy_get (s, job, task);
+  char daemon[NAME_SIZE];
+  char zone[NAME_SIZE];
+  if (!choose_daemon (ss, job, daemon, zone))
+    {
+      snprintf (b->filters, sizeof b->filters,
+                "no daemon advertises enough free capacity");
+      busy_back_off (b);
+      return;
+    }
+  struct task_call *c = call_new (b, attempt);
+  strcpy (c->zone, zone);
+  peer_task args = task_args (s, job, task, attempt, b->name);
+  daemon_call (ss->d, &ss->d->shards_actor, daemon, TASK_RESERVE,
+               (xdrproc_t)xdr_peer_task, &args, SHARD_CALL_TIMEOUT_MS,
+               on_reserved, c);
+}
+
+static void
+append_running (struct shard *s, const struct busy_task *b, uint32_t attempt)
+{
+  struct rr_record r = { .kind = RR_RECORD_ATTEMPT_RUNNING };
+  snprintf (r.u.attempt_running.job, sizeof r.u.attempt_running.job, "%s",
+            b->job);
+  r.u.attempt_running.task = b->task;
+  r.u.attempt_running.attempt = attempt;
+  append (s, &r);
+}
+
+/* Translates a worker's word for how an attempt ended.  */
+static enum rr_attempt_result
+result_of (const char *result)
+{
+  if (strcmp (result, "ok") == 0)
+    return RR_RESULT_SUCCEEDED;
+  if (strcmp (result, "stopped") == 0)
+    return RR_RESULT_EVICTED;
+  if (strcmp (result, "lease-expired") == 0)
+    return RR_RESULT_LOST;
+  return RR_RESULT_FAILED;
+}
+
+static void
+fill_end (struct rr_record *r, const char *job, uint32_t task,
+          uint32_t attempt, enum rr_attempt_result result,
+          enum rr_end_proof proof)
+{
+  memset (r, 0, sizeof *r);
+  r->kind = RR_RECORD_ATTEMPT_ENDED;
+  struct rr_record_attempt_ended *e = &r->u.attempt_ended;
+  snprintf (e->job, sizeof e->job, "%s", job);
+  e->task = task;
+  e->attempt = attempt;
+  e->result = result;
+  e->proof = proof;
+}
+
+static void
+append_end (struct busy_task *b, const struct rr_job *job, uint32_t attempt,
+            const char *result, const char *checkpoint)
+{
+  struct rr_record r;
+  enum rr_attempt_result how = result_of (result);
+  if (how == RR_RESULT_EVICTED && job->cancelled)
+    how = RR_RESULT_STOPPED;
+  fill_end (&r, b->job, b->task, attempt, how, RR_PROOF_REPORTED);
+  snprintf (r.u.attempt_ended.checkpoint, sizeof r.u.attempt_ended.checkpoint,
+            "%s", checkpoint);
+  snprintf (r.u.attempt_ended.detail, sizeof r.u.attempt_ended.detail, "%s",
+            result);
+  append (b->shard, &r);
+}
+
+static void
+on_start_answered (void *data, enum rpc_call_state state, const char *result,
+                   size_t length)
+{
+  struct task_call *c = data;
+  struct rr_job *job;
+  struct busy_task *b = call_subject (c, &job);
+  peer_start_result r = { 0 };
+  enum rr_start_answer answer = RR_START_NO_ANSWER;
+  if (state == RPC_CALL_NOT_SENT || state == RPC_CALL_REJECTED)
+    answer = RR_START_REFUSED;
+  else if (state == RPC_CALL_ANSWERED
+           && xdr_decode ((xdrproc_t)xdr_peer_start_result, &r, result,
+                          length))
+    {
+      answer = r.outcome == PEER_ANSWERED  ? RR_START_ACCEPTED
+               : r.outcome == PEER_NOT_RUN ? RR_START_REFUSED
+                                           : RR_START_NO_ANSWER;
+      xdr_free ((xdrproc_t)xdr_peer_start_result, &r);
+    }
+  if (b != NULL)
+    {
+      rr_attempt_start_answered (job, b->task, c->attempt, answer);
+      busy_ready (b);
+      if (answer == RR_START_ACCEPTED)
+        append_running (b->shard, b, c->attempt);
+      else if (answer == RR_START_REFUSED)
+        busy_back_off (b);
+    }
+  free (c);
+}
+
+static void
+start (struct shard *s, struct rr_job *job, uint32_t task, uint32_t attempt,
+       const char *daemon)
+{
+  struct shards *ss = s->ss;
+  if (!rr_attempt_start_sent (job, task, attempt))
+    return;
+  struct busy_task *b = busy_get (s, job, task);
+  const struct rr_attempt *a = &job->tasks[task].attempt;
+  struct task_call *c = call_new (b, attempt);
+  peer_start_args args
+      = { .task = task_args (s, job, task, attempt, b->name),
+          .worker = (char *)a->worker,
+          .incarnation = a->worker_incarnation,
+          .void_after_ms = a->void_after_ms,
+          .granted_until_ms = a->granted_until_ms };
+  daemon_call (ss->d, &ss->d->shards_actor, daemon, TASK_START,
+               (xdrproc_t)xdr_peer_start_args, &args, SHARD_CALL_TIMEOUT_MS,
+               on_start_answered, c);
+}
+
+static void
+take_attempt_state (struct busy_task *b, const struct rr_job *job,
+                    const struct task_call *c, const peer_attempt_result *r)
+{
+  struct rr_record rec;
+  learn_clock (c->ss, c->worker, c->incarnation, r->worker_now_ms);
+  switch (r->state)
+    {
+    case PEER_ATTEMPT_RUNNING:
+      busy_ready (b);
+      if (job->tasks[b->task].attempt.state == RR_ATTEMPT_PLACED)
+        append_running (b->shard, b, c->attempt);
+      else
+        b->until = rr_time_add (daemon_now (), PROOF_RETRY_MS);
+      break;
+    case PEER_ATTEMPT_ENDED:
+      busy_ready (b);
+      append_end (b, job, c->attempt, r->result, r->checkpoint);
+      break;
+    case PEER_ATTEMPT_NEVER:
+      busy_ready (b);
+      fill_end (&rec, b->job, b->task, c->attempt, RR_RESULT_NEVER_STARTED,
+                RR_PROOF_SEALED);
+      append (b->shard, &rec);
+      break;
+    default:
+      busy_back_off (b);
+      break;
+    }
+}
+
+static void
+on_attempt_answered (void *data, enum rpc_call_state state, const char *result,
+                     size_t length)
+{
+  struct task_call *c = data;
+  struct rr_job *job;
+  struct busy_task *b = call_subject (c, &job);
+  peer_attempt_result r = { 0 };
+  if (state == RPC_CALL_ANSWERED
+      && xdr_decode ((xdrproc_t)xdr_peer_attempt_result, &r, result, length))
+    {
+      if (b != NULL)
+        take_attempt_state (b, job, c, &r);
+      xdr_free ((xdrproc_t)xdr_peer_attempt_result, &r);
+    }
+  else if (b != NULL)
+    busy_back_off (b);
+  free (c);
+}
+
+/* Calls PROCEDURE (seal or stop) for the live attempt of a task.  */
+static void
+ask_about_attempt (struct shard *s, struct rr_job *job, uint32_t task,
+                   const char *daemon, uint32_t procedure, bool checkpoint)
+{
+  struct shards *ss = s->ss;
+  const struct rr_attempt *a = &job->tasks[task].attempt;
+  struct busy_task *b = busy_get (s, job, task);
+  struct task_call *c = call_new (b, a->number);
+  strcpy (c->worker, a->worker);
+  c->incarnation = a->worker_incarnation;
+  peer_attempt_args args = { .task = b->name,
+                             .attempt = a->number,
+                             .shard = s->number,
+                             .shard_epoch = rr_shard_log_epoch (s->log),
+                             .worker = (char *)a->worker,
+                             .incarnation = a->worker_incarnation,
+                             .checkpoint = checkpoint };
+  daemon_call (ss->d, &ss->d->shards_actor, daemon, procedure,
+               (xdrproc_t)xdr_peer_attempt_args, &args, SHARD_CALL_TIMEOUT_MS,
+               on_attempt_answered, c);
+}
+
+static void
+on_proof (void *data, enum rpc_call_state state, const char *result,
+          size_t length)
+{
+  struct task_call *c = data;
+  struct rr_job *job;
+  struct busy_task *b = call_subject (c, &job);
+  peer_attempt_result r = { 0 };
+  bool expired
+      = state == RPC_CALL_ANSWERED
+        && xdr_decode ((xdrproc_t)xdr_peer_attempt_result, &r, result, length)
+        && r.state == PEER_ATTEMPT_LEASE_EXPIRED;
+  if (b != NULL)
+    {
+      b->proof_failed = b->proof_failed || !expired;
+      if (--b->outstanding == 0)
+        {
+          b->lease_expired = !b->proof_failed;
+          busy_ready (b);
+          if (b->proof_failed)
+            b->until = rr_time_add (daemon_now (), PROOF_RETRY_MS);
+        }
+    }
+  xdr_free ((xdrproc_t)xdr_peer_attempt_result, &r);
+  free (c);
+}
+
+/* Asks every daemon of the worker's zone to confirm that the lease of the
+   worker has run out and to never claim this incarnation again.  A daemon that
+   can't be asked blocks the proof unless its own incarnation is gone.  */
+static void
+prove_lease (struct shard *s, struct rr_job *job, uint32_t task)
+{
+  struct shards *ss = s->ss;
+  struct rr_membership *m = peers_membership (ss->d->peers);
+  struct rr_time now = daemon_now ();
+  const struct rr_attempt *a = &job->tasks[task].attempt;
+  struct busy_task *b = busy_get (s, job, task);
+  b->outstanding = 0;
+  b->proof_failed = false;
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      if (member->info.role != RR_ROLE_ENTRY
+          || strcmp (member->info.zone, a->zone) != 0
+          || member->state == RR_MEMBER_GONE
+          || member->state == RR_MEMBER_DEAD)
+        continue;
+      struct task_call *c = call_new (b, a->number);
+      b->outstanding++;
+      peer_attempt_args args = { .task = b->name,
+                                 .attempt = a->number,
+                                 .shard = s->number,
+                                 .shard_epoch = rr_shard_log_epoch (s->log),
+                                 .worker = (char *)a->worker,
+                                 .incarnation = a->worker_incarnation };
+      daemon_call (ss->d, &ss->d->shards_actor, member->info.name,
+                   LEASE_ABANDON, (xdrproc_t)xdr_peer_attempt_args, &args,
+                   SHARD_CALL_TIMEOUT_MS, on_proof, c);
+    }
+  if (b->outstanding == 0)
+    busy_back_off (b);
+}
+
+static void
+on_extended (void *data, enum rpc_call_state state, const char *result,
+             size_t length)
+{
+  (void)state;
+  (void)result;
+  (void)length;
+  struct task_call *c = data;
+  struct rr_job *job;
+  struct busy_task *b = call_subject (c, &job);
+  if (b != NULL)
+    busy_ready (b);
+  free (c);
+}
+
+/* Records a longer grant and tells the ledger owner once that is committed.
+   The ledger owner is told again at each scan while its answer is missing,
+   since the worker's account shows the old grant.  */
+static void
+extend_grant (struct shard *s, struct rr_job *job, uint32_t task,
+              const struct rr_task_action *action)
+{
+  struct rr_record r = { .kind = RR_RECORD_GRANT_EXTENDED };
+  struct rr_record_grant_extended *g = &r.u.grant_extended;
+  strcpy (g->job, job->spec.job);
+  g->task = task;
+  g->attempt = action->attempt;
+  g->granted_until_ms = action->granted_until_ms;
+  struct busy_task *b = busy_get (s, job, task);
+  b->extend_pending = true;
+  append (s, &r);
+}
+
+static void
+tell_extended (struct shard *s, struct rr_job *job, uint32_t task,
+               struct busy_task *b, const char *daemon)
+{
+  struct shards *ss = s->ss;
+  const struct rr_attempt *a = &job->tasks[task].attempt;
+  b->extend_pending = false;
+  struct task_call *c = call_new (b, a->number);
+  peer_grant_extend_args args
+      = { .task = b->name,
+          .attempt = a->number,
+          .shard = s->number,
+          .shard_epoch = rr_shard_log_epoch (s->log),
+          .worker = (char *)a->worker,
+          .granted_until_ms = a->granted_until_ms };
+  daemon_call (ss->d, &ss->d->shards_actor, daemon, GRANT_EXTEND,
+               (xdrproc_t)xdr_peer_grant_extend_args, &args,
+               SHARD_CALL_TIMEOUT_MS, on_extended, c);
+}
+
+/* Describes the worker of a live attempt and names the daemon that owns its
+   ledger.  */
+static struct rr_worker_view
+view_worker (struct shards *ss, const struct rr_attempt *a,
+             const struct busy_task *b, char *daemon)
+{
+  struct rr_membership *m = peers_membership (ss->d->peers);
+  struct rr_time now = daemon_now ();
+  struct rr_worker_view v = { 0 };
+  v.gone = rr_membership_disappeared (m, a->worker, a->worker_incarnation);
+  const struct rr_member *worker = rr_membership_find (m, now, a->worker);
+  bool suspect = worker == NULL || worker->state == RR_MEMBER_SUSPECT;
+  const struct rr_member *owner
+      = rr_membership_worker_owner (m, now, a->worker);
+  if (owner != NULL && owner->alive && !suspect)
+    {
+      /* Several failed calls in a row count as unreachable, even when the
+         ledger owner answers.  */
+      v.reachable = b == NULL || b->tries < 3;
+      snprintf (daemon, NAME_SIZE, "%s", owner->info.name);
+    }
+  v.lease_expired = b != NULL && b->lease_expired;
+  struct worker_clock *c = clock_of (ss, a->worker, a->worker_incarnation);
+  v.clock_known = c != NULL;
+  if (c != NULL)
+    v.clock_ms = now.ms + c->offset_ms;
+  return v;
+}
+
+static void
+scan_task (struct shard *s, struct rr_job *job, uint32_t task,
+           struct rr_time now)
+{
+  struct shards *ss = s->ss;
+  const struct rr_attempt *a = &job->tasks[task].attempt;
+  char name[TASK_NAME_SIZE];
+  char daemon[NAME_SIZE] = "";
+  rr_task_name (job->spec.job, task, name, sizeof name);
+  struct busy_task *b = busy_find (ss, name);
+  if (b != NULL && (b->calling || rr_time_before (now, b->until)))
+    return;
+  bool live = rr_attempt_is_live (a);
+  struct rr_worker_view view = { 0 };
+  if (live)
+    view = view_worker (ss, a, b, daemon);
+  struct rr_task_action action = rr_task_next_action (job, task, &view, now);
+  struct rr_record r;
+  switch (action.kind)
+    {
+    case RR_TASK_NOTHING:
+    case RR_TASK_WAIT:
+      if (b != NULL && b->extend_pending && daemon[0] != '\0')
+        tell_extended (s, job, task, b, daemon);
+      else if (a->state == RR_ATTEMPT_RUNNING && view.reachable
+               && !view.clock_known)
+        ask_about_attempt (s, job, task, daemon, TASK_SEAL, false);
+      else if (b != NULL && a->state == RR_ATTEMPT_RUNNING
+               && !b->extend_pending)
+        busy_drop (ss, b);
+      break;
+    case RR_TASK_PLACE:
+      if (rr_table_count (ss->busy) < RESERVE_CALLS_MAX || b != NULL
+          || job->spec.urgent)
+        place (s, job, task, action.attempt);
+      break;
+    case RR_TASK_SEND_START:
+      start (s, job, task, action.attempt, daemon);
+      break;
+    case RR_TASK_SEAL:
+      ask_about_attempt (s, job, task, daemon, TASK_SEAL, false);
+      break;
+    case RR_TASK_PROVE_LEASE:
+      prove_lease (s, job, task);
+      break;
+    case RR_TASK_EXTEND_GRANT:
+      extend_grant (s, job, task, &action);
+      break;
+    case RR_TASK_STOP:
+      ask_about_attempt (s, job, task, daemon, TASK_STOP, false);
+      break;
+    case RR_TASK_RECORD_END:
+      log_event (LOG_LEVEL_INFO, "attempt_over",
+                 "task=%s attempt=%u worker=%s result=%s proof=%s", name,
+                 a->number, a->worker, rr_attempt_result_name (action.result),
+                 rr_end_proof_name (action.proof));
+      fill_end (&r, job->spec.job, task, action.attempt, action.result,
+                action.proof);
+      append (s, &r);
+      if (b != NULL)
+        busy_drop (ss, b);
+      break;
+    }
+}
+
+static void
+scan_jobs (struct shard *s, struct rr_time now, bool urgent)
+{
+  struct rr_shard_state *data = rr_shard_log_data (s->log);
+  struct rr_handle cursor = { 0 };
+  struct rr_job *job;
+  while ((job = rr_job_store_next (data->jobs, &cursor)) != NULL)
+    {
+      if (job->state != RR_JOB_OPEN || job->open_tasks == 0)
+        continue;
+      bool first = job->spec.urgent || job->spec.kind == RR_JOB_SERVICE;
+      if (first != urgent)
+        continue;
+      uint32_t tasks = job->spec.tasks;
+      for (uint32_t i = 0; i < tasks; i++)
+        if (job->tasks[i].state == RR_TASK_OPEN)
+          scan_task (s, job, i, now);
+    }
+}
+
+/* Does what is due for every open task of the shard, services and urgent jobs
+   first.  Only queues records and calls, so that no job changes meanwhile.  */
+void
+shard_scan (struct shard *s, struct rr_time now)
+{
+  scan_jobs (s, now, true);
+  scan_jobs (s, now, false);
+}
+
+/* Splits "JOB.TASK"; false when NAME has not that form.  */
+static bool
+split_task_name (const char *name, char *job, size_t size, uint32_t *task)
+{
+  const char *dot = strrchr (name, '.');
+  if (dot == NULL || (size_t)(dot - name) >= size)
+    return false;
+  memcpy (job, name, (size_t)(dot - name));
+  job[dot - name] = '\0';
+  char *end;
+  unsigned long v = strtoul (dot + 1, &end, 10);
+  *task = (uint32_t)v;
+  return dot[1] != '\0' && *end == '\0' && v < RR_TASKS_MAX;
+}
+
+/* Records the end that a ledger owner reports.  It is told that the end is
+   recorded only once it is; one that is recorded already, or belongs to no
+   known job, needs no more reports.  */
+void
+shards_task_ended (struct shards *ss, const struct message_rpc_request *q)
+{
+  peer_ended_args a = { 0 };
+  if (!xdr_decode ((xdrproc_t)xdr_peer_ended_args, &a, q->args, q->length))
+    {
+      daemon_reject (ss->d, &q->origin);
+      return;
+    }
+  char name[RR_NAME_MAX + 1];
+  uint32_t task = 0;
+  struct rr_job *job = NULL;
+  peer_status out = { .code = RR_OK, .message = "" };
+  struct shard *s = a.shard < RR_SHARD_COUNT ? &ss->shard[a.shard] : NULL;
+  if (s == NULL || !rr_shard_log_is_owner (s->log))
+    out = (peer_status){ RR_ERROR_UNAVAILABLE, "not owner" };
+  else if (split_task_name (a.task, name, sizeof name, &task))
+    job = rr_job_store_find (rr_shard_log_data (s->log)->jobs, name);
+  if (job != NULL && task < job->spec.tasks
+      && job->tasks[task].attempt.number == a.attempt
+      && rr_attempt_is_live (&job->tasks[task].attempt))
+    {
+      struct rr_record r;
+      enum rr_attempt_result how = result_of (a.result);
+      if (how == RR_RESULT_EVICTED && job->cancelled)
+        how = RR_RESULT_STOPPED;
+      fill_end (&r, name, task, a.attempt, how, RR_PROOF_REPORTED);
+      snprintf (r.u.attempt_ended.checkpoint,
+                sizeof r.u.attempt_ended.checkpoint, "%s", a.checkpoint);
+      snprintf (r.u.attempt_ended.detail, sizeof r.u.attempt_ended.detail,
+                "%s", a.result);
+      struct rr_error err = { 0 };
+      if (!shard_append (
+              s, &r, pending_add (ss, PENDING_END, &q->origin, a.task), &err))
+        {
+          out = (peer_status){ RR_ERROR_UNAVAILABLE, "log is busy" };
+          daemon_reply (ss->d, &q->origin, (xdrproc_t)xdr_peer_status, &out);
+        }
+    }
+  else
+    daemon_reply (ss->d, &q->origin, (xdrproc_t)xdr_peer_status, &out);
+  xdr_free ((xdrproc_t)xdr_peer_ended_args, &a);
+}
+
+/* Says which filters rejected a task that waits for a place; "" if none is
+   known.  */
+const char *
+shards_task_filters (struct shards *ss, const char *job, uint32_t task)
+{
+  char name[TASK_NAME_SIZE];
+  rr_task_name (job, task, name, sizeof name);
+  struct busy_task *b = busy_find (ss, name);
+  return b == NULL ? "" : b->filters;
+}
--- /dev/null
+++ b/rosemaryraild/workers_requests.c
@@ -0,0 +1,627 @@
+#include <assert.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "rosemaryraild/config_keeper.h"
+#include "rosemaryraild/peers.h"
+#include "rosemaryraild/workers_internal.h"
+
+enum
+{
+  QUEUE_TICK_MS = 5,
+  BACKOFF_BASE_MS = 5,
+  BACKOFF_MAX_MS = 200,
+  ANSWER_MAX_BYTES = 1000000,
+  FORWARD_PEERS_MAX = 64,
+  /* Left of a forwarded deadline for the way back.  */
+  FORWARD_MARGIN_MS = 2,
+  /* Calls of a forwarded request are numbered from its own attempt number times
+     this, so that no two calls of a request share a number.  */
+  FORWARD_ATTEMPT_STRIDE = 100
+};
+
+static const double RETRY_RATIO = 0.1;
+static const double RETRY_BURST = 20;
+
+/* One call of a request to a worker.  */
+struct execution
+{
+  struct route *route;
+  struct worker *w;
+  struct request *r;
+  int number; /* of the worker in the route's admission */
+  int team;
+  uint64_t epoch;
+  struct rr_time sent;
+};
+
+/* A request that waits before it is sent again.  */
+struct delayed_request
+{
+  uv_timer_t timer;
+  struct workers *ws;
+  struct request *r;
+};
+
+static uint64_t
+token_of (struct rr_handle h)
+{
+  return (uint64_t)h.generation << 32 | h.index;
+}
+
+static struct rr_handle
+handle_of (uint64_t token)
+{
+  return (struct rr_handle){ .index = (uint32_t)token,
+                             .generation = (uint32_t)(token >> 32) };
+}
+
+static int64_t
+remaining_ms (const struct request *r)
+{
+  return rr_time_diff (r->deadline, daemon_now ());
+}
+
+static void dispatch (struct workers *ws, struct request *r);
+
+static peer_outcome
+peer_outcome_of (enum rr_outcome o)
+{
+  switch (o)
+    {
+    case RR_OUTCOME_ANSWERED:
+      return PEER_ANSWERED;
+    case RR_OUTCOME_NOT_RUN:
+      return PEER_NOT_RUN;
+    case RR_OUTCOME_UNKNOWN:
+      return PEER_UNKNOWN;
+    }
+  return PEER_UNKNOWN;
+}
+
+/* Gives R with its outcome back to whoever sent it.  */
+static void
+finish (struct workers *ws, struct request *r)
+{
+  ws->in_progress--;
+  if (!r->forwarded)
+    {
+      struct message m = { .type = MESSAGE_REQUEST_DONE };
+      m.u.request = r;
+      daemon_send (ws->d, &ws->d->front_actor, &m);
+      return;
+    }
+  peer_forward_result out
+      = { .outcome = peer_outcome_of (r->outcome),
+          .status = r->status,
+          .reason = r->reason,
+          .content_type = r->content_type,
+          .body = { .body_len = (u_int)r->answer_length,
+                    .body_val = r->answer } };
+  daemon_reply (ws->d, &r->origin, (xdrproc_t)xdr_peer_forward_result, &out);
+  request_free (r);
+}
+
+static void
+finish_as (struct workers *ws, struct request *r, enum rr_outcome outcome,
+           int status, const char *reason)
+{
+  request_set_outcome (r, outcome, status, reason);
+  finish (ws, r);
+}
+
+static void
+on_delay_closed (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+static void
+on_delay_over (uv_timer_t *timer)
+{
+  struct delayed_request *d = timer->data;
+  dispatch (d->ws, d->r);
+  uv_close ((uv_handle_t *)timer, on_delay_closed);
+}
+
+/* Decides what follows a call that brought no answer: another one after a
+   delay, or the outcome.  */
+static void
+retry_or_finish (struct workers *ws, struct request *r,
+                 enum rr_call_state state, const char *reason)
+{
+  if (state == RR_CALL_UNKNOWN)
+    r->earlier_unknown = true;
+  struct rr_retry_input in
+      = { .repeatable = r->repeatable,
+          .state = state,
+          .earlier_unknown = r->earlier_unknown,
+          .remaining_ms = remaining_ms (r),
+          .needed_ms = 1,
+          .budget = rr_retry_budget_available (&ws->retry_budget) };
+  struct rr_retry_decision decision = rr_retry_decide (&in);
+  struct rr_backoff backoff = { BACKOFF_BASE_MS, BACKOFF_MAX_MS };
+  int64_t delay = decision.send_again
+                      ? rr_backoff_delay (&backoff, ws->d->rng, r->calls,
+                                          in.remaining_ms, in.needed_ms)
+                      : -1;
+  if (delay < 0 || !rr_retry_budget_take (&ws->retry_budget))
+    {
+      enum rr_outcome outcome = decision.outcome;
+      if (decision.send_again)
+        outcome = r->earlier_unknown ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_NOT_RUN;
+      finish_as (ws, r, outcome, outcome == RR_OUTCOME_NOT_RUN ? 503 : 504,
+                 reason);
+      return;
+    }
+  metric_add (&ws->d->metrics, METRIC_REQUEST_RETRIES, 1);
+  struct delayed_request *d = calloc (1, sizeof *d);
+  assert (d != NULL);
+  d->ws = ws;
+  d->r = r;
+  uv_timer_init (ws->d->loop, &d->timer);
+  d->timer.data = d;
+  uv_timer_start (&d->timer, on_delay_over, (uint64_t)delay, 0);
+}
+
+static enum rr_call_state
+classify (struct execution *e, const struct http_result *h, char *reason,
+          size_t size)
+{
+  if (worker_refused (h, reason, size))
+    return RR_CALL_REFUSED;
+  snprintf (reason, size, "%s", h->reason == NULL ? "" : h->reason);
+  switch (h->state)
+    {
+    case HTTP_CALL_ANSWERED:
+      return RR_CALL_ANSWERED;
+    case HTTP_CALL_NOT_SENT:
+      rr_membership_failed (peers_membership (e->route->ws->d->peers),
+                            daemon_now (), e->w->name, e->w->incarnation);
+      return RR_CALL_NOT_SENT;
+    case HTTP_CALL_UNKNOWN:
+      return RR_CALL_UNKNOWN;
+    }
+  return RR_CALL_UNKNOWN;
+}
+
+static void
+learn_refusal (struct execution *e, const char *reason)
+{
+  struct workers *ws = e->route->ws;
+  if (strcmp (reason, "stale-epoch") == 0
+      && rr_ledger_epoch (e->w->ledger) == e->epoch)
+    worker_lease_lost (e->w, ws->chart.epoch_refused);
+  else if (strcmp (reason, "leaving") == 0)
+    rr_membership_leaving (peers_membership (ws->d->peers), daemon_now (),
+                           RR_SOURCE_FAILURE, e->w->name, e->w->incarnation);
+}
+
+static void
+take_answer (struct request *r, const struct http_result *h)
+{
+  r->outcome = RR_OUTCOME_ANSWERED;
+  r->status = h->status;
+  r->reason[0] = '\0';
+  if (!http_result_header (h, "Content-Type", r->content_type,
+                           sizeof r->content_type))
+    snprintf (r->content_type, sizeof r->content_type,
+              "application/octet-stream");
+  free (r->answer);
+  r->answer = malloc (h->body_length + 1);
+  assert (r->answer != NULL);
+  memcpy (r->answer, h->body, h->body_length + 1);
+  r->answer_length = h->body_length;
+}
+
+static void
+on_executed (void *data, const struct http_result *h)
+{
+  struct execution *e = data;
+  struct workers *ws = e->route->ws;
+  struct rr_time now = daemon_now ();
+  char reason[REASON_SIZE];
+  enum rr_call_state state = classify (e, h, reason, sizeof reason);
+  enum rr_sample sample = RR_SAMPLE_IGNORE;
+  if (state == RR_CALL_ANSWERED)
+    sample = RR_SAMPLE_ANSWERED;
+  else if (state == RR_CALL_UNKNOWN
+           || (state == RR_CALL_REFUSED && strcmp (reason, "full") == 0))
+    sample = RR_SAMPLE_OVERLOAD;
+  rr_ledger_disconnect (e->w->ledger, now, e->epoch, state != RR_CALL_UNKNOWN);
+  rr_admission_done (e->route->admission, e->number, e->team, sample,
+                     (double)rr_time_diff (now, e->sent));
+  if (state == RR_CALL_REFUSED)
+    learn_refusal (e, reason);
+  e->w->references--;
+  if (state == RR_CALL_ANSWERED)
+    {
+      take_answer (e->r, h);
+      finish (ws, e->r);
+    }
+  else
+    retry_or_finish (ws, e->r, state, reason);
+  free (e);
+  workers_unblock (ws);
+}
+
+static struct request *
+take_request (struct workers *ws, uint64_t token)
+{
+  struct rr_handle handle = handle_of (token);
+  struct request **row = rr_table_get (ws->requests, handle);
+  assert (row != NULL);
+  struct request *r = *row;
+  rr_table_remove (ws->requests, handle);
+  return r;
+}
+
+/* Sends a request to the worker that the admission chose, if the ledger still
+   admits it; false when the request has to wait on.  */
+static bool
+execute_step (struct route *route, const struct rr_admission_step *step)
+{
+  struct workers *ws = route->ws;
+  struct worker *w = route->instances[step->worker];
+  struct rr_time now = daemon_now ();
+  uint64_t epoch = 0;
+  if (w == NULL || w->state != ws->chart.open
+      || rr_ledger_connect (w->ledger, now, &epoch) != RR_ADMIT_OK)
+    {
+      rr_admission_undo (route->admission, step);
+      return false;
+    }
+  struct request *r = take_request (ws, step->request);
+  struct execution *e = calloc (1, sizeof *e);
+  assert (e != NULL);
+  *e = (struct execution){ .route = route,
+                           .w = w,
+                           .r = r,
+                           .number = step->worker,
+                           .team = step->team,
+                           .epoch = epoch,
+                           .sent = now };
+  w->references++;
+  r->calls++;
+  int64_t left = rr_time_diff (r->deadline, now);
+  worker_execute (ws->d->http, &w->at, epoch, r,
+                  (uint64_t)(left < 1 ? 1 : left), ANSWER_MAX_BYTES,
+                  on_executed, e);
+  return true;
+}
+
+static void
+run_route (struct route *route)
+{
+  struct workers *ws = route->ws;
+  for (;;)
+    {
+      struct rr_admission_step step
+          = rr_admission_next (route->admission, daemon_now ());
+      if (step.action == RR_ADMISSION_NONE)
+        return;
+      if (step.action == RR_ADMISSION_SEND)
+        execute_step (route, &step);
+      else
+        {
+          struct request *r = take_request (ws, step.request);
+          enum rr_outcome outcome = r->earlier_unknown ? RR_OUTCOME_UNKNOWN
+                                                       : RR_OUTCOME_NOT_RUN;
+          finish_as (ws, r, outcome, 503,
+                     rr_admission_result_name (step.reason));
+        }
+    }
+}
+
+static void
+on_queue_tick (uv_timer_t *timer)
+{
+  workers_unblock (timer->data);
+}
+
+/* Lets waiting requests go on wherever capacity may have become free.  */
+void
+workers_unblock (struct workers *ws)
+{
+  struct rr_time now = daemon_now ();
+  size_t waiting = 0;
+  for (size_t i = 0; i < ws->route_count; i++)
+    {
+      struct route *route = ws->routes[i];
+      for (int j = 0; j < INSTANCES_MAX; j++)
+        if (route->instances[j] != NULL)
+          {
+            struct worker *w = route->instances[j];
+            bool free = worker_is_open (w, now)
+                        && rr_ledger_free_resources (w->ledger).connections > 0;
+            rr_admission_block_worker (route->admission, j, !free);
+          }
+      run_route (route);
+      waiting += rr_admission_waiting (route->admission);
+    }
+  if (waiting > 0 && !ws->queue_timer_active)
+    uv_timer_start (&ws->queue_timer, on_queue_tick, QUEUE_TICK_MS,
+                    QUEUE_TICK_MS);
+  else if (waiting == 0 && ws->queue_timer_active)
+    uv_timer_stop (&ws->queue_timer);
+  ws->queue_timer_active = waiting > 0;
+}
+
+/* Returns the route of SERVICE, made on first use; null when there are too
+   many.  */
+struct route *
+workers_route (struct workers *ws, const char *service)
+{
+  for (size_t i = 0; i < ws->route_count; i++)
+    if (strcmp (ws->routes[i]->service, service) == 0)
+      return ws->routes[i];
+  if (ws->route_count == SERVICES_MAX)
+    return NULL;
+  struct route *r = calloc (1, sizeof *r);
+  assert (r != NULL);
+  r->ws = ws;
+  snprintf (r->service, sizeof r->service, "%s", service);
+  struct rr_admission_options options;
+  rr_admission_options_default (&options);
+  r->admission = rr_admission_new (&options);
+  ws->routes[ws->route_count++] = r;
+  return r;
+}
+
+/* A service task runs on W from now on.  */
+void
+route_add_instance (struct worker *w, struct hosted_task *t)
+{
+  if (t->instance >= 0 || strcmp (t->kind, "service") != 0)
+    return;
+  struct route *r = workers_route (w->ws, t->service);
+  if (r == NULL || r->instance_count == INSTANCES_MAX)
+    return;
+  int number = rr_admission_add_worker (r->admission);
+  if (number >= INSTANCES_MAX)
+    {
+      rr_admission_remove_worker (r->admission, number);
+      return;
+    }
+  r->instances[number] = w;
+  r->instance_count++;
+  t->instance = number;
+}
+
+/* The service task T on W has ended, or its ledger is no longer ours.  */
+void
+route_remove_instance (struct worker *w, struct hosted_task *t)
+{
+  if (t->instance < 0)
+    return;
+  struct route *r = workers_route (w->ws, t->service);
+  rr_admission_remove_worker (r->admission, t->instance);
+  r->instances[t->instance] = NULL;
+  r->instance_count--;
+  t->instance = -1;
+}
+
+/* Whether the daemon PEER can run the service now; fills its latency.  */
+static bool
+peer_serves (const peer_heartbeat *h, const char *service, u_int *latency_us)
+{
+  for (u_int i = 0; i < h->services.services_len; i++)
+    {
+      const peer_service *s = &h->services.services_val[i];
+      if (strcmp (s->name, service) == 0 && s->free_connections > 0)
+        {
+          *latency_us = s->latency_us;
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Picks the daemon to forward R to: one of this zone before others, then the
+   lowest latency; a tie is broken at random, so that daemons with the same
+   view spread their requests.  */
+static bool
+choose_peer (struct workers *ws, const struct request *r, char *name)
+{
+  struct rr_membership *m = peers_membership (ws->d->peers);
+  struct rr_time now = daemon_now ();
+  double best = HUGE_VAL;
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      if (member->info.role != RR_ROLE_ENTRY || !member->alive
+          || member->state != RR_MEMBER_LIVE
+          || rr_membership_is_self (m, member))
+        continue;
+      const peer_heartbeat *h = peers_load (ws->d->peers, member->info.name);
+      u_int latency_us = 0;
+      if (h == NULL || h->stopping || !peer_serves (h, r->service, &latency_us))
+        continue;
+      double cost = latency_us * (1 + 0.2 * gsl_rng_uniform (ws->d->rng)) + 1;
+      if (strcmp (member->info.zone, ws->d->settings.zone) != 0)
+        cost += 1e9;
+      if (cost < best)
+        {
+          best = cost;
+          snprintf (name, NAME_SIZE, "%s", member->info.name);
+        }
+    }
+  return best < HUGE_VAL;
+}
+
+/* A request on its one hop to another daemon.  */
+struct forwarded_call
+{
+  struct workers *ws;
+  struct request *r;
+};
+
+static void
+take_forward_result (struct workers *ws, struct request *r,
+                     peer_forward_result *f)
+{
+  switch (f->outcome)
+    {
+    case PEER_ANSWERED:
+      r->outcome = RR_OUTCOME_ANSWERED;
+      r->status = f->status;
+      snprintf (r->content_type, sizeof r->content_type, "%s",
+                f->content_type);
+      free (r->answer);
+      r->answer = f->body.body_val;
+      r->answer_length = f->body.body_len;
+      f->body.body_val = NULL;
+      f->body.body_len = 0;
+      finish (ws, r);
+      break;
+    case PEER_NOT_RUN:
+      retry_or_finish (ws, r, RR_CALL_REFUSED, f->reason);
+      break;
+    case PEER_UNKNOWN:
+      retry_or_finish (ws, r, RR_CALL_UNKNOWN, f->reason);
+      break;
+    }
+}
+
+static void
+on_forwarded (void *data, enum rpc_call_state state, const char *result,
+              size_t length)
+{
+  struct forwarded_call *call = data;
+  struct workers *ws = call->ws;
+  struct request *r = call->r;
+  free (call);
+  peer_forward_result f = { 0 };
+  switch (state)
+    {
+    case RPC_CALL_ANSWERED:
+      if (!xdr_decode ((xdrproc_t)xdr_peer_forward_result, &f, result, length))
+        {
+          retry_or_finish (ws, r, RR_CALL_UNKNOWN, "malformed answer");
+          return;
+        }
+      take_forward_result (ws, r, &f);
+      xdr_free ((xdrproc_t)xdr_peer_forward_result, &f);
+      break;
+    case RPC_CALL_NOT_SENT:
+    case RPC_CALL_REJECTED:
+      retry_or_finish (ws, r, RR_CALL_NOT_SENT, "daemon unreachable");
+      break;
+    case RPC_CALL_UNKNOWN:
+      retry_or_finish (ws, r, RR_CALL_UNKNOWN, "daemon gave no answer");
+      break;
+    }
+}
+
+static bool
+forward (struct workers *ws, struct request *r)
+{
+  char peer[NAME_SIZE];
+  if (r->forwarded || !choose_peer (ws, r, peer))
+    return false;
+  int64_t left = remaining_ms (r) - FORWARD_MARGIN_MS;
+  if (left < 1)
+    return false;
+  struct forwarded_call *call = calloc (1, sizeof *call);
+  assert (call != NULL);
+  *call = (struct forwarded_call){ ws, r };
+  r->calls++;
+  peer_forward_args args
+      = { .id = r->id,
+          .service = r->service,
+          .team = r->team,
+          .timeout_ms = (u_int)left,
+          .attempt = r->calls,
+          .repeatable = r->repeatable,
+          .body = { .body_len = (u_int)r->body_length, .body_val = r->body } };
+  metric_add (&ws->d->metrics, METRIC_REQUESTS_FORWARDED, 1);
+  daemon_call (ws->d, &ws->d->workers_actor, peer, REQUEST_FORWARD,
+               (xdrproc_t)xdr_peer_forward_args, &args, (uint64_t)left,
+               on_forwarded, call);
+  return true;
+}
+
+/* Runs R here if a worker can take it, forwards it otherwise, and ends it as
+   "not run" when neither is possible.  */
+static void
+dispatch (struct workers *ws, struct request *r)
+{
+  enum rr_outcome none
+      = r->earlier_unknown ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_NOT_RUN;
+  struct route *route = workers_route (ws, r->service);
+  if (route == NULL)
+    {
+      finish_as (ws, r, none, 503, "too many services");
+      return;
+    }
+  struct rr_handle handle;
+  struct request **row = rr_table_insert (ws->requests, &handle);
+  *row = r;
+  int team = rr_admission_team (route->admission, r->team);
+  enum rr_admission_result admission
+      = rr_admission_offer (route->admission, daemon_now (), token_of (handle),
+                            team, r->deadline);
+  if (admission == RR_ADMISSION_QUEUED)
+    {
+      workers_unblock (ws);
+      return;
+    }
+  rr_table_remove (ws->requests, handle);
+  if (forward (ws, r))
+    return;
+  finish_as (ws, r, none, 503, rr_admission_result_name (admission));
+}
+
+/* Runs a request of this daemon's front, which gets it back with its outcome
+   by the deadline.  */
+void
+workers_run_request (struct workers *ws, struct request *r)
+{
+  ws->in_progress++;
+  rr_retry_budget_first (&ws->retry_budget);
+  dispatch (ws, r);
+}
+
+/* Runs a request that another daemon forwarded.  */
+void
+workers_forwarded_request (struct workers *ws,
+                           const struct message_rpc_request *q)
+{
+  peer_forward_args a = { 0 };
+  if (!xdr_decode ((xdrproc_t)xdr_peer_forward_args, &a, q->args, q->length))
+    {
+      daemon_reject (ws->d, &q->origin);
+      return;
+    }
+  struct request *r = calloc (1, sizeof *r);
+  assert (r != NULL);
+  r->forwarded = true;
+  r->origin = q->origin;
+  snprintf (r->id, sizeof r->id, "%s", a.id);
+  snprintf (r->service, sizeof r->service, "%s", a.service);
+  snprintf (r->team, sizeof r->team, "%s", a.team);
+  r->received = daemon_now ();
+  r->deadline = rr_time_add (r->received, a.timeout_ms);
+  r->repeatable = a.repeatable;
+  r->calls = a.attempt * FORWARD_ATTEMPT_STRIDE;
+  r->body = a.body.body_val;
+  r->body_length = a.body.body_len;
+  a.body.body_val = NULL;
+  a.body.body_len = 0;
+  xdr_free ((xdrproc_t)xdr_peer_forward_args, &a);
+  ws->in_progress++;
+  dispatch (ws, r);
+}
+
+/* Prepares the parts that serve requests.  */
+void
+workers_requests_open (struct workers *ws)
+{
+  ws->requests = rr_table_new (sizeof (struct request *));
+  rr_retry_budget_init (&ws->retry_budget, RETRY_RATIO, RETRY_BURST);
+  uv_timer_init (ws->d->loop, &ws->queue_timer);
+  ws->queue_timer.data = ws;
+}
--- /dev/null
+++ b/rosemaryraild/workers_tasks.c
@@ -0,0 +1,586 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "rosemaryrail/shard_state.h"
+#include "rosemaryraild/peers.h"
+#include "rosemaryraild/shards.h"
+#include "rosemaryraild/workers_internal.h"
+
+enum
+{
+  RESERVATION_MS = 5000, /* covers the append between reserve and start */
+  ENDED_TIMEOUT_MS = 2000
+};
+
+/* A call to a worker on behalf of a shard owner.  */
+struct task_call
+{
+  struct worker *w;
+  struct call_origin origin;
+  char task[RR_TASK_ID_SIZE];
+  uint32_t attempt;
+  bool checkpoint_first; /* stop after the checkpoint was written */
+  struct worker_attempt to;
+  char checkpoint[WORKER_CHECKPOINT_SIZE];
+};
+
+static struct task_call *
+task_call_new (struct worker *w, const struct call_origin *origin,
+               const char *task, uint32_t attempt)
+{
+  struct task_call *c = calloc (1, sizeof *c);
+  assert (c != NULL);
+  c->w = w;
+  c->origin = *origin;
+  snprintf (c->task, sizeof c->task, "%s", task);
+  c->attempt = attempt;
+  w->references++;
+  return c;
+}
+
+static void
+task_call_free (struct task_call *c)
+{
+  c->w->references--;
+  free (c);
+}
+
+static struct rr_resources
+need_of (const peer_task *t)
+{
+  return (struct rr_resources){ .cores_milli = t->cores_milli,
+                                .memory_mb = t->memory_mb,
+                                .accelerators = t->accelerators,
+                                .slots = 1 };
+}
+
+/* Number of running or reserved tasks of the same service or class on W.  */
+static size_t
+count_alike (const struct worker *w, const peer_task *t)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < w->hosted_count; i++)
+    {
+      const struct hosted_task *h = &w->hosted[i];
+      if (h->ended)
+        continue;
+      n += t->service[0] != '\0' ? strcmp (h->service, t->service) == 0
+                                 : strcmp (h->task_class, t->task_class) == 0;
+    }
+  return n;
+}
+
+/* Picks the open worker that fits and hosts fewest tasks of the same kind;
+   among equals the one with most free processors.  COUNTS receives how many
+   workers each filter rejected.  */
+static struct worker *
+choose_worker (struct workers *ws, const peer_task *t, size_t *counts)
+{
+  struct rr_time now = daemon_now ();
+  struct rr_resources need = need_of (t);
+  struct worker *best = NULL;
+  size_t best_alike = 0;
+  int64_t best_cores = 0;
+  for (size_t i = 0; i < ws->count; i++)
+    {
+      struct worker *w = ws->workers[i];
+      if (w->hosted_count == HOSTED_MAX)
+        continue;
+      enum rr_admit admit = rr_ledger_check (w->ledger, now, &need, false);
+      counts[admit]++;
+      if (admit != RR_ADMIT_OK || !worker_is_open (w, now))
+        continue;
+      size_t alike = count_alike (w, t);
+      int64_t cores = rr_ledger_free_resources (w->ledger).cores_milli;
+      if (best == NULL || alike < best_alike
+          || (alike == best_alike && cores > best_cores))
+        {
+          best = w;
+          best_alike = alike;
+          best_cores = cores;
+        }
+    }
+  return best;
+}
+
+static void
+describe_filters (const size_t *counts, char *out, size_t size)
+{
+  size_t at = 0;
+  out[0] = '\0';
+  for (int i = 0; i <= RR_ADMIT_INVALID; i++)
+    if (counts[i] > 0 && i != RR_ADMIT_OK && at < size)
+      at += (size_t)snprintf (out + at, size - at, "%s%s=%zu",
+                              at == 0 ? "" : " ",
+                              rr_admit_name ((enum rr_admit)i), counts[i]);
+}
+
+static void
+answer_reserve (struct workers *ws, const struct call_origin *origin,
+                const peer_task *t)
+{
+  size_t counts[RR_ADMIT_INVALID + 1] = { 0 };
+  char filters[256];
+  peer_reserve_result out = { .message = "", .worker = "" };
+  struct rr_resources need = need_of (t);
+  struct rr_time now = daemon_now ();
+  struct worker *w = choose_worker (ws, t, counts);
+  uint64_t reservation = 0;
+  if (w == NULL
+      || rr_ledger_reserve (w->ledger, now, t->task, t->attempt, &need,
+                            RESERVATION_MS, false, &reservation)
+             != RR_ADMIT_OK)
+    {
+      describe_filters (counts, filters, sizeof filters);
+      out.code = RR_ERROR_LIMIT;
+      out.message = "no worker fits";
+      out.filters.filters_val = filters;
+      out.filters.filters_len = (u_int)strlen (filters);
+    }
+  else
+    {
+      struct hosted_task *h = worker_host (w, t->task, t->attempt);
+      h->reservation = reservation;
+      h->need = need;
+      snprintf (h->kind, sizeof h->kind, "%s", t->kind);
+      snprintf (h->service, sizeof h->service, "%s", t->service);
+      snprintf (h->task_class, sizeof h->task_class, "%s", t->task_class);
+      snprintf (h->team, sizeof h->team, "%s", t->team);
+      out.worker = w->name;
+      out.incarnation = w->incarnation;
+      out.controller_epoch = rr_ledger_epoch (w->ledger);
+      out.worker_now_ms = rr_ledger_worker_clock (w->ledger, now).ms;
+    }
+  daemon_reply (ws->d, origin, (xdrproc_t)xdr_peer_reserve_result, &out);
+}
+
+static void
+reply_start (struct workers *ws, const struct call_origin *origin,
+             peer_outcome outcome, const char *reason)
+{
+  peer_start_result out = { .outcome = outcome, .reason = (char *)reason };
+  daemon_reply (ws->d, origin, (xdrproc_t)xdr_peer_start_result, &out);
+}
+
+/* Drops the reservation of an attempt that the worker did not start.  */
+static void
+drop_start (struct worker *w, struct hosted_task *h)
+{
+  if (h == NULL || h->running)
+    return;
+  rr_ledger_cancel (w->ledger, h->reservation);
+  worker_unhost (w, h);
+}
+
+static void
+on_started (void *data, const struct worker_reply *r)
+{
+  struct task_call *c = data;
+  struct worker *w = c->w;
+  struct workers *ws = w->ws;
+  struct hosted_task *h = worker_hosted (w, c->task, c->attempt);
+  metric_add (&ws->d->metrics, METRIC_WORKER_CALLS, 1);
+  switch (r->state)
+    {
+    case WORKER_OK:
+      metric_add (&ws->d->metrics, METRIC_TASKS_STARTED, 1);
+      log_event (LOG_LEVEL_INFO, "task_started",
+                 "task=%s attempt=%u worker=%s", c->task, c->attempt, w->name);
+      if (h != NULL && !h->running)
+        {
+          rr_ledger_started (w->ledger, h->reservation);
+          h->running = true;
+          route_add_instance (w, h);
+        }
+      reply_start (ws, &c->origin, PEER_ANSWERED, "");
+      break;
+    case WORKER_REFUSED:
+      metric_add (&ws->d->metrics, METRIC_TASK_START_REFUSALS, 1);
+      log_event (LOG_LEVEL_INFO, "task_refused",
+                 "task=%s attempt=%u worker=%s reason=%s", c->task, c->attempt,
+                 w->name, r->reason);
+      drop_start (w, h);
+      reply_start (ws, &c->origin, PEER_NOT_RUN, r->reason);
+      break;
+    case WORKER_NOT_SENT:
+      drop_start (w, h);
+      reply_start (ws, &c->origin, PEER_NOT_RUN, "worker unreachable");
+      break;
+    case WORKER_UNKNOWN:
+      reply_start (ws, &c->origin, PEER_UNKNOWN, r->reason);
+      break;
+    }
+  task_call_free (c);
+}
+
+static void
+answer_start (struct workers *ws, const struct call_origin *origin,
+              const peer_start_args *a)
+{
+  struct worker *w = workers_find (ws, a->worker, a->incarnation);
+  struct hosted_task *h
+      = w == NULL ? NULL : worker_hosted (w, a->task.task, a->task.attempt);
+  if (h == NULL || h->running || h->ended)
+    {
+      reply_start (ws, origin, PEER_NOT_RUN, "no reservation");
+      return;
+    }
+  enum rr_admit admit = rr_ledger_start_sent (
+      w->ledger, daemon_now (), h->reservation,
+      rr_time_from_ms (a->void_after_ms), ws->d->settings.task_lease_ms,
+      rr_time_from_ms (a->granted_until_ms));
+  if (admit != RR_ADMIT_OK)
+    {
+      drop_start (w, h);
+      reply_start (ws, origin, PEER_NOT_RUN, rr_admit_name (admit));
+      return;
+    }
+  struct task_call *c
+      = task_call_new (w, origin, a->task.task, a->task.attempt);
+  struct worker_start start = { .epoch = rr_ledger_epoch (w->ledger),
+                                .task = &a->task,
+                                .void_after_ms = a->void_after_ms,
+                                .granted_until_ms = a->granted_until_ms,
+                                .lease_ms = ws->d->settings.task_lease_ms };
+  worker_start (ws->d->http, &w->at, &start,
+                (uint64_t)ws->d->settings.worker_timeout_ms, on_started, c);
+}
+
+static void
+reply_attempt (struct workers *ws, const struct call_origin *origin,
+               const struct worker *w, peer_attempt_state state,
+               const char *result, const char *checkpoint)
+{
+  int64_t now_ms
+      = w == NULL ? 0 : rr_ledger_worker_clock (w->ledger, daemon_now ()).ms;
+  peer_attempt_result out = { .state = state,
+                              .worker_now_ms = now_ms,
+                              .result = (char *)result,
+                              .checkpoint = (char *)checkpoint };
+  daemon_reply (ws->d, origin, (xdrproc_t)xdr_peer_attempt_result, &out);
+}
+
+static void
+on_attempt_done (void *data, const struct worker_reply *r)
+{
+  struct task_call *c = data;
+  struct worker *w = c->w;
+  struct workers *ws = w->ws;
+  metric_add (&ws->d->metrics, METRIC_WORKER_CALLS, 1);
+  if (r->state != WORKER_OK)
+    reply_attempt (ws, &c->origin, w, PEER_ATTEMPT_UNREACHABLE, r->reason, "");
+  else if (r->never)
+    {
+      struct hosted_task *h = worker_hosted (w, c->task, c->attempt);
+      drop_start (w, h);
+      rr_ledger_end (w->ledger, c->task, c->attempt);
+      reply_attempt (ws, &c->origin, w, PEER_ATTEMPT_NEVER, "", "");
+    }
+  else
+    {
+      const char *checkpoint = c->checkpoint[0] != '\0' ? c->checkpoint
+                                                        : r->task->checkpoint;
+      reply_attempt (ws, &c->origin, w,
+                     r->task->running ? PEER_ATTEMPT_RUNNING
+                                      : PEER_ATTEMPT_ENDED,
+                     r->task->result, checkpoint);
+    }
+  task_call_free (c);
+}
+
+/* The checkpoint was written, or can't be; the attempt is stopped in both
+   cases.  */
+static void
+on_checkpoint_done (void *data, const struct worker_reply *r)
+{
+  struct task_call *c = data;
+  struct daemon *d = c->w->ws->d;
+  if (r->state == WORKER_OK)
+    snprintf (c->checkpoint, sizeof c->checkpoint, "%s", r->task->checkpoint);
+  c->to.task = c->task;
+  worker_stop (d->http, &c->w->at, &c->to,
+               (uint64_t)d->settings.worker_timeout_ms, on_attempt_done, c);
+}
+
+static void
+answer_attempt (struct workers *ws, const struct call_origin *origin,
+                uint32_t procedure, const peer_attempt_args *a)
+{
+  struct daemon *d = ws->d;
+  struct worker *w = workers_find (ws, a->worker, a->incarnation);
+  struct rr_time now = daemon_now ();
+  enum rr_ledger_state state
+      = w == NULL ? RR_LEDGER_UNCLAIMED : rr_ledger_state (w->ledger, now);
+  if (state != RR_LEDGER_OPEN && state != RR_LEDGER_LEAVING
+      && state != RR_LEDGER_QUARANTINED)
+    {
+      reply_attempt (ws, origin, NULL, PEER_ATTEMPT_NOT_OWNER, "", "");
+      return;
+    }
+  struct task_call *c = task_call_new (w, origin, a->task, a->attempt);
+  c->to = (struct worker_attempt){ .epoch = rr_ledger_epoch (w->ledger),
+                                   .task = c->task,
+                                   .attempt = a->attempt,
+                                   .shard = a->shard,
+                                   .shard_epoch = a->shard_epoch };
+  uint64_t timeout_ms = (uint64_t)d->settings.worker_timeout_ms;
+  if (procedure == TASK_SEAL)
+    worker_seal (d->http, &w->at, &c->to, timeout_ms, on_attempt_done, c);
+  else if (a->checkpoint)
+    worker_checkpoint (d->http, &w->at, &c->to, timeout_ms, on_checkpoint_done,
+                       c);
+  else
+    worker_stop (d->http, &w->at, &c->to, timeout_ms, on_attempt_done, c);
+}
+
+static void
+answer_abandon (struct workers *ws, const struct call_origin *origin,
+                const peer_attempt_args *a)
+{
+  struct worker *w = workers_find (ws, a->worker, a->incarnation);
+  struct rr_time now = daemon_now ();
+  if (w == NULL)
+    {
+      /* Without the VM list this daemon can't tell an unknown worker from one
+         that it will claim in a moment.  */
+      reply_attempt (ws, origin, NULL, PEER_ATTEMPT_UNREACHABLE, "", "");
+      return;
+    }
+  bool done = rr_ledger_abandon (w->ledger, a->incarnation, now);
+  if (done)
+    worker_event (w, ws->chart.abandon);
+  reply_attempt (ws, origin, NULL,
+                 done ? PEER_ATTEMPT_LEASE_EXPIRED : PEER_ATTEMPT_UNREACHABLE,
+                 "", "");
+}
+
+static void
+answer_extend (struct workers *ws, const struct call_origin *origin,
+               const peer_grant_extend_args *a)
+{
+  struct worker *w = workers_find (ws, a->worker, 0);
+  peer_status out = { .code = RR_OK, .message = "" };
+  if (w == NULL
+      || !rr_ledger_extend_grant (w->ledger, a->task, a->attempt,
+                                  rr_time_from_ms (a->granted_until_ms)))
+    out = (peer_status){ RR_ERROR_NOT_FOUND, "no such attempt" };
+  daemon_reply (ws->d, origin, (xdrproc_t)xdr_peer_status, &out);
+}
+
+/* Answers a call of a shard owner.  */
+void
+workers_handle_rpc (struct workers *ws, struct message_rpc_request *q)
+{
+  union
+  {
+    peer_task task;
+    peer_start_args start;
+    peer_attempt_args attempt;
+    peer_grant_extend_args extend;
+  } args;
+  memset (&args, 0, sizeof args);
+  xdrproc_t proc = (xdrproc_t)xdr_peer_attempt_args;
+  if (q->procedure == TASK_RESERVE)
+    proc = (xdrproc_t)xdr_peer_task;
+  else if (q->procedure == TASK_START)
+    proc = (xdrproc_t)xdr_peer_start_args;
+  else if (q->procedure == GRANT_EXTEND)
+    proc = (xdrproc_t)xdr_peer_grant_extend_args;
+  if (!xdr_decode (proc, &args, q->args, q->length))
+    {
+      daemon_reject (ws->d, &q->origin);
+      return;
+    }
+  if (q->procedure == TASK_RESERVE)
+    answer_reserve (ws, &q->origin, &args.task);
+  else if (q->procedure == TASK_START)
+    answer_start (ws, &q->origin, &args.start);
+  else if (q->procedure == GRANT_EXTEND)
+    answer_extend (ws, &q->origin, &args.extend);
+  else if (q->procedure == LEASE_ABANDON)
+    answer_abandon (ws, &q->origin, &args.attempt);
+  else
+    answer_attempt (ws, &q->origin, q->procedure, &args.attempt);
+  xdr_free (proc, &args);
+}
+
+/* Adds or updates the list entry of one task of the account.  */
+static void
+take_task (struct worker *w, const struct worker_task *t)
+{
+  struct hosted_task *h = worker_host (w, t->task, t->attempt);
+  if (h == NULL || h->ended)
+    return;
+  if (t->kind[0] != '\0')
+    {
+      snprintf (h->kind, sizeof h->kind, "%s", t->kind);
+      snprintf (h->service, sizeof h->service, "%s", t->service);
+      snprintf (h->task_class, sizeof h->task_class, "%s", t->task_class);
+      snprintf (h->team, sizeof h->team, "%s", t->team);
+    }
+  if (t->running)
+    {
+      h->running = true;
+      route_add_instance (w, h);
+      return;
+    }
+  h->running = false;
+  h->ended = true;
+  h->sequence = t->sequence;
+  snprintf (h->result, sizeof h->result, "%s", t->result);
+  snprintf (h->checkpoint, sizeof h->checkpoint, "%s", t->checkpoint);
+  route_remove_instance (w, h);
+  rr_ledger_end (w->ledger, t->task, t->attempt);
+  metric_add (&w->ws->d->metrics, METRIC_TASKS_ENDED, 1);
+  log_event (LOG_LEVEL_INFO, "task_ended",
+             "task=%s attempt=%u worker=%s result=%s", t->task, t->attempt,
+             w->name, t->result);
+}
+
+static struct rr_resources
+observed_use (const struct worker_account *a, const struct worker_task *t)
+{
+  struct rr_resources r = { 0 };
+  for (size_t i = 0; i < a->usage_count; i++)
+    if (a->usage[i].attempt == t->attempt
+        && strcmp (a->usage[i].task, t->task) == 0)
+      {
+        r.cores_milli = a->usage[i].cores_milli;
+        r.memory_mb = a->usage[i].memory_mb;
+        r.slots = 1;
+      }
+  return r;
+}
+
+/* Brings ledger and task list of W in line with the account of a claim or
+   report.  */
+void
+worker_take_account (struct worker *w, const struct worker_account *a)
+{
+  struct rr_error err = { 0 };
+  struct rr_time now = daemon_now ();
+  struct rr_ledger_account *rows = calloc (a->task_count + 1, sizeof *rows);
+  assert (rows != NULL);
+  size_t n = 0;
+  for (size_t i = 0; i < a->task_count; i++)
+    {
+      const struct worker_task *t = &a->tasks[i];
+      if (t->running)
+        rows[n++] = (struct rr_ledger_account){
+          .task = t->task,
+          .attempt = t->attempt,
+          .sized = t->sized,
+          .declared = t->declared,
+          .observed = observed_use (a, t),
+          .granted_until = rr_time_from_ms (t->granted_until_ms),
+        };
+    }
+  bool rebuilding = rr_ledger_state (w->ledger, now) == RR_LEDGER_CLAIMED;
+  if (rebuilding)
+    rr_ledger_rebuild (w->ledger, a->epoch, rows, n, a->requests, &err);
+  else
+    {
+      struct rr_ledger_report report
+          = { .sent = w->call_sent,
+              .received = now,
+              .worker_now = a->now,
+              .lease_ms = w->ws->d->settings.controller_lease_ms,
+              .epoch = a->epoch,
+              .leaving = a->leaving,
+              .tasks = rows,
+              .task_count = n,
+              .requests = a->requests };
+      rr_ledger_report (w->ledger, &report, &err);
+    }
+  free (rows);
+  if (err.code != RR_OK)
+    log_event (LOG_LEVEL_WARN, "account_refused", "worker=%s reason=\"%s\"",
+               w->name, err.message);
+  for (size_t i = 0; i < a->task_count; i++)
+    if (a->tasks[i].running || a->tasks[i].sequence > w->ended_after)
+      take_task (w, &a->tasks[i]);
+  worker_tell_ends (w);
+}
+
+/* Tells a shard owner of an ended attempt.  */
+struct end_call
+{
+  struct worker *w;
+  char task[RR_TASK_ID_SIZE];
+  uint32_t attempt;
+};
+
+/* Every end up to the returned sequence has been recorded.  */
+static int64_t
+recorded_up_to (const struct worker *w, int64_t recorded)
+{
+  int64_t up_to = recorded;
+  for (size_t i = 0; i < w->hosted_count; i++)
+    if (w->hosted[i].ended && w->hosted[i].sequence <= up_to)
+      up_to = w->hosted[i].sequence - 1;
+  return up_to > w->ended_after ? up_to : w->ended_after;
+}
+
+static void
+on_end_told (void *data, enum rpc_call_state state, const char *result,
+             size_t length)
+{
+  struct end_call *c = data;
+  struct worker *w = c->w;
+  struct hosted_task *h = worker_hosted (w, c->task, c->attempt);
+  peer_status s = { 0 };
+  bool recorded
+      = state == RPC_CALL_ANSWERED
+        && xdr_decode ((xdrproc_t)xdr_peer_status, &s, result, length)
+        && s.code == RR_OK;
+  if (h != NULL && h->ended)
+    {
+      h->end_reported = false;
+      if (recorded)
+        {
+          int64_t sequence = h->sequence;
+          worker_unhost (w, h);
+          w->ended_after = recorded_up_to (w, sequence);
+        }
+    }
+  xdr_free ((xdrproc_t)xdr_peer_status, &s);
+  w->references--;
+  free (c);
+}
+
+/* Tells the shard owners of the ends that they have not recorded yet.  An end
+   stays listed, and the worker keeps reporting it, until that is done.  */
+void
+worker_tell_ends (struct worker *w)
+{
+  struct daemon *d = w->ws->d;
+  for (size_t i = 0; i < w->hosted_count; i++)
+    {
+      struct hosted_task *h = &w->hosted[i];
+      if (!h->ended || h->end_reported)
+        continue;
+      uint32_t shard = rr_shard_of (h->team);
+      char owner[NAME_SIZE];
+      if (!shards_owner (d->shards, shard, owner, sizeof owner))
+        continue;
+      struct end_call *c = calloc (1, sizeof *c);
+      assert (c != NULL);
+      c->w = w;
+      snprintf (c->task, sizeof c->task, "%s", h->task);
+      c->attempt = h->attempt;
+      w->references++;
+      h->end_reported = true;
+      peer_ended_args args = { .task = h->task,
+                               .team = h->team,
+                               .attempt = h->attempt,
+                               .shard = shard,
+                               .result = h->result,
+                               .checkpoint = h->checkpoint };
+      daemon_call (d, &d->workers_actor, owner, TASK_ENDED,
+                   (xdrproc_t)xdr_peer_ended_args, &args, ENDED_TIMEOUT_MS,
+                   on_end_told, c);
+    }
+}
