--- a/include/rosemaryrail/job.h
+++ b/include/rosemaryrail/job.h
@@ -6,7 +6,8 @@
 
 enum
 {
-  RR_HISTORY_MAX = 24 /* events kept per job; the oldest are dropped first */
+  RR_HISTORY_MAX = 12, /* events kept per job; the oldest are dropped */
+  RR_EVENT_TEXT_MAX = 32
 };
 
 enum rr_job_state
@@ -26,7 +27,7 @@
   uint32_t attempt;
   enum rr_attempt_result result;
   enum rr_end_proof proof;
-  char text[RR_NAME_MAX + 1]; /* worker name or start of the reason */
+  char text[RR_EVENT_TEXT_MAX + 1]; /* start of worker name or reason */
 };
 
 struct rr_job
@@ -51,6 +52,11 @@
   int64_t max_age_ms;
 };
 
+/* Jobs of a shard, as folded from its records.  A pointer to a job is valid
+   until a record is applied; keep handles or ids across events.  Look for work
+   with rr_job_store_next and, for every task of a job with open tasks,
+   rr_task_next_action.  Each action that leads to a record waits until that
+   record has settled: a task with a queued record returns RR_TASK_NOTHING.  */
 struct rr_job_store;
 
 struct rr_job_store *rr_job_store_new (void);
--- a/include/rosemaryrail/shard_log.h
+++ b/include/rosemaryrail/shard_log.h
@@ -101,6 +101,18 @@
   uint64_t rejected_full;
 };
 
+/* State machine of one shard's log (design section 5.1).  The caller drives
+   it: after every other call, and when rr_shard_log_wakeup says so, it calls
+   rr_shard_log_next until that returns false and carries out each output.
+   Every READ and WRITE is answered exactly once with rr_shard_log_complete;
+   a call that timed out is answered with RR_KV_NO_ANSWER, and whatever arrives
+   for its ticket afterwards may be dropped or passed on (it is ignored).
+
+   Nothing becomes visible before its record is SETTLED as committed and
+   applied.  A record may be committed but refused (applied is false) when an
+   earlier record made it meaningless, such as a second grant for a request.
+   After a pause of the process call rr_shard_log_confirm and act only once
+   rr_shard_log_is_owner is true again.  */
 struct rr_shard_log;
 
 struct rr_shard_log *
