state: tie each request result to one grant

A repeated "not run" report of an earlier grant could otherwise release a later grant of the same id to the same daemon, and a third send would run the request twice. Grants and results now carry a number chosen by the holder.

--- a/include/rosemaryrail/attempt.h
+++ b/include/rosemaryrail/attempt.h
@@ -9,7 +9,8 @@
   RR_START_WINDOW_MS = 5000, /* void_after_ms minus the clock reading */
   /* Allowance for clocks of different rate when a wait on this daemon's clock
      stands for a limit on a worker's clock.  */
-  RR_CLOCK_MARGIN_MS = 1000
+  RR_CLOCK_MARGIN_MS = 1000,
+  RR_ISOLATION_DEFAULT_MS = 2 * 60 * 60 * 1000 /* when a job gives 0 */
 };
 
 enum rr_attempt_state
@@ -38,6 +39,7 @@
   /* This tenure.  */
   bool own;                   /* placed by this owner in this tenure */
   bool start_sent;            /* one start at most is ever sent */
+  bool start_refused;         /* the only start was refused */
   bool seal_needed;           /* the start got no clear answer */
   struct rr_time bound_from;  /* owner's clock, at or after the last append
                                  that moved void or grant */
--- a/include/rosemaryrail/record.h
+++ b/include/rosemaryrail/record.h
@@ -170,6 +170,8 @@
   char request[RR_REQUEST_ID_MAX + 1];
   char holder[RR_NAME_MAX + 1]; /* the entry daemon that may send it */
   uint64_t holder_incarnation;
+  uint64_t ask;        /* chosen by the holder, unique within its incarnation;
+                          ties a result to one grant of the id */
   int64_t deadline_ms; /* wall clock */
 };
 
@@ -177,6 +179,7 @@
 {
   char request[RR_REQUEST_ID_MAX + 1];
   uint64_t holder_incarnation;
+  uint64_t ask; /* of the grant */
   enum rr_request_outcome outcome;
   uint32_t status; /* HTTP status */
   char content_type[RR_NAME_MAX + 1];
--- a/include/rosemaryrail/request_log.h
+++ b/include/rosemaryrail/request_log.h
@@ -23,6 +23,7 @@
   enum rr_request_state state;
   char holder[RR_NAME_MAX + 1];
   uint64_t holder_incarnation;
+  uint64_t ask;
   int64_t granted_ms;  /* wall clock */
   int64_t deadline_ms; /* wall clock */
   enum rr_request_outcome outcome;
