state: tables, records, jobs, requests and the shard log

Records are folded into jobs, attempts and requests; a record that does not apply to the state it meets is refused the same way on every replay, so the fold itself keeps a task from having two live attempts and a request id from having two grants.

--- a/include/rosemaryrail/record.h
+++ b/include/rosemaryrail/record.h
@@ -14,7 +14,7 @@
   RR_TEXT_MAX = 160,       /* reasons and notes */
   RR_CHECKPOINT_MAX = 128,
   RR_BODY_MAX = 4096, /* longer response bodies are not kept */
-  RR_TASKS_MAX = 4096 /* tasks of one job */
+  RR_TASKS_MAX = 1024 /* tasks of one job; they fit into an empty shard */
 };
 
 enum rr_record_kind
--- /dev/null
+++ b/rosemaryrail/shard_log.c
@@ -0,0 +1,444 @@
+#include "rosemaryrail/shard_log.h"
+
+#include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "shard_private.h"
+
+enum
+{
+  DEFAULT_REQUESTS_MAX = 20000,
+  DEFAULT_RETRY_MIN_MS = 200,
+  DEFAULT_RETRY_MAX_MS = 5000
+};
+
+/* Returns the log of one shard, owned by nobody yet; null without memory.  */
+struct rr_shard_log *
+rr_shard_log_new (const struct rr_shard_log_options *options)
+{
+  struct rr_shard_log *l = calloc (1, sizeof *l);
+  if (l == NULL)
+    return NULL;
+  l->options = *options;
+  struct rr_shard_log_options *o = &l->options;
+  if (o->snapshot_max == 0)
+    o->snapshot_max = RR_SNAPSHOT_MAX;
+  if (o->requests_max == 0)
+    o->requests_max = DEFAULT_REQUESTS_MAX;
+  if (o->retry_min_ms <= 0)
+    o->retry_min_ms = DEFAULT_RETRY_MIN_MS;
+  if (o->retry_max_ms < o->retry_min_ms)
+    o->retry_max_ms = o->retry_min_ms > DEFAULT_RETRY_MAX_MS
+                          ? o->retry_min_ms
+                          : DEFAULT_RETRY_MAX_MS;
+  l->pointer.slot = NO_SNAPSHOT;
+  return l;
+}
+
+static void
+free_work (struct rr_shard_log *l)
+{
+  for (size_t i = 0; i < l->queued; i++)
+    rr_record_clear (&l->queue[i].record);
+  l->queued = 0;
+  l->in_flight = 0;
+  l->queued_growth = 0;
+  free (l->entry);
+  l->entry = NULL;
+  free (l->snapshot_data);
+  l->snapshot_data = NULL;
+  l->snapshot_ready = false;
+  l->snapshot_recheck = false;
+  rr_shard_free_images (l);
+  rr_shard_call_done (&l->append);
+  rr_shard_call_done (&l->snapshot);
+  rr_shard_call_done (&l->confirm);
+  l->unconfirmed = false;
+  l->confirm_wanted = false;
+  rr_shard_state_free (l->data);
+  l->data = NULL;
+}
+
+/* Frees L; records without an outcome get none.  L may be null.  */
+void
+rr_shard_log_free (struct rr_shard_log *l)
+{
+  if (l == NULL)
+    return;
+  free_work (l);
+  free (l->queue);
+  free (l->outputs);
+  free (l);
+}
+
+/* Appends an output of KIND and returns it zeroed but for the kind.  */
+struct rr_shard_output *
+rr_shard_emit (struct rr_shard_log *l, enum rr_shard_output_kind kind)
+{
+  if (l->output_count == l->output_capacity)
+    {
+      size_t n = l->output_capacity == 0 ? 16 : 2 * l->output_capacity;
+      struct rr_shard_output *o = realloc (l->outputs, n * sizeof *o);
+      /* A lost outcome would leave a caller waiting forever, so running out
+         of memory ends the process; its successor replays the log.  */
+      if (o == NULL)
+        abort ();
+      l->outputs = o;
+      l->output_capacity = n;
+    }
+  struct rr_shard_output *out = &l->outputs[l->output_count++];
+  memset (out, 0, sizeof *out);
+  out->kind = kind;
+  return out;
+}
+
+/* Appends an output of KIND with a reason.  */
+void
+rr_shard_emit_reason (struct rr_shard_log *l, enum rr_shard_output_kind kind,
+                      enum rr_error_code code, const char *format, ...)
+{
+  struct rr_shard_output *out = rr_shard_emit (l, kind);
+  out->reason.code = code;
+  va_list args;
+  va_start (args, format);
+  vsnprintf (out->reason.message, sizeof out->reason.message, format, args);
+  va_end (args);
+}
+
+void
+rr_shard_ring_key (const struct rr_shard_log *l, uint32_t slot, char *key)
+{
+  snprintf (key, RR_KEY_SIZE, "shard/%u/ring/%u", l->options.shard, slot);
+}
+
+void
+rr_shard_snapshot_key (const struct rr_shard_log *l, uint32_t slot, char *key)
+{
+  snprintf (key, RR_KEY_SIZE, "shard/%u/snapshot/%u", l->options.shard, slot);
+}
+
+/* Issues a read of KEY as the next step of C.  */
+void
+rr_shard_call_read (struct rr_shard_log *l, struct store_call *c,
+                    const char *key, struct rr_time now)
+{
+  struct rr_shard_output *out = rr_shard_emit (l, RR_SHARD_READ);
+  out->ticket = ++l->last_ticket;
+  snprintf (out->key, sizeof out->key, "%s", key);
+  c->phase = CALL_READING;
+  c->ticket = out->ticket;
+  c->issued = now;
+}
+
+/* Issues a write of KEY as the next step of C.  */
+void
+rr_shard_call_write (struct rr_shard_log *l, struct store_call *c,
+                     const char *key, const uint8_t *value, size_t length,
+                     uint64_t expect, struct rr_time now)
+{
+  struct rr_shard_output *out = rr_shard_emit (l, RR_SHARD_WRITE);
+  out->ticket = ++l->last_ticket;
+  snprintf (out->key, sizeof out->key, "%s", key);
+  out->value = value;
+  out->length = length;
+  out->expect = expect;
+  c->phase = CALL_WRITING;
+  c->ticket = out->ticket;
+  c->issued = now;
+}
+
+/* Schedules the next step of C after a jittered, growing pause.  */
+void
+rr_shard_call_wait (struct rr_shard_log *l, struct store_call *c,
+                    struct rr_time now)
+{
+  const struct rr_shard_log_options *o = &l->options;
+  c->backoff_ms = c->backoff_ms == 0 ? o->retry_min_ms : 2 * c->backoff_ms;
+  if (c->backoff_ms > o->retry_max_ms)
+    c->backoff_ms = o->retry_max_ms;
+  uint64_t n = l->jitter_counter++;
+  uint64_t r = XXH3_64bits_withSeed (&n, sizeof n, o->seed + l->options.shard);
+  int64_t half = c->backoff_ms / 2;
+  c->at = rr_time_add (now, half + (int64_t)(r % (uint64_t)(half + 1)));
+  c->phase = CALL_WAIT;
+  c->ticket = 0;
+}
+
+/* Ends C: its outcome is certain or no longer wanted.  */
+void
+rr_shard_call_done (struct store_call *c)
+{
+  memset (c, 0, sizeof *c);
+}
+
+/* Tells whether C waits and its pause is over.  */
+bool
+rr_shard_call_due (const struct store_call *c, struct rr_time now)
+{
+  return c->phase == CALL_WAIT && !rr_time_before (now, c->at);
+}
+
+void
+rr_shard_saw_revision (struct rr_shard_log *l, uint64_t revision)
+{
+  if (revision > l->max_revision)
+    l->max_revision = revision;
+}
+
+/* Ends the ownership or takeover: the records in flight get the outcome
+   IN_FLIGHT, the queued ones were never sent and are lost.  */
+void
+rr_shard_stop (struct rr_shard_log *l, enum rr_commit in_flight,
+               enum rr_shard_log_state state)
+{
+  for (size_t i = 0; i < l->queued; i++)
+    {
+      struct rr_shard_output *out = rr_shard_emit (l, RR_SHARD_SETTLED);
+      out->token = l->queue[i].token;
+      out->commit = i < l->in_flight ? in_flight : RR_COMMIT_LOST;
+      rr_error_set (&out->reason, RR_ERROR_UNAVAILABLE,
+                    "shard %u: ownership ended", l->options.shard);
+      if (out->commit == RR_COMMIT_UNKNOWN)
+        l->stats.unknown++;
+    }
+  /* Calls not yet handed out would carry freed values.  */
+  size_t kept = l->output_next;
+  for (size_t i = l->output_next; i < l->output_count; i++)
+    if (l->outputs[i].kind != RR_SHARD_WRITE
+        && l->outputs[i].kind != RR_SHARD_READ)
+      l->outputs[kept++] = l->outputs[i];
+  l->output_count = kept;
+  free_work (l);
+  l->state = state;
+}
+
+/* Stops for good because the store contradicts what this process saw.  */
+void
+rr_shard_halt (struct rr_shard_log *l, const char *what)
+{
+  rr_shard_stop (l, RR_COMMIT_UNKNOWN, RR_SHARD_HALTED);
+  rr_shard_emit_reason (l, RR_SHARD_ALARM, RR_ERROR_CONFLICT, "shard %u: %s",
+                        l->options.shard, what);
+}
+
+/* Starts a takeover.  WALL_MS is the wall clock, for the ownership record.
+   The result arrives as RR_SHARD_OWNED, RR_SHARD_LOST or RR_SHARD_ALARM; while
+   the store is unavailable it keeps trying until rr_shard_log_drop.  */
+bool
+rr_shard_log_take_over (struct rr_shard_log *l, struct rr_time now,
+                        int64_t wall_ms, struct rr_error *err)
+{
+  (void)now;
+  if (l->state == RR_SHARD_HALTED)
+    return rr_error_set (err, RR_ERROR_CONFLICT,
+                         "shard %u is halted after an alarm",
+                         l->options.shard);
+  if (l->state != RR_SHARD_IDLE)
+    return rr_error_set (err, RR_ERROR_CONFLICT,
+                         "shard %u is owned or being taken over already",
+                         l->options.shard);
+  l->state = RR_SHARD_TAKING;
+  l->tenure++;
+  l->tries = 0;
+  l->read_high = 0;
+  l->wall_ms = wall_ms;
+  l->stats.takeovers++;
+  rr_shard_begin_reading (l);
+  return true;
+}
+
+/* Asks the store whether this process still owns the shard, as is due after a
+   pause; rr_shard_log_is_owner is false until the answer (RR_SHARD_CONFIRMED
+   or RR_SHARD_LOST).  Returns false if there is no ownership to confirm.  */
+bool
+rr_shard_log_confirm (struct rr_shard_log *l, struct rr_time now)
+{
+  if (l->state != RR_SHARD_OWNER && l->state != RR_SHARD_RELEASING)
+    return false;
+  l->unconfirmed = true;
+  l->confirm_wanted = true;
+  rr_shard_call_done (&l->confirm);
+  l->confirm.phase = CALL_WAIT;
+  l->confirm.at = now;
+  return true;
+}
+
+/* Queues the "released" record behind everything queued so far and accepts no
+   further records; RR_SHARD_RELEASED follows.  SUCCESSOR may be empty.  */
+bool
+rr_shard_log_release (struct rr_shard_log *l, const char *successor,
+                      struct rr_time now, int64_t wall_ms,
+                      struct rr_error *err)
+{
+  (void)now;
+  if (l->state != RR_SHARD_OWNER)
+    return rr_error_set (err, RR_ERROR_UNAVAILABLE,
+                         "shard %u is not owned by this process",
+                         l->options.shard);
+  l->state = RR_SHARD_RELEASING;
+  l->wall_ms = wall_ms;
+  snprintf (l->data->successor, sizeof l->data->successor, "%s", successor);
+  return true;
+}
+
+/* Gives up at once, without writing: queued records are lost, the ones in
+   flight unknown.  */
+void
+rr_shard_log_drop (struct rr_shard_log *l, struct rr_time now)
+{
+  (void)now;
+  if (l->state == RR_SHARD_IDLE || l->state == RR_SHARD_HALTED)
+    return;
+  bool unsent = l->append.phase == CALL_WAIT && !l->append.uncertain;
+  rr_shard_stop (l, unsent ? RR_COMMIT_LOST : RR_COMMIT_UNKNOWN,
+                 RR_SHARD_IDLE);
+}
+
+/* Ends the halt that followed an alarm, on the operator's word: what this
+   process remembers of the store is forgotten.  */
+void
+rr_shard_log_accept_rewind (struct rr_shard_log *l)
+{
+  if (l->state != RR_SHARD_HALTED)
+    return;
+  l->state = RR_SHARD_IDLE;
+  l->max_revision = 0;
+  l->max_sequence = 0;
+  memset (l->slot_revision, 0, sizeof l->slot_revision);
+  memset (l->snapshot_revision, 0, sizeof l->snapshot_revision);
+}
+
+/* Stores the next output in OUT; false if there is none for now.  */
+bool
+rr_shard_log_next (struct rr_shard_log *l, struct rr_time now,
+                   struct rr_shard_output *out)
+{
+  if (l->output_next == l->output_count)
+    {
+      l->output_next = 0;
+      l->output_count = 0;
+      if (l->state == RR_SHARD_TAKING)
+        rr_shard_advance_takeover (l, now);
+      if (l->state == RR_SHARD_OWNER || l->state == RR_SHARD_RELEASING)
+        {
+          rr_shard_advance_confirm (l, now);
+          rr_shard_advance_snapshot (l, now);
+        }
+      if (l->state != RR_SHARD_IDLE && l->state != RR_SHARD_HALTED)
+        rr_shard_advance_append (l, now);
+    }
+  if (l->output_next == l->output_count)
+    return false;
+  *out = l->outputs[l->output_next++];
+  return true;
+}
+
+/* Feeds back the result of the READ or WRITE with TICKET.  Results of calls
+   that are no longer wanted are ignored.  */
+void
+rr_shard_log_complete (struct rr_shard_log *l, uint64_t ticket,
+                       const struct rr_kv_result *result, struct rr_time now)
+{
+  if (ticket == 0)
+    return;
+  if (l->append.ticket == ticket)
+    rr_shard_append_result (l, result, now);
+  else if (l->snapshot.ticket == ticket)
+    rr_shard_snapshot_result (l, result, now);
+  else if (l->confirm.ticket == ticket)
+    rr_shard_confirm_result (l, result, now);
+  else
+    for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
+      if (l->reads[i].ticket == ticket)
+        {
+          rr_shard_takeover_result (l, i, result, now);
+          return;
+        }
+}
+
+static void
+earliest (bool *any, struct rr_time *at, struct rr_time t)
+{
+  if (!*any || rr_time_before (t, *at))
+    *at = t;
+  *any = true;
+}
+
+/* Stores in AT when rr_shard_log_next has to be called again even if nothing
+   else happens; false if that is not necessary.  */
+bool
+rr_shard_log_wakeup (const struct rr_shard_log *l, struct rr_time *at)
+{
+  bool any = false;
+  struct rr_time t;
+  if (l->output_next < l->output_count)
+    earliest (&any, at, rr_time_from_ms (INT64_MIN));
+  if (l->append.phase == CALL_WAIT)
+    earliest (&any, at, l->append.at);
+  if (l->snapshot.phase == CALL_WAIT)
+    earliest (&any, at, l->snapshot.at);
+  if (l->confirm.phase == CALL_WAIT)
+    earliest (&any, at, l->confirm.at);
+  for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
+    if (l->reads[i].phase == CALL_WAIT)
+      earliest (&any, at, l->reads[i].at);
+  if (rr_shard_append_due (l, &t))
+    earliest (&any, at, t);
+  return any;
+}
+
+/* Returns the state of the log.  */
+enum rr_shard_log_state
+rr_shard_log_state (const struct rr_shard_log *l)
+{
+  return l->state;
+}
+
+/* Tells whether this process may act as the owner now: its ownership record is
+   confirmed and no confirmation after a pause is outstanding.  */
+bool
+rr_shard_log_is_owner (const struct rr_shard_log *l)
+{
+  return (l->state == RR_SHARD_OWNER || l->state == RR_SHARD_RELEASING)
+         && !l->unconfirmed;
+}
+
+/* Returns the sequence of the latest ownership record, the shard epoch to send
+   to workers; 0 if this process is not the owner.  */
+uint64_t
+rr_shard_log_epoch (const struct rr_shard_log *l)
+{
+  return l->state == RR_SHARD_OWNER || l->state == RR_SHARD_RELEASING
+             ? l->data->epoch
+             : 0;
+}
+
+/* Returns the time, on this process's clock, before which the last store call
+   that proved the ownership was issued.  */
+struct rr_time
+rr_shard_log_confirmed_at (const struct rr_shard_log *l)
+{
+  return l->confirmed_at;
+}
+
+/* Returns the folded state while this process is the owner, else null.  The
+   pointer is valid until the next call.  */
+struct rr_shard_state *
+rr_shard_log_data (const struct rr_shard_log *l)
+{
+  return l->state == RR_SHARD_OWNER || l->state == RR_SHARD_RELEASING ? l->data
+                                                                      : NULL;
+}
+
+/* Returns L's counters.  */
+const struct rr_shard_log_stats *
+rr_shard_log_stats (const struct rr_shard_log *l)
+{
+  return &l->stats;
+}
--- /dev/null
+++ b/rosemaryrail/shard_private.h
@@ -0,0 +1,199 @@
+#ifndef ROSEMARYRAIL_SHARD_PRIVATE_H
+#define ROSEMARYRAIL_SHARD_PRIVATE_H
+
+#include "rosemaryrail/shard_log.h"
+#include "xdr_fields.h"
+
+enum
+{
+  NO_SNAPSHOT = 2, /* value of rr_snapshot_pointer.slot */
+  /* Ordinary entries stop here until a newer snapshot is confirmed; the rest
+     of the ring is left to takeovers, each of which adds one entry.  */
+  RING_ADVANCE_MAX = 20,
+  TAKEOVER_TRIES = 8, /* rereads while the old owner keeps appending */
+  ENTRY_HEADER_MAX = 256
+};
+
+struct rr_snapshot_pointer
+{
+  uint32_t slot; /* 0, 1 or NO_SNAPSHOT */
+  uint64_t revision;
+  uint64_t sequence; /* last entry folded into the snapshot */
+};
+
+struct rr_shard_entry
+{
+  uint64_t sequence;
+  uint64_t epoch; /* equals sequence in an ownership entry */
+  char writer[RR_NAME_MAX + 1];
+  uint64_t incarnation;
+  uint64_t tenure;
+  struct rr_snapshot_pointer snapshot;
+  uint32_t records;
+  const uint8_t *data; /* encoded records */
+  size_t length;
+};
+
+bool rr_shard_entry_encode (const struct rr_shard_entry *e, uint8_t **data,
+                            size_t *length);
+bool rr_shard_entry_decode (struct rr_shard_entry *e, const uint8_t *data,
+                            size_t length, struct rr_error *err);
+
+struct queued_record
+{
+  struct rr_record record;
+  uint64_t token;
+  size_t size;   /* encoded bytes */
+  size_t growth; /* bytes added to the state at most */
+};
+
+enum call_phase
+{
+  CALL_NONE = 0,
+  CALL_WAIT,    /* until `at`, then the next call of its kind */
+  CALL_WRITING, /* a write is out */
+  CALL_READING  /* a read is out */
+};
+
+/* A store call that is retried until its outcome is certain.  */
+struct store_call
+{
+  enum call_phase phase;
+  bool uncertain; /* an earlier write may have taken effect */
+  uint64_t ticket;
+  struct rr_time issued;
+  struct rr_time at;
+  int64_t backoff_ms;
+};
+
+struct slot_image
+{
+  uint64_t revision;
+  uint8_t *value; /* null: absent */
+  size_t length;
+};
+
+struct rr_shard_log
+{
+  struct rr_shard_log_options options;
+  enum rr_shard_log_state state;
+  struct rr_shard_state *data;
+  struct rr_shard_log_stats stats;
+  uint64_t tenure;
+  uint64_t last_ticket;
+  uint64_t jitter_counter;
+
+  /* What was seen of the store; only grows, to notice a restored backup.  */
+  uint64_t max_revision;
+  uint64_t max_sequence;
+  uint64_t slot_revision[RR_RING_SLOTS];
+  uint64_t snapshot_revision[2];
+
+  struct rr_snapshot_pointer pointer; /* in force */
+
+  /* Group commit: the first `in_flight` records of the queue are in `entry`.
+   */
+  struct queued_record *queue;
+  size_t queued;
+  size_t queue_capacity;
+  size_t in_flight;
+  size_t queued_growth;
+  struct store_call append;
+  uint8_t *entry;
+  size_t entry_length;
+  uint64_t entry_sequence;
+  struct rr_snapshot_pointer entry_pointer;
+  uint64_t revision_at_issue;  /* max_revision when the write went out */
+  struct rr_time entry_issued; /* first write of the entry */
+  struct rr_time last_append;
+  bool appended;          /* last_append is set */
+  bool release_in_flight; /* the entry carries the "released" record */
+
+  /* Snapshot: being written, or written and not yet pointed to.  */
+  struct store_call snapshot;
+  uint8_t *snapshot_data;
+  size_t snapshot_length;
+  struct rr_snapshot_pointer snapshot_target;
+  bool snapshot_ready;
+  bool snapshot_recheck;   /* confirm ownership before overwriting the slot */
+  uint64_t snapshot_found; /* revision found by a conflict */
+
+  /* Takeover.  */
+  int64_t wall_ms;
+  uint32_t tries;
+  uint32_t stuck; /* unusable readings in a row without a new entry */
+  bool reading_snapshots;
+  struct store_call reads[RR_RING_SLOTS + 2];
+  struct slot_image images[RR_RING_SLOTS + 2];
+  uint64_t read_high; /* highest sequence of the previous reading */
+
+  /* Confirmation of ownership after a pause.  */
+  struct store_call confirm;
+  bool unconfirmed;
+  bool confirm_wanted; /* the caller asked and gets RR_SHARD_CONFIRMED */
+  uint32_t confirm_slot;
+  uint64_t confirm_revision;
+  struct rr_time confirmed_at;
+
+  struct rr_shard_output *outputs;
+  size_t output_count;
+  size_t output_next;
+  size_t output_capacity;
+};
+
+/* shard_log.c */
+struct rr_shard_output *rr_shard_emit (struct rr_shard_log *l,
+                                       enum rr_shard_output_kind kind);
+void rr_shard_emit_reason (struct rr_shard_log *l,
+                           enum rr_shard_output_kind kind,
+                           enum rr_error_code code, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+void rr_shard_ring_key (const struct rr_shard_log *l, uint32_t slot,
+                        char *key);
+void rr_shard_snapshot_key (const struct rr_shard_log *l, uint32_t slot,
+                            char *key);
+void rr_shard_call_read (struct rr_shard_log *l, struct store_call *c,
+                         const char *key, struct rr_time now);
+void rr_shard_call_write (struct rr_shard_log *l, struct store_call *c,
+                          const char *key, const uint8_t *value, size_t length,
+                          uint64_t expect, struct rr_time now);
+void rr_shard_call_wait (struct rr_shard_log *l, struct store_call *c,
+                         struct rr_time now);
+void rr_shard_call_done (struct store_call *c);
+bool rr_shard_call_due (const struct store_call *c, struct rr_time now);
+void rr_shard_stop (struct rr_shard_log *l, enum rr_commit in_flight,
+                    enum rr_shard_log_state state);
+void rr_shard_halt (struct rr_shard_log *l, const char *what);
+void rr_shard_saw_revision (struct rr_shard_log *l, uint64_t revision);
+
+/* shard_append.c */
+bool rr_shard_build_entry (struct rr_shard_log *l, uint64_t sequence,
+                           uint64_t epoch, const struct rr_record *ownership);
+void rr_shard_advance_append (struct rr_shard_log *l, struct rr_time now);
+void rr_shard_append_result (struct rr_shard_log *l,
+                             const struct rr_kv_result *r, struct rr_time now);
+void rr_shard_judge_slot (struct rr_shard_log *l, const struct rr_kv_result *r,
+                          struct rr_time now);
+bool rr_shard_append_due (const struct rr_shard_log *l, struct rr_time *at);
+
+/* shard_snapshot.c */
+void rr_shard_advance_snapshot (struct rr_shard_log *l, struct rr_time now);
+void rr_shard_snapshot_result (struct rr_shard_log *l,
+                               const struct rr_kv_result *r,
+                               struct rr_time now);
+void rr_shard_advance_confirm (struct rr_shard_log *l, struct rr_time now);
+void rr_shard_confirm_result (struct rr_shard_log *l,
+                              const struct rr_kv_result *r,
+                              struct rr_time now);
+
+/* shard_takeover.c */
+void rr_shard_begin_reading (struct rr_shard_log *l);
+void rr_shard_retry_takeover (struct rr_shard_log *l, struct rr_time now,
+                              bool unusable, const char *reason);
+void rr_shard_advance_takeover (struct rr_shard_log *l, struct rr_time now);
+void rr_shard_takeover_result (struct rr_shard_log *l, uint32_t image,
+                               const struct rr_kv_result *r,
+                               struct rr_time now);
+void rr_shard_free_images (struct rr_shard_log *l);
+
+#endif
--- /dev/null
+++ b/rosemaryrail/shard_snapshot.c
@@ -0,0 +1,149 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "shard_private.h"
+
+static void
+issue_snapshot (struct rr_shard_log *l, struct rr_time now)
+{
+  char key[RR_KEY_SIZE];
+  uint32_t slot = l->snapshot_target.slot;
+  rr_shard_snapshot_key (l, slot, key);
+  rr_shard_call_write (l, &l->snapshot, key, l->snapshot_data,
+                       l->snapshot_length, l->snapshot_revision[slot], now);
+}
+
+/* Starts a snapshot once enough entries have passed since the last one.  The
+   snapshot goes to the key that the log does not point to, and no other is
+   started before an entry points to it.  */
+void
+rr_shard_advance_snapshot (struct rr_shard_log *l, struct rr_time now)
+{
+  if (l->unconfirmed || l->snapshot_recheck)
+    return;
+  if (rr_shard_call_due (&l->snapshot, now))
+    {
+      issue_snapshot (l, now);
+      return;
+    }
+  if (l->snapshot.phase != CALL_NONE || l->snapshot_ready
+      || l->data->sequence - l->pointer.sequence < RR_SNAPSHOT_EVERY)
+    return;
+  if (!rr_shard_state_encode (l->data, &l->snapshot_data, &l->snapshot_length,
+                              NULL))
+    return;
+  l->snapshot_target.slot = l->pointer.slot == 0 ? 1 : 0;
+  l->snapshot_target.sequence = l->data->sequence;
+  l->stats.snapshots++;
+  issue_snapshot (l, now);
+}
+
+static void
+snapshot_written (struct rr_shard_log *l, uint64_t revision)
+{
+  uint32_t slot = l->snapshot_target.slot;
+  if (revision <= l->snapshot_revision[slot])
+    {
+      rr_shard_halt (l, "the store went back to an older revision");
+      return;
+    }
+  l->snapshot_revision[slot] = revision;
+  l->snapshot_target.revision = revision;
+  l->snapshot_ready = true;
+  rr_shard_saw_revision (l, revision);
+  free (l->snapshot_data);
+  l->snapshot_data = NULL;
+  rr_shard_call_done (&l->snapshot);
+}
+
+/* Handles the result of a snapshot write.  */
+void
+rr_shard_snapshot_result (struct rr_shard_log *l, const struct rr_kv_result *r,
+                          struct rr_time now)
+{
+  uint64_t expected = l->snapshot_revision[l->snapshot_target.slot];
+  bool ours = r->value != NULL && r->length == l->snapshot_length
+              && memcmp (r->value, l->snapshot_data, r->length) == 0;
+  if (r->status == RR_KV_OK || (r->status == RR_KV_CONFLICT && ours))
+    snapshot_written (l, r->revision);
+  else if (r->status != RR_KV_CONFLICT || r->revision == expected)
+    rr_shard_call_wait (l, &l->snapshot, now);
+  else if (r->revision < expected)
+    rr_shard_halt (l, "the store went back to an older revision");
+  else
+    {
+      /* Another process wrote this key.  It may be a successor whose entry
+         points to it, so the key is overwritten only if the ring, read after
+         this, still shows no successor.  */
+      l->snapshot_recheck = true;
+      l->snapshot_found = r->revision;
+      rr_shard_saw_revision (l, r->revision);
+      l->snapshot.phase = CALL_NONE;
+      l->snapshot.ticket = 0;
+      rr_shard_call_done (&l->confirm);
+      l->confirm.phase = CALL_WAIT;
+      l->confirm.at = now;
+    }
+}
+
+/* Issues the read of the next ring slot, if one is due.  */
+void
+rr_shard_advance_confirm (struct rr_shard_log *l, struct rr_time now)
+{
+  if (!rr_shard_call_due (&l->confirm, now))
+    return;
+  char key[RR_KEY_SIZE];
+  l->confirm_slot = (uint32_t)((l->data->sequence + 1) % RR_RING_SLOTS);
+  l->confirm_revision = l->slot_revision[l->confirm_slot];
+  rr_shard_ring_key (l, l->confirm_slot, key);
+  rr_shard_call_read (l, &l->confirm, key, now);
+}
+
+static void
+ownership_confirmed (struct rr_shard_log *l, struct rr_time now)
+{
+  if (rr_time_before (l->confirmed_at, l->confirm.issued))
+    l->confirmed_at = l->confirm.issued;
+  rr_shard_call_done (&l->confirm);
+  if (l->confirm_wanted)
+    {
+      l->confirm_wanted = false;
+      l->unconfirmed = false;
+      rr_shard_emit (l, RR_SHARD_CONFIRMED);
+    }
+  if (l->snapshot_recheck)
+    {
+      l->snapshot_recheck = false;
+      l->snapshot_revision[l->snapshot_target.slot] = l->snapshot_found;
+      l->snapshot.phase = CALL_WAIT;
+      l->snapshot.at = now;
+    }
+}
+
+/* Handles the result of the read that confirms the ownership.  An unchanged
+   slot proves it: a successor's first entry would be there.  If the slot holds
+   this process's own entry, the proof needs the slot after it.  */
+void
+rr_shard_confirm_result (struct rr_shard_log *l, const struct rr_kv_result *r,
+                         struct rr_time now)
+{
+  if (r->status != RR_KV_OK)
+    {
+      rr_shard_call_wait (l, &l->confirm, now);
+      return;
+    }
+  if (r->revision == l->confirm_revision)
+    {
+      ownership_confirmed (l, now);
+      return;
+    }
+  /* The next read is issued at once; rr_shard_judge_slot may end the
+     ownership, which clears it again.  */
+  struct store_call again = { .phase = CALL_WAIT, .at = now };
+  l->confirm = again;
+  if (r->revision == l->slot_revision[l->confirm_slot])
+    return;
+  if (l->append.phase == CALL_WRITING)
+    l->append.uncertain = true;
+  rr_shard_judge_slot (l, r, now);
+}
--- /dev/null
+++ b/rosemaryrail/shard_takeover.c
@@ -0,0 +1,302 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "shard_private.h"
+
+enum
+{
+  STUCK_MAX = 3
+};
+
+/* Frees the values read during a takeover.  */
+void
+rr_shard_free_images (struct rr_shard_log *l)
+{
+  for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
+    {
+      free (l->images[i].value);
+      memset (&l->images[i], 0, sizeof l->images[i]);
+      rr_shard_call_done (&l->reads[i]);
+    }
+}
+
+static void
+schedule_reads (struct rr_shard_log *l, uint32_t first, uint32_t end,
+                struct rr_time at)
+{
+  for (uint32_t i = first; i < end; i++)
+    {
+      rr_shard_call_done (&l->reads[i]);
+      l->reads[i].phase = CALL_WAIT;
+      l->reads[i].at = at;
+    }
+}
+
+/* Starts reading the ring from scratch.  */
+void
+rr_shard_begin_reading (struct rr_shard_log *l)
+{
+  rr_shard_free_images (l);
+  free (l->entry);
+  l->entry = NULL;
+  rr_shard_call_done (&l->append);
+  rr_shard_state_free (l->data);
+  l->data = NULL;
+  l->reading_snapshots = false;
+  schedule_reads (l, 0, RR_RING_SLOTS, rr_time_from_ms (INT64_MIN));
+}
+
+/* Reads everything again because the ring moved on meanwhile (UNUSABLE false)
+   or did not fit together.  Without a new entry in between, the latter is
+   damage and not a race.  */
+void
+rr_shard_retry_takeover (struct rr_shard_log *l, struct rr_time now,
+                         bool unusable, const char *reason)
+{
+  l->stuck = unusable ? l->stuck + 1 : 0;
+  if (l->stuck >= STUCK_MAX)
+    {
+      rr_shard_halt (l, reason);
+      return;
+    }
+  if (++l->tries >= TAKEOVER_TRIES)
+    {
+      l->stats.losses++;
+      rr_shard_stop (l, RR_COMMIT_LOST, RR_SHARD_IDLE);
+      rr_shard_emit_reason (l, RR_SHARD_LOST, RR_ERROR_UNAVAILABLE,
+                            "shard %u: %s", l->options.shard, reason);
+      return;
+    }
+  rr_shard_begin_reading (l);
+  struct store_call pause = { 0 };
+  rr_shard_call_wait (l, &pause, now);
+  schedule_reads (l, 0, RR_RING_SLOTS, pause.at);
+}
+
+/* Decodes the entry in SLOT into E.  Returns false and halts if it is
+   damaged; E stays zeroed for an empty slot.  */
+static bool
+read_entry (struct rr_shard_log *l, uint32_t slot, struct rr_shard_entry *e)
+{
+  const struct slot_image *image = &l->images[slot];
+  memset (e, 0, sizeof *e);
+  if (image->value == NULL)
+    return true;
+  struct rr_error err = { 0 };
+  if (!rr_shard_entry_decode (e, image->value, image->length, &err))
+    {
+      rr_shard_halt (l, err.message);
+      return false;
+    }
+  if (e->sequence % RR_RING_SLOTS != slot)
+    {
+      rr_shard_halt (l, "a ring slot holds an entry of another slot");
+      return false;
+    }
+  return true;
+}
+
+/* Finds the newest entry; false if the takeover does not go on from here.  */
+static bool
+find_newest (struct rr_shard_log *l, struct rr_time now,
+             struct rr_shard_entry *newest)
+{
+  uint64_t found[RR_RING_SLOTS];
+  memset (newest, 0, sizeof *newest);
+  newest->snapshot.slot = NO_SNAPSHOT;
+  for (uint32_t i = 0; i < RR_RING_SLOTS; i++)
+    {
+      struct rr_shard_entry e;
+      if (!read_entry (l, i, &e))
+        return false;
+      found[i] = e.sequence;
+      if (e.sequence > newest->sequence)
+        *newest = e;
+    }
+  if (newest->sequence < l->max_sequence)
+    {
+      rr_shard_halt (l, "the store went back to an older entry");
+      return false;
+    }
+  bool moved = newest->sequence != l->read_high;
+  l->read_high = newest->sequence;
+  if (moved)
+    l->stuck = 0;
+  for (uint64_t q = newest->snapshot.sequence + 1; q <= newest->sequence; q++)
+    if (found[q % RR_RING_SLOTS] != q)
+      {
+        rr_shard_retry_takeover (l, now, true,
+                                 "ring entries after the snapshot are "
+                                 "missing");
+        return false;
+      }
+  return true;
+}
+
+static bool
+replay_entry (struct rr_shard_log *l, uint64_t sequence, struct rr_time now)
+{
+  struct rr_shard_entry e;
+  if (!read_entry (l, (uint32_t)(sequence % RR_RING_SLOTS), &e))
+    return false;
+  size_t at = 0;
+  for (uint32_t i = 0; i < e.records; i++)
+    {
+      struct rr_record r;
+      struct rr_error err = { 0 };
+      size_t used = 0;
+      if (!rr_record_decode (&r, e.data + at, e.length - at, &used, &err))
+        {
+          rr_shard_halt (l, err.message);
+          return false;
+        }
+      at += used;
+      /* A refused record was refused when it was written, too.  */
+      rr_shard_state_apply (l->data, e.sequence, &r, now, NULL);
+      rr_record_clear (&r);
+    }
+  if (at != e.length)
+    {
+      rr_shard_halt (l, "a ring entry has bytes after its records");
+      return false;
+    }
+  l->data->sequence = sequence;
+  return true;
+}
+
+/* Loads the snapshot that POINTER names, or the empty state without one.  */
+static bool
+load_snapshot (struct rr_shard_log *l, const struct rr_snapshot_pointer *p,
+               struct rr_time now)
+{
+  if (p->slot == NO_SNAPSHOT)
+    {
+      l->data = rr_shard_state_new ();
+      return l->data != NULL;
+    }
+  const struct slot_image *image = &l->images[RR_RING_SLOTS + p->slot];
+  if (image->value == NULL || image->revision != p->revision)
+    {
+      rr_shard_retry_takeover (l, now, true,
+                               "the snapshot in force was overwritten");
+      return false;
+    }
+  struct rr_error err = { 0 };
+  l->data = rr_shard_state_decode (image->value, image->length, &err);
+  if (l->data == NULL || l->data->sequence != p->sequence)
+    {
+      rr_shard_halt (l, l->data == NULL
+                            ? err.message
+                            : "the snapshot has another sequence than its "
+                              "pointer");
+      return false;
+    }
+  return true;
+}
+
+/* Replays what was read and prepares the ownership record.  */
+static void
+assemble (struct rr_shard_log *l, struct rr_time now)
+{
+  struct rr_shard_entry newest;
+  if (!find_newest (l, now, &newest)
+      || !load_snapshot (l, &newest.snapshot, now))
+    return;
+  for (uint64_t q = newest.snapshot.sequence + 1; q <= newest.sequence; q++)
+    if (!replay_entry (l, q, now))
+      return;
+  l->pointer = newest.snapshot;
+  l->max_sequence = newest.sequence;
+  for (uint32_t i = 0; i < RR_RING_SLOTS; i++)
+    l->slot_revision[i] = l->images[i].revision;
+  for (uint32_t i = 0; i < 2; i++)
+    l->snapshot_revision[i] = l->images[RR_RING_SLOTS + i].revision;
+  rr_shard_free_images (l);
+  uint64_t next = newest.sequence + 1;
+  if (next - l->pointer.sequence > RR_RING_SLOTS)
+    {
+      /* Only reached when this many owners in a row stopped before they could
+         write a snapshot.  */
+      rr_shard_halt (l, "the ring has no free slot since the last snapshot");
+      return;
+    }
+  struct rr_record r
+      = { .kind = RR_RECORD_OWNERSHIP_TAKEN, .at_ms = l->wall_ms };
+  memcpy (r.u.ownership_taken.owner, l->options.owner,
+          sizeof r.u.ownership_taken.owner);
+  r.u.ownership_taken.incarnation = l->options.incarnation;
+  r.u.ownership_taken.tenure = l->tenure;
+  if (!rr_shard_build_entry (l, next, next, &r))
+    rr_shard_retry_takeover (l, now, false, "out of memory");
+}
+
+/* Issues the reads that are due and goes on once all have answered.  The
+   snapshots are read after the ring: their revisions must not be older than
+   the entry that points to one of them.  */
+void
+rr_shard_advance_takeover (struct rr_shard_log *l, struct rr_time now)
+{
+  if (l->entry != NULL)
+    return;
+  bool waiting = false;
+  for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
+    {
+      if (rr_shard_call_due (&l->reads[i], now))
+        {
+          char key[RR_KEY_SIZE];
+          if (i < RR_RING_SLOTS)
+            rr_shard_ring_key (l, i, key);
+          else
+            rr_shard_snapshot_key (l, i - RR_RING_SLOTS, key);
+          rr_shard_call_read (l, &l->reads[i], key, now);
+        }
+      waiting = waiting || l->reads[i].phase != CALL_NONE;
+    }
+  if (waiting)
+    return;
+  if (l->reading_snapshots)
+    {
+      assemble (l, now);
+      return;
+    }
+  l->reading_snapshots = true;
+  schedule_reads (l, RR_RING_SLOTS, RR_RING_SLOTS + 2, now);
+  rr_shard_advance_takeover (l, now);
+}
+
+/* Handles the result of the read of IMAGE: a ring slot, or a snapshot key
+   after those.  */
+void
+rr_shard_takeover_result (struct rr_shard_log *l, uint32_t image,
+                          const struct rr_kv_result *r, struct rr_time now)
+{
+  if (r->status != RR_KV_OK)
+    {
+      rr_shard_call_wait (l, &l->reads[image], now);
+      return;
+    }
+  uint64_t known = image < RR_RING_SLOTS
+                       ? l->slot_revision[image]
+                       : l->snapshot_revision[image - RR_RING_SLOTS];
+  if (r->revision < known)
+    {
+      rr_shard_halt (l, "the store went back to an older revision");
+      return;
+    }
+  struct slot_image *to = &l->images[image];
+  if (r->value != NULL)
+    {
+      /* An empty value is damage, which the decoder reports.  */
+      to->value = malloc (r->length + 1);
+      if (to->value == NULL)
+        {
+          rr_shard_call_wait (l, &l->reads[image], now);
+          return;
+        }
+      memcpy (to->value, r->value, r->length);
+      to->length = r->length;
+    }
+  to->revision = r->revision;
+  rr_shard_saw_revision (l, r->revision);
+  rr_shard_call_done (&l->reads[image]);
+}
