--- a/include/rosemaryrail/admission.h
+++ b/include/rosemaryrail/admission.h
@@ -30,9 +30,9 @@
   int64_t in_flight;
   unsigned samples;
   double window_sum;
-  double window_min;
   int64_t window_peak;
   unsigned windows;
+  int64_t overload_hold; /* further overloads that don't lower the limit */
 };
 
 void rr_limiter_options_default (struct rr_limiter_options *o);
--- a/include/rosemaryrail/ledger.h
+++ b/include/rosemaryrail/ledger.h
@@ -157,9 +157,9 @@
 void rr_ledger_lose (struct rr_ledger *l, uint64_t epoch);
 /* Gives the worker up on purpose (graceful shutdown, owner moved).  */
 void rr_ledger_release (struct rr_ledger *l);
-/* Promises never to claim INCARNATION again (section 5.2).  Returns true once
-   the promise may be given: nothing is held and every renewal and start sent
-   is no longer in force at NOW; until then it only releases the worker and
+/* Releases INCARNATION if it is held and refuses every later claim of it
+   (section 5.2).  Returns true once this may be confirmed to the shard owner:
+   every renewal and start sent is no longer in force at NOW; until then it
    must be asked again.  */
 bool rr_ledger_abandon (struct rr_ledger *l, uint64_t incarnation,
                         struct rr_time now);
@@ -194,8 +194,9 @@
 /* Call immediately before the start is sent.  The reservation no longer
    expires by itself: it is held until the answer, or until the worker's clock
    in a report is past VOID_AFTER and the account doesn't list the task.
-   Returns RR_ADMIT_OK, or why the start must not be sent (also
-   RR_ADMIT_INVALID for an expired or unknown reservation).  */
+   Returns RR_ADMIT_OK, or why the start must not be sent (RR_ADMIT_INVALID for
+   an expired or unknown reservation, or a first lease, VOID_AFTER plus
+   LEASE_MS, that reaches past GRANTED_UNTIL).  */
 enum rr_admit rr_ledger_start_sent (struct rr_ledger *l, struct rr_time now,
                                     uint64_t reservation,
                                     struct rr_time void_after,
@@ -239,8 +240,9 @@
 
 /* Fills OUT (SIZE lines) with the renewals for the next report and returns
    how many there are in all; the plan counts as sent.  Each reaches LEASE_MS
-   from the worker's clock but no further than its grant.  Empty unless the
-   ledger is open, leaving or quarantined.  Names stay valid until the ledger
+   from the worker's clock but no further than its grant.  Empty while the
+   ledger is unclaimed, not rebuilt or refused by the worker; a lease that ran
+   out on our clock alone doesn't empty it.  Names stay valid until the ledger
    changes.  */
 size_t rr_ledger_plan_renewals (struct rr_ledger *l, struct rr_time now,
                                 int64_t lease_ms, struct rr_renewal *out,
--- a/include/rosemaryrail/membership.h
+++ b/include/rosemaryrail/membership.h
@@ -109,11 +109,16 @@
 
 /* Sources.  Each may lag behind any other.  */
 
-/* Takes over a complete VM list.  A VM listed earlier and absent now is gone;
-   one known from other sources only is not.  An entry with an older
-   incarnation than known is ignored.  */
+/* Takes over a complete VM list.  A VM listed earlier and absent now is gone
+   and stays so until a newer incarnation appears; one known from other sources
+   only is not.  An entry with an older incarnation than known is ignored, and
+   so is a list without this daemon once it was listed: it is incomplete.  */
 void rr_membership_list (struct rr_membership *m, struct rr_time now,
                          const struct rr_member_info *vms, size_t count);
+/* Adds VMs that a peer knows, for a daemon that starts while the platform is
+   down.  Unlike the list it proves nothing about absent ones.  */
+void rr_membership_learn (struct rr_membership *m, struct rr_time now,
+                          const struct rr_member_info *vms, size_t count);
 /* SOURCE (not RR_SOURCE_DRAIN) says that this incarnation is leaving, which
    can't be undone.  An unknown VM is remembered until the list shows it.
    False when it was known already or the incarnation is dead.  */
@@ -153,6 +158,11 @@
 size_t rr_membership_count (const struct rr_membership *m);
 const struct rr_member *rr_membership_at (struct rr_membership *m,
                                           struct rr_time now, size_t i);
+/* Stores the state of one incarnation (RR_MEMBER_DEAD for an older one); false
+   when nothing is known of it.  */
+bool rr_membership_state (struct rr_membership *m, struct rr_time now,
+                          const char *address, uint64_t incarnation,
+                          enum rr_member_state *state);
 /* Tells whether new work may be sent to this incarnation.  */
 bool rr_membership_usable (struct rr_membership *m, struct rr_time now,
                            const char *address, uint64_t incarnation);
@@ -189,5 +199,8 @@
 
 /* Returns the length of the pause in ms, or 0 when there was none.  */
 int64_t rr_pause_check (struct rr_pause *p, struct rr_time now);
+/* Moves what was heard from peers by the length of a pause of this process, so
+   that they are not taken for failed before waiting heartbeats are read.  */
+void rr_membership_resumed (struct rr_membership *m, int64_t length_ms);
 
 #endif
--- /dev/null
+++ b/rosemaryrail/histogram.c
@@ -0,0 +1,244 @@
+#include "rosemaryrail/histogram.h"
+
+#include <gsl/gsl_histogram.h>
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Eight bins in each doubling are 9% wide, which bounds the error of a
+   quantile; 170 of them span 0.05 ms to 125 s, just past the 120 s needed.  */
+#define BINS_PER_OCTAVE 8
+#define BINS 170
+
+struct rr_histogram
+{
+  gsl_histogram *bins;
+  uint64_t count;
+  double sum;
+  double max;
+};
+
+static double
+bound (size_t i)
+{
+  return RR_HISTOGRAM_MIN_MS * exp2 ((double)i / BINS_PER_OCTAVE);
+}
+
+/* Returns an empty histogram; the caller frees it with rr_histogram_free.  */
+struct rr_histogram *
+rr_histogram_new (void)
+{
+  double ranges[BINS + 1];
+  for (size_t i = 0; i <= BINS; i++)
+    ranges[i] = bound (i);
+  struct rr_histogram *h = calloc (1, sizeof *h);
+  h->bins = gsl_histogram_alloc (BINS);
+  gsl_histogram_set_ranges (h->bins, ranges, BINS + 1);
+  return h;
+}
+
+/* Frees H, which may be null.  */
+void
+rr_histogram_free (struct rr_histogram *h)
+{
+  if (h == NULL)
+    return;
+  gsl_histogram_free (h->bins);
+  free (h);
+}
+
+/* Empties H.  */
+void
+rr_histogram_reset (struct rr_histogram *h)
+{
+  gsl_histogram_reset (h->bins);
+  h->count = 0;
+  h->sum = h->max = 0;
+}
+
+/* Counts one value of MS milliseconds.  Values outside the range are counted
+   in the first or last bin; what is not a number is dropped.  */
+void
+rr_histogram_add (struct rr_histogram *h, double ms)
+{
+  if (isnan (ms))
+    return;
+  double x = fmax (ms, RR_HISTOGRAM_MIN_MS);
+  x = fmin (x, RR_HISTOGRAM_MAX_MS);
+  gsl_histogram_increment (h->bins, x);
+  h->count++;
+  h->sum += fmin (fmax (ms, 0), RR_HISTOGRAM_MAX_MS);
+  h->max = fmax (h->max, fmin (ms, RR_HISTOGRAM_MAX_MS));
+}
+
+/* Adds the content of FROM to INTO.  */
+void
+rr_histogram_merge (struct rr_histogram *into, const struct rr_histogram *from)
+{
+  gsl_histogram_add (into->bins, from->bins);
+  into->count += from->count;
+  into->sum += from->sum;
+  into->max = fmax (into->max, from->max);
+}
+
+/* Returns the number of values.  */
+uint64_t
+rr_histogram_count (const struct rr_histogram *h)
+{
+  return h->count;
+}
+
+/* Returns the sum of the values in ms.  */
+double
+rr_histogram_sum (const struct rr_histogram *h)
+{
+  return h->sum;
+}
+
+/* Returns the largest value in ms; 0 when empty.  */
+double
+rr_histogram_max (const struct rr_histogram *h)
+{
+  return h->max;
+}
+
+/* Returns the value in ms below which the share Q (0 to 1) of the values lies;
+   interpolated on the logarithm inside its bin, at most the largest value, 0
+   when empty.  */
+double
+rr_histogram_quantile (const struct rr_histogram *h, double q)
+{
+  if (h->count == 0)
+    return 0;
+  double rank = fmin (fmax (q, 0), 1) * (double)h->count;
+  double below = 0;
+  for (size_t i = 0; i < BINS; i++)
+    {
+      double n = gsl_histogram_get (h->bins, i);
+      if (n > 0 && below + n >= rank)
+        {
+          double part = fmax (rank - below, 0) / n;
+          double ms = bound (i) * exp2 (part / BINS_PER_OCTAVE);
+          return fmin (ms, h->max);
+        }
+      below += n;
+    }
+  return h->max;
+}
+
+/* Returns the number of bins, the same for every histogram.  */
+size_t
+rr_histogram_bins (void)
+{
+  return BINS;
+}
+
+/* Returns the number of values in BIN; 0 outside.  */
+uint64_t
+rr_histogram_bin (const struct rr_histogram *h, size_t bin)
+{
+  return bin < BINS ? (uint64_t)gsl_histogram_get (h->bins, bin) : 0;
+}
+
+/* Returns the upper bound of BIN in ms.  */
+double
+rr_histogram_bin_upper (size_t bin)
+{
+  return bound (bin + 1);
+}
+
+/* Adds N values to BIN, as received from another process; the sum grows by the
+   geometric middle of the bin, the maximum by its upper bound.  False when
+   there is no such bin.  */
+bool
+rr_histogram_bin_add (struct rr_histogram *h, size_t bin, uint64_t n)
+{
+  if (bin >= BINS)
+    return false;
+  if (n == 0)
+    return true;
+  double middle = bound (bin) * exp2 (0.5 / BINS_PER_OCTAVE);
+  gsl_histogram_accumulate (h->bins, middle, (double)n);
+  h->count += n;
+  h->sum += middle * (double)n;
+  h->max = fmax (h->max, fmin (bound (bin + 1), RR_HISTOGRAM_MAX_MS));
+  return true;
+}
+
+static void
+print_ms (FILE *out, double ms)
+{
+  if (ms < 1000)
+    fprintf (out, "%7.2f ms", ms);
+  else
+    fprintf (out, "%7.2f s ", ms / 1000);
+}
+
+static uint64_t
+octave_count (const struct rr_histogram *h, size_t octave)
+{
+  uint64_t n = 0;
+  for (size_t i = 0; i < BINS_PER_OCTAVE; i++)
+    n += rr_histogram_bin (h, octave * BINS_PER_OCTAVE + i);
+  return n;
+}
+
+static void
+draw_octave (FILE *out, const struct rr_histogram *h, size_t octave,
+             uint64_t largest, int width)
+{
+  uint64_t n = octave_count (h, octave);
+  print_ms (out, bound (octave * BINS_PER_OCTAVE));
+  fputs (" |", out);
+  int bar = (int)((double)n / (double)largest * width + 0.5);
+  /* A range that holds anything shows at least one mark.  */
+  if (bar == 0 && n > 0)
+    bar = 1;
+  for (int i = 0; i < width; i++)
+    fputc (i < bar ? '#' : ' ', out);
+  fprintf (out, "| %8" PRIu64 " %5.1f%%\n", n,
+           100.0 * (double)n / (double)h->count);
+}
+
+/* Draws H for a terminal of COLUMNS columns: TITLE, one line for each doubling
+   between the smallest and the largest value (its lower bound, a bar, count
+   and share), and count, mean and quantiles.  The caller frees the text.  */
+char *
+rr_histogram_draw (const struct rr_histogram *h, const char *title,
+                   int columns)
+{
+  const size_t octaves = (BINS + BINS_PER_OCTAVE - 1) / BINS_PER_OCTAVE;
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  fprintf (out, "%s\n", title);
+  size_t first = octaves;
+  size_t last = 0;
+  uint64_t largest = 0;
+  for (size_t o = 0; o < octaves; o++)
+    {
+      uint64_t n = octave_count (h, o);
+      if (n == 0)
+        continue;
+      first = o < first ? o : first;
+      last = o;
+      largest = n > largest ? n : largest;
+    }
+  /* The fixed parts of a line take 30 columns.  */
+  int width = columns - 30 < 10 ? 10 : columns - 30;
+  for (size_t o = first; first < octaves && o <= last; o++)
+    draw_octave (out, h, o, largest, width);
+  fprintf (out, "count %" PRIu64, h->count);
+  if (h->count > 0)
+    {
+      fprintf (out, "  mean %.2f ms", h->sum / (double)h->count);
+      fprintf (out, "  p50 %.2f ms", rr_histogram_quantile (h, 0.5));
+      fprintf (out, "  p99 %.2f ms", rr_histogram_quantile (h, 0.99));
+      fprintf (out, "  p99.9 %.2f ms", rr_histogram_quantile (h, 0.999));
+      fprintf (out, "  max %.2f ms", h->max);
+    }
+  fputc ('\n', out);
+  fclose (out);
+  return text;
+}
--- /dev/null
+++ b/rosemaryrail/membership.c
@@ -0,0 +1,441 @@
+#include "rosemaryrail/membership.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "membership_internal.h"
+
+/* Addresses known from peers only.  Bounds memory against a peer that sends
+   nonsense; the design size has 670 workers.  */
+#define UNLISTED_LIMIT 2048
+
+/* A leaving VM that is absent from the list for this long is dropped from
+   heartbeats; otherwise daemons would return it to one another for ever.  */
+#define SILENT_AFTER_MS 60000
+
+static uint64_t
+hash_address (const char *address)
+{
+  return XXH3_64bits (address, strlen (address));
+}
+
+/* Returns the slot of ADDRESS or the free one where it belongs.  */
+static uint32_t *
+index_slot (const struct rr_membership *m, const char *address)
+{
+  size_t i = hash_address (address) & (m->index_size - 1);
+  while (m->index[i] != 0
+         && strcmp (m->vms[m->index[i] - 1].member.info.address, address) != 0)
+    i = (i + 1) & (m->index_size - 1);
+  return &m->index[i];
+}
+
+/* Returns the VM at ADDRESS, or null.  */
+struct vm *
+membership_vm (const struct rr_membership *m, const char *address)
+{
+  uint32_t slot = *index_slot (m, address);
+  return slot == 0 ? NULL : &m->vms[slot - 1];
+}
+
+static void
+index_grow (struct rr_membership *m)
+{
+  m->index_size = m->index_size == 0 ? 64 : 2 * m->index_size;
+  free (m->index);
+  m->index = calloc (m->index_size, sizeof *m->index);
+  for (size_t i = 0; i < m->count; i++)
+    *index_slot (m, m->vms[i].member.info.address) = (uint32_t)i + 1;
+}
+
+static void
+copy_text (char *out, const char *in, size_t size)
+{
+  size_t length = strnlen (in, size - 1);
+  memcpy (out, in, length);
+  memset (out + length, 0, size - length);
+}
+
+static struct vm *
+vm_add (struct rr_membership *m, struct rr_time now, const char *address,
+        uint64_t incarnation)
+{
+  if (m->vms == NULL || m->count == m->room)
+    {
+      m->room = m->room == 0 ? 32 : 2 * m->room;
+      m->vms = reallocarray (m->vms, m->room, sizeof *m->vms);
+    }
+  struct vm *v = &m->vms[m->count++];
+  memset (v, 0, sizeof *v);
+  copy_text (v->member.info.address, address, RR_MEMBER_ADDRESS_SIZE);
+  v->member.info.incarnation = incarnation;
+  v->member.last_heard = now;
+  if (2 * m->count > m->index_size)
+    index_grow (m);
+  else
+    *index_slot (m, v->member.info.address) = (uint32_t)m->count;
+  return v;
+}
+
+/* Returns the VM at ADDRESS, added when it is unknown; null past the limit. */
+static struct vm *
+vm_get (struct rr_membership *m, struct rr_time now, const char *address,
+        uint64_t incarnation)
+{
+  if (address[0] == '\0' || strlen (address) >= RR_MEMBER_ADDRESS_SIZE)
+    return NULL;
+  struct vm *v = membership_vm (m, address);
+  if (v != NULL)
+    return v;
+  if (m->unlisted >= UNLISTED_LIMIT)
+    return NULL;
+  m->unlisted++;
+  return vm_add (m, now, address, incarnation);
+}
+
+static void
+set_left (struct rr_membership *m, struct vm *v, struct rr_time now,
+          enum rr_source source)
+{
+  if (v->left)
+    return;
+  v->left = true;
+  if (v->member.leaving_source == RR_SOURCE_NONE)
+    {
+      v->member.leaving_source = source;
+      v->member.leaving_since = now;
+    }
+  m->leaving_version++;
+}
+
+static bool
+name_drained (const struct rr_membership *m, const char *name)
+{
+  for (size_t i = 0; i < m->drain_count; i++)
+    if (strcmp (m->drains[i], name) == 0)
+      return true;
+  return false;
+}
+
+/* Tells whether the newest configuration known, ours or a peer's, drains V. */
+bool
+membership_is_drained (const struct rr_membership *m, const struct vm *v)
+{
+  return v->drained || v->peer_drain > m->drain_generation;
+}
+
+/* Recomputes whether V is drained after a change of either source.  */
+static void
+update_drain (struct rr_membership *m, struct vm *v, struct rr_time now,
+              bool before)
+{
+  bool drained = membership_is_drained (m, v);
+  struct rr_member *b = &v->member;
+  if (drained && b->leaving_source == RR_SOURCE_NONE)
+    {
+      b->leaving_source = RR_SOURCE_DRAIN;
+      b->leaving_since = now;
+    }
+  if (!drained && !v->left)
+    b->leaving_source = RR_SOURCE_NONE;
+  if (drained && !before)
+    m->leaving_version++;
+}
+
+/* Makes INCARNATION the current one if it is newer; false when it is older.
+   Everything known about the older one ends with it, but for drains, which
+   name a VM and not an incarnation.  */
+static bool
+vm_advance (struct rr_membership *m, struct vm *v, struct rr_time now,
+            uint64_t incarnation)
+{
+  struct rr_member *b = &v->member;
+  if (incarnation <= b->info.incarnation)
+    return incarnation == b->info.incarnation;
+  if (v == &m->vms[0])
+    {
+      /* This daemon itself has been replaced.  */
+      set_left (m, v, now, RR_SOURCE_VM_LIST);
+      return false;
+    }
+  b->info.incarnation = incarnation;
+  b->info.leaving = false;
+  b->leaving_source = RR_SOURCE_NONE;
+  b->last_heard = now;
+  b->config_generation = 0;
+  b->shards = 0;
+  memset (b->config_digest, 0, sizeof b->config_digest);
+  v->left = v->failed = v->silent = false;
+  v->peer_drain = 0;
+  update_drain (m, v, now, false);
+  return true;
+}
+
+static void
+set_info (struct rr_membership *m, struct vm *v, struct rr_time now,
+          const struct rr_member_info *info)
+{
+  bool before = membership_is_drained (m, v);
+  struct rr_member_info *own = &v->member.info;
+  char address[RR_MEMBER_ADDRESS_SIZE];
+  uint64_t incarnation = own->incarnation;
+  copy_text (address, own->address, sizeof address);
+  *own = *info;
+  copy_text (own->address, address, sizeof own->address);
+  own->name[RR_MEMBER_NAME_SIZE - 1] = '\0';
+  own->zone[RR_MEMBER_NAME_SIZE - 1] = '\0';
+  own->rack[RR_MEMBER_NAME_SIZE - 1] = '\0';
+  own->incarnation = incarnation;
+  v->drained = name_drained (m, own->name);
+  update_drain (m, v, now, before);
+}
+
+/* Returns a view that knows only SELF, this daemon.  The caller frees it with
+   rr_membership_free.  */
+struct rr_membership *
+rr_membership_new (const struct rr_member_info *self)
+{
+  struct rr_membership *m = calloc (1, sizeof *m);
+  struct rr_time start = rr_time_from_ms (0);
+  index_grow (m);
+  struct vm *v = vm_add (m, start, self->address, self->incarnation);
+  set_info (m, v, start, self);
+  v->member.info.role = RR_ROLE_ENTRY;
+  return m;
+}
+
+/* Frees M, which may be null.  */
+void
+rr_membership_free (struct rr_membership *m)
+{
+  if (m == NULL)
+    return;
+  free (m->vms);
+  free (m->index);
+  free (m->drains);
+  free (m);
+}
+
+/* Takes over one entry of the VM list, which may lag behind the other
+   sources: an older incarnation than known changes nothing but proves that
+   still older ones are gone.  */
+static void
+list_one (struct rr_membership *m, struct rr_time now,
+          const struct rr_member_info *info)
+{
+  struct vm *v = membership_vm (m, info->address);
+  if (v == NULL)
+    v = vm_add (m, now, info->address, info->incarnation);
+  else if (!v->member.listed && v != &m->vms[0] && m->unlisted > 0)
+    m->unlisted--;
+  v->member.listed = true;
+  v->in_list = true;
+  v->silent = false;
+  v->listed_incarnation = info->incarnation;
+  if (info->incarnation > 0
+      && (!v->any_gone || v->gone_through < info->incarnation - 1))
+    {
+      v->any_gone = true;
+      v->gone_through = info->incarnation - 1;
+    }
+  if (!vm_advance (m, v, now, info->incarnation))
+    return;
+  /* This daemon's own settings are newer than the list.  */
+  if (v != &m->vms[0])
+    set_info (m, v, now, info);
+  if (info->leaving)
+    set_left (m, v, now, RR_SOURCE_VM_LIST);
+}
+
+/* Takes over a complete VM list of COUNT entries.  A VM listed earlier and
+   absent now is gone; one never listed is not, since the list lags.  A list
+   that has lost this daemon is ignored: an empty or partial answer of a
+   recovering platform must not declare the fleet gone.  */
+void
+rr_membership_list (struct rr_membership *m, struct rr_time now,
+                    const struct rr_member_info *vms, size_t count)
+{
+  bool has_self = false;
+  for (size_t i = 0; i < count; i++)
+    has_self = has_self
+               || strcmp (vms[i].address, m->vms[0].member.info.address) == 0;
+  if (!has_self && m->vms[0].member.listed)
+    return;
+  for (size_t i = 0; i < m->count; i++)
+    m->vms[i].in_list = false;
+  for (size_t i = 0; i < count; i++)
+    if (vms[i].address[0] != '\0'
+        && strnlen (vms[i].address, RR_MEMBER_ADDRESS_SIZE)
+               < RR_MEMBER_ADDRESS_SIZE)
+      list_one (m, now, &vms[i]);
+  for (size_t i = 1; i < m->count; i++)
+    {
+      struct vm *v = &m->vms[i];
+      if (v->in_list)
+        continue;
+      if (v->member.listed
+          && (!v->any_gone || v->gone_through < v->listed_incarnation))
+        {
+          v->any_gone = true;
+          v->gone_through = v->listed_incarnation;
+        }
+      if (v->member.leaving_source != RR_SOURCE_NONE
+          && rr_time_diff (now, v->member.leaving_since) > SILENT_AFTER_MS)
+        v->silent = true;
+    }
+}
+
+/* Adds VMs that a peer knows, for a daemon that starts while the platform is
+   down.  They prove nothing: absent ones are not gone, and known ones keep
+   what is known.  */
+void
+rr_membership_learn (struct rr_membership *m, struct rr_time now,
+                     const struct rr_member_info *vms, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (strnlen (vms[i].address, RR_MEMBER_ADDRESS_SIZE)
+          >= RR_MEMBER_ADDRESS_SIZE)
+        continue;
+      struct vm *v = vm_get (m, now, vms[i].address, vms[i].incarnation);
+      if (v == NULL || v == &m->vms[0]
+          || !vm_advance (m, v, now, vms[i].incarnation))
+        continue;
+      if (v->member.info.name[0] == '\0')
+        set_info (m, v, now, &vms[i]);
+      if (vms[i].leaving)
+        set_left (m, v, now, RR_SOURCE_VM_LIST);
+    }
+}
+
+/* Records that SOURCE, any but a drain, says that this incarnation is leaving,
+   which can't be undone.  An unknown VM is remembered.  False when that was
+   known or the incarnation is dead.  */
+bool
+rr_membership_leaving (struct rr_membership *m, struct rr_time now,
+                       enum rr_source source, const char *address,
+                       uint64_t incarnation)
+{
+  struct vm *v = vm_get (m, now, address, incarnation);
+  if (v == NULL || !vm_advance (m, v, now, incarnation) || v->left)
+    return false;
+  set_left (m, v, now, source);
+  return true;
+}
+
+/* Records that a call to this incarnation failed.  */
+void
+rr_membership_failed (struct rr_membership *m, struct rr_time now,
+                      const char *address, uint64_t incarnation)
+{
+  struct vm *v = membership_vm (m, address);
+  if (v == NULL || v->member.info.incarnation != incarnation)
+    return;
+  v->failed = true;
+  v->failed_at = now;
+}
+
+/* Records that this incarnation answered a call sent at SENT.  A failure seen
+   after that time stays: the answer says nothing about it.  */
+void
+rr_membership_answered (struct rr_membership *m, struct rr_time sent,
+                        const char *address, uint64_t incarnation)
+{
+  struct vm *v = membership_vm (m, address);
+  if (v == NULL || !vm_advance (m, v, sent, incarnation))
+    return;
+  if (v->failed && !rr_time_before (sent, v->failed_at))
+    v->failed = false;
+}
+
+/* Takes over the names that the configuration of GENERATION drains; an older
+   generation than the last is ignored.  */
+void
+rr_membership_drains (struct rr_membership *m, struct rr_time now,
+                      uint64_t generation, const char *const *names,
+                      size_t count)
+{
+  if (generation < m->drain_generation)
+    return;
+  bool *before = calloc (m->count, sizeof *before);
+  for (size_t i = 0; i < m->count; i++)
+    before[i] = membership_is_drained (m, &m->vms[i]);
+  m->drain_generation = generation;
+  free (m->drains);
+  m->drains = calloc (count + 1, sizeof *m->drains);
+  m->drain_count = count;
+  for (size_t i = 0; i < count; i++)
+    copy_text (m->drains[i], names[i], sizeof m->drains[i]);
+  for (size_t i = 0; i < m->count; i++)
+    {
+      m->vms[i].drained = name_drained (m, m->vms[i].member.info.name);
+      update_drain (m, &m->vms[i], now, before[i]);
+    }
+  free (before);
+}
+
+static void
+take_leaving (struct rr_membership *m, struct rr_time now,
+              const struct rr_leaving *l)
+{
+  if (strnlen (l->address, sizeof l->address) == sizeof l->address)
+    return;
+  switch (l->source)
+    {
+    case RR_SOURCE_VM_LIST:
+    case RR_SOURCE_REPORT:
+    case RR_SOURCE_FAILURE:
+      rr_membership_leaving (m, now, l->source, l->address, l->incarnation);
+      return;
+    case RR_SOURCE_DRAIN:
+      {
+        if (l->generation <= m->drain_generation)
+          return;
+        struct vm *v = vm_get (m, now, l->address, l->incarnation);
+        if (v == NULL || !vm_advance (m, v, now, l->incarnation))
+          return;
+        bool before = membership_is_drained (m, v);
+        if (v->peer_drain < l->generation)
+          v->peer_drain = l->generation;
+        update_drain (m, v, now, before);
+        return;
+      }
+    case RR_SOURCE_NONE:
+      return;
+    }
+}
+
+/* Takes over a peer's heartbeat and its leaving set.  A drain counts when its
+   generation is higher than that of our configuration, which otherwise
+   decides.  False when the sender is a dead incarnation; then nothing is taken
+   over.  */
+bool
+rr_membership_heartbeat (struct rr_membership *m, struct rr_time now,
+                         const struct rr_heartbeat *heartbeat)
+{
+  struct vm *v = vm_get (m, now, heartbeat->address, heartbeat->incarnation);
+  if (v == NULL || v == &m->vms[0]
+      || !vm_advance (m, v, now, heartbeat->incarnation))
+    return false;
+  struct rr_member *b = &v->member;
+  if (b->info.name[0] == '\0')
+    {
+      struct rr_member_info info = { .role = RR_ROLE_ENTRY };
+      copy_text (info.name, heartbeat->name, sizeof info.name);
+      copy_text (info.zone, heartbeat->zone, sizeof info.zone);
+      set_info (m, v, now, &info);
+    }
+  b->last_heard = now;
+  b->config_generation = heartbeat->config_generation;
+  copy_text (b->config_digest, heartbeat->config_digest,
+             sizeof b->config_digest);
+  b->shards = heartbeat->shards;
+  v->failed = false;
+  if (heartbeat->leaving)
+    set_left (m, v, now, RR_SOURCE_REPORT);
+  /* V may move when the set adds VMs.  */
+  for (size_t i = 0; i < heartbeat->leaving_count; i++)
+    take_leaving (m, now, &heartbeat->leaving_set[i]);
+  return true;
+}
