--- /dev/null
+++ b/include/rosemaryrail/config.h
@@ -0,0 +1,236 @@
+#ifndef ROSEMARYRAIL_CONFIG_H
+#define ROSEMARYRAIL_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rosemaryrail/error.h"
+
+enum
+{
+  RR_CONFIG_NAME_SIZE = 64,   /* a name has at most 63 characters */
+  RR_CONFIG_DIGEST_SIZE = 33, /* 128 bits as lower-case hex digits */
+  RR_CONFIG_PART_NAME_SIZE = 80,
+  RR_CONFIG_PART_MAX_BYTES = 900 * 1024, /* the platform stores at most 1 MB
+                                            per value */
+};
+
+/* One parameter of the policy.  The field in a configuration file is called
+   NAME, or NAME_UNIT when UNIT is not empty.  */
+struct rr_parameter
+{
+  const char *name;
+  const char *unit;
+  double min;
+  double max;
+  double value_default;
+};
+
+/* The parameters that a configuration may set.  */
+struct rr_parameter_table
+{
+  const struct rr_parameter *items;
+  size_t count;
+};
+
+struct rr_config_limits
+{
+  int64_t requests_per_s; /* through one daemon, all services */
+  int64_t request_max_bytes;
+  int64_t response_max_bytes;
+  int64_t deadline_max_ms;
+  int64_t concurrency_per_service; /* in flight through one daemon */
+  int64_t jobs;                    /* unfinished jobs, all teams */
+  int64_t tasks_per_job;
+  int64_t task_cores_milli; /* largest task or service instance */
+  int64_t task_memory_mb;
+  int64_t task_accelerators;
+  int64_t isolation_limit_ms; /* for jobs that set none */
+};
+
+struct rr_config_team
+{
+  char name[RR_CONFIG_NAME_SIZE];
+  int64_t cores_milli; /* quota, as are memory_mb and accelerators */
+  int64_t memory_mb;
+  int64_t accelerators;
+  double weight;
+  int64_t requests_per_s;
+};
+
+struct rr_config_service
+{
+  char name[RR_CONFIG_NAME_SIZE];
+  char class_name[RR_CONFIG_NAME_SIZE]; /* "class" in files */
+  char team[RR_CONFIG_NAME_SIZE];
+  int64_t instances;
+  int64_t cores_milli; /* of one instance, as are memory and accelerators */
+  int64_t memory_mb;
+  int64_t accelerators;
+  int64_t deadline_ms; /* for requests that give none */
+  int64_t concurrency; /* requests in flight per instance */
+  int64_t request_max_bytes;
+  int64_t response_max_bytes;
+};
+
+struct rr_config_job
+{
+  char id[RR_CONFIG_NAME_SIZE];
+  char team[RR_CONFIG_NAME_SIZE];
+  char class_name[RR_CONFIG_NAME_SIZE]; /* "class" in files */
+  int64_t tasks;
+  int64_t cores_milli; /* of one task, as are memory and accelerators */
+  int64_t memory_mb;
+  int64_t accelerators;
+  int64_t work_ms; /* declared run time of one task */
+  bool urgent;
+  int64_t isolation_limit_ms; /* filled from the limits when absent */
+};
+
+struct rr_config_drain
+{
+  char vm[RR_CONFIG_NAME_SIZE];
+};
+
+/* A valid configuration.  Its arrays are sorted, so that two files that say
+   the same in another order give the same digest: services, teams and drains
+   by name, jobs by team, then id.  POLICY follows the parameter table.  */
+struct rr_config
+{
+  struct rr_config_limits limits;
+  struct rr_config_team *teams;
+  size_t team_count;
+  struct rr_config_service *services;
+  size_t service_count;
+  struct rr_config_job *jobs;
+  size_t job_count;
+  struct rr_config_drain *drains;
+  size_t drain_count;
+  struct rr_parameter_table parameters;
+  double *policy;
+};
+
+/* One input text.  NAME appears in errors only; nothing is opened.  */
+struct rr_config_file
+{
+  const char *name;
+  const char *text;
+  size_t length;
+};
+
+/* LINE and COLUMN start at 1; columns count bytes.  */
+struct rr_config_error
+{
+  char *file;
+  unsigned line;
+  unsigned column;
+  char *message;
+};
+
+struct rr_config_errors
+{
+  struct rr_config_error *items;
+  size_t count;
+  size_t capacity;
+};
+
+/* A part as stored under config/part/DIGEST.  TEXT is a valid configuration
+   file by itself: {"limits":...}, {"policy":...}, {"drains":...},
+   {"services":...}, or {"teams":[one],"jobs":[the jobs of this team]}.  Names:
+   "limits", "policy", "drains", "services", "team/NAME".  */
+struct rr_config_part
+{
+  char name[RR_CONFIG_PART_NAME_SIZE];
+  char digest[RR_CONFIG_DIGEST_SIZE];
+  char *text;
+  size_t length;
+};
+
+struct rr_config_parts
+{
+  struct rr_config_part *items;
+  size_t count;
+};
+
+struct rr_config_part_ref
+{
+  char name[RR_CONFIG_PART_NAME_SIZE];
+  char digest[RR_CONFIG_DIGEST_SIZE];
+};
+
+/* The value of config/head.  DIGEST covers the names and digests of all
+   parts; PARENT is the digest of the configuration it replaced, or empty.  */
+struct rr_config_head
+{
+  int64_t generation; /* from 1 */
+  char digest[RR_CONFIG_DIGEST_SIZE];
+  char parent[RR_CONFIG_DIGEST_SIZE];
+  struct rr_config_part_ref *parts;
+  size_t part_count;
+};
+
+/* How head B relates to head A.  */
+enum rr_config_order
+{
+  RR_CONFIG_SAME,
+  RR_CONFIG_NEWER, /* B has a higher generation and wins */
+  RR_CONFIG_OLDER, /* B is to be ignored */
+  RR_CONFIG_FORK,  /* equal generation, different digest */
+};
+
+/* Parsing and checking.  All functions returning a pointer return memory
+   that the caller frees, with rr_config_free or free as said there.  */
+struct rr_parameter_table rr_config_parameters (void);
+struct rr_config *rr_config_parse (const struct rr_config_file *files,
+                                   size_t file_count,
+                                   struct rr_parameter_table parameters,
+                                   struct rr_config_errors *errors);
+bool rr_config_parse_job (const struct rr_config *c,
+                          const struct rr_config_file *file,
+                          struct rr_config_job *job,
+                          struct rr_config_errors *errors);
+void rr_config_free (struct rr_config *c);
+void rr_config_errors_free (struct rr_config_errors *errors);
+char *rr_config_errors_text (const struct rr_config_errors *errors);
+
+/* Lookups; null when there is none.  */
+const struct rr_config_team *rr_config_team (const struct rr_config *c,
+                                             const char *name);
+const struct rr_config_service *rr_config_service (const struct rr_config *c,
+                                                   const char *name);
+const struct rr_config_job *rr_config_job (const struct rr_config *c,
+                                           const char *id);
+bool rr_config_is_drained (const struct rr_config *c, const char *vm);
+bool rr_config_policy (const struct rr_config *c, const char *name,
+                       double *value);
+
+/* A copy of C in which VM is drained, or no longer is.  */
+struct rr_config *rr_config_with_drain (const struct rr_config *c,
+                                        const char *vm, bool drained);
+
+/* Parts, digests and the head.  */
+void rr_config_split (const struct rr_config *c,
+                      struct rr_config_parts *parts);
+struct rr_config *rr_config_join (const struct rr_config_parts *parts,
+                                  struct rr_parameter_table parameters,
+                                  struct rr_config_errors *errors);
+void rr_config_parts_free (struct rr_config_parts *parts);
+void rr_config_text_digest (const char *text, size_t length,
+                            char digest[RR_CONFIG_DIGEST_SIZE]);
+void rr_config_head_build (const struct rr_config_parts *parts,
+                           int64_t generation, const char *parent,
+                           struct rr_config_head *head);
+char *rr_config_head_text (const struct rr_config_head *head);
+bool rr_config_head_parse (const char *text, size_t length,
+                           struct rr_config_head *head, struct rr_error *err);
+void rr_config_head_free (struct rr_config_head *head);
+enum rr_config_order rr_config_head_order (const struct rr_config_head *a,
+                                           const struct rr_config_head *b);
+
+/* Text with one line for each difference; empty when there is none.  A null
+   FROM stands for "nothing configured".  */
+char *rr_config_diff (const struct rr_config *from,
+                      const struct rr_config *to);
+
+#endif
