config: configuration and settings with checked fields

json-c gives no positions for values, so a document keeps the line and column of each member: comments are blanked, json-c checks the grammar in strict mode, and one scan records places.

--- /dev/null
+++ b/rosemaryrail/document.c
@@ -0,0 +1,415 @@
+#include "rosemaryrail/document.h"
+
+#include <assert.h>
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* json-c reports no positions for values.  The text is therefore prepared in
+   three steps: comments are blanked out with the line structure kept, json-c
+   checks the grammar in strict mode, and one scan over the now valid text
+   records the place of each value and lets json-c decode the scalars.  */
+struct scanner
+{
+  struct rr_document *d;
+  struct rr_config_errors *errors;
+  const char *text;
+  size_t length;
+  size_t at;
+  unsigned line;
+  size_t line_start;
+};
+
+static void
+place_of (const char *text, size_t at, unsigned *line, unsigned *column)
+{
+  *line = 1;
+  size_t start = 0;
+  for (size_t i = 0; i < at; i++)
+    if (text[i] == '\n')
+      {
+        ++*line;
+        start = i + 1;
+      }
+  *column = (unsigned)(at - start) + 1;
+}
+
+static bool
+error_at (const char *file, const char *text, size_t at, const char *message,
+          struct rr_config_errors *errors)
+{
+  unsigned line;
+  unsigned column;
+  place_of (text, at, &line, &column);
+  rr_config_errors_add (errors, file, line, column, "%s", message);
+  return false;
+}
+
+/* Returns the offset behind the string that starts at AT.  */
+static size_t
+string_end (const char *text, size_t length, size_t at)
+{
+  for (at++; at < length && text[at] != '"'; at++)
+    if (text[at] == '\\' && at + 1 < length)
+      at++;
+  return at < length ? at + 1 : length;
+}
+
+/* Overwrites comments with spaces; line ends inside them are kept.  */
+static bool
+blank_comments (char *text, size_t length, const char *file,
+                struct rr_config_errors *errors)
+{
+  for (size_t i = 0; i < length;)
+    {
+      if (text[i] == '"')
+        i = string_end (text, length, i);
+      else if (text[i] != '/')
+        i++;
+      else if (i + 1 < length && text[i + 1] == '/')
+        while (i < length && text[i] != '\n')
+          text[i++] = ' ';
+      else if (i + 1 < length && text[i + 1] == '*')
+        {
+          char *end = memmem (text + i + 2, length - i - 2, "*/", 2);
+          if (end == NULL)
+            return error_at (file, text, i, "comment without an end", errors);
+          for (size_t stop = (size_t)(end - text) + 2; i < stop; i++)
+            if (text[i] != '\n')
+              text[i] = ' ';
+        }
+      else
+        return error_at (file, text, i,
+                         "unexpected \"/\"; expected a comment or a value",
+                         errors);
+    }
+  return true;
+}
+
+/* Checks the grammar of TEXT, without decoding anything for later use.  */
+static bool
+check_grammar (const char *text, size_t length, const char *file,
+               struct rr_config_errors *errors)
+{
+  struct json_tokener *tok = json_tokener_new ();
+  assert (tok != NULL);
+  json_tokener_set_flags (tok,
+                          JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+  struct json_object *o = json_tokener_parse_ex (tok, text, (int)length);
+  enum json_tokener_error rc = json_tokener_get_error (tok);
+  size_t end = json_tokener_get_parse_end (tok);
+  json_object_put (o);
+  json_tokener_free (tok);
+  if (rc == json_tokener_continue)
+    return error_at (file, text, length,
+                     "unexpected end of the text; an object, array or string "
+                     "is not closed",
+                     errors);
+  if (rc != json_tokener_success)
+    return error_at (file, text, end, json_tokener_error_desc (rc), errors);
+  return true;
+}
+
+static void
+skip_blanks (struct scanner *s)
+{
+  for (; s->at < s->length; s->at++)
+    if (s->text[s->at] == '\n')
+      {
+        s->line++;
+        s->line_start = s->at + 1;
+      }
+    else if (strchr (" \t\r", s->text[s->at]) == NULL)
+      break;
+}
+
+static char
+peek (const struct scanner *s)
+{
+  return s->at < s->length ? s->text[s->at] : '\0';
+}
+
+static unsigned
+column_of (const struct scanner *s)
+{
+  return (unsigned)(s->at - s->line_start) + 1;
+}
+
+/* Reports text that json-c accepts and this scan does not.  */
+static bool
+fail (struct scanner *s)
+{
+  rr_config_errors_add (s->errors, s->d->file, s->line, column_of (s),
+                        "expected a JSON value");
+  return false;
+}
+
+/* Decodes the scalar at the scanner and moves behind it.  */
+static bool
+read_scalar (struct scanner *s, struct json_object **value)
+{
+  size_t start = s->at;
+  size_t end = start;
+  if (peek (s) == '"')
+    end = string_end (s->text, s->length, start);
+  else
+    while (end < s->length && strchr (",]}: \t\r\n", s->text[end]) == NULL)
+      end++;
+  char *copy = calloc (1, end - start + 2);
+  assert (copy != NULL);
+  memcpy (copy, s->text + start, end - start);
+  copy[end - start] = ' '; /* ends a number for the tokener */
+  struct json_tokener *tok = json_tokener_new ();
+  assert (tok != NULL);
+  json_tokener_set_flags (tok, JSON_TOKENER_STRICT);
+  *value = json_tokener_parse_ex (tok, copy, (int)(end - start + 1));
+  bool ok
+      = end > start && json_tokener_get_error (tok) == json_tokener_success;
+  json_tokener_free (tok);
+  free (copy);
+  if (!ok)
+    return fail (s);
+  s->at = end;
+  return true;
+}
+
+static size_t
+add_node (struct rr_document *d)
+{
+  if (d->count == d->capacity)
+    {
+      d->capacity = d->capacity == 0 ? 64 : d->capacity * 2;
+      d->nodes = realloc (d->nodes, d->capacity * sizeof *d->nodes);
+      assert (d->nodes != NULL);
+    }
+  memset (&d->nodes[d->count], 0, sizeof *d->nodes);
+  return d->count++;
+}
+
+static bool scan_value (struct scanner *s, size_t *index);
+
+/* Reads a member's key and the colon; KEY has the place of the key.  */
+static bool
+scan_key (struct scanner *s, struct rr_node *key)
+{
+  struct json_object *text = NULL;
+  skip_blanks (s);
+  key->key_line = s->line;
+  key->key_column = column_of (s);
+  if (peek (s) != '"' || !read_scalar (s, &text))
+    return fail (s);
+  const char *name = json_object_get_string (text);
+  bool whole = strlen (name) == (size_t)json_object_get_string_len (text);
+  key->key = strdup (name);
+  json_object_put (text);
+  if (!whole)
+    {
+      free (key->key);
+      rr_config_errors_add (s->errors, s->d->file, key->key_line,
+                            key->key_column, "zero byte in a field name");
+      return false;
+    }
+  skip_blanks (s);
+  if (peek (s) != ':')
+    {
+      free (key->key);
+      return fail (s);
+    }
+  s->at++;
+  return true;
+}
+
+static bool
+scan_children (struct scanner *s, size_t parent, char close)
+{
+  size_t last = 0;
+  s->at++;
+  skip_blanks (s);
+  if (peek (s) == close)
+    {
+      s->at++;
+      return true;
+    }
+  for (;;)
+    {
+      struct rr_node key = { 0 };
+      if (close == '}' && !scan_key (s, &key))
+        return false;
+      size_t child;
+      if (!scan_value (s, &child))
+        {
+          free (key.key);
+          return false;
+        }
+      struct rr_node *n = &s->d->nodes[child];
+      n->key = key.key;
+      n->key_line = key.key_line;
+      n->key_column = key.key_column;
+      if (last == 0)
+        s->d->nodes[parent].first_child = child;
+      else
+        s->d->nodes[last].next = child;
+      last = child;
+      skip_blanks (s);
+      char c = peek (s);
+      s->at++;
+      if (c == close)
+        return true;
+      if (c != ',')
+        {
+          s->at--;
+          return fail (s);
+        }
+    }
+}
+
+/* Records the value at the scanner.  The depth is bounded by the grammar
+   check before.  */
+static bool
+scan_value (struct scanner *s, size_t *index)
+{
+  skip_blanks (s);
+  size_t i = add_node (s->d);
+  *index = i;
+  s->d->nodes[i].line = s->line;
+  s->d->nodes[i].column = column_of (s);
+  char c = peek (s);
+  if (c == '{' || c == '[')
+    {
+      s->d->nodes[i].type = c == '{' ? json_type_object : json_type_array;
+      return scan_children (s, i, c == '{' ? '}' : ']');
+    }
+  struct json_object *scalar = NULL;
+  if (!read_scalar (s, &scalar))
+    return false;
+  s->d->nodes[i].scalar = scalar;
+  s->d->nodes[i].type = json_object_get_type (scalar);
+  return true;
+}
+
+struct member
+{
+  const struct rr_node *node;
+};
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  const struct rr_node *x = ((const struct member *)a)->node;
+  const struct rr_node *y = ((const struct member *)b)->node;
+  int order = strcmp (x->key, y->key);
+  if (order != 0)
+    return order;
+  return x < y ? -1 : x > y;
+}
+
+/* Reports each member of OBJECT whose name appeared before.  */
+static void
+check_duplicates (const struct rr_document *d, const struct rr_node *object,
+                  struct rr_config_errors *errors)
+{
+  size_t count = 0;
+  const struct rr_node *n;
+  for (n = rr_node_first (d, object); n != NULL; n = rr_node_next (d, n))
+    count++;
+  if (count < 2)
+    return;
+  struct member *keys = calloc (count, sizeof *keys);
+  assert (keys != NULL);
+  size_t i = 0;
+  for (n = rr_node_first (d, object); n != NULL; n = rr_node_next (d, n))
+    keys[i++].node = n;
+  qsort (keys, count, sizeof *keys, compare_keys);
+  size_t first = 0;
+  for (i = 1; i < count; i++)
+    if (strcmp (keys[i].node->key, keys[first].node->key) != 0)
+      first = i;
+    else
+      rr_config_errors_add (
+          errors, d->file, keys[i].node->key_line, keys[i].node->key_column,
+          "duplicate field \"%.60s\"; first set at %u:%u", keys[i].node->key,
+          keys[first].node->key_line, keys[first].node->key_column);
+  free (keys);
+}
+
+/* Parses FILE, a JSON text with comments whose root is an object, into D.
+   Returns false with an error when the text has no such form.  Duplicate
+   members are added to ERRORS too, but leave D usable.  D must be freed in
+   all cases.  */
+bool
+rr_document_parse (struct rr_document *d, const struct rr_config_file *file,
+                   struct rr_config_errors *errors)
+{
+  memset (d, 0, sizeof *d);
+  d->file = strdup (file->name);
+  const char *nul = memchr (file->text, '\0', file->length);
+  if (nul != NULL)
+    return error_at (d->file, file->text, (size_t)(nul - file->text),
+                     "unexpected zero byte; expected text", errors);
+  if (file->length > INT_MAX - 2)
+    return error_at (d->file, file->text, 0, "the text is too long", errors);
+  char *text = malloc (file->length + 1);
+  assert (text != NULL);
+  memcpy (text, file->text, file->length);
+  text[file->length] = '\0';
+  bool ok = blank_comments (text, file->length, d->file, errors);
+  struct scanner s = {
+    .d = d, .errors = errors, .text = text, .length = file->length, .line = 1
+  };
+  skip_blanks (&s);
+  if (ok && peek (&s) != '{')
+    {
+      rr_config_errors_add (errors, d->file, s.line, column_of (&s),
+                            "expected an object, starting with \"{\"");
+      ok = false;
+    }
+  size_t root;
+  ok = ok && check_grammar (text, file->length, d->file, errors)
+       && scan_value (&s, &root);
+  free (text);
+  if (!ok)
+    return false;
+  for (size_t i = 0; i < d->count; i++)
+    if (d->nodes[i].type == json_type_object)
+      check_duplicates (d, &d->nodes[i], errors);
+  return true;
+}
+
+/* Frees what D holds.  */
+void
+rr_document_free (struct rr_document *d)
+{
+  for (size_t i = 0; i < d->count; i++)
+    {
+      json_object_put (d->nodes[i].scalar);
+      free (d->nodes[i].key);
+    }
+  free (d->nodes);
+  free (d->file);
+  memset (d, 0, sizeof *d);
+}
+
+/* Returns the first child of N or null.  */
+const struct rr_node *
+rr_node_first (const struct rr_document *d, const struct rr_node *n)
+{
+  return n->first_child == 0 ? NULL : &d->nodes[n->first_child];
+}
+
+/* Returns the child after N or null.  */
+const struct rr_node *
+rr_node_next (const struct rr_document *d, const struct rr_node *n)
+{
+  return n->next == 0 ? NULL : &d->nodes[n->next];
+}
+
+/* Returns the member KEY of the object N or null.  */
+const struct rr_node *
+rr_node_member (const struct rr_document *d, const struct rr_node *n,
+                const char *key)
+{
+  const struct rr_node *c = rr_node_first (d, n);
+  while (c != NULL && strcmp (c->key, key) != 0)
+    c = rr_node_next (d, c);
+  return c;
+}
