config: policy fields follow the policy module's names and units

Field names are section and parameter joined by "_", followed by the unit, so that the policy module's table can be bound as it is. The HTTP server tells its port, for tests on ports that the kernel chose.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -198,6 +198,18 @@
   h2o_context_request_shutdown (&s->context);
 }
 
+/* Returns the port that S listens on, chosen by the kernel when the server
+   was opened with port 0.  */
+uint16_t
+http_server_port (const struct http_server *s)
+{
+  struct sockaddr_in sin;
+  int length = sizeof sin;
+  if (uv_tcp_getsockname (&s->listener, (struct sockaddr *)&sin, &length) != 0)
+    return 0;
+  return ntohs (sin.sin_port);
+}
+
 /* Returns the number of requests handed to the handler and not answered.  */
 size_t
 http_server_in_progress (const struct http_server *s)
--- a/common/settings.c
+++ b/common/settings.c
@@ -107,8 +107,9 @@
   return NULL;
 }
 
-static bool
-parse_peer (const char *text, struct settings_peer *peer)
+/* Reads "ADDRESS:PORT" into PEER; false when TEXT is anything else.  */
+bool
+settings_parse_peer (const char *text, struct settings_peer *peer)
 {
   const char *colon = strrchr (text, ':');
   if (colon == NULL || (size_t)(colon - text) >= sizeof peer->address)
@@ -130,7 +131,7 @@
 {
   struct settings *s = r->s;
   struct settings_peer peer;
-  if (!parse_peer (text, &peer))
+  if (!settings_parse_peer (text, &peer))
     {
       rr_config_errors_add (
           r->errors, at.file, at.line, at.column,
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -68,4 +68,7 @@
                     struct rr_config_errors *errors);
 void settings_free (struct settings *s);
 
+/* Reads "ADDRESS:PORT" with an IPv4 number and a port from 1 to 65535.  */
+bool settings_parse_peer (const char *text, struct settings_peer *peer);
+
 #endif
--- a/include/rosemaryrail/config.h
+++ b/include/rosemaryrail/config.h
@@ -17,7 +17,9 @@
 };
 
 /* One parameter of the policy.  The field in a configuration file is called
-   NAME, or NAME_UNIT when UNIT is not empty.  */
+   NAME, with "_" for each ".", and ends with the unit: "relief.settle" in
+   "ms" is the field relief_settle_ms.  The units "", "count" and "ratio" add
+   nothing, and "1/s" adds "_per_s".  */
 struct rr_parameter
 {
   const char *name;
@@ -25,6 +27,7 @@
   double min;
   double max;
   double value_default;
+  bool whole; /* integers only */
 };
 
 /* The parameters that a configuration may set.  */
@@ -203,7 +206,7 @@
                                            const char *id);
 bool rr_config_is_drained (const struct rr_config *c, const char *vm);
 bool rr_config_policy (const struct rr_config *c, const char *name,
-                       double *value);
+                       double *value); /* NAME as in the table */
 
 /* A copy of C in which VM is drained, or no longer is.  */
 struct rr_config *rr_config_with_drain (const struct rr_config *c,
--- a/include/rosemaryrail/fields.h
+++ b/include/rosemaryrail/fields.h
@@ -7,6 +7,7 @@
 {
   RR_FIELD_INT,     /* int64_t, MIN to MAX */
   RR_FIELD_NUMBER,  /* double, MIN to MAX */
+  RR_FIELD_WHOLE,   /* double without a fraction, MIN to MAX */
   RR_FIELD_BOOL,    /* bool */
   RR_FIELD_NAME,    /* char[RR_CONFIG_NAME_SIZE]: letters, digits, ".-_" */
   RR_FIELD_ADDRESS, /* char[SIZE]: an IPv4 number */
--- a/rosemaryrail/config_policy.c
+++ b/rosemaryrail/config_policy.c
@@ -1,18 +1,20 @@
 #include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "rosemaryrail/config_check.h"
 
 /* The only place that binds the configuration to the policy's parameters.
    This table stands in until include/rosemaryrail/policy.h provides one.  */
 static const struct rr_parameter parameters[] = {
-  { "interference_half_life", "ms", 1000, 86400000, 1800000 },
-  { "relief_hold", "ms", 100, 3600000, 10000 },
-  { "eviction_budget_per_job", "", 0, 100, 2 },
-  { "retry_budget", "percent", 0, 100, 10 },
-  { "quarantine_failures", "", 1, 100, 5 },
-  { "quarantine_workers_max", "percent", 0, 50, 10 },
+  { "interference.half_life", "ms", 60000, 86400000, 600000, true },
+  { "relief.hot_ratio", "ratio", 1.01, 10, 1.25, false },
+  { "relief.settle", "ms", 0, 600000, 2000, true },
+  { "relief.task_evictions_max", "count", 0, 100, 2, true },
+  { "relief.job_evictions_max", "count", 0, 10000, 4, true },
+  { "quarantine.failures", "count", 1, 5, 3, true },
+  { "pacing.restarts", "1/s", 0.1, 1000, 40, false },
 };
 
 /* Returns the parameters that the decision modules read.  */
@@ -23,6 +25,29 @@
                                       RR_FIELD_COUNT (parameters) };
 }
 
+static const char *
+unit_suffix (const char *unit)
+{
+  if (strcmp (unit, "count") == 0 || strcmp (unit, "ratio") == 0)
+    return "";
+  return strcmp (unit, "1/s") == 0 ? "per_s" : unit;
+}
+
+/* Returns the name of the field for P; the caller frees it.  */
+static char *
+field_name (const struct rr_parameter *p)
+{
+  char *name = NULL;
+  const char *suffix = unit_suffix (p->unit);
+  int n = asprintf (&name, "%s%s%s", p->name, suffix[0] ? "_" : "", suffix);
+  assert (n > 0);
+  (void)n;
+  for (char *c = name; *c != '\0'; c++)
+    if (*c == '.')
+      *c = '_';
+  return name;
+}
+
 /* Fills FIELDS for an array of doubles in the order of TABLE.  */
 void
 rr_config_policy_fields (struct rr_parameter_table table,
@@ -33,13 +58,9 @@
   for (size_t i = 0; i < table.count; i++)
     {
       const struct rr_parameter *p = &table.items[i];
-      char *name = NULL;
-      int n = asprintf (&name, "%s%s%s", p->name, p->unit[0] ? "_" : "",
-                        p->unit);
-      assert (n > 0);
-      (void)n;
-      items[i] = (struct rr_field){ .name = name,
-                                    .kind = RR_FIELD_NUMBER,
+      items[i] = (struct rr_field){ .name = field_name (p),
+                                    .kind = p->whole ? RR_FIELD_WHOLE
+                                                     : RR_FIELD_NUMBER,
                                     .offset = i * sizeof (double),
                                     .min = p->min,
                                     .max = p->max,
--- a/rosemaryrail/fields.c
+++ b/rosemaryrail/fields.c
@@ -41,7 +41,7 @@
   bool truth = value != 0;
   if (f->kind == RR_FIELD_INT)
     memcpy (to, &integer, sizeof integer);
-  else if (f->kind == RR_FIELD_NUMBER)
+  else if (f->kind == RR_FIELD_NUMBER || f->kind == RR_FIELD_WHOLE)
     memcpy (to, &value, sizeof value);
   else
     memcpy (to, &truth, sizeof truth);
@@ -75,6 +75,7 @@
   switch (f->kind)
     {
     case RR_FIELD_INT:
+    case RR_FIELD_WHOLE:
       snprintf (text, size, "an integer from %.0f to %.0f", f->min, f->max);
       break;
     case RR_FIELD_NUMBER:
@@ -285,6 +286,7 @@
       memcpy (&integer, from, sizeof integer);
       return json_object_new_int64 (integer);
     case RR_FIELD_NUMBER:
+    case RR_FIELD_WHOLE:
       memcpy (&number, from, sizeof number);
       return rr_number_json (number);
     case RR_FIELD_BOOL:
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -46,7 +46,8 @@
 
 static const char small[] = "{\"teams\":[" TEAM "],\"jobs\":[" JOB (
     "a", "100") "," JOB ("b", "200") "],\"drains\":[\"vm-2\",\"vm-1\"],"
-                                     "\"policy\":{\"relief_hold_ms\":250}}";
+                                     "\"policy\":{\"relief_settle_ms\":250,"
+                                     "\"relief_hot_ratio\":2}}";
 
 /* Guards against absent fields being left at zero.  */
 START_TEST (absent_fields_have_defaults)
@@ -59,7 +60,7 @@
   ck_assert_int_eq (rr_config_job (c, "a")->tasks, 1);
   ck_assert_int_eq (rr_config_job (c, "a")->isolation_limit_ms, 7200000);
   double hold = 0;
-  ck_assert (rr_config_policy (c, "relief_hold", &hold));
+  ck_assert (rr_config_policy (c, "relief.settle", &hold));
   ck_assert (hold == 250);
   ck_assert (!rr_config_policy (c, "no_such_parameter", &hold));
   rr_config_free (c);
@@ -91,7 +92,8 @@
 {
   const char *one = "{\"teams\":[" TEAM "]}";
   const char *two = "{\"jobs\":[" JOB ("b", "200") "," JOB (
-      "a", "100") "],\"policy\":{\"relief_hold_ms\":250.0},\"drains\":["
+      "a", "100") "],\"policy\":{\"relief_hot_ratio\":2.0,\"relief_settle_"
+                  "ms\":250},\"drains\":["
                   "\"vm-1\",\"vm-2\"]}";
   struct rr_config_file files[]
       = { { "2", two, strlen (two) }, { "1", one, strlen (one) } };
