--- /dev/null
+++ b/include/rosemaryrail/quarantine.h
@@ -0,0 +1,67 @@
+#ifndef ROSEMARYRAIL_QUARANTINE_H
+#define ROSEMARYRAIL_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rosemaryrail/clock.h"
+#include "rosemaryrail/policy.h"
+
+struct rr_quarantine;
+
+enum rr_quarantine_state
+{
+  RR_QUARANTINE_CLEAR,
+  RR_QUARANTINE_SUSPECT, /* one unconfirmed start at a time */
+  RR_QUARANTINE_OUT,     /* no starts but probes */
+  RR_QUARANTINE_CLOSED   /* all starts used up: no probe either, until the
+                            worker's incarnation changes */
+};
+
+/* Verdict about a start that is about to be made.  */
+enum rr_quarantine_verdict
+{
+  RR_QUARANTINE_ALLOW,
+  RR_QUARANTINE_PROBE, /* allowed as a probe: choose a job known to succeed */
+  RR_QUARANTINE_WAIT   /* not now */
+};
+
+struct rr_quarantine_counts
+{
+  size_t workers;
+  size_t suspect;
+  size_t out;    /* including closed */
+  size_t capped; /* would be out but for the cap */
+};
+
+struct rr_quarantine *rr_quarantine_new (const struct rr_policy *policy);
+void rr_quarantine_free (struct rr_quarantine *q);
+
+void rr_quarantine_worker_add (struct rr_quarantine *q, uint64_t worker,
+                               int zone);
+void rr_quarantine_worker_remove (struct rr_quarantine *q, uint64_t worker);
+
+enum rr_quarantine_verdict rr_quarantine_check (struct rr_quarantine *q,
+                                                uint64_t worker,
+                                                struct rr_time now);
+void rr_quarantine_started (struct rr_quarantine *q, uint64_t worker,
+                            uint64_t task, uint64_t job, struct rr_time now);
+void rr_quarantine_succeeded (struct rr_quarantine *q, uint64_t worker,
+                              uint64_t task, uint64_t job, struct rr_time now);
+void rr_quarantine_failed (struct rr_quarantine *q, uint64_t worker,
+                           uint64_t task, uint64_t job, struct rr_time now);
+void rr_quarantine_withdrawn (struct rr_quarantine *q, uint64_t worker,
+                              uint64_t task);
+
+enum rr_quarantine_state rr_quarantine_state (struct rr_quarantine *q,
+                                              uint64_t worker,
+                                              struct rr_time now);
+bool rr_quarantine_job_suspect (struct rr_quarantine *q, uint64_t job,
+                                struct rr_time now);
+bool rr_quarantine_job_proven (struct rr_quarantine *q, uint64_t job,
+                               struct rr_time now);
+void rr_quarantine_count (struct rr_quarantine *q, struct rr_time now,
+                          struct rr_quarantine_counts *out);
+
+#endif
