--- a/include/rosemaryrail/batch_queue.h
+++ b/include/rosemaryrail/batch_queue.h
@@ -72,6 +72,8 @@
                                 const struct rr_size *size);
 bool rr_batch_queue_task_add (struct rr_batch_queue *q, uint64_t job,
                               uint64_t task, struct rr_error *err);
+bool rr_batch_queue_task_return (struct rr_batch_queue *q, uint64_t job,
+                                 uint64_t task, struct rr_error *err);
 size_t rr_batch_queue_job_cancel (struct rr_batch_queue *q, uint64_t job);
 bool rr_batch_queue_task_cancel (struct rr_batch_queue *q, uint64_t job,
                                  uint64_t task);
--- a/include/rosemaryrail/interference.h
+++ b/include/rosemaryrail/interference.h
@@ -51,9 +51,10 @@
   double samples; /* decayed weight of reports that contained the pair */
 };
 
-/* Statistics of one service class for peers; packed lower triangle, the first
-   row and column belong to the intercept.  Class names are sent as hashes,
-   because class numbers are local to a daemon.  */
+/* Statistics of one service class for peers: the packed lower triangle of a
+   moment matrix whose rows are intercept, service load, the batch classes and
+   the latency.  Class names are sent as hashes, because class numbers are
+   local to a daemon.  */
 struct rr_interference_export
 {
   uint64_t origin; /* incarnation of the daemon that learned it */
@@ -61,8 +62,8 @@
   struct rr_time at; /* time of export, origin's clock; orders exports */
   int classes;
   uint64_t batch[RR_CLASSES_MAX];
-  /* (classes + 2) * (classes + 3) / 2 values in use.  */
-  float moments[(RR_CLASSES_MAX + 2) * (RR_CLASSES_MAX + 3) / 2];
+  /* (classes + 3) * (classes + 4) / 2 values in use.  */
+  float moments[(RR_CLASSES_MAX + 3) * (RR_CLASSES_MAX + 4) / 2];
 };
 
 struct rr_interference *rr_interference_new (const struct rr_policy *policy);
--- a/include/rosemaryrail/placement.h
+++ b/include/rosemaryrail/placement.h
@@ -103,6 +103,8 @@
 void rr_placement_task_remove (struct rr_placement *p, int worker,
                                const struct rr_placement_task *task);
 
+bool rr_placement_fits (const struct rr_placement *p, int worker,
+                        const struct rr_placement_request *request);
 bool rr_placement_choose (const struct rr_placement *p,
                           const struct rr_placement_request *request,
                           gsl_rng *rng, struct rr_placement_choice *out);
--- a/include/rosemaryrail/policy.h
+++ b/include/rosemaryrail/policy.h
@@ -52,6 +52,7 @@
   int64_t quarantine_window_ms;
   int64_t quarantine_probe_delay_ms;
   int64_t quarantine_probe_successes;
+  int64_t quarantine_reopen_ms;
   double quarantine_zone_share_max;
   double quarantine_fleet_share_max;
   int64_t quarantine_job_workers;
@@ -99,6 +100,7 @@
 void rr_policy_init (struct rr_policy *policy);
 bool rr_policy_set (struct rr_policy *policy, const char *name, double value,
                     struct rr_error *err);
+bool rr_policy_check (const struct rr_policy *policy, struct rr_error *err);
 double rr_policy_get (const struct rr_policy *policy,
                       const struct rr_policy_parameter *parameter);
 
--- a/include/rosemaryrail/relief.h
+++ b/include/rosemaryrail/relief.h
@@ -63,12 +63,17 @@
   double target_ms;  /* what it should be; 0: learned base latency */
 };
 
-/* State of a worker at a report.  All times are on the worker's clock.  */
+/* State of a worker at a report.  The window and WORKER_NOW are on the
+   worker's clock.  WORKER_NOW is the caller's estimate of that clock at the
+   moment of the decision, never too early: the report's now_ms plus the time
+   since the report was asked for.  NOW is the caller's own clock, for the
+   eviction budgets, which span workers.  */
 struct rr_relief_view
 {
   int worker;
   struct rr_time window_start;
   struct rr_time window_end;
+  struct rr_time worker_now;
   struct rr_time now;
   const struct rr_relief_service *services;
   size_t service_count;
--- a/include/rosemaryrail/size.h
+++ b/include/rosemaryrail/size.h
@@ -16,6 +16,7 @@
 };
 
 bool rr_size_fits (const struct rr_size *need, const struct rr_size *free);
+bool rr_size_equal (const struct rr_size *a, const struct rr_size *b);
 void rr_size_add (struct rr_size *a, const struct rr_size *b);
 void rr_size_subtract (struct rr_size *a, const struct rr_size *b);
 
--- /dev/null
+++ b/rosemaryrail/interference_solve.c
@@ -0,0 +1,201 @@
+#include <gsl/gsl_linalg.h>
+#include <gsl/gsl_matrix.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "interference_model.h"
+
+/* Prior of the intercept (log of 1 ms, give or take a factor of e^10) and of
+   the effect of the services' own load.  */
+#define INTERCEPT_PRIOR_SD 10.0
+#define LOAD_PRIOR_MEAN 0.3
+#define LOAD_PRIOR_SD 1.0
+
+/* An uncertain pair has at least this share of the prior's uncertainty.  */
+#define UNCERTAIN_SHARE 0.5
+
+/* Fills the prior's mean and standard deviation of term I.  */
+static void
+prior_of (const struct rr_policy *policy, int i, double *mean, double *sd)
+{
+  switch (i)
+    {
+    case RR_TERM_INTERCEPT:
+      *mean = 0;
+      *sd = INTERCEPT_PRIOR_SD;
+      return;
+    case RR_TERM_LOAD:
+      *mean = LOAD_PRIOR_MEAN;
+      *sd = LOAD_PRIOR_SD;
+      return;
+    default:
+      *mean = policy->interference_prior_mean;
+      *sd = policy->interference_prior_sd;
+    }
+}
+
+/* Adds to SUM the own statistics of service S and those of its peers.  */
+static void
+moments_sum (const struct rr_interference *model, int s, double *sum)
+{
+  memcpy (sum, model->own[s].m, sizeof model->own[s].m);
+  for (size_t p = 0; p < model->peer_count; p++)
+    if (model->peers[p]->service == s)
+      for (size_t i = 0; i < RR_MOMENTS; i++)
+        sum[i] += model->peers[p]->m[i];
+}
+
+/* Computes the estimates of service S from its statistics and the prior.  The
+   matrix is positive definite because of the prior.  */
+void
+rr_interference_solve (struct rr_interference *model, int s)
+{
+  const struct rr_policy *policy = model->policy;
+  double sum[RR_MOMENTS];
+  moments_sum (model, s, sum);
+  double precision = 1 / pow (policy->interference_noise_sd, 2);
+  gsl_matrix *a = gsl_matrix_alloc (RR_TERMS, RR_TERMS);
+  gsl_vector *v = gsl_vector_alloc (RR_TERMS);
+  for (int i = 0; i < RR_TERMS; i++)
+    {
+      for (int j = 0; j <= i; j++)
+        {
+          double x = precision * sum[rr_moment (i, j)];
+          gsl_matrix_set (a, (size_t)i, (size_t)j, x);
+          gsl_matrix_set (a, (size_t)j, (size_t)i, x);
+        }
+      double mean;
+      double sd;
+      prior_of (policy, i, &mean, &sd);
+      double *diagonal = gsl_matrix_ptr (a, (size_t)i, (size_t)i);
+      *diagonal += 1 / (sd * sd);
+      gsl_vector_set (v, (size_t)i,
+                      precision * sum[rr_moment (RR_TERMS, i)]
+                          + mean / (sd * sd));
+    }
+  gsl_linalg_cholesky_decomp1 (a);
+  gsl_linalg_cholesky_svx (a, v);
+  gsl_linalg_cholesky_invert (a);
+
+  struct rr_service_solution *sol = &model->solution[s];
+  for (int i = 0; i < RR_TERMS; i++)
+    {
+      sol->coefficient[i] = gsl_vector_get (v, (size_t)i);
+      for (int j = 0; j < RR_TERMS; j++)
+        sol->covariance[i][j] = gsl_matrix_get (a, (size_t)i, (size_t)j);
+    }
+  for (int b = 0; b < RR_CLASSES_MAX; b++)
+    {
+      int i = RR_TERM_CLASSES + b;
+      double sd = sqrt (sol->covariance[i][i]);
+      sol->cost[b]
+          = fmax (0, sol->coefficient[i] + policy->interference_caution * sd);
+      sol->uncertain[b] = sd > UNCERTAIN_SHARE * policy->interference_prior_sd;
+      sol->samples[b] = sum[rr_moment (i, i)];
+    }
+  sol->base_ms = sum[rr_moment (0, 0)] > 0
+                     ? exp (sol->coefficient[RR_TERM_INTERCEPT])
+                     : 0;
+  gsl_matrix_free (a);
+  gsl_vector_free (v);
+}
+
+/* Fills OUT with the own statistics of SERVICE as of NOW, for peers; ORIGIN is
+   the incarnation of this daemon.  Peers' statistics are not passed on, so
+   nothing is counted twice.  Returns false when there are none.  */
+bool
+rr_interference_export (const struct rr_interference *model, int service,
+                        uint64_t origin, struct rr_time now,
+                        struct rr_interference_export *out)
+{
+  const double *m = model->own[service].m;
+  if (m[rr_moment (0, 0)] <= 0)
+    return false;
+  int row[RR_TERMS + 1] = { RR_TERM_INTERCEPT, RR_TERM_LOAD };
+  int rows = RR_TERM_CLASSES;
+  memset (out, 0, sizeof *out);
+  out->origin = origin;
+  out->service = model->classes[RR_KIND_SERVICE].hash[service];
+  out->at = now;
+  for (int b = 0; b < model->classes[RR_KIND_BATCH].count; b++)
+    {
+      int i = RR_TERM_CLASSES + b;
+      if (m[rr_moment (i, i)] <= 0)
+        continue;
+      out->batch[out->classes++] = model->classes[RR_KIND_BATCH].hash[b];
+      row[rows++] = i;
+    }
+  row[rows++] = RR_TERMS;
+  double f = exp2 (-(double)rr_time_diff (now, model->own[service].at)
+                   / (double)model->policy->interference_half_life_ms);
+  for (int i = 0; i < rows; i++)
+    for (int j = 0; j <= i; j++)
+      out->moments[rr_moment (i, j)]
+          = (float)(f * m[rr_moment (row[i], row[j])]);
+  return true;
+}
+
+/* Returns the peer entry for ORIGIN and service S, a new one if needed.  */
+static struct rr_peer_moments *
+peer_entry (struct rr_interference *model, uint64_t origin, int s)
+{
+  for (size_t i = 0; i < model->peer_count; i++)
+    if (model->peers[i]->origin == origin && model->peers[i]->service == s)
+      return model->peers[i];
+  struct rr_peer_moments **grown
+      = realloc (model->peers,
+                 (model->peer_count + 1) * sizeof (struct rr_peer_moments *));
+  struct rr_peer_moments *peer = calloc (1, sizeof *peer);
+  if (grown == NULL || peer == NULL)
+    abort ();
+  peer->origin = origin;
+  peer->service = s;
+  peer->at = rr_time_from_ms (INT64_MIN);
+  model->peers = grown;
+  model->peers[model->peer_count++] = peer;
+  return peer;
+}
+
+/* Takes over the statistics IN of a peer.  They replace what the same peer
+   sent before, so that repeated exports are not added up.  Returns false when
+   IN is malformed or older than what is known; the model is then unchanged. */
+bool
+rr_interference_merge (struct rr_interference *model,
+                       const struct rr_interference_export *in,
+                       struct rr_time now)
+{
+  if (in->classes < 0 || in->classes > RR_CLASSES_MAX)
+    return false;
+  int rows = in->classes + RR_TERM_CLASSES + 1;
+  for (int i = 0; i < rows; i++)
+    for (int j = 0; j <= i; j++)
+      if (!isfinite (in->moments[rr_moment (i, j)])
+          || (i == j && in->moments[rr_moment (i, j)] < 0))
+        return false;
+  int s = rr_interference_class_by_hash (model, RR_KIND_SERVICE, in->service);
+  struct rr_peer_moments *peer = peer_entry (model, in->origin, s);
+  if (!rr_time_before (peer->at, in->at))
+    return false;
+  peer->at = in->at;
+  peer->received = now;
+  memset (peer->m, 0, sizeof peer->m);
+  int row[RR_TERMS + 1] = { RR_TERM_INTERCEPT, RR_TERM_LOAD };
+  for (int b = 0; b < in->classes; b++)
+    row[RR_TERM_CLASSES + b]
+        = RR_TERM_CLASSES
+          + rr_interference_class_by_hash (model, RR_KIND_BATCH, in->batch[b]);
+  row[rows - 1] = RR_TERMS;
+  /* Classes that share RR_CLASS_OTHER add up; an off-diagonal moment of two
+     of them counts twice on the diagonal.  */
+  for (int i = 0; i < rows; i++)
+    for (int j = 0; j <= i; j++)
+      {
+        int a = row[i] > row[j] ? row[i] : row[j];
+        int b = row[i] > row[j] ? row[j] : row[i];
+        double x = in->moments[rr_moment (i, j)];
+        peer->m[rr_moment (a, b)] += i != j && a == b ? 2 * x : x;
+      }
+  model->dirty[s] = true;
+  return true;
+}
