--- a/rosemaryrail/batch_queue.c
+++ b/rosemaryrail/batch_queue.c
@@ -45,6 +45,14 @@
   return position == NULL ? NULL : &q->jobs[*position];
 }
 
+/* Returns TEAM, adding it if needed; adding may move the array.  */
+static struct rr_queue_team *
+team_of (struct rr_batch_queue *q, uint64_t team)
+{
+  uint32_t position = rr_queue_team_get (q, team);
+  return &q->teams[position];
+}
+
 /* Makes the first job of LIST of team T ready.  Returns false when there is
    none.  */
 static bool
@@ -76,7 +84,7 @@
 rr_batch_queue_team_set (struct rr_batch_queue *q,
                          const struct rr_batch_team *team)
 {
-  struct rr_queue_team *t = &q->teams[rr_queue_team_get (q, team->team)];
+  struct rr_queue_team *t = team_of (q, team->team);
   t->team = *team;
   t->team.weight = fmax (team->weight, 0.001);
   while (first_release (q, t, RR_JOB_LIMITED))
@@ -388,7 +396,7 @@
 rr_batch_queue_charge (struct rr_batch_queue *q, uint64_t team,
                        const struct rr_size *size)
 {
-  rr_size_add (&q->teams[rr_queue_team_get (q, team)].used, size);
+  rr_size_add (&team_of (q, team)->used, size);
   q->running++;
 }
 
@@ -398,7 +406,7 @@
 rr_batch_queue_ended (struct rr_batch_queue *q, uint64_t team,
                       const struct rr_size *size)
 {
-  struct rr_queue_team *t = &q->teams[rr_queue_team_get (q, team)];
+  struct rr_queue_team *t = team_of (q, team);
   rr_size_subtract (&t->used, size);
   q->running--;
   while (first_release (q, t, RR_JOB_LIMITED))
--- a/rosemaryrail/quarantine.c
+++ b/rosemaryrail/quarantine.c
@@ -101,16 +101,49 @@
              && (double)(out_all + 1) <= all_max);
 }
 
+/* Lets W back with a clean record of failures.  Good starts stay, so that its
+   later failures can speak against a job.  */
+static void
+worker_return (struct rr_quarantine_worker *w)
+{
+  w->out = false;
+  for (int i = 0; i < RR_QUARANTINE_STARTS; i++)
+    if (w->starts[i].state == RR_START_FAILED)
+      w->starts[i].state = RR_START_UNUSED;
+}
+
+/* Records the starts of W that have run for quarantine.confirm as successes
+   of their jobs.  Long tasks would otherwise say nothing for days.  */
+static void
+starts_confirm (struct rr_quarantine *q, struct rr_quarantine_worker *w,
+                struct rr_time now)
+{
+  for (int i = 0; i < RR_QUARANTINE_STARTS; i++)
+    {
+      struct rr_quarantine_start *s = &w->starts[i];
+      if (s->state != RR_START_PENDING || s->confirmed
+          || rr_time_diff (now, s->at) < q->policy->quarantine_confirm_ms)
+        continue;
+      s->confirmed = true;
+      rr_evidence_add (&q->evidence, RR_SUBJECT_JOB, s->job, w->id, true, now,
+                       q->policy->quarantine_window_ms);
+      w->probes_good += w->out;
+    }
+  if (w->out && w->probes_good >= q->policy->quarantine_probe_successes)
+    worker_return (w);
+}
+
 /* Brings the state of W up to date.  */
 static void
 review (struct rr_quarantine *q, struct rr_quarantine_worker *w,
         struct rr_time now)
 {
+  starts_confirm (q, w, now);
   if (w->out)
     {
       if (rr_time_diff (now, w->out_since) < q->policy->quarantine_reopen_ms)
         return;
-      rr_quarantine_worker_add (q, w->id, w->zone);
+      worker_return (w);
       return;
     }
   struct rr_quarantine_tally t = rr_quarantine_tally (q, w, now);
@@ -247,14 +280,16 @@
        bool success, struct rr_time now)
 {
   int64_t window = q->policy->quarantine_window_ms;
+  struct rr_quarantine_worker *w = rr_quarantine_worker_find (q, worker);
+  struct rr_quarantine_start *s = w == NULL ? NULL : start_find (w, task);
+  if (s != NULL && s->confirmed && !success)
+    rr_evidence_withdraw (&q->evidence, RR_SUBJECT_JOB, job, worker);
   rr_evidence_add (&q->evidence, RR_SUBJECT_JOB, job, worker, success, now,
                    window);
   rr_evidence_add (&q->evidence, RR_SUBJECT_TASK, task, worker, success, now,
                    window);
-  struct rr_quarantine_worker *w = rr_quarantine_worker_find (q, worker);
   if (w == NULL)
     return;
-  struct rr_quarantine_start *s = start_find (w, task);
   if (s == NULL)
     {
       s = start_slot (w);
@@ -269,8 +304,11 @@
       w->probes_failed++;
       w->probes_good = 0;
     }
-  else if (++w->probes_good >= q->policy->quarantine_probe_successes)
-    rr_quarantine_worker_add (q, w->id, w->zone);
+  else if (!s->confirmed)
+    {
+      w->probes_good++;
+      starts_confirm (q, w, now);
+    }
 }
 
 /* Records that TASK's attempt on WORKER ended well.  */
--- a/rosemaryrail/quarantine_evidence.c
+++ b/rosemaryrail/quarantine_evidence.c
@@ -95,6 +95,20 @@
   s->failure[i] = o;
 }
 
+/* Withdraws the success of job or task ID on WORKER.  */
+void
+rr_evidence_withdraw (struct rr_evidence *e, enum rr_subject_kind kind,
+                      uint64_t id, uint64_t worker)
+{
+  struct rr_subject *s = rr_evidence_find (e, kind, id);
+  for (int i = 0; s != NULL && i < s->success_count; i++)
+    if (s->success[i].worker == worker)
+      {
+        s->success[i] = s->success[--s->success_count];
+        return;
+      }
+}
+
 /* Releases the memory of E.  */
 void
 rr_evidence_free (struct rr_evidence *e)
--- a/rosemaryrail/quarantine_evidence.h
+++ b/rosemaryrail/quarantine_evidence.h
@@ -45,6 +45,8 @@
 void rr_evidence_add (struct rr_evidence *e, enum rr_subject_kind kind,
                       uint64_t id, uint64_t worker, bool success,
                       struct rr_time now, int64_t window_ms);
+void rr_evidence_withdraw (struct rr_evidence *e, enum rr_subject_kind kind,
+                           uint64_t id, uint64_t worker);
 void rr_evidence_free (struct rr_evidence *e);
 
 #endif
--- a/rosemaryrail/quarantine_state.h
+++ b/rosemaryrail/quarantine_state.h
@@ -22,6 +22,7 @@
 struct rr_quarantine_start
 {
   enum rr_start_state state;
+  bool confirmed; /* passed quarantine.confirm; recorded as a success */
   uint64_t task;
   uint64_t job;
   struct rr_time at;      /* of the start */
--- /dev/null
+++ b/tests/decisions/test_interference.c
@@ -0,0 +1,226 @@
+#include <math.h>
+#include <string.h>
+
+#include "rosemaryrail/interference.h"
+#include "suite.h"
+
+static struct rr_policy policy;
+static struct rr_interference *model;
+static int64_t clock_ms;
+
+static void
+begin (void)
+{
+  rr_policy_init (&policy);
+  model = rr_interference_new (&policy);
+  clock_ms = 0;
+}
+
+static struct rr_interference_estimate
+estimate (int service, int batch)
+{
+  struct rr_interference_estimate e;
+  rr_interference_estimate (model, service, batch, &e);
+  return e;
+}
+
+/* Guards against blaming each of two classes for what only one causes when
+   they often run together.  */
+START_TEST (mixed_windows_are_attributed)
+{
+  begin ();
+  teach (model, 1, 1, -1, 0, 10, 30, &clock_ms);
+  for (int i = 0; i < 200; i++)
+    {
+      struct rr_interference_report r = { .worker = 1,
+                                          .service = 1,
+                                          .window_start = { clock_ms },
+                                          .window_end = { clock_ms + 1000 },
+                                          .requests = 100 };
+      r.share[1] = 0.1 * (i % 5);
+      r.share[2] = 0.1 * (i % 7);
+      r.latency_ms = 10 * exp (2 * r.share[1]);
+      clock_ms += 1000;
+      rr_interference_learn (model, &r, rr_time_from_ms (clock_ms));
+    }
+  rr_interference_refresh (model, rr_time_from_ms (clock_ms));
+  ck_assert_double_eq_tol (estimate (1, 1).mean, 2, 0.2);
+  ck_assert_double_eq_tol (estimate (1, 2).mean, 0, 0.2);
+  ck_assert_double_eq_tol (rr_interference_base_ms (model, 1), 10, 1);
+  rr_interference_free (model);
+}
+END_TEST
+
+/* Guards against a rare class judged as good after a few lucky reports: its
+   cautious value must stay above that of a class known to do some harm.  */
+START_TEST (rare_class_is_not_judged_good)
+{
+  begin ();
+  teach (model, 1, 1, -1, 0, 10, 50, &clock_ms);
+  teach (model, 1, 1, 1, 0.5, 10 * exp (0.15), 200, &clock_ms);
+  teach (model, 1, 1, 2, 0.1, 9, 2, &clock_ms);
+  ck_assert (rr_interference_uncertain (model, 1, 2));
+  ck_assert (!rr_interference_uncertain (model, 1, 1));
+  ck_assert (rr_interference_cost (model, 1, 2)
+             > rr_interference_cost (model, 1, 1));
+  rr_interference_free (model);
+}
+END_TEST
+
+/* Guards against a first report from a new worker taken as typical: one
+   report with eight times the latency must not change the estimate.  */
+START_TEST (first_report_of_a_worker_teaches_nothing)
+{
+  begin ();
+  teach (model, 1, 1, -1, 0, 10, 50, &clock_ms);
+  teach (model, 1, 1, 1, 0.5, 10, 20, &clock_ms);
+  double before = estimate (1, 1).mean;
+  teach (model, 2, 1, 1, 0.5, 80, 1, &clock_ms);
+  ck_assert_double_eq_tol (estimate (1, 1).mean, before, 1e-6);
+  /* The same from a known worker is cut as an outlier, but counts.  */
+  teach (model, 1, 1, 1, 0.5, 80, 1, &clock_ms);
+  ck_assert (estimate (1, 1).mean > before);
+  ck_assert (estimate (1, 1).mean < before + 0.2);
+  rr_interference_free (model);
+}
+END_TEST
+
+/* Guards against learning twice from a repeated report or from overlapping
+   windows, and from reports without requests or time.  */
+START_TEST (repeated_and_empty_reports_are_ignored)
+{
+  begin ();
+  struct rr_interference_report r = { .worker = 1,
+                                      .service = 1,
+                                      .window_start = { 0 },
+                                      .window_end = { 1000 },
+                                      .requests = 10,
+                                      .latency_ms = 5 };
+  rr_interference_learn (model, &r, rr_time_from_ms (1000));
+  r.window_start.ms = 1000;
+  r.window_end.ms = 2000;
+  ck_assert (rr_interference_learn (model, &r, rr_time_from_ms (2000)));
+  ck_assert (!rr_interference_learn (model, &r, rr_time_from_ms (2001)));
+  r.window_start.ms = 1500;
+  r.window_end.ms = 2500;
+  ck_assert (!rr_interference_learn (model, &r, rr_time_from_ms (2500)));
+  r.window_start.ms = 2500;
+  ck_assert (!rr_interference_learn (model, &r, rr_time_from_ms (2500)));
+  r.window_end.ms = 3500;
+  r.requests = 0;
+  ck_assert (!rr_interference_learn (model, &r, rr_time_from_ms (3500)));
+  r.requests = 5;
+  r.latency_ms = NAN;
+  ck_assert (!rr_interference_learn (model, &r, rr_time_from_ms (3500)));
+  rr_interference_free (model);
+}
+END_TEST
+
+/* Guards against old knowledge that outlives a change of the workloads.  */
+START_TEST (estimates_follow_a_change)
+{
+  begin ();
+  teach (model, 1, 1, -1, 0, 10, 100, &clock_ms);
+  teach (model, 1, 1, 1, 0.5, 10, 300, &clock_ms);
+  ck_assert (estimate (1, 1).mean < 0.2);
+  for (int i = 0; i < 60; i++)
+    {
+      teach (model, 1, 1, -1, 0, 10, 5, &clock_ms);
+      teach (model, 1, 1, 1, 0.5, 20, 10, &clock_ms);
+    }
+  ck_assert (estimate (1, 1).mean > 0.9);
+  /* Silence brings the uncertainty back.  */
+  double sd = estimate (1, 1).sd;
+  clock_ms += 20 * policy.interference_half_life_ms;
+  teach (model, 1, 1, -1, 0, 10, 5, &clock_ms);
+  ck_assert (estimate (1, 1).sd > 2 * sd);
+  rr_interference_free (model);
+}
+END_TEST
+
+/* Guards against statistics counted twice when a peer sends them again, and
+   against class numbers of one daemon read as those of another.  */
+START_TEST (peers_are_merged_once)
+{
+  begin ();
+  struct rr_interference *peer = rr_interference_new (&policy);
+  int noise = rr_interference_class (model, RR_KIND_BATCH, "noise");
+  int check = rr_interference_class (model, RR_KIND_SERVICE, "check");
+  rr_interference_class (peer, RR_KIND_BATCH, "padding");
+  rr_interference_class (peer, RR_KIND_SERVICE, "padding");
+  int peer_noise = rr_interference_class (peer, RR_KIND_BATCH, "noise");
+  int peer_check = rr_interference_class (peer, RR_KIND_SERVICE, "check");
+  ck_assert_int_ne (noise, peer_noise);
+  teach (peer, 1, peer_check, -1, 0, 10, 50, &clock_ms);
+  teach (peer, 1, peer_check, peer_noise, 0.5, 20, 50, &clock_ms);
+  struct rr_time now = rr_time_from_ms (clock_ms);
+  static struct rr_interference_export x;
+  ck_assert (rr_interference_export (peer, peer_check, 77, now, &x));
+  ck_assert (rr_interference_merge (model, &x, now));
+  rr_interference_refresh (model, now);
+  struct rr_interference_estimate once = estimate (check, noise);
+  struct rr_interference_estimate there;
+  rr_interference_estimate (peer, peer_check, peer_noise, &there);
+  ck_assert_double_eq_tol (once.mean, there.mean, 0.01);
+  ck_assert_double_eq_tol (once.sd, there.sd, 0.01);
+  ck_assert (!rr_interference_merge (model, &x, now));
+  x.at.ms++;
+  ck_assert (rr_interference_merge (model, &x, now));
+  rr_interference_refresh (model, now);
+  ck_assert_double_eq_tol (estimate (check, noise).sd, once.sd, 1e-6);
+  /* A daemon passes on only what it learned itself.  */
+  ck_assert (!rr_interference_export (model, check, 78, now, &x));
+  /* A silent peer's statistics are dropped.  */
+  now.ms += policy.interference_peer_max_age_ms + 1;
+  rr_interference_refresh (model, now);
+  ck_assert_double_eq_tol (estimate (check, noise).sd,
+                           policy.interference_prior_sd, 1e-6);
+  rr_interference_free (peer);
+  rr_interference_free (model);
+}
+END_TEST
+
+/* Guards against malformed statistics from a peer.  */
+START_TEST (malformed_statistics_are_refused)
+{
+  begin ();
+  static struct rr_interference_export x;
+  x.at = rr_time_from_ms (1);
+  x.classes = RR_CLASSES_MAX + 1;
+  ck_assert (!rr_interference_merge (model, &x, x.at));
+  x.classes = 1;
+  x.moments[0] = NAN;
+  ck_assert (!rr_interference_merge (model, &x, x.at));
+  x.moments[0] = -1;
+  ck_assert (!rr_interference_merge (model, &x, x.at));
+  x.moments[0] = 1;
+  ck_assert (rr_interference_merge (model, &x, x.at));
+  rr_interference_free (model);
+}
+END_TEST
+
+/* Guards against running out of class numbers.  */
+START_TEST (surplus_classes_share_a_number)
+{
+  begin ();
+  char name[16];
+  for (int i = 1; i < RR_CLASSES_MAX; i++)
+    {
+      snprintf (name, sizeof name, "c%d", i);
+      ck_assert_int_eq (rr_interference_class (model, RR_KIND_BATCH, name), i);
+    }
+  ck_assert_int_eq (rr_interference_class (model, RR_KIND_BATCH, "more"),
+                    RR_CLASS_OTHER);
+  ck_assert_int_eq (rr_interference_class (model, RR_KIND_BATCH, "c3"), 3);
+  ck_assert_str_eq (
+      rr_interference_class_name (model, RR_KIND_BATCH, RR_CLASS_OTHER),
+      "other");
+  rr_interference_free (model);
+}
+END_TEST
+
+SUITE ("interference", mixed_windows_are_attributed,
+       rare_class_is_not_judged_good, first_report_of_a_worker_teaches_nothing,
+       repeated_and_empty_reports_are_ignored, estimates_follow_a_change,
+       peers_are_merged_once, malformed_statistics_are_refused,
+       surplus_classes_share_a_number)
