--- a/common/http_server.c
+++ b/common/http_server.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "common/json.h"
 
@@ -332,6 +333,22 @@
   json_object_put (o);
 }
 
+/* Closes the connection of X without an answer, and frees X.  The socket is
+   shut down first, so the response that h2o needs to finish the request never
+   reaches the peer.  SIGPIPE must be ignored by the process.  */
+void
+http_exchange_abort (struct http_exchange *x)
+{
+  h2o_req_t *req = x->req;
+  if (req != NULL)
+    {
+      h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+      shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
+      req->http1_is_persistent = 0;
+    }
+  http_exchange_respond (x, 503, NULL, 0, "", 0);
+}
+
 /* Returns the HTTP status that callers see for a failure of kind CODE.  */
 int
 http_status_from_error (enum rr_error_code code)
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -51,6 +51,7 @@
                                  const char *json);
 void http_exchange_respond_error (struct http_exchange *x, int status,
                                   const struct rr_error *err);
+void http_exchange_abort (struct http_exchange *x);
 int http_status_from_error (enum rr_error_code code);
 
 #endif
