--- a/include/standins/tool.h
+++ b/include/standins/tool.h
@@ -1,7 +1,6 @@
 #ifndef STANDINS_TOOL_H
 #define STANDINS_TOOL_H
 
-#include <argtable2.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -13,33 +12,56 @@
 
 enum
 {
-  TOOL_BODY_MAX = 4 * 1024 * 1024,
+  TOOL_BODY_MAX = 4 * 1024 * 1024, /* a 1 MB value with escapes */
   TOOL_ANSWER_MAX = 16384
 };
 
-/* The flags every stand-in server shares.  */
-struct tool_flags
+enum tool_flag_kind
 {
-  struct arg_lit *help;
-  struct arg_str *address;
-  struct arg_int *max_run_s;
-  struct arg_str *log_level;
+  TOOL_SWITCH,
+  TOOL_INT,
+  TOOL_PORT, /* required */
+  TOOL_TEXT,
+  TOOL_LIST /* required, repeatable */
 };
 
-typedef void tool_stop_fn (void *data);
+/* One flag: its default, and once parsed its value.  */
+struct tool_flag
+{
+  const char *name;
+  const char *about;
+  enum tool_flag_kind kind;
+  int number;
+  const char *text;
+  int count;          /* times given */
+  const char **texts; /* values of a TOOL_LIST */
+  char help[120];     /* ABOUT with the default */
+};
+
+#define TOOL_FLAG(flag, text_about, flag_kind, ...)                           \
+  {                                                                           \
+    .name = (flag), .about = (text_about), .kind = (flag_kind), __VA_ARGS__   \
+  }
+#define INT_FLAG(name, about, value)                                          \
+  TOOL_FLAG (name, about, TOOL_INT, .number = (value))
+#define TEXT_FLAG(name, about, value)                                         \
+  TOOL_FLAG (name, about, TOOL_TEXT, .text = (value))
+#define PORT_FLAG(name, about) TOOL_FLAG (name, about, TOOL_PORT, .number = 0)
+#define LIST_FLAG(name, about) TOOL_FLAG (name, about, TOOL_LIST, .number = 0)
+#define SWITCH_FLAG(name, about)                                              \
+  TOOL_FLAG (name, about, TOOL_SWITCH, .number = 0)
 
-bool tool_parse (int argc, char **argv, void **table, struct arg_lit *help,
-                 struct arg_end *end, const char *program, const char *about,
+bool tool_start (int argc, char **argv, const char *program, const char *about,
+                 struct tool_flag *flags, size_t n, uv_loop_t *loop,
                  int *exit_code);
-struct tool_flags tool_flags_new (void);
-bool tool_open (uv_loop_t *loop, const char *program,
-                const struct tool_flags *flags, struct rr_error *err);
-void tool_on_stop (tool_stop_fn *stop, void *data);
+const char *tool_address (void);
 int tool_fail (const char *program, const struct rr_error *err);
 int64_t tool_now_us (void);
-struct http_server *tool_listen (uv_loop_t *loop, const char *address,
-                                 int port, http_handler_fn *handler,
-                                 void *data, struct rr_error *err);
+struct http_server *tool_listen (uv_loop_t *loop, int port,
+                                 http_handler_fn *handler, void *data,
+                                 struct rr_error *err);
+FILE *tool_open_log (const char *path, struct rr_error *err);
+void tool_close_timer (uv_timer_t *timer);
 char *tool_read_file (const char *path, size_t *length, struct rr_error *err);
 struct json_object *tool_body_json (struct http_exchange *x);
 void tool_respond (struct http_exchange *x, int status, struct json_object *o);
--- a/standins/rr-platform.c
+++ b/standins/rr-platform.c
@@ -93,12 +93,6 @@
   return v;
 }
 
-static void
-on_handle_closed (uv_handle_t *h)
-{
-  free (h->data);
-}
-
 static struct json_object *
 revision_object (int64_t revision)
 {
@@ -145,8 +139,7 @@
     at = &(*at)->next;
   *at = w->next;
   free (w->key);
-  uv_timer_stop (&w->timer);
-  uv_close ((uv_handle_t *)&w->timer, on_handle_closed);
+  tool_close_timer (&w->timer);
 }
 
 /* Answers the watches of KEY, or of every key when KEY is null.  */
@@ -329,8 +322,7 @@
       notify_watchers (gone);
     }
   json_object_put (ended);
-  uv_timer_stop (&l->timer);
-  uv_close ((uv_handle_t *)&l->timer, on_handle_closed);
+  tool_close_timer (&l->timer);
 }
 
 static void
@@ -448,7 +440,7 @@
     json_object_put (d->body);
   else
     serve_call (d->exchange, d->body);
-  uv_close ((uv_handle_t *)&d->timer, on_handle_closed);
+  tool_close_timer (&d->timer);
 }
 
 /* Returns the kind of protocol call in X, or CALL_KINDS.  */
@@ -657,7 +649,7 @@
   platform.vms = p->list;
   log_event (LOG_LEVEL_INFO, "vms_changed", "count=%zu",
              json_object_array_length (p->list));
-  uv_close ((uv_handle_t *)&p->timer, on_handle_closed);
+  tool_close_timer (&p->timer);
 }
 
 static void
@@ -686,48 +678,33 @@
 int
 main (int argc, char **argv)
 {
-  struct tool_flags flags = tool_flags_new ();
-  struct arg_int *port = arg_int1 (NULL, "port", "PORT", "port to listen on");
-  struct arg_file *vms
-      = arg_file0 (NULL, "vms", "FILE", "JSON list of VMs, re-read on change");
-  struct arg_int *lag = arg_int0 (
-      NULL, "vms-lag-ms", "MS", "delay until a change of the list shows (0)");
-  struct arg_end *end = arg_end (8);
-  lag->ival[0] = 0;
-  void *table[] = {
-    port,       vms, lag, flags.address, flags.max_run_s, flags.log_level,
-    flags.help, end
+  static struct tool_flag flags[] = {
+    PORT_FLAG ("port", "port to listen on"),
+    TEXT_FLAG ("vms", "JSON file with the list of VMs, re-read on change",
+               NULL),
+    INT_FLAG ("vms-lag-ms", "delay until a change of the list shows", 0),
   };
   int code;
-  if (!tool_parse (argc, argv, table, flags.help, end, "rr-platform",
+  if (!tool_start (argc, argv, "rr-platform",
                    "Key-value store and VM list of the platform, for tests.",
-                   &code))
+                   flags, 3, &platform.loop, &code))
     return code;
   struct rr_error err = { 0 };
-  uv_loop_init (&platform.loop);
   platform.keys = json_object_new_object ();
   platform.deleted = json_object_new_object ();
-  platform.vms = json_object_new_array ();
-  platform.vms_lag_ms = lag->ival[0];
-  static uv_fs_poll_t poll;
-  if (!tool_open (&platform.loop, "rr-platform", &flags, &err))
+  platform.vms_path = flags[1].text;
+  platform.vms_lag_ms = flags[2].number;
+  platform.vms
+      = platform.vms_path == NULL ? json_object_new_array () : read_vms (&err);
+  if (platform.vms == NULL)
     return tool_fail ("rr-platform", &err);
-  if (vms->count > 0)
-    {
-      platform.vms_path = vms->filename[0];
-      json_object_put (platform.vms);
-      platform.vms = read_vms (&err);
-      if (platform.vms == NULL)
-        return tool_fail ("rr-platform", &err);
-      uv_fs_poll_init (&platform.loop, &poll);
-      uv_fs_poll_start (&poll, on_vms_changed, platform.vms_path, VMS_POLL_MS);
-    }
-  static struct http_server *server;
-  server = tool_listen (&platform.loop, flags.address->sval[0], port->ival[0],
-                        on_request, NULL, &err);
-  if (server == NULL)
+  static uv_fs_poll_t poll;
+  uv_fs_poll_init (&platform.loop, &poll);
+  if (platform.vms_path != NULL)
+    uv_fs_poll_start (&poll, on_vms_changed, platform.vms_path, VMS_POLL_MS);
+  if (tool_listen (&platform.loop, flags[0].number, on_request, NULL, &err)
+      == NULL)
     return tool_fail ("rr-platform", &err);
   uv_run (&platform.loop, UV_RUN_DEFAULT);
-  arg_freetable (table, sizeof table / sizeof table[0]);
   return EXIT_SUCCESS;
 }
--- a/standins/tool.c
+++ b/standins/tool.c
@@ -1,5 +1,6 @@
 #include "standins/tool.h"
 
+#include <argtable2.h>
 #include <assert.h>
 #include <errno.h>
 #include <signal.h>
@@ -12,112 +13,152 @@
 enum
 {
   SERVER_REQUEST_TIMEOUT_MS = 120000,
-  MAX_RUN_DEFAULT_S = 3600 /* no stand-in outlives a forgotten test run */
+  MAX_RUN_DEFAULT_S = 3600, /* no stand-in outlives a forgotten test run */
+  FLAGS_MAX = 40,
+  LIST_MAX = 64
 };
 
-static uv_signal_t signal_term;
-static uv_signal_t signal_int;
-static uv_timer_t run_timer;
-static tool_stop_fn *stop_handler;
-static void *stop_data;
+static struct tool_flag shared_flags[] = {
+  SWITCH_FLAG ("help", "print this help"),
+  TEXT_FLAG ("address", "loopback address", "127.0.0.1"),
+  INT_FLAG ("max-run-s", "end after N seconds", MAX_RUN_DEFAULT_S),
+  TEXT_FLAG ("log-level", "error, warn, info or debug", "warn"),
+};
 
-/* Parses ARGV into TABLE.  Returns false with EXIT_CODE when the program ends
-   right away: after --help or a flag error.  */
-bool
-tool_parse (int argc, char **argv, void **table, struct arg_lit *help,
-            struct arg_end *end, const char *program, const char *about,
-            int *exit_code)
+static void *
+flag_open (struct tool_flag *f)
 {
-  int errors = arg_parse (argc, argv, table);
-  if (help->count > 0)
-    {
-      printf ("Usage: %s", program);
-      arg_print_syntax (stdout, table, "\n");
-      printf ("%s\n", about);
-      arg_print_glossary_gnu (stdout, table);
-      *exit_code = EXIT_SUCCESS;
-      return false;
-    }
-  if (errors > 0)
+  struct arg_int *number;
+  struct arg_str *text;
+  switch (f->kind)
     {
-      arg_print_errors (stderr, end, program);
-      *exit_code = 2;
-      return false;
+    case TOOL_SWITCH:
+      return arg_lit0 (NULL, f->name, f->about);
+    case TOOL_PORT:
+      return arg_int1 (NULL, f->name, "PORT", f->about);
+    case TOOL_LIST:
+      return arg_strn (NULL, f->name, "TEXT", 1, LIST_MAX, f->about);
+    case TOOL_INT:
+      snprintf (f->help, sizeof f->help, "%s (%d)", f->about, f->number);
+      number = arg_int0 (NULL, f->name, "N", f->help);
+      number->ival[0] = f->number;
+      return number;
+    case TOOL_TEXT:
+      snprintf (f->help, sizeof f->help, "%s (%s)", f->about,
+                f->text == NULL ? "none" : f->text);
+      text = arg_str0 (NULL, f->name, "TEXT", f->help);
+      text->sval[0] = f->text;
+      return text;
     }
-  return true;
-}
-
-/* Returns the shared flags with their defaults.  */
-struct tool_flags
-tool_flags_new (void)
-{
-  struct tool_flags f = {
-    .help = arg_lit0 (NULL, "help", "print this help"),
-    .address
-    = arg_str0 (NULL, "address", "IP", "loopback address (127.0.0.1)"),
-    .max_run_s
-    = arg_int0 (NULL, "max-run-s", "S", "end after S seconds (3600)"),
-    .log_level = arg_str0 (NULL, "log-level", "LEVEL", "log level (warn)"),
-  };
-  f.address->sval[0] = "127.0.0.1";
-  f.max_run_s->ival[0] = MAX_RUN_DEFAULT_S;
-  f.log_level->sval[0] = "warn";
-  return f;
+  return NULL;
 }
 
 static void
-stop_running (uv_loop_t *loop)
+flag_read (struct tool_flag *f, void *parsed)
 {
-  if (stop_handler != NULL)
-    stop_handler (stop_data);
-  uv_stop (loop);
+  struct arg_int *number = parsed;
+  struct arg_str *text = parsed;
+  if (f->kind == TOOL_SWITCH)
+    f->count = ((struct arg_lit *)parsed)->count;
+  else if (f->kind == TOOL_INT || f->kind == TOOL_PORT)
+    {
+      f->count = number->count;
+      f->number = number->ival[0];
+    }
+  else
+    {
+      f->count = text->count;
+      f->text = text->sval[0];
+      f->texts = text->sval;
+    }
 }
 
 static void
 on_signal (uv_signal_t *handle, int number)
 {
   (void)number;
-  stop_running (handle->loop);
+  uv_stop (handle->loop);
 }
 
 static void
 on_run_timer (uv_timer_t *timer)
 {
-  stop_running (timer->loop);
+  uv_stop (timer->loop);
 }
 
-/* Opens the log, rejects addresses outside loopback, and arranges that
-   SIGTERM, SIGINT and the run limit stop LOOP.  */
-bool
-tool_open (uv_loop_t *loop, const char *program,
-           const struct tool_flags *flags, struct rr_error *err)
+/* Arranges that SIGTERM, SIGINT and the run limit stop LOOP.  */
+static void
+loop_open (uv_loop_t *loop)
 {
-  enum log_level level;
-  if (!log_level_from_name (flags->log_level->sval[0], &level))
-    return rr_error_set (err, RR_ERROR_INVALID, "unknown log level \"%s\"",
-                         flags->log_level->sval[0]);
-  if (strncmp (flags->address->sval[0], "127.", 4) != 0)
-    return rr_error_set (err, RR_ERROR_INVALID, "%s is not a loopback address",
-                         flags->address->sval[0]);
-  log_open (program, level);
+  static uv_signal_t signal_term;
+  static uv_signal_t signal_int;
+  static uv_timer_t run_timer;
   struct sigaction ignore = { .sa_handler = SIG_IGN };
   sigaction (SIGPIPE, &ignore, NULL);
+  uv_loop_init (loop);
   uv_signal_init (loop, &signal_term);
   uv_signal_start (&signal_term, on_signal, SIGTERM);
   uv_signal_init (loop, &signal_int);
   uv_signal_start (&signal_int, on_signal, SIGINT);
   uv_timer_init (loop, &run_timer);
   uv_timer_start (&run_timer, on_run_timer,
-                  (uint64_t)flags->max_run_s->ival[0] * 1000, 0);
-  return true;
+                  (uint64_t)shared_flags[2].number * 1000, 0);
 }
 
-/* Runs STOP with DATA before the loop stops.  */
-void
-tool_on_stop (tool_stop_fn *stop, void *data)
+/* Parses ARGV into FLAGS and the shared flags and initializes LOOP (unless
+   null).  Returns false with EXIT_CODE when the program ends right away: after
+   --help or on a bad flag.  */
+bool
+tool_start (int argc, char **argv, const char *program, const char *about,
+            struct tool_flag *flags, size_t n, uv_loop_t *loop, int *exit_code)
+{
+  size_t shared = sizeof shared_flags / sizeof shared_flags[0];
+  static void *table[FLAGS_MAX];
+  assert (n + shared < FLAGS_MAX);
+  for (size_t i = 0; i < n; i++)
+    table[i] = flag_open (&flags[i]);
+  for (size_t i = 0; i < shared; i++)
+    table[n + i] = flag_open (&shared_flags[i]);
+  table[n + shared] = arg_end (8);
+  int errors = arg_parse (argc, argv, table);
+  for (size_t i = 0; i < n; i++)
+    flag_read (&flags[i], table[i]);
+  for (size_t i = 0; i < shared; i++)
+    flag_read (&shared_flags[i], table[n + i]);
+  *exit_code = 2;
+  enum log_level level;
+  if (shared_flags[0].count > 0)
+    {
+      printf ("Usage: %s", program);
+      arg_print_syntax (stdout, table, "\n");
+      printf ("%s\n", about);
+      arg_print_glossary_gnu (stdout, table);
+      *exit_code = EXIT_SUCCESS;
+      return false;
+    }
+  if (errors > 0)
+    arg_print_errors (stderr, table[n + shared], program);
+  else if (!log_level_from_name (shared_flags[3].text, &level))
+    fprintf (stderr, "%s: unknown log level \"%s\"\n", program,
+             shared_flags[3].text);
+  else if (strncmp (tool_address (), "127.", 4) != 0)
+    fprintf (stderr, "%s: %s is not a loopback address\n", program,
+             tool_address ());
+  else
+    {
+      log_open (program, level);
+      if (loop != NULL)
+        loop_open (loop);
+      return true;
+    }
+  return false;
+}
+
+/* Returns the loopback address given by --address.  */
+const char *
+tool_address (void)
 {
-  stop_handler = stop;
-  stop_data = data;
+  return shared_flags[1].text;
 }
 
 /* Prints ERR and returns the exit code for it.  */
@@ -138,8 +179,8 @@
 
 /* Starts an HTTP server with the limits all stand-ins share.  */
 struct http_server *
-tool_listen (uv_loop_t *loop, const char *address, int port,
-             http_handler_fn *handler, void *data, struct rr_error *err)
+tool_listen (uv_loop_t *loop, int port, http_handler_fn *handler, void *data,
+             struct rr_error *err)
 {
   if (port < 1 || port > 65535)
     {
@@ -149,8 +190,8 @@
   struct http_server_limits limits
       = { .body_max_bytes = TOOL_BODY_MAX,
           .request_timeout_ms = SERVER_REQUEST_TIMEOUT_MS };
-  return http_server_open (loop, address, (uint16_t)port, &limits, handler,
-                           data, err);
+  return http_server_open (loop, tool_address (), (uint16_t)port, &limits,
+                           handler, data, err);
 }
 
 /* Returns the content of the file PATH, terminated and owned by the caller;
@@ -183,6 +224,32 @@
   return text;
 }
 
+/* Opens the log PATH for appending.  Returns null with ERR on a failure, and
+   null alone when PATH is null.  */
+FILE *
+tool_open_log (const char *path, struct rr_error *err)
+{
+  FILE *f = path == NULL ? NULL : fopen (path, "ae");
+  if (path != NULL && f == NULL)
+    rr_error_set (err, RR_ERROR_SYSTEM, "can't open %s: %s", path,
+                  strerror (errno));
+  return f;
+}
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+/* Closes TIMER and then frees its data, which contains it.  */
+void
+tool_close_timer (uv_timer_t *timer)
+{
+  uv_timer_stop (timer);
+  uv_close ((uv_handle_t *)timer, on_timer_closed);
+}
+
 /* Parses the body of X.  Otherwise answers X with 400 and returns null.  */
 struct json_object *
 tool_body_json (struct http_exchange *x)
