--- a/include/standins/tool.h
+++ b/include/standins/tool.h
@@ -22,7 +22,7 @@
   TOOL_INT,
   TOOL_PORT, /* required */
   TOOL_TEXT,
-  TOOL_LIST /* required, repeatable */
+  TOOL_LIST /* repeatable */
 };
 
 /* One flag: its default, and once parsed its value.  */
--- a/include/standins/worker.h
+++ b/include/standins/worker.h
@@ -88,6 +88,7 @@
   uv_timer_t timer;
   char *request;
   int64_t attempt;
+  bool caller; /* sent without a daemon in between */
   char *service;
   char *body;
   size_t body_length;
@@ -162,7 +163,8 @@
                        const char *name);
 
 bool worker_epoch_valid (const struct worker *w, int64_t epoch);
-void worker_execute (struct worker *w, struct http_exchange *x);
+void worker_execute (struct worker *w, struct http_exchange *x,
+                     const char *service, bool caller);
 void worker_abort_executions (struct worker *w);
 
 #endif
--- /dev/null
+++ b/standins/rr-relay.c
@@ -0,0 +1,457 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standins/tool.h"
+
+enum
+{
+  PAIRS_MAX = 256,
+  BACKLOG = 512
+};
+
+enum relay_mode
+{
+  RELAY_PASS,
+  RELAY_CUT,         /* connections are reset and refused */
+  RELAY_FREEZE,      /* accepted, but no byte moves */
+  RELAY_DROP_ANSWERS /* closed when the target begins to answer */
+};
+
+static const char *const mode_names[]
+    = { "pass", "cut", "freeze", "drop-answers" };
+
+/* Bytes on their way; an empty chunk is the end of the stream.  */
+struct chunk
+{
+  struct chunk *next;
+  int64_t due_us;
+  size_t length;
+  uv_write_t write;
+  char bytes[];
+};
+
+/* One of the two directions of a connection.  */
+struct direction
+{
+  struct connection *connection;
+  uv_tcp_t from;
+  uv_timer_t timer;
+  struct chunk *first;
+  struct chunk **last;
+  bool reading;
+  bool ended; /* the last chunk has been written */
+};
+
+struct connection
+{
+  struct connection *next;
+  struct pair *pair;
+  struct direction request; /* from the client */
+  struct direction answer;  /* from the target */
+  uv_connect_t connect;
+  uv_shutdown_t shutdown[2];
+  bool connected;
+  bool closing;
+  int open_handles;
+};
+
+struct pair
+{
+  char group[64];
+  struct sockaddr_in listen;
+  struct sockaddr_in target;
+  uv_tcp_t *listener; /* null while cut */
+  struct connection *connections;
+  enum relay_mode mode;
+  int64_t delay_ms;
+  int64_t accepted;
+  int64_t dropped;
+};
+
+static uv_loop_t loop;
+static struct pair pairs[PAIRS_MAX];
+static int pair_count;
+
+static void
+on_connection_handle_closed (uv_handle_t *h)
+{
+  struct connection *c = h->data;
+  if (--c->open_handles > 0)
+    return;
+  struct direction *both[] = { &c->request, &c->answer };
+  for (int i = 0; i < 2; i++)
+    while (both[i]->first != NULL)
+      {
+        struct chunk *next = both[i]->first->next;
+        free (both[i]->first);
+        both[i]->first = next;
+      }
+  free (c);
+}
+
+static void
+connection_close (struct connection *c)
+{
+  if (c->closing)
+    return;
+  c->closing = true;
+  struct connection **at = &c->pair->connections;
+  while (*at != c)
+    at = &(*at)->next;
+  *at = c->next;
+  c->open_handles = 4;
+  uv_handle_t *handles[]
+      = { (uv_handle_t *)&c->request.from, (uv_handle_t *)&c->answer.from,
+          (uv_handle_t *)&c->request.timer, (uv_handle_t *)&c->answer.timer };
+  for (int i = 0; i < 4; i++)
+    {
+      handles[i]->data = c;
+      uv_close (handles[i], on_connection_handle_closed);
+    }
+}
+
+static void
+on_write_done (uv_write_t *write, int status)
+{
+  (void)status;
+  free (write->data);
+}
+
+static void
+on_shutdown_done (uv_shutdown_t *shutdown, int status)
+{
+  (void)status;
+  struct connection *c = shutdown->data;
+  if (!c->closing && c->request.ended && c->answer.ended)
+    connection_close (c);
+}
+
+static struct direction *
+direction_opposite (struct direction *d)
+{
+  struct connection *c = d->connection;
+  return d == &c->request ? &c->answer : &c->request;
+}
+
+static void on_direction_timer (uv_timer_t *timer);
+
+/* Writes the chunks of D that are due.  */
+static void
+direction_flush (struct direction *d)
+{
+  struct connection *c = d->connection;
+  while (!c->closing && c->connected && c->pair->mode != RELAY_FREEZE
+         && d->first != NULL)
+    {
+      struct chunk *k = d->first;
+      int64_t wait_us = k->due_us - tool_now_us ();
+      if (wait_us > 0)
+        {
+          uv_timer_start (&d->timer, on_direction_timer,
+                          (uint64_t)(wait_us + 999) / 1000, 0);
+          return;
+        }
+      d->first = k->next;
+      if (d->first == NULL)
+        d->last = &d->first;
+      uv_stream_t *to = (uv_stream_t *)&direction_opposite (d)->from;
+      if (k->length == 0)
+        {
+          uv_shutdown_t *s = &c->shutdown[d == &c->answer];
+          d->ended = true;
+          s->data = c;
+          free (k);
+          if (uv_shutdown (s, to, on_shutdown_done) != 0)
+            connection_close (c);
+          return;
+        }
+      uv_buf_t buf = uv_buf_init (k->bytes, (unsigned int)k->length);
+      k->write.data = k;
+      if (uv_write (&k->write, to, &buf, 1, on_write_done) != 0)
+        {
+          free (k);
+          connection_close (c);
+        }
+    }
+}
+
+static void
+on_direction_timer (uv_timer_t *timer)
+{
+  direction_flush (timer->data);
+}
+
+static void
+direction_queue (struct direction *d, const char *bytes, size_t n)
+{
+  struct chunk *k = malloc (sizeof *k + n);
+  assert (k != NULL);
+  if (n > 0)
+    memcpy (k->bytes, bytes, n);
+  k->next = NULL;
+  k->length = n;
+  k->due_us = tool_now_us () + d->connection->pair->delay_ms * 1000;
+  *d->last = k;
+  d->last = &k->next;
+  direction_flush (d);
+}
+
+static void
+on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+  (void)h;
+  (void)suggested;
+  static char bytes[65536];
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+on_read (uv_stream_t *from, ssize_t n, const uv_buf_t *buf)
+{
+  struct direction *d = from->data;
+  struct connection *c = d->connection;
+  if (n == 0)
+    return;
+  if (d == &c->answer && c->pair->mode == RELAY_DROP_ANSWERS)
+    {
+      c->pair->dropped++;
+      connection_close (c);
+    }
+  else if (n > 0)
+    direction_queue (d, buf->base, (size_t)n);
+  else if (n == UV_EOF)
+    {
+      uv_read_stop (from);
+      direction_queue (d, NULL, 0);
+    }
+  else
+    connection_close (c);
+}
+
+/* Starts or stops reading and writing as the mode of the pair wants.  */
+static void
+connection_apply_mode (struct connection *c)
+{
+  struct direction *both[] = { &c->request, &c->answer };
+  bool read = c->connected && c->pair->mode != RELAY_FREEZE;
+  for (int i = 0; i < 2 && !c->closing; i++)
+    {
+      if (read && !both[i]->reading)
+        uv_read_start ((uv_stream_t *)&both[i]->from, on_alloc, on_read);
+      else if (!read && both[i]->reading)
+        uv_read_stop ((uv_stream_t *)&both[i]->from);
+      both[i]->reading = read;
+      direction_flush (both[i]);
+    }
+}
+
+static void
+on_connected (uv_connect_t *connect, int status)
+{
+  struct connection *c = connect->data;
+  if (c->closing)
+    return;
+  c->connected = status == 0;
+  if (status != 0)
+    connection_close (c);
+  else
+    connection_apply_mode (c);
+}
+
+static void
+direction_open (struct connection *c, struct direction *d)
+{
+  d->connection = c;
+  d->last = &d->first;
+  uv_tcp_init (&loop, &d->from);
+  uv_timer_init (&loop, &d->timer);
+  d->from.data = d;
+  d->timer.data = d;
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct pair *p = listener->data;
+  if (status != 0)
+    return;
+  struct connection *c = calloc (1, sizeof *c);
+  assert (c != NULL);
+  c->pair = p;
+  c->next = p->connections;
+  p->connections = c;
+  p->accepted++;
+  direction_open (c, &c->request);
+  direction_open (c, &c->answer);
+  c->connect.data = c;
+  if (uv_accept (listener, (uv_stream_t *)&c->request.from) != 0
+      || uv_tcp_connect (&c->connect, &c->answer.from,
+                         (struct sockaddr *)&p->target, on_connected)
+             != 0)
+    {
+      connection_close (c);
+      return;
+    }
+  uv_tcp_nodelay (&c->request.from, 1);
+  uv_tcp_nodelay (&c->answer.from, 1);
+}
+
+static void
+on_listener_closed (uv_handle_t *h)
+{
+  free (h);
+}
+
+static bool
+pair_listen (struct pair *p, struct rr_error *err)
+{
+  p->listener = calloc (1, sizeof *p->listener);
+  assert (p->listener != NULL);
+  uv_tcp_init (&loop, p->listener);
+  p->listener->data = p;
+  int rc = uv_tcp_bind (p->listener, (struct sockaddr *)&p->listen, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)p->listener, BACKLOG, on_connection);
+  return rc == 0
+         || rr_error_set (err, RR_ERROR_SYSTEM, "can't listen on port %u: %s",
+                          ntohs (p->listen.sin_port), uv_strerror (rc));
+}
+
+static void
+pair_set_mode (struct pair *p, enum relay_mode mode, struct rr_error *err)
+{
+  p->mode = mode;
+  if (mode == RELAY_CUT)
+    {
+      while (p->connections != NULL)
+        connection_close (p->connections);
+      if (p->listener != NULL)
+        uv_close ((uv_handle_t *)p->listener, on_listener_closed);
+      p->listener = NULL;
+      return;
+    }
+  if (p->listener == NULL)
+    pair_listen (p, err);
+  struct connection *next;
+  for (struct connection *c = p->connections; c != NULL; c = next)
+    {
+      next = c->next;
+      connection_apply_mode (c);
+    }
+}
+
+static void
+serve_stats (struct http_exchange *x)
+{
+  struct json_object *list = json_object_new_array ();
+  for (int i = 0; i < pair_count; i++)
+    {
+      struct json_object *o = json_object_new_object ();
+      json_add_string (o, "group", pairs[i].group);
+      json_add_int (o, "port", ntohs (pairs[i].listen.sin_port));
+      json_add_string (o, "mode", mode_names[pairs[i].mode]);
+      json_add_int (o, "delay_ms", pairs[i].delay_ms);
+      json_add_int (o, "accepted", pairs[i].accepted);
+      json_add_int (o, "answers_dropped", pairs[i].dropped);
+      json_object_array_add (list, o);
+    }
+  tool_respond (x, 200, list);
+}
+
+/* Serves POST /groups/NAME {"mode":TEXT?,"delay_ms":N?}; NAME "all" means
+   every pair.  */
+static void
+serve_group (struct http_exchange *x, const char *group)
+{
+  struct rr_error err = { 0 };
+  bool all = strcmp (group, "all") == 0;
+  char name[64];
+  snprintf (name, sizeof name, "%s", group);
+  struct json_object *o = tool_body_json (x);
+  if (o == NULL)
+    return;
+  const char *mode_name = json_string_or (o, "mode", NULL);
+  int mode = 0;
+  while (mode_name != NULL && mode <= RELAY_DROP_ANSWERS
+         && strcmp (mode_names[mode], mode_name) != 0)
+    mode++;
+  int matched = 0;
+  for (int i = 0; i < pair_count && mode <= RELAY_DROP_ANSWERS; i++)
+    if (all || strcmp (pairs[i].group, name) == 0)
+      {
+        matched++;
+        pairs[i].delay_ms = json_int_or (o, "delay_ms", pairs[i].delay_ms);
+        if (mode_name != NULL)
+          pair_set_mode (&pairs[i], (enum relay_mode)mode, &err);
+      }
+  json_object_put (o);
+  if (mode > RELAY_DROP_ANSWERS)
+    rr_error_set (&err, RR_ERROR_INVALID, "unknown mode");
+  else if (matched == 0)
+    rr_error_set (&err, RR_ERROR_NOT_FOUND, "no pair is in group %s", name);
+  if (err.code != RR_OK)
+    http_exchange_respond_error (x, http_status_from_error (err.code), &err);
+  else
+    serve_stats (x);
+}
+
+static void
+on_request (void *data, struct http_exchange *x)
+{
+  (void)data;
+  const char *path = http_exchange_path (x);
+  if (strcmp (path, "/stats") == 0)
+    serve_stats (x);
+  else if (strcmp (http_exchange_method (x), "POST") == 0
+           && strncmp (path, "/groups/", 8) == 0)
+    serve_group (x, path + 8);
+  else
+    tool_respond_reason (x, 404, "no-such-call");
+}
+
+static bool
+parse_address (const char *ip, const char *port, struct sockaddr_in *address)
+{
+  return strncmp (ip, "127.", 4) == 0
+         && uv_ip4_addr (ip, (int)strtol (port, NULL, 10), address) == 0;
+}
+
+/* Parses GROUP:IP:PORT=IP:PORT.  */
+static bool
+pair_parse (const char *text, struct pair *p, struct rr_error *err)
+{
+  char ip[2][16];
+  char port[2][6];
+  if (sscanf (text, "%63[^:]:%15[0-9.]:%5[0-9]=%15[0-9.]:%5[0-9]", p->group,
+              ip[0], port[0], ip[1], port[1])
+          != 5
+      || !parse_address (ip[0], port[0], &p->listen)
+      || !parse_address (ip[1], port[1], &p->target))
+    return rr_error_set (err, RR_ERROR_INVALID,
+                         "\"%s\" is not GROUP:IP:PORT=IP:PORT on loopback",
+                         text);
+  return pair_listen (p, err);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct tool_flag flags[] = {
+    PORT_FLAG ("control-port", "port for commands"),
+    LIST_FLAG ("pair", "GROUP:IP:PORT=IP:PORT, listen and target address"),
+  };
+  int code;
+  if (!tool_start (argc, argv, "rr-relay",
+                   "Forwards TCP between pairs of addresses, for tests.",
+                   flags, 2, &loop, &code))
+    return code;
+  struct rr_error err = { 0 };
+  for (; pair_count < flags[1].count; pair_count++)
+    if (!pair_parse (flags[1].texts[pair_count], &pairs[pair_count], &err))
+      return tool_fail ("rr-relay", &err);
+  if (tool_listen (&loop, flags[0].number, on_request, NULL, &err) == NULL)
+    return tool_fail ("rr-relay", &err);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  return EXIT_SUCCESS;
+}
--- a/standins/rr-worker.c
+++ b/standins/rr-worker.c
@@ -276,7 +276,9 @@
     }
   worker_advance (w);
   if (post && strncmp (path, "/v1/execute/", 12) == 0 && path[12] != '\0')
-    worker_execute (w, x);
+    worker_execute (w, x, path + 12, false);
+  else if (post && strncmp (path, "/v1/services/", 13) == 0)
+    worker_execute (w, x, path + 13, true);
   else if (post && strcmp (path, "/control") == 0)
     serve_control (w, x);
   else if (post
