--- a/include/rosemaryrail/config.h
+++ b/include/rosemaryrail/config.h
@@ -173,15 +173,6 @@
   size_t part_count;
 };
 
-/* How head B relates to head A.  */
-enum rr_config_order
-{
-  RR_CONFIG_SAME,
-  RR_CONFIG_NEWER, /* B has a higher generation and wins */
-  RR_CONFIG_OLDER, /* B is to be ignored */
-  RR_CONFIG_FORK,  /* equal generation, different digest */
-};
-
 /* Parsing and checking.  All functions returning a pointer return memory
    that the caller frees, with rr_config_free or free as said there.  */
 struct rr_parameter_table rr_config_parameters (void);
@@ -228,8 +219,6 @@
 bool rr_config_head_parse (const char *text, size_t length,
                            struct rr_config_head *head, struct rr_error *err);
 void rr_config_head_free (struct rr_config_head *head);
-enum rr_config_order rr_config_head_order (const struct rr_config_head *a,
-                                           const struct rr_config_head *b);
 
 /* Text with one line for each difference; empty when there is none.  A null
    FROM stands for "nothing configured".  */
--- a/include/rosemaryrail/membership.h
+++ b/include/rosemaryrail/membership.h
@@ -7,10 +7,10 @@
 
 #include "rosemaryrail/clock.h"
 #include "rosemaryrail/error.h"
+#include "rosemaryrail/shard.h"
 
 #define RR_MEMBER_NAME_SIZE 64
 #define RR_MEMBER_ADDRESS_SIZE 64
-#define RR_SHARD_COUNT 16
 
 /* A daemon not heard from for this long is failed for ownership.  */
 #define RR_PEER_TIMEOUT_ZONE_MS 4000
@@ -77,7 +77,8 @@
   char address[RR_MEMBER_ADDRESS_SIZE];
   char zone[RR_MEMBER_NAME_SIZE];
   uint64_t incarnation;
-  bool leaving; /* the sender is shutting down */
+  bool leaving;    /* the sender is shutting down */
+  bool store_lost; /* the sender can't reach the platform */
   uint64_t config_generation;
   char config_digest[72];
   uint32_t shards; /* bit S: the sender owns shard S */
@@ -95,6 +96,7 @@
   bool listed; /* seen in the VM list */
   /* Entry VMs only.  */
   bool alive; /* within the heartbeat timeout */
+  bool store_lost;
   struct rr_time last_heard;
   uint64_t config_generation;
   char config_digest[72];
@@ -170,9 +172,10 @@
    list and disappeared, or a newer one was listed at its address.  */
 bool rr_membership_disappeared (const struct rr_membership *m,
                                 const char *address, uint64_t incarnation);
-/* Owner of a shard among all live daemons that are not leaving; this daemon
-   included.  Null only when this daemon is leaving and nobody else is
-   left.  */
+/* Says whether this daemon itself can reach the platform.  */
+void rr_membership_store_lost (struct rr_membership *m, bool lost);
+/* Owner of a shard among all live daemons, this one included, that are not
+   leaving and reach the platform; null when there is none.  */
 const struct rr_member *rr_membership_shard_owner (struct rr_membership *m,
                                                    struct rr_time now,
                                                    unsigned shard);
--- a/include/rosemaryrail/shard_state.h
+++ b/include/rosemaryrail/shard_state.h
@@ -3,10 +3,10 @@
 
 #include "rosemaryrail/job.h"
 #include "rosemaryrail/request_log.h"
+#include "rosemaryrail/shard.h"
 
 enum
 {
-  RR_SHARD_COUNT = 16,
   /* Values are stored base64-encoded and the platform accepts 1 MB, so 900 KB
      of stored text leave this many bytes.  */
   RR_SNAPSHOT_MAX = 900000 / 4 * 3
--- a/include/rosemaryrail/table.h
+++ b/include/rosemaryrail/table.h
@@ -26,12 +26,12 @@
 void *rr_table_next (const struct rr_table *t, struct rr_handle *cursor);
 
 /* Map from text keys to handles.  */
-struct rr_index;
+struct rr_key_index;
 
-struct rr_index *rr_index_new (void);
-void rr_index_free (struct rr_index *x);
-bool rr_index_put (struct rr_index *x, const char *key, struct rr_handle h);
-struct rr_handle rr_index_get (const struct rr_index *x, const char *key);
-bool rr_index_remove (struct rr_index *x, const char *key);
+struct rr_key_index *rr_key_index_new (void);
+void rr_key_index_free (struct rr_key_index *x);
+bool rr_key_index_put (struct rr_key_index *x, const char *key, struct rr_handle h);
+struct rr_handle rr_key_index_get (const struct rr_key_index *x, const char *key);
+bool rr_key_index_remove (struct rr_key_index *x, const char *key);
 
 #endif
--- a/include/rosemaryraild/config_internal.h
+++ b/include/rosemaryraild/config_internal.h
@@ -31,7 +31,7 @@
   struct daemon *d;
   struct config_chart chart;
   int state;
-  struct rr_config *config; /* never null; empty before the first one */
+  struct rr_config *config;   /* never null; empty before the first one */
   struct rr_config_head head; /* generation 0: none */
   struct rr_config_parts parts;
   uint64_t store_revision; /* of config/head, as last read */
--- a/include/rosemaryraild/shards_internal.h
+++ b/include/rosemaryraild/shards_internal.h
@@ -76,7 +76,7 @@
   uv_timer_t timer;
   struct rr_table *pending; /* of struct pending */
   struct rr_table *busy;    /* of struct busy_task */
-  struct rr_index *busy_index;
+  struct rr_key_index *busy_index;
   struct worker_clock clocks[1024];
   size_t clock_count;
   char alarm[REASON_SIZE];
@@ -92,7 +92,8 @@
 
 /* shards_tasks.c */
 void shard_scan (struct shard *s, struct rr_time now);
-void shards_task_ended (struct shards *ss, const struct message_rpc_request *q);
+void shards_task_ended (struct shards *ss,
+                        const struct message_rpc_request *q);
 const char *shards_task_filters (struct shards *ss, const char *job,
                                  uint32_t task);
 
@@ -107,7 +108,8 @@
                            enum rr_commit commit, bool applied);
 
 /* shards_jobs.c */
-void shards_answer_job (struct shards *ss, const struct message_rpc_request *q);
+void shards_answer_job (struct shards *ss,
+                        const struct message_rpc_request *q);
 void shards_job_settled (struct shard *s, const struct pending *p,
                          enum rr_commit commit, bool applied,
                          const struct rr_error *reason);
--- a/rosemaryrail/config_parts.c
+++ b/rosemaryrail/config_parts.c
@@ -333,14 +333,3 @@
   free (head->parts);
   memset (head, 0, sizeof *head);
 }
-
-/* Tells how B relates to A: the higher generation wins, and an equal one with
-   another digest is a fork.  */
-enum rr_config_order
-rr_config_head_order (const struct rr_config_head *a,
-                      const struct rr_config_head *b)
-{
-  if (b->generation != a->generation)
-    return b->generation > a->generation ? RR_CONFIG_NEWER : RR_CONFIG_OLDER;
-  return strcmp (a->digest, b->digest) == 0 ? RR_CONFIG_SAME : RR_CONFIG_FORK;
-}
--- a/rosemaryrail/job.c
+++ b/rosemaryrail/job.c
@@ -15,7 +15,7 @@
   if (s == NULL)
     return NULL;
   s->rows = rr_table_new (sizeof (struct rr_job_row));
-  s->by_id = rr_index_new ();
+  s->by_id = rr_key_index_new ();
   if (s->rows == NULL || s->by_id == NULL)
     {
       rr_job_store_free (s);
@@ -35,7 +35,7 @@
   while (s->rows != NULL && (job = rr_job_store_next (s, &h)) != NULL)
     free (job->tasks);
   rr_table_free (s->rows);
-  rr_index_free (s->by_id);
+  rr_key_index_free (s->by_id);
   free (s);
 }
 
@@ -72,14 +72,14 @@
 struct rr_job *
 rr_job_store_find (const struct rr_job_store *s, const char *job)
 {
-  return rr_job_store_get (s, rr_index_get (s->by_id, job));
+  return rr_job_store_get (s, rr_key_index_get (s->by_id, job));
 }
 
 /* Returns the handle of the job with id JOB, or the null handle.  */
 struct rr_handle
 rr_job_store_handle (const struct rr_job_store *s, const char *job)
 {
-  return rr_index_get (s->by_id, job);
+  return rr_key_index_get (s->by_id, job);
 }
 
 /* Returns the job of H, or null if it is gone.  */
@@ -106,7 +106,7 @@
   struct rr_task *rows = calloc (tasks, sizeof *rows);
   struct rr_handle h = { 0 };
   struct rr_job_row *row = rows == NULL ? NULL : rr_table_insert (s->rows, &h);
-  if (row == NULL || !rr_index_put (s->by_id, job, h))
+  if (row == NULL || !rr_key_index_put (s->by_id, job, h))
     {
       if (row != NULL)
         rr_table_remove (s->rows, h);
@@ -219,9 +219,9 @@
   if (job->state == RR_JOB_OPEN)
     return rr_error_set (err, RR_ERROR_CONFLICT, "job \"%s\" is open",
                          job->spec.job);
-  struct rr_handle h = rr_index_get (s->by_id, job->spec.job);
+  struct rr_handle h = rr_key_index_get (s->by_id, job->spec.job);
   s->size -= row->size;
-  rr_index_remove (s->by_id, job->spec.job);
+  rr_key_index_remove (s->by_id, job->spec.job);
   free (job->tasks);
   rr_table_remove (s->rows, h);
   return true;
@@ -271,7 +271,7 @@
   const char *id = record_job (r);
   if (id == NULL)
     return rr_error_set (err, RR_ERROR_INVALID, "not a job record");
-  struct rr_job_row *row = rr_table_get (s->rows, rr_index_get (s->by_id, id));
+  struct rr_job_row *row = rr_table_get (s->rows, rr_key_index_get (s->by_id, id));
   if (row == NULL)
     return rr_error_set (err, RR_ERROR_NOT_FOUND, "no job \"%s\"", id);
   struct rr_job *job = &row->job;
@@ -320,7 +320,7 @@
   const char *id = record_job (r);
   struct rr_job_row *row
       = id == NULL ? NULL
-                   : rr_table_get (s->rows, rr_index_get (s->by_id, id));
+                   : rr_table_get (s->rows, rr_key_index_get (s->by_id, id));
   if (row == NULL)
     return;
   uint32_t n = UINT32_MAX;
--- a/rosemaryrail/job_private.h
+++ b/rosemaryrail/job_private.h
@@ -22,7 +22,7 @@
 struct rr_job_store
 {
   struct rr_table *rows;
-  struct rr_index *by_id;
+  struct rr_key_index *by_id;
   size_t size;
 };
 
@@ -38,7 +38,7 @@
 struct rr_request_log
 {
   struct rr_table *rows;
-  struct rr_index *by_id;
+  struct rr_key_index *by_id;
   size_t recorded;
   size_t size;
 };
--- a/rosemaryrail/membership.c
+++ b/rosemaryrail/membership.c
@@ -428,6 +428,7 @@
     }
   b->last_heard = now;
   b->config_generation = heartbeat->config_generation;
+  b->store_lost = heartbeat->store_lost;
   copy_text (b->config_digest, heartbeat->config_digest,
              sizeof b->config_digest);
   b->shards = heartbeat->shards;
--- a/rosemaryrail/membership_view.c
+++ b/rosemaryrail/membership_view.c
@@ -154,11 +154,12 @@
 }
 
 /* Returns the live daemon with the highest score for KEY, in ZONE or in any
-   zone if it is null.  Each daemon's score depends only on its own address, so
+   zone if it is null.  With NEEDS_STORE only those that reach the platform
+   count.  Each daemon's score depends only on its own address, so
    that the loss of one moves only what it owned.  */
 static const struct rr_member *
 elect (struct rr_membership *m, struct rr_time now, const char *key,
-       const char *zone)
+       const char *zone, bool needs_store)
 {
   uint64_t seed = XXH3_64bits (key, strlen (key));
   uint64_t best = 0;
@@ -172,7 +173,8 @@
         continue;
       membership_refresh (m, v, now);
       if (!v->member.alive || v->member.state == RR_MEMBER_LEAVING
-          || v->member.state == RR_MEMBER_GONE)
+          || v->member.state == RR_MEMBER_GONE
+          || (needs_store && v->member.store_lost))
         continue;
       uint64_t score
           = XXH3_64bits_withSeed (info->address, strlen (info->address), seed);
@@ -187,14 +189,23 @@
   return winner == NULL ? NULL : &winner->member;
 }
 
-/* Returns the owner of SHARD among all live daemons that are not leaving.  */
+/* Notes whether this daemon can reach the platform; without it, it can't own a
+   shard.  */
+void
+rr_membership_store_lost (struct rr_membership *m, bool lost)
+{
+  m->vms[0].member.store_lost = lost;
+}
+
+/* Returns the owner of SHARD among all live daemons that are not leaving and
+   reach the platform.  */
 const struct rr_member *
 rr_membership_shard_owner (struct rr_membership *m, struct rr_time now,
                            unsigned shard)
 {
   char key[32];
   snprintf (key, sizeof key, "shard/%u", shard);
-  return elect (m, now, key, NULL);
+  return elect (m, now, key, NULL, true);
 }
 
 /* Returns the owner of the worker at ADDRESS among the live daemons of its
@@ -206,7 +217,7 @@
   const struct vm *v = membership_vm (m, address);
   if (v == NULL || v->member.info.name[0] == '\0')
     return NULL;
-  return elect (m, now, address, v->member.info.zone);
+  return elect (m, now, address, v->member.info.zone, false);
 }
 
 /* Tells whether MEMBER is this daemon.  */
--- a/rosemaryrail/request_log.c
+++ b/rosemaryrail/request_log.c
@@ -13,7 +13,7 @@
   if (l == NULL)
     return NULL;
   l->rows = rr_table_new (sizeof (struct rr_request_row));
-  l->by_id = rr_index_new ();
+  l->by_id = rr_key_index_new ();
   if (l->rows == NULL || l->by_id == NULL)
     {
       rr_request_log_free (l);
@@ -40,7 +40,7 @@
   while (l->rows != NULL && (row = rr_table_next (l->rows, &h)) != NULL)
     row_free (row);
   rr_table_free (l->rows);
-  rr_index_free (l->by_id);
+  rr_key_index_free (l->by_id);
   free (l);
 }
 
@@ -61,7 +61,7 @@
 static struct rr_request_row *
 find_row (const struct rr_request_log *l, const char *request)
 {
-  return rr_table_get (l->rows, rr_index_get (l->by_id, request));
+  return rr_table_get (l->rows, rr_key_index_get (l->by_id, request));
 }
 
 /* Adds an unrecorded row for REQUEST; null without memory.  */
@@ -72,7 +72,7 @@
   char *id = strdup (request);
   struct rr_request_row *row
       = id == NULL ? NULL : rr_table_insert (l->rows, &h);
-  if (row == NULL || !rr_index_put (l->by_id, request, h))
+  if (row == NULL || !rr_key_index_put (l->by_id, request, h))
     {
       if (row != NULL)
         rr_table_remove (l->rows, h);
@@ -98,8 +98,8 @@
     }
   if (row->pending > 0)
     return;
-  struct rr_handle h = rr_index_get (l->by_id, row->id);
-  rr_index_remove (l->by_id, row->id);
+  struct rr_handle h = rr_key_index_get (l->by_id, row->id);
+  rr_key_index_remove (l->by_id, row->id);
   row_free (row);
   rr_table_remove (l->rows, h);
 }
--- a/rosemaryrail/table.c
+++ b/rosemaryrail/table.c
@@ -153,7 +153,7 @@
   struct rr_handle handle;
 };
 
-struct rr_index
+struct rr_key_index
 {
   struct index_slot *slots;
   size_t capacity; /* power of two */
@@ -161,10 +161,10 @@
 };
 
 /* Returns an empty map, or null without memory.  */
-struct rr_index *
-rr_index_new (void)
+struct rr_key_index *
+rr_key_index_new (void)
 {
-  struct rr_index *x = calloc (1, sizeof *x);
+  struct rr_key_index *x = calloc (1, sizeof *x);
   if (x == NULL)
     return NULL;
   x->capacity = 64;
@@ -179,7 +179,7 @@
 
 /* Frees X and its keys; X may be null.  */
 void
-rr_index_free (struct rr_index *x)
+rr_key_index_free (struct rr_key_index *x)
 {
   if (x == NULL)
     return;
@@ -191,7 +191,7 @@
 
 /* Returns the place of KEY, or the free place where it belongs.  */
 static size_t
-index_place (const struct rr_index *x, const char *key)
+index_place (const struct rr_key_index *x, const char *key)
 {
   size_t mask = x->capacity - 1;
   size_t i = (size_t)XXH3_64bits (key, strlen (key)) & mask;
@@ -201,9 +201,9 @@
 }
 
 static bool
-index_grow (struct rr_index *x)
+index_grow (struct rr_key_index *x)
 {
-  struct rr_index bigger = { .capacity = x->capacity * 2, .count = x->count };
+  struct rr_key_index bigger = { .capacity = x->capacity * 2, .count = x->count };
   bigger.slots = calloc (bigger.capacity, sizeof *bigger.slots);
   if (bigger.slots == NULL)
     return false;
@@ -217,7 +217,7 @@
 
 /* Maps KEY to H, replacing an earlier mapping; false without memory.  */
 bool
-rr_index_put (struct rr_index *x, const char *key, struct rr_handle h)
+rr_key_index_put (struct rr_key_index *x, const char *key, struct rr_handle h)
 {
   if (x->count * 4 >= x->capacity * 3 && !index_grow (x))
     return false;
@@ -235,7 +235,7 @@
 
 /* Returns the handle of KEY, or the null handle.  */
 struct rr_handle
-rr_index_get (const struct rr_index *x, const char *key)
+rr_key_index_get (const struct rr_key_index *x, const char *key)
 {
   size_t i = index_place (x, key);
   if (x->slots[i].key == NULL)
@@ -245,7 +245,7 @@
 
 /* Removes KEY; false if it is not mapped.  */
 bool
-rr_index_remove (struct rr_index *x, const char *key)
+rr_key_index_remove (struct rr_key_index *x, const char *key)
 {
   size_t mask = x->capacity - 1;
   size_t i = index_place (x, key);
--- a/rosemaryraild/config_apply.c
+++ b/rosemaryraild/config_apply.c
@@ -96,7 +96,7 @@
 
 /* The store holds our head.  */
 static void
-accept (struct config_keeper *k, uint64_t revision)
+take_acceptance (struct config_keeper *k, uint64_t revision)
 {
   struct apply *a = k->apply;
   k->store_revision = revision;
@@ -138,7 +138,7 @@
 {
   struct config_keeper *k = data;
   if (r->state == PLATFORM_OK && is_our_head (k, r->value, r->length))
-    accept (k, r->revision);
+    take_acceptance (k, r->revision);
   else if (r->state == PLATFORM_OK && r->revision != k->store_revision)
     {
       config_consider (k, r->value, r->length, "");
@@ -158,11 +158,11 @@
   switch (r->state)
     {
     case PLATFORM_OK:
-      accept (k, r->revision);
+      take_acceptance (k, r->revision);
       break;
     case PLATFORM_CONFLICT:
       if (is_our_head (k, r->value, r->length))
-        accept (k, r->revision);
+        take_acceptance (k, r->revision);
       else
         {
           config_consider (k, r->value, r->length, "");
@@ -242,8 +242,7 @@
   k->store_revision = found ? r->revision : 0;
   struct rr_config_decision decision
       = config_consider (k, r->value, found ? r->length : 0, "");
-  if (decision.verdict == RR_CONFIG_ADOPT
-      || decision.verdict == RR_CONFIG_FORK
+  if (decision.verdict == RR_CONFIG_ADOPT || decision.verdict == RR_CONFIG_FORK
       || (a->expect >= 0 && a->expect != k->head.generation))
     {
       lose_race (k);
@@ -299,8 +298,8 @@
   struct write_back *w = data;
   struct config_keeper *k = w->k;
   bool head = w->part == k->parts.count;
-  bool ok = r->state == PLATFORM_OK
-            || (!head && r->state == PLATFORM_CONFLICT);
+  bool ok
+      = r->state == PLATFORM_OK || (!head && r->state == PLATFORM_CONFLICT);
   if (ok && !head)
     {
       w->part++;
--- a/rosemaryraild/config_keeper.c
+++ b/rosemaryraild/config_keeper.c
@@ -171,7 +171,8 @@
   while (f->next < f->parts.count)
     {
       struct rr_config_part *p = &f->parts.items[f->next];
-      const struct rr_config_part *have = part_by_digest (&k->parts, p->digest);
+      const struct rr_config_part *have
+          = part_by_digest (&k->parts, p->digest);
       if (have == NULL || !fetch_take (f, have->text, have->length))
         break;
     }
@@ -343,8 +344,8 @@
   if (k->store_revision == 0)
     platform_get (k->d->platform, HEAD_KEY, on_watch, k);
   else
-    platform_watch (k->d->platform, HEAD_KEY, k->store_revision,
-                    WATCH_WAIT_MS, on_watch, k);
+    platform_watch (k->d->platform, HEAD_KEY, k->store_revision, WATCH_WAIT_MS,
+                    on_watch, k);
 }
 
 static void
@@ -429,8 +430,7 @@
         answer_part (k, &m->u.rpc_request);
       break;
     case MESSAGE_CONFIG_HINT:
-      if (k->fetch == NULL
-          && m->u.config_hint.generation > k->head.generation)
+      if (k->fetch == NULL && m->u.config_hint.generation > k->head.generation)
         ask_peer (k, m->u.config_hint.peer);
       break;
     case MESSAGE_APPLY:
@@ -451,9 +451,12 @@
 {
   struct config_chart *c = &k->chart;
   const struct rr_chart_name states[]
-      = { { "none", &c->none },         { "fetching_first", &c->fetching_first },
-          { "in_force", &c->in_force }, { "fetching", &c->fetching },
-          { "forked", &c->forked },     { "writing_back", &c->writing_back },
+      = { { "none", &c->none },
+          { "fetching_first", &c->fetching_first },
+          { "in_force", &c->in_force },
+          { "fetching", &c->fetching },
+          { "forked", &c->forked },
+          { "writing_back", &c->writing_back },
           { NULL, NULL } };
   const struct rr_chart_name events[]
       = { { "head_higher", &c->head_higher },
--- a/rosemaryraild/front.c
+++ b/rosemaryraild/front.c
@@ -30,8 +30,8 @@
 struct http_exchange *
 front_release (struct front *f, uint64_t token)
 {
-  struct rr_handle h = { .index = (uint32_t)token,
-                         .generation = (uint32_t)(token >> 32) };
+  struct rr_handle h
+      = { .index = (uint32_t)token, .generation = (uint32_t)(token >> 32) };
   struct http_exchange **row = rr_table_get (f->exchanges, h);
   if (row == NULL)
     return NULL;
--- a/rosemaryraild/front_config.c
+++ b/rosemaryraild/front_config.c
@@ -194,8 +194,7 @@
   for (size_t i = 0; i < rr_membership_count (m); i++)
     {
       const struct rr_member *member = rr_membership_at (m, now, i);
-      if (member->info.role != RR_ROLE_ENTRY
-          || member->state == RR_MEMBER_GONE
+      if (member->info.role != RR_ROLE_ENTRY || member->state == RR_MEMBER_GONE
           || member->state == RR_MEMBER_DEAD)
         continue;
       bool has = rr_membership_is_self (m, member)
@@ -239,8 +238,7 @@
   struct confirmation *c = timer->data;
   struct json_object *confirmed = json_object_new_array ();
   struct json_object *missing = json_object_new_array ();
-  size_t lacking
-      = list_confirmed (c->f, c->a->generation, confirmed, missing);
+  size_t lacking = list_confirmed (c->f, c->a->generation, confirmed, missing);
   json_object_put (confirmed);
   json_object_put (missing);
   if (lacking > 0 && rr_time_before (daemon_now (), c->until))
--- a/rosemaryraild/front_jobs.c
+++ b/rosemaryraild/front_jobs.c
@@ -63,8 +63,7 @@
   else if (q->best_text != NULL)
     {
       /* With shards unanswered, "not found" may be wrong.  */
-      if (q->best_status == 404
-          && json_object_array_length (q->stale) > 0)
+      if (q->best_status == 404 && json_object_array_length (q->stale) > 0)
         front_error (x, 503, RR_ERROR_UNAVAILABLE,
                      "not found, but not every daemon answered");
       else
@@ -90,8 +89,8 @@
           q->jobs, json_object_get (json_object_array_get_idx (list, i)));
   if (o != NULL && json_object_object_get_ex (o, "shards", &list))
     for (size_t i = 0; i < json_object_array_length (list); i++)
-      q->covered |= 1u << json_object_get_int (
-                        json_object_array_get_idx (list, i));
+      q->covered
+          |= 1u << json_object_get_int (json_object_array_get_idx (list, i));
   json_object_put (o);
 }
 
@@ -223,11 +222,11 @@
   else
     {
       struct query *q = query_new (f, x, false);
-      peer_job_args args
-          = { .team = (char *)"",
-              .id = "",
-              .detail = "",
-              .text = { .text_len = (u_int)length, .text_val = (char *)body } };
+      peer_job_args args = { .team = (char *)"",
+                             .id = "",
+                             .detail = "",
+                             .text = { .text_len = (u_int)length,
+                                       .text_val = (char *)body } };
       query_send (q, owner, JOB_SUBMIT, &args, SUBMIT_TIMEOUT_MS);
     }
   json_object_put (o);
--- a/rosemaryraild/front_requests.c
+++ b/rosemaryraild/front_requests.c
@@ -87,8 +87,8 @@
 {
   int64_t ms = v->deadline_ms;
   const char *text = http_exchange_header (x, "Request-Timeout-Ms");
-  int64_t most
-      = limit_ms > 0 && limit_ms < DEADLINE_MAX_MS ? limit_ms : DEADLINE_MAX_MS;
+  int64_t most = limit_ms > 0 && limit_ms < DEADLINE_MAX_MS ? limit_ms
+                                                            : DEADLINE_MAX_MS;
   if (text != NULL)
     {
       char *end;
@@ -147,8 +147,8 @@
   if (!ok)
     {
       metric_add (&d->metrics, METRIC_REQUESTS_BAD, 1);
-      http_exchange_respond_error (
-          x, err.code == RR_ERROR_LIMIT ? 413 : 400, &err);
+      http_exchange_respond_error (x, err.code == RR_ERROR_LIMIT ? 413 : 400,
+                                   &err);
       request_free (r);
       return;
     }
--- a/rosemaryraild/front_status.c
+++ b/rosemaryraild/front_status.c
@@ -210,15 +210,15 @@
         {
           json_object_array_add (
               bounds, json_object_new_double (rr_histogram_bin_upper (b)));
-          json_object_array_add (
-              counts, json_object_new_int64 ((int64_t)rr_histogram_bin (h, b)));
+          json_object_array_add (counts, json_object_new_int64 ((
+                                             int64_t)rr_histogram_bin (h, b)));
         }
       json_add_string (line, "service", key.service);
       json_add_string (line, "class", key.class_name);
       json_add_string (line, "team", key.team);
       json_add_int (line, "count", (int64_t)rr_histogram_count (h));
-      json_object_object_add (
-          line, "sum_ms", json_object_new_double (rr_histogram_sum (h)));
+      json_object_object_add (line, "sum_ms",
+                              json_object_new_double (rr_histogram_sum (h)));
       json_object_object_add (line, "bounds_ms", bounds);
       json_object_object_add (line, "counts", counts);
       json_object_array_add (list, line);
--- a/rosemaryraild/peers.c
+++ b/rosemaryraild/peers.c
@@ -161,6 +161,7 @@
       owned |= 1u << h->shards.shards_val[i].shard;
   struct rr_heartbeat in = { .incarnation = h->incarnation,
                              .leaving = h->stopping,
+                             .store_lost = !h->platform_reachable,
                              .config_generation = h->generation,
                              .shards = owned,
                              .leaving_set = leaving,
@@ -397,6 +398,7 @@
       metric_add (&p->d->metrics, METRIC_PAUSES, 1);
       log_event (LOG_LEVEL_WARN, "paused", "duration_ms=%lld",
                  (long long)paused);
+      rr_membership_resumed (p->membership, paused);
       daemon_broadcast (p->d, MESSAGE_PAUSED);
     }
   if (!p->list_pending && !rr_time_before (now, p->list_due))
@@ -404,6 +406,8 @@
       p->list_pending = true;
       platform_vms (p->d->platform, on_vms, p);
     }
+  rr_membership_store_lost (p->membership,
+                            !platform_reachable (p->d->platform));
   watch_liveness (p, now);
   send_due_heartbeats (p, now);
 }
--- a/rosemaryraild/shards.c
+++ b/rosemaryraild/shards.c
@@ -163,8 +163,7 @@
     case RR_SHARD_OWNED:
       metric_add (&ss->d->metrics, METRIC_SHARD_TAKEOVERS, 1);
       log_event (LOG_LEVEL_INFO, "shard_owned", "shard=%u epoch=%llu",
-                 s->number,
-                 (unsigned long long)rr_shard_log_epoch (s->log));
+                 s->number, (unsigned long long)rr_shard_log_epoch (s->log));
       s->dirty = true;
       shards_sync_config (s);
       break;
@@ -217,47 +216,6 @@
   return true;
 }
 
-/* Tells whether the daemon M can own shards: it is live, not leaving and
-   reaches the platform.  */
-static bool
-can_own (struct shards *ss, const struct rr_member *m)
-{
-  struct daemon *d = ss->d;
-  if (m->info.role != RR_ROLE_ENTRY || !m->alive
-      || m->state != RR_MEMBER_LIVE)
-    return false;
-  if (rr_membership_is_self (peers_membership (d->peers), m))
-    return platform_reachable (d->platform) && !d->stopping;
-  const peer_heartbeat *h = peers_load (d->peers, m->info.name);
-  return h != NULL && h->platform_reachable && !h->stopping;
-}
-
-/* Names the daemon that should own SHARD: rendezvous hashing over those that
-   can.  Daemons that disagree for a moment only hand a shard to and fro; the
-   log decides who owns it.  */
-static bool
-elect (struct shards *ss, uint32_t shard, char *name, size_t size)
-{
-  struct rr_membership *m = peers_membership (ss->d->peers);
-  struct rr_time now = daemon_now ();
-  uint64_t best = 0;
-  bool found = false;
-  for (size_t i = 0; i < rr_membership_count (m); i++)
-    {
-      const struct rr_member *member = rr_membership_at (m, now, i);
-      if (!can_own (ss, member))
-        continue;
-      uint64_t score = rr_rendezvous_score (member->info.name, shard);
-      if (!found || score > best)
-        {
-          best = score;
-          found = true;
-          snprintf (name, size, "%s", member->info.name);
-        }
-    }
-  return found;
-}
-
 /* Finds a live peer that claims SHARD and reaches the platform.  */
 static bool
 claimed_by_peer (struct shards *ss, uint32_t shard, char *name, size_t size)
@@ -284,15 +242,17 @@
 {
   struct shards *ss = s->ss;
   struct daemon *d = ss->d;
-  char elected[NAME_SIZE];
   char claimant[NAME_SIZE];
-  bool found = elect (ss, s->number, elected, sizeof elected);
-  bool ours = found && strcmp (elected, d->settings.name) == 0;
+  struct rr_membership *m = peers_membership (d->peers);
+  const struct rr_member *elected
+      = rr_membership_shard_owner (m, now, s->number);
+  bool ours = elected != NULL && rr_membership_is_self (m, elected);
   struct rr_error err = { 0 };
   if (rr_shard_log_is_owner (s->log))
     {
-      if (found && !ours)
-        rr_shard_log_release (s->log, elected, now, daemon_wall_ms (), &err);
+      if (elected != NULL && !ours)
+        rr_shard_log_release (s->log, elected->info.name, now,
+                              daemon_wall_ms (), &err);
       else if (d->stopping)
         rr_shard_log_release (s->log, "", now, daemon_wall_ms (), &err);
       return;
@@ -431,14 +391,13 @@
   ss->d = d;
   ss->pending = rr_table_new (sizeof (struct pending));
   ss->busy = rr_table_new (sizeof (struct busy_task));
-  ss->busy_index = rr_index_new ();
+  ss->busy_index = rr_key_index_new ();
   for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
     {
       struct shard *s = &ss->shard[i];
-      struct rr_shard_log_options options
-          = { .shard = i,
-              .incarnation = d->incarnation,
-              .seed = gsl_rng_get (d->rng) };
+      struct rr_shard_log_options options = { .shard = i,
+                                              .incarnation = d->incarnation,
+                                              .seed = gsl_rng_get (d->rng) };
       snprintf (options.owner, sizeof options.owner, "%s", d->settings.name);
       s->ss = ss;
       s->number = i;
--- a/rosemaryraild/shards_grants.c
+++ b/rosemaryraild/shards_grants.c
@@ -68,7 +68,7 @@
   r->status = g->status;
   snprintf (r->reason, sizeof r->reason, "%s", g->reason);
   snprintf (r->content_type, sizeof r->content_type, "%s", g->content_type);
-  r->outcome = g->outcome == PEER_ANSWERED ? RR_OUTCOME_ANSWERED
+  r->outcome = g->outcome == PEER_ANSWERED  ? RR_OUTCOME_ANSWERED
                : g->outcome == PEER_NOT_RUN ? RR_OUTCOME_NOT_RUN
                                             : RR_OUTCOME_UNKNOWN;
   free (r->answer);
@@ -89,8 +89,8 @@
     state = RPC_CALL_UNKNOWN;
   if (state == RPC_CALL_UNKNOWN)
     {
-      /* The permission may have been recorded for this ask; it is not used, and
-         a later ask for the same id tells.  */
+      /* The permission may have been recorded for this ask; it is not used,
+         and a later ask for the same id tells.  */
       a->tried = true;
       ask_end (a, PEER_GRANT_UNKNOWN);
       return;
@@ -264,8 +264,7 @@
 
 static void
 reply_grant (struct shards *ss, const struct call_origin *origin,
-             enum peer_grant_verdict verdict,
-             const struct rr_request_entry *e)
+             enum peer_grant_verdict verdict, const struct rr_request_entry *e)
 {
   peer_grant_result out
       = { .verdict = verdict, .reason = "", .content_type = "" };
--- a/rosemaryraild/shards_jobs.c
+++ b/rosemaryraild/shards_jobs.c
@@ -19,10 +19,9 @@
             struct json_object *o)
 {
   const char *text = json_text (o);
-  peer_job_result out
-      = { .http_status = status,
-          .text = { .text_len = (u_int)strlen (text),
-                    .text_val = (char *)text } };
+  peer_job_result out = { .http_status = status,
+                          .text = { .text_len = (u_int)strlen (text),
+                                    .text_val = (char *)text } };
   daemon_reply (ss->d, origin, (xdrproc_t)xdr_peer_job_result, &out);
   json_object_put (o);
 }
@@ -112,12 +111,11 @@
       bool ended = e->kind == RR_RECORD_ATTEMPT_ENDED;
       bool placed = e->kind == RR_RECORD_ATTEMPT_PLACED;
       char detail[160];
-      snprintf (detail, sizeof detail, "%s%s%s%s%s",
-                ended ? rr_attempt_result_name (e->result) : "",
-                ended ? ", proof: " : "",
-                ended ? rr_end_proof_name (e->proof) : "",
-                ended && e->text[0] != '\0' ? ", " : "",
-                placed ? "" : e->text);
+      snprintf (
+          detail, sizeof detail, "%s%s%s%s%s",
+          ended ? rr_attempt_result_name (e->result) : "",
+          ended ? ", proof: " : "", ended ? rr_end_proof_name (e->proof) : "",
+          ended && e->text[0] != '\0' ? ", " : "", placed ? "" : e->text);
       json_add_string (line, "worker", placed ? e->text : "");
       json_add_string (line, "detail", detail);
       json_object_array_add (list, line);
@@ -167,8 +165,8 @@
                   : filters[0] != '\0'          ? filters
                                                 : "waits for its turn");
       else if (rr_attempt_is_live (&t->attempt))
-        snprintf (reason, sizeof reason, "attempt %u on %s",
-                  t->attempt.number, t->attempt.worker);
+        snprintf (reason, sizeof reason, "attempt %u on %s", t->attempt.number,
+                  t->attempt.worker);
       struct json_object *line = json_object_new_object ();
       json_add_int (line, "task", i);
       json_add_string (line, "state", state);
@@ -277,10 +275,9 @@
       snprintf (r.u.job_cancelled.reason, sizeof r.u.job_cancelled.reason,
                 "%s", "cancelled by an operator");
       struct rr_error err = { 0 };
-      if (!shard_append (s, &r,
-                         pending_add (ss, PENDING_CANCEL, origin,
-                                      job->spec.job),
-                         &err))
+      if (!shard_append (
+              s, &r, pending_add (ss, PENDING_CANCEL, origin, job->spec.job),
+              &err))
         reply_error (ss, origin, 503, rr_error_code_name (err.code),
                      err.message);
       return;
@@ -288,10 +285,18 @@
   reply_error (ss, origin, 404, "not-found", "no such job");
 }
 
+static bool
+id_fits (const struct rr_config_job *j)
+{
+  return strlen (j->team) + strlen (j->id) + 1 <= RR_NAME_MAX;
+}
+
+/* J's id must fit.  */
 static void
 fill_spec (struct rr_record_job_submitted *spec, const struct rr_config_job *j)
 {
-  snprintf (spec->job, sizeof spec->job, "%s:%s", j->team, j->id);
+  int n = snprintf (spec->job, sizeof spec->job, "%s:%s", j->team, j->id);
+  assert (n > 0 && (size_t)n < sizeof spec->job);
   snprintf (spec->team, sizeof spec->team, "%s", j->team);
   snprintf (spec->job_class, sizeof spec->job_class, "%s", j->class_name);
   spec->kind = RR_JOB_BATCH;
@@ -316,12 +321,6 @@
          && a->urgent == b->urgent;
 }
 
-static bool
-id_fits (const struct rr_config_job *j)
-{
-  return strlen (j->team) + strlen (j->id) + 1 <= RR_NAME_MAX;
-}
-
 static void
 submit (struct shards *ss, const struct call_origin *origin,
         const struct rr_config_job *j)
@@ -354,10 +353,10 @@
     rr_error_set (&err, RR_ERROR_UNAVAILABLE,
                   "the platform can't be reached; the job was not accepted");
   if (err.code != RR_OK
-      || !shard_append (s, &r,
-                        pending_add (ss, PENDING_SUBMIT, origin,
-                                     r.u.job_submitted.job),
-                        &err))
+      || !shard_append (
+          s, &r,
+          pending_add (ss, PENDING_SUBMIT, origin, r.u.job_submitted.job),
+          &err))
     reply_error (ss, origin, err.code == RR_ERROR_LIMIT ? 429 : 503,
                  rr_error_code_name (err.code), err.message);
 }
@@ -480,9 +479,10 @@
     {
       const struct rr_config_job *j = &c->jobs[i];
       struct rr_record r = { .kind = RR_RECORD_JOB_SUBMITTED };
+      if (rr_shard_of (j->team) != s->number || !id_fits (j))
+        continue;
       fill_spec (&r.u.job_submitted, j);
-      if (rr_shard_of (j->team) == s->number && id_fits (j)
-          && rr_job_store_find (jobs, r.u.job_submitted.job) == NULL)
+      if (rr_job_store_find (jobs, r.u.job_submitted.job) == NULL)
         queue_record (s, &r);
     }
 }
--- a/rosemaryraild/shards_tasks.c
+++ b/rosemaryraild/shards_tasks.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "rosemaryraild/shards_internal.h"
+#include "rosemaryraild/workers.h"
 
 enum
 {
@@ -22,7 +23,7 @@
   struct shards *ss = s->ss;
   char name[TASK_NAME_SIZE];
   rr_task_name (job->spec.job, task, name, sizeof name);
-  struct rr_handle h = rr_index_get (ss->busy_index, name);
+  struct rr_handle h = rr_key_index_get (ss->busy_index, name);
   struct busy_task *b = rr_table_get (ss->busy, h);
   if (b != NULL)
     return b;
@@ -32,21 +33,21 @@
   strcpy (b->job, job->spec.job);
   b->task = task;
   strcpy (b->name, name);
-  rr_index_put (ss->busy_index, name, h);
+  rr_key_index_put (ss->busy_index, name, h);
   return b;
 }
 
 static struct busy_task *
 busy_find (struct shards *ss, const char *name)
 {
-  return rr_table_get (ss->busy, rr_index_get (ss->busy_index, name));
+  return rr_table_get (ss->busy, rr_key_index_get (ss->busy_index, name));
 }
 
 static void
 busy_drop (struct shards *ss, struct busy_task *b)
 {
-  struct rr_handle h = rr_index_get (ss->busy_index, b->name);
-  rr_index_remove (ss->busy_index, b->name);
+  struct rr_handle h = rr_key_index_get (ss->busy_index, b->name);
+  rr_key_index_remove (ss->busy_index, b->name);
   rr_table_remove (ss->busy, h);
 }
 
@@ -401,12 +402,11 @@
   struct busy_task *b = busy_get (s, job, task);
   const struct rr_attempt *a = &job->tasks[task].attempt;
   struct task_call *c = call_new (b, attempt);
-  peer_start_args args
-      = { .task = task_args (s, job, task, attempt, b->name),
-          .worker = (char *)a->worker,
-          .incarnation = a->worker_incarnation,
-          .void_after_ms = a->void_after_ms,
-          .granted_until_ms = a->granted_until_ms };
+  peer_start_args args = { .task = task_args (s, job, task, attempt, b->name),
+                           .worker = (char *)a->worker,
+                           .incarnation = a->worker_incarnation,
+                           .void_after_ms = a->void_after_ms,
+                           .granted_until_ms = a->granted_until_ms };
   daemon_call (ss->d, &ss->d->shards_actor, daemon, TASK_START,
                (xdrproc_t)xdr_peer_start_args, &args, SHARD_CALL_TIMEOUT_MS,
                on_start_answered, c);
@@ -591,13 +591,12 @@
   const struct rr_attempt *a = &job->tasks[task].attempt;
   b->extend_pending = false;
   struct task_call *c = call_new (b, a->number);
-  peer_grant_extend_args args
-      = { .task = b->name,
-          .attempt = a->number,
-          .shard = s->number,
-          .shard_epoch = rr_shard_log_epoch (s->log),
-          .worker = (char *)a->worker,
-          .granted_until_ms = a->granted_until_ms };
+  peer_grant_extend_args args = { .task = b->name,
+                                  .attempt = a->number,
+                                  .shard = s->number,
+                                  .shard_epoch = rr_shard_log_epoch (s->log),
+                                  .worker = (char *)a->worker,
+                                  .granted_until_ms = a->granted_until_ms };
   daemon_call (ss->d, &ss->d->shards_actor, daemon, GRANT_EXTEND,
                (xdrproc_t)xdr_peer_grant_extend_args, &args,
                SHARD_CALL_TIMEOUT_MS, on_extended, c);
--- a/rosemaryraild/workers.c
+++ b/rosemaryraild/workers.c
@@ -224,8 +224,7 @@
   struct rr_time now = daemon_now ();
   w->call_pending = false;
   count_call (w, r);
-  w->next_call
-      = rr_time_add (w->call_sent, ws->d->settings.worker_report_ms);
+  w->next_call = rr_time_add (w->call_sent, ws->d->settings.worker_report_ms);
   switch (r->state)
     {
     case WORKER_OK:
@@ -319,8 +318,7 @@
         forget_hosted (w);
       return;
     }
-  if (is_held (w)
-      && rr_ledger_state (w->ledger, now) == RR_LEDGER_LEASE_LOST)
+  if (is_held (w) && rr_ledger_state (w->ledger, now) == RR_LEDGER_LEASE_LOST)
     worker_lease_lost (w, ws->chart.lease_expired);
   if (is_held (w) && !rr_membership_usable (m, now, w->name, w->incarnation))
     {
@@ -334,8 +332,8 @@
   if (w->call_pending || rr_time_before (now, w->next_call))
     return;
   const struct rr_member *owner = rr_membership_worker_owner (m, now, w->name);
-  bool ours = owner != NULL && rr_membership_is_self (m, owner)
-              && !ws->d->stopping;
+  bool ours
+      = owner != NULL && rr_membership_is_self (m, owner) && !ws->d->stopping;
   if (is_held (w))
     {
       if (ours)
@@ -415,8 +413,7 @@
     {
       const struct rr_member *member = rr_membership_at (m, now, i);
       if (member->info.role != RR_ROLE_WORKER || !member->listed
-          || member->state == RR_MEMBER_GONE
-          || member->state == RR_MEMBER_DEAD
+          || member->state == RR_MEMBER_GONE || member->state == RR_MEMBER_DEAD
           || strcmp (member->info.zone, ws->d->settings.zone) != 0)
         continue;
       if (workers_find (ws, member->info.name, member->info.incarnation)
@@ -469,13 +466,17 @@
 load_chart (struct workers *ws, struct rr_error *err)
 {
   struct worker_chart *c = &ws->chart;
-  const struct rr_chart_name states[]
-      = { { "unclaimed", &c->unclaimed },     { "claiming", &c->claiming },
-          { "rebuilding", &c->rebuilding },   { "open", &c->open },
-          { "quarantined", &c->quarantined }, { "leaving", &c->leaving },
-          { "unconfirmed", &c->unconfirmed }, { "lease_lost", &c->lease_lost },
-          { "abandoned", &c->abandoned },     { "gone", &c->gone },
-          { NULL, NULL } };
+  const struct rr_chart_name states[] = { { "unclaimed", &c->unclaimed },
+                                          { "claiming", &c->claiming },
+                                          { "rebuilding", &c->rebuilding },
+                                          { "open", &c->open },
+                                          { "quarantined", &c->quarantined },
+                                          { "leaving", &c->leaving },
+                                          { "unconfirmed", &c->unconfirmed },
+                                          { "lease_lost", &c->lease_lost },
+                                          { "abandoned", &c->abandoned },
+                                          { "gone", &c->gone },
+                                          { NULL, NULL } };
   const struct rr_chart_name events[]
       = { { "elected", &c->elected },
           { "claim_granted", &c->claim_granted },
@@ -559,8 +560,7 @@
       if (s->instances == 0)
         continue;
       s->name = r->service;
-      s->latency_us
-          = (u_int)(rr_admission_service_ms (r->admission) * 1000);
+      s->latency_us = (u_int)(rr_admission_service_ms (r->admission) * 1000);
       n++;
     }
   h->services.services_len = (u_int)n;
--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -18,8 +18,8 @@
   FORWARD_PEERS_MAX = 64,
   /* Left of a forwarded deadline for the way back.  */
   FORWARD_MARGIN_MS = 2,
-  /* Calls of a forwarded request are numbered from its own attempt number times
-     this, so that no two calls of a request share a number.  */
+  /* Calls of a forwarded request are numbered from its own attempt number
+     times this, so that no two calls of a request share a number.  */
   FORWARD_ATTEMPT_STRIDE = 100
 };
 
@@ -94,13 +94,12 @@
       daemon_send (ws->d, &ws->d->front_actor, &m);
       return;
     }
-  peer_forward_result out
-      = { .outcome = peer_outcome_of (r->outcome),
-          .status = r->status,
-          .reason = r->reason,
-          .content_type = r->content_type,
-          .body = { .body_len = (u_int)r->answer_length,
-                    .body_val = r->answer } };
+  peer_forward_result out = { .outcome = peer_outcome_of (r->outcome),
+                              .status = r->status,
+                              .reason = r->reason,
+                              .content_type = r->content_type,
+                              .body = { .body_len = (u_int)r->answer_length,
+                                        .body_val = r->answer } };
   daemon_reply (ws->d, &r->origin, (xdrproc_t)xdr_peer_forward_result, &out);
   request_free (r);
 }
@@ -308,8 +307,8 @@
       else
         {
           struct request *r = take_request (ws, step.request);
-          enum rr_outcome outcome = r->earlier_unknown ? RR_OUTCOME_UNKNOWN
-                                                       : RR_OUTCOME_NOT_RUN;
+          enum rr_outcome outcome
+              = r->earlier_unknown ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_NOT_RUN;
           finish_as (ws, r, outcome, 503,
                      rr_admission_result_name (step.reason));
         }
@@ -335,8 +334,9 @@
         if (route->instances[j] != NULL)
           {
             struct worker *w = route->instances[j];
-            bool free = worker_is_open (w, now)
-                        && rr_ledger_free_resources (w->ledger).connections > 0;
+            bool free
+                = worker_is_open (w, now)
+                  && rr_ledger_free_resources (w->ledger).connections > 0;
             rr_admission_block_worker (route->admission, j, !free);
           }
       run_route (route);
@@ -438,7 +438,8 @@
         continue;
       const peer_heartbeat *h = peers_load (ws->d->peers, member->info.name);
       u_int latency_us = 0;
-      if (h == NULL || h->stopping || !peer_serves (h, r->service, &latency_us))
+      if (h == NULL || h->stopping
+          || !peer_serves (h, r->service, &latency_us))
         continue;
       double cost = latency_us * (1 + 0.2 * gsl_rng_uniform (ws->d->rng)) + 1;
       if (strcmp (member->info.zone, ws->d->settings.zone) != 0)
@@ -561,9 +562,8 @@
   struct request **row = rr_table_insert (ws->requests, &handle);
   *row = r;
   int team = rr_admission_team (route->admission, r->team);
-  enum rr_admission_result admission
-      = rr_admission_offer (route->admission, daemon_now (), token_of (handle),
-                            team, r->deadline);
+  enum rr_admission_result admission = rr_admission_offer (
+      route->admission, daemon_now (), token_of (handle), team, r->deadline);
   if (admission == RR_ADMISSION_QUEUED)
     {
       workers_unblock (ws);
--- a/rosemaryraild/workers_tasks.c
+++ b/rosemaryraild/workers_tasks.c
@@ -281,8 +281,8 @@
     }
   else
     {
-      const char *checkpoint = c->checkpoint[0] != '\0' ? c->checkpoint
-                                                        : r->task->checkpoint;
+      const char *checkpoint
+          = c->checkpoint[0] != '\0' ? c->checkpoint : r->task->checkpoint;
       reply_attempt (ws, &c->origin, w,
                      r->task->running ? PEER_ATTEMPT_RUNNING
                                       : PEER_ATTEMPT_ENDED,
