--- a/common/http_server.c
+++ b/common/http_server.c
@@ -291,6 +291,33 @@
   return false;
 }
 
+static const char *
+reason_phrase (int status)
+{
+  static const struct
+  {
+    int status;
+    const char *phrase;
+  } phrases[] = {
+    { 200, "OK" },
+    { 202, "Accepted" },
+    { 204, "No Content" },
+    { 400, "Bad Request" },
+    { 404, "Not Found" },
+    { 405, "Method Not Allowed" },
+    { 409, "Conflict" },
+    { 413, "Content Too Large" },
+    { 429, "Too Many Requests" },
+    { 500, "Internal Server Error" },
+    { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  };
+  for (size_t i = 0; i < sizeof phrases / sizeof phrases[0]; i++)
+    if (phrases[i].status == status)
+      return phrases[i].phrase;
+  return "Other";
+}
+
 /* Answers X with STATUS, HEADERS and a copy of BODY, and frees X.  When the
    peer has gone the answer is dropped.  */
 void
@@ -302,7 +329,8 @@
   if (req != NULL)
     {
       req->res.status = status;
-      req->res.reason = "-";
+      req->res.reason = reason_phrase (status);
+      req->res.content_length = length;
       for (size_t i = 0; i < header_count; i++)
         {
           h2o_iovec_t name
--- a/common/log.c
+++ b/common/log.c
@@ -1,6 +1,7 @@
 #include "common/log.h"
 
 #include <log4c.h>
+#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -61,7 +62,10 @@
   log4c_layout_type_set (&layout_type);
   log4c_layout_t *layout = log4c_layout_get ("rosemaryrail");
   log4c_layout_set_type (layout, &layout_type);
-  log4c_appender_t *appender = log4c_appender_get ("stderr");
+  /* The plain stream appender puts its own name before each line.  */
+  log4c_appender_t *appender = log4c_appender_get ("rosemaryrail");
+  log4c_appender_set_type (appender, log4c_appender_type_get ("stream2"));
+  log4c_stream2_set_fp (appender, stderr);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get (program);
   log4c_category_set_appender (category, appender);
--- a/include/standins/worker.h
+++ b/include/standins/worker.h
@@ -41,7 +41,7 @@
   uint64_t table_seed;
   int64_t usage_lag_ms;
   int64_t usage_window_ms;
-  int64_t ended_window_ms;
+  int64_t work_speed;
   double service_ms;
   const char *fail_class; /* tasks of this class end as "failed" */
   const char *hog_class;  /* tasks of this class outgrow their memory */
@@ -65,6 +65,10 @@
   enum task_state state;
   bool service; /* runs until it is stopped */
   char *class;  /* batch class, or the service's name */
+  /* Echoed to the controller, which may have changed since the start.  */
+  char *label_class;
+  char *team;
+  int64_t granted_until_ms;
   struct capacity need;
   double work_ms;
   double done_ms;
@@ -131,6 +135,7 @@
   struct execution *executions;
   struct capacity used;
   int64_t ended_count;
+  int64_t ended_recorded;
   int64_t advanced_ms;
   int64_t window_start_ms;
   struct service_window services[WORKER_SERVICES_MAX];
@@ -156,7 +161,7 @@
 void worker_drop_tasks (struct worker *w);
 void worker_close_window (struct worker *w);
 struct json_object *worker_tasks (const struct worker *w);
-struct json_object *worker_ended (const struct worker *w, int64_t after);
+struct json_object *worker_ended (const struct worker *w);
 void worker_report_usage (const struct worker *w, struct json_object *o);
 void worker_renew (struct worker *w, struct json_object *renew);
 bool worker_task_call (struct worker *w, struct http_exchange *x,
--- a/rosemaryraild/main.c
+++ b/rosemaryraild/main.c
@@ -163,8 +163,11 @@
     {
       struct rr_config_errors list = { 0 };
       const char *path = file->count > 0 ? file->filename[0] : NULL;
-      if (!settings_load (path, set->sval, (size_t)set->count, settings,
-                          &list))
+      size_t n = (size_t)set->count;
+      bool ok = path == NULL
+                    ? settings_parse (NULL, set->sval, n, settings, &list)
+                    : settings_load (path, set->sval, n, settings, &list);
+      if (!ok)
         {
           char *text = rr_config_errors_text (&list);
           fprintf (stderr, "%s", text);
--- a/rosemaryraild/message.c
+++ b/rosemaryraild/message.c
@@ -82,7 +82,8 @@
 {
   r->outcome = outcome;
   r->status = status;
-  snprintf (r->reason, sizeof r->reason, "%s", reason);
+  if (reason != r->reason)
+    snprintf (r->reason, sizeof r->reason, "%s", reason);
   free (r->answer);
   r->answer = NULL;
   r->answer_length = 0;
--- a/standins/rr-worker.c
+++ b/standins/rr-worker.c
@@ -111,6 +111,7 @@
   w->advanced_ms = worker_now_ms (w);
   w->window_start_ms = w->advanced_ms;
   w->ended_count = 0;
+  w->ended_recorded = 0;
   memset (w->shard_epochs, 0, sizeof w->shard_epochs);
   struct json_object *o = worker_event (w, "boot");
   struct json_object *c = json_object_new_object ();
@@ -179,6 +180,7 @@
   json_object_object_add (answer, "leaving",
                           json_object_new_boolean (w->leaving));
   json_object_object_add (answer, "tasks", worker_tasks (w));
+  json_object_object_add (answer, "ended", worker_ended (w));
   json_add_int (answer, "requests", w->used.connections);
   tool_respond (x, 200, answer);
 }
@@ -203,8 +205,10 @@
   json_object_object_add (answer, "tasks", worker_tasks (w));
   json_add_int (answer, "requests", w->used.connections);
   worker_report_usage (w, answer);
-  json_object_object_add (
-      answer, "ended", worker_ended (w, json_int_or (o, "ended_after", -1)));
+  int64_t recorded = json_int_or (o, "ended_after", -1);
+  if (recorded > w->ended_recorded)
+    w->ended_recorded = recorded;
+  json_object_object_add (answer, "ended", worker_ended (w));
   tool_respond (x, 200, answer);
 }
 
@@ -379,7 +383,7 @@
   FLAG_TABLE_SEED,
   FLAG_LAG,
   FLAG_WINDOW,
-  FLAG_ENDED,
+  FLAG_SPEED,
   FLAG_SERVICE,
   FLAG_FAIL_CLASS,
   FLAG_HOG_CLASS,
@@ -407,7 +411,7 @@
   INT_FLAG ("table-seed", "seed of the interference table", 1),
   INT_FLAG ("usage-lag-ms", "age of reported usage", 2000),
   INT_FLAG ("usage-window-ms", "length of a usage window", 1000),
-  INT_FLAG ("ended-window-ms", "time that reports repeat an end", 60000),
+  INT_FLAG ("work-speed", "divides the work of batch tasks", 1),
   INT_FLAG ("service-us", "median service time", 5000),
   TEXT_FLAG ("fail-class", "tasks of this class fail", NULL),
   TEXT_FLAG ("hog-class", "tasks of this class outgrow their memory", NULL),
@@ -453,7 +457,7 @@
     .table_seed = (uint64_t)flags[FLAG_TABLE_SEED].number,
     .usage_lag_ms = flags[FLAG_LAG].number,
     .usage_window_ms = flags[FLAG_WINDOW].number,
-    .ended_window_ms = flags[FLAG_ENDED].number,
+    .work_speed = flags[FLAG_SPEED].number < 1 ? 1 : flags[FLAG_SPEED].number,
     .service_ms = (double)flags[FLAG_SERVICE].number / 1000,
     .fail_class = flags[FLAG_FAIL_CLASS].text,
     .hog_class = flags[FLAG_HOG_CLASS].text,
--- a/standins/worker_task.c
+++ b/standins/worker_task.c
@@ -20,6 +20,8 @@
 {
   free (t->id);
   free (t->class);
+  free (t->label_class);
+  free (t->team);
   free (t->checkpoint);
   free (t);
 }
@@ -189,6 +191,14 @@
   json_object_object_add (
       o, "checkpoint",
       t->checkpoint == NULL ? NULL : json_object_new_string (t->checkpoint));
+  json_add_string (o, "kind", t->service ? "service" : "batch");
+  json_add_string (o, "service", t->service ? t->class : "");
+  json_add_string (o, "class", t->label_class);
+  json_add_string (o, "team", t->team);
+  json_add_int (o, "cores_milli", t->need.cores_milli);
+  json_add_int (o, "memory_mb", t->need.memory_mb);
+  json_add_int (o, "accelerators", t->need.accelerators);
+  json_add_int (o, "granted_until_ms", t->granted_until_ms);
   if (t->state == TASK_ENDED)
     {
       json_add_string (o, "result", t->result);
@@ -200,28 +210,26 @@
   return o;
 }
 
-/* Returns all running and ended attempts.  */
+/* Returns the running attempts.  */
 struct json_object *
 worker_tasks (const struct worker *w)
 {
   struct json_object *list = json_object_new_array ();
   for (const struct task *t = w->tasks; t != NULL; t = t->next)
-    if (t->state != TASK_SEALED)
+    if (t->state == TASK_RUNNING)
       json_object_array_add (list, task_summary (t));
   return list;
 }
 
-/* Returns the attempts that ended with a sequence above AFTER; with a negative
-   AFTER, those of the last ended_window_ms.  Repeated because the answer that
-   carries them may be lost.  */
+/* Returns the attempts that ended with a sequence above the last one that a
+   controller has recorded.  Repeated because the answer that carries them may
+   be lost, and told to a new controller as well.  */
 struct json_object *
-worker_ended (const struct worker *w, int64_t after)
+worker_ended (const struct worker *w)
 {
-  int64_t since = worker_now_ms (w) - w->settings->ended_window_ms;
   struct json_object *list = json_object_new_array ();
   for (const struct task *t = w->tasks; t != NULL; t = t->next)
-    if (t->state == TASK_ENDED
-        && (after < 0 ? t->ended_ms >= since : t->sequence > after))
+    if (t->state == TASK_ENDED && t->sequence > w->ended_recorded)
       json_object_array_add (list, task_summary (t));
   return list;
 }
@@ -241,6 +249,9 @@
       int64_t until = json_int_or (r, "until_ms", 0);
       if (t != NULL && t->state == TASK_RUNNING && until > t->until_ms)
         t->until_ms = until;
+      if (t != NULL)
+        t->granted_until_ms
+            = json_int_or (r, "granted_until_ms", t->granted_until_ms);
     }
 }
 
@@ -333,8 +344,12 @@
   t->service = strcmp (json_string_or (o, "kind", "batch"), "service") == 0;
   t->class = strdup (t->service ? json_string_or (o, "service", "")
                                 : json_string_or (o, "class", ""));
+  t->label_class = strdup (json_string_or (o, "class", ""));
+  t->team = strdup (json_string_or (o, "team", ""));
+  t->granted_until_ms = json_int_or (o, "granted_until_ms", 0);
   t->need = need;
-  t->work_ms = (double)json_int_or (o, "work_ms", 0);
+  t->work_ms = (double)json_int_or (o, "work_ms", 0)
+               / (double)w->settings->work_speed;
   t->until_ms = worker_now_ms (w) + lease_ms;
   const char *checkpoint = json_string_or (o, "checkpoint", "");
   if (*checkpoint != '\0')
