--- a/include/rosemaryrail/config.h
+++ b/include/rosemaryrail/config.h
@@ -112,6 +112,7 @@
   size_t drain_count;
   struct rr_parameter_table parameters;
   double *policy;
+  bool drains_given; /* a file has the field "drains" */
 };
 
 /* One input text.  NAME appears in errors only; nothing is opened.  */
@@ -212,6 +213,12 @@
 struct rr_config *rr_config_with_drain (const struct rr_config *c,
                                         const char *vm, bool drained);
 
+/* Gives C the drains of IN_FORCE when its files say nothing about drains, so
+   that applying files does not undo the drain command.  To be called before
+   C is compared with IN_FORCE or split.  */
+void rr_config_inherit_drains (struct rr_config *c,
+                               const struct rr_config *in_force);
+
 /* Parts, digests and the head.  */
 void rr_config_split (const struct rr_config *c,
                       struct rr_config_parts *parts);
--- a/include/rosemaryrail/config_check.h
+++ b/include/rosemaryrail/config_check.h
@@ -16,6 +16,7 @@
 {
   struct rr_config_team v;
   struct rr_place place;
+  bool duplicate; /* of an earlier item, and not part of the result */
 };
 
 struct rr_located_service
@@ -23,6 +24,7 @@
   struct rr_config_service v;
   struct rr_place place;
   bool valid; /* all fields were read */
+  bool duplicate;
 };
 
 struct rr_located_job
@@ -30,12 +32,14 @@
   struct rr_config_job v;
   struct rr_place place;
   bool valid;
+  bool duplicate;
 };
 
 struct rr_located_drain
 {
   struct rr_config_drain v;
   struct rr_place place;
+  bool duplicate;
 };
 
 /* What the files say, with places, in the order of the files.  */
@@ -60,7 +64,9 @@
                               struct rr_fields *fields);
 void rr_config_policy_fields_free (struct rr_fields *fields);
 
-/* C holds the valid items of L.  */
+void rr_config_check_duplicates (struct rr_located_config *l,
+                                 struct rr_config_errors *errors);
+/* C holds the valid items of L, without duplicates.  */
 void rr_config_check (const struct rr_config *c,
                       const struct rr_located_config *l,
                       struct rr_config_errors *errors);
--- a/rosemaryrail/config.c
+++ b/rosemaryrail/config.c
@@ -146,7 +146,10 @@
       else if (strcmp (n->key, "jobs") == 0)
         read_list (p, at, read_job);
       else if (strcmp (n->key, "drains") == 0)
-        read_list (p, at, read_drain);
+        {
+          p->config->drains_given = true;
+          read_list (p, at, read_drain);
+        }
       else if (strcmp (n->key, "limits") == 0)
         read_merged (p, at, &rr_config_limits_fields, p->limits_places,
                      &p->config->limits, sizeof p->config->limits);
@@ -217,10 +220,11 @@
   const struct rr_located_config *l = &p->located;
   c->teams = array_new (l->team_count, sizeof *c->teams);
   for (size_t i = 0; i < l->team_count; i++)
-    c->teams[c->team_count++] = l->teams[i].v;
+    if (!l->teams[i].duplicate)
+      c->teams[c->team_count++] = l->teams[i].v;
   c->services = array_new (l->service_count, sizeof *c->services);
   for (size_t i = 0; i < l->service_count; i++)
-    if (l->services[i].valid)
+    if (l->services[i].valid && !l->services[i].duplicate)
       {
         struct rr_config_service s = l->services[i].v;
         if (s.request_max_bytes == 0)
@@ -231,7 +235,7 @@
       }
   c->jobs = array_new (l->job_count, sizeof *c->jobs);
   for (size_t i = 0; i < l->job_count; i++)
-    if (l->jobs[i].valid)
+    if (l->jobs[i].valid && !l->jobs[i].duplicate)
       {
         struct rr_config_job j = l->jobs[i].v;
         fill_job_from_limits (&j, &c->limits);
@@ -274,6 +278,7 @@
       read_document (&p, &documents[i]);
     else
       parsed = false;
+  rr_config_check_duplicates (&p.located, errors);
   build (&p);
   /* Without all files, names that exist would be reported as unknown.  */
   if (parsed)
@@ -430,3 +435,17 @@
   qsort (n->drains, n->drain_count, sizeof *n->drains, compare_drains);
   return n;
 }
+
+/* Gives C the drains of IN_FORCE unless its files have their own.  */
+void
+rr_config_inherit_drains (struct rr_config *c,
+                          const struct rr_config *in_force)
+{
+  if (c->drains_given)
+    return;
+  free (c->drains);
+  c->drains = array_copy (in_force->drains, in_force->drain_count,
+                          sizeof *in_force->drains);
+  c->drain_count = in_force->drain_count;
+  c->drains_given = true;
+}
--- a/rosemaryrail/config_check.c
+++ b/rosemaryrail/config_check.c
@@ -25,6 +25,7 @@
   const char *name;
   struct rr_place place;
   size_t order;
+  bool *duplicate; /* set when the name was used before */
 };
 
 static int
@@ -52,15 +53,17 @@
     else
       {
         const struct rr_node *n = member_or_self (first->place, key);
+        *items[i].duplicate = true;
         ERROR_AT (errors, items[i].place, key,
                   "duplicate %s \"%s\"; first at %s:%u:%u", kind,
                   items[i].name, first->place.d->file, n->line, n->column);
       }
 }
 
-static void
-check_all_duplicates (const struct rr_located_config *l,
-                      struct rr_config_errors *errors)
+/* Reports and marks all items with a name that an earlier one has.  */
+void
+rr_config_check_duplicates (struct rr_located_config *l,
+                            struct rr_config_errors *errors)
 {
   size_t most
       = l->team_count + l->service_count + l->job_count + l->drain_count + 1;
@@ -68,22 +71,25 @@
   assert (items != NULL);
   size_t n = 0;
   for (size_t i = 0; i < l->team_count; i++, n++)
-    items[n] = (struct named){ l->teams[i].v.name, l->teams[i].place, i };
+    items[n] = (struct named){ l->teams[i].v.name, l->teams[i].place, i,
+                               &l->teams[i].duplicate };
   check_duplicates (items, n, "team", "name", errors);
   n = 0;
   for (size_t i = 0; i < l->service_count; i++)
     if (l->services[i].v.name[0] != '\0')
-      items[n++]
-          = (struct named){ l->services[i].v.name, l->services[i].place, i };
+      items[n++] = (struct named){ l->services[i].v.name, l->services[i].place,
+                                   i, &l->services[i].duplicate };
   check_duplicates (items, n, "service", "name", errors);
   n = 0;
   for (size_t i = 0; i < l->job_count; i++)
     if (l->jobs[i].v.id[0] != '\0')
-      items[n++] = (struct named){ l->jobs[i].v.id, l->jobs[i].place, i };
+      items[n++] = (struct named){ l->jobs[i].v.id, l->jobs[i].place, i,
+                                   &l->jobs[i].duplicate };
   check_duplicates (items, n, "job", "id", errors);
   n = 0;
   for (size_t i = 0; i < l->drain_count; i++, n++)
-    items[n] = (struct named){ l->drains[i].v.vm, l->drains[i].place, i };
+    items[n] = (struct named){ l->drains[i].v.vm, l->drains[i].place, i,
+                               &l->drains[i].duplicate };
   check_duplicates (items, n, "drain", NULL, errors);
   free (items);
 }
@@ -302,21 +308,21 @@
   rr_config_parts_free (&parts);
 }
 
-/* Checks the rules that concern more than one field: duplicates, unknown
-   teams, quotas and limits.  */
+/* Checks the rules that concern more than one field: unknown teams, quotas
+   and limits.  */
 void
 rr_config_check (const struct rr_config *c, const struct rr_located_config *l,
                  struct rr_config_errors *errors)
 {
   assert (l->teams != NULL || l->team_count == 0);
-  check_all_duplicates (l, errors);
   for (size_t i = 0; i < l->team_count; i++)
-    check_team (c, &l->teams[i], errors);
+    if (!l->teams[i].duplicate)
+      check_team (c, &l->teams[i], errors);
   for (size_t i = 0; i < l->service_count; i++)
-    if (l->services[i].valid)
+    if (l->services[i].valid && !l->services[i].duplicate)
       check_service (c, &l->services[i], errors);
   for (size_t i = 0; i < l->job_count; i++)
-    if (l->jobs[i].valid)
+    if (l->jobs[i].valid && !l->jobs[i].duplicate)
       rr_config_check_job (c, &l->jobs[i], errors);
   if (l->job_count > (size_t)c->limits.jobs)
     ERROR_AT (errors, l->jobs[c->limits.jobs].place, NULL,
--- a/rosemaryrail/document.c
+++ b/rosemaryrail/document.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <limits.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -105,6 +106,16 @@
                      "unexpected end of the text; an object, array or string "
                      "is not closed",
                      errors);
+  if (rc == json_tokener_error_parse_unexpected && end < length
+      && text[end] > ' ')
+    {
+      char message[100];
+      snprintf (message, sizeof message,
+                "unexpected \"%c\"; expected a value, a field name in double "
+                "quotes, or the end of the text",
+                text[end]);
+      return error_at (file, text, end, message, errors);
+    }
   if (rc != json_tokener_success)
     return error_at (file, text, end, json_tokener_error_desc (rc), errors);
   return true;
@@ -135,12 +146,13 @@
   return (unsigned)(s->at - s->line_start) + 1;
 }
 
-/* Reports text that json-c accepts and this scan does not.  */
+/* Reports text that json-c accepts and this scan does not, such as strings in
+   single quotes.  */
 static bool
-fail (struct scanner *s)
+fail (struct scanner *s, const char *expected)
 {
   rr_config_errors_add (s->errors, s->d->file, s->line, column_of (s),
-                        "expected a JSON value");
+                        "expected %s", expected);
   return false;
 }
 
@@ -163,12 +175,12 @@
   assert (tok != NULL);
   json_tokener_set_flags (tok, JSON_TOKENER_STRICT);
   *value = json_tokener_parse_ex (tok, copy, (int)(end - start + 1));
-  bool ok
-      = end > start && json_tokener_get_error (tok) == json_tokener_success;
+  bool ok = end > start && peek (s) != '\''
+            && json_tokener_get_error (tok) == json_tokener_success;
   json_tokener_free (tok);
   free (copy);
   if (!ok)
-    return fail (s);
+    return fail (s, "a JSON value; strings stand in double quotes");
   s->at = end;
   return true;
 }
@@ -197,7 +209,7 @@
   key->key_line = s->line;
   key->key_column = column_of (s);
   if (peek (s) != '"' || !read_scalar (s, &text))
-    return fail (s);
+    return fail (s, "a field name in double quotes");
   const char *name = json_object_get_string (text);
   bool whole = strlen (name) == (size_t)json_object_get_string_len (text);
   key->key = strdup (name);
@@ -213,7 +225,7 @@
   if (peek (s) != ':')
     {
       free (key->key);
-      return fail (s);
+      return fail (s, "\":\"");
     }
   s->at++;
   return true;
@@ -258,7 +270,7 @@
       if (c != ',')
         {
           s->at--;
-          return fail (s);
+          return fail (s, close == '}' ? "\",\" or \"}\"" : "\",\" or \"]\"");
         }
     }
 }
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -257,6 +257,23 @@
 }
 END_TEST
 
+/* Guards against an apply that puts a drained VM back into service.  */
+START_TEST (files_without_drains_keep_drains)
+{
+  struct rr_config *in_force = parse_valid (small);
+  struct rr_config *silent = parse_valid ("{}");
+  struct rr_config *none = parse_valid ("{\"drains\":[]}");
+  rr_config_inherit_drains (silent, in_force);
+  rr_config_inherit_drains (none, in_force);
+  ck_assert_uint_eq (silent->drain_count, 2);
+  ck_assert (rr_config_is_drained (silent, "vm-1"));
+  ck_assert_uint_eq (none->drain_count, 0);
+  rr_config_free (in_force);
+  rr_config_free (silent);
+  rr_config_free (none);
+}
+END_TEST
+
 /* Guards against reporting only the first error, and against places that
    comments, escapes or multi-byte characters shift.  */
 START_TEST (all_errors_have_places)
@@ -367,6 +384,7 @@
   tcase_add_test (t, head_survives_its_text_form);
   tcase_add_test (t, malformed_heads_are_rejected);
   tcase_add_test (t, drain_changes_only_the_list);
+  tcase_add_test (t, files_without_drains_keep_drains);
   tcase_add_test (t, all_errors_have_places);
   tcase_add_test (t, job_must_fit_beside_services);
   tcase_add_test (t, submitted_job_is_checked_like_a_configured_one);
