--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -68,6 +68,22 @@
                     struct rr_config_errors *errors);
 void settings_free (struct settings *s);
 
+enum settings_outcome
+{
+  SETTINGS_READ,    /* S is filled; the caller frees it */
+  SETTINGS_DONE,    /* help was printed, or --check found no error */
+  SETTINGS_USAGE,   /* wrong usage, reported */
+  SETTINGS_INVALID, /* the settings have errors, reported */
+};
+
+/* Reads the settings as the command line ARGV of PROGRAM gives them:
+   [--set NAME=VALUE]... [--check] [--help] [FILE].  Errors go to standard
+   error.  S is filled for SETTINGS_READ only.  */
+enum settings_outcome settings_from_arguments (const char *program, int argc,
+                                               char **argv,
+                                               struct settings *s);
+int settings_exit_code (enum settings_outcome outcome);
+
 /* Reads "ADDRESS:PORT" with an IPv4 number and a port from 1 to 65535.  */
 bool settings_parse_peer (const char *text, struct settings_peer *peer);
 
