--- a/rosemaryrail/chart.c
+++ b/rosemaryrail/chart.c
@@ -103,7 +103,7 @@
   if (list == NULL)
     return false;
   size_t n = json_object_array_length (list);
-  *names = calloc (n + 1, sizeof **names);
+  *names = calloc (CHART_MAX_NAMES, sizeof **names);
   for (size_t i = 0; i < n; i++)
     {
       struct json_object *o = json_object_array_get_idx (list, i);
@@ -125,7 +125,7 @@
   struct json_object *list = get_array (c, root, "states", err);
   if (list == NULL)
     return false;
-  c->final = calloc ((size_t)c->state_count, sizeof *c->final);
+  c->final = calloc (CHART_MAX_NAMES, sizeof *c->final);
   for (int i = 0; i < c->state_count; i++)
     {
       struct json_object *o = json_object_array_get_idx (list, (size_t)i);
@@ -177,7 +177,7 @@
                   struct rr_error *err)
 {
   size_t cells = (size_t)c->state_count * (size_t)c->event_count;
-  c->next = calloc (cells, sizeof *c->next);
+  c->next = calloc (cells + 1, sizeof *c->next);
   struct json_object *list = NULL;
   if (!json_object_object_get_ex (root, "transitions", &list)
       || !json_object_is_type (list, json_type_array))
