--- a/include/standins/tool.h
+++ b/include/standins/tool.h
@@ -63,7 +63,17 @@
 FILE *tool_open_log (const char *path, struct rr_error *err);
 void tool_close_timer (uv_timer_t *timer);
 char *tool_read_file (const char *path, size_t *length, struct rr_error *err);
+void *tool_alloc (size_t size);
+void tool_timer (uv_loop_t *loop, uv_timer_t *timer, uv_timer_cb callback,
+                 void *data, int64_t ms);
+struct json_object *tool_member (struct json_object *o, const char *name);
+bool tool_bool_or (struct json_object *o, const char *name, bool fallback);
+void tool_add (struct json_object *o, const char *format, ...);
+struct json_object *tool_object (const char *format, ...);
 struct json_object *tool_body_json (struct http_exchange *x);
+void tool_respond_error (struct http_exchange *x, int status,
+                         enum rr_error_code code, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
 void tool_respond (struct http_exchange *x, int status, struct json_object *o);
 void tool_respond_reason (struct http_exchange *x, int status,
                           const char *reason);
--- a/include/standins/worker.h
+++ b/include/standins/worker.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <sys/queue.h>
 #include <uv.h>
 
 #include "common/http_server.h"
@@ -14,7 +15,8 @@
 {
   WORKER_SHARDS_MAX = 256,
   WORKER_SERVICES_MAX = 16,
-  WORKER_WINDOWS_MAX = 64
+  WORKER_WINDOWS_MAX = 64,
+  LEASE_MAX_MS = 1000 * 1000 * 1000
 };
 
 /* What a task needs, or a worker has.  */
@@ -59,7 +61,7 @@
 
 struct task
 {
-  struct task *next;
+  LIST_ENTRY (task) link;
   char *id;
   int64_t attempt;
   enum task_state state;
@@ -82,7 +84,7 @@
 /* One request being executed.  */
 struct execution
 {
-  struct execution *next;
+  LIST_ENTRY (execution) link;
   struct worker *worker;
   struct http_exchange *exchange;
   uv_timer_t timer;
@@ -127,8 +129,8 @@
   int64_t holder_incarnation;
   int64_t controller_until_ms;
   int64_t shard_epochs[WORKER_SHARDS_MAX];
-  struct task *tasks;
-  struct execution *executions;
+  LIST_HEAD (task_list, task) tasks;
+  LIST_HEAD (execution_list, execution) executions;
   struct capacity used;
   int64_t ended_count;
   int64_t advanced_ms;
@@ -145,7 +147,7 @@
 void worker_log (const struct worker *w, struct json_object *o);
 void worker_refuse (const struct worker *w, const char *call, const char *id,
                     int64_t attempt, const char *reason);
-void capacity_add (struct json_object *o, const struct capacity *c);
+struct json_object *capacity_object (const struct capacity *c);
 double worker_interference (const struct worker *w, const char *class,
                             const struct task *self);
 
--- a/tests/standins/worker.sh
+++ b/tests/standins/worker.sh
@@ -47,6 +47,7 @@
 post /v1/claim '{"daemon":"d0","incarnation":1,"lease_ms":1}'
 sleep 0.01
 post /v1/report '{"epoch":1048577,"lease_ms":60000}'
+post /v1/claim '{"daemon":"d0","incarnation":1,"lease_ms":9000000000000000000}'
 claim d1
 post /v1/claim '{"daemon":"d2","incarnation":1,"lease_ms":60000}'
 post /v1/release '{"epoch":1048577}'
@@ -54,6 +55,8 @@
 claim d1
 echo "epoch grew by $((epoch - old))"
 
+post /v1/report "{\"epoch\":$epoch}"
+
 echo "# capacity"
 start a 1 1000 100 0 600000
 start b 1 1000 100 1 600000
