--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -43,6 +43,7 @@
 daemon_names=()
 declare -A http_port rpc_port daemon_zone worker_port daemon_pid
 index=0
+zone_index=0
 for zone in "${zones[@]}"; do
   for i in 0 1; do
     name=$zone-d$i
@@ -52,35 +53,29 @@
     daemon_zone[$name]=$zone
     index=$((index + 1))
   done
-  worker_port[$zone]=$((base + 100 + 10 * ${#worker_port[@]}))
+  worker_port[$zone]=$((base + 100 + 10 * zone_index))
+  zone_index=$((zone_index + 1))
 done
 
-# Writes the VM list as seen from inside or outside the zone to be cut.  The
-# other side's addresses lead through the relay.
+# Writes the platform's VM list.
 write_vms() {
-  view=$1
-  first=1
-  printf '{"vms":['
+  separator='{"vms":['
   for zone in "${zones[@]}"; do
-    offset=0
-    if [ "$view" = inside ] && [ "$zone" != "$cut_zone" ]; then offset=$relay; fi
-    if [ "$view" = outside ] && [ "$zone" = "$cut_zone" ]; then offset=$relay; fi
     for i in 0 1; do
       name=$zone-d$i
-      [ $first = 1 ] || printf ','
-      first=0
-      printf '{"name":"%s","role":"entry","address":"127.0.0.1","http_port":%d,"rpc_port":%d,"zone":"%s","rack":"%s-e","incarnation":1,"state":"live"}' \
-        "$name" "${http_port[$name]}" $((rpc_port[$name] + offset)) "$zone" "$zone"
+      printf '%s{"name":"%s","role":"entry","address":"127.0.0.1","http_port":%d,"rpc_port":%d,"zone":"%s","rack":"%s-e","incarnation":1,"state":"live"}\n' \
+        "$separator" "$name" "${http_port[$name]}" "${rpc_port[$name]}" \
+        "$zone" "$zone"
+      separator=,
     done
     for ((i = 0; i < workers; i++)); do
-      printf ',{"name":"%s-w%d","role":"worker","address":"127.0.0.1","http_port":%d,"rpc_port":0,"zone":"%s","rack":"%s-r0","incarnation":1,"state":"live"}' \
-        "$zone" "$i" $((worker_port[$zone] + i + offset)) "$zone" "$zone"
+      printf ',{"name":"%s-w%d","role":"worker","address":"127.0.0.1","http_port":%d,"rpc_port":0,"zone":"%s","rack":"%s-r0","incarnation":1,"state":"live"}\n' \
+        "$zone" "$i" $((worker_port[$zone] + i)) "$zone" "$zone"
     done
   done
   printf ']}\n'
 }
-write_vms outside >"$run/vms-outside.json"
-write_vms inside >"$run/vms-inside.json"
+write_vms >"$run/vms.json"
 
 pairs=(--pair="cut:127.0.0.1:$((platform_port + relay))=127.0.0.1:$((platform_port + 2))")
 for name in "${daemon_names[@]}"; do
@@ -102,8 +97,8 @@
 }
 
 start platform "$build/standins/rr-platform" --port=$platform_port \
-  --vms="$run/vms-outside.json" --inside-port=$((platform_port + 2)) \
-  --inside-vms="$run/vms-inside.json"
+  --vms="$run/vms.json" --behind-zone="$cut_zone" --relay-offset=$relay \
+  --inside-port=$((platform_port + 2))
 start relay "$build/standins/rr-relay" --control-port=$control_port "${pairs[@]}"
 for zone in "${zones[@]}"; do
   start "workers-$zone" "$build/standins/rr-worker" \
--- a/standins/rr-platform.c
+++ b/standins/rr-platform.c
@@ -31,6 +31,7 @@
 {
   uv_timer_t timer;
   enum call_kind kind;
+  bool inside;
   struct http_exchange *exchange;
   struct json_object *body;
 };
@@ -46,6 +47,9 @@
 {
   struct json_object *vms;
   const char *vms_path;
+  const char *behind_zone; /* reached through a relay; null: none */
+  int64_t relay_offset;    /* of the relay's ports */
+  bool inside;             /* the call in hand came from that zone */
   int64_t vms_lag_ms;
   bool down;
   bool unavailable;
@@ -55,6 +59,38 @@
   int64_t bytes_in;
 } platform;
 
+static void
+shift_port (struct json_object *vm, const char *field)
+{
+  int64_t port = json_int_or (vm, field, 0);
+  if (port > 0)
+    json_add_int (vm, field, port + platform.relay_offset);
+}
+
+/* Returns the VM list with the addresses that lead from one side of the relay
+   to the other.  */
+static struct json_object *
+vms_as_seen (bool inside)
+{
+  struct json_object *list = NULL;
+  if (platform.behind_zone == NULL)
+    return json_object_get (platform.vms);
+  json_object_deep_copy (platform.vms, &list, NULL);
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      struct json_object *vm = json_object_array_get_idx (list, i);
+      bool behind
+          = strcmp (json_string_or (vm, "zone", ""), platform.behind_zone)
+            == 0;
+      if (behind == inside)
+        continue;
+      shift_port (vm, "rpc_port");
+      if (strcmp (json_string_or (vm, "role", ""), "entry") != 0)
+        shift_port (vm, "http_port");
+    }
+  return list;
+}
+
 /* Runs one call of the platform's protocol; BODY may be null.  */
 static void
 serve_call (enum call_kind kind, struct http_exchange *x,
@@ -84,7 +120,7 @@
     case CALL_VMS:
     case CALL_KINDS:
       tool_respond (x, 200,
-                    tool_object ("vms:o", json_object_get (platform.vms)));
+                    tool_object ("vms:o", vms_as_seen (platform.inside)));
     }
   free (path);
   json_object_put (body);
@@ -109,6 +145,7 @@
 on_delay_over (uv_timer_t *timer)
 {
   struct delayed_call *d = timer->data;
+  platform.inside = d->inside;
   if (fail_in_outage (d->exchange))
     json_object_put (d->body);
   else
@@ -184,7 +221,7 @@
 static void
 on_request (void *data, struct http_exchange *x)
 {
-  (void)data;
+  platform.inside = data != NULL;
   const char *path = http_exchange_path (x);
   bool post = strcmp (http_exchange_method (x), "POST") == 0;
   enum call_kind kind = call_classify (x);
@@ -224,6 +261,7 @@
      by then, as with a slow store.  */
   struct delayed_call *d = tool_alloc (sizeof *d);
   d->kind = kind;
+  d->inside = platform.inside;
   d->exchange = x;
   d->body = body;
   tool_timer (&store.loop, &d->timer, on_delay_over, d, platform.delay_ms);
@@ -292,17 +330,22 @@
     TEXT_FLAG ("vms", "JSON file with the list of VMs, re-read on change",
                NULL),
     INT_FLAG ("vms-lag-ms", "delay until a change of the list shows", 0),
+    TEXT_FLAG ("behind-zone", "zone reached through rr-relay", NULL),
+    INT_FLAG ("relay-offset", "added to a port for the relay's", 500),
+    INT_FLAG ("inside-port", "second port, for that zone (0: none)", 0),
   };
   int code;
   if (!tool_start (argc, argv, "rr-platform",
                    "Key-value store and VM list of the platform, for tests.",
-                   flags, 3, &store.loop, &code))
+                   flags, 6, &store.loop, &code))
     return code;
   struct rr_error err = { 0 };
   store.keys = json_object_new_object ();
   store.deleted = json_object_new_object ();
   platform.vms_path = flags[1].text;
   platform.vms_lag_ms = flags[2].number;
+  platform.behind_zone = flags[3].text;
+  platform.relay_offset = flags[4].number;
   platform.vms
       = platform.vms_path == NULL ? json_object_new_array () : read_vms (&err);
   if (platform.vms == NULL)
@@ -312,7 +355,11 @@
   if (platform.vms_path != NULL)
     uv_fs_poll_start (&poll, on_vms_changed, platform.vms_path, VMS_POLL_MS);
   if (tool_listen (&store.loop, flags[0].number, on_request, NULL, &err)
-      == NULL)
+          == NULL
+      || (flags[5].number > 0
+          && tool_listen (&store.loop, flags[5].number, on_request, &platform,
+                          &err)
+                 == NULL))
     return tool_fail ("rr-platform", &err);
   uv_run (&store.loop, UV_RUN_DEFAULT);
   return EXIT_SUCCESS;
