--- a/common/log.c
+++ b/common/log.c
@@ -1,7 +1,6 @@
 #include "common/log.h"
 
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -54,6 +53,17 @@
 static const log4c_layout_type_t layout_type
     = { .name = "rosemaryrail", .format = format_line };
 
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fputs (event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+/* log4c's own stream appenders put the appender's name before each line.  */
+static const log4c_appender_type_t appender_type
+    = { .name = "rosemaryrail", .append = append_line };
+
 /* Sends log lines of PROGRAM at LEVEL and above to standard error.  */
 void
 log_open (const char *program, enum log_level level)
@@ -62,10 +72,9 @@
   log4c_layout_type_set (&layout_type);
   log4c_layout_t *layout = log4c_layout_get ("rosemaryrail");
   log4c_layout_set_type (layout, &layout_type);
-  /* The plain stream appender puts its own name before each line.  */
+  log4c_appender_type_set (&appender_type);
   log4c_appender_t *appender = log4c_appender_get ("rosemaryrail");
-  log4c_appender_set_type (appender, log4c_appender_type_get ("stream2"));
-  log4c_stream2_set_fp (appender, stderr);
+  log4c_appender_set_type (appender, &appender_type);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get (program);
   log4c_category_set_appender (category, appender);
--- a/rosemaryraild/shards.c
+++ b/rosemaryraild/shards.c
@@ -15,6 +15,10 @@
   /* A daemon that has just started hears its peers before it takes a shard
      that one of them owns.  */
   ELECTION_MS = 1500,
+  /* A live owner that lost the platform keeps its shard for this long: after
+     an outage all daemons reach the platform again within a few seconds, and
+     shards should not move meanwhile.  */
+  ELECTION_FROM_LIVE_MS = 6000,
   RETENTION_MS = 24 * 3600 * 1000,
   FINISHED_JOBS_MAX = 400,
   EXPIRED_BATCH = 16
@@ -216,25 +220,28 @@
   return true;
 }
 
-/* Finds a live peer that claims SHARD and reaches the platform.  */
+/* Finds a live peer that claims SHARD, and whether it has lost the
+   platform.  */
 static bool
-claimed_by_peer (struct shards *ss, uint32_t shard, char *name, size_t size)
+claimed_by_peer (struct shards *ss, uint32_t shard, char *name, size_t size,
+                 bool *store_lost)
 {
   struct rr_membership *m = peers_membership (ss->d->peers);
   struct rr_time now = daemon_now ();
+  bool found = false;
   for (size_t i = 0; i < rr_membership_count (m); i++)
     {
       const struct rr_member *member = rr_membership_at (m, now, i);
       if (rr_membership_is_self (m, member) || !member->alive
           || (member->shards & 1u << shard) == 0)
         continue;
-      const peer_heartbeat *h = peers_load (ss->d->peers, member->info.name);
-      if (h == NULL || !h->platform_reachable)
-        continue;
       snprintf (name, size, "%s", member->info.name);
-      return true;
+      *store_lost = member->store_lost;
+      found = true;
+      if (!member->store_lost)
+        break;
     }
-  return false;
+  return found;
 }
 
 static void
@@ -264,8 +271,12 @@
     }
   if (s->elected_since.ms == 0)
     s->elected_since = now;
-  if (rr_time_diff (now, s->elected_since) < ELECTION_MS
-      || claimed_by_peer (ss, s->number, claimant, sizeof claimant))
+  bool store_lost = false;
+  bool claimed = claimed_by_peer (ss, s->number, claimant, sizeof claimant,
+                                  &store_lost);
+  int64_t wait_ms = claimed ? ELECTION_FROM_LIVE_MS : ELECTION_MS;
+  if ((claimed && !store_lost)
+      || rr_time_diff (now, s->elected_since) < wait_ms)
     return;
   s->elected_since = now;
   rr_shard_log_take_over (s->log, now, daemon_wall_ms (), &err);
@@ -432,7 +443,8 @@
       snprintf (name, size, "%s", ss->d->settings.name);
       return true;
     }
-  return claimed_by_peer (ss, shard, name, size);
+  bool store_lost;
+  return claimed_by_peer (ss, shard, name, size, &store_lost);
 }
 
 static const char *
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,6 @@
   *) echo "unknown deployment: $deployment" >&2; exit 2 ;;
 esac
 workers=4
-[ "$deployment" = kamnik ] && workers=3
 cut_zone=${zones[-1]}
 
 # Ports: base + 1 platform, + 10.. HTTP, + 30.. RPC, + 100.. workers; the relay
@@ -28,7 +27,6 @@
     kill -CONT "$pid" 2>/dev/null
     kill "$pid" 2>/dev/null
   done
-  wait 2>/dev/null
 }
 trap cleanup EXIT
 
@@ -37,6 +35,7 @@
   shift
   "$@" >>"$run/$log.log" 2>&1 &
   last=$!
+  disown "$last"
   pids+=("$last")
 }
 
@@ -132,7 +131,7 @@
 # cut off, and the platform is down for 10 s.
 service=dossier-check
 team=archive
-[ "$deployment" = kamnik ] && service=furrow-check && team=balance
+[ "$deployment" = kamnik ] && service=furrow-check && team=planning
 daemons=()
 for name in "${daemon_names[@]}"; do
   daemons+=(--daemon=127.0.0.1:${http_port[$name]})
@@ -144,7 +143,7 @@
   --job-interval-ms=1500 --log="$run/callers.jsonl"
 load_pid=$last
 control() { curl -fs -X POST -d "$2" "http://127.0.0.1:$1" >/dev/null; }
-say() { printf '%5.1f s  %s\n' "$(echo "$SECONDS" | bc 2>/dev/null || echo $SECONDS)" "$1"; }
+say() { printf '%3d s  %s\n' "$SECONDS" "$1"; }
 sleep 3
 victim=${daemon_names[1]}
 kill -9 "${daemon_pid[$victim]}"; say "killed $victim"
@@ -161,12 +160,14 @@
 control "$platform_port/faults" '{"down":true}'; say "platform down"
 sleep 10
 control "$platform_port/faults" '{"down":false}'; say "platform up"
-wait $load_pid
+while kill -0 "$load_pid" 2>/dev/null; do sleep 0.1; done
 tail -n 12 "$run/load.log"
 for _ in $(seq 1 80); do
-  open=$("$ctl" jobs --daemon "$first" --format json 2>/dev/null \
-    | grep -o '"kind":"batch","state":"open"' | wc -l)
-  [ "$open" = 0 ] && break
+  "$ctl" jobs --daemon "$first" --format json >"$run/jobs.json" 2>/dev/null
+  grep -q '"stale": *\[ *\]' "$run/jobs.json" \
+    && [ "$(tr -d ' \n' <"$run/jobs.json" \
+      | grep -o ':load-j[0-9]*"[^}]*"state":"succeeded"' | wc -l)" = 8 ] \
+    && break
   sleep 0.25
 done
 "$ctl" jobs --daemon "$first"
--- a/standins/rr-load.c
+++ b/standins/rr-load.c
@@ -252,6 +252,11 @@
      accepted.  */
   bool accepted = r->status / 100 == 2 || (r->status == 409 && s->unresolved);
   struct json_object *o = sending_line (s, r);
+  /* Workers know the job under the id that the daemon gave it.  */
+  struct rr_error err = { 0 };
+  struct json_object *answer = json_parse (r->body, r->body_length, &err);
+  json_add_string (o, "id", json_string_or (answer, "id", s->id));
+  json_object_put (answer);
   tool_add (o, "tasks:d accepted:b", flags[FLAG_TASKS].number, accepted);
   tool_write_line (load.log, o);
   load.jobs_accepted += accepted;
