--- a/include/common/peer.h
+++ b/include/common/peer.h
@@ -8,9 +8,9 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
 #define PEER_NAME_MAX 64
@@ -19,416 +19,462 @@
 #define PEER_BODY_MAX 1000000
 #define PEER_LIST_MAX 4096
 
-enum peer_outcome {
-	PEER_ANSWERED = 0,
-	PEER_NOT_RUN = 1,
-	PEER_UNKNOWN = 2,
-};
-typedef enum peer_outcome peer_outcome;
-
-struct peer_leaving {
-	char *vm;
-	u_quad_t incarnation;
-	u_int source;
-	u_quad_t generation;
-};
-typedef struct peer_leaving peer_leaving;
-
-struct peer_service {
-	char *name;
-	u_int instances;
-	u_int free_connections;
-	u_int latency_us;
-};
-typedef struct peer_service peer_service;
-
-struct peer_shard {
-	u_int shard;
-	u_quad_t epoch;
-};
-typedef struct peer_shard peer_shard;
-
-struct peer_heartbeat {
-	char *name;
-	u_quad_t incarnation;
-	char *zone;
-	u_quad_t generation;
-	char *digest;
-	bool_t stopping;
-	bool_t platform_reachable;
-	u_int workers;
-	u_int free_slots;
-	u_int free_cores_milli;
-	u_quad_t free_memory_mb;
-	u_int free_accelerators;
-	struct {
-		u_int leaving_len;
-		peer_leaving *leaving_val;
-	} leaving;
-	struct {
-		u_int services_len;
-		peer_service *services_val;
-	} services;
-	struct {
-		u_int shards_len;
-		peer_shard *shards_val;
-	} shards;
-};
-typedef struct peer_heartbeat peer_heartbeat;
-
-struct peer_text {
-	struct {
-		u_int text_len;
-		char *text_val;
-	} text;
-};
-typedef struct peer_text peer_text;
-
-struct peer_config_head {
-	char *from;
-	struct {
-		u_int text_len;
-		char *text_val;
-	} text;
-};
-typedef struct peer_config_head peer_config_head;
-
-struct peer_forward_args {
-	char *id;
-	char *service;
-	char *team;
-	u_int timeout_ms;
-	u_int attempt;
-	bool_t repeatable;
-	struct {
-		u_int body_len;
-		char *body_val;
-	} body;
-};
-typedef struct peer_forward_args peer_forward_args;
-
-struct peer_forward_result {
-	peer_outcome outcome;
-	int status;
-	char *reason;
-	char *content_type;
-	struct {
-		u_int body_len;
-		char *body_val;
-	} body;
-};
-typedef struct peer_forward_result peer_forward_result;
-
-struct peer_grant_args {
-	char *id;
-	char *service;
-	char *holder;
-	u_quad_t holder_incarnation;
-	u_quad_t ask;
-	u_int timeout_ms;
-};
-typedef struct peer_grant_args peer_grant_args;
-
-enum peer_grant_verdict {
-	PEER_GRANT_GO = 0,
-	PEER_GRANT_RECORDED = 1,
-	PEER_GRANT_PENDING = 2,
-	PEER_GRANT_REFUSED = 3,
-	PEER_GRANT_UNKNOWN = 4,
-	PEER_GRANT_NOT_OWNER = 5,
-};
-typedef enum peer_grant_verdict peer_grant_verdict;
-
-struct peer_grant_result {
-	peer_grant_verdict verdict;
-	peer_outcome outcome;
-	int status;
-	char *reason;
-	char *content_type;
-	struct {
-		u_int body_len;
-		char *body_val;
-	} body;
-};
-typedef struct peer_grant_result peer_grant_result;
-
-struct peer_result_args {
-	char *id;
-	u_quad_t holder_incarnation;
-	u_quad_t ask;
-	peer_outcome outcome;
-	int status;
-	char *content_type;
-	bool_t body_kept;
-	struct {
-		u_int body_len;
-		char *body_val;
-	} body;
-};
-typedef struct peer_result_args peer_result_args;
-
-struct peer_status {
-	int code;
-	char *message;
-};
-typedef struct peer_status peer_status;
-
-struct peer_task {
-	char *task;
-	u_int attempt;
-	u_int shard;
-	u_quad_t shard_epoch;
-	char *kind;
-	char *service;
-	char *task_class;
-	char *team;
-	u_int cores_milli;
-	u_int memory_mb;
-	u_int accelerators;
-	u_quad_t work_ms;
-	char *checkpoint;
-	bool_t urgent;
-};
-typedef struct peer_task peer_task;
-
-struct peer_reserve_result {
-	int code;
-	char *message;
-	char *worker;
-	u_quad_t incarnation;
-	u_quad_t controller_epoch;
-	quad_t worker_now_ms;
-	struct {
-		u_int filters_len;
-		char *filters_val;
-	} filters;
-};
-typedef struct peer_reserve_result peer_reserve_result;
-
-struct peer_start_args {
-	peer_task task;
-	char *worker;
-	u_quad_t incarnation;
-	quad_t void_after_ms;
-	quad_t granted_until_ms;
-};
-typedef struct peer_start_args peer_start_args;
-
-struct peer_start_result {
-	peer_outcome outcome;
-	char *reason;
-};
-typedef struct peer_start_result peer_start_result;
-
-struct peer_attempt_args {
-	char *task;
-	u_int attempt;
-	u_int shard;
-	u_quad_t shard_epoch;
-	char *worker;
-	u_quad_t incarnation;
-	bool_t checkpoint;
-};
-typedef struct peer_attempt_args peer_attempt_args;
-
-enum peer_attempt_state {
-	PEER_ATTEMPT_RUNNING = 0,
-	PEER_ATTEMPT_ENDED = 1,
-	PEER_ATTEMPT_NEVER = 2,
-	PEER_ATTEMPT_UNREACHABLE = 3,
-	PEER_ATTEMPT_NOT_OWNER = 4,
-	PEER_ATTEMPT_LEASE_EXPIRED = 5,
-};
-typedef enum peer_attempt_state peer_attempt_state;
-
-struct peer_attempt_result {
-	peer_attempt_state state;
-	quad_t worker_now_ms;
-	char *result;
-	char *checkpoint;
-};
-typedef struct peer_attempt_result peer_attempt_result;
-
-struct peer_ended_args {
-	char *task;
-	char *team;
-	u_int attempt;
-	u_int shard;
-	char *result;
-	char *checkpoint;
-};
-typedef struct peer_ended_args peer_ended_args;
-
-struct peer_grant_extend_args {
-	char *task;
-	u_int attempt;
-	u_int shard;
-	u_quad_t shard_epoch;
-	char *worker;
-	quad_t granted_until_ms;
-};
-typedef struct peer_grant_extend_args peer_grant_extend_args;
-
-struct peer_job_args {
-	char *team;
-	char *id;
-	char *detail;
-	struct {
-		u_int text_len;
-		char *text_val;
-	} text;
-};
-typedef struct peer_job_args peer_job_args;
-
-struct peer_job_result {
-	int http_status;
-	struct {
-		u_int text_len;
-		char *text_val;
-	} text;
-};
-typedef struct peer_job_result peer_job_result;
+  enum peer_outcome
+  {
+    PEER_ANSWERED = 0,
+    PEER_NOT_RUN = 1,
+    PEER_UNKNOWN = 2,
+  };
+  typedef enum peer_outcome peer_outcome;
+
+  struct peer_leaving
+  {
+    char *vm;
+    u_quad_t incarnation;
+    u_int source;
+    u_quad_t generation;
+  };
+  typedef struct peer_leaving peer_leaving;
+
+  struct peer_service
+  {
+    char *name;
+    u_int instances;
+    u_int free_connections;
+    u_int latency_us;
+  };
+  typedef struct peer_service peer_service;
+
+  struct peer_shard
+  {
+    u_int shard;
+    u_quad_t epoch;
+  };
+  typedef struct peer_shard peer_shard;
+
+  struct peer_heartbeat
+  {
+    char *name;
+    u_quad_t incarnation;
+    char *zone;
+    u_quad_t generation;
+    char *digest;
+    bool_t stopping;
+    bool_t platform_reachable;
+    u_int workers;
+    u_int free_slots;
+    u_int free_cores_milli;
+    u_quad_t free_memory_mb;
+    u_int free_accelerators;
+    struct
+    {
+      u_int leaving_len;
+      peer_leaving *leaving_val;
+    } leaving;
+    struct
+    {
+      u_int services_len;
+      peer_service *services_val;
+    } services;
+    struct
+    {
+      u_int shards_len;
+      peer_shard *shards_val;
+    } shards;
+  };
+  typedef struct peer_heartbeat peer_heartbeat;
+
+  struct peer_text
+  {
+    struct
+    {
+      u_int text_len;
+      char *text_val;
+    } text;
+  };
+  typedef struct peer_text peer_text;
+
+  struct peer_config_head
+  {
+    char *from;
+    struct
+    {
+      u_int text_len;
+      char *text_val;
+    } text;
+  };
+  typedef struct peer_config_head peer_config_head;
+
+  struct peer_forward_args
+  {
+    char *id;
+    char *service;
+    char *team;
+    u_int timeout_ms;
+    u_int attempt;
+    bool_t repeatable;
+    struct
+    {
+      u_int body_len;
+      char *body_val;
+    } body;
+  };
+  typedef struct peer_forward_args peer_forward_args;
+
+  struct peer_forward_result
+  {
+    peer_outcome outcome;
+    int status;
+    char *reason;
+    char *content_type;
+    struct
+    {
+      u_int body_len;
+      char *body_val;
+    } body;
+  };
+  typedef struct peer_forward_result peer_forward_result;
+
+  struct peer_grant_args
+  {
+    char *id;
+    char *service;
+    char *holder;
+    u_quad_t holder_incarnation;
+    u_quad_t ask;
+    u_int timeout_ms;
+  };
+  typedef struct peer_grant_args peer_grant_args;
+
+  enum peer_grant_verdict
+  {
+    PEER_GRANT_GO = 0,
+    PEER_GRANT_RECORDED = 1,
+    PEER_GRANT_PENDING = 2,
+    PEER_GRANT_REFUSED = 3,
+    PEER_GRANT_UNKNOWN = 4,
+    PEER_GRANT_NOT_OWNER = 5,
+  };
+  typedef enum peer_grant_verdict peer_grant_verdict;
+
+  struct peer_grant_result
+  {
+    peer_grant_verdict verdict;
+    peer_outcome outcome;
+    int status;
+    char *reason;
+    char *content_type;
+    struct
+    {
+      u_int body_len;
+      char *body_val;
+    } body;
+  };
+  typedef struct peer_grant_result peer_grant_result;
+
+  struct peer_result_args
+  {
+    char *id;
+    u_quad_t holder_incarnation;
+    u_quad_t ask;
+    peer_outcome outcome;
+    int status;
+    char *content_type;
+    bool_t body_kept;
+    struct
+    {
+      u_int body_len;
+      char *body_val;
+    } body;
+  };
+  typedef struct peer_result_args peer_result_args;
+
+  struct peer_status
+  {
+    int code;
+    char *message;
+  };
+  typedef struct peer_status peer_status;
+
+  struct peer_task
+  {
+    char *task;
+    u_int attempt;
+    u_int shard;
+    u_quad_t shard_epoch;
+    char *kind;
+    char *service;
+    char *task_class;
+    char *team;
+    u_int cores_milli;
+    u_int memory_mb;
+    u_int accelerators;
+    u_quad_t work_ms;
+    char *checkpoint;
+    bool_t urgent;
+  };
+  typedef struct peer_task peer_task;
+
+  struct peer_reserve_result
+  {
+    int code;
+    char *message;
+    char *worker;
+    u_quad_t incarnation;
+    u_quad_t controller_epoch;
+    quad_t worker_now_ms;
+    struct
+    {
+      u_int filters_len;
+      char *filters_val;
+    } filters;
+  };
+  typedef struct peer_reserve_result peer_reserve_result;
+
+  struct peer_start_args
+  {
+    peer_task task;
+    char *worker;
+    u_quad_t incarnation;
+    quad_t void_after_ms;
+    quad_t granted_until_ms;
+  };
+  typedef struct peer_start_args peer_start_args;
+
+  struct peer_start_result
+  {
+    peer_outcome outcome;
+    char *reason;
+  };
+  typedef struct peer_start_result peer_start_result;
+
+  struct peer_attempt_args
+  {
+    char *task;
+    u_int attempt;
+    u_int shard;
+    u_quad_t shard_epoch;
+    char *worker;
+    u_quad_t incarnation;
+    bool_t checkpoint;
+  };
+  typedef struct peer_attempt_args peer_attempt_args;
+
+  enum peer_attempt_state
+  {
+    PEER_ATTEMPT_RUNNING = 0,
+    PEER_ATTEMPT_ENDED = 1,
+    PEER_ATTEMPT_NEVER = 2,
+    PEER_ATTEMPT_UNREACHABLE = 3,
+    PEER_ATTEMPT_NOT_OWNER = 4,
+    PEER_ATTEMPT_LEASE_EXPIRED = 5,
+  };
+  typedef enum peer_attempt_state peer_attempt_state;
+
+  struct peer_attempt_result
+  {
+    peer_attempt_state state;
+    quad_t worker_now_ms;
+    char *result;
+    char *checkpoint;
+  };
+  typedef struct peer_attempt_result peer_attempt_result;
+
+  struct peer_ended_args
+  {
+    char *task;
+    char *team;
+    u_int attempt;
+    u_int shard;
+    char *result;
+    char *checkpoint;
+  };
+  typedef struct peer_ended_args peer_ended_args;
+
+  struct peer_grant_extend_args
+  {
+    char *task;
+    u_int attempt;
+    u_int shard;
+    u_quad_t shard_epoch;
+    char *worker;
+    quad_t granted_until_ms;
+  };
+  typedef struct peer_grant_extend_args peer_grant_extend_args;
+
+  struct peer_job_args
+  {
+    char *team;
+    char *id;
+    char *detail;
+    struct
+    {
+      u_int text_len;
+      char *text_val;
+    } text;
+  };
+  typedef struct peer_job_args peer_job_args;
+
+  struct peer_job_result
+  {
+    int http_status;
+    struct
+    {
+      u_int text_len;
+      char *text_val;
+    } text;
+  };
+  typedef struct peer_job_result peer_job_result;
 
 #define ROSEMARYRAIL_PEER 0x20a1f00d
 #define ROSEMARYRAIL_PEER_V1 1
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define HEARTBEAT 1
-extern  peer_heartbeat * heartbeat_1(peer_heartbeat , CLIENT *);
-extern  peer_heartbeat * heartbeat_1_svc(peer_heartbeat , struct svc_req *);
+  extern peer_heartbeat *heartbeat_1 (peer_heartbeat, CLIENT *);
+  extern peer_heartbeat *heartbeat_1_svc (peer_heartbeat, struct svc_req *);
 #define CONFIG_HEAD 2
-extern  peer_config_head * config_head_1(peer_config_head , CLIENT *);
-extern  peer_config_head * config_head_1_svc(peer_config_head , struct svc_req *);
+  extern peer_config_head *config_head_1 (peer_config_head, CLIENT *);
+  extern peer_config_head *config_head_1_svc (peer_config_head,
+                                              struct svc_req *);
 #define CONFIG_PART 3
-extern  peer_text * config_part_1(peer_text , CLIENT *);
-extern  peer_text * config_part_1_svc(peer_text , struct svc_req *);
+  extern peer_text *config_part_1 (peer_text, CLIENT *);
+  extern peer_text *config_part_1_svc (peer_text, struct svc_req *);
 #define VM_LIST 4
-extern  peer_text * vm_list_1(CLIENT *);
-extern  peer_text * vm_list_1_svc(struct svc_req *);
+  extern peer_text *vm_list_1 (CLIENT *);
+  extern peer_text *vm_list_1_svc (struct svc_req *);
 #define REQUEST_FORWARD 5
-extern  peer_forward_result * request_forward_1(peer_forward_args , CLIENT *);
-extern  peer_forward_result * request_forward_1_svc(peer_forward_args , struct svc_req *);
+  extern peer_forward_result *request_forward_1 (peer_forward_args, CLIENT *);
+  extern peer_forward_result *request_forward_1_svc (peer_forward_args,
+                                                     struct svc_req *);
 #define REQUEST_GRANT 6
-extern  peer_grant_result * request_grant_1(peer_grant_args , CLIENT *);
-extern  peer_grant_result * request_grant_1_svc(peer_grant_args , struct svc_req *);
+  extern peer_grant_result *request_grant_1 (peer_grant_args, CLIENT *);
+  extern peer_grant_result *request_grant_1_svc (peer_grant_args,
+                                                 struct svc_req *);
 #define REQUEST_RESULT 7
-extern  peer_status * request_result_1(peer_result_args , CLIENT *);
-extern  peer_status * request_result_1_svc(peer_result_args , struct svc_req *);
+  extern peer_status *request_result_1 (peer_result_args, CLIENT *);
+  extern peer_status *request_result_1_svc (peer_result_args,
+                                            struct svc_req *);
 #define JOB_SUBMIT 8
-extern  peer_job_result * job_submit_1(peer_job_args , CLIENT *);
-extern  peer_job_result * job_submit_1_svc(peer_job_args , struct svc_req *);
+  extern peer_job_result *job_submit_1 (peer_job_args, CLIENT *);
+  extern peer_job_result *job_submit_1_svc (peer_job_args, struct svc_req *);
 #define JOB_QUERY 9
-extern  peer_job_result * job_query_1(peer_job_args , CLIENT *);
-extern  peer_job_result * job_query_1_svc(peer_job_args , struct svc_req *);
+  extern peer_job_result *job_query_1 (peer_job_args, CLIENT *);
+  extern peer_job_result *job_query_1_svc (peer_job_args, struct svc_req *);
 #define JOB_CANCEL 10
-extern  peer_job_result * job_cancel_1(peer_job_args , CLIENT *);
-extern  peer_job_result * job_cancel_1_svc(peer_job_args , struct svc_req *);
+  extern peer_job_result *job_cancel_1 (peer_job_args, CLIENT *);
+  extern peer_job_result *job_cancel_1_svc (peer_job_args, struct svc_req *);
 #define TASK_RESERVE 11
-extern  peer_reserve_result * task_reserve_1(peer_task , CLIENT *);
-extern  peer_reserve_result * task_reserve_1_svc(peer_task , struct svc_req *);
+  extern peer_reserve_result *task_reserve_1 (peer_task, CLIENT *);
+  extern peer_reserve_result *task_reserve_1_svc (peer_task, struct svc_req *);
 #define TASK_START 12
-extern  peer_start_result * task_start_1(peer_start_args , CLIENT *);
-extern  peer_start_result * task_start_1_svc(peer_start_args , struct svc_req *);
+  extern peer_start_result *task_start_1 (peer_start_args, CLIENT *);
+  extern peer_start_result *task_start_1_svc (peer_start_args,
+                                              struct svc_req *);
 #define TASK_SEAL 13
-extern  peer_attempt_result * task_seal_1(peer_attempt_args , CLIENT *);
-extern  peer_attempt_result * task_seal_1_svc(peer_attempt_args , struct svc_req *);
+  extern peer_attempt_result *task_seal_1 (peer_attempt_args, CLIENT *);
+  extern peer_attempt_result *task_seal_1_svc (peer_attempt_args,
+                                               struct svc_req *);
 #define TASK_STOP 14
-extern  peer_attempt_result * task_stop_1(peer_attempt_args , CLIENT *);
-extern  peer_attempt_result * task_stop_1_svc(peer_attempt_args , struct svc_req *);
+  extern peer_attempt_result *task_stop_1 (peer_attempt_args, CLIENT *);
+  extern peer_attempt_result *task_stop_1_svc (peer_attempt_args,
+                                               struct svc_req *);
 #define TASK_ENDED 15
-extern  peer_status * task_ended_1(peer_ended_args , CLIENT *);
-extern  peer_status * task_ended_1_svc(peer_ended_args , struct svc_req *);
+  extern peer_status *task_ended_1 (peer_ended_args, CLIENT *);
+  extern peer_status *task_ended_1_svc (peer_ended_args, struct svc_req *);
 #define GRANT_EXTEND 16
-extern  peer_status * grant_extend_1(peer_grant_extend_args , CLIENT *);
-extern  peer_status * grant_extend_1_svc(peer_grant_extend_args , struct svc_req *);
+  extern peer_status *grant_extend_1 (peer_grant_extend_args, CLIENT *);
+  extern peer_status *grant_extend_1_svc (peer_grant_extend_args,
+                                          struct svc_req *);
 #define LEASE_ABANDON 17
-extern  peer_attempt_result * lease_abandon_1(peer_attempt_args , CLIENT *);
-extern  peer_attempt_result * lease_abandon_1_svc(peer_attempt_args , struct svc_req *);
-extern int rosemaryrail_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+  extern peer_attempt_result *lease_abandon_1 (peer_attempt_args, CLIENT *);
+  extern peer_attempt_result *lease_abandon_1_svc (peer_attempt_args,
+                                                   struct svc_req *);
+  extern int rosemaryrail_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define HEARTBEAT 1
-extern  peer_heartbeat * heartbeat_1();
-extern  peer_heartbeat * heartbeat_1_svc();
+extern peer_heartbeat *heartbeat_1 ();
+extern peer_heartbeat *heartbeat_1_svc ();
 #define CONFIG_HEAD 2
-extern  peer_config_head * config_head_1();
-extern  peer_config_head * config_head_1_svc();
+extern peer_config_head *config_head_1 ();
+extern peer_config_head *config_head_1_svc ();
 #define CONFIG_PART 3
-extern  peer_text * config_part_1();
-extern  peer_text * config_part_1_svc();
+extern peer_text *config_part_1 ();
+extern peer_text *config_part_1_svc ();
 #define VM_LIST 4
-extern  peer_text * vm_list_1();
-extern  peer_text * vm_list_1_svc();
+extern peer_text *vm_list_1 ();
+extern peer_text *vm_list_1_svc ();
 #define REQUEST_FORWARD 5
-extern  peer_forward_result * request_forward_1();
-extern  peer_forward_result * request_forward_1_svc();
+extern peer_forward_result *request_forward_1 ();
+extern peer_forward_result *request_forward_1_svc ();
 #define REQUEST_GRANT 6
-extern  peer_grant_result * request_grant_1();
-extern  peer_grant_result * request_grant_1_svc();
+extern peer_grant_result *request_grant_1 ();
+extern peer_grant_result *request_grant_1_svc ();
 #define REQUEST_RESULT 7
-extern  peer_status * request_result_1();
-extern  peer_status * request_result_1_svc();
+extern peer_status *request_result_1 ();
+extern peer_status *request_result_1_svc ();
 #define JOB_SUBMIT 8
-extern  peer_job_result * job_submit_1();
-extern  peer_job_result * job_submit_1_svc();
+extern peer_job_result *job_submit_1 ();
+extern peer_job_result *job_submit_1_svc ();
 #define JOB_QUERY 9
-extern  peer_job_result * job_query_1();
-extern  peer_job_result * job_query_1_svc();
+extern peer_job_result *job_query_1 ();
+extern peer_job_result *job_query_1_svc ();
 #define JOB_CANCEL 10
-extern  peer_job_result * job_cancel_1();
-extern  peer_job_result * job_cancel_1_svc();
+extern peer_job_result *job_cancel_1 ();
+extern peer_job_result *job_cancel_1_svc ();
 #define TASK_RESERVE 11
-extern  peer_reserve_result * task_reserve_1();
-extern  peer_reserve_result * task_reserve_1_svc();
+extern peer_reserve_result *task_reserve_1 ();
+extern peer_reserve_result *task_reserve_1_svc ();
 #define TASK_START 12
-extern  peer_start_result * task_start_1();
-extern  peer_start_result * task_start_1_svc();
+extern peer_start_result *task_start_1 ();
+extern peer_start_result *task_start_1_svc ();
 #define TASK_SEAL 13
-extern  peer_attempt_result * task_seal_1();
-extern  peer_attempt_result * task_seal_1_svc();
+extern peer_attempt_result *task_seal_1 ();
+extern peer_attempt_result *task_seal_1_svc ();
 #define TASK_STOP 14
-extern  peer_attempt_result * task_stop_1();
-extern  peer_attempt_result * task_stop_1_svc();
+extern peer_attempt_result *task_stop_1 ();
+extern peer_attempt_result *task_stop_1_svc ();
 #define TASK_ENDED 15
-extern  peer_status * task_ended_1();
-extern  peer_status * task_ended_1_svc();
+extern peer_status *task_ended_1 ();
+extern peer_status *task_ended_1_svc ();
 #define GRANT_EXTEND 16
-extern  peer_status * grant_extend_1();
-extern  peer_status * grant_extend_1_svc();
+extern peer_status *grant_extend_1 ();
+extern peer_status *grant_extend_1_svc ();
 #define LEASE_ABANDON 17
-extern  peer_attempt_result * lease_abandon_1();
-extern  peer_attempt_result * lease_abandon_1_svc();
+extern peer_attempt_result *lease_abandon_1 ();
+extern peer_attempt_result *lease_abandon_1_svc ();
 extern int rosemaryrail_peer_1_freeresult ();
 #endif /* K&R C */
 
-/* the xdr functions */
+  /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_peer_outcome (XDR *, peer_outcome*);
-extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
-extern  bool_t xdr_peer_service (XDR *, peer_service*);
-extern  bool_t xdr_peer_shard (XDR *, peer_shard*);
-extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
-extern  bool_t xdr_peer_text (XDR *, peer_text*);
-extern  bool_t xdr_peer_config_head (XDR *, peer_config_head*);
-extern  bool_t xdr_peer_forward_args (XDR *, peer_forward_args*);
-extern  bool_t xdr_peer_forward_result (XDR *, peer_forward_result*);
-extern  bool_t xdr_peer_grant_args (XDR *, peer_grant_args*);
-extern  bool_t xdr_peer_grant_verdict (XDR *, peer_grant_verdict*);
-extern  bool_t xdr_peer_grant_result (XDR *, peer_grant_result*);
-extern  bool_t xdr_peer_result_args (XDR *, peer_result_args*);
-extern  bool_t xdr_peer_status (XDR *, peer_status*);
-extern  bool_t xdr_peer_task (XDR *, peer_task*);
-extern  bool_t xdr_peer_reserve_result (XDR *, peer_reserve_result*);
-extern  bool_t xdr_peer_start_args (XDR *, peer_start_args*);
-extern  bool_t xdr_peer_start_result (XDR *, peer_start_result*);
-extern  bool_t xdr_peer_attempt_args (XDR *, peer_attempt_args*);
-extern  bool_t xdr_peer_attempt_state (XDR *, peer_attempt_state*);
-extern  bool_t xdr_peer_attempt_result (XDR *, peer_attempt_result*);
-extern  bool_t xdr_peer_ended_args (XDR *, peer_ended_args*);
-extern  bool_t xdr_peer_grant_extend_args (XDR *, peer_grant_extend_args*);
-extern  bool_t xdr_peer_job_args (XDR *, peer_job_args*);
-extern  bool_t xdr_peer_job_result (XDR *, peer_job_result*);
+  extern bool_t xdr_peer_outcome (XDR *, peer_outcome *);
+  extern bool_t xdr_peer_leaving (XDR *, peer_leaving *);
+  extern bool_t xdr_peer_service (XDR *, peer_service *);
+  extern bool_t xdr_peer_shard (XDR *, peer_shard *);
+  extern bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat *);
+  extern bool_t xdr_peer_text (XDR *, peer_text *);
+  extern bool_t xdr_peer_config_head (XDR *, peer_config_head *);
+  extern bool_t xdr_peer_forward_args (XDR *, peer_forward_args *);
+  extern bool_t xdr_peer_forward_result (XDR *, peer_forward_result *);
+  extern bool_t xdr_peer_grant_args (XDR *, peer_grant_args *);
+  extern bool_t xdr_peer_grant_verdict (XDR *, peer_grant_verdict *);
+  extern bool_t xdr_peer_grant_result (XDR *, peer_grant_result *);
+  extern bool_t xdr_peer_result_args (XDR *, peer_result_args *);
+  extern bool_t xdr_peer_status (XDR *, peer_status *);
+  extern bool_t xdr_peer_task (XDR *, peer_task *);
+  extern bool_t xdr_peer_reserve_result (XDR *, peer_reserve_result *);
+  extern bool_t xdr_peer_start_args (XDR *, peer_start_args *);
+  extern bool_t xdr_peer_start_result (XDR *, peer_start_result *);
+  extern bool_t xdr_peer_attempt_args (XDR *, peer_attempt_args *);
+  extern bool_t xdr_peer_attempt_state (XDR *, peer_attempt_state *);
+  extern bool_t xdr_peer_attempt_result (XDR *, peer_attempt_result *);
+  extern bool_t xdr_peer_ended_args (XDR *, peer_ended_args *);
+  extern bool_t xdr_peer_grant_extend_args (XDR *, peer_grant_extend_args *);
+  extern bool_t xdr_peer_job_args (XDR *, peer_job_args *);
+  extern bool_t xdr_peer_job_result (XDR *, peer_job_result *);
 
 #else /* K&R C */
 extern bool_t xdr_peer_outcome ();
--- a/include/rosemaryrail/table.h
+++ b/include/rosemaryrail/table.h
@@ -30,8 +30,10 @@
 
 struct rr_key_index *rr_key_index_new (void);
 void rr_key_index_free (struct rr_key_index *x);
-bool rr_key_index_put (struct rr_key_index *x, const char *key, struct rr_handle h);
-struct rr_handle rr_key_index_get (const struct rr_key_index *x, const char *key);
+bool rr_key_index_put (struct rr_key_index *x, const char *key,
+                       struct rr_handle h);
+struct rr_handle rr_key_index_get (const struct rr_key_index *x,
+                                   const char *key);
 bool rr_key_index_remove (struct rr_key_index *x, const char *key);
 
 #endif
--- a/rosemaryrail/job.c
+++ b/rosemaryrail/job.c
@@ -271,7 +271,8 @@
   const char *id = record_job (r);
   if (id == NULL)
     return rr_error_set (err, RR_ERROR_INVALID, "not a job record");
-  struct rr_job_row *row = rr_table_get (s->rows, rr_key_index_get (s->by_id, id));
+  struct rr_job_row *row
+      = rr_table_get (s->rows, rr_key_index_get (s->by_id, id));
   if (row == NULL)
     return rr_error_set (err, RR_ERROR_NOT_FOUND, "no job \"%s\"", id);
   struct rr_job *job = &row->job;
--- a/rosemaryrail/table.c
+++ b/rosemaryrail/table.c
@@ -203,7 +203,8 @@
 static bool
 index_grow (struct rr_key_index *x)
 {
-  struct rr_key_index bigger = { .capacity = x->capacity * 2, .count = x->count };
+  struct rr_key_index bigger
+      = { .capacity = x->capacity * 2, .count = x->count };
   bigger.slots = calloc (bigger.capacity, sizeof *bigger.slots);
   if (bigger.slots == NULL)
     return false;
