--- a/include/standins/worker.h
+++ b/include/standins/worker.h
@@ -157,7 +157,7 @@
 void worker_advance (struct worker *w);
 void worker_drop_tasks (struct worker *w);
 void worker_close_window (struct worker *w);
-struct json_object *worker_tasks (const struct worker *w);
+struct json_object *worker_tasks (const struct worker *w, bool ended);
 struct json_object *worker_ended (const struct worker *w, int64_t after);
 void worker_report_usage (const struct worker *w, struct json_object *o);
 void worker_renew (struct worker *w, struct json_object *renew);
--- a/standins/rr-worker.c
+++ b/standins/rr-worker.c
@@ -157,7 +157,7 @@
   struct json_object *answer = capacity_object (&settings.capacity);
   tool_add (answer,
             "epoch:i incarnation:i now_ms:i leaving:b tasks:o requests:i",
-            w->epoch, w->incarnation, now, w->leaving, worker_tasks (w),
+            w->epoch, w->incarnation, now, w->leaving, worker_tasks (w, true),
             w->used.connections);
   tool_respond (x, 200, answer);
 }
@@ -179,7 +179,7 @@
       "now_ms:i epoch:i incarnation:i leaving:b account:o tasks:o requests:i "
       "ended:o",
       worker_now_ms (w), epoch, w->incarnation, w->leaving,
-      capacity_object (&w->used), worker_tasks (w), w->used.connections,
+      capacity_object (&w->used), worker_tasks (w, false), w->used.connections,
       worker_ended (w, json_int_or (o, "ended_after", -1)));
   worker_report_usage (w, answer);
   tool_respond (x, 200, answer);
