standins: report the end of an attempt that was due during a long pause

rr-worker repeats an end in reports for ended_window_ms after the moment it was due. A worker paused for longer than that never reported the end at all. The window now counts from the moment the worker notices the end.

--- a/include/standins/worker.h
+++ b/include/standins/worker.h
@@ -74,10 +74,11 @@
   int64_t percent;
   char *checkpoint; /* the last one, null if none */
   int64_t checkpoints;
-  const char *result; /* static text, once ended */
-  int64_t ended_ms;
-  int64_t sequence;         /* order of ends on this worker */
-  double window_core_ms;    /* core-milliseconds x 1000 used in the window */
+  const char *result;    /* static text, once ended */
+  int64_t ended_ms;      /* when the end was due */
+  int64_t recorded_ms;   /* when the worker noticed it; later after a pause */
+  int64_t sequence;      /* order of ends on this worker */
+  double window_core_ms; /* core-milliseconds x 1000 used in the window */
   bool window_participated; /* ran at some time in the window */
 };
 
--- a/standins/worker_task.c
+++ b/standins/worker_task.c
@@ -107,6 +107,7 @@
   t->state = TASK_ENDED;
   t->result = result;
   t->ended_ms = at_ms;
+  t->recorded_ms = worker_now_ms (w);
   t->sequence = ++w->ended_count;
   w->used.cores_milli -= t->need.cores_milli;
   w->used.memory_mb -= t->need.memory_mb;
@@ -212,7 +213,7 @@
   for (const struct task *t = LIST_FIRST (&w->tasks); t != NULL;
        t = LIST_NEXT (t, link))
     if (t->state == TASK_ENDED
-        && (after < 0 ? t->ended_ms >= since : t->sequence > after))
+        && (after < 0 ? t->recorded_ms >= since : t->sequence > after))
       json_object_array_add (list, task_summary (t));
   return list;
 }
--- a/tests/standins/lib.sh
+++ b/tests/standins/lib.sh
@@ -11,6 +11,7 @@
 finish() {
   for pid in $pids; do
     kill -TERM "$pid" 2>/dev/null
+    kill -CONT "$pid" 2>/dev/null
   done
   for pid in $pids; do
     wait "$pid" || echo "process ended with status $?"
--- a/tests/standins/worker.sh
+++ b/tests/standins/worker.sh
@@ -101,6 +101,32 @@
 post /v1/tasks/start "{\"epoch\":$epoch,\"task\":\"j\",\"attempt\":1}"
 ends
 
+echo "# a paused worker reports an end that was due long before"
+background 7103 "$1/rr-worker" --first-port 7103 --ended-window-ms 4000 \
+  --log "$work/paused.log"
+paused=${pids##* }
+curl -s "http://$address:7103/v1/claim" \
+  -d '{"daemon":"d1","incarnation":1,"lease_ms":60000}' >"$work/claim.paused"
+epoch3=$(sed -E 's/.*"epoch":([0-9]+).*/\1/' "$work/claim.paused")
+attempt=0
+while :; do
+  attempt=$((attempt + 1))
+  curl -s -o "$work/started" "http://$address:7103/v1/tasks/start" \
+    -d "{\"epoch\":$epoch3,\"task\":\"p\",\"attempt\":$attempt,\"shard\":1,
+    \"shard_epoch\":1,\"void_after_ms\":9000000000000,\"lease_ms\":1000,
+    \"class\":\"c\",\"cores_milli\":1,\"memory_mb\":1,\"work_ms\":100000}"
+  kill -STOP "$paused"
+  # On a slow machine the lease may run out before the pause.
+  grep '"event":"end"' "$work/paused.log" | grep -q "\"attempt\":$attempt," \
+    || break
+  kill -CONT "$paused"
+done
+sleep 6
+kill -CONT "$paused"
+curl -s "http://$address:7103/v1/report" \
+  -d "{\"epoch\":$epoch3,\"lease_ms\":60000}" \
+  | grep -o '"result":"lease-expired"'
+
 echo "# requests"
 execute() {
   call 7100 POST "/v1/execute/$1" "$2" -D "$work/headers" \
