--- a/include/rosemaryrail/config.h
+++ b/include/rosemaryrail/config.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "rosemaryrail/error.h"
+#include "rosemaryrail/policy.h"
 
 enum
 {
@@ -16,24 +17,13 @@
                                             per value */
 };
 
-/* One parameter of the policy.  The field in a configuration file is called
-   NAME, with "_" for each ".", and ends with the unit: "relief.settle" in
-   "ms" is the field relief_settle_ms.  The units "", "count" and "ratio" add
-   nothing, and "1/s" adds "_per_s".  */
-struct rr_parameter
-{
-  const char *name;
-  const char *unit;
-  double min;
-  double max;
-  double value_default;
-  bool whole; /* integers only */
-};
-
-/* The parameters that a configuration may set.  */
+/* The parameters that a configuration may set.  The field in a file is called
+   like the parameter, with "_" for each ".", and ends with the unit:
+   "relief.settle" in "ms" is the field relief_settle_ms.  The units "count"
+   and "ratio" add nothing, and "1/s" adds "_per_s".  */
 struct rr_parameter_table
 {
-  const struct rr_parameter *items;
+  const struct rr_policy_parameter *items;
   size_t count;
 };
 
@@ -174,15 +164,6 @@
   size_t part_count;
 };
 
-/* How head B relates to head A.  */
-enum rr_config_order
-{
-  RR_CONFIG_SAME,
-  RR_CONFIG_NEWER, /* B has a higher generation and wins */
-  RR_CONFIG_OLDER, /* B is to be ignored */
-  RR_CONFIG_FORK,  /* equal generation, different digest */
-};
-
 /* Parsing and checking.  All functions returning a pointer return memory
    that the caller frees, with rr_config_free or free as said there.  */
 struct rr_parameter_table rr_config_parameters (void);
@@ -208,6 +189,8 @@
 bool rr_config_is_drained (const struct rr_config *c, const char *vm);
 bool rr_config_policy (const struct rr_config *c, const char *name,
                        double *value); /* NAME as in the table */
+void rr_config_policy_fill (const struct rr_config *c,
+                            struct rr_policy *policy);
 
 /* A copy of C in which VM is drained, or no longer is.  */
 struct rr_config *rr_config_with_drain (const struct rr_config *c,
@@ -235,8 +218,6 @@
 bool rr_config_head_parse (const char *text, size_t length,
                            struct rr_config_head *head, struct rr_error *err);
 void rr_config_head_free (struct rr_config_head *head);
-enum rr_config_order rr_config_head_order (const struct rr_config_head *a,
-                                           const struct rr_config_head *b);
 
 /* Text with one line for each difference; empty when there is none.  A null
    FROM stands for "nothing configured".  */
--- a/include/rosemaryrail/config_check.h
+++ b/include/rosemaryrail/config_check.h
@@ -70,6 +70,9 @@
 void rr_config_check (const struct rr_config *c,
                       const struct rr_located_config *l,
                       struct rr_config_errors *errors);
+void rr_config_check_policy (const struct rr_config *c,
+                             const struct rr_place *places,
+                             struct rr_config_errors *errors);
 void rr_config_check_job (const struct rr_config *c,
                           const struct rr_located_job *job,
                           struct rr_config_errors *errors);
--- a/rosemaryrail/config.c
+++ b/rosemaryrail/config.c
@@ -280,6 +280,7 @@
       parsed = false;
   rr_config_check_duplicates (&p.located, errors);
   build (&p);
+  rr_config_check_policy (p.config, p.policy_places, errors);
   /* Without all files, names that exist would be reported as unknown.  */
   if (parsed)
     rr_config_check (p.config, &p.located, errors);
--- a/rosemaryrail/config_parts.c
+++ b/rosemaryrail/config_parts.c
@@ -49,6 +49,23 @@
   return o;
 }
 
+/* Returns the policy parameters of C that differ from their defaults.  The
+   others are left out, so that a version that adds or removes a parameter can
+   share a configuration with one that does not.  */
+static struct json_object *
+policy_json (const struct rr_config *c)
+{
+  struct rr_fields fields;
+  rr_config_policy_fields (c->parameters, &fields);
+  struct json_object *o = json_object_new_object ();
+  for (size_t i = 0; i < fields.count; i++)
+    if (c->policy[i] != fields.items[i].value_default)
+      json_object_object_add (o, fields.items[i].name,
+                              rr_field_json (&fields.items[i], c->policy));
+  rr_config_policy_fields_free (&fields);
+  return o;
+}
+
 /* Splits C into parts with canonical texts: limits, policy, drains, services,
    then each team in the order of names.  The caller frees them with
    rr_config_parts_free.  */
@@ -58,14 +75,10 @@
   parts->items = calloc (c->team_count + FIXED_PARTS, sizeof *parts->items);
   assert (parts->items != NULL);
   parts->count = 0;
-  struct rr_fields policy;
-  rr_config_policy_fields (c->parameters, &policy);
   add_part (
       parts, "", "limits",
       wrap ("limits", rr_fields_json (&rr_config_limits_fields, &c->limits)));
-  add_part (parts, "", "policy",
-            wrap ("policy", rr_fields_json (&policy, c->policy)));
-  rr_config_policy_fields_free (&policy);
+  add_part (parts, "", "policy", wrap ("policy", policy_json (c)));
   struct json_object *list = json_object_new_array ();
   for (size_t i = 0; i < c->drain_count; i++)
     json_object_array_add (list, json_object_new_string (c->drains[i].vm));
@@ -333,14 +346,3 @@
   free (head->parts);
   memset (head, 0, sizeof *head);
 }
-
-/* Tells how B relates to A: the higher generation wins, and an equal one with
-   another digest is a fork.  */
-enum rr_config_order
-rr_config_head_order (const struct rr_config_head *a,
-                      const struct rr_config_head *b)
-{
-  if (b->generation != a->generation)
-    return b->generation > a->generation ? RR_CONFIG_NEWER : RR_CONFIG_OLDER;
-  return strcmp (a->digest, b->digest) == 0 ? RR_CONFIG_SAME : RR_CONFIG_FORK;
-}
--- a/rosemaryrail/config_policy.c
+++ b/rosemaryrail/config_policy.c
@@ -5,24 +5,15 @@
 
 #include "rosemaryrail/config_check.h"
 
-/* The only place that binds the configuration to the policy's parameters.
-   This table stands in until include/rosemaryrail/policy.h provides one.  */
-static const struct rr_parameter parameters[] = {
-  { "interference.half_life", "ms", 60000, 86400000, 600000, true },
-  { "relief.hot_ratio", "ratio", 1.01, 10, 1.25, false },
-  { "relief.settle", "ms", 0, 600000, 2000, true },
-  { "relief.task_evictions_max", "count", 0, 100, 2, true },
-  { "relief.job_evictions_max", "count", 0, 10000, 4, true },
-  { "quarantine.failures", "count", 1, 5, 3, true },
-  { "pacing.restarts", "1/s", 0.1, 1000, 40, false },
-};
+/* The only place that binds the configuration to the policy's parameters.  */
 
 /* Returns the parameters that the decision modules read.  */
 struct rr_parameter_table
 rr_config_parameters (void)
 {
-  return (struct rr_parameter_table){ parameters,
-                                      RR_FIELD_COUNT (parameters) };
+  struct rr_parameter_table table;
+  table.items = rr_policy_parameters (&table.count);
+  return table;
 }
 
 static const char *
@@ -35,7 +26,7 @@
 
 /* Returns the name of the field for P; the caller frees it.  */
 static char *
-field_name (const struct rr_parameter *p)
+field_name (const struct rr_policy_parameter *p)
 {
   char *name = NULL;
   const char *suffix = unit_suffix (p->unit);
@@ -57,14 +48,15 @@
   assert (items != NULL);
   for (size_t i = 0; i < table.count; i++)
     {
-      const struct rr_parameter *p = &table.items[i];
+      const struct rr_policy_parameter *p = &table.items[i];
       items[i] = (struct rr_field){ .name = field_name (p),
-                                    .kind = p->whole ? RR_FIELD_WHOLE
-                                                     : RR_FIELD_NUMBER,
+                                    .kind = p->type == RR_POLICY_INTEGER
+                                                ? RR_FIELD_WHOLE
+                                                : RR_FIELD_NUMBER,
                                     .offset = i * sizeof (double),
-                                    .min = p->min,
-                                    .max = p->max,
-                                    .value_default = p->value_default };
+                                    .min = p->minimum,
+                                    .max = p->maximum,
+                                    .value_default = p->fallback };
     }
   *fields = (struct rr_fields){ "the policy", items, table.count };
 }
@@ -77,3 +69,34 @@
     free ((char *)fields->items[i].name);
   free ((struct rr_field *)fields->items);
 }
+
+/* Sets every parameter of POLICY as C says.  */
+void
+rr_config_policy_fill (const struct rr_config *c, struct rr_policy *policy)
+{
+  rr_policy_init (policy);
+  for (size_t i = 0; i < c->parameters.count; i++)
+    rr_policy_set (policy, c->parameters.items[i].name, c->policy[i], NULL);
+}
+
+/* Checks the rules between parameters.  PLACES tells where each was set; the
+   error is reported at one of those that the rule names.  */
+void
+rr_config_check_policy (const struct rr_config *c,
+                        const struct rr_place *places,
+                        struct rr_config_errors *errors)
+{
+  struct rr_policy policy;
+  struct rr_error err = { 0 };
+  rr_config_policy_fill (c, &policy);
+  if (rr_policy_check (&policy, &err))
+    return;
+  const struct rr_place *place = NULL;
+  for (size_t i = 0; i < c->parameters.count; i++)
+    if (places[i].n != NULL
+        && (place == NULL
+            || strstr (err.message, c->parameters.items[i].name) != NULL))
+      place = &places[i];
+  assert (place != NULL); /* the defaults agree with each other */
+  rr_document_error (place->d, place->n, errors, "%s", err.message);
+}
