--- a/include/standins/worker.h
+++ b/include/standins/worker.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <sys/queue.h>
 #include <uv.h>
 
 #include "common/http_server.h"
@@ -14,7 +15,8 @@
 {
   WORKER_SHARDS_MAX = 256,
   WORKER_SERVICES_MAX = 16,
-  WORKER_WINDOWS_MAX = 64
+  WORKER_WINDOWS_MAX = 64,
+  LEASE_MAX_MS = 1000 * 1000 * 1000
 };
 
 /* What a task needs, or a worker has.  */
@@ -41,7 +43,7 @@
   uint64_t table_seed;
   int64_t usage_lag_ms;
   int64_t usage_window_ms;
-  int64_t ended_window_ms;
+  int64_t work_speed;
   double service_ms;
   const char *fail_class; /* tasks of this class end as "failed" */
   const char *hog_class;  /* tasks of this class outgrow their memory */
@@ -59,12 +61,16 @@
 
 struct task
 {
-  struct task *next;
+  LIST_ENTRY (task) link;
   char *id;
   int64_t attempt;
   enum task_state state;
   bool service; /* runs until it is stopped */
   char *class;  /* batch class, or the service's name */
+  /* Echoed to the controller, which may have changed since the start.  */
+  char *label_class;
+  char *team;
+  int64_t granted_until_ms;
   struct capacity need;
   double work_ms;
   double done_ms;
@@ -82,7 +88,7 @@
 /* One request being executed.  */
 struct execution
 {
-  struct execution *next;
+  LIST_ENTRY (execution) link;
   struct worker *worker;
   struct http_exchange *exchange;
   uv_timer_t timer;
@@ -127,10 +133,11 @@
   int64_t holder_incarnation;
   int64_t controller_until_ms;
   int64_t shard_epochs[WORKER_SHARDS_MAX];
-  struct task *tasks;
-  struct execution *executions;
+  LIST_HEAD (task_list, task) tasks;
+  LIST_HEAD (execution_list, execution) executions;
   struct capacity used;
   int64_t ended_count;
+  int64_t ended_recorded;
   int64_t advanced_ms;
   int64_t window_start_ms;
   struct service_window services[WORKER_SERVICES_MAX];
@@ -145,7 +152,7 @@
 void worker_log (const struct worker *w, struct json_object *o);
 void worker_refuse (const struct worker *w, const char *call, const char *id,
                     int64_t attempt, const char *reason);
-void capacity_add (struct json_object *o, const struct capacity *c);
+struct json_object *capacity_object (const struct capacity *c);
 double worker_interference (const struct worker *w, const char *class,
                             const struct task *self);
 
@@ -156,7 +163,7 @@
 void worker_drop_tasks (struct worker *w);
 void worker_close_window (struct worker *w);
 struct json_object *worker_tasks (const struct worker *w);
-struct json_object *worker_ended (const struct worker *w, int64_t after);
+struct json_object *worker_ended (const struct worker *w);
 void worker_report_usage (const struct worker *w, struct json_object *o);
 void worker_renew (struct worker *w, struct json_object *renew);
 bool worker_task_call (struct worker *w, struct http_exchange *x,
--- a/rosemaryraild/main.c
+++ b/rosemaryraild/main.c
@@ -1,4 +1,3 @@
-#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,8 +13,6 @@
 
 enum
 {
-  EXIT_USAGE = 2,
-  OVERRIDES_MAX = 64,
   SHUTDOWN_TICK_MS = 50,
   HANDOVER_MS = 3000
 };
@@ -131,63 +128,16 @@
   return true;
 }
 
-/* Reads command line and settings.  Returns -1 to go on, or the exit
-   status.  */
-static int
-read_settings (int argc, char **argv, struct settings *settings)
-{
-  struct arg_lit *help = arg_lit0 ("h", "help", "show this help");
-  struct arg_lit *check
-      = arg_lit0 (NULL, "check", "check the settings and exit");
-  struct arg_str *set = arg_strn (NULL, "set", "NAME=VALUE", 0, OVERRIDES_MAX,
-                                  "override one setting");
-  struct arg_file *file
-      = arg_file0 (NULL, NULL, "SETTINGS", "settings, JSON with comments");
-  struct arg_end *end = arg_end (8);
-  void *table[] = { help, check, set, file, end };
-  int errors = arg_parse (argc, argv, table);
-  int status = -1;
-  if (help->count > 0)
-    {
-      printf ("Usage: rosemaryraild");
-      arg_print_syntax (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-20s %s\n");
-      status = EXIT_SUCCESS;
-    }
-  else if (errors > 0)
-    {
-      arg_print_errors (stderr, end, "rosemaryraild");
-      status = EXIT_USAGE;
-    }
-  else
-    {
-      struct rr_config_errors list = { 0 };
-      const char *path = file->count > 0 ? file->filename[0] : NULL;
-      if (!settings_load (path, set->sval, (size_t)set->count, settings,
-                          &list))
-        {
-          char *text = rr_config_errors_text (&list);
-          fprintf (stderr, "%s", text);
-          free (text);
-          status = EXIT_USAGE;
-        }
-      else if (check->count > 0)
-        status = EXIT_SUCCESS;
-      rr_config_errors_free (&list);
-    }
-  arg_freetable (table, sizeof table / sizeof table[0]);
-  return status;
-}
-
 int
 main (int argc, char **argv)
 {
   static struct daemon d;
   static struct shutdown s;
   struct rr_error err = { 0 };
-  int status = read_settings (argc, argv, &d.settings);
-  if (status >= 0)
-    return status;
+  enum settings_outcome outcome
+      = settings_from_arguments ("rosemaryraild", argc, argv, &d.settings);
+  if (outcome != SETTINGS_READ)
+    return settings_exit_code (outcome);
   enum log_level level = LOG_LEVEL_INFO;
   log_level_from_name (d.settings.log_level, &level);
   log_open ("rosemaryraild", level);
--- a/standins/worker_task.c
+++ b/standins/worker_task.c
@@ -1,4 +1,3 @@
-#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -9,33 +8,28 @@
 static struct task *
 task_find (const struct worker *w, const char *id, int64_t attempt)
 {
-  struct task *t = w->tasks;
+  struct task *t = LIST_FIRST (&w->tasks);
   while (t != NULL && (t->attempt != attempt || strcmp (t->id, id) != 0))
-    t = t->next;
+    t = LIST_NEXT (t, link);
   return t;
 }
 
-static void
-task_free (struct task *t)
-{
-  free (t->id);
-  free (t->class);
-  free (t->checkpoint);
-  free (t);
-}
-
 /* Forgets all tasks, as a VM that fails does.  */
 void
 worker_drop_tasks (struct worker *w)
 {
-  while (w->tasks != NULL)
+  while (!LIST_EMPTY (&w->tasks))
     {
-      struct task *next = w->tasks->next;
-      task_free (w->tasks);
-      w->tasks = next;
+      struct task *t = LIST_FIRST (&w->tasks);
+      LIST_REMOVE (t, link);
+      free (t->id);
+      free (t->class);
+      free (t->label_class);
+      free (t->team);
+      free (t->checkpoint);
+      free (t);
     }
-  struct capacity none = { 0 };
-  w->used = none;
+  memset (&w->used, 0, sizeof w->used);
 }
 
 /* Returns a hidden number in [0, 1) that belongs to the pair A, B.  */
@@ -67,12 +61,13 @@
 {
   double sum = 0;
   double eighth = (double)w->settings->capacity.cores_milli / 8;
-  for (const struct task *t = w->tasks; t != NULL; t = t->next)
-    if (t != self && t->state == TASK_RUNNING && !t->service)
-      {
-        double u = table_unit (w, class, t->class);
+  for (const struct task *t = LIST_FIRST (&w->tasks); t != NULL;
+       t = LIST_NEXT (t, link))
+    {
+      double u = table_unit (w, class, t->class);
+      if (t != self && t->state == TASK_RUNNING && !t->service)
         sum += 1.5 * u * u * u * task_cores (w, t) / eighth;
-      }
+    }
   return 1 + sum;
 }
 
@@ -102,8 +97,7 @@
 task_event (const struct worker *w, const struct task *t, const char *event)
 {
   struct json_object *o = worker_event (w, event);
-  json_add_string (o, "task", t->id);
-  json_add_int (o, "attempt", t->attempt);
+  tool_add (o, "task:s attempt:i", t->id, t->attempt);
   if (t->checkpoint != NULL)
     json_add_string (o, "checkpoint", t->checkpoint);
   return o;
@@ -173,7 +167,8 @@
 worker_advance (struct worker *w)
 {
   int64_t now = worker_now_ms (w);
-  for (struct task *t = w->tasks; t != NULL; t = t->next)
+  for (struct task *t = LIST_FIRST (&w->tasks); t != NULL;
+       t = LIST_NEXT (t, link))
     if (t->state == TASK_RUNNING)
       task_advance (w, t, now);
   w->advanced_ms = now;
@@ -182,46 +177,46 @@
 static struct json_object *
 task_summary (const struct task *t)
 {
-  struct json_object *o = json_object_new_object ();
-  json_add_string (o, "task", t->id);
-  json_add_int (o, "attempt", t->attempt);
-  json_add_string (o, "state", t->state == TASK_RUNNING ? "running" : "ended");
-  json_object_object_add (
-      o, "checkpoint",
-      t->checkpoint == NULL ? NULL : json_object_new_string (t->checkpoint));
-  if (t->state == TASK_ENDED)
-    {
-      json_add_string (o, "result", t->result);
-      json_add_int (o, "ended_ms", t->ended_ms);
-      json_add_int (o, "sequence", t->sequence);
-    }
-  else
+  bool running = t->state == TASK_RUNNING;
+  struct json_object *o
+      = tool_object ("task:s attempt:i state:s checkpoint:s", t->id,
+                     t->attempt, running ? "running" : "ended", t->checkpoint);
+  tool_add (o,
+            "kind:s service:s class:s team:s cores_milli:i memory_mb:i "
+            "accelerators:i granted_until_ms:i",
+            t->service ? "service" : "batch", t->service ? t->class : "",
+            t->label_class, t->team, t->need.cores_milli, t->need.memory_mb,
+            t->need.accelerators, t->granted_until_ms);
+  if (running)
     json_add_int (o, "until_ms", t->until_ms);
+  else
+    tool_add (o, "result:s ended_ms:i sequence:i", t->result, t->ended_ms,
+              t->sequence);
   return o;
 }
 
-/* Returns all running and ended attempts.  */
+/* Returns the running attempts.  */
 struct json_object *
 worker_tasks (const struct worker *w)
 {
   struct json_object *list = json_object_new_array ();
-  for (const struct task *t = w->tasks; t != NULL; t = t->next)
-    if (t->state != TASK_SEALED)
+  for (const struct task *t = LIST_FIRST (&w->tasks); t != NULL;
+       t = LIST_NEXT (t, link))
+    if (t->state == TASK_RUNNING)
       json_object_array_add (list, task_summary (t));
   return list;
 }
 
-/* Returns the attempts that ended with a sequence above AFTER; with a negative
-   AFTER, those of the last ended_window_ms.  Repeated because the answer that
-   carries them may be lost.  */
+/* Returns the attempts that ended with a sequence above the last one that a
+   controller has recorded.  Repeated because the answer that carries them may
+   be lost, and told to a new controller as well.  */
 struct json_object *
-worker_ended (const struct worker *w, int64_t after)
+worker_ended (const struct worker *w)
 {
-  int64_t since = worker_now_ms (w) - w->settings->ended_window_ms;
   struct json_object *list = json_object_new_array ();
-  for (const struct task *t = w->tasks; t != NULL; t = t->next)
-    if (t->state == TASK_ENDED
-        && (after < 0 ? t->ended_ms >= since : t->sequence > after))
+  for (const struct task *t = LIST_FIRST (&w->tasks); t != NULL;
+       t = LIST_NEXT (t, link))
+    if (t->state == TASK_ENDED && t->sequence > w->ended_recorded)
       json_object_array_add (list, task_summary (t));
   return list;
 }
@@ -241,19 +236,20 @@
       int64_t until = json_int_or (r, "until_ms", 0);
       if (t != NULL && t->state == TASK_RUNNING && until > t->until_ms)
         t->until_ms = until;
+      if (t != NULL)
+        t->granted_until_ms
+            = json_int_or (r, "granted_until_ms", t->granted_until_ms);
     }
 }
 
 static struct task *
 task_new (struct worker *w, const char *id, int64_t attempt)
 {
-  struct task *t = calloc (1, sizeof *t);
-  assert (t != NULL);
+  struct task *t = tool_alloc (sizeof *t);
   t->id = strdup (id);
   t->attempt = attempt;
   t->percent = 100;
-  t->next = w->tasks;
-  w->tasks = t;
+  LIST_INSERT_HEAD (&w->tasks, t, link);
   return t;
 }
 
@@ -275,15 +271,14 @@
   if (worker_now_ms (w) > void_after_ms)
     return "void";
   bool seen = false;
-  for (const struct task *t = w->tasks; t != NULL; t = t->next)
+  for (const struct task *t = LIST_FIRST (&w->tasks); t != NULL;
+       t = LIST_NEXT (t, link))
     {
-      if (strcmp (t->id, id) != 0)
-        continue;
-      if (t->state == TASK_SEALED && attempt <= t->attempt)
+      bool same = strcmp (t->id, id) == 0;
+      bool later = attempt > t->attempt;
+      if (same && t->state == TASK_SEALED && !later)
         return "sealed";
-      if (t->state == TASK_RUNNING
-          || (t->state == TASK_ENDED && attempt <= t->attempt))
-        seen = true;
+      seen = seen || (same && (t->state == TASK_RUNNING || !later));
     }
   if (seen)
     return "duplicate";
@@ -303,9 +298,10 @@
       || !json_get_int (o, "lease_ms", lease_ms, err))
     return false;
   if (need->cores_milli < 0 || need->memory_mb < 0 || need->accelerators < 0
-      || *lease_ms <= 0)
-    return rr_error_set (err, RR_ERROR_INVALID,
-                         "sizes must not be negative, lease_ms positive");
+      || *lease_ms < 1 || *lease_ms > LEASE_MAX_MS)
+    return rr_error_set (
+        err, RR_ERROR_INVALID,
+        "sizes must not be negative, lease_ms must be 1 to %d", LEASE_MAX_MS);
   return true;
 }
 
@@ -331,10 +327,14 @@
     }
   struct task *t = task_new (w, id, attempt);
   t->service = strcmp (json_string_or (o, "kind", "batch"), "service") == 0;
+  t->label_class = strdup (json_string_or (o, "class", ""));
+  t->team = strdup (json_string_or (o, "team", ""));
+  t->granted_until_ms = json_int_or (o, "granted_until_ms", 0);
   t->class = strdup (t->service ? json_string_or (o, "service", "")
                                 : json_string_or (o, "class", ""));
   t->need = need;
-  t->work_ms = (double)json_int_or (o, "work_ms", 0);
+  t->work_ms = (double)json_int_or (o, "work_ms", 0)
+               / (double)w->settings->work_speed;
   t->until_ms = worker_now_ms (w) + lease_ms;
   const char *checkpoint = json_string_or (o, "checkpoint", "");
   if (*checkpoint != '\0')
@@ -342,25 +342,21 @@
       /* The last field of a checkpoint is the work done so far.  */
       const char *done = strrchr (checkpoint, ':');
       t->checkpoint = strdup (checkpoint);
-      t->done_ms = done == NULL ? 0 : strtod (done + 1, NULL);
+      t->done_ms = done == NULL ? 0 : (double)strtoll (done + 1, NULL, 10);
     }
   w->used.cores_milli += need.cores_milli;
   w->used.memory_mb += need.memory_mb;
   w->used.accelerators += need.accelerators;
   w->used.slots++;
-  struct json_object *e = task_event (w, t, "start");
-  json_add_string (e, "kind", t->service ? "service" : "batch");
-  json_add_string (e, "class", t->class);
-  json_add_string (e, "team", json_string_or (o, "team", ""));
   need.slots = 1;
-  struct json_object *n = json_object_new_object ();
-  capacity_add (n, &need);
-  json_object_object_add (e, "need", n);
+  struct json_object *e = task_event (w, t, "start");
+  tool_add (e, "kind:s class:s team:s need:o",
+            t->service ? "service" : "batch", t->class,
+            json_string_or (o, "team", ""), capacity_object (&need));
   worker_log (w, e);
-  struct json_object *answer = json_object_new_object ();
-  json_add_int (answer, "now_ms", worker_now_ms (w));
-  json_add_int (answer, "until_ms", t->until_ms);
-  tool_respond (x, 200, answer);
+  tool_respond (
+      x, 200,
+      tool_object ("now_ms:i until_ms:i", worker_now_ms (w), t->until_ms));
 }
 
 static void
@@ -374,14 +370,9 @@
       t->state = TASK_SEALED;
       worker_log (w, task_event (w, t, "seal"));
     }
-  if (t->state != TASK_SEALED)
-    {
-      tool_respond (x, 200, task_summary (t));
-      return;
-    }
-  struct json_object *o = json_object_new_object ();
-  json_add_string (o, "state", "never");
-  tool_respond (x, 200, o);
+  tool_respond (x, 200,
+                t->state == TASK_SEALED ? tool_object ("state:s", "never")
+                                        : task_summary (t));
 }
 
 static void
