rosemaryctl: job names as the daemon lists them

A trial against the daemon showed that ids copied from "jobs" (TEAM:ID) were refused, that a rejected job ended with exit code 1 and an empty line, that unknown counts were shown as -1, and that "explain" repeated the same line for each of 40 tasks.

--- a/include/rosemaryctl/ctl.h
+++ b/include/rosemaryctl/ctl.h
@@ -70,6 +70,7 @@
                         const char *summary, void **own, size_t own_count);
 void ctl_close (struct ctl *ctl);
 bool ctl_name_valid (const char *what, const char *name);
+bool ctl_job_valid (const char *id);
 
 enum ctl_exit ctl_call (const struct ctl *ctl, const struct ctl_request *r,
                         struct ctl_answer *a);
@@ -101,6 +102,7 @@
 void ctl_columns_add (struct ctl_columns *t, size_t count, ...);
 void ctl_columns_print (struct ctl_columns *t);
 const char *ctl_text (struct json_object *o, const char *name);
+const char *ctl_count (struct json_object *o, const char *name);
 struct json_object *ctl_list (struct json_object *o, const char *name);
 const char *ctl_duration (long long ms, char text[32]);
 
--- a/rosemaryctl/call.c
+++ b/rosemaryctl/call.c
@@ -194,6 +194,8 @@
 {
   switch (status)
     {
+    case 400:
+      return CTL_CHECK_ERRORS;
     case 404:
       return CTL_NOT_FOUND;
     case 409:
@@ -249,8 +251,12 @@
   struct json_object *e = NULL;
   if (json_object_is_type (a->json, json_type_object))
     json_object_object_get_ex (a->json, "error", &e);
-  fprintf (stderr, "rosemaryctl: %s: %s", ctl_text (e, "code"),
-           ctl_text (e, "message"));
+  const char *message = ctl_text (e, "message");
+  size_t length = strlen (message);
+  while (length > 0 && message[length - 1] == '\n')
+    length--;
+  fprintf (stderr, "rosemaryctl: %s: %.*s", ctl_text (e, "code"), (int)length,
+           message);
   int64_t line = json_int_or (e, "line", 0);
   if (line > 0)
     fprintf (stderr, " (line %lld, column %lld)", (long long)line,
--- a/rosemaryctl/cancel.c
+++ b/rosemaryctl/cancel.c
@@ -11,11 +11,11 @@
   enum ctl_exit rc
       = ctl_open (&ctl, argc, argv,
                   "Cancels a job; its running tasks are stopped.", own, 1);
-  if (rc == CTL_CONTINUE && !ctl_name_valid ("job", id->sval[0]))
+  if (rc == CTL_CONTINUE && !ctl_job_valid (id->sval[0]))
     rc = CTL_USAGE;
   if (rc == CTL_CONTINUE)
     {
-      char path[128];
+      char path[256];
       snprintf (path, sizeof path, "/v1/jobs/%s/cancel", id->sval[0]);
       struct ctl_request r
           = { .method = "POST", .path = path, .generation = -1 };
--- a/rosemaryctl/columns.c
+++ b/rosemaryctl/columns.c
@@ -70,6 +70,14 @@
   return text[0] == '\0' ? "-" : text;
 }
 
+/* Returns the count NAME of O as text; "-" also when it is negative, which
+   stands for unknown.  */
+const char *
+ctl_count (struct json_object *o, const char *name)
+{
+  return json_int_or (o, name, 0) < 0 ? "-" : ctl_text (o, name);
+}
+
 /* Returns the array member NAME of O, or null.  */
 struct json_object *
 ctl_list (struct json_object *o, const char *name)
--- a/rosemaryctl/ctl.c
+++ b/rosemaryctl/ctl.c
@@ -146,3 +146,15 @@
            what);
   return false;
 }
+
+/* Tells whether ID can be a job, "ID" or "TEAM:ID" as the daemons list it;
+   reports it otherwise.  */
+bool
+ctl_job_valid (const char *id)
+{
+  const char *colon = strchr (id, ':');
+  if (colon == NULL || !rr_name_valid (id, (size_t)(colon - id))
+      || !rr_name_valid (colon + 1, strlen (colon + 1)))
+    return ctl_name_valid ("job", id);
+  return true;
+}
--- a/rosemaryctl/explain.c
+++ b/rosemaryctl/explain.c
@@ -13,6 +13,24 @@
     }
 }
 
+/* Tells whether two tasks differ in nothing but their number.  */
+static bool
+same_answer (struct json_object *a, struct json_object *b)
+{
+  static const char *const names[] = { "state", "reason", "filters" };
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    {
+      struct json_object *x = NULL;
+      struct json_object *y = NULL;
+      json_object_object_get_ex (a, names[i], &x);
+      json_object_object_get_ex (b, names[i], &y);
+      if (!json_object_equal (x, y))
+        return false;
+    }
+  return true;
+}
+
+/* Prints the tasks of a job; neighbours with the same answer in one line.  */
 static void
 print_explanation (struct json_object *o)
 {
@@ -21,10 +39,21 @@
   printf ("job %s\n", ctl_text (o, "id"));
   for (size_t i = 0; i < count; i++)
     {
-      struct json_object *t = json_object_array_get_idx (list, i);
-      printf ("  task %s: %s: %s\n", ctl_text (t, "task"),
-              ctl_text (t, "state"), ctl_text (t, "reason"));
-      print_filters (ctl_list (t, "filters"));
+      struct json_object *first = json_object_array_get_idx (list, i);
+      struct json_object *last = first;
+      while (i + 1 < count
+             && same_answer (first, json_object_array_get_idx (list, i + 1)))
+        last = json_object_array_get_idx (list, ++i);
+      if (last == first)
+        printf ("  task %s", ctl_text (first, "task"));
+      else
+        {
+          printf ("  tasks %s", ctl_text (first, "task"));
+          printf (" to %s", ctl_text (last, "task"));
+        }
+      printf (": %s: %s\n", ctl_text (first, "state"),
+              ctl_text (first, "reason"));
+      print_filters (ctl_list (first, "filters"));
     }
 }
 
@@ -41,11 +70,11 @@
                   "Tells why each task of a job is in its state, and which "
                   "rules rejected workers.",
                   own, 1);
-  if (rc == CTL_CONTINUE && !ctl_name_valid ("job", id->sval[0]))
+  if (rc == CTL_CONTINUE && !ctl_job_valid (id->sval[0]))
     rc = CTL_USAGE;
   if (rc == CTL_CONTINUE)
     {
-      char path[128];
+      char path[256];
       snprintf (path, sizeof path, "/v1/jobs/%s/explain", id->sval[0]);
       rc = ctl_get (&ctl, path, &a);
       if (rc == CTL_OK)
--- a/rosemaryctl/job.c
+++ b/rosemaryctl/job.c
@@ -70,11 +70,11 @@
   struct ctl_answer a;
   enum ctl_exit rc
       = ctl_open (&ctl, argc, argv, "Shows one job and its history.", own, 1);
-  if (rc == CTL_CONTINUE && !ctl_name_valid ("job", id->sval[0]))
+  if (rc == CTL_CONTINUE && !ctl_job_valid (id->sval[0]))
     rc = CTL_USAGE;
   if (rc == CTL_CONTINUE)
     {
-      char path[128];
+      char path[256];
       snprintf (path, sizeof path, "/v1/jobs/%s", id->sval[0]);
       rc = ctl_get (&ctl, path, &a);
       if (rc == CTL_OK)
--- a/rosemaryctl/status.c
+++ b/rosemaryctl/status.c
@@ -27,8 +27,8 @@
     {
       struct json_object *d = json_object_array_get_idx (list, i);
       ctl_columns_add (&t, 7, ctl_text (d, "name"), ctl_text (d, "zone"),
-                       ctl_text (d, "state"), ctl_text (d, "generation"),
-                       ctl_text (d, "shards"), ctl_text (d, "workers"),
+                       ctl_text (d, "state"), ctl_count (d, "generation"),
+                       ctl_count (d, "shards"), ctl_count (d, "workers"),
                        age_text (d, age));
     }
   putchar ('\n');
@@ -47,8 +47,8 @@
       struct json_object *w = json_object_array_get_idx (list, i);
       ctl_columns_add (&t, 9, ctl_text (w, "name"), ctl_text (w, "zone"),
                        ctl_text (w, "rack"), ctl_text (w, "state"),
-                       ctl_text (w, "owner"), ctl_text (w, "tasks"),
-                       ctl_text (w, "connections"), age_text (w, age),
+                       ctl_text (w, "owner"), ctl_count (w, "tasks"),
+                       ctl_count (w, "connections"), age_text (w, age),
                        ctl_text (w, "reason"));
     }
   putchar ('\n');
@@ -64,7 +64,7 @@
     {
       struct json_object *s = json_object_array_get_idx (list, i);
       ctl_columns_add (&t, 4, ctl_text (s, "shard"), ctl_text (s, "owner"),
-                       ctl_text (s, "state"), ctl_text (s, "epoch"));
+                       ctl_text (s, "state"), ctl_count (s, "epoch"));
     }
   putchar ('\n');
   ctl_columns_print (&t);
--- a/tests/config/sessions/daemon.sh
+++ b/tests/config/sessions/daemon.sh
@@ -19,7 +19,9 @@
 run job --daemon "$A" archive
 run job --daemon "$A" unknown
 run job --daemon "$A" a/b
+run job --daemon "$A" a:b:c
 run explain --daemon "$A" archive
+run explain --daemon "$A" a:grouped
 run cancel --daemon "$A" archive
 run cancel --daemon "$A" ended
 run submit --daemon "$A" job.jsonc
@@ -33,6 +35,7 @@
 # Errors of a daemon.
 run jobs --daemon "$B"
 run cancel --daemon "$B" bad
+run job --daemon "$B" j9
 run histograms --daemon "$B"
 
 # The next daemon is tried when one can't be reached or is not ready, and a
