--- a/common/settings.c
+++ b/common/settings.c
@@ -167,24 +167,6 @@
                          "field \"seed_peers\": expected \"ADDRESS:PORT\"");
 }
 
-static void
-report_unknown (struct reading *r, const char *name, struct source at)
-{
-  char *known = NULL;
-  size_t length = 0;
-  FILE *out = open_memstream (&known, &length);
-  assert (out != NULL);
-  for (size_t i = 0; i < RR_FIELD_COUNT (fields); i++)
-    fprintf (out, "%s, ", fields[i].name);
-  fprintf (out, "%s", peers_name);
-  fclose (out);
-  rr_config_errors_add (r->errors, at.file, at.line, at.column,
-                        "unknown field \"%.60s\" in the settings; expected "
-                        "one of: %s",
-                        name, known);
-  free (known);
-}
-
 static void
 read_member (struct reading *r, const struct rr_document *d,
              const struct rr_node *n)
@@ -194,7 +176,8 @@
   if (strcmp (n->key, peers_name) == 0)
     read_peers (r, d, n);
   else if (f == NULL)
-    report_unknown (r, n->key, key);
+    rr_fields_unknown (&settings_fields, n->key, key.file, key.line,
+                       key.column, r->errors);
   else
     {
       r->sources[f - fields] = (struct source){ d->file, n->line, n->column };
@@ -231,7 +214,8 @@
   if (strcmp (name, peers_name) == 0)
     read_override_peers (r, value, at);
   else if (f == NULL)
-    report_unknown (r, name, at);
+    rr_fields_unknown (&settings_fields, name, at.file, at.line, at.column,
+                       r->errors);
   else
     {
       at.column = (unsigned)(equals - text) + 2;
@@ -358,13 +342,15 @@
   return ok;
 }
 
-/* Reads the file at PATH, then works as settings_parse.  A file that can't be
-   read is an error at its first line.  */
+/* Reads the file at PATH, unless it is null, then works as settings_parse.  A
+   file that can't be read is an error at its first line.  */
 bool
 settings_load (const char *path, const char *const *overrides,
                size_t override_count, struct settings *s,
                struct rr_config_errors *errors)
 {
+  if (path == NULL)
+    return settings_parse (NULL, overrides, override_count, s, errors);
   memset (s, 0, sizeof *s);
   FILE *in = fopen (path, "re");
   char *text = malloc (FILE_MAX_BYTES + 1);
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -58,7 +58,8 @@
 /* FILE may be null when all values come from OVERRIDES, each "NAME=VALUE" as
    given by --set; a list is given as values separated by commas.  Errors of
    overrides carry the file name "--set" and the override's number as the
-   line.  settings_parse performs no I/O; settings_load reads PATH first.
+   line.  settings_parse performs no I/O; settings_load reads
+   PATH first, which may be null too.
    Both return false with ERRORS filled, and S is then unusable.  */
 bool settings_parse (const struct rr_config_file *file,
                      const char *const *overrides, size_t override_count,
--- a/include/rosemaryrail/config.h
+++ b/include/rosemaryrail/config.h
@@ -6,34 +6,26 @@
 #include <stdint.h>
 
 #include "rosemaryrail/error.h"
+#include "rosemaryrail/policy.h"
 
 enum
 {
   RR_CONFIG_NAME_SIZE = 64,   /* a name has at most 63 characters */
   RR_CONFIG_DIGEST_SIZE = 33, /* 128 bits as lower-case hex digits */
   RR_CONFIG_PART_NAME_SIZE = 80,
+  RR_CONFIG_ERRORS_MAX = 1000, /* further errors are not kept: a file of the
+                                  wrong kind would give one for each value */
   RR_CONFIG_PART_MAX_BYTES = 900 * 1024, /* the platform stores at most 1 MB
                                             per value */
 };
 
-/* One parameter of the policy.  The field in a configuration file is called
-   NAME, with "_" for each ".", and ends with the unit: "relief.settle" in
-   "ms" is the field relief_settle_ms.  The units "", "count" and "ratio" add
-   nothing, and "1/s" adds "_per_s".  */
-struct rr_parameter
-{
-  const char *name;
-  const char *unit;
-  double min;
-  double max;
-  double value_default;
-  bool whole; /* integers only */
-};
-
-/* The parameters that a configuration may set.  */
+/* The parameters that a configuration may set.  The field in a file is called
+   like the parameter, with "_" for each ".", and ends with the unit:
+   "relief.settle" in "ms" is the field relief_settle_ms.  The units "count"
+   and "ratio" add nothing, and "1/s" adds "_per_s".  */
 struct rr_parameter_table
 {
-  const struct rr_parameter *items;
+  const struct rr_policy_parameter *items;
   size_t count;
 };
 
@@ -199,6 +191,8 @@
 bool rr_config_is_drained (const struct rr_config *c, const char *vm);
 bool rr_config_policy (const struct rr_config *c, const char *name,
                        double *value); /* NAME as in the table */
+void rr_config_policy_fill (const struct rr_config *c,
+                            struct rr_policy *policy);
 
 /* A copy of C in which VM is drained, or no longer is.  */
 struct rr_config *rr_config_with_drain (const struct rr_config *c,
--- a/rosemaryrail/fields.c
+++ b/rosemaryrail/fields.c
@@ -193,21 +193,85 @@
   return NULL;
 }
 
+enum
+{
+  LIST_MAX = 16, /* longer lists of known fields are hard to read */
+  SUGGESTIONS = 3,
+  COMPARED_MAX = 60, /* characters of a name */
+};
+
+/* Returns the number of insertions, removals and replacements that turn A
+   into B; 0 when B contains A, as for a name without its unit.  */
+static size_t
+edit_distance (const char *a, const char *b)
+{
+  if (strstr (b, a) != NULL)
+    return 0;
+  size_t row[COMPARED_MAX + 1];
+  size_t length = strnlen (b, COMPARED_MAX);
+  for (size_t j = 0; j <= length; j++)
+    row[j] = j;
+  for (size_t i = 0; i < COMPARED_MAX && a[i] != '\0'; i++)
+    {
+      size_t diagonal = row[0];
+      row[0] = i + 1;
+      for (size_t j = 0; j < length; j++)
+        {
+          size_t best = diagonal + (a[i] != b[j]);
+          if (row[j] + 1 < best)
+            best = row[j] + 1;
+          if (row[j + 1] + 1 < best)
+            best = row[j + 1] + 1;
+          diagonal = row[j + 1];
+          row[j + 1] = best;
+        }
+    }
+  return row[length];
+}
+
+/* Writes the known names that come closest to NAME.  */
 static void
-report_unknown (const struct rr_document *d, const struct rr_node *n,
-                const struct rr_fields *fields,
-                struct rr_config_errors *errors)
+write_suggestions (FILE *out, const struct rr_fields *fields, const char *name)
 {
+  size_t *distances = calloc (fields->count, sizeof *distances);
+  assert (distances != NULL);
+  for (size_t i = 0; i < fields->count; i++)
+    distances[i] = edit_distance (name, fields->items[i].name);
+  for (size_t n = 0; n < SUGGESTIONS; n++)
+    {
+      size_t best = 0;
+      for (size_t i = 1; i < fields->count; i++)
+        if (distances[i] < distances[best])
+          best = i;
+      fprintf (out, "%s%s", n == 0 ? "" : ", ", fields->items[best].name);
+      distances[best] = SIZE_MAX;
+    }
+  free (distances);
+}
+
+/* Adds the error for the unknown field NAME.  */
+void
+rr_fields_unknown (const struct rr_fields *fields, const char *name,
+                   const char *file, unsigned line, unsigned column,
+                   struct rr_config_errors *errors)
+{
+  if (errors->count == RR_CONFIG_ERRORS_MAX)
+    return;
   char *known = NULL;
   size_t length = 0;
   FILE *out = open_memstream (&known, &length);
   assert (out != NULL);
-  for (size_t i = 0; i < fields->count; i++)
-    fprintf (out, "%s%s", i == 0 ? "" : ", ", fields->items[i].name);
+  if (fields->count > LIST_MAX)
+    write_suggestions (out, fields, name);
+  else
+    for (size_t i = 0; i < fields->count; i++)
+      fprintf (out, "%s%s", i == 0 ? "" : ", ", fields->items[i].name);
   fclose (out);
-  rr_config_errors_add (errors, d->file, n->key_line, n->key_column,
-                        "unknown field \"%.60s\" in %s; expected one of: %s",
-                        n->key, fields->object, known);
+  rr_config_errors_add (
+      errors, file, line, column, "unknown field \"%.60s\" in %s; %s: %s",
+      name, fields->object,
+      fields->count > LIST_MAX ? "the closest names are" : "expected one of",
+      known);
   free (known);
 }
 
@@ -235,7 +299,8 @@
       const struct rr_field *f = find_field (fields, n->key);
       if (f == NULL)
         {
-          report_unknown (d, n, fields, errors);
+          rr_fields_unknown (fields, n->key, d->file, n->key_line,
+                             n->key_column, errors);
           ok = false;
         }
       else if (!rr_field_read (d, n, f, out, errors))
--- a/tests/config/session.sh
+++ b/tests/config/session.sh
@@ -28,6 +28,7 @@
 # Starts a fake daemon on the answers $2 and sets $1 to its address.
 start_fake() {
   log=$work/$2.log
+  : >"$log" # the daemon may open it later than the loop below reads it
   "$FAKE" "$SOURCE/answers/$2" >"$log" &
   fakes="$fakes $!"
   i=0
--- a/tests/config/sessions/settings.sh
+++ b/tests/config/sessions/settings.sh
@@ -1,13 +1,14 @@
 # Guards against a daemon that starts with settings other than those given, or
 # that does not say what is wrong with them.
 run_settings() {
-  printf '$ print-settings %s\n' "$*"
+  printf '$ %s %s\n' "$(basename "$program")" "$*"
   rc=0
-  "$PRINT_SETTINGS" "$@" >"$work/out" 2>"$work/err" || rc=$?
+  "$program" "$@" >"$work/out" 2>"$work/err" || rc=$?
   cat "$work/out"
   sed 's/^/! /' "$work/err"
   printf 'exit %s\n\n' "$rc"
 }
+program=$PRINT_SETTINGS
 example=../../../examples/daemon.jsonc
 run_settings $example
 run_settings --set http_port=0 --set seed_peers= $example
@@ -20,3 +21,7 @@
 run_settings no-such-file
 run_settings --port 1
 run_settings --help
+# The daemon checks before anything listens.
+program=$DAEMON
+run_settings --check $example
+run_settings --set http_port=http --set seed_peers=peer $example
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -63,6 +63,11 @@
   ck_assert (rr_config_policy (c, "relief.settle", &hold));
   ck_assert (hold == 250);
   ck_assert (!rr_config_policy (c, "no_such_parameter", &hold));
+  struct rr_policy policy;
+  rr_config_policy_fill (c, &policy);
+  ck_assert_int_eq (policy.relief_settle_ms, 250);
+  ck_assert (policy.relief_hot_ratio == 2);
+  ck_assert_int_eq (policy.relief_task_evictions_max, 2);
   rr_config_free (c);
 }
 END_TEST
