--- a/include/rosemaryrail/placement.h
+++ b/include/rosemaryrail/placement.h
@@ -46,7 +46,9 @@
   int checkpoint_zone;   /* -1 when unknown */
   const int *avoid;      /* workers this task must not be placed on */
   size_t avoid_count;
-  bool urgent; /* headroom kept for services may be used */
+  bool urgent; /* headroom kept for services may be used, and the limit of
+                  the expected slowdown does not hold */
+  int64_t waited_ms; /* since the task was queued; raises that limit */
 };
 
 /* Hard constraints, in the order they are checked; a worker is counted under
@@ -62,6 +64,7 @@
   RR_FILTER_ACCELERATORS,
   RR_FILTER_SLOTS,
   RR_FILTER_CONNECTIONS,
+  RR_FILTER_INTERFERENCE,
   RR_FILTER_COUNT
 };
 
--- a/include/rosemaryrail/policy.h
+++ b/include/rosemaryrail/policy.h
@@ -19,6 +19,8 @@
   double placement_headroom_weight;
   double placement_locality_weight;
   double placement_service_headroom;
+  double placement_slowdown_max;
+  int64_t placement_patience_ms;
   /* interference */
   int64_t interference_half_life_ms;
   double interference_prior_mean;
--- a/rosemaryrail/batch_queue.c
+++ b/rosemaryrail/batch_queue.c
@@ -354,7 +354,8 @@
                         const struct rr_batch_pick *pick)
 {
   struct rr_queue_job *j = job_find (q, pick->job);
-  if (j != NULL)
+  /* A job that backs off keeps its delay: its next attempt may fail too.  */
+  if (j != NULL && j->why != RR_BATCH_BLOCK_BACKOFF)
     j->delay_ms = 0;
   rr_batch_queue_task_cancel (q, pick->job, pick->task);
   rr_batch_queue_charge (q, pick->team, &pick->size);
--- a/rosemaryrail/placement.c
+++ b/rosemaryrail/placement.c
@@ -248,8 +248,8 @@
 }
 
 /* Fills OUT with the reasons why workers can't take REQUEST, one count per
-   worker under the first constraint it breaks.  Looks at every worker; meant
-   for operators, not for every placement.  */
+   worker under the first constraint it breaks; interference comes last.  Looks
+   at every worker; meant for operators, not for every placement.  */
 void
 rr_placement_explain (const struct rr_placement *p,
                       const struct rr_placement_request *request,
@@ -265,6 +265,9 @@
         continue;
       out->workers++;
       enum rr_placement_filter f = filter_of (p, (int)i, request, false);
+      if (f == RR_FILTER_COUNT
+          && rr_placement_too_noisy (p, (int)i, request, false))
+        f = RR_FILTER_INTERFERENCE;
       if (f == RR_FILTER_COUNT)
         out->fitting++;
       else
@@ -309,7 +312,7 @@
 {
   static const char *const names[RR_FILTER_COUNT] = {
     "lease",  "leaving",      "quarantine", "avoided",     "cores",
-    "memory", "accelerators", "slots",      "connections",
+    "memory", "accelerators", "slots",      "connections", "interference",
   };
   return filter < RR_FILTER_COUNT ? names[filter] : "none";
 }
--- a/rosemaryrail/placement_score.c
+++ b/rosemaryrail/placement_score.c
@@ -3,6 +3,10 @@
 
 #include "placement_state.h"
 
+/* A task that uses up less than this share of the allowed slowdown never
+   counts as too noisy.  */
+#define NEGLIGIBLE_SHARE 0.05
+
 /* Returns the expected log slowdown of one instance of service class S on
    SLOT, from the batch work there.  */
 static double
@@ -50,6 +54,15 @@
   return over > 0 ? over + 4 * over * over : 0;
 }
 
+/* Returns the effect of class B on service class S: with caution, or as
+   expected when EXPLORING.  */
+static double
+effect_of (const struct rr_placement *p, int s, int b, bool exploring)
+{
+  return exploring ? fmax (0, rr_interference_mean (p->model, s, b))
+                   : rr_interference_cost (p->model, s, b);
+}
+
 /* Returns the growth of the penalty when TASK joins SLOT.  With EXPLORING,
    the batch task's own effect is taken at its expected value.  */
 static double
@@ -66,10 +79,7 @@
     {
       int s = __builtin_ctz (m);
       double before = pressure_on (p, slot, s);
-      double effect
-          = exploring ? fmax (
-                0, rr_interference_mean (p->model, s, task->class_number))
-                      : rr_interference_cost (p->model, s, task->class_number);
+      double effect = effect_of (p, s, task->class_number, exploring);
       sum += slot->service_count[s]
              * (penalty (p, before + effect * share) - penalty (p, before));
     }
@@ -98,6 +108,37 @@
   return uncertain;
 }
 
+/* Tells whether REQUEST would push a service on WORKER over the limit of the
+   expected slowdown.  The limit grows while the task waits, so that a noisy
+   task that finds no quiet place runs in the end.  A task with next to no
+   effect passes even where the limit is exceeded already.  */
+bool
+rr_placement_too_noisy (const struct rr_placement *p, int worker,
+                        const struct rr_placement_request *request,
+                        bool exploring)
+{
+  const struct rr_policy *policy = p->policy;
+  const struct rr_placement_slot *slot = &p->slots[worker];
+  const struct rr_placement_task *task = &request->task;
+  if (request->urgent || task->kind != RR_KIND_BATCH)
+    return false;
+  double limit = policy->placement_slowdown_max
+                 * (1
+                    + (double)request->waited_ms
+                          / (double)policy->placement_patience_ms);
+  double share = (double)task->size.cores_milli
+                 / (double)slot->worker.total.cores_milli;
+  for (uint32_t m = slot->service_mask; m != 0; m &= m - 1)
+    {
+      int s = __builtin_ctz (m);
+      double effect = share * effect_of (p, s, task->class_number, exploring);
+      if (effect > NEGLIGIBLE_SHARE * limit
+          && pressure_on (p, slot, s) + effect > limit)
+        return true;
+    }
+  return false;
+}
+
 static double
 nearby (const struct rr_placement *p, uint64_t group, enum rr_nearby level,
         int place)
@@ -163,6 +204,8 @@
   const struct rr_policy *policy = p->policy;
   const struct rr_placement_slot *slot = &p->slots[worker];
   bool exploring = explore && may_explore (p, slot, &request->task);
+  if (rr_placement_too_noisy (p, worker, request, exploring))
+    return;
   double score = policy->placement_interference_weight
                      * interference_score (p, slot, &request->task, exploring)
                  + policy->placement_spread_weight
@@ -179,41 +222,56 @@
     }
 }
 
-/* Chooses a worker for REQUEST.  Hard constraints come first: only workers
-   that meet all of them are scored, placement.candidates of them drawn at
-   random.  Returns false, with OUT->worker RR_WORKER_NONE, when no worker
-   meets them; that answer is exact, not sampled.  Cost: logarithmic in the
-   number of workers for each candidate.  */
-bool
-rr_placement_choose (const struct rr_placement *p,
+/* Scores placement.candidates workers that fit, drawn at random.  Returns
+   false when no worker has room.  */
+static bool
+candidates_consider (const struct rr_placement *p,
                      const struct rr_placement_request *request, gsl_rng *rng,
-                     struct rr_placement_choice *out)
+                     bool explore, struct rr_placement_choice *out)
 {
-  memset (out, 0, sizeof *out);
-  out->worker = RR_WORKER_NONE;
-  if (p->count == 0)
-    return false;
   struct rr_index_node need = rr_index_node_from (&request->task.size);
-  bool explore = gsl_rng_uniform (rng) < p->policy->interference_exploration;
-  int64_t wanted = p->policy->placement_candidates;
   int home = request->checkpoint_worker;
   if (rr_placement_worker_get (p, home) != NULL
       && rr_placement_fits (p, home, request))
     consider (p, home, request, explore, out);
   int last = RR_WORKER_NONE;
-  for (int64_t i = 0; i < wanted; i++)
+  for (int64_t i = 0; i < p->policy->placement_candidates; i++)
     {
       int w = rr_index_find (&p->index, gsl_rng_uniform_int (rng, p->count),
                              &need);
       if (w < 0)
-        return out->worker != RR_WORKER_NONE;
+        return false;
       if (w != last && w != home && rr_placement_fits (p, w, request))
         consider (p, w, request, explore, out);
       last = w;
     }
+  return true;
+}
+
+/* Chooses a worker for REQUEST.  Hard constraints come first: only workers
+   that meet all of them are scored, placement.candidates of them drawn at
+   random.  Returns false, with OUT->worker RR_WORKER_NONE, when no worker
+   meets them, which is exact and not sampled, or when every one scored would
+   be too noisy.  Cost: logarithmic in the number of workers for each
+   candidate.  */
+bool
+rr_placement_choose (const struct rr_placement *p,
+                     const struct rr_placement_request *request, gsl_rng *rng,
+                     struct rr_placement_choice *out)
+{
+  memset (out, 0, sizeof *out);
+  out->worker = RR_WORKER_NONE;
+  if (p->count == 0)
+    return false;
+  bool explore = gsl_rng_uniform (rng) < p->policy->interference_exploration;
+  if (!candidates_consider (p, request, rng, explore, out)
+      && out->worker == RR_WORKER_NONE)
+    return false;
   /* The tree knows neither avoided workers nor the headroom kept for
-     services; an exact search tells whether they left nothing.  */
-  if (out->worker == RR_WORKER_NONE)
+     services; only an exact search tells whether they left nothing.  */
+  if (out->worker == RR_WORKER_NONE
+      && (request->avoid_count > 0
+          || p->policy->placement_service_headroom > 0))
     for (size_t w = 0; w < p->count; w++)
       if (rr_placement_fits (p, (int)w, request))
         consider (p, (int)w, request, explore, out);
--- a/rosemaryrail/policy.c
+++ b/rosemaryrail/policy.c
@@ -29,6 +29,11 @@
         0.9, 0,
         "share of a worker's cores that batch tasks leave free, except "
         "urgent ones"),
+  REAL (
+      placement_slowdown_max, "placement.slowdown_max", "ratio", 0, 10, 0.12,
+      "expected log slowdown of a service that a batch task may bring about"),
+  INTEGER (placement_patience_ms, "placement.patience", "ms", 1000, 86400000,
+           600000, "wait after which placement.slowdown_max has doubled"),
 
   INTEGER (interference_half_life_ms, "interference.half_life", "ms", 60000,
            86400000, 600000, "age at which a report counts half"),
--- a/rosemaryrail/quarantine.c
+++ b/rosemaryrail/quarantine.c
@@ -66,14 +66,22 @@
     *rr_id_map_put (&q->index, w->id) = (uint64_t)(w - q->workers) + 1;
 }
 
-/* Tells whether T is enough to take a worker out.  A worker that succeeds now
-   and then is taken out when blame outweighs success four to one.  */
+/* Tells whether T is enough to take a worker out.  Excused failures and
+   withdrawn starts count only beside others, and one start less, which is kept
+   for the probe.  A worker
+   that succeeds now and then is taken out when blame outweighs success four to
+   one.  */
 static bool
 condemned (const struct rr_quarantine *q, const struct rr_quarantine_tally *t)
 {
-  return t->blamed >= q->policy->quarantine_failures
-         || t->blamed + t->unknown >= q->policy->quarantine_starts_max
-         || (t->blamed_all >= 2 * q->policy->quarantine_failures
+  const struct rr_policy *policy = q->policy;
+  int64_t open = t->blamed + t->unknown;
+  return t->blamed >= policy->quarantine_failures
+         || open >= policy->quarantine_starts_max
+         || (open > 0
+             && open + t->excused + t->withdrawn
+                    >= policy->quarantine_starts_max - 1)
+         || (t->blamed_all >= 2 * policy->quarantine_failures
              && t->blamed_all >= 4 * t->good_all);
 }
 
@@ -107,6 +115,7 @@
 worker_return (struct rr_quarantine_worker *w)
 {
   w->out = false;
+  w->tally_valid = false;
   for (int i = 0; i < RR_QUARANTINE_STARTS; i++)
     if (w->starts[i].state == RR_START_FAILED)
       w->starts[i].state = RR_START_UNUSED;
@@ -125,6 +134,7 @@
           || rr_time_diff (now, s->at) < q->policy->quarantine_confirm_ms)
         continue;
       s->confirmed = true;
+      w->tally_valid = false;
       rr_evidence_add (&q->evidence, RR_SUBJECT_JOB, s->job, w->id, true, now,
                        q->policy->quarantine_window_ms);
       w->probes_good += w->out;
@@ -155,13 +165,17 @@
   w->probes_good = 0;
 }
 
-/* Returns the starts left before a worker that is out is closed.  */
+/* Returns the starts left to a worker with T.  Once a failure is not excused,
+   those that are excused or were withdrawn count too: a worker that fails
+   everything is also given tasks that fail everywhere, and relief moves tasks
+   away from it before they fail.  */
 static int64_t
 starts_left (const struct rr_quarantine *q,
              const struct rr_quarantine_tally *t)
 {
-  return q->policy->quarantine_starts_max - t->blamed - t->unknown
-         - t->pending;
+  int64_t open = t->blamed + t->unknown;
+  return q->policy->quarantine_starts_max - t->pending - open
+         - (open > 0 ? t->excused + t->withdrawn : 0);
 }
 
 /* Returns the state of WORKER at NOW; an unknown worker is clear.  */
@@ -198,14 +212,17 @@
   struct rr_quarantine_tally t = rr_quarantine_tally (q, w, now);
   int64_t since = rr_time_diff (now, w->last_start);
   int64_t delay = q->policy->quarantine_probe_delay_ms;
+  int64_t open = t.blamed + t.unknown;
   switch (state)
     {
     case RR_QUARANTINE_CLEAR:
     case RR_QUARANTINE_SUSPECT:
-      /* Once it is suspect, starts are kept back for the probes.  */
-      if (t.blamed + t.unknown > 0
-          && t.blamed + t.unknown + t.pending
-                 >= q->policy->quarantine_failures)
+      /* The last starts are kept for probes, which a worker that works passes
+         even while a bad job makes it look otherwise.  */
+      if ((open > 0 && open + t.pending >= q->policy->quarantine_failures)
+          || (open + t.excused > 0
+              && open + t.excused + t.withdrawn + t.pending
+                     >= q->policy->quarantine_starts_max - 1))
         return t.pending == 0 && starts_left (q, &t) > 0
                        && t.blamed < q->policy->quarantine_failures
                    ? RR_QUARANTINE_PROBE
@@ -271,6 +288,7 @@
     .state = RR_START_PENDING, .task = task, .job = job, .at = now
   };
   w->last_start = now;
+  w->tally_valid = false;
 }
 
 /* Records the end of TASK's attempt on WORKER and what it shows about JOB and
@@ -290,6 +308,8 @@
                    window);
   if (w == NULL)
     return;
+  if (s == NULL && success)
+    return; /* it can't be told when it was started */
   if (s == NULL)
     {
       s = start_slot (w);
@@ -297,6 +317,7 @@
     }
   s->state = success ? RR_START_SUCCEEDED : RR_START_FAILED;
   s->outcome = now;
+  w->tally_valid = false;
   if (!w->out)
     return;
   if (!success)
@@ -337,8 +358,10 @@
 {
   struct rr_quarantine_worker *w = rr_quarantine_worker_find (q, worker);
   struct rr_quarantine_start *s = w == NULL ? NULL : start_find (w, task);
-  if (s != NULL)
-    s->state = RR_START_UNUSED;
+  if (s == NULL)
+    return;
+  s->state = s->confirmed ? RR_START_UNUSED : RR_START_WITHDRAWN;
+  w->tally_valid = false;
 }
 
 /* Tells whether JOB is at fault for its failures; its next attempts should
@@ -347,8 +370,7 @@
 rr_quarantine_job_suspect (struct rr_quarantine *q, uint64_t job,
                            struct rr_time now)
 {
-  const struct rr_subject *s
-      = rr_evidence_find (&q->evidence, RR_SUBJECT_JOB, job);
+  struct rr_subject *s = rr_evidence_find (&q->evidence, RR_SUBJECT_JOB, job);
   return rr_quarantine_at_fault (q, s, job, 0, now);
 }
 
--- a/rosemaryrail/quarantine_blame.c
+++ b/rosemaryrail/quarantine_blame.c
@@ -14,19 +14,30 @@
   return rr_time_diff (now, at) <= q->policy->quarantine_window_ms;
 }
 
-/* Returns when start S proved good, or false: it ended well, or it has run
-   for quarantine.confirm and not failed since.  */
+/* Tells whether start S proved good: it ended well, or it has run for
+   quarantine.confirm and not failed since.  */
 static bool
-good_at (const struct rr_quarantine *q, const struct rr_quarantine_start *s,
-         struct rr_time now, struct rr_time *at)
+is_good (const struct rr_quarantine *q, const struct rr_quarantine_start *s,
+         struct rr_time now)
 {
-  if (s->state == RR_START_SUCCEEDED)
-    {
-      *at = s->outcome;
-      return true;
-    }
-  *at = rr_time_add (s->at, q->policy->quarantine_confirm_ms);
-  return s->state == RR_START_PENDING && !rr_time_before (now, *at);
+  return s->state == RR_START_SUCCEEDED
+         || (s->state == RR_START_PENDING
+             && rr_time_diff (now, s->at) >= q->policy->quarantine_confirm_ms);
+}
+
+/* Returns the time of the latest good start of W in the window, or INT64_MIN.
+   Starts are compared by when they were made: a task that was running before
+   a worker broke may end well for a long time after.  */
+static struct rr_time
+last_good_start (const struct rr_quarantine *q,
+                 const struct rr_quarantine_worker *w, struct rr_time now)
+{
+  struct rr_time last = rr_time_from_ms (INT64_MIN);
+  for (int i = 0; i < RR_QUARANTINE_STARTS; i++)
+    if (is_good (q, &w->starts[i], now)
+        && rr_time_before (last, w->starts[i].at))
+      last = w->starts[i].at;
+  return last;
 }
 
 /* Tells whether worker ID works: it had a good start lately, and nothing but
@@ -39,23 +50,14 @@
   const struct rr_quarantine_worker *w = rr_quarantine_worker_find (q, id);
   if (w == NULL || w->out)
     return false;
-  struct rr_time last_good = rr_time_from_ms (INT64_MIN);
-  bool any = false;
+  struct rr_time last_good = last_good_start (q, w, now);
+  if (last_good.ms == INT64_MIN)
+    return false;
   for (int i = 0; i < RR_QUARANTINE_STARTS; i++)
-    {
-      struct rr_time at;
-      if (w->starts[i].state == RR_START_UNUSED
-          || !good_at (q, &w->starts[i], now, &at) || !recent (q, at, now))
-        continue;
-      any = true;
-      if (rr_time_before (last_good, at))
-        last_good = at;
-    }
-  for (int i = 0; any && i < RR_QUARANTINE_STARTS; i++)
     if (w->starts[i].state == RR_START_FAILED && w->starts[i].job != job
-        && rr_time_before (last_good, w->starts[i].outcome))
+        && rr_time_before (last_good, w->starts[i].at))
       return false;
-  return any;
+  return true;
 }
 
 /* Tells whether S succeeded lately on a worker other than WORKER.  */
@@ -70,72 +72,109 @@
   return false;
 }
 
+/* Fills the masks of S, which is JOB or a task of it, unless they are fresh.
+ */
+static void
+judge (const struct rr_quarantine *q, struct rr_subject *s, uint64_t job,
+       struct rr_time now)
+{
+  int64_t age = rr_time_diff (now, s->judged_at);
+  if (s->judged && age >= 0 && age < RR_QUARANTINE_KEEP_MS)
+    return;
+  s->judged = true;
+  s->judged_at = now;
+  s->sure_mask = 0;
+  s->open_mask = 0;
+  for (int i = 0; i < s->failure_count; i++)
+    {
+      uint64_t id = s->failure[i].worker;
+      const struct rr_quarantine_worker *w = rr_quarantine_worker_find (q, id);
+      if (w == NULL || w->out || !recent (q, s->failure[i].at, now))
+        continue;
+      s->open_mask |= 1U << i;
+      if (credible (q, id, job, now))
+        s->sure_mask |= 1U << i;
+    }
+}
+
 /* Tells whether S, which is JOB or a task of it, is itself at fault: it failed
    on enough workers other than WORKER that are known to work, or on twice as
    many not known to be bad, and succeeded nowhere else.  */
 bool
-rr_quarantine_at_fault (const struct rr_quarantine *q,
-                        const struct rr_subject *s, uint64_t job,
-                        uint64_t worker, struct rr_time now)
+rr_quarantine_at_fault (const struct rr_quarantine *q, struct rr_subject *s,
+                        uint64_t job, uint64_t worker, struct rr_time now)
 {
-  if (s == NULL || rr_quarantine_succeeds_elsewhere (q, s, worker, now))
+  if (s == NULL || s->failure_count < q->policy->quarantine_job_workers
+      || rr_quarantine_succeeds_elsewhere (q, s, worker, now))
     return false;
-  int64_t sure = 0;
-  int64_t open = 0;
+  judge (q, s, job, now);
+  unsigned others = ~0U;
   for (int i = 0; i < s->failure_count; i++)
-    {
-      uint64_t id = s->failure[i].worker;
-      if (id == worker || !recent (q, s->failure[i].at, now))
-        continue;
-      const struct rr_quarantine_worker *w = rr_quarantine_worker_find (q, id);
-      sure += credible (q, id, job, now);
-      open += w != NULL && !w->out;
-    }
-  return sure >= q->policy->quarantine_job_workers
-         || open >= 2 * q->policy->quarantine_job_workers;
+    if (s->failure[i].worker == worker)
+      others &= ~(1U << i);
+  return __builtin_popcount (s->sure_mask & others)
+             >= q->policy->quarantine_job_workers
+         || __builtin_popcount (s->open_mask & others)
+                >= 2 * q->policy->quarantine_job_workers;
 }
 
 /* Sums up the starts of W.  Failures of a job or task that is itself at fault
-   count nowhere.  */
-struct rr_quarantine_tally
-rr_quarantine_tally (const struct rr_quarantine *q,
-                     const struct rr_quarantine_worker *w, struct rr_time now)
+   are kept apart.  */
+static void
+tally_fill (const struct rr_quarantine *q, struct rr_quarantine_worker *w,
+            struct rr_time now)
 {
   struct rr_quarantine_tally t = { 0 };
-  struct rr_time last_good = rr_time_from_ms (INT64_MIN);
+  struct rr_time last_good = last_good_start (q, w, now);
+  w->tally_until = rr_time_add (now, RR_QUARANTINE_KEEP_MS);
   for (int i = 0; i < RR_QUARANTINE_STARTS; i++)
     {
-      struct rr_time at;
       const struct rr_quarantine_start *s = &w->starts[i];
-      if (s->state == RR_START_UNUSED)
-        continue;
-      if (good_at (q, s, now, &at))
+      if (is_good (q, s, now))
+        t.good_all += recent (q, s->at, now);
+      else if (s->state == RR_START_PENDING)
         {
-          if (rr_time_before (last_good, at))
-            last_good = at;
-          t.good_all += recent (q, at, now);
+          struct rr_time confirm
+              = rr_time_add (s->at, q->policy->quarantine_confirm_ms);
+          if (rr_time_before (confirm, w->tally_until))
+            w->tally_until = confirm;
+          t.pending++;
         }
-      else if (s->state == RR_START_PENDING)
-        t.pending++;
-    }
-  for (int i = 0; i < RR_QUARANTINE_STARTS; i++)
-    {
-      const struct rr_quarantine_start *s = &w->starts[i];
+      t.withdrawn += s->state == RR_START_WITHDRAWN
+                     && rr_time_before (last_good, s->at)
+                     && recent (q, s->at, now);
       if (s->state != RR_START_FAILED || !recent (q, s->outcome, now))
         continue;
-      const struct rr_subject *job
+      struct rr_subject *job
           = rr_evidence_find (&q->evidence, RR_SUBJECT_JOB, s->job);
-      const struct rr_subject *task
+      struct rr_subject *task
           = rr_evidence_find (&q->evidence, RR_SUBJECT_TASK, s->task);
       if (rr_quarantine_at_fault (q, job, s->job, w->id, now)
           || rr_quarantine_at_fault (q, task, s->job, w->id, now))
-        continue;
+        {
+          t.excused += rr_time_before (last_good, s->at);
+          continue;
+        }
       bool blamed = rr_quarantine_succeeds_elsewhere (q, job, w->id, now);
       t.blamed_all += blamed;
-      if (!rr_time_before (last_good, s->outcome))
+      if (!rr_time_before (last_good, s->at))
         continue;
       t.blamed += blamed;
       t.unknown += !blamed;
     }
-  return t;
+  w->tally = t;
+  w->tally_at = now;
+  w->tally_valid = true;
+}
+
+/* Returns what the starts of W say about it, evaluated anew when W had a start
+   or an end, or after RR_QUARANTINE_KEEP_MS.  */
+struct rr_quarantine_tally
+rr_quarantine_tally (const struct rr_quarantine *q,
+                     struct rr_quarantine_worker *w, struct rr_time now)
+{
+  if (!w->tally_valid || rr_time_before (now, w->tally_at)
+      || !rr_time_before (now, w->tally_until))
+    tally_fill (q, w, now);
+  return w->tally;
 }
--- a/rosemaryrail/quarantine_evidence.c
+++ b/rosemaryrail/quarantine_evidence.c
@@ -66,6 +66,7 @@
   struct rr_subject *s
       = subject_get (e, rr_id_pair (kind, id), now, window_ms);
   s->at = now;
+  s->judged = false;
   struct rr_subject_outcome o = { .worker = worker, .at = now };
   int i = 0;
   while (i < s->failure_count && s->failure[i].worker != worker)
--- a/rosemaryrail/quarantine_state.h
+++ b/rosemaryrail/quarantine_state.h
@@ -16,7 +16,8 @@
   RR_START_UNUSED,
   RR_START_PENDING,
   RR_START_SUCCEEDED,
-  RR_START_FAILED
+  RR_START_FAILED,
+  RR_START_WITHDRAWN /* ended for another reason before it proved good */
 };
 
 struct rr_quarantine_start
@@ -29,6 +30,22 @@
   struct rr_time outcome; /* of its end */
 };
 
+/* What the starts of a worker say about it.  */
+struct rr_quarantine_tally
+{
+  int64_t pending;   /* running for less than quarantine.confirm */
+  int64_t unknown;   /* failures since the last good start, cause open */
+  int64_t blamed;    /* the same, but the job succeeds elsewhere */
+  int64_t excused;   /* the same, but the job or task is at fault */
+  int64_t withdrawn; /* withdrawn since the last good start */
+  int64_t good_all;  /* good starts in the window */
+  int64_t blamed_all;
+};
+
+/* Evaluations are kept this long, in ms.  The worker's own starts count at
+   once; what other workers show about its jobs may take this much longer.  */
+#define RR_QUARANTINE_KEEP_MS 1000
+
 struct rr_quarantine_worker
 {
   uint64_t id;
@@ -39,6 +56,10 @@
   int64_t probes_failed; /* since it was taken out */
   int64_t probes_good;
   struct rr_quarantine_start starts[RR_QUARANTINE_STARTS];
+  struct rr_quarantine_tally tally;
+  bool tally_valid;
+  struct rr_time tally_at;
+  struct rr_time tally_until;
 };
 
 struct rr_quarantine
@@ -51,26 +72,16 @@
   struct rr_evidence evidence;
 };
 
-/* What the starts of a worker say about it.  */
-struct rr_quarantine_tally
-{
-  int64_t pending;  /* running for less than quarantine.confirm */
-  int64_t unknown;  /* failures since the last good start, cause open */
-  int64_t blamed;   /* the same, but the job succeeds elsewhere */
-  int64_t good_all; /* good starts in the window */
-  int64_t blamed_all;
-};
-
 struct rr_quarantine_worker *
 rr_quarantine_worker_find (const struct rr_quarantine *q, uint64_t id);
 bool rr_quarantine_succeeds_elsewhere (const struct rr_quarantine *q,
                                        const struct rr_subject *s,
                                        uint64_t worker, struct rr_time now);
 bool rr_quarantine_at_fault (const struct rr_quarantine *q,
-                             const struct rr_subject *s, uint64_t job,
+                             struct rr_subject *s, uint64_t job,
                              uint64_t worker, struct rr_time now);
-struct rr_quarantine_tally
-rr_quarantine_tally (const struct rr_quarantine *q,
-                     const struct rr_quarantine_worker *w, struct rr_time now);
+struct rr_quarantine_tally rr_quarantine_tally (const struct rr_quarantine *q,
+                                                struct rr_quarantine_worker *w,
+                                                struct rr_time now);
 
 #endif
