--- a/include/rosemaryrail/admission.h
+++ b/include/rosemaryrail/admission.h
@@ -16,7 +16,8 @@
   double initial;
   double min;
   double max;
-  /* Latency, as a multiple of the baseline, above which the limit falls.  */
+  /* Typical latency, as a multiple of the baseline, above which the limit
+     falls.  */
   double tolerance;
   /* Samples in one adjustment.  */
   unsigned window;
@@ -26,10 +27,11 @@
 {
   struct rr_limiter_options options;
   double limit;
-  double baseline_ms; /* latency without queueing; 0 until measured */
+  double baseline_ms; /* typical latency without queueing; 0 if unmeasured */
   int64_t in_flight;
   unsigned samples;
-  double window_sum;
+  double log_sum; /* of the window: logarithms of latencies in ms */
+  double log_squares;
   int64_t window_peak;
   unsigned windows;
   int64_t overload_hold; /* further overloads that don't lower the limit */
@@ -41,10 +43,12 @@
 /* Takes a place; false at the limit.  */
 bool rr_limiter_acquire (struct rr_limiter *l);
 
+/* How a call ended; LATENCY_MS counts from the moment it was sent.  */
 enum rr_sample
 {
-  RR_SAMPLE_ANSWERED, /* LATENCY_MS is meaningful */
-  RR_SAMPLE_OVERLOAD, /* timed out, or refused as full: lowers the limit */
+  RR_SAMPLE_ANSWERED, /* after LATENCY_MS */
+  RR_SAMPLE_TIMEOUT,  /* no answer within LATENCY_MS */
+  RR_SAMPLE_OVERLOAD, /* refused as full: lowers the limit */
   RR_SAMPLE_IGNORE    /* ended for another reason; says nothing */
 };
 
@@ -60,6 +64,8 @@
   size_t queue_limit;        /* requests waiting */
   int64_t team_limit;        /* requests in flight for each team */
   double initial_service_ms; /* until latency has been measured */
+  /* Share of the time to the deadline that the expected wait may take.  */
+  double wait_share;
   struct rr_limiter_options limiter;
 };
 
@@ -126,14 +132,16 @@
    waits again and the worker is blocked.  */
 void rr_admission_undo (struct rr_admission *a,
                         const struct rr_admission_step *step);
-/* A sent request ended.  */
+/* A sent request ended.  Call it when the call to the worker is really over
+   (response, refusal, broken connection), even if its caller was answered at
+   the deadline before: the worker is busy until then.  */
 void rr_admission_done (struct rr_admission *a, int worker, int team,
                         enum rr_sample sample, double latency_ms);
 
 size_t rr_admission_waiting (const struct rr_admission *a);
 const struct rr_limiter *rr_admission_limiter (const struct rr_admission *a,
                                                int worker);
-/* Measured service time in ms, used for early "not run".  */
+/* Mean measured time of a call in ms.  */
 double rr_admission_service_ms (const struct rr_admission *a);
 const char *rr_admission_result_name (enum rr_admission_result result);
 
--- a/rosemaryrail/admission.c
+++ b/rosemaryrail/admission.c
@@ -1,11 +1,21 @@
 #include "rosemaryrail/admission.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Weight of a new latency in the measured service time: about the last 20
-   answers count.  */
-#define SERVICE_WEIGHT 0.05
+/* Weight of a new latency in the mean: about the last 50 answers count.  One
+   latency counts for at most so many times the mean, since in a heavy tail a
+   single answer would otherwise reject everything for a while.  */
+#define MEAN_WEIGHT 0.02
+#define MEAN_OUTLIER 10
+
+/* A call is sent only if this share of calls is answered in the time left: at
+   the median, half the calls sent last would time out and their work be
+   lost.  The estimate moves by this step of its logarithm, so that one
+   outlier moves it by at most 5%.  */
+#define NEEDED_QUANTILE 0.9
+#define NEEDED_STEP 0.05
 
 struct waiting
 {
@@ -47,7 +57,8 @@
   int team_count;
   uint64_t order;
   int64_t in_flight;
-  double service_ms;
+  double service_ms; /* mean, for the rate at which places get free */
+  double needed_ms;  /* NEEDED_QUANTILE, for the deadline */
 };
 
 /* Fills O with defaults.  */
@@ -57,6 +68,10 @@
   o->queue_limit = 512;
   o->team_limit = 256;
   o->initial_service_ms = 1;
+  /* A longer queue than this costs goodput: under lasting overload every
+     request then waits until shortly before its deadline, and a slow call is
+     late.  */
+  o->wait_share = 0.3;
   rr_limiter_options_default (&o->limiter);
 }
 
@@ -70,7 +85,7 @@
   if (a->options.queue_limit == 0)
     a->options.queue_limit = 1;
   a->queue = calloc (a->options.queue_limit, sizeof *a->queue);
-  a->service_ms = options->initial_service_ms;
+  a->service_ms = a->needed_ms = options->initial_service_ms;
   return a;
 }
 
@@ -193,10 +208,20 @@
   a->dropped[a->dropped_count++] = *w;
 }
 
+static bool
+has_idle_worker (const struct rr_admission *a)
+{
+  for (int i = 0; i < a->worker_count; i++)
+    if (a->workers[i].used && !a->workers[i].blocked
+        && a->workers[i].limiter.in_flight == 0)
+      return true;
+  return false;
+}
+
 /* Tells whether a request sent after WAIT_MS can still be answered by
-   DEADLINE.  While nothing is in flight the measured time doesn't count:
-   otherwise one slow phase could reject everything for ever, since only
-   answers correct the measure.  */
+   DEADLINE.  While a worker is idle the measured time doesn't count: otherwise
+   one slow phase could reject nearly everything for long, since only answers
+   correct the measure.  */
 static bool
 in_time (const struct rr_admission *a, struct rr_time now,
          struct rr_time deadline, double wait_ms)
@@ -204,7 +229,10 @@
   double left = (double)rr_time_diff (deadline, now);
   if (left <= 0)
     return false;
-  return a->in_flight == 0 || wait_ms + a->service_ms <= left;
+  if (wait_ms + a->needed_ms <= left
+      && wait_ms <= a->options.wait_share * left)
+    return true;
+  return has_idle_worker (a);
 }
 
 /* Returns the expected wait in ms behind AHEAD requests: those that exceed
@@ -391,8 +419,13 @@
                    enum rr_sample sample, double latency_ms)
 {
   leave (a, worker, team, sample, latency_ms);
-  if (sample == RR_SAMPLE_ANSWERED)
-    a->service_ms += SERVICE_WEIGHT * (latency_ms - a->service_ms);
+  if (sample != RR_SAMPLE_ANSWERED)
+    return;
+  double bounded = fmin (latency_ms, MEAN_OUTLIER * a->service_ms);
+  a->service_ms += MEAN_WEIGHT * (bounded - a->service_ms);
+  a->needed_ms *= exp (
+      NEEDED_STEP
+      * (latency_ms > a->needed_ms ? NEEDED_QUANTILE : NEEDED_QUANTILE - 1));
 }
 
 /* Returns the number of waiting requests.  */
@@ -409,7 +442,7 @@
   return &a->workers[worker].limiter;
 }
 
-/* Returns the measured service time in ms.  */
+/* Returns the mean measured service time in ms.  */
 double
 rr_admission_service_ms (const struct rr_admission *a)
 {
--- a/tests/coordination/test_admission.c
+++ b/tests/coordination/test_admission.c
@@ -17,6 +17,7 @@
   rr_admission_options_default (&o);
   o.queue_limit = queue;
   o.initial_service_ms = 10;
+  o.wait_share = 1;
   o.limiter.initial = o.limiter.min = o.limiter.max = limit;
   struct rr_admission *a = rr_admission_new (&o);
   for (int i = 0; i < workers; i++)
@@ -84,7 +85,7 @@
 {
   struct rr_admission *a = make (1, 1, 10);
   int t = rr_admission_team (a, "lab");
-  /* Nothing in flight: tried although 10 ms are expected.  */
+  /* The worker is idle: tried although 10 ms are expected.  */
   ck_assert_int_eq (rr_admission_offer (a, at (0), 1, t, at (5)),
                     RR_ADMISSION_QUEUED);
   expect (a, 0, RR_ADMISSION_SEND, 1);
@@ -114,6 +115,57 @@
 }
 END_TEST
 
+/* Guards against a standing queue in which everyone waits until shortly before
+   the deadline, so that each slow call is late.  */
+START_TEST (expected_wait_is_bounded)
+{
+  struct rr_admission_options o;
+  rr_admission_options_default (&o);
+  o.initial_service_ms = 10;
+  o.limiter.initial = o.limiter.min = o.limiter.max = 1;
+  struct rr_admission *a = rr_admission_new (&o);
+  rr_admission_add_worker (a);
+  int t = rr_admission_team (a, "lab");
+  rr_admission_offer (a, at (0), 1, t, at (100));
+  expect (a, 0, RR_ADMISSION_SEND, 1);
+  for (uint64_t i = 2; i < 5; i++)
+    ck_assert_int_eq (rr_admission_offer (a, at (0), i, t, at (100)),
+                      RR_ADMISSION_QUEUED);
+  /* Would wait 40 ms of its 100.  */
+  ck_assert_int_eq (rr_admission_offer (a, at (0), 5, t, at (100)),
+                    RR_ADMISSION_NOT_RUN_DEADLINE);
+  ck_assert_int_eq (rr_admission_offer (a, at (0), 5, t, at (200)),
+                    RR_ADMISSION_QUEUED);
+  rr_admission_free (a);
+}
+END_TEST
+
+/* Guards against calls sent so late that about half of them time out: the
+   spread of latencies counts, and not only their mean.  */
+START_TEST (spread_counts_for_the_deadline)
+{
+  struct rr_admission *a = make (1, 1000, 10);
+  int t = rr_admission_team (a, "lab");
+  rr_admission_offer (a, at (0), 1, t, at (1000));
+  rr_admission_offer (a, at (0), 2, t, at (1000));
+  expect (a, 0, RR_ADMISSION_SEND, 1);
+  for (int i = 0; i < 400; i++)
+    {
+      struct rr_admission_step s = rr_admission_next (a, at (0));
+      ck_assert_int_eq (s.action, RR_ADMISSION_SEND);
+      rr_admission_done (a, s.worker, t, RR_SAMPLE_ANSWERED,
+                         i % 2 == 0 ? 5 : 15);
+      rr_admission_offer (a, at (0), 2, t, at (1000));
+    }
+  ck_assert_double_eq_tol (rr_admission_service_ms (a), 10, 1);
+  ck_assert_int_eq (rr_admission_offer (a, at (0), 3, t, at (13)),
+                    RR_ADMISSION_NOT_RUN_DEADLINE);
+  ck_assert_int_eq (rr_admission_offer (a, at (0), 3, t, at (25)),
+                    RR_ADMISSION_QUEUED);
+  rr_admission_free (a);
+}
+END_TEST
+
 /* Guards against a full queue that turns urgent requests away, and against a
    dropped request whose caller never hears of it.  */
 START_TEST (full_queue_drops_the_latest)
@@ -269,6 +321,58 @@
 }
 END_TEST
 
+/* Guards against closing an idle worker because requests that waited here
+   timed out shortly after they were sent, and against a hanging worker that
+   keeps its limit because it gives no answers to measure.  */
+START_TEST (timeouts_count_as_latency)
+{
+  struct rr_limiter_options o;
+  rr_limiter_options_default (&o);
+  struct rr_limiter l;
+  rr_limiter_init (&l, &o);
+  windows (&l, 4, 64, 10);
+  double before = l.limit;
+  for (unsigned i = 0; i < 10 * o.window; i++)
+    {
+      ck_assert (rr_limiter_acquire (&l));
+      rr_limiter_release (&l, RR_SAMPLE_TIMEOUT, 9);
+    }
+  ck_assert_double_eq (l.limit, before);
+  ck_assert_double_eq_tol (l.baseline_ms, 10, 0.001);
+  for (unsigned i = 0; i < 2 * o.window; i++)
+    {
+      ck_assert (rr_limiter_acquire (&l));
+      rr_limiter_release (&l, RR_SAMPLE_TIMEOUT, 50);
+    }
+  ck_assert_double_le (l.limit, 0.7 * before);
+}
+END_TEST
+
+/* Guards against a heavy tail that rejects requests, or closes the worker,
+   though there is room: one answer in 50 takes 100 times as long.  */
+START_TEST (outliers_do_not_reject)
+{
+  struct rr_admission_options o;
+  rr_admission_options_default (&o);
+  struct rr_admission *a = rr_admission_new (&o);
+  rr_admission_add_worker (a);
+  int t = rr_admission_team (a, "lab");
+  rr_admission_offer (a, at (0), 1, t, at (50));
+  rr_admission_next (a, at (0));
+  for (int i = 0; i < 5000; i++)
+    {
+      ck_assert_int_eq (rr_admission_offer (a, at (0), 2, t, at (50)),
+                        RR_ADMISSION_QUEUED);
+      struct rr_admission_step s = rr_admission_next (a, at (0));
+      ck_assert_int_eq (s.action, RR_ADMISSION_SEND);
+      rr_admission_done (a, s.worker, t, RR_SAMPLE_ANSWERED,
+                         i % 50 == 49 ? 500 : 5);
+    }
+  ck_assert_double_ge (rr_admission_limiter (a, 0)->limit, 4);
+  rr_admission_free (a);
+}
+END_TEST
+
 /* Guards against a second run of a non-repeatable request and against hedges
    that can't help or exceed their budget.  */
 START_TEST (hedging_needs_a_reason)
@@ -312,12 +416,16 @@
   tcase_add_test (t, earliest_deadline_goes_first);
   tcase_add_test (t, team_limit_does_not_block_others);
   tcase_add_test (t, not_run_early);
+  tcase_add_test (t, expected_wait_is_bounded);
+  tcase_add_test (t, spread_counts_for_the_deadline);
   tcase_add_test (t, full_queue_drops_the_latest);
   tcase_add_test (t, undo_keeps_the_request);
   tcase_add_test (t, removed_worker_gets_nothing);
   tcase_add_test (t, limit_follows_latency);
   tcase_add_test (t, baseline_is_measured_again);
   tcase_add_test (t, overload_counts_once_for_each_burst);
+  tcase_add_test (t, timeouts_count_as_latency);
+  tcase_add_test (t, outliers_do_not_reject);
   tcase_add_test (t, hedging_needs_a_reason);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
