workers: decisions place, quarantine, learn and relieve

Cause: the workers actor chose workers by a plain loop; interference, sizes and failing workers were not taken into account. Change: placement index over the daemon's own ledgers, quarantine, estimates and relief run on each report; the ledger still admits every start.

--- a/common/peer.x
+++ b/common/peer.x
@@ -53,6 +53,13 @@
   unsigned int free_cores_milli;
   unsigned hyper free_memory_mb;
   unsigned int free_accelerators;
+  unsigned hyper total_cores_milli;
+  unsigned hyper total_memory_mb;
+  unsigned int total_accelerators;
+  unsigned int total_slots;
+  unsigned int largest_cores_milli;
+  unsigned hyper largest_memory_mb;
+  unsigned int largest_accelerators;
   peer_leaving leaving<PEER_LIST_MAX>;
   peer_service services<PEER_LIST_MAX>;
   peer_shard shards<64>;
@@ -156,6 +163,7 @@
   unsigned hyper work_ms;
   string checkpoint<PEER_TEXT_MAX>;
   bool urgent;
+  unsigned int evictions;
 };
 
 struct peer_reserve_result
--- a/common/peer_xdr.c
+++ b/common/peer_xdr.c
@@ -100,6 +100,28 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->free_accelerators))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->total_cores_milli))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->total_memory_mb))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->total_accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->total_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->largest_cores_milli))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->total_accelerators);
+		IXDR_PUT_U_LONG(buf, objp->total_slots);
+		IXDR_PUT_U_LONG(buf, objp->largest_cores_milli);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->largest_memory_mb))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->largest_accelerators))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LIST_MAX,
 			sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 			 return FALSE;
@@ -145,6 +167,28 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->free_accelerators))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->total_cores_milli))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->total_memory_mb))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->total_accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->total_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->largest_cores_milli))
+				 return FALSE;
+
+		} else {
+		objp->total_accelerators = IXDR_GET_U_LONG(buf);
+		objp->total_slots = IXDR_GET_U_LONG(buf);
+		objp->largest_cores_milli = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->largest_memory_mb))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->largest_accelerators))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LIST_MAX,
 			sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 			 return FALSE;
@@ -181,6 +225,20 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->free_accelerators))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->total_cores_milli))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->total_memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total_accelerators))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->largest_cores_milli))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->largest_memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->largest_accelerators))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LIST_MAX,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
@@ -435,6 +493,8 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->urgent))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->evictions))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->task, PEER_ID_MAX))
@@ -473,6 +533,8 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->urgent))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->evictions))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -504,6 +566,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->urgent))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->evictions))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/include/common/peer.h
+++ b/include/common/peer.h
@@ -66,6 +66,13 @@
     u_int free_cores_milli;
     u_quad_t free_memory_mb;
     u_int free_accelerators;
+    u_quad_t total_cores_milli;
+    u_quad_t total_memory_mb;
+    u_int total_accelerators;
+    u_int total_slots;
+    u_int largest_cores_milli;
+    u_quad_t largest_memory_mb;
+    u_int largest_accelerators;
     struct
     {
       u_int leaving_len;
@@ -212,6 +219,7 @@
     u_quad_t work_ms;
     char *checkpoint;
     bool_t urgent;
+    u_int evictions;
   };
   typedef struct peer_task peer_task;
 
--- a/include/rosemaryraild/worker_api.h
+++ b/include/rosemaryraild/worker_api.h
@@ -55,6 +55,7 @@
 {
   char task[RR_TASK_ID_SIZE];
   uint32_t attempt;
+  char task_class[NAME_SIZE];
   int64_t window_start_ms;
   int64_t window_end_ms;
   int64_t cores_milli;
--- a/include/rosemaryraild/workers_internal.h
+++ b/include/rosemaryraild/workers_internal.h
@@ -4,7 +4,11 @@
 #include <uv.h>
 
 #include "rosemaryrail/admission.h"
+#include "rosemaryrail/estimate.h"
 #include "rosemaryrail/ledger.h"
+#include "rosemaryrail/placement.h"
+#include "rosemaryrail/quarantine.h"
+#include "rosemaryrail/relief.h"
 #include "rosemaryrail/table.h"
 #include "rosemaryraild/daemon.h"
 #include "rosemaryraild/worker_api.h"
@@ -47,6 +51,15 @@
   char result[32];
   char checkpoint[WORKER_CHECKPOINT_SIZE];
   int instance; /* number in the route of its service, or -1 */
+  bool indexed; /* counted in the placement index as PLACEMENT */
+  struct rr_placement_task placement;
+  unsigned evictions;
+  int percent; /* throttle; 100: none */
+  bool evicting;
+  struct rr_time started;
+  double peak_memory_mb;
+  double mean_cores_milli;
+  int64_t done_ms;
 };
 
 struct worker
@@ -67,6 +80,9 @@
   int64_t ended_after;
   struct hosted_task hosted[HOSTED_MAX];
   size_t hosted_count;
+  int index;   /* in the placement index, or RR_WORKER_NONE */
+  uint64_t id; /* of name and incarnation, for the decision modules */
+  int64_t learned_until_ms; /* end of the last usage window taken in */
 };
 
 /* Requests of one service to the workers whose ledgers this daemon owns.  */
@@ -93,6 +109,18 @@
   bool queue_timer_active;
   struct rr_retry_budget retry_budget;
   size_t in_progress;
+  struct decisions *decisions;
+};
+
+/* Decision modules over the workers of this daemon, and their parameters.  */
+struct decisions
+{
+  struct rr_policy policy;
+  struct rr_interference *interference;
+  struct rr_placement *placement;
+  struct rr_relief *relief;
+  struct rr_quarantine *quarantine;
+  struct rr_estimate *estimate;
 };
 
 /* workers.c */
@@ -107,6 +135,25 @@
 void worker_unhost (struct worker *w, struct hosted_task *t);
 void worker_lease_lost (struct worker *w, int event);
 
+/* workers_decisions.c */
+void decisions_open (struct workers *ws);
+void decisions_set_policy (struct workers *ws);
+void decisions_add_worker (struct worker *w);
+void decisions_remove_worker (struct worker *w);
+void decisions_sync_worker (struct worker *w, struct rr_time now);
+void decisions_host (struct worker *w, struct hosted_task *t);
+void decisions_unhost (struct worker *w, struct hosted_task *t);
+struct worker *decisions_choose (struct workers *ws, const peer_task *t,
+                                 struct rr_time now,
+                                 struct rr_placement_explanation *why);
+void decisions_started (struct worker *w, const struct hosted_task *t);
+void decisions_ended (struct worker *w, const struct hosted_task *t,
+                      const char *result);
+uint64_t decisions_hash (const char *text);
+
+/* workers_relief.c */
+void decisions_learn (struct worker *w, const struct worker_account *a);
+
 /* workers_tasks.c */
 void workers_handle_rpc (struct workers *ws, struct message_rpc_request *q);
 void worker_take_account (struct worker *w, const struct worker_account *a);
--- a/rosemaryraild/shards_tasks.c
+++ b/rosemaryraild/shards_tasks.c
@@ -136,6 +136,7 @@
     .work_ms = (u_quad_t)spec->work_ms,
     .checkpoint = job->tasks[task].checkpoint,
     .urgent = spec->urgent,
+    .evictions = job->tasks[task].evictions,
   };
 }
 
--- a/rosemaryraild/worker_api.c
+++ b/rosemaryraild/worker_api.c
@@ -67,6 +67,7 @@
   memset (u, 0, sizeof *u);
   copy_text (u->task, sizeof u->task, o, "task");
   u->attempt = (uint32_t)json_int_or (o, "attempt", 0);
+  copy_text (u->task_class, sizeof u->task_class, o, "class");
   u->window_start_ms = json_int_or (o, "window_start_ms", 0);
   u->window_end_ms = json_int_or (o, "window_end_ms", 0);
   u->cores_milli = json_int_or (o, "cores_milli", 0);
--- a/rosemaryraild/workers.c
+++ b/rosemaryraild/workers.c
@@ -81,6 +81,8 @@
   snprintf (t->task, sizeof t->task, "%s", task);
   t->attempt = attempt;
   t->instance = -1;
+  t->percent = 100;
+  t->started = daemon_now ();
   return t;
 }
 
@@ -89,6 +91,7 @@
 worker_unhost (struct worker *w, struct hosted_task *t)
 {
   route_remove_instance (w, t);
+  decisions_unhost (w, t);
   size_t i = (size_t)(t - w->hosted);
   w->hosted_count--;
   memmove (t, t + 1, (w->hosted_count - i) * sizeof *t);
@@ -148,8 +151,10 @@
   worker_event (w, ws->chart.claim_granted);
   forget_hosted (w);
   w->ended_after = -1;
+  decisions_sync_worker (w, now);
   worker_take_account (w, a);
   worker_event (w, ws->chart.rebuilt);
+  decisions_sync_worker (w, now);
   w->reported = now;
   rr_membership_answered (peers_membership (ws->d->peers), w->call_sent,
                           w->name, w->incarnation);
@@ -203,6 +208,8 @@
   struct rr_time now = daemon_now ();
   worker_take_account (w, a);
   worker_event (w, ws->chart.confirmed);
+  decisions_sync_worker (w, now);
+  decisions_learn (w, a);
   w->reported = now;
   w->failures = 0;
   rr_membership_answered (peers_membership (ws->d->peers), w->call_sent,
@@ -356,6 +363,7 @@
   for (size_t i = 0; i < ws->count; i++)
     {
       tick_worker (ws->workers[i], now);
+      decisions_sync_worker (ws->workers[i], now);
       owned += is_held (ws->workers[i]);
     }
   metric_set (&ws->d->metrics, METRIC_WORKERS_OWNED, owned);
@@ -380,6 +388,7 @@
   w->ledger = rr_ledger_new (&options);
   w->state = rr_chart_initial (ws->chart.chart);
   w->ended_after = -1;
+  decisions_add_worker (w);
   ws->workers[ws->count++] = w;
 }
 
@@ -396,6 +405,7 @@
           continue;
         }
       forget_hosted (w);
+      decisions_remove_worker (w);
       rr_ledger_free (w->ledger);
       free (w);
       ws->workers[i] = ws->workers[--ws->count];
@@ -453,6 +463,9 @@
     case MESSAGE_MEMBERSHIP:
       sync_membership (ws);
       break;
+    case MESSAGE_CONFIG:
+      decisions_set_policy (ws);
+      break;
     case MESSAGE_PAUSED:
       after_pause (ws);
       break;
@@ -513,12 +526,30 @@
       return NULL;
     }
   workers_requests_open (ws);
+  decisions_open (ws);
   uv_timer_init (d->loop, &ws->timer);
   ws->timer.data = ws;
   uv_timer_start (&ws->timer, on_tick, TICK_MS, TICK_MS);
   return ws;
 }
 
+/* Adds W's capacity to the totals and largest sizes of a heartbeat.  */
+static void
+add_total (peer_heartbeat *h, const struct worker *w)
+{
+  struct rr_resources all = rr_ledger_capacity (w->ledger);
+  h->total_cores_milli += (uint64_t)all.cores_milli;
+  h->total_memory_mb += (uint64_t)all.memory_mb;
+  h->total_accelerators += (u_int)all.accelerators;
+  h->total_slots += (u_int)all.slots;
+  if (all.cores_milli > h->largest_cores_milli)
+    h->largest_cores_milli = (u_int)all.cores_milli;
+  if ((uint64_t)all.memory_mb > h->largest_memory_mb)
+    h->largest_memory_mb = (uint64_t)all.memory_mb;
+  if (all.accelerators > h->largest_accelerators)
+    h->largest_accelerators = (u_int)all.accelerators;
+}
+
 /* Fills the load figures of a heartbeat.  Its arrays stay valid until the
    next call.  */
 void
@@ -541,6 +572,7 @@
         }
       if (left.accelerators > 0)
         h->free_accelerators += (u_int)left.accelerators;
+      add_total (h, w);
     }
   size_t n = 0;
   for (size_t i = 0; i < ws->route_count; i++)
--- /dev/null
+++ b/rosemaryraild/workers_decisions.c
@@ -0,0 +1,269 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "rosemaryraild/config_keeper.h"
+#include "rosemaryraild/workers_internal.h"
+
+enum
+{
+  ZONE = 0,       /* all workers of a daemon are in its own zone */
+  CHOICES_MAX = 4 /* workers tried for one task */
+};
+
+/* Returns a number for TEXT that the decision modules use as its id.  */
+uint64_t
+decisions_hash (const char *text)
+{
+  return XXH3_64bits (text, strlen (text));
+}
+
+/* Creates the decision modules with default parameters.  */
+void
+decisions_open (struct workers *ws)
+{
+  struct decisions *s = calloc (1, sizeof *s);
+  assert (s != NULL);
+  rr_policy_init (&s->policy);
+  s->interference = rr_interference_new (&s->policy);
+  s->placement = rr_placement_new (&s->policy, s->interference);
+  s->relief = rr_relief_new (&s->policy);
+  s->quarantine = rr_quarantine_new (&s->policy);
+  s->estimate = rr_estimate_new (&s->policy);
+  ws->decisions = s;
+}
+
+/* Takes over the parameters of the configuration in force.  The modules read
+   them through their pointer at each decision.  */
+void
+decisions_set_policy (struct workers *ws)
+{
+  const struct rr_config *c = config_keeper_config (ws->d->config);
+  size_t count;
+  const struct rr_policy_parameter *p = rr_policy_parameters (&count);
+  if (c->policy == NULL)
+    return;
+  for (size_t i = 0; i < count; i++)
+    {
+      double value;
+      if (rr_config_policy (c, p[i].name, &value))
+        rr_policy_set (&ws->decisions->policy, p[i].name, value, NULL);
+    }
+}
+
+static struct rr_size
+size_of (const struct rr_resources *r)
+{
+  return (struct rr_size){ .cores_milli = r->cores_milli,
+                           .memory_mb = r->memory_mb,
+                           .accelerators = (int32_t)r->accelerators,
+                           .slots = (int32_t)r->slots,
+                           .connections = (int32_t)r->connections };
+}
+
+/* Gives W its id; it enters the placement index once its capacity is
+   known.  */
+void
+decisions_add_worker (struct worker *w)
+{
+  w->id = XXH3_64bits_withSeed (w->name, strlen (w->name), w->incarnation);
+  w->index = RR_WORKER_NONE;
+  rr_quarantine_worker_add (w->ws->decisions->quarantine, w->id, ZONE);
+}
+
+/* Takes W out of all decision modules.  */
+void
+decisions_remove_worker (struct worker *w)
+{
+  struct decisions *s = w->ws->decisions;
+  rr_quarantine_worker_remove (s->quarantine, w->id);
+  rr_interference_worker_forget (s->interference, w->id);
+  if (w->index == RR_WORKER_NONE)
+    return;
+  rr_relief_worker_forget (s->relief, w->index);
+  rr_placement_worker_remove (s->placement, w->index);
+  w->index = RR_WORKER_NONE;
+}
+
+/* Brings the placement index in line with W's ledger and quarantine.  */
+void
+decisions_sync_worker (struct worker *w, struct rr_time now)
+{
+  struct decisions *s = w->ws->decisions;
+  struct rr_resources capacity = rr_ledger_capacity (w->ledger);
+  enum rr_ledger_state state = rr_ledger_state (w->ledger, now);
+  enum rr_quarantine_state out
+      = rr_quarantine_state (s->quarantine, w->id, now);
+  bool quarantined
+      = out == RR_QUARANTINE_OUT || out == RR_QUARANTINE_CLOSED;
+  if (state == RR_LEDGER_OPEN || state == RR_LEDGER_QUARANTINED)
+    {
+      rr_ledger_set_quarantined (w->ledger, quarantined);
+      if (quarantined)
+        worker_event (w, w->ws->chart.quarantine);
+      else if (w->state == w->ws->chart.quarantined)
+        worker_event (w, w->ws->chart.quarantine_ended);
+    }
+  if (capacity.slots == 0)
+    return;
+  struct rr_placement_worker view
+      = { .id = w->id,
+          .zone = ZONE,
+          .rack = (int)(decisions_hash (w->rack) & 0x7fffffff),
+          .total = size_of (&capacity),
+          .leased = worker_is_open (w, now) || quarantined,
+          .leaving = state == RR_LEDGER_LEAVING,
+          .quarantined = quarantined };
+  if (w->index == RR_WORKER_NONE)
+    w->index = rr_placement_worker_add (s->placement, &view);
+  else
+    rr_placement_worker_set (s->placement, w->index, &view);
+}
+
+static struct rr_placement_task
+describe (struct decisions *s, const char *kind, const char *service,
+          const char *task_class, const char *task,
+          const struct rr_resources *need)
+{
+  bool is_service = strcmp (kind, "service") == 0;
+  const char *group_end = strrchr (task, '.');
+  size_t n = group_end == NULL ? strlen (task) : (size_t)(group_end - task);
+  enum rr_kind k = is_service ? RR_KIND_SERVICE : RR_KIND_BATCH;
+  return (struct rr_placement_task){
+    .kind = k,
+    .class_number = rr_interference_class (s->interference, k,
+                                           is_service ? service : task_class),
+    .group = XXH3_64bits (task, n),
+    .size = size_of (need),
+  };
+}
+
+/* Counts T, reserved or running on W, in the placement index.  */
+void
+decisions_host (struct worker *w, struct hosted_task *t)
+{
+  struct decisions *s = w->ws->decisions;
+  if (t->indexed || w->index == RR_WORKER_NONE || t->need.slots == 0)
+    return;
+  t->placement = describe (s, t->kind, t->service, t->task_class, t->task,
+                           &t->need);
+  t->indexed = true;
+  rr_placement_task_add (s->placement, w->index, &t->placement);
+}
+
+/* Takes T out of the placement index.  */
+void
+decisions_unhost (struct worker *w, struct hosted_task *t)
+{
+  if (!t->indexed)
+    return;
+  t->indexed = false;
+  if (w->index != RR_WORKER_NONE)
+    rr_placement_task_remove (w->ws->decisions->placement, w->index,
+                              &t->placement);
+}
+
+/* Raises the declared size to what tasks of the same team and class were seen
+   to use.  It is never lowered: the declared size must fit as well.  */
+static struct rr_resources
+corrected_need (struct decisions *s, const peer_task *t, struct rr_time now)
+{
+  struct rr_resources need = { .cores_milli = t->cores_milli,
+                               .memory_mb = t->memory_mb,
+                               .accelerators = t->accelerators,
+                               .slots = 1 };
+  struct rr_size declared = size_of (&need);
+  struct rr_estimate_size estimate;
+  uint64_t profile
+      = decisions_hash (t->team) ^ decisions_hash (t->task_class);
+  rr_estimate_get (s->estimate, profile, &declared, (double)t->work_ms, now,
+                   &estimate);
+  if (estimate.size.cores_milli > need.cores_milli)
+    need.cores_milli = estimate.size.cores_milli;
+  if (estimate.size.memory_mb > need.memory_mb)
+    need.memory_mb = estimate.size.memory_mb;
+  return need;
+}
+
+static struct worker *
+worker_at (struct workers *ws, int index)
+{
+  for (size_t i = 0; i < ws->count; i++)
+    if (ws->workers[i]->index == index)
+      return ws->workers[i];
+  return NULL;
+}
+
+/* Chooses a worker for T, which the ledger must still admit.  Returns null and
+   fills WHY when no worker fits.  */
+struct worker *
+decisions_choose (struct workers *ws, const peer_task *t, struct rr_time now,
+                  struct rr_placement_explanation *why)
+{
+  struct decisions *s = ws->decisions;
+  struct rr_resources need = corrected_need (s, t, now);
+  int avoid[CHOICES_MAX];
+  struct rr_placement_request request
+      = { .task = describe (s, t->kind, t->service, t->task_class, t->task,
+                            &need),
+          .checkpoint_worker = RR_WORKER_NONE,
+          .checkpoint_zone = -1,
+          .avoid = avoid,
+          .urgent = t->urgent };
+  rr_interference_refresh (s->interference, now);
+  while (request.avoid_count < CHOICES_MAX)
+    {
+      struct rr_placement_choice choice;
+      if (!rr_placement_choose (s->placement, &request, ws->d->rng, &choice)
+          || choice.worker == RR_WORKER_NONE)
+        break;
+      struct worker *w = worker_at (ws, choice.worker);
+      bool allowed = w != NULL && w->hosted_count < HOSTED_MAX
+                     && rr_quarantine_check (s->quarantine, w->id, now)
+                            != RR_QUARANTINE_WAIT
+                     && rr_ledger_check (w->ledger, now, &need, false)
+                            == RR_ADMIT_OK;
+      if (allowed)
+        return w;
+      avoid[request.avoid_count++] = choice.worker;
+    }
+  rr_placement_explain (s->placement, &request, why);
+  return NULL;
+}
+
+/* T has started on W.  */
+void
+decisions_started (struct worker *w, const struct hosted_task *t)
+{
+  rr_quarantine_started (w->ws->decisions->quarantine, w->id,
+                         decisions_hash (t->task), t->placement.group,
+                         daemon_now ());
+}
+
+/* T has ended on W with RESULT, a word of the worker's.  */
+void
+decisions_ended (struct worker *w, const struct hosted_task *t,
+                 const char *result)
+{
+  struct decisions *s = w->ws->decisions;
+  struct rr_time now = daemon_now ();
+  uint64_t task = decisions_hash (t->task);
+  if (strcmp (result, "ok") == 0)
+    rr_quarantine_succeeded (s->quarantine, w->id, task, t->placement.group,
+                             now);
+  else if (strcmp (result, "failed") == 0)
+    rr_quarantine_failed (s->quarantine, w->id, task, t->placement.group, now);
+  else
+    rr_quarantine_withdrawn (s->quarantine, w->id, task);
+  if (strcmp (t->kind, "batch") != 0 || t->peak_memory_mb <= 0)
+    return;
+  struct rr_estimate_usage usage
+      = { .profile
+          = decisions_hash (t->team) ^ decisions_hash (t->task_class),
+          .cores_milli = t->mean_cores_milli,
+          .memory_mb = t->peak_memory_mb,
+          .work_ms = strcmp (result, "ok") == 0 ? (double)t->done_ms : 0 };
+  rr_estimate_learn (s->estimate, &usage, now);
+}
--- a/rosemaryraild/workers_tasks.c
+++ b/rosemaryraild/workers_tasks.c
@@ -57,84 +57,39 @@
                                 .slots = 1 };
 }
 
-/* Number of running or reserved tasks of the same service or class on W.  */
-static size_t
-count_alike (const struct worker *w, const peer_task *t)
-{
-  size_t n = 0;
-  for (size_t i = 0; i < w->hosted_count; i++)
-    {
-      const struct hosted_task *h = &w->hosted[i];
-      if (h->ended)
-        continue;
-      n += t->service[0] != '\0' ? strcmp (h->service, t->service) == 0
-                                 : strcmp (h->task_class, t->task_class) == 0;
-    }
-  return n;
-}
-
-/* Picks the open worker that fits and hosts fewest tasks of the same kind;
-   among equals the one with most free processors.  COUNTS receives how many
-   workers each filter rejected.  */
-static struct worker *
-choose_worker (struct workers *ws, const peer_task *t, size_t *counts)
-{
-  struct rr_time now = daemon_now ();
-  struct rr_resources need = need_of (t);
-  struct worker *best = NULL;
-  size_t best_alike = 0;
-  int64_t best_cores = 0;
-  for (size_t i = 0; i < ws->count; i++)
-    {
-      struct worker *w = ws->workers[i];
-      if (w->hosted_count == HOSTED_MAX)
-        continue;
-      enum rr_admit admit = rr_ledger_check (w->ledger, now, &need, false);
-      counts[admit]++;
-      if (admit != RR_ADMIT_OK || !worker_is_open (w, now))
-        continue;
-      size_t alike = count_alike (w, t);
-      int64_t cores = rr_ledger_free_resources (w->ledger).cores_milli;
-      if (best == NULL || alike < best_alike
-          || (alike == best_alike && cores > best_cores))
-        {
-          best = w;
-          best_alike = alike;
-          best_cores = cores;
-        }
-    }
-  return best;
-}
-
+/* Writes how many workers each filter rejected, "NAME=COUNT" with blanks
+   between.  */
 static void
-describe_filters (const size_t *counts, char *out, size_t size)
+describe_filters (const struct rr_placement_explanation *why, char *out,
+                  size_t size)
 {
   size_t at = 0;
   out[0] = '\0';
-  for (int i = 0; i <= RR_ADMIT_INVALID; i++)
-    if (counts[i] > 0 && i != RR_ADMIT_OK && at < size)
-      at += (size_t)snprintf (out + at, size - at, "%s%s=%zu",
-                              at == 0 ? "" : " ",
-                              rr_admit_name ((enum rr_admit)i), counts[i]);
+  for (int i = 0; i < RR_FILTER_COUNT; i++)
+    if (why->rejected[i] > 0 && at < size)
+      at += (size_t)snprintf (
+          out + at, size - at, "%s%s=%zu", at == 0 ? "" : " ",
+          rr_placement_filter_name ((enum rr_placement_filter)i),
+          why->rejected[i]);
 }
 
 static void
 answer_reserve (struct workers *ws, const struct call_origin *origin,
                 const peer_task *t)
 {
-  size_t counts[RR_ADMIT_INVALID + 1] = { 0 };
+  struct rr_placement_explanation why = { 0 };
   char filters[256];
   peer_reserve_result out = { .message = "", .worker = "" };
   struct rr_resources need = need_of (t);
   struct rr_time now = daemon_now ();
-  struct worker *w = choose_worker (ws, t, counts);
+  struct worker *w = decisions_choose (ws, t, now, &why);
   uint64_t reservation = 0;
   if (w == NULL
       || rr_ledger_reserve (w->ledger, now, t->task, t->attempt, &need,
                             RESERVATION_MS, false, &reservation)
              != RR_ADMIT_OK)
     {
-      describe_filters (counts, filters, sizeof filters);
+      describe_filters (&why, filters, sizeof filters);
       out.code = RR_ERROR_LIMIT;
       out.message = "no worker fits";
       out.filters.filters_val = filters;
@@ -149,6 +104,8 @@
       snprintf (h->service, sizeof h->service, "%s", t->service);
       snprintf (h->task_class, sizeof h->task_class, "%s", t->task_class);
       snprintf (h->team, sizeof h->team, "%s", t->team);
+      h->evictions = t->evictions;
+      decisions_host (w, h);
       out.worker = w->name;
       out.incarnation = w->incarnation;
       out.controller_epoch = rr_ledger_epoch (w->ledger);
@@ -193,7 +150,9 @@
         {
           rr_ledger_started (w->ledger, h->reservation);
           h->running = true;
+          h->started = daemon_now ();
           route_add_instance (w, h);
+          decisions_started (w, h);
         }
       reply_start (ws, &c->origin, PEER_ANSWERED, "");
       break;
@@ -424,7 +383,10 @@
   if (t->running)
     {
       h->running = true;
+      if (t->sized)
+        h->need = t->declared;
       route_add_instance (w, h);
+      decisions_host (w, h);
       return;
     }
   h->running = false;
@@ -433,6 +395,8 @@
   snprintf (h->result, sizeof h->result, "%s", t->result);
   snprintf (h->checkpoint, sizeof h->checkpoint, "%s", t->checkpoint);
   route_remove_instance (w, h);
+  decisions_ended (w, h, t->result);
+  decisions_unhost (w, h);
   rr_ledger_end (w->ledger, t->task, t->attempt);
   metric_add (&w->ws->d->metrics, METRIC_TASKS_ENDED, 1);
   log_event (LOG_LEVEL_INFO, "task_ended",
