shards: batch queue by weighted dominant share, paced restarts and cancellations

Cause: tasks were placed in the order of the job table, quotas were not enforced and a lost zone would have restarted all its tasks at once. Change: each round builds a batch queue from the shard's records (teams with quota and weight, live tasks charged), hands out at most 64 places, paces restarts after lost attempts and stops of cancelled tasks, and says when no known worker is large enough. shards_tasks.c is split.

--- a/common/peer.x
+++ b/common/peer.x
@@ -164,6 +164,7 @@
   string checkpoint<PEER_TEXT_MAX>;
   bool urgent;
   unsigned int evictions;
+  unsigned hyper waited_ms; /* since the task could first be placed */
 };
 
 struct peer_reserve_result
--- a/common/peer_xdr.c
+++ b/common/peer_xdr.c
@@ -495,6 +495,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->evictions))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->waited_ms))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->task, PEER_ID_MAX))
@@ -535,6 +537,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->evictions))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->waited_ms))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -568,6 +572,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->evictions))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->waited_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/include/common/peer.h
+++ b/include/common/peer.h
@@ -220,6 +220,7 @@
     char *checkpoint;
     bool_t urgent;
     u_int evictions;
+    u_quad_t waited_ms;
   };
   typedef struct peer_task peer_task;
 
--- a/include/rosemaryraild/shards_internal.h
+++ b/include/rosemaryraild/shards_internal.h
@@ -3,6 +3,8 @@
 
 #include <uv.h>
 
+#include "rosemaryrail/batch_queue.h"
+#include "rosemaryrail/pacing.h"
 #include "rosemaryrail/shard_log.h"
 #include "rosemaryraild/daemon.h"
 #include "rosemaryraild/peers.h"
@@ -22,6 +24,7 @@
   struct rr_time elected_since; /* 0: not elected */
   bool dirty;                   /* its jobs may have something to do */
   struct rr_time next_scan;
+  struct rr_batch_queue *queue; /* during a round of placing */
 };
 
 /* What has to happen once a queued record has an outcome.  */
@@ -54,7 +57,8 @@
   bool calling;
   struct rr_time until; /* when not calling: look again after this */
   unsigned tries;
-  unsigned outstanding; /* lease proofs */
+  struct rr_time waiting_since; /* for a place */
+  unsigned outstanding;         /* lease proofs */
   bool proof_failed;
   bool extend_pending; /* the ledger owner has to learn of a longer grant */
   bool lease_expired;
@@ -79,10 +83,25 @@
   struct rr_key_index *busy_index;
   struct worker_clock clocks[1024];
   size_t clock_count;
+  struct rr_policy policy;
+  struct rr_pacer restarts;
+  struct rr_pacer cancels;
   char alarm[REASON_SIZE];
   int64_t alarm_since_ms;
 };
 
+/* A reserve, start, seal or stop in progress.  */
+struct task_call
+{
+  struct shards *ss;
+  char name[TASK_NAME_SIZE];
+  uint32_t attempt;
+  char worker[NAME_SIZE];
+  uint64_t incarnation;
+  char zone[NAME_SIZE];
+  int64_t granted_until_ms;
+};
+
 /* shards.c */
 void shard_drive (struct shard *s);
 bool shard_append (struct shard *s, struct rr_record *r, uint64_t token,
@@ -90,6 +109,32 @@
 uint64_t pending_add (struct shards *ss, enum pending_kind kind,
                       const struct call_origin *origin, const char *id);
 
+/* shards_busy.c */
+struct busy_task *busy_get (struct shard *s, const struct rr_job *job,
+                            uint32_t task);
+struct busy_task *busy_find (struct shards *ss, const char *name);
+void busy_drop (struct shards *ss, struct busy_task *b);
+void busy_back_off (struct busy_task *b);
+void busy_ready (struct busy_task *b);
+void shard_record (struct shard *s, struct rr_record *r);
+struct worker_clock *shards_clock (struct shards *ss, const char *worker,
+                                   uint64_t incarnation);
+void shards_learn_clock (struct shards *ss, const char *worker,
+                         uint64_t incarnation, int64_t worker_now_ms);
+peer_task shards_task_args (struct shard *s, const struct rr_job *job,
+                            uint32_t task, uint32_t attempt, const char *name);
+struct task_call *task_call_new (struct busy_task *b, uint32_t attempt);
+struct busy_task *task_call_subject (const struct task_call *c,
+                                     struct rr_job **job);
+
+/* shards_place.c */
+void shard_place_begin (struct shard *s);
+void shard_place_charge (struct shard *s, const struct rr_job *job);
+void shard_place_offer (struct shard *s, const struct rr_job *job,
+                        uint32_t task);
+void shard_place_run (struct shard *s, struct rr_time now);
+void shards_set_policy (struct shards *ss);
+
 /* shards_tasks.c */
 void shard_scan (struct shard *s, struct rr_time now);
 void shards_task_ended (struct shards *ss,
--- a/rosemaryraild/shards.c
+++ b/rosemaryraild/shards.c
@@ -376,6 +376,7 @@
       shards_result (ss, request_take (m));
       break;
     case MESSAGE_CONFIG:
+      shards_set_policy (ss);
       for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
         if (rr_shard_log_is_owner (ss->shard[i].log))
           shards_sync_config (&ss->shard[i]);
@@ -411,6 +412,10 @@
       s->number = i;
       s->log = rr_shard_log_new (&options);
     }
+  rr_policy_init (&ss->policy);
+  struct rr_time now = daemon_now ();
+  rr_pacer_init_restarts (&ss->restarts, &ss->policy, now);
+  rr_pacer_init_cancels (&ss->cancels, &ss->policy, now);
   uv_timer_init (d->loop, &ss->timer);
   ss->timer.data = ss;
   uv_timer_start (&ss->timer, on_tick, TICK_MS, TICK_MS);
--- /dev/null
+++ b/rosemaryraild/shards_place.c
@@ -0,0 +1,320 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "rosemaryraild/config_keeper.h"
+#include "rosemaryraild/shards_internal.h"
+#include "rosemaryraild/workers.h"
+
+enum
+{
+  RESERVE_CALLS_MAX = 64 /* started in one round of a shard */
+};
+
+/* Whether the daemon described by H may have room for the task.  */
+static bool
+has_room (const peer_heartbeat *h, const struct rr_job *job)
+{
+  return h->workers > 0 && h->free_slots > 0
+         && h->free_cores_milli >= job->spec.cores_milli
+         && h->free_memory_mb >= job->spec.memory_mb
+         && h->free_accelerators >= job->spec.accelerators;
+}
+
+/* Number of live attempts of JOB in ZONE.  */
+static unsigned
+attempts_in_zone (const struct rr_job *job, const char *zone)
+{
+  unsigned n = 0;
+  for (uint32_t i = 0; i < job->spec.tasks; i++)
+    n += rr_attempt_is_live (&job->tasks[i].attempt)
+         && strcmp (job->tasks[i].attempt.zone, zone) == 0;
+  return n;
+}
+
+/* Picks the daemon that is asked to reserve: fewest attempts of the job in its
+   zone, then most free processors with some randomness, so that owners with
+   the same view do not all pick one.  */
+static bool
+choose_daemon (struct shards *ss, const struct rr_job *job, char *name,
+               char *zone)
+{
+  struct daemon *d = ss->d;
+  struct rr_membership *m = peers_membership (d->peers);
+  struct rr_time now = daemon_now ();
+  double best = -1e18;
+  peer_heartbeat own = { 0 };
+  workers_load (d->workers, &own);
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      if (member->info.role != RR_ROLE_ENTRY || !member->alive
+          || member->state != RR_MEMBER_LIVE)
+        continue;
+      bool self = rr_membership_is_self (m, member);
+      const peer_heartbeat *h
+          = self ? &own : peers_load (d->peers, member->info.name);
+      if (h == NULL || h->stopping || !has_room (h, job))
+        continue;
+      double score = h->free_cores_milli * gsl_rng_uniform (d->rng)
+                     - 1e9 * attempts_in_zone (job, member->info.zone);
+      if (score > best)
+        {
+          best = score;
+          snprintf (name, NAME_SIZE, "%s", member->info.name);
+          snprintf (zone, NAME_SIZE, "%s", member->info.zone);
+        }
+    }
+  return best > -1e18;
+}
+
+static void
+on_reserved (void *data, enum rpc_call_state state, const char *result,
+             size_t length)
+{
+  struct task_call *c = data;
+  struct rr_job *job;
+  struct busy_task *b = task_call_subject (c, &job);
+  peer_reserve_result r = { 0 };
+  bool decoded
+      = state == RPC_CALL_ANSWERED
+        && xdr_decode ((xdrproc_t)xdr_peer_reserve_result, &r, result, length);
+  if (b != NULL && (!decoded || r.code != RR_OK))
+    {
+      if (decoded)
+        snprintf (b->filters, sizeof b->filters, "%.*s",
+                  (int)r.filters.filters_len, r.filters.filters_val);
+      busy_back_off (b);
+    }
+  else if (b != NULL)
+    {
+      struct shard *s = b->shard;
+      shards_learn_clock (c->ss, r.worker, r.incarnation, r.worker_now_ms);
+      struct rr_record rec = { .kind = RR_RECORD_ATTEMPT_PLACED };
+      struct rr_record_attempt_placed *p = &rec.u.attempt_placed;
+      snprintf (p->job, sizeof p->job, "%s", b->job);
+      p->task = b->task;
+      p->attempt = c->attempt;
+      snprintf (p->worker, sizeof p->worker, "%s", r.worker);
+      snprintf (p->zone, sizeof p->zone, "%s", c->zone);
+      p->worker_incarnation = r.incarnation;
+      p->controller_epoch = r.controller_epoch;
+      /* Both limits count from a clock reading older than the append, so that
+         a successor knows when they have passed.  */
+      p->void_after_ms = r.worker_now_ms + RR_START_WINDOW_MS;
+      p->granted_until_ms = r.worker_now_ms + job->spec.isolation_limit_ms;
+      b->tries = 0;
+      b->waiting_since.ms = 0;
+      b->filters[0] = '\0';
+      busy_ready (b);
+      shard_record (s, &rec);
+    }
+  if (decoded)
+    xdr_free ((xdrproc_t)xdr_peer_reserve_result, &r);
+  free (c);
+}
+
+/* Tells whether no worker of any daemon could hold a task of JOB, even an
+   empty one.  */
+static bool
+never_fits (struct shards *ss, const struct rr_job *job)
+{
+  struct daemon *d = ss->d;
+  struct rr_membership *m = peers_membership (d->peers);
+  struct rr_time now = daemon_now ();
+  peer_heartbeat own = { 0 };
+  workers_load (d->workers, &own);
+  bool known = false;
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      const peer_heartbeat *h
+          = rr_membership_is_self (m, member)
+                ? &own
+                : peers_load (d->peers, member->info.name);
+      if (h == NULL || h->workers == 0)
+        continue;
+      known = true;
+      if (h->largest_cores_milli >= job->spec.cores_milli
+          && h->largest_memory_mb >= job->spec.memory_mb
+          && h->largest_accelerators >= job->spec.accelerators)
+        return false;
+    }
+  return known;
+}
+
+/* Asks a ledger owner to reserve a place; false when none has room.  */
+static bool
+place (struct shard *s, struct rr_job *job, uint32_t task, struct rr_time now)
+{
+  struct shards *ss = s->ss;
+  struct busy_task *b = busy_get (s, job, task);
+  uint32_t attempt = job->tasks[task].attempt.number + 1;
+  char daemon[NAME_SIZE];
+  char zone[NAME_SIZE];
+  if (b->waiting_since.ms == 0)
+    b->waiting_since = now;
+  if (!choose_daemon (ss, job, daemon, zone))
+    {
+      snprintf (b->filters, sizeof b->filters, "%s",
+                never_fits (ss, job)
+                    ? "no known worker is large enough"
+                    : "no daemon advertises enough free capacity");
+      busy_back_off (b);
+      return false;
+    }
+  struct task_call *c = task_call_new (b, attempt);
+  snprintf (c->zone, sizeof c->zone, "%s", zone);
+  peer_task args = shards_task_args (s, job, task, attempt, b->name);
+  args.waited_ms = (u_quad_t)rr_time_diff (now, b->waiting_since);
+  daemon_call (ss->d, &ss->d->shards_actor, daemon, TASK_RESERVE,
+               (xdrproc_t)xdr_peer_task, &args, SHARD_CALL_TIMEOUT_MS,
+               on_reserved, c);
+  return true;
+}
+
+static uint64_t
+team_number (const char *team)
+{
+  return XXH3_64bits (team, strlen (team));
+}
+
+static struct rr_size
+task_size (const struct rr_job *job)
+{
+  return (struct rr_size){ .cores_milli = job->spec.cores_milli,
+                           .memory_mb = job->spec.memory_mb,
+                           .accelerators = (int32_t)job->spec.accelerators,
+                           .slots = 1 };
+}
+
+/* Adds up the capacity that all daemons advertise.  */
+static struct rr_size
+fleet_capacity (struct shards *ss)
+{
+  struct daemon *d = ss->d;
+  struct rr_membership *m = peers_membership (d->peers);
+  struct rr_time now = daemon_now ();
+  struct rr_size total = { 0 };
+  peer_heartbeat own = { 0 };
+  workers_load (d->workers, &own);
+  for (size_t i = 0; i < rr_membership_count (m); i++)
+    {
+      const struct rr_member *member = rr_membership_at (m, now, i);
+      const peer_heartbeat *h
+          = rr_membership_is_self (m, member)
+                ? &own
+                : peers_load (d->peers, member->info.name);
+      if (h == NULL || !member->alive)
+        continue;
+      total.cores_milli += (int64_t)h->total_cores_milli;
+      total.memory_mb += (int64_t)h->total_memory_mb;
+      total.accelerators += (int32_t)h->total_accelerators;
+      total.slots += (int32_t)h->total_slots;
+    }
+  return total;
+}
+
+/* Starts a round of placing.  The queue is made anew from the shard's records
+   in each round, so that it can't drift from them.  */
+void
+shard_place_begin (struct shard *s)
+{
+  struct shards *ss = s->ss;
+  const struct rr_config *c = config_keeper_config (ss->d->config);
+  s->queue = rr_batch_queue_new (&ss->policy);
+  struct rr_size total = fleet_capacity (ss);
+  rr_batch_queue_capacity_set (s->queue, &total);
+  for (size_t i = 0; i < c->team_count; i++)
+    {
+      const struct rr_config_team *t = &c->teams[i];
+      if (rr_shard_of (t->name) != s->number)
+        continue;
+      struct rr_batch_team team
+          = { .team = team_number (t->name),
+              .weight = t->weight,
+              .limit = { .cores_milli = t->cores_milli,
+                         .memory_mb = t->memory_mb,
+                         .accelerators = (int32_t)t->accelerators } };
+      rr_batch_queue_team_set (s->queue, &team);
+    }
+}
+
+/* Counts a live task of JOB against its team.  */
+void
+shard_place_charge (struct shard *s, const struct rr_job *job)
+{
+  struct rr_size size = task_size (job);
+  rr_batch_queue_charge (s->queue, team_number (job->spec.team), &size);
+}
+
+/* Offers a task that has no live attempt to the round.  Restarts after lost
+   attempts are paced, so that the loss of a zone does not flood the others. */
+void
+shard_place_offer (struct shard *s, const struct rr_job *job, uint32_t task)
+{
+  struct shards *ss = s->ss;
+  const struct rr_attempt *a = &job->tasks[task].attempt;
+  struct rr_handle h = rr_job_store_handle (rr_shard_log_data (s->log)->jobs,
+                                            job->spec.job);
+  uint64_t id = (uint64_t)h.generation << 32 | h.index;
+  bool first = job->spec.urgent || job->spec.kind == RR_JOB_SERVICE;
+  if (a->number > 0 && a->result == RR_RESULT_LOST && !first
+      && rr_pacer_take (&ss->restarts, 1, daemon_now ()) == 0)
+    return;
+  struct rr_batch_job queued = { .job = id,
+                                 .team = team_number (job->spec.team),
+                                 .size = task_size (job),
+                                 .urgent = first,
+                                 .submitted
+                                 = rr_time_from_ms (job->submitted_ms) };
+  rr_batch_queue_job_add (s->queue, &queued, NULL);
+  rr_batch_queue_task_add (s->queue, id, task, NULL);
+}
+
+/* Hands out places in the order of urgency and of the teams' weighted dominant
+   shares, and ends the round.  */
+void
+shard_place_run (struct shard *s, struct rr_time now)
+{
+  struct rr_batch_pick pick;
+  struct rr_job_store *jobs = rr_shard_log_data (s->log)->jobs;
+  for (int calls = 0; calls < RESERVE_CALLS_MAX
+                      && rr_batch_queue_next (s->queue, now, &pick);)
+    {
+      struct rr_handle h = { .index = (uint32_t)pick.job,
+                             .generation = (uint32_t)(pick.job >> 32) };
+      struct rr_job *job = rr_job_store_get (jobs, h);
+      assert (job != NULL);
+      if (place (s, job, (uint32_t)pick.task, now))
+        {
+          rr_batch_queue_started (s->queue, &pick);
+          calls++;
+        }
+      else
+        rr_batch_queue_blocked (s->queue, &pick, RR_BATCH_BLOCK_CAPACITY, now);
+    }
+  rr_batch_queue_free (s->queue);
+  s->queue = NULL;
+}
+
+/* Takes over the policy parameters of the configuration in force.  */
+void
+shards_set_policy (struct shards *ss)
+{
+  const struct rr_config *c = config_keeper_config (ss->d->config);
+  size_t count;
+  const struct rr_policy_parameter *p = rr_policy_parameters (&count);
+  for (size_t i = 0; c->policy != NULL && i < count; i++)
+    {
+      double value;
+      if (rr_config_policy (c, p[i].name, &value))
+        rr_policy_set (&ss->policy, p[i].name, value, NULL);
+    }
+  struct rr_time now = daemon_now ();
+  rr_pacer_init_restarts (&ss->restarts, &ss->policy, now);
+  rr_pacer_init_cancels (&ss->cancels, &ss->policy, now);
+}
--- a/rosemaryraild/shards_tasks.c
+++ b/rosemaryraild/shards_tasks.c
@@ -9,303 +9,10 @@
 
 enum
 {
-  RESERVE_CALLS_MAX = 64, /* in progress from this daemon */
-  RETRY_MIN_MS = 200,
-  RETRY_MAX_MS = 5000,
   PROOF_RETRY_MS = 1000,
   CLOCK_QUERY_MS = 60000
 };
 
-/* Finds the note about a task, or makes one.  */
-static struct busy_task *
-busy_get (struct shard *s, const struct rr_job *job, uint32_t task)
-{
-  struct shards *ss = s->ss;
-  char name[TASK_NAME_SIZE];
-  rr_task_name (job->spec.job, task, name, sizeof name);
-  struct rr_handle h = rr_key_index_get (ss->busy_index, name);
-  struct busy_task *b = rr_table_get (ss->busy, h);
-  if (b != NULL)
-    return b;
-  b = rr_table_insert (ss->busy, &h);
-  memset (b, 0, sizeof *b);
-  b->shard = s;
-  snprintf (b->job, sizeof b->job, "%s", job->spec.job);
-  b->task = task;
-  snprintf (b->name, sizeof b->name, "%s", name);
-  rr_key_index_put (ss->busy_index, name, h);
-  return b;
-}
-
-static struct busy_task *
-busy_find (struct shards *ss, const char *name)
-{
-  return rr_table_get (ss->busy, rr_key_index_get (ss->busy_index, name));
-}
-
-static void
-busy_drop (struct shards *ss, struct busy_task *b)
-{
-  struct rr_handle h = rr_key_index_get (ss->busy_index, b->name);
-  rr_key_index_remove (ss->busy_index, b->name);
-  rr_table_remove (ss->busy, h);
-}
-
-/* Leaves the task alone for a delay that doubles with each try.  */
-static void
-busy_back_off (struct busy_task *b)
-{
-  int64_t delay = (int64_t)RETRY_MIN_MS << (b->tries < 5 ? b->tries : 5);
-  if (delay > RETRY_MAX_MS)
-    delay = RETRY_MAX_MS;
-  b->tries++;
-  b->calling = false;
-  b->until = rr_time_add (daemon_now (), delay);
-}
-
-/* The task may be looked at again now.  */
-static void
-busy_ready (struct busy_task *b)
-{
-  b->calling = false;
-  b->until.ms = 0;
-  b->shard->dirty = true;
-}
-
-static struct rr_job *
-job_of (const struct busy_task *b)
-{
-  if (!rr_shard_log_is_owner (b->shard->log))
-    return NULL;
-  return rr_job_store_find (rr_shard_log_data (b->shard->log)->jobs, b->job);
-}
-
-static void
-append (struct shard *s, struct rr_record *r)
-{
-  shard_append (s, r, pending_add (s->ss, PENDING_RECORD, NULL, ""), NULL);
-}
-
-static struct worker_clock *
-clock_of (struct shards *ss, const char *worker, uint64_t incarnation)
-{
-  for (size_t i = 0; i < ss->clock_count; i++)
-    if (ss->clocks[i].incarnation == incarnation
-        && strcmp (ss->clocks[i].worker, worker) == 0)
-      return &ss->clocks[i];
-  return NULL;
-}
-
-/* Remembers a reading of a worker's clock.  */
-static void
-learn_clock (struct shards *ss, const char *worker, uint64_t incarnation,
-             int64_t worker_now_ms)
-{
-  if (worker_now_ms == 0)
-    return;
-  struct worker_clock *c = clock_of (ss, worker, incarnation);
-  if (c == NULL)
-    {
-      size_t n = sizeof ss->clocks / sizeof ss->clocks[0];
-      c = &ss->clocks[ss->clock_count < n
-                          ? ss->clock_count++
-                          : gsl_rng_uniform_int (ss->d->rng, n)];
-      snprintf (c->worker, sizeof c->worker, "%s", worker);
-      c->incarnation = incarnation;
-    }
-  c->offset_ms = worker_now_ms - daemon_now ().ms;
-}
-
-static peer_task
-task_args (struct shard *s, const struct rr_job *job, uint32_t task,
-           uint32_t attempt, const char *name)
-{
-  const struct rr_record_job_submitted *spec = &job->spec;
-  return (peer_task){
-    .task = (char *)name,
-    .attempt = attempt,
-    .shard = s->number,
-    .shard_epoch = rr_shard_log_epoch (s->log),
-    .kind = spec->kind == RR_JOB_SERVICE ? "service" : "batch",
-    .service = (char *)spec->service,
-    .task_class = (char *)spec->job_class,
-    .team = (char *)spec->team,
-    .cores_milli = spec->cores_milli,
-    .memory_mb = spec->memory_mb,
-    .accelerators = spec->accelerators,
-    .work_ms = (u_quad_t)spec->work_ms,
-    .checkpoint = job->tasks[task].checkpoint,
-    .urgent = spec->urgent,
-    .evictions = job->tasks[task].evictions,
-  };
-}
-
-/* A reserve, start, seal or stop in progress.  */
-struct task_call
-{
-  struct shards *ss;
-  char name[TASK_NAME_SIZE];
-  uint32_t attempt;
-  char worker[NAME_SIZE];
-  uint64_t incarnation;
-  char zone[NAME_SIZE];
-  int64_t granted_until_ms;
-};
-
-static struct task_call *
-call_new (struct busy_task *b, uint32_t attempt)
-{
-  struct task_call *c = calloc (1, sizeof *c);
-  assert (c != NULL);
-  c->ss = b->shard->ss;
-  snprintf (c->name, sizeof c->name, "%s", b->name);
-  c->attempt = attempt;
-  b->calling = true;
-  b->attempt = attempt;
-  return c;
-}
-
-/* Returns the note and job that CALL is about, if the shard is still ours and
-   the attempt still the one it was made for.  */
-static struct busy_task *
-call_subject (const struct task_call *c, struct rr_job **job)
-{
-  struct busy_task *b = busy_find (c->ss, c->name);
-  if (b == NULL || !b->calling || b->attempt != c->attempt)
-    return NULL;
-  *job = job_of (b);
-  if (*job == NULL)
-    {
-      busy_drop (c->ss, b);
-      return NULL;
-    }
-  return b;
-}
-
-/* Whether the daemon described by H may have room for the task.  */
-static bool
-has_room (const peer_heartbeat *h, const struct rr_job *job)
-{
-  return h->workers > 0 && h->free_slots > 0
-         && h->free_cores_milli >= job->spec.cores_milli
-         && h->free_memory_mb >= job->spec.memory_mb
-         && h->free_accelerators >= job->spec.accelerators;
-}
-
-/* Number of live attempts of JOB in ZONE.  */
-static unsigned
-attempts_in_zone (const struct rr_job *job, const char *zone)
-{
-  unsigned n = 0;
-  for (uint32_t i = 0; i < job->spec.tasks; i++)
-    n += rr_attempt_is_live (&job->tasks[i].attempt)
-         && strcmp (job->tasks[i].attempt.zone, zone) == 0;
-  return n;
-}
-
-/* Picks the daemon that is asked to reserve: fewest attempts of the job in its
-   zone, then most free processors with some randomness, so that owners with
-   the same view do not all pick one.  */
-static bool
-choose_daemon (struct shards *ss, const struct rr_job *job, char *name,
-               char *zone)
-{
-  struct daemon *d = ss->d;
-  struct rr_membership *m = peers_membership (d->peers);
-  struct rr_time now = daemon_now ();
-  double best = -1e18;
-  peer_heartbeat own = { 0 };
-  workers_load (d->workers, &own);
-  for (size_t i = 0; i < rr_membership_count (m); i++)
-    {
-      const struct rr_member *member = rr_membership_at (m, now, i);
-      if (member->info.role != RR_ROLE_ENTRY || !member->alive
-          || member->state != RR_MEMBER_LIVE)
-        continue;
-      bool self = rr_membership_is_self (m, member);
-      const peer_heartbeat *h
-          = self ? &own : peers_load (d->peers, member->info.name);
-      if (h == NULL || h->stopping || !has_room (h, job))
-        continue;
-      double score = h->free_cores_milli * gsl_rng_uniform (d->rng)
-                     - 1e9 * attempts_in_zone (job, member->info.zone);
-      if (score > best)
-        {
-          best = score;
-          snprintf (name, NAME_SIZE, "%s", member->info.name);
-          snprintf (zone, NAME_SIZE, "%s", member->info.zone);
-        }
-    }
-  return best > -1e18;
-}
-
-static void
-on_reserved (void *data, enum rpc_call_state state, const char *result,
-             size_t length)
-{
-  struct task_call *c = data;
-  struct rr_job *job;
-  struct busy_task *b = call_subject (c, &job);
-  peer_reserve_result r = { 0 };
-  bool decoded
-      = state == RPC_CALL_ANSWERED
-        && xdr_decode ((xdrproc_t)xdr_peer_reserve_result, &r, result, length);
-  if (b != NULL && (!decoded || r.code != RR_OK))
-    {
-      if (decoded)
-        snprintf (b->filters, sizeof b->filters, "%.*s",
-                  (int)r.filters.filters_len, r.filters.filters_val);
-      busy_back_off (b);
-    }
-  else if (b != NULL)
-    {
-      struct shard *s = b->shard;
-      learn_clock (c->ss, r.worker, r.incarnation, r.worker_now_ms);
-      struct rr_record rec = { .kind = RR_RECORD_ATTEMPT_PLACED };
-      struct rr_record_attempt_placed *p = &rec.u.attempt_placed;
-      snprintf (p->job, sizeof p->job, "%s", b->job);
-      p->task = b->task;
-      p->attempt = c->attempt;
-      snprintf (p->worker, sizeof p->worker, "%s", r.worker);
-      snprintf (p->zone, sizeof p->zone, "%s", c->zone);
-      p->worker_incarnation = r.incarnation;
-      p->controller_epoch = r.controller_epoch;
-      /* Both limits count from a clock reading older than the append, so that
-         a successor knows when they have passed.  */
-      p->void_after_ms = r.worker_now_ms + RR_START_WINDOW_MS;
-      p->granted_until_ms = r.worker_now_ms + job->spec.isolation_limit_ms;
-      b->tries = 0;
-      b->filters[0] = '\0';
-      busy_ready (b);
-      append (s, &rec);
-    }
-  if (decoded)
-    xdr_free ((xdrproc_t)xdr_peer_reserve_result, &r);
-  free (c);
-}
-
-static void
-place (struct shard *s, struct rr_job *job, uint32_t task, uint32_t attempt)
-{
-  struct shards *ss = s->ss;
-  struct busy_task *b = busy_get (s, job, task);
-  char daemon[NAME_SIZE];
-  char zone[NAME_SIZE];
-  if (!choose_daemon (ss, job, daemon, zone))
-    {
-      snprintf (b->filters, sizeof b->filters,
-                "no daemon advertises enough free capacity");
-      busy_back_off (b);
-      return;
-    }
-  struct task_call *c = call_new (b, attempt);
-  snprintf (c->zone, sizeof c->zone, "%s", zone);
-  peer_task args = task_args (s, job, task, attempt, b->name);
-  daemon_call (ss->d, &ss->d->shards_actor, daemon, TASK_RESERVE,
-               (xdrproc_t)xdr_peer_task, &args, SHARD_CALL_TIMEOUT_MS,
-               on_reserved, c);
-}
-
 static void
 append_running (struct shard *s, const struct busy_task *b, uint32_t attempt)
 {
@@ -314,7 +21,7 @@
             b->job);
   r.u.attempt_running.task = b->task;
   r.u.attempt_running.attempt = attempt;
-  append (s, &r);
+  shard_record (s, &r);
 }
 
 /* Translates a worker's word for how an attempt ended.  */
@@ -358,7 +65,7 @@
             "%s", checkpoint);
   snprintf (r.u.attempt_ended.detail, sizeof r.u.attempt_ended.detail, "%s",
             result);
-  append (b->shard, &r);
+  shard_record (b->shard, &r);
 }
 
 static void
@@ -367,7 +74,7 @@
 {
   struct task_call *c = data;
   struct rr_job *job;
-  struct busy_task *b = call_subject (c, &job);
+  struct busy_task *b = task_call_subject (c, &job);
   peer_start_result r = { 0 };
   enum rr_start_answer answer = RR_START_NO_ANSWER;
   if (state == RPC_CALL_NOT_SENT || state == RPC_CALL_REJECTED)
@@ -402,12 +109,13 @@
     return;
   struct busy_task *b = busy_get (s, job, task);
   const struct rr_attempt *a = &job->tasks[task].attempt;
-  struct task_call *c = call_new (b, attempt);
-  peer_start_args args = { .task = task_args (s, job, task, attempt, b->name),
-                           .worker = (char *)a->worker,
-                           .incarnation = a->worker_incarnation,
-                           .void_after_ms = a->void_after_ms,
-                           .granted_until_ms = a->granted_until_ms };
+  struct task_call *c = task_call_new (b, attempt);
+  peer_start_args args
+      = { .task = shards_task_args (s, job, task, attempt, b->name),
+          .worker = (char *)a->worker,
+          .incarnation = a->worker_incarnation,
+          .void_after_ms = a->void_after_ms,
+          .granted_until_ms = a->granted_until_ms };
   daemon_call (ss->d, &ss->d->shards_actor, daemon, TASK_START,
                (xdrproc_t)xdr_peer_start_args, &args, SHARD_CALL_TIMEOUT_MS,
                on_start_answered, c);
@@ -418,7 +126,7 @@
                     const struct task_call *c, const peer_attempt_result *r)
 {
   struct rr_record rec;
-  learn_clock (c->ss, c->worker, c->incarnation, r->worker_now_ms);
+  shards_learn_clock (c->ss, c->worker, c->incarnation, r->worker_now_ms);
   switch (r->state)
     {
     case PEER_ATTEMPT_RUNNING:
@@ -436,7 +144,7 @@
       busy_ready (b);
       fill_end (&rec, b->job, b->task, c->attempt, RR_RESULT_NEVER_STARTED,
                 RR_PROOF_SEALED);
-      append (b->shard, &rec);
+      shard_record (b->shard, &rec);
       break;
     default:
       busy_back_off (b);
@@ -450,7 +158,7 @@
 {
   struct task_call *c = data;
   struct rr_job *job;
-  struct busy_task *b = call_subject (c, &job);
+  struct busy_task *b = task_call_subject (c, &job);
   peer_attempt_result r = { 0 };
   if (state == RPC_CALL_ANSWERED
       && xdr_decode ((xdrproc_t)xdr_peer_attempt_result, &r, result, length))
@@ -472,7 +180,7 @@
   struct shards *ss = s->ss;
   const struct rr_attempt *a = &job->tasks[task].attempt;
   struct busy_task *b = busy_get (s, job, task);
-  struct task_call *c = call_new (b, a->number);
+  struct task_call *c = task_call_new (b, a->number);
   snprintf (c->worker, sizeof c->worker, "%s", a->worker);
   c->incarnation = a->worker_incarnation;
   peer_attempt_args args = { .task = b->name,
@@ -493,7 +201,7 @@
 {
   struct task_call *c = data;
   struct rr_job *job;
-  struct busy_task *b = call_subject (c, &job);
+  struct busy_task *b = task_call_subject (c, &job);
   peer_attempt_result r = { 0 };
   bool expired
       = state == RPC_CALL_ANSWERED
@@ -535,7 +243,7 @@
           || member->state == RR_MEMBER_GONE
           || member->state == RR_MEMBER_DEAD)
         continue;
-      struct task_call *c = call_new (b, a->number);
+      struct task_call *c = task_call_new (b, a->number);
       b->outstanding++;
       peer_attempt_args args = { .task = b->name,
                                  .attempt = a->number,
@@ -560,7 +268,7 @@
   (void)length;
   struct task_call *c = data;
   struct rr_job *job;
-  struct busy_task *b = call_subject (c, &job);
+  struct busy_task *b = task_call_subject (c, &job);
   if (b != NULL)
     busy_ready (b);
   free (c);
@@ -581,7 +289,7 @@
   g->granted_until_ms = action->granted_until_ms;
   struct busy_task *b = busy_get (s, job, task);
   b->extend_pending = true;
-  append (s, &r);
+  shard_record (s, &r);
 }
 
 static void
@@ -591,7 +299,7 @@
   struct shards *ss = s->ss;
   const struct rr_attempt *a = &job->tasks[task].attempt;
   b->extend_pending = false;
-  struct task_call *c = call_new (b, a->number);
+  struct task_call *c = task_call_new (b, a->number);
   peer_grant_extend_args args = { .task = b->name,
                                   .attempt = a->number,
                                   .shard = s->number,
@@ -625,7 +333,7 @@
       snprintf (daemon, NAME_SIZE, "%s", owner->info.name);
     }
   v.lease_expired = b != NULL && b->lease_expired;
-  struct worker_clock *c = clock_of (ss, a->worker, a->worker_incarnation);
+  struct worker_clock *c = shards_clock (ss, a->worker, a->worker_incarnation);
   v.clock_known = c != NULL;
   if (c != NULL)
     v.clock_ms = now.ms + c->offset_ms;
@@ -641,10 +349,12 @@
   char name[TASK_NAME_SIZE];
   char daemon[NAME_SIZE] = "";
   rr_task_name (job->spec.job, task, name, sizeof name);
+  bool live = rr_attempt_is_live (a);
+  if (live)
+    shard_place_charge (s, job);
   struct busy_task *b = busy_find (ss, name);
   if (b != NULL && (b->calling || rr_time_before (now, b->until)))
     return;
-  bool live = rr_attempt_is_live (a);
   struct rr_worker_view view = { 0 };
   if (live)
     view = view_worker (ss, a, b, daemon);
@@ -664,9 +374,7 @@
         busy_drop (ss, b);
       break;
     case RR_TASK_PLACE:
-      if (rr_table_count (ss->busy) < RESERVE_CALLS_MAX || b != NULL
-          || job->spec.urgent)
-        place (s, job, task, action.attempt);
+      shard_place_offer (s, job, task);
       break;
     case RR_TASK_SEND_START:
       start (s, job, task, action.attempt, daemon);
@@ -681,16 +389,19 @@
       extend_grant (s, job, task, &action);
       break;
     case RR_TASK_STOP:
-      ask_about_attempt (s, job, task, daemon, TASK_STOP, false);
+      if (rr_pacer_take (&ss->cancels, 1, now) == 1)
+        ask_about_attempt (s, job, task, daemon, TASK_STOP, false);
       break;
     case RR_TASK_RECORD_END:
       log_event (LOG_LEVEL_INFO, "attempt_over",
                  "task=%s attempt=%u worker=%s result=%s proof=%s", name,
                  a->number, a->worker, rr_attempt_result_name (action.result),
                  rr_end_proof_name (action.proof));
+      if (action.result == RR_RESULT_LOST)
+        rr_pacer_wave (&ss->restarts, now);
       fill_end (&r, job->spec.job, task, action.attempt, action.result,
                 action.proof);
-      append (s, &r);
+      shard_record (s, &r);
       if (b != NULL)
         busy_drop (ss, b);
       break;
@@ -722,8 +433,10 @@
 void
 shard_scan (struct shard *s, struct rr_time now)
 {
+  shard_place_begin (s);
   scan_jobs (s, now, true);
   scan_jobs (s, now, false);
+  shard_place_run (s, now);
 }
 
 /* Splits "JOB.TASK"; false when NAME has not that form.  */
--- a/rosemaryraild/workers_decisions.c
+++ b/rosemaryraild/workers_decisions.c
@@ -96,8 +96,7 @@
   enum rr_ledger_state state = rr_ledger_state (w->ledger, now);
   enum rr_quarantine_state out
       = rr_quarantine_state (s->quarantine, w->id, now);
-  bool quarantined
-      = out == RR_QUARANTINE_OUT || out == RR_QUARANTINE_CLOSED;
+  bool quarantined = out == RR_QUARANTINE_OUT || out == RR_QUARANTINE_CLOSED;
   if (state == RR_LEDGER_OPEN || state == RR_LEDGER_QUARANTINED)
     {
       rr_ledger_set_quarantined (w->ledger, quarantined);
@@ -147,8 +146,8 @@
   struct decisions *s = w->ws->decisions;
   if (t->indexed || w->index == RR_WORKER_NONE || t->need.slots == 0)
     return;
-  t->placement = describe (s, t->kind, t->service, t->task_class, t->task,
-                           &t->need);
+  t->placement
+      = describe (s, t->kind, t->service, t->task_class, t->task, &t->need);
   t->indexed = true;
   rr_placement_task_add (s->placement, w->index, &t->placement);
 }
@@ -176,8 +175,7 @@
                                .slots = 1 };
   struct rr_size declared = size_of (&need);
   struct rr_estimate_size estimate;
-  uint64_t profile
-      = decisions_hash (t->team) ^ decisions_hash (t->task_class);
+  uint64_t profile = decisions_hash (t->team) ^ decisions_hash (t->task_class);
   rr_estimate_get (s->estimate, profile, &declared, (double)t->work_ms, now,
                    &estimate);
   if (estimate.size.cores_milli > need.cores_milli)
@@ -206,12 +204,13 @@
   struct rr_resources need = corrected_need (s, t, now);
   int avoid[CHOICES_MAX];
   struct rr_placement_request request
-      = { .task = describe (s, t->kind, t->service, t->task_class, t->task,
-                            &need),
+      = { .task
+          = describe (s, t->kind, t->service, t->task_class, t->task, &need),
           .checkpoint_worker = RR_WORKER_NONE,
           .checkpoint_zone = -1,
           .avoid = avoid,
-          .urgent = t->urgent };
+          .urgent = t->urgent,
+          .waited_ms = (int64_t)t->waited_ms };
   rr_interference_refresh (s->interference, now);
   while (request.avoid_count < CHOICES_MAX)
     {
@@ -220,11 +219,11 @@
           || choice.worker == RR_WORKER_NONE)
         break;
       struct worker *w = worker_at (ws, choice.worker);
-      bool allowed = w != NULL && w->hosted_count < HOSTED_MAX
-                     && rr_quarantine_check (s->quarantine, w->id, now)
-                            != RR_QUARANTINE_WAIT
-                     && rr_ledger_check (w->ledger, now, &need, false)
-                            == RR_ADMIT_OK;
+      bool allowed
+          = w != NULL && w->hosted_count < HOSTED_MAX
+            && rr_quarantine_check (s->quarantine, w->id, now)
+                   != RR_QUARANTINE_WAIT
+            && rr_ledger_check (w->ledger, now, &need, false) == RR_ADMIT_OK;
       if (allowed)
         return w;
       avoid[request.avoid_count++] = choice.worker;
@@ -260,8 +259,7 @@
   if (strcmp (t->kind, "batch") != 0 || t->peak_memory_mb <= 0)
     return;
   struct rr_estimate_usage usage
-      = { .profile
-          = decisions_hash (t->team) ^ decisions_hash (t->task_class),
+      = { .profile = decisions_hash (t->team) ^ decisions_hash (t->task_class),
           .cores_milli = t->mean_cores_milli,
           .memory_mb = t->peak_memory_mb,
           .work_ms = strcmp (result, "ok") == 0 ? (double)t->done_ms : 0 };
--- a/rosemaryraild/workers_relief.c
+++ b/rosemaryraild/workers_relief.c
@@ -185,8 +185,7 @@
       = { .worker = w->index,
           .window_start = rr_time_from_ms (window_start_ms),
           .window_end = rr_time_from_ms (window_end_ms),
-          .worker_now
-          = rr_time_add (a->now, rr_time_diff (now, w->call_sent)),
+          .worker_now = rr_time_add (a->now, rr_time_diff (now, w->call_sent)),
           .now = now,
           .services = services,
           .service_count = fill_services (w, a, services),
@@ -213,9 +212,9 @@
       bool service = t != NULL && strcmp (t->kind, "service") == 0;
       if (u->window_end_ms != window_end_ms || service || cores <= 0)
         continue;
-      int c = rr_interference_class (s->interference, RR_KIND_BATCH,
-                                     t == NULL ? u->task_class
-                                               : t->task_class);
+      int c
+          = rr_interference_class (s->interference, RR_KIND_BATCH,
+                                   t == NULL ? u->task_class : t->task_class);
       share[c] += (double)u->cores_milli / cores;
     }
 }
@@ -231,10 +230,10 @@
         continue;
       if ((double)u->memory_mb > t->peak_memory_mb)
         t->peak_memory_mb = (double)u->memory_mb;
-      t->mean_cores_milli = t->mean_cores_milli <= 0
-                                ? (double)u->cores_milli
-                                : 0.9 * t->mean_cores_milli
-                                      + 0.1 * (double)u->cores_milli;
+      t->mean_cores_milli
+          = t->mean_cores_milli <= 0
+                ? (double)u->cores_milli
+                : 0.9 * t->mean_cores_milli + 0.1 * (double)u->cores_milli;
       t->done_ms = u->done_ms;
     }
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -139,7 +139,7 @@
 start load "$build/standins/rr-load" "${daemons[@]}" --service=$service \
   --requests=1000 --rate=35 --non-repeatable-pct=20 --duplicate-pct=10 \
   --timeout-ms=2000 --seed=11 --jobs=8 --tasks=5 --team=$team \
-  --class=archive-scan --work-ms=4000000 --cores-milli=1000 --memory-mb=1024 \
+  --class=archive-scan --work-ms=1000000 --cores-milli=1000 --memory-mb=1024 \
   --job-interval-ms=1500 --log="$run/callers.jsonl"
 load_pid=$last
 control() { curl -fs -X POST -d "$2" "http://127.0.0.1:$1" >/dev/null; }
