--- a/include/rosemaryraild/front_internal.h
+++ b/include/rosemaryraild/front_internal.h
@@ -9,11 +9,27 @@
 #include "rosemaryraild/daemon.h"
 #include "rosemaryraild/front.h"
 
+enum
+{
+  TEAM_BUCKETS_MAX = 512
+};
+
+/* Token bucket for the requests of one team.  */
+struct rate_bucket
+{
+  char team[NAME_SIZE];
+  double tokens;
+  struct rr_time updated;
+};
+
 struct front
 {
   struct daemon *d;
   struct http_server *server;
   struct rr_table *exchanges; /* of struct http_exchange * */
+  struct rate_bucket all;
+  struct rate_bucket buckets[TEAM_BUCKETS_MAX];
+  size_t bucket_count;
 };
 
 uint64_t front_hold (struct front *f, struct http_exchange *x);
@@ -21,6 +37,10 @@
 void front_error (struct http_exchange *x, int status, enum rr_error_code code,
                   const char *message);
 
+/* front_limits.c */
+const char *front_rate_exceeded (struct front *f, const char *team,
+                                 size_t daemons);
+
 /* front_requests.c */
 void front_service_request (struct front *f, struct http_exchange *x,
                             const char *service);
--- /dev/null
+++ b/rosemaryraild/front_limits.c
@@ -0,0 +1,61 @@
+#include "rosemaryraild/front_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "rosemaryraild/config_keeper.h"
+
+/* A bucket holds the requests of one second, so that a burst of that size
+   passes after a quiet time.  */
+static bool
+bucket_take (struct rate_bucket *b, int64_t per_s, struct rr_time now)
+{
+  double elapsed_s = (double)rr_time_diff (now, b->updated) / 1000;
+  b->updated = now;
+  b->tokens += elapsed_s * (double)per_s;
+  if (b->tokens > (double)per_s)
+    b->tokens = (double)per_s;
+  if (b->tokens < 1)
+    return false;
+  b->tokens--;
+  return true;
+}
+
+static struct rate_bucket *
+bucket_of (struct front *f, const char *team, int64_t per_s)
+{
+  for (size_t i = 0; i < f->bucket_count; i++)
+    if (strcmp (f->buckets[i].team, team) == 0)
+      return &f->buckets[i];
+  if (f->bucket_count == TEAM_BUCKETS_MAX)
+    return NULL;
+  struct rate_bucket *b = &f->buckets[f->bucket_count++];
+  snprintf (b->team, sizeof b->team, "%s", team);
+  b->tokens = (double)per_s;
+  b->updated = daemon_now ();
+  return b;
+}
+
+/* Tells whether a request of TEAM is within the rate of its team and of this
+   daemon.  The team's rate is shared evenly by the live daemons, since callers
+   reach them through a balancer.  Returns null, or what is exceeded.  */
+const char *
+front_rate_exceeded (struct front *f, const char *team, size_t daemons)
+{
+  const struct rr_config *c = config_keeper_config (f->d->config);
+  const struct rr_config_team *t = rr_config_team (c, team);
+  struct rr_time now = daemon_now ();
+  if (t != NULL)
+    {
+      int64_t share = t->requests_per_s / (int64_t)(daemons == 0 ? 1 : daemons);
+      if (share == 0 && t->requests_per_s > 0)
+        share = 1;
+      struct rate_bucket *b = bucket_of (f, team, share);
+      if (b != NULL && !bucket_take (b, share, now))
+        return "the team's requests_per_s";
+    }
+  if (c->limits.requests_per_s > 0
+      && !bucket_take (&f->all, c->limits.requests_per_s, now))
+    return "the limit requests_per_s of one daemon";
+  return NULL;
+}
--- a/rosemaryraild/front_requests.c
+++ b/rosemaryraild/front_requests.c
@@ -7,6 +7,7 @@
 
 #include "rosemaryraild/config_keeper.h"
 #include "rosemaryraild/front_internal.h"
+#include "rosemaryraild/peers.h"
 
 enum
 {
@@ -114,52 +115,6 @@
   r->body_length = length;
 }
 
-/* Takes a caller's request to SERVICE: checks it, and sends it to the workers
-   or, when it must not be repeated, first asks for permission.  */
-void
-front_service_request (struct front *f, struct http_exchange *x,
-                       const char *service)
-{
-  struct daemon *d = f->d;
-  struct rr_error err = { 0 };
-  const struct rr_config *c = config_keeper_config (d->config);
-  const struct rr_config_service *v = rr_config_service (c, service);
-  if (v == NULL)
-    {
-      bool configured = config_keeper_generation (d->config) > 0;
-      front_error (x, configured ? 404 : 503,
-                   configured ? RR_ERROR_NOT_FOUND : RR_ERROR_UNAVAILABLE,
-                   configured ? "no such service" : "no configuration yet");
-      return;
-    }
-  struct request *r = calloc (1, sizeof *r);
-  assert (r != NULL);
-  r->received = daemon_now ();
-  snprintf (r->service, sizeof r->service, "%s", v->name);
-  snprintf (r->team, sizeof r->team, "%s", v->team);
-  size_t length;
-  http_exchange_body (x, &length);
-  bool ok = read_repeatable (x, r, &err) && read_id (f, x, r, &err)
-            && read_deadline (x, v, c->limits.deadline_max_ms, r, &err);
-  if (ok && v->request_max_bytes > 0 && (int64_t)length > v->request_max_bytes)
-    ok = rr_error_set (&err, RR_ERROR_LIMIT, "the body exceeds %lld bytes",
-                       (long long)v->request_max_bytes);
-  if (!ok)
-    {
-      metric_add (&d->metrics, METRIC_REQUESTS_BAD, 1);
-      http_exchange_respond_error (x, err.code == RR_ERROR_LIMIT ? 413 : 400,
-                                   &err);
-      request_free (r);
-      return;
-    }
-  read_body (x, r);
-  r->token = front_hold (f, x);
-  struct message m
-      = { .type = r->repeatable ? MESSAGE_REQUEST_RUN : MESSAGE_GRANT_ASK };
-  m.u.request = r;
-  daemon_send (d, r->repeatable ? &d->workers_actor : &d->shards_actor, &m);
-}
-
 /* Answers the caller with the outcome of R.  */
 static void
 respond (struct front *f, const struct request *r)
@@ -205,11 +160,66 @@
   json_add_string (e, "message", r->reason);
   json_object_object_add (o, "error", e);
   const char *text = json_text (o);
-  http_exchange_respond (x, not_run ? 503 : 504, headers, n, text,
-                         strlen (text));
+  int status = not_run ? (r->status == 429 ? 429 : 503) : 504;
+  http_exchange_respond (x, status, headers, n, text, strlen (text));
   json_object_put (o);
 }
 
+/* Takes a caller's request to SERVICE: checks it, and sends it to the workers
+   or, when it must not be repeated, first asks for permission.  */
+void
+front_service_request (struct front *f, struct http_exchange *x,
+                       const char *service)
+{
+  struct daemon *d = f->d;
+  struct rr_error err = { 0 };
+  const struct rr_config *c = config_keeper_config (d->config);
+  const struct rr_config_service *v = rr_config_service (c, service);
+  if (v == NULL)
+    {
+      bool configured = config_keeper_generation (d->config) > 0;
+      front_error (x, configured ? 404 : 503,
+                   configured ? RR_ERROR_NOT_FOUND : RR_ERROR_UNAVAILABLE,
+                   configured ? "no such service" : "no configuration yet");
+      return;
+    }
+  struct request *r = calloc (1, sizeof *r);
+  assert (r != NULL);
+  r->received = daemon_now ();
+  snprintf (r->service, sizeof r->service, "%s", v->name);
+  snprintf (r->team, sizeof r->team, "%s", v->team);
+  size_t length;
+  http_exchange_body (x, &length);
+  bool ok = read_repeatable (x, r, &err) && read_id (f, x, r, &err)
+            && read_deadline (x, v, c->limits.deadline_max_ms, r, &err);
+  if (ok && v->request_max_bytes > 0 && (int64_t)length > v->request_max_bytes)
+    ok = rr_error_set (&err, RR_ERROR_LIMIT, "the body exceeds %lld bytes",
+                       (long long)v->request_max_bytes);
+  if (!ok)
+    {
+      metric_add (&d->metrics, METRIC_REQUESTS_BAD, 1);
+      http_exchange_respond_error (x, err.code == RR_ERROR_LIMIT ? 413 : 400,
+                                   &err);
+      request_free (r);
+      return;
+    }
+  read_body (x, r);
+  r->token = front_hold (f, x);
+  const char *exceeded
+      = front_rate_exceeded (f, r->team, peers_alive (d->peers));
+  if (exceeded != NULL)
+    {
+      request_set_outcome (r, RR_OUTCOME_NOT_RUN, 429, exceeded);
+      respond (f, r);
+      request_free (r);
+      return;
+    }
+  struct message m
+      = { .type = r->repeatable ? MESSAGE_REQUEST_RUN : MESSAGE_GRANT_ASK };
+  m.u.request = r;
+  daemon_send (d, r->repeatable ? &d->workers_actor : &d->shards_actor, &m);
+}
+
 static void
 send_result (struct front *f, struct request *r)
 {
--- a/rosemaryraild/shards_busy.c
+++ b/rosemaryraild/shards_busy.c
@@ -97,8 +97,8 @@
 
 /* Remembers a reading of a worker's clock.  */
 void
-shards_learn_clock (struct shards *ss, const char *worker, uint64_t incarnation,
-             int64_t worker_now_ms)
+shards_learn_clock (struct shards *ss, const char *worker,
+                    uint64_t incarnation, int64_t worker_now_ms)
 {
   if (worker_now_ms == 0)
     return;
@@ -119,7 +119,7 @@
    and NAME.  */
 peer_task
 shards_task_args (struct shard *s, const struct rr_job *job, uint32_t task,
-           uint32_t attempt, const char *name)
+                  uint32_t attempt, const char *name)
 {
   const struct rr_record_job_submitted *spec = &job->spec;
   return (peer_task){
@@ -141,7 +141,6 @@
   };
 }
 
-
 /* Notes that a call about ATTEMPT is in progress.  */
 struct task_call *
 task_call_new (struct busy_task *b, uint32_t attempt)
--- a/rosemaryraild/shards_place.c
+++ b/rosemaryraild/shards_place.c
@@ -131,10 +131,9 @@
   for (size_t i = 0; i < rr_membership_count (m); i++)
     {
       const struct rr_member *member = rr_membership_at (m, now, i);
-      const peer_heartbeat *h
-          = rr_membership_is_self (m, member)
-                ? &own
-                : peers_load (d->peers, member->info.name);
+      const peer_heartbeat *h = rr_membership_is_self (m, member)
+                                    ? &own
+                                    : peers_load (d->peers, member->info.name);
       if (h == NULL || h->workers == 0)
         continue;
       known = true;
@@ -204,10 +203,9 @@
   for (size_t i = 0; i < rr_membership_count (m); i++)
     {
       const struct rr_member *member = rr_membership_at (m, now, i);
-      const peer_heartbeat *h
-          = rr_membership_is_self (m, member)
-                ? &own
-                : peers_load (d->peers, member->info.name);
+      const peer_heartbeat *h = rr_membership_is_self (m, member)
+                                    ? &own
+                                    : peers_load (d->peers, member->info.name);
       if (h == NULL || !member->alive)
         continue;
       total.cores_milli += (int64_t)h->total_cores_milli;
@@ -258,19 +256,19 @@
 {
   struct shards *ss = s->ss;
   const struct rr_attempt *a = &job->tasks[task].attempt;
-  struct rr_handle h = rr_job_store_handle (rr_shard_log_data (s->log)->jobs,
-                                            job->spec.job);
+  struct rr_handle h
+      = rr_job_store_handle (rr_shard_log_data (s->log)->jobs, job->spec.job);
   uint64_t id = (uint64_t)h.generation << 32 | h.index;
   bool first = job->spec.urgent || job->spec.kind == RR_JOB_SERVICE;
   if (a->number > 0 && a->result == RR_RESULT_LOST && !first
       && rr_pacer_take (&ss->restarts, 1, daemon_now ()) == 0)
     return;
-  struct rr_batch_job queued = { .job = id,
-                                 .team = team_number (job->spec.team),
-                                 .size = task_size (job),
-                                 .urgent = first,
-                                 .submitted
-                                 = rr_time_from_ms (job->submitted_ms) };
+  struct rr_batch_job queued
+      = { .job = id,
+          .team = team_number (job->spec.team),
+          .size = task_size (job),
+          .urgent = first,
+          .submitted = rr_time_from_ms (job->submitted_ms) };
   rr_batch_queue_job_add (s->queue, &queued, NULL);
   rr_batch_queue_task_add (s->queue, id, task, NULL);
 }
--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -366,6 +366,14 @@
   snprintf (r->service, sizeof r->service, "%s", service);
   struct rr_admission_options options;
   rr_admission_options_default (&options);
+  const struct rr_config_service *v
+      = rr_config_service (config_keeper_config (ws->d->config), service);
+  if (v != NULL && v->concurrency > 0)
+    {
+      options.limiter.max = (double)v->concurrency;
+      if (options.limiter.initial > options.limiter.max)
+        options.limiter.initial = options.limiter.max;
+    }
   r->admission = rr_admission_new (&options);
   ws->routes[ws->route_count++] = r;
   return r;
