--- a/rosemaryraild/front_limits.c
+++ b/rosemaryraild/front_limits.c
@@ -47,7 +47,8 @@
   struct rr_time now = daemon_now ();
   if (t != NULL)
     {
-      int64_t share = t->requests_per_s / (int64_t)(daemons == 0 ? 1 : daemons);
+      int64_t share
+          = t->requests_per_s / (int64_t)(daemons == 0 ? 1 : daemons);
       if (share == 0 && t->requests_per_s > 0)
         share = 1;
       struct rate_bucket *b = bucket_of (f, team, share);
