--- a/include/rosemaryrail/shard_log.h
+++ b/include/rosemaryrail/shard_log.h
@@ -11,6 +11,9 @@
   RR_SNAPSHOT_EVERY = 12,
   RR_APPEND_INTERVAL_MS = 100, /* 16 shards: 160 writes/s at most */
   RR_ENTRY_MAX = 128 * 1024,   /* bytes of one ring entry */
+  /* Records that may wait for an append; a daemon that repeats reports during
+     an outage is stopped here.  */
+  RR_QUEUE_MAX = 8192,
   RR_KEY_SIZE = 48
 };
 
@@ -137,6 +140,7 @@
 bool rr_shard_log_wakeup (const struct rr_shard_log *l, struct rr_time *at);
 enum rr_shard_log_state rr_shard_log_state (const struct rr_shard_log *l);
 bool rr_shard_log_is_owner (const struct rr_shard_log *l);
+bool rr_shard_log_is_stalled (const struct rr_shard_log *l);
 uint64_t rr_shard_log_epoch (const struct rr_shard_log *l);
 struct rr_time rr_shard_log_confirmed_at (const struct rr_shard_log *l);
 struct rr_shard_state *rr_shard_log_data (const struct rr_shard_log *l);
--- a/rosemaryrail/shard_log.c
+++ b/rosemaryrail/shard_log.c
@@ -409,6 +409,15 @@
          && !l->unconfirmed;
 }
 
+/* Tells whether the append in flight is waiting for a retry because the store
+   did not answer.  New non-repeatable requests are then rejected as "not run"
+   instead of being queued behind an unknown outcome.  */
+bool
+rr_shard_log_is_stalled (const struct rr_shard_log *l)
+{
+  return l->append.backoff_ms > 0;
+}
+
 /* Returns the sequence of the latest ownership record, the shard epoch to send
    to workers; 0 if this process is not the owner.  */
 uint64_t
--- a/rosemaryrail/shard_queue.c
+++ b/rosemaryrail/shard_queue.c
@@ -62,7 +62,7 @@
 /* Queues a copy of R for the next append; its outcome is reported with TOKEN
    as RR_SHARD_SETTLED.  Fails, with no later outcome, with
    RR_ERROR_UNAVAILABLE if this process is not the owner, RR_ERROR_LIMIT if the
-   shard is full and RR_ERROR_INVALID if R can't be encoded.  */
+   shard or the queue is full and RR_ERROR_INVALID if R can't be encoded.  */
 bool
 rr_shard_log_append (struct rr_shard_log *l, const struct rr_record *r,
                      uint64_t token, struct rr_time now, struct rr_error *err)
@@ -75,6 +75,13 @@
       || r->kind == RR_RECORD_OWNERSHIP_RELEASED)
     return rr_error_set (err, RR_ERROR_INVALID,
                          "ownership records are written by the log itself");
+  if (l->queued >= RR_QUEUE_MAX)
+    {
+      l->stats.rejected_full++;
+      return rr_error_set (err, RR_ERROR_LIMIT,
+                           "shard %u: %d records wait for the store already",
+                           l->options.shard, RR_QUEUE_MAX);
+    }
   struct queued_record q = { .token = token, .size = rr_record_size (r) };
   if (q.size == 0)
     return rr_error_set (err, RR_ERROR_INVALID,
--- a/rosemaryrail/shard_takeover.c
+++ b/rosemaryrail/shard_takeover.c
@@ -122,14 +122,25 @@
   l->read_high = newest->sequence;
   if (moved)
     l->stuck = 0;
-  for (uint64_t q = newest->snapshot.sequence + 1; q <= newest->sequence; q++)
-    if (found[q % RR_RING_SLOTS] != q)
-      {
-        rr_shard_retry_takeover (l, now, true,
-                                 "ring entries after the snapshot are "
-                                 "missing");
-        return false;
-      }
+  /* Every slot is checked, not only those to be replayed: a slot that was read
+     long before the others would leave a stale revision behind.  */
+  for (uint32_t i = 0; i < RR_RING_SLOTS; i++)
+    {
+      uint64_t age = (newest->sequence - i) % RR_RING_SLOTS;
+      uint64_t expected = age < newest->sequence ? newest->sequence - age : 0;
+      if (found[i] != expected)
+        {
+          rr_shard_retry_takeover (l, now, true,
+                                   "the entries of the ring do not follow "
+                                   "each other");
+          return false;
+        }
+    }
+  if (newest->sequence - newest->snapshot.sequence > RR_RING_SLOTS)
+    {
+      rr_shard_halt (l, "entries since the snapshot were overwritten");
+      return false;
+    }
   return true;
 }
 
--- /dev/null
+++ b/tests/state/test_attempt.c
@@ -0,0 +1,222 @@
+#include <string.h>
+
+#include "unit.h"
+
+static struct rr_time
+at (int64_t ms)
+{
+  return rr_time_from_ms (ms);
+}
+
+static void
+apply (struct rr_job_store *s, struct rr_record r, int64_t now)
+{
+  struct rr_error err = { 0 };
+  rr_job_store_mark_pending (s, &r, true, at (now));
+  rr_job_store_mark_pending (s, &r, false, at (now));
+  ck_assert_msg (rr_job_store_apply (s, &r, at (now), &err), "%s",
+                 err.message);
+}
+
+static void
+refuse (struct rr_job_store *s, struct rr_record r, enum rr_error_code code)
+{
+  struct rr_error err = { 0 };
+  ck_assert (!rr_job_store_apply (s, &r, at (0), &err));
+  ck_assert_int_eq (err.code, code);
+}
+
+/* A store with the job "thesis" of one task, placed at 1000 on this owner's
+   clock; the worker's clock reads 500000 then.  */
+static struct rr_job_store *
+placed_store (struct rr_job **job)
+{
+  struct rr_job_store *s = rr_job_store_new ();
+  apply (s, unit_job ("thesis", 1), 0);
+  *job = rr_job_store_find (s, "thesis");
+  ck_assert_int_eq (rr_task_next_action (*job, 0, NULL, at (0)).kind,
+                    RR_TASK_PLACE);
+  apply (s, unit_placed ("thesis", 0, 1), 1000);
+  return s;
+}
+
+/* Guards against a start sent twice, outside its window, or by an owner that
+   did not record it.  */
+START_TEST (start_is_sent_once_within_its_window)
+{
+  struct rr_job *job;
+  struct rr_job_store *s = placed_store (&job);
+  struct rr_worker_view up = { .reachable = true };
+  struct rr_task_action a = rr_task_next_action (job, 0, &up, at (1100));
+  ck_assert_int_eq (a.kind, RR_TASK_SEND_START);
+  ck_assert_uint_eq (a.attempt, 1);
+  a = rr_task_next_action (job, 0, &up, at (6000));
+  ck_assert_int_eq (a.kind, RR_TASK_RECORD_END);
+  ck_assert_int_eq (a.proof, RR_PROOF_NOT_SENT);
+  ck_assert (!rr_attempt_start_sent (job, 0, 2));
+  ck_assert (rr_attempt_start_sent (job, 0, 1));
+  ck_assert (!rr_attempt_start_sent (job, 0, 1));
+  ck_assert_int_eq (rr_task_next_action (job, 0, &up, at (1200)).kind,
+                    RR_TASK_WAIT);
+  ck_assert_int_eq (rr_task_next_action (job, 0, &up, at (6000)).kind,
+                    RR_TASK_SEAL);
+  rr_job_store_begin_tenure (s, at (9000));
+  ck_assert (!rr_attempt_start_sent (job, 0, 1));
+  ck_assert_int_eq (rr_task_next_action (job, 0, &up, at (9000)).kind,
+                    RR_TASK_SEAL);
+  rr_job_store_free (s);
+}
+END_TEST
+
+/* Guards against a start without an answer that is taken for refused: only a
+   clear refusal of the only start ends the attempt.  */
+START_TEST (unanswered_start_is_sealed)
+{
+  struct rr_job *job;
+  struct rr_job_store *s = placed_store (&job);
+  struct rr_worker_view up = { .reachable = true };
+  ck_assert (!rr_attempt_start_answered (job, 0, 1, RR_START_REFUSED));
+  ck_assert (rr_attempt_start_sent (job, 0, 1));
+  ck_assert (rr_attempt_start_answered (job, 0, 1, RR_START_NO_ANSWER));
+  ck_assert_int_eq (rr_task_next_action (job, 0, &up, at (1200)).kind,
+                    RR_TASK_SEAL);
+  ck_assert (rr_attempt_start_answered (job, 0, 1, RR_START_REFUSED));
+  struct rr_task_action a = rr_task_next_action (job, 0, &up, at (1200));
+  ck_assert_int_eq (a.kind, RR_TASK_RECORD_END);
+  ck_assert_int_eq (a.proof, RR_PROOF_REFUSED);
+  rr_job_store_free (s);
+}
+END_TEST
+
+/* Guards against a new attempt before the old one has provably ended: without
+   the worker the owner waits out void_after_ms, then the lease, then the
+   grant, all counted from its takeover.  */
+START_TEST (unreachable_worker_is_waited_out)
+{
+  struct rr_job *job;
+  struct rr_job_store *s = placed_store (&job);
+  rr_job_store_begin_tenure (s, at (20000));
+  struct rr_worker_view down = { .lease_expired = true };
+  struct rr_task_action a = rr_task_next_action (job, 0, &down, at (25999));
+  ck_assert_int_eq (a.kind, RR_TASK_WAIT);
+  ck_assert_int_eq (a.until.ms, 26000);
+  a = rr_task_next_action (job, 0, &down, at (26000));
+  ck_assert_int_eq (a.kind, RR_TASK_RECORD_END);
+  ck_assert_int_eq (a.proof, RR_PROOF_LEASE_EXPIRED);
+  down.lease_expired = false;
+  a = rr_task_next_action (job, 0, &down, at (26000));
+  ck_assert_int_eq (a.kind, RR_TASK_PROVE_LEASE);
+  ck_assert_int_eq (a.until.ms, 20000 + 100000 + 100 + RR_CLOCK_MARGIN_MS);
+  a = rr_task_next_action (job, 0, &down, at (a.until.ms - 1));
+  ck_assert_int_eq (a.kind, RR_TASK_PROVE_LEASE);
+  a = rr_task_next_action (job, 0, &down, at (a.until.ms));
+  ck_assert_int_eq (a.kind, RR_TASK_RECORD_END);
+  ck_assert_int_eq (a.proof, RR_PROOF_GRANT_EXPIRED);
+  down.gone = true;
+  a = rr_task_next_action (job, 0, &down, at (20001));
+  ck_assert_int_eq (a.proof, RR_PROOF_INCARNATION_GONE);
+  rr_job_store_free (s);
+}
+END_TEST
+
+/* Guards against a grant that runs out under a running task, and against a
+   bound that ignores the latest extension.  */
+START_TEST (grant_is_extended_in_time)
+{
+  struct rr_job *job;
+  struct rr_job_store *s = placed_store (&job);
+  apply (s, unit_running ("thesis", 0, 1), 1200);
+  struct rr_worker_view up
+      = { .reachable = true, .clock_known = true, .clock_ms = 550000 };
+  ck_assert_int_eq (rr_task_next_action (job, 0, &up, at (2000)).kind,
+                    RR_TASK_NOTHING);
+  up.clock_ms = 550001;
+  struct rr_task_action a = rr_task_next_action (job, 0, &up, at (51001));
+  ck_assert_int_eq (a.kind, RR_TASK_EXTEND_GRANT);
+  ck_assert_int_eq (a.granted_until_ms, 650001);
+  struct rr_record r = unit_extended ("thesis", 0, 1, a.granted_until_ms);
+  rr_job_store_mark_pending (s, &r, true, at (51001));
+  ck_assert_int_eq (rr_task_next_action (job, 0, &up, at (51002)).kind,
+                    RR_TASK_NOTHING);
+  rr_job_store_mark_pending (s, &r, false, at (51100));
+  apply (s, r, 51100);
+  refuse (s, unit_extended ("thesis", 0, 1, 600000), RR_ERROR_CONFLICT);
+  struct rr_worker_view down = { 0 };
+  ck_assert_int_eq (rr_task_next_action (job, 0, &down, at (150000)).kind,
+                    RR_TASK_PROVE_LEASE);
+  ck_assert_int_eq (rr_task_next_action (job, 0, &down, at (152200)).proof,
+                    RR_PROOF_GRANT_EXPIRED);
+  rr_job_store_free (s);
+}
+END_TEST
+
+/* Guards against late and repeated reports, and against an attempt that is
+   skipped or placed beside a live one.  */
+START_TEST (old_attempts_change_nothing)
+{
+  struct rr_job *job;
+  struct rr_job_store *s = placed_store (&job);
+  refuse (s, unit_placed ("thesis", 0, 2), RR_ERROR_CONFLICT);
+  refuse (s, unit_running ("thesis", 0, 2), RR_ERROR_CONFLICT);
+  refuse (s, unit_running ("thesis", 1, 1), RR_ERROR_NOT_FOUND);
+  apply (s, unit_running ("thesis", 0, 1), 1200);
+  refuse (s, unit_running ("thesis", 0, 1), RR_ERROR_CONFLICT);
+  apply (s, unit_ended ("thesis", 0, 1, RR_RESULT_EVICTED), 2000);
+  ck_assert_str_eq (job->tasks[0].checkpoint, "page-1");
+  refuse (s, unit_ended ("thesis", 0, 1, RR_RESULT_SUCCEEDED),
+          RR_ERROR_CONFLICT);
+  refuse (s, unit_placed ("thesis", 0, 3), RR_ERROR_CONFLICT);
+  apply (s, unit_placed ("thesis", 0, 2), 3000);
+  refuse (s, unit_ended ("thesis", 0, 1, RR_RESULT_SUCCEEDED),
+          RR_ERROR_CONFLICT);
+  refuse (s, unit_extended ("thesis", 0, 1, 900000), RR_ERROR_CONFLICT);
+  ck_assert_uint_eq (job->tasks[0].attempt.number, 2);
+  ck_assert_uint_eq (job->tasks[0].evictions, 1);
+  apply (s, unit_ended ("thesis", 0, 2, RR_RESULT_LOST), 3000);
+  ck_assert_str_eq (job->tasks[0].checkpoint, "page-1");
+  apply (s, unit_placed ("thesis", 0, 3), 4000);
+  apply (s, unit_ended ("thesis", 0, 3, RR_RESULT_SUCCEEDED), 4500);
+  ck_assert_int_eq (job->state, RR_JOB_SUCCEEDED);
+  refuse (s, unit_placed ("thesis", 0, 4), RR_ERROR_CONFLICT);
+  rr_job_store_free (s);
+}
+END_TEST
+
+/* Guards against a task that fails for ever, and against a service that is
+   taken for done when its process exits.  */
+START_TEST (failures_end_batch_and_restart_services)
+{
+  struct rr_job_store *s = rr_job_store_new ();
+  apply (s, unit_job ("thesis", 1), 0);
+  const struct rr_job *job = rr_job_store_find (s, "thesis");
+  for (uint32_t i = 1; i <= 2; i++)
+    {
+      ck_assert_int_eq (job->state, RR_JOB_OPEN);
+      apply (s, unit_placed ("thesis", 0, i), 1000);
+      apply (s, unit_ended ("thesis", 0, i, RR_RESULT_FAILED), 1500);
+    }
+  ck_assert_int_eq (job->state, RR_JOB_FAILED);
+  struct rr_record r = unit_job ("watch", 1);
+  r.u.job_submitted.kind = RR_JOB_SERVICE;
+  apply (s, r, 0);
+  job = rr_job_store_find (s, "watch");
+  apply (s, unit_placed ("watch", 0, 1), 1000);
+  apply (s, unit_ended ("watch", 0, 1, RR_RESULT_SUCCEEDED), 1500);
+  ck_assert_int_eq (job->state, RR_JOB_OPEN);
+  ck_assert_int_eq (rr_task_next_action (job, 0, NULL, at (2000)).kind,
+                    RR_TASK_PLACE);
+  rr_job_store_free (s);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const tests[] = { start_is_sent_once_within_its_window,
+                                 unanswered_start_is_sealed,
+                                 unreachable_worker_is_waited_out,
+                                 grant_is_extended_in_time,
+                                 old_attempts_change_nothing,
+                                 failures_end_batch_and_restart_services };
+  return unit_run ("attempt", tests, sizeof tests / sizeof tests[0]);
+}
