--- a/rosemaryrail/attempt.c
+++ b/rosemaryrail/attempt.c
@@ -203,12 +203,13 @@
 }
 
 /* Notes that the start of ATTEMPT is being sent.  Call it before sending; the
-   start may be sent only if it returns true, so that it is sent once.  */
+   start may be sent only if it returns true, so that it is sent once and never
+   after the end of the attempt was queued.  */
 bool
 rr_attempt_start_sent (struct rr_job *job, uint32_t task, uint32_t attempt)
 {
   struct rr_task *t = task_of_live_attempt (job, task, attempt, NULL);
-  if (t == NULL || !t->attempt.own || t->attempt.start_sent
+  if (t == NULL || t->pending > 0 || !t->attempt.own || t->attempt.start_sent
       || t->attempt.state != RR_ATTEMPT_PLACED)
     return false;
   t->attempt.start_sent = true;
--- a/rosemaryrail/shard_append.c
+++ b/rosemaryrail/shard_append.c
@@ -167,6 +167,7 @@
                                        now, &out->reason);
   rr_request_log_mark_pending (l->data->requests, &q->record, false);
   l->queued_growth -= q->growth;
+  l->queued_grants -= q->record.kind == RR_RECORD_REQUEST_GRANTED ? 1 : 0;
   l->stats.records++;
   rr_record_clear (&q->record);
 }
--- a/rosemaryrail/shard_log.c
+++ b/rosemaryrail/shard_log.c
@@ -49,6 +49,7 @@
   l->queued = 0;
   l->in_flight = 0;
   l->queued_growth = 0;
+  l->queued_grants = 0;
   free (l->entry);
   l->entry = NULL;
   free (l->snapshot_data);
--- a/rosemaryrail/shard_private.h
+++ b/rosemaryrail/shard_private.h
@@ -98,6 +98,7 @@
   size_t queue_capacity;
   size_t in_flight;
   size_t queued_growth;
+  size_t queued_grants;
   struct store_call append;
   uint8_t *entry;
   size_t entry_length;
--- a/rosemaryrail/shard_queue.c
+++ b/rosemaryrail/shard_queue.c
@@ -29,7 +29,8 @@
   size_t used = rr_shard_state_size (l->data) + l->queued_growth;
   bool grant = q->record.kind == RR_RECORD_REQUEST_GRANTED;
   if (grant
-      && rr_request_log_count (l->data->requests) >= l->options.requests_max)
+      && rr_request_log_count (l->data->requests) + l->queued_grants
+             >= l->options.requests_max)
     {
       l->stats.rejected_full++;
       return rr_error_set (err, RR_ERROR_LIMIT,
@@ -106,6 +107,7 @@
     }
   l->queue[l->queued++] = q;
   l->queued_growth += q.growth;
+  l->queued_grants += r->kind == RR_RECORD_REQUEST_GRANTED ? 1 : 0;
   rr_job_store_mark_pending (l->data->jobs, r, true, now);
   rr_request_log_mark_pending (l->data->requests, r, true);
   return true;
--- a/tests/state/test_attempt.c
+++ b/tests/state/test_attempt.c
@@ -40,8 +40,8 @@
   return s;
 }
 
-/* Guards against a start sent twice, outside its window, or by an owner that
-   did not record it.  */
+/* Guards against a start sent twice, outside its window, by an owner that
+   did not record it, or after the end of the attempt was queued.  */
 START_TEST (start_is_sent_once_within_its_window)
 {
   struct rr_job *job;
@@ -54,6 +54,10 @@
   ck_assert_int_eq (a.kind, RR_TASK_RECORD_END);
   ck_assert_int_eq (a.proof, RR_PROOF_NOT_SENT);
   ck_assert (!rr_attempt_start_sent (job, 0, 2));
+  struct rr_record end = unit_ended ("thesis", 0, 1, RR_RESULT_NEVER_STARTED);
+  rr_job_store_mark_pending (s, &end, true, at (1100));
+  ck_assert (!rr_attempt_start_sent (job, 0, 1));
+  rr_job_store_mark_pending (s, &end, false, at (1100));
   ck_assert (rr_attempt_start_sent (job, 0, 1));
   ck_assert (!rr_attempt_start_sent (job, 0, 1));
   ck_assert_int_eq (rr_task_next_action (job, 0, &up, at (1200)).kind,
--- a/tests/state/test_shard_log.c
+++ b/tests/state/test_shard_log.c
@@ -223,11 +223,16 @@
     {
       snprintf (name, sizeof name, "r%d", i);
       ck_assert (append (&b, unit_granted (name, 1, 1), NULL));
+    }
+  /* Queued grants count as well as recorded ones.  */
+  for (int i = 0; i < 2; i++)
+    {
+      ck_assert (!append (&b, unit_granted ("r3", 1, 1), &err));
+      ck_assert_int_eq (err.code, RR_ERROR_LIMIT);
+      rr_error_clear (&err);
       b.now += 100;
       drive (&b);
     }
-  ck_assert (!append (&b, unit_granted ("r3", 1, 1), &err));
-  ck_assert_int_eq (err.code, RR_ERROR_LIMIT);
   struct rr_record r = { .kind = RR_RECORD_REQUESTS_EXPIRED };
   r.u.requests_expired.until_ms = 100000;
   ck_assert (append (&b, r, NULL));
