--- a/rosemaryrail/shard_queue.c
+++ b/rosemaryrail/shard_queue.c
@@ -29,7 +29,8 @@
   size_t used = rr_shard_state_size (l->data) + l->queued_growth;
   bool grant = q->record.kind == RR_RECORD_REQUEST_GRANTED;
   if (grant
-      && rr_request_log_count (l->data->requests) >= l->options.requests_max)
+      && rr_request_log_count (l->data->requests) + l->queued_grants
+             >= l->options.requests_max)
     {
       l->stats.rejected_full++;
       return rr_error_set (err, RR_ERROR_LIMIT,
@@ -62,7 +63,7 @@
 /* Queues a copy of R for the next append; its outcome is reported with TOKEN
    as RR_SHARD_SETTLED.  Fails, with no later outcome, with
    RR_ERROR_UNAVAILABLE if this process is not the owner, RR_ERROR_LIMIT if the
-   shard is full and RR_ERROR_INVALID if R can't be encoded.  */
+   shard or the queue is full and RR_ERROR_INVALID if R can't be encoded.  */
 bool
 rr_shard_log_append (struct rr_shard_log *l, const struct rr_record *r,
                      uint64_t token, struct rr_time now, struct rr_error *err)
@@ -75,6 +76,13 @@
       || r->kind == RR_RECORD_OWNERSHIP_RELEASED)
     return rr_error_set (err, RR_ERROR_INVALID,
                          "ownership records are written by the log itself");
+  if (l->queued >= RR_QUEUE_MAX)
+    {
+      l->stats.rejected_full++;
+      return rr_error_set (err, RR_ERROR_LIMIT,
+                           "shard %u: %d records wait for the store already",
+                           l->options.shard, RR_QUEUE_MAX);
+    }
   struct queued_record q = { .token = token, .size = rr_record_size (r) };
   if (q.size == 0)
     return rr_error_set (err, RR_ERROR_INVALID,
@@ -99,6 +107,7 @@
     }
   l->queue[l->queued++] = q;
   l->queued_growth += q.growth;
+  l->queued_grants += r->kind == RR_RECORD_REQUEST_GRANTED ? 1 : 0;
   rr_job_store_mark_pending (l->data->jobs, r, true, now);
   rr_request_log_mark_pending (l->data->requests, r, true);
   return true;
