daemon: callers' requests go to workers over h2o's client with kept connections

Cause: perf showed that libcurl's transfer set-up, many small allocations and a scan over 1,024 instance numbers for each request took most of the daemon's time. Change: common/upstream.c on h2o's HTTP client and socket pool; after a request only its own route and worker are looked at again. A response without an announced length counts as unknown.

--- /dev/null
+++ b/common/upstream.c
@@ -0,0 +1,294 @@
+#include "common/upstream.h"
+
+#include <assert.h>
+#include <h2o.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum
+{
+  POOL_CAPACITY = 4096,
+  IDLE_TIMEOUT_MS = 10000,
+  /* Deadlines are kept by a timer of each call; this only bounds what h2o does
+     by itself.  */
+  IO_TIMEOUT_MS = 600000,
+  HEADERS_MAX_BYTES = 8192
+};
+
+struct upstream
+{
+  uv_loop_t *loop;
+  char host[64];
+  uint16_t port;
+  h2o_socketpool_t pool;
+  h2o_timeout_t timeout;
+  h2o_http1client_ctx_t context;
+  unsigned calls;
+  bool closed;
+};
+
+/* One call in progress.  */
+struct upstream_call
+{
+  struct upstream *u;
+  h2o_http1client_t *client; /* null once h2o is done with it */
+  uv_timer_t deadline;
+  http_done_fn *done;
+  void *data;
+  bool sent;
+  bool ended;
+  int status;
+  size_t answer_max;
+  char *request;
+  h2o_iovec_t request_buf;
+  char *headers;
+  char *answer;
+  size_t answer_length;
+};
+
+static void
+upstream_unref (struct upstream *u)
+{
+  if (!u->closed || u->calls > 0)
+    return;
+  h2o_socketpool_dispose (&u->pool);
+  h2o_timeout_dispose (u->loop, &u->timeout);
+  free (u);
+}
+
+static void
+on_deadline_closed (uv_handle_t *h)
+{
+  struct upstream_call *c = h->data;
+  struct upstream *u = c->u;
+  free (c->request);
+  free (c->headers);
+  free (c->answer);
+  free (c);
+  u->calls--;
+  upstream_unref (u);
+}
+
+/* Ends C; REASON is null for a whole answer.  */
+static void
+call_end (struct upstream_call *c, const char *reason)
+{
+  if (c->ended)
+    return;
+  c->ended = true;
+  struct http_result r = { .status = c->status,
+                           .body = c->answer == NULL ? "" : c->answer,
+                           .body_length = c->answer_length,
+                           .headers = c->headers == NULL ? "" : c->headers };
+  if (reason != NULL)
+    {
+      r.state = c->sent ? HTTP_CALL_UNKNOWN : HTTP_CALL_NOT_SENT;
+      r.status = 0;
+      r.reason = reason;
+    }
+  uv_timer_stop (&c->deadline);
+  c->done (c->data, &r);
+  uv_close ((uv_handle_t *)&c->deadline, on_deadline_closed);
+}
+
+static void
+on_deadline (uv_timer_t *timer)
+{
+  struct upstream_call *c = timer->data;
+  if (c->client != NULL)
+    h2o_http1client_cancel (c->client);
+  c->client = NULL;
+  call_end (c, "timeout");
+}
+
+static int
+on_body (h2o_http1client_t *client, const char *error)
+{
+  struct upstream_call *c = client->data;
+  if (error != NULL && error != h2o_http1client_error_is_eos)
+    {
+      c->client = NULL;
+      call_end (c, error);
+      return 0;
+    }
+  h2o_buffer_t *in = client->sock->input;
+  if (c->answer_length + in->size > c->answer_max)
+    {
+      c->client = NULL;
+      call_end (c, "response too large");
+      return -1;
+    }
+  if (in->size > 0)
+    {
+      char *grown = realloc (c->answer, c->answer_length + in->size + 1);
+      assert (grown != NULL);
+      memcpy (grown + c->answer_length, in->bytes, in->size);
+      c->answer = grown;
+      c->answer_length += in->size;
+      c->answer[c->answer_length] = '\0';
+      h2o_buffer_consume (&client->sock->input, in->size);
+    }
+  if (error == h2o_http1client_error_is_eos)
+    {
+      c->client = NULL;
+      call_end (c, NULL);
+    }
+  return 0;
+}
+
+/* Copies the headers as lines and tells whether they announce how the body
+   ends.  Without that a cut response can't be told from a whole one.  */
+static bool
+take_headers (struct upstream_call *c, const h2o_header_t *headers, size_t n)
+{
+  bool framed = false;
+  size_t at = 0;
+  c->headers = malloc (HEADERS_MAX_BYTES);
+  assert (c->headers != NULL);
+  c->headers[0] = '\0';
+  for (size_t i = 0; i < n; i++)
+    {
+      const h2o_iovec_t *name = headers[i].name;
+      const h2o_iovec_t *value = &headers[i].value;
+      framed = framed
+               || (name->len == 14
+                   && strncasecmp (name->base, "content-length", 14) == 0)
+               || (name->len == 17
+                   && strncasecmp (name->base, "transfer-encoding", 17) == 0);
+      if (at + name->len + value->len + 4 > HEADERS_MAX_BYTES)
+        return false;
+      at += (size_t)sprintf (c->headers + at, "%.*s: %.*s\n", (int)name->len,
+                             name->base, (int)value->len, value->base);
+    }
+  return framed;
+}
+
+static h2o_http1client_body_cb
+on_head (h2o_http1client_t *client, const char *error, int minor_version,
+         int status, h2o_iovec_t message, h2o_header_t *headers, size_t n,
+         int rlen)
+{
+  (void)minor_version;
+  (void)message;
+  (void)rlen;
+  struct upstream_call *c = client->data;
+  bool empty = error == h2o_http1client_error_is_eos;
+  if (error != NULL && !empty)
+    {
+      c->client = NULL;
+      call_end (c, error);
+      return NULL;
+    }
+  c->status = status;
+  if (!take_headers (c, headers, n))
+    {
+      c->client = NULL;
+      call_end (c, "response without length, or headers too large");
+      return NULL;
+    }
+  if (empty)
+    {
+      c->client = NULL;
+      call_end (c, NULL);
+      return NULL;
+    }
+  return on_body;
+}
+
+static h2o_http1client_head_cb
+on_connect (h2o_http1client_t *client, const char *error, h2o_iovec_t **bufs,
+            size_t *count, int *method_is_head)
+{
+  struct upstream_call *c = client->data;
+  if (error != NULL)
+    {
+      c->client = NULL;
+      call_end (c, error);
+      return NULL;
+    }
+  c->sent = true;
+  *bufs = &c->request_buf;
+  *count = 1;
+  *method_is_head = 0;
+  return on_head;
+}
+
+static void
+build_request (struct upstream_call *c, const struct http_call *call)
+{
+  size_t size = strlen (call->url) + call->body_length + 256;
+  for (size_t i = 0; i < call->header_count; i++)
+    size += strlen (call->headers[i].name) + strlen (call->headers[i].value)
+            + 4;
+  c->request = malloc (size);
+  assert (c->request != NULL);
+  size_t at = (size_t)snprintf (
+      c->request, size, "%s %s HTTP/1.1\r\nhost: %s:%u\r\n", call->method,
+      call->url, c->u->host, c->u->port);
+  for (size_t i = 0; i < call->header_count; i++)
+    at += (size_t)snprintf (c->request + at, size - at, "%s: %s\r\n",
+                            call->headers[i].name, call->headers[i].value);
+  at += (size_t)snprintf (c->request + at, size - at,
+                          "content-length: %zu\r\n\r\n", call->body_length);
+  memcpy (c->request + at, call->body, call->body_length);
+  c->request_buf = h2o_iovec_init (c->request, at + call->body_length);
+}
+
+/* Prepares connections to ADDRESS (an IP number) and PORT; nothing is opened
+   before the first call.  Returns null when ADDRESS is no IP number.  */
+struct upstream *
+upstream_open (uv_loop_t *loop, const char *address, uint16_t port)
+{
+  struct sockaddr_in sin;
+  if (uv_ip4_addr (address, port, &sin) != 0)
+    return NULL;
+  struct upstream *u = calloc (1, sizeof *u);
+  assert (u != NULL);
+  u->loop = loop;
+  snprintf (u->host, sizeof u->host, "%s", address);
+  u->port = port;
+  h2o_socketpool_init_by_address (&u->pool, (struct sockaddr *)&sin,
+                                  sizeof sin, 0, POOL_CAPACITY);
+  h2o_socketpool_set_timeout (&u->pool, loop, IDLE_TIMEOUT_MS);
+  h2o_timeout_init (loop, &u->timeout, IO_TIMEOUT_MS);
+  u->context.loop = loop;
+  u->context.io_timeout = &u->timeout;
+  return u;
+}
+
+/* Closes U once its calls have ended.  */
+void
+upstream_close (struct upstream *u)
+{
+  u->closed = true;
+  upstream_unref (u);
+}
+
+/* Sends CALL, whose URL is a path; DONE runs exactly once, from the loop.  A
+   call that is not idempotent gets a connection of its own, since a kept one
+   may be closed by the upstream at the same moment.  */
+void
+upstream_send (struct upstream *u, const struct http_call *call,
+               http_done_fn *done, void *data)
+{
+  struct upstream_call *c = calloc (1, sizeof *c);
+  assert (c != NULL);
+  c->u = u;
+  c->done = done;
+  c->data = data;
+  c->answer_max = call->answer_max_bytes;
+  u->calls++;
+  build_request (c, call);
+  uv_timer_init (u->loop, &c->deadline);
+  c->deadline.data = c;
+  uv_timer_start (&c->deadline, on_deadline, call->timeout_ms, 0);
+  if (call->idempotent)
+    h2o_http1client_connect_with_pool (&c->client, c, &u->context, &u->pool,
+                                       on_connect);
+  else
+    h2o_http1client_connect (&c->client, c, &u->context,
+                             h2o_iovec_init (u->host, strlen (u->host)),
+                             u->port, 0, on_connect);
+}
--- a/include/rosemaryraild/worker_api.h
+++ b/include/rosemaryraild/worker_api.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "common/http_client.h"
+#include "common/upstream.h"
 #include "rosemaryrail/ledger.h"
 #include "rosemaryraild/message.h"
 
@@ -157,10 +158,9 @@
 
 /* A request of a caller.  The result is raw, since the answer belongs to the
    caller; worker_refused tells a refusal before the start from an answer.  */
-void worker_execute (struct http_client *c, const struct worker_endpoint *to,
-                     uint64_t epoch, const struct request *r,
-                     uint64_t timeout_ms, size_t answer_max_bytes,
-                     http_done_fn *done, void *data);
+void worker_execute (struct upstream *u, uint64_t epoch,
+                     const struct request *r, uint64_t timeout_ms,
+                     size_t answer_max_bytes, http_done_fn *done, void *data);
 bool worker_refused (const struct http_result *r, char *reason, size_t size);
 
 #endif
--- a/include/rosemaryraild/workers_internal.h
+++ b/include/rosemaryraild/workers_internal.h
@@ -69,6 +69,7 @@
   char rack[NAME_SIZE];
   uint64_t incarnation;
   struct worker_endpoint at;
+  struct upstream *upstream;
   struct rr_ledger *ledger;
   int state;
   bool call_pending;   /* claim, report or release */
@@ -93,6 +94,7 @@
   struct rr_admission *admission;
   struct worker *instances[INSTANCES_MAX]; /* by admission's number */
   size_t instance_count;
+  int instances_used; /* numbers from 0 to below this have been in use */
 };
 
 struct workers
--- a/rosemaryraild/worker_api.c
+++ b/rosemaryraild/worker_api.c
@@ -408,16 +408,15 @@
 
 /* Sends the request R under the controller epoch EPOCH.  */
 void
-worker_execute (struct http_client *c, const struct worker_endpoint *to,
-                uint64_t epoch, const struct request *r, uint64_t timeout_ms,
-                size_t answer_max_bytes, http_done_fn *done, void *data)
+worker_execute (struct upstream *u, uint64_t epoch, const struct request *r,
+                uint64_t timeout_ms, size_t answer_max_bytes,
+                http_done_fn *done, void *data)
 {
   char url[URL_MAX_BYTES];
   char attempt_text[24];
   char epoch_text[24];
   char timeout_text[24];
-  snprintf (url, sizeof url, "http://%s:%u/v1/execute/%s", to->address,
-            to->port, r->service);
+  snprintf (url, sizeof url, "/v1/execute/%s", r->service);
   snprintf (attempt_text, sizeof attempt_text, "%u", r->calls);
   snprintf (epoch_text, sizeof epoch_text, "%llu", (unsigned long long)epoch);
   snprintf (timeout_text, sizeof timeout_text, "%llu",
@@ -440,7 +439,7 @@
     .answer_max_bytes = answer_max_bytes,
     .idempotent = r->repeatable,
   };
-  http_client_send (c, &h, done, data);
+  upstream_send (u, &h, done, data);
 }
 
 /* Tells whether the worker refused the request before starting it, and
--- a/rosemaryraild/workers.c
+++ b/rosemaryraild/workers.c
@@ -384,6 +384,12 @@
   w->incarnation = m->info.incarnation;
   snprintf (w->at.address, sizeof w->at.address, "%s", at.address);
   w->at.port = at.http_port;
+  w->upstream = upstream_open (ws->d->loop, w->at.address, w->at.port);
+  if (w->upstream == NULL)
+    {
+      free (w);
+      return;
+    }
   struct rr_ledger_options options = { .request_limit_ms = REQUEST_LIMIT_MS };
   w->ledger = rr_ledger_new (&options);
   w->state = rr_chart_initial (ws->chart.chart);
@@ -407,6 +413,7 @@
       forget_hosted (w);
       decisions_remove_worker (w);
       rr_ledger_free (w->ledger);
+      upstream_close (w->upstream);
       free (w);
       ws->workers[i] = ws->workers[--ws->count];
     }
@@ -580,7 +587,7 @@
       struct route *r = ws->routes[i];
       peer_service *s = &services[n];
       memset (s, 0, sizeof *s);
-      for (size_t j = 0; j < INSTANCES_MAX; j++)
+      for (int j = 0; j < r->instances_used; j++)
         {
           const struct worker *w = r->instances[j];
           if (w == NULL || !worker_is_open (w, now))
--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -66,6 +66,7 @@
 }
 
 static void dispatch (struct workers *ws, struct request *r);
+static void run_route (struct route *route);
 
 static peer_outcome
 peer_outcome_of (enum rr_outcome o)
@@ -243,8 +244,11 @@
     }
   else
     retry_or_finish (ws, e->r, state, reason);
+  struct route *route = e->route;
+  if (route->instances[e->number] == e->w && worker_is_open (e->w, now))
+    rr_admission_block_worker (route->admission, e->number, false);
   free (e);
-  workers_unblock (ws);
+  run_route (route);
 }
 
 static struct request *
@@ -286,12 +290,14 @@
   w->references++;
   r->calls++;
   int64_t left = rr_time_diff (r->deadline, now);
-  worker_execute (ws->d->http, &w->at, epoch, r,
-                  (uint64_t)(left < 1 ? 1 : left), ANSWER_MAX_BYTES,
-                  on_executed, e);
+  worker_execute (w->upstream, epoch, r, (uint64_t)(left < 1 ? 1 : left),
+                  ANSWER_MAX_BYTES, on_executed, e);
   return true;
 }
 
+static void on_queue_tick (uv_timer_t *timer);
+
+/* Sends what the admission of ROUTE lets go.  */
 static void
 run_route (struct route *route)
 {
@@ -301,7 +307,7 @@
       struct rr_admission_step step
           = rr_admission_next (route->admission, daemon_now ());
       if (step.action == RR_ADMISSION_NONE)
-        return;
+        break;
       if (step.action == RR_ADMISSION_SEND)
         execute_step (route, &step);
       else
@@ -313,6 +319,12 @@
                      rr_admission_result_name (step.reason));
         }
     }
+  if (rr_admission_waiting (route->admission) > 0 && !ws->queue_timer_active)
+    {
+      ws->queue_timer_active = true;
+      uv_timer_start (&ws->queue_timer, on_queue_tick, QUEUE_TICK_MS,
+                      QUEUE_TICK_MS);
+    }
 }
 
 static void
@@ -330,7 +342,7 @@
   for (size_t i = 0; i < ws->route_count; i++)
     {
       struct route *route = ws->routes[i];
-      for (int j = 0; j < INSTANCES_MAX; j++)
+      for (int j = 0; j < route->instances_used; j++)
         if (route->instances[j] != NULL)
           {
             struct worker *w = route->instances[j];
@@ -342,12 +354,11 @@
       run_route (route);
       waiting += rr_admission_waiting (route->admission);
     }
-  if (waiting > 0 && !ws->queue_timer_active)
-    uv_timer_start (&ws->queue_timer, on_queue_tick, QUEUE_TICK_MS,
-                    QUEUE_TICK_MS);
-  else if (waiting == 0 && ws->queue_timer_active)
-    uv_timer_stop (&ws->queue_timer);
-  ws->queue_timer_active = waiting > 0;
+  if (waiting == 0 && ws->queue_timer_active)
+    {
+      uv_timer_stop (&ws->queue_timer);
+      ws->queue_timer_active = false;
+    }
 }
 
 /* Returns the route of SERVICE, made on first use; null when there are too
@@ -396,6 +407,8 @@
     }
   r->instances[number] = w;
   r->instance_count++;
+  if (number >= r->instances_used)
+    r->instances_used = number + 1;
   t->instance = number;
 }
 
@@ -574,7 +587,7 @@
       route->admission, daemon_now (), token_of (handle), team, r->deadline);
   if (admission == RR_ADMISSION_QUEUED)
     {
-      workers_unblock (ws);
+      run_route (route);
       return;
     }
   rr_table_remove (ws->requests, handle);
