--- a/tests/coordination/test_admission.c
+++ b/tests/coordination/test_admission.c
@@ -369,6 +369,7 @@
                          i % 50 == 49 ? 500 : 5);
     }
   ck_assert_double_ge (rr_admission_limiter (a, 0)->limit, 4);
+  ck_assert_double_le (rr_admission_service_ms (a), 8);
   rr_admission_free (a);
 }
 END_TEST
