--- a/common/http_server.c
+++ b/common/http_server.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "common/json.h"
 
@@ -198,6 +199,18 @@
   h2o_context_request_shutdown (&s->context);
 }
 
+/* Returns the port that S listens on, chosen by the kernel when the server
+   was opened with port 0.  */
+uint16_t
+http_server_port (const struct http_server *s)
+{
+  struct sockaddr_in sin;
+  int length = sizeof sin;
+  if (uv_tcp_getsockname (&s->listener, (struct sockaddr *)&sin, &length) != 0)
+    return 0;
+  return ntohs (sin.sin_port);
+}
+
 /* Returns the number of requests handed to the handler and not answered.  */
 size_t
 http_server_in_progress (const struct http_server *s)
@@ -278,6 +291,33 @@
   return false;
 }
 
+static const char *
+reason_phrase (int status)
+{
+  static const struct
+  {
+    int status;
+    const char *phrase;
+  } phrases[] = {
+    { 200, "OK" },
+    { 202, "Accepted" },
+    { 204, "No Content" },
+    { 400, "Bad Request" },
+    { 404, "Not Found" },
+    { 405, "Method Not Allowed" },
+    { 409, "Conflict" },
+    { 413, "Content Too Large" },
+    { 429, "Too Many Requests" },
+    { 500, "Internal Server Error" },
+    { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  };
+  for (size_t i = 0; i < sizeof phrases / sizeof phrases[0]; i++)
+    if (phrases[i].status == status)
+      return phrases[i].phrase;
+  return "Other";
+}
+
 /* Answers X with STATUS, HEADERS and a copy of BODY, and frees X.  When the
    peer has gone the answer is dropped.  */
 void
@@ -289,7 +329,8 @@
   if (req != NULL)
     {
       req->res.status = status;
-      req->res.reason = "-";
+      req->res.reason = reason_phrase (status);
+      req->res.content_length = length;
       for (size_t i = 0; i < header_count; i++)
         {
           h2o_iovec_t name
@@ -332,6 +373,22 @@
   json_object_put (o);
 }
 
+/* Closes the connection of X without an answer, and frees X.  The socket is
+   shut down first, so the response that h2o needs to finish the request never
+   reaches the peer.  SIGPIPE must be ignored by the process.  */
+void
+http_exchange_abort (struct http_exchange *x)
+{
+  h2o_req_t *req = x->req;
+  if (req != NULL)
+    {
+      h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+      shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
+      req->http1_is_persistent = 0;
+    }
+  http_exchange_respond (x, 503, NULL, 0, "", 0);
+}
+
 /* Returns the HTTP status that callers see for a failure of kind CODE.  */
 int
 http_status_from_error (enum rr_error_code code)
