daemon: files without drains keep the drains in force

rosemaryctl shows no change of drains when the files say nothing about them, and the daemon removed all of them: a VM drained for maintenance went back into service with the next apply. The daemon now inherits the drains in force.

tests: a session of rosemaryctl against the daemon on rr-platform.

--- a/rosemaryctl/apply.c
+++ b/rosemaryctl/apply.c
@@ -102,7 +102,10 @@
                "rosemaryctl: generation %s is in force; nothing was "
                "changed\n",
                ctl_text (a.json, "generation"));
-      fputs (json_string_or (a.json, "diff", ""), stdout);
+      const char *diff = json_string_or (a.json, "diff", "");
+      if (diff[0] != '\0')
+        printf ("compared with generation %s:\n%s",
+                ctl_text (a.json, "generation"), diff);
     }
   ctl_answer_free (&a);
   return rc;
--- a/rosemaryraild/front_config.c
+++ b/rosemaryraild/front_config.c
@@ -149,8 +149,12 @@
         }
     }
   struct rr_config *c = parse_files (x);
-  if (c != NULL)
-    send_apply (f, x, c, expect);
+  if (c == NULL)
+    return;
+  const struct config_keeper *k = f->d->config;
+  if (config_keeper_generation (k) > 0)
+    rr_config_inherit_drains (c, config_keeper_config (k));
+  send_apply (f, x, c, expect);
 }
 
 /* Applies the configuration in force with VM drained, or no longer so.  */
--- a/tests/config/session.sh
+++ b/tests/config/session.sh
@@ -7,6 +7,8 @@
 work=$(mktemp -d)
 fakes=
 finish() {
+  # A script that ends early has its output in this file only.
+  [ -e "$work/actual" ] || cat "$work/raw"
   for pid in $fakes; do
     kill "$pid" 2>/dev/null || true
   done
