rosemaryctl: histograms in at most 20 rows, alarms with their time

The daemon gives 170 ranges per histogram, a list of stale shards, and the time of an alarm as a point of time, which was shown as a duration since 1970.

--- a/include/rosemaryctl/ctl.h
+++ b/include/rosemaryctl/ctl.h
@@ -105,6 +105,7 @@
 const char *ctl_count (struct json_object *o, const char *name);
 struct json_object *ctl_list (struct json_object *o, const char *name);
 const char *ctl_duration (long long ms, char text[32]);
+const char *ctl_time (int64_t ms, char text[40]);
 
 int command_apply (int argc, char **argv);
 int command_cancel (int argc, char **argv);
--- a/rosemaryctl/columns.c
+++ b/rosemaryctl/columns.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "common/json.h"
 #include "rosemaryctl/ctl.h"
@@ -104,3 +105,24 @@
     snprintf (text, 32, "%.1f h", (double)ms / 3600000);
   return text;
 }
+
+/* Writes a point of time; a value since 1970 is written as UTC, any other
+   clock's value as a number.  */
+const char *
+ctl_time (int64_t ms, char text[40])
+{
+  const int64_t year_2000_ms = 946684800000;
+  if (ms < year_2000_ms)
+    {
+      snprintf (text, 40, "%lld ms", (long long)ms);
+      return text;
+    }
+  time_t seconds = (time_t)(ms / 1000);
+  struct tm utc;
+  char stamp[32];
+  if (gmtime_r (&seconds, &utc) == NULL)
+    return "-";
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
+  snprintf (text, 40, "%s.%03dZ", stamp, (int)(ms % 1000));
+  return text;
+}
--- a/rosemaryctl/histograms.c
+++ b/rosemaryctl/histograms.c
@@ -7,6 +7,7 @@
 enum
 {
   BAR_WIDTH = 40,
+  ROWS_MAX = 20, /* neighbouring ranges are put together beyond that */
 };
 
 /* Returns number I of LIST; anything that can't be a count or a bound is read
@@ -69,13 +70,23 @@
     }
 }
 
+/* Returns the events in the ranges FIRST to LAST.  */
+static double
+count_between (const struct histogram *h, size_t first, size_t last)
+{
+  double count = 0;
+  for (size_t i = first; i <= last; i++)
+    count += number_at (h->counts, i);
+  return count;
+}
+
 static void
-print_range (const struct histogram *h, size_t i, double most)
+print_row (const struct histogram *h, size_t first, size_t last, double most)
 {
-  double count = number_at (h->counts, i);
+  double count = count_between (h, first, last);
   int width = (int)(count / most * BAR_WIDTH + 0.5);
   char bar[BAR_WIDTH + 1];
-  /* A range with few events among many must not look empty.  */
+  /* A row with few events among many must not look empty.  */
   if (width == 0 && count > 0)
     width = 1;
   if (width > BAR_WIDTH)
@@ -83,10 +94,28 @@
   memset (bar, '#', sizeof bar);
   bar[width] = '\0';
   double end;
-  if (upper_end (h, i, &end))
-    printf ("  %8.4g - %-8.4g %9.0f %s\n", lower_end (h, i), end, count, bar);
+  if (upper_end (h, last, &end))
+    printf ("  %8.4g - %-8.4g %9.0f %s\n", lower_end (h, first), end, count,
+            bar);
   else
-    printf ("  %8.4g - %-8s %9.0f %s\n", lower_end (h, i), "", count, bar);
+    printf ("  %8.4g - %-8s %9.0f %s\n", lower_end (h, first), "", count, bar);
+}
+
+/* Draws the ranges FIRST to LAST, at most ROWS_MAX rows.  */
+static void
+print_rows (const struct histogram *h, size_t first, size_t last)
+{
+  size_t step = (last - first) / ROWS_MAX + 1;
+  double most = 0;
+  for (size_t i = first; i <= last; i += step)
+    {
+      size_t end = i + step - 1 < last ? i + step - 1 : last;
+      double count = count_between (h, i, end);
+      if (count > most)
+        most = count;
+    }
+  for (size_t i = first; i <= last; i += step)
+    print_row (h, i, i + step - 1 < last ? i + step - 1 : last, most);
 }
 
 static void
@@ -97,15 +126,12 @@
   h.bound_count = h.bounds == NULL ? 0 : json_object_array_length (h.bounds);
   h.range_count = h.counts == NULL ? 0 : json_object_array_length (h.counts);
   double total = 0;
-  double most = 0;
   size_t first = h.range_count;
   size_t last = 0;
   for (size_t i = 0; i < h.range_count; i++)
     {
       double n = number_at (h.counts, i);
       total += n;
-      if (n > most)
-        most = n;
       if (n > 0 && first == h.range_count)
         first = i;
       if (n > 0)
@@ -125,8 +151,8 @@
       print_percentile (&h, total, 999, "p99.9");
     }
   putchar ('\n');
-  for (size_t i = first; total > 0 && i <= last; i++)
-    print_range (&h, i, most);
+  if (total > 0)
+    print_rows (&h, first, last);
 }
 
 static bool
--- a/rosemaryctl/job.c
+++ b/rosemaryctl/job.c
@@ -1,29 +1,6 @@
-#include <time.h>
-
 #include "common/json.h"
 #include "rosemaryctl/ctl.h"
 
-/* Writes a point of time; a value since 1970 is written as UTC, any other
-   clock's value as a number.  */
-static const char *
-time_text (int64_t ms, char text[40])
-{
-  const int64_t year_2000_ms = 946684800000;
-  if (ms < year_2000_ms)
-    {
-      snprintf (text, 40, "%lld ms", (long long)ms);
-      return text;
-    }
-  time_t seconds = (time_t)(ms / 1000);
-  struct tm utc;
-  char stamp[32];
-  if (gmtime_r (&seconds, &utc) == NULL)
-    return "-";
-  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
-  snprintf (text, 40, "%s.%03dZ", stamp, (int)(ms % 1000));
-  return text;
-}
-
 static void
 print_history (struct json_object *list)
 {
@@ -34,7 +11,7 @@
     {
       struct json_object *h = json_object_array_get_idx (list, i);
       char text[40];
-      ctl_columns_add (&t, 6, time_text (json_int_or (h, "at_ms", 0), text),
+      ctl_columns_add (&t, 6, ctl_time (json_int_or (h, "at_ms", 0), text),
                        ctl_text (h, "task"), ctl_text (h, "attempt"),
                        ctl_text (h, "event"), ctl_text (h, "worker"),
                        ctl_text (h, "detail"));
@@ -53,7 +30,9 @@
           ctl_text (o, "failed"), ctl_text (o, "pending"));
   struct json_object *stale = NULL;
   if (json_object_object_get_ex (o, "stale", &stale)
-      && json_object_get_boolean (stale))
+      && (json_object_is_type (stale, json_type_array)
+              ? json_object_array_length (stale) > 0
+              : json_object_get_boolean (stale)))
     puts ("STALE, owner can't be reached");
   struct json_object *list = ctl_list (o, "history");
   if (list != NULL && json_object_array_length (list) > 0)
--- a/rosemaryctl/status.c
+++ b/rosemaryctl/status.c
@@ -76,9 +76,9 @@
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
       struct json_object *a = json_object_array_get_idx (list, i);
-      char duration[32];
-      printf ("ALARM %s for %s: %s\n", ctl_text (a, "name"),
-              ctl_duration (json_int_or (a, "since_ms", 0), duration),
+      char since[40];
+      printf ("ALARM %s since %s: %s\n", ctl_text (a, "name"),
+              ctl_time (json_int_or (a, "since_ms", 0), since),
               ctl_text (a, "detail"));
     }
 }
