--- a/tests/state/test_table.c
+++ b/tests/state/test_table.c
@@ -62,28 +62,28 @@
    same probe sequence.  */
 START_TEST (index_keeps_keys_after_removals)
 {
-  struct rr_index *x = rr_index_new ();
+  struct rr_key_index *x = rr_key_index_new ();
   char key[16];
   for (uint32_t i = 0; i < 3000; i++)
     {
       snprintf (key, sizeof key, "key-%u", i);
-      ck_assert (rr_index_put (
+      ck_assert (rr_key_index_put (
           x, key, (struct rr_handle){ .index = i, .generation = 1 }));
     }
   for (uint32_t i = 0; i < 3000; i += 3)
     {
       snprintf (key, sizeof key, "key-%u", i);
-      ck_assert (rr_index_remove (x, key));
-      ck_assert (!rr_index_remove (x, key));
+      ck_assert (rr_key_index_remove (x, key));
+      ck_assert (!rr_key_index_remove (x, key));
     }
   for (uint32_t i = 0; i < 3000; i++)
     {
       snprintf (key, sizeof key, "key-%u", i);
-      struct rr_handle h = rr_index_get (x, key);
+      struct rr_handle h = rr_key_index_get (x, key);
       ck_assert_uint_eq (h.generation, i % 3 == 0 ? 0 : 1);
       ck_assert_uint_eq (h.index, i % 3 == 0 ? 0 : i);
     }
-  rr_index_free (x);
+  rr_key_index_free (x);
 }
 END_TEST
 
