--- a/tests/state/test_record.c
+++ b/tests/state/test_record.c
@@ -62,12 +62,12 @@
       ck_assert (rr_record_encode (&back, b, sizeof b, &m, &err));
       ck_assert_uint_eq (m, n);
       ck_assert_mem_eq (a, b, n);
-      if (i == 11)
+      if (samples[i].kind == RR_RECORD_REQUEST_RESULT)
         {
-          ck_assert_uint_eq (back.u.request_result.body.length, RR_BODY_MAX);
-          back.u.request_result.body.data = NULL;
-          rr_record_clear (&back);
-          ck_assert (rr_record_decode (&back, a, n, &used, &err));
+          const struct rr_bytes *body = &back.u.request_result.body;
+          ck_assert_uint_eq (body->length, RR_BODY_MAX);
+          ck_assert_mem_eq (body->data, samples[i].u.request_result.body.data,
+                            RR_BODY_MAX);
         }
       else
         ck_assert_mem_eq (&back, &samples[i], sizeof back);
