state: no memmove on an empty queue; UBSan reports fail the check

UBSan reported a null pointer passed to memmove 27 times when an empty entry was committed, but scripts/check.sh passed: without halt_on_error a report only goes to the log.

--- a/rosemaryrail/shard_append.c
+++ b/rosemaryrail/shard_append.c
@@ -208,7 +208,8 @@
   size_t n = l->in_flight;
   for (size_t i = 0; i < n; i++)
     settle_committed (l, &l->queue[i], now);
-  memmove (l->queue, l->queue + n, (l->queued - n) * sizeof *l->queue);
+  if (n > 0)
+    memmove (l->queue, l->queue + n, (l->queued - n) * sizeof *l->queue);
   l->queued -= n;
   l->in_flight = 0;
   if (l->release_in_flight)
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -27,7 +27,8 @@
 
 # Runs meson's tests in one build folder and adds their results to the totals.
 run_tests() {
-  meson test -C "$1" --no-rebuild --print-errorlogs >build-test.log 2>&1
+  UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
+    meson test -C "$1" --no-rebuild --print-errorlogs >build-test.log 2>&1
   sed -n '/^ *[0-9]*\/[0-9]* /p' build-test.log
   grep -q 'FAIL\|TIMEOUT\|ERROR' build-test.log && cat build-test.log
   ok=$(sed -n 's/^Ok: *\([0-9]*\).*/\1/p' build-test.log)
