tests: shard owners need the platform, worker owners don't

The rule came with the daemon (rr_membership_store_lost) and had no test: a daemon cut off from the platform must own no shard and keep its workers.

--- a/tests/coordination/script_membership.c
+++ b/tests/coordination/script_membership.c
@@ -105,6 +105,7 @@
   set_text (h.zone, sizeof h.zone, info.zone);
   h.incarnation = info.incarnation;
   h.leaving = info.leaving;
+  h.store_lost = script_int (l, "store-lost", 0) != 0;
   h.config_generation = (uint64_t)script_int (l, "generation", 0);
   int64_t from = script_int (l, "from", -1);
   if (from >= 0)
@@ -226,6 +227,8 @@
     rr_membership_answered (
         m, rr_time_from_ms (script_int (l, "sent", l->now.ms)), address,
         incarnation);
+  else if (strcmp (l->command, "store-lost") == 0)
+    rr_membership_store_lost (m, script_int (l, "lost", 1) != 0);
   else if (strcmp (l->command, "drains") == 0)
     {
       const char *name = script_text (l, "name", NULL);
