--- a/rosemaryrail/shard_log.c
+++ b/rosemaryrail/shard_log.c
@@ -49,6 +49,7 @@
   l->queued = 0;
   l->in_flight = 0;
   l->queued_growth = 0;
+  l->queued_grants = 0;
   free (l->entry);
   l->entry = NULL;
   free (l->snapshot_data);
@@ -409,6 +410,15 @@
          && !l->unconfirmed;
 }
 
+/* Tells whether the append in flight is waiting for a retry because the store
+   did not answer.  New non-repeatable requests are then rejected as "not run"
+   instead of being queued behind an unknown outcome.  */
+bool
+rr_shard_log_is_stalled (const struct rr_shard_log *l)
+{
+  return l->append.backoff_ms > 0;
+}
+
 /* Returns the sequence of the latest ownership record, the shard epoch to send
    to workers; 0 if this process is not the owner.  */
 uint64_t
