interference: learned scatter of reports, detection of changes

Change: the scatter of reports is learned for each service; when reports without uncertain classes are far from their prediction, 90% of the statistics are dropped; a pair needs interference.min_reports before it may count as harmless, since the smaller scatter made two lucky reports convincing.

--- a/bench/loop.c
+++ b/bench/loop.c
@@ -319,6 +319,19 @@
   return n;
 }
 
+/* Counts the slots in use and what throttles take from them.  */
+static void
+slots_count (struct loop *l)
+{
+  for (int i = 0; i < l->world.deployment->workers; i++)
+    for (int j = 0; j < l->world.workers[i].task_count; j++)
+      {
+        const struct task *t = &l->world.tasks[l->world.workers[i].tasks[j]];
+        l->segment->slot_ms += TICK_MS;
+        l->segment->slowed_ms += TICK_MS * (100 - t->percent) / 100.0;
+      }
+}
+
 /* Runs one tick of batch work.  */
 static void
 batch_tick (struct loop *l)
@@ -330,6 +343,7 @@
       = world_tick (&l->world, l->now, events, 256, &l->segment->work_core_ms);
   for (int i = 0; i < n; i++)
     task_event (l, &events[i]);
+  slots_count (l);
   loop_reports_deliver (l);
   for (int i = 0; i < l->world.deployment->workers; i++)
     loop_quarantine_apply (l, i);
--- a/bench/metrics.c
+++ b/bench/metrics.c
@@ -54,6 +54,8 @@
   sum->urgent += m->urgent;
   sum->urgent_late += m->urgent_late;
   sum->queued_end += m->queued_end;
+  sum->slot_ms += m->slot_ms;
+  sum->slowed_ms += m->slowed_ms;
   sum->healthy_out += m->healthy_out;
 }
 
--- a/bench/metrics.h
+++ b/bench/metrics.h
@@ -31,6 +31,8 @@
   double urgent_late;
   double urgent;
   double queued_end;
+  double slot_ms;     /* batch slots in use */
+  double slowed_ms;   /* the part of them lost to throttles */
   double healthy_out; /* workers out at the end that never failed */
 };
 
--- a/bench/report.c
+++ b/bench/report.c
@@ -21,13 +21,17 @@
   FIGURE_QUEUED,
   FIGURE_URGENT_LATE,
   FIGURE_HEALTHY_OUT,
+  FIGURE_THROTTLES,
+  FIGURE_OCCUPIED,
+  FIGURE_SLOWED,
   FIGURES
 };
 
 static const char *const figure_names[FIGURES] = {
-  "p50_ms", "p99_ms",      "p999_ms",     "p99_ratio",   "goodput_per_s",
-  "useful", "relief",      "guard",       "lost_core_s", "refused",
-  "queued", "urgent_late", "healthy_out",
+  "p50_ms",        "p99_ms",    "p999_ms",  "p99_ratio",
+  "goodput_per_s", "useful",    "relief",   "guard",
+  "lost_core_s",   "refused",   "queued",   "urgent_late",
+  "healthy_out",   "throttles", "occupied", "slowed",
 };
 
 static double
@@ -65,6 +69,13 @@
       return m->queued_end;
     case FIGURE_URGENT_LATE:
       return m->urgent_late;
+    case FIGURE_THROTTLES:
+      return m->throttles;
+    case FIGURE_OCCUPIED: /* of all slots */
+      return m->slot_ms
+             / ((double)r->deployment->workers * SLOTS * SEGMENT_MS);
+    case FIGURE_SLOWED: /* of the occupied slots */
+      return m->slot_ms > 0 ? m->slowed_ms / m->slot_ms : 0;
     case FIGURE_HEALTHY_OUT:
       return m->healthy_out;
     case FIGURES:
--- a/include/rosemaryrail/interference.h
+++ b/include/rosemaryrail/interference.h
@@ -48,7 +48,7 @@
   double mean;
   double sd;      /* uncertainty of MEAN */
   double bound;   /* cautious value: mean + caution * sd */
-  double samples; /* decayed weight of reports that contained the pair */
+  double samples; /* decayed number of reports that contained the pair */
 };
 
 /* Statistics of one service class for peers: the packed lower triangle of a
@@ -62,6 +62,7 @@
   struct rr_time at; /* time of export, origin's clock; orders exports */
   int classes;
   uint64_t batch[RR_CLASSES_MAX];
+  float reports[RR_CLASSES_MAX]; /* decayed number that contained the class */
   /* (classes + 3) * (classes + 4) / 2 values in use.  */
   float moments[(RR_CLASSES_MAX + 3) * (RR_CLASSES_MAX + 4) / 2];
 };
--- a/include/rosemaryrail/policy.h
+++ b/include/rosemaryrail/policy.h
@@ -30,6 +30,9 @@
   double interference_exploration;
   double interference_outlier_limit;
   int64_t interference_warmup_reports;
+  int64_t interference_min_reports;
+  double interference_change_ratio;
+  double interference_change_keep;
   int64_t interference_peer_max_age_ms;
   double interference_tolerance;
   /* relief */
--- a/rosemaryrail/interference.c
+++ b/rosemaryrail/interference.c
@@ -13,6 +13,14 @@
    many: the mean of few requests scatters more.  */
 #define HALF_WEIGHT_REQUESTS 10.0
 
+/* Reports over which the surprise is averaged, and the largest one that a
+   single report may show, so that no few outliers pass for a change.  */
+#define SURPRISE_REPORTS 32.0
+#define SURPRISE_MAX 9.0
+
+/* Pause after a change, in ms, in which the estimates settle.  */
+#define CHANGE_PAUSE_MS 30000
+
 /* Returns an empty model; the caller frees it with rr_interference_free.
    POLICY must outlive it.  Aborts when memory is exhausted.  */
 struct rr_interference *
@@ -91,6 +99,15 @@
   return name == NULL ? "" : name;
 }
 
+static void
+statistics_scale (struct rr_service_moments *own, double factor)
+{
+  for (size_t i = 0; i < RR_MOMENTS; i++)
+    own->m[i] *= factor;
+  for (int b = 0; b < RR_CLASSES_MAX; b++)
+    own->reports[b] *= factor;
+}
+
 /* Scales the own statistics of service S to their weight at NOW.  */
 static void
 decay (struct rr_interference *model, int s, struct rr_time now)
@@ -102,8 +119,7 @@
   own->at = now;
   double f
       = exp2 (-(double)age / (double)model->policy->interference_half_life_ms);
-  for (size_t i = 0; i < RR_MOMENTS; i++)
-    own->m[i] *= f;
+  statistics_scale (own, f);
 }
 
 /* Returns the weight of a report by the age of its worker: the first report
@@ -121,25 +137,48 @@
   return w;
 }
 
-/* Cuts the residual of Y against the present prediction at the outlier
-   limit, counted in standard deviations of the prediction itself, so that a
-   surprise about an unknown class passes and a surprise about a well-known
-   one is cut.  */
+/* Predicts the log latency of service S for the terms X; VARIANCE receives
+   that of the prediction and of the report.  */
 static double
-outlier_cut (const struct rr_interference *model, int s, const double *x,
-             double y)
+predict (const struct rr_interference *model, int s, const double *x,
+         double *variance)
 {
   const struct rr_service_solution *sol = &model->solution[s];
   double predicted = 0;
-  double variance = pow (model->policy->interference_noise_sd, 2);
+  *variance = pow (sol->noise_sd, 2);
   for (int i = 0; i < RR_TERMS; i++)
     {
+      if (x[i] == 0)
+        continue;
       predicted += x[i] * sol->coefficient[i];
       for (int j = 0; j < RR_TERMS; j++)
-        variance += x[i] * x[j] * sol->covariance[i][j];
+        *variance += x[i] * x[j] * sol->covariance[i][j];
     }
-  double limit = model->policy->interference_outlier_limit * sqrt (variance);
-  return predicted + fmax (-limit, fmin (limit, y - predicted));
+  return predicted;
+}
+
+/* Follows how far reports are from what was predicted, RESIDUAL with VARIANCE
+   for the terms X.  Reports with a class of uncertain effect say nothing: a
+   surprise is to be expected there.  When many others are far off, the
+   workloads behave differently from before, and most of what is known is
+   forgotten: decay alone would take several half-lives.  */
+static void
+change_detect (struct rr_interference *model, int s, const double *x,
+               double residual, double variance, struct rr_time now)
+{
+  for (int b = 0; b < RR_CLASSES_MAX; b++)
+    if (x[RR_TERM_CLASSES + b] > 0 && model->solution[s].uncertain[b])
+      return;
+  const struct rr_policy *policy = model->policy;
+  struct rr_service_moments *own = &model->own[s];
+  double z2 = fmin (residual * residual / variance, SURPRISE_MAX);
+  own->surprise += (z2 - own->surprise) / SURPRISE_REPORTS;
+  if (own->surprise < policy->interference_change_ratio
+      || rr_time_diff (now, own->changed_at) < CHANGE_PAUSE_MS)
+    return;
+  own->changed_at = now;
+  own->surprise = 1;
+  statistics_scale (own, policy->interference_change_keep);
 }
 
 /* Learns from one service class of a worker's report, attributing it to what
@@ -170,9 +209,19 @@
 
   double x[RR_TERMS + 1] = { 1, report->service_load };
   memcpy (x + RR_TERM_CLASSES, report->share, sizeof report->share);
-  x[RR_TERMS] = outlier_cut (model, s, x, log (report->latency_ms));
+  /* The residual is cut at the outlier limit, counted in standard deviations
+     of the prediction itself, so that a surprise about an unknown class passes
+     and a surprise about a well-known one is cut.  */
+  double variance;
+  double predicted = predict (model, s, x, &variance);
+  double residual = log (report->latency_ms) - predicted;
+  double limit = model->policy->interference_outlier_limit * sqrt (variance);
+  x[RR_TERMS] = predicted + fmax (-limit, fmin (limit, residual));
   decay (model, s, now);
+  change_detect (model, s, x, residual, variance, now);
   double *m = model->own[s].m;
+  for (int b = 0; b < RR_CLASSES_MAX; b++)
+    model->own[s].reports[b] += report->share[b] > 0 ? w : 0;
   for (int i = 0; i <= RR_TERMS; i++)
     for (int j = 0; x[i] != 0 && j <= i; j++)
       m[rr_moment (i, j)] += w * x[i] * x[j];
--- a/rosemaryrail/interference_model.h
+++ b/rosemaryrail/interference_model.h
@@ -28,6 +28,9 @@
 {
   struct rr_time at;
   double m[RR_MOMENTS];
+  double reports[RR_CLASSES_MAX];
+  double surprise; /* moving mean of squared standardized residuals */
+  struct rr_time changed_at;
 };
 
 struct rr_service_solution
@@ -38,6 +41,7 @@
   double samples[RR_CLASSES_MAX];
   bool uncertain[RR_CLASSES_MAX];
   double base_ms;
+  double noise_sd; /* scatter of one report's log latency */
 };
 
 struct rr_peer_moments
@@ -47,6 +51,7 @@
   struct rr_time at;       /* of the export, origin's clock */
   struct rr_time received; /* own clock */
   double m[RR_MOMENTS];
+  double reports[RR_CLASSES_MAX];
 };
 
 struct rr_interference
