relief: throttles end when the model expects it to stay cool

Cause: a throttle was eased in steps after five cool reports each, also when the model had learned that the task is harmless. Change: after relief.hot_reports cool reports, a throttle ends altogether when the cautious effects of all tasks stay below relief.cool_ratio.

--- a/rosemaryrail/relief.c
+++ b/rosemaryrail/relief.c
@@ -311,6 +311,39 @@
   return found;
 }
 
+/* Chooses a throttle that can go altogether: the model, which may have learned
+   since, expects the services to stay cool without it.  */
+static bool
+release_choose (const struct rr_relief *relief,
+                const struct rr_relief_view *view,
+                const struct rr_placement_worker *worker,
+                const struct rr_interference *model,
+                struct rr_relief_outcome *out)
+{
+  double total = 0;
+  double least = 0;
+  bool found = false;
+  for (size_t i = 0; i < view->task_count; i++)
+    {
+      struct rr_relief_task full = view->tasks[i];
+      double now = effect_of (view, worker, model, &full, true);
+      full.percent = 100;
+      double more = effect_of (view, worker, model, &full, true) - now;
+      total += now;
+      if (view->tasks[i].percent < 100 && (!found || more < least))
+        {
+          found = true;
+          least = more;
+          out->task_index = i;
+        }
+    }
+  if (!found || total + least > log (relief->policy->relief_cool_ratio))
+    return false;
+  out->percent = 100;
+  out->action = RR_RELIEF_UNTHROTTLE;
+  return true;
+}
+
 /* Eases the strongest throttle by one step.  Returns false when nothing is
    throttled.  */
 static bool
@@ -405,7 +438,10 @@
   if (out->heat < policy->relief_hot_ratio)
     {
       out->reason = RR_RELIEF_COOL;
-      if (state->cool >= state->cool_needed && ease_choose (relief, view, out))
+      if ((state->cool >= policy->relief_hot_reports
+           && release_choose (relief, view, worker, model, out))
+          || (state->cool >= state->cool_needed
+              && ease_choose (relief, view, out)))
         action_record (relief, state, view, out);
       return;
     }
