relief: tasks throttled for long move

Cause: a throttled noisy task stayed at a quarter of its speed until it ended. Change: after relief.throttle_patience, a task that can checkpoint moves to a destination that is expected to be better, within the same budgets.

--- a/bench/loop_reports.c
+++ b/bench/loop_reports.c
@@ -138,6 +138,7 @@
         .checkpoint_cost_ms = 5000,
         .can_checkpoint = t->can_checkpoint,
         .percent = t->percent,
+        .throttled_ms = t->percent < 100 ? l->now - t->throttled_at : 0,
         .evictions = t->evictions,
       };
     }
@@ -152,6 +153,8 @@
       return;
     case RR_RELIEF_THROTTLE:
       l->segment->throttles++;
+      if (l->world.tasks[task].percent == 100)
+        l->world.tasks[task].throttled_at = l->now;
       l->world.tasks[task].percent = out.percent;
       return;
     case RR_RELIEF_UNTHROTTLE:
--- a/bench/world.h
+++ b/bench/world.h
@@ -60,6 +60,7 @@
   bool can_checkpoint;
   bool bad; /* fails everywhere */
   int percent;
+  int64_t throttled_at;
   int evictions;
   int failures;
   int worker; /* -1 while queued */
--- a/include/rosemaryrail/policy.h
+++ b/include/rosemaryrail/policy.h
@@ -44,6 +44,7 @@
   int64_t relief_min_requests;
   int64_t relief_throttle_step_percent;
   int64_t relief_throttle_floor_percent;
+  int64_t relief_throttle_patience_ms;
   int64_t relief_long_task_ms;
   int64_t relief_task_evictions_max;
   int64_t relief_job_evictions_max;
--- a/include/rosemaryrail/relief.h
+++ b/include/rosemaryrail/relief.h
@@ -50,8 +50,9 @@
   int64_t since_checkpoint_ms; /* work lost by a stop */
   int64_t checkpoint_cost_ms;  /* work lost by a checkpoint and move */
   bool can_checkpoint;
-  int percent;   /* current throttle, 100 when none */
-  int evictions; /* of this task so far, by relief or for its size */
+  int percent;          /* current throttle, 100 when none */
+  int64_t throttled_ms; /* since PERCENT fell below 100; 0 when unknown */
+  int evictions;        /* of this task so far, by relief or for its size */
 };
 
 /* A service on the worker in question; times are those of the report.  */
--- a/rosemaryrail/policy.c
+++ b/rosemaryrail/policy.c
@@ -80,6 +80,8 @@
            90, 50, "cut of a throttle, in percent of the current value"),
   INTEGER (relief_throttle_floor_percent, "relief.throttle_floor", "percent",
            1, 100, 25, "smallest throttle before a move is considered"),
+  INTEGER (relief_throttle_patience_ms, "relief.throttle_patience", "ms", 1000,
+           86400000, 30000, "time throttled after which a task may move"),
   INTEGER (relief_long_task_ms, "relief.long_task", "ms", 60000, 604800000,
            21600000, "run time beyond which a task moves last"),
   INTEGER (relief_task_evictions_max, "relief.task_evictions_max", "count", 0,
--- a/rosemaryrail/relief.c
+++ b/rosemaryrail/relief.c
@@ -255,13 +255,15 @@
 
 /* Chooses a task to evict.  Each needs an effect worth removing, a budget and
    a destination that is expected, with caution, to be better than here by
-   relief.min_gain.  Sets OUT->reason to the last obstacle.  */
+   relief.min_gain.  With THROTTLED_ONLY, only tasks are considered that have
+   been throttled for long and lose next to nothing by a move.  Sets
+   OUT->reason to the last obstacle.  */
 static bool
 eviction_choose (struct rr_relief *relief, const struct rr_relief_view *view,
                  const struct rr_placement *placement,
                  const struct rr_placement_worker *worker,
                  const struct rr_interference *model, gsl_rng *rng,
-                 struct rr_relief_outcome *out)
+                 bool throttled_only, struct rr_relief_outcome *out)
 {
   const struct rr_policy *policy = relief->policy;
   bool found = false;
@@ -270,6 +272,10 @@
   for (size_t i = 0; i < view->task_count; i++)
     {
       const struct rr_relief_task *t = &view->tasks[i];
+      if (throttled_only
+          && (t->percent == 100 || !t->can_checkpoint
+              || t->throttled_ms < policy->relief_throttle_patience_ms))
+        continue;
       struct rr_relief_task full = *t;
       full.percent = 100;
       double effect = effect_of (view, worker, model, &full, false);
@@ -382,6 +388,17 @@
   out->reason = RR_RELIEF_ACTED;
 }
 
+/* Charges an eviction to its budgets and records it.  */
+static void
+eviction_record (struct rr_relief *relief, struct worker_state *state,
+                 const struct rr_relief_view *view,
+                 struct rr_relief_outcome *out)
+{
+  const struct rr_relief_task *t = &view->tasks[out->task_index];
+  rr_relief_budget_charge (relief, t->job, t->team, view->now);
+  action_record (relief, state, view, out);
+}
+
 /* Counts a hot or cool report; the band between the two ratios resets both
    counts, so that a value near one threshold can't alternate actions.  */
 static void
@@ -443,6 +460,11 @@
           || (state->cool >= state->cool_needed
               && ease_choose (relief, view, out)))
         action_record (relief, state, view, out);
+      else if (eviction_choose (relief, view, placement, worker, model, rng,
+                                true, out))
+        eviction_record (relief, state, view, out);
+      else
+        out->reason = RR_RELIEF_COOL;
       return;
     }
   if (state->hot < policy->relief_hot_reports)
@@ -455,9 +477,7 @@
       action_record (relief, state, view, out);
       return;
     }
-  if (!eviction_choose (relief, view, placement, worker, model, rng, out))
-    return;
-  const struct rr_relief_task *t = &view->tasks[out->task_index];
-  rr_relief_budget_charge (relief, t->job, t->team, view->now);
-  action_record (relief, state, view, out);
+  if (eviction_choose (relief, view, placement, worker, model, rng, false,
+                       out))
+    eviction_record (relief, state, view, out);
 }
