--- a/bench/loop.c
+++ b/bench/loop.c
@@ -184,7 +184,7 @@
       return;
     case TASK_OVER_MEMORY:
       rr_estimate_learn (l->estimate, &usage, now);
-      t->least_memory_mb = (int64_t)(usage.memory_mb * 1.5);
+      t->least_memory_mb = (int64_t)(usage.memory_mb * 2);
       l->segment->guard_evictions++;
       loop_task_evict (l, e->task, -1, false);
       return;
--- a/bench/report.c
+++ b/bench/report.c
@@ -68,7 +68,7 @@
     case FIGURE_QUEUED:
       return m->queued_end;
     case FIGURE_URGENT_LATE:
-      return m->urgent_late;
+      return m->urgent > 0 ? m->urgent_late / m->urgent : 0;
     case FIGURE_THROTTLES:
       return m->throttles;
     case FIGURE_OCCUPIED: /* of all slots */
@@ -141,6 +141,55 @@
   fprintf (out, "\n");
 }
 
+/* Prints the figures that section 10 of the design page sets targets for, when
+   all choosers ran: medians over the seeds with the extremes.  "Excess" is the
+   p99 ratio less 1, compared with the best baseline of the same seed; useful
+   work is compared with the baseline that completes the most, evictions with
+   the baseline that makes the fewest.  */
+static void
+targets_print (const struct report *r, int segment, FILE *out)
+{
+  double ratio[SEEDS_MAX];
+  double excess[SEEDS_MAX];
+  double useful[SEEDS_MAX];
+  double evictions[SEEDS_MAX];
+  double *const values[] = { ratio, excess, useful, evictions };
+  static const char *const names[] = { "p99 ratio", "baseline excess / excess",
+                                       "useful / most", "evictions / fewest" };
+  for (int c = 0; c < CHOOSERS; c++)
+    if (!r->ran[c])
+      return;
+  for (int i = 0; i < r->seed_count; i++)
+    {
+      double best_ratio = INFINITY;
+      double most = 0;
+      double fewest = INFINITY;
+      for (int c = CHOOSER_FIRST_FIT; c <= CHOOSER_TWO_CHOICES; c++)
+        {
+          best_ratio
+              = fmin (best_ratio, figure_of (r, c, i, segment, FIGURE_RATIO));
+          most = fmax (most, figure_of (r, c, i, segment, FIGURE_USEFUL));
+          fewest = fmin (fewest, figure_of (r, c, i, segment, FIGURE_RELIEF));
+        }
+      ratio[i] = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_RATIO);
+      excess[i] = (best_ratio - 1) / (ratio[i] - 1);
+      useful[i]
+          = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_USEFUL) / most;
+      evictions[i]
+          = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_RELIEF) / fewest;
+    }
+  fprintf (out, "targets, %s:", segment_names[segment]);
+  for (int v = 0; v < 4; v++)
+    {
+      double low;
+      double high;
+      double m = median_of (values[v], r->seed_count, &low, &high);
+      fprintf (out, "%s %s %.3g [%.3g %.3g]", v > 0 ? "," : "", names[v], m,
+               low, high);
+    }
+  fprintf (out, "\n");
+}
+
 /* Prints the largest values over whole runs and all seeds.  */
 static void
 largest_print (const struct report *r, FILE *out)
@@ -194,6 +243,8 @@
           merged_print (r, segment, out);
       }
   fprintf (out, "\n");
+  for (int segment = 0; segment < SEGMENTS; segment++)
+    targets_print (r, segment, out);
   largest_print (r, out);
 }
 
--- a/rosemaryrail/estimate.c
+++ b/rosemaryrail/estimate.c
@@ -11,6 +11,10 @@
 #define BINS_PER_OCTAVE 8
 #define BINS 256
 
+/* A task that is moved because it outgrew its worker gets at least this many
+   times the memory it had.  */
+#define MOVE_GROWTH 2.0
+
 enum measure
 {
   CORES,
@@ -238,6 +242,11 @@
         size->cores_milli = reserved->cores_milli + worker_free->cores_milli;
       return RR_GUARD_GROW;
     }
+  /* Growing by a fixed step could move a task again and again on its way to
+     its peak; a factor bounds the number of moves.  */
+  int64_t least = (int64_t)ceil (MOVE_GROWTH * (double)reserved->memory_mb);
+  if (size->memory_mb < least)
+    size->memory_mb = least;
   return RR_GUARD_MOVE;
 }
 
--- a/rosemaryrail/policy.c
+++ b/rosemaryrail/policy.c
@@ -30,7 +30,7 @@
         "share of a worker's cores that batch tasks leave free, except "
         "urgent ones"),
   REAL (
-      placement_slowdown_max, "placement.slowdown_max", "ratio", 0, 10, 0.12,
+      placement_slowdown_max, "placement.slowdown_max", "ratio", 0, 10, 0.16,
       "expected log slowdown of a service that a batch task may bring about"),
   INTEGER (placement_patience_ms, "placement.patience", "ms", 1000, 86400000,
            600000, "wait after which placement.slowdown_max has doubled"),
@@ -54,7 +54,7 @@
   INTEGER (interference_min_reports, "interference.min_reports", "count", 1,
            1000, 8, "reports of a pair before it may count as harmless"),
   REAL (interference_change_ratio, "interference.change_ratio", "ratio", 1.5,
-        100, 2.5,
+        100, 2,
         "mean squared surprise at which the workloads count as changed"),
   REAL (interference_change_keep, "interference.change_keep", "ratio", 0, 1,
         0.1, "share of what is known that survives a change"),
@@ -64,7 +64,7 @@
   REAL (interference_tolerance, "interference.tolerance", "ratio", 0, 1, 0.03,
         "expected slowdown that placement treats as none"),
 
-  REAL (relief_hot_ratio, "relief.hot_ratio", "ratio", 1.01, 10, 1.25,
+  REAL (relief_hot_ratio, "relief.hot_ratio", "ratio", 1.01, 10, 1.3,
         "latency / target at which a worker is hot"),
   REAL (relief_cool_ratio, "relief.cool_ratio", "ratio", 1, 10, 1.1,
         "latency / target below which a worker is cool"),
@@ -84,8 +84,9 @@
            86400000, 30000, "time throttled after which a task may move"),
   INTEGER (relief_long_task_ms, "relief.long_task", "ms", 60000, 604800000,
            21600000, "run time beyond which a task moves last"),
-  INTEGER (relief_task_evictions_max, "relief.task_evictions_max", "count", 0,
-           100, 2, "evictions of one task, for any cause"),
+  INTEGER (
+      relief_task_evictions_max, "relief.task_evictions_max", "count", 0, 100,
+      1, "evictions of one task, for any cause, after which relief spares it"),
   INTEGER (relief_job_evictions_max, "relief.job_evictions_max", "count", 0,
            10000, 4, "evictions of one job in the budget window"),
   INTEGER (relief_team_evictions_max, "relief.team_evictions_max", "count", 0,
--- a/rosemaryrail/relief.c
+++ b/rosemaryrail/relief.c
@@ -343,7 +343,12 @@
           out->task_index = i;
         }
     }
-  if (!found || total + least > log (relief->policy->relief_cool_ratio))
+  /* Half-way between the ratios, on the log scale: with caution added, the
+     worker is then not expected to get hot again.  */
+  double limit = 0.5
+                 * (log (relief->policy->relief_cool_ratio)
+                    + log (relief->policy->relief_hot_ratio));
+  if (!found || total + least > limit)
     return false;
   out->percent = 100;
   out->action = RR_RELIEF_UNTHROTTLE;
