--- a/bench/report.c
+++ b/bench/report.c
@@ -141,24 +141,30 @@
   fprintf (out, "\n");
 }
 
-/* Prints the figures that section 10 of the design page sets targets for, when
-   all choosers ran: medians over the seeds with the extremes.  "Excess" is the
-   p99 ratio less 1, compared with the best baseline of the same seed; useful
-   work is compared with the baseline that completes the most, evictions with
-   the baseline that makes the fewest.  */
-static void
-targets_print (const struct report *r, int segment, FILE *out)
+/* Figures with targets in section 10 of the design page, medians over the
+   seeds with the extremes.  "Excess" is the p99 ratio less 1, compared with
+   the best baseline of the same seed; useful work is compared with the
+   baseline that completes the most, evictions with the baseline that makes the
+   fewest.  */
+struct targets
+{
+  double median[4];
+  double low[4];
+  double high[4];
+};
+
+static const char *const target_names[4]
+    = { "p99 ratio", "baseline excess / excess", "useful / most",
+        "evictions / fewest" };
+
+/* Fills T for SEGMENT; returns false unless all choosers ran.  */
+static bool
+targets_fill (const struct report *r, int segment, struct targets *t)
 {
-  double ratio[SEEDS_MAX];
-  double excess[SEEDS_MAX];
-  double useful[SEEDS_MAX];
-  double evictions[SEEDS_MAX];
-  double *const values[] = { ratio, excess, useful, evictions };
-  static const char *const names[] = { "p99 ratio", "baseline excess / excess",
-                                       "useful / most", "evictions / fewest" };
+  double values[4][SEEDS_MAX];
   for (int c = 0; c < CHOOSERS; c++)
     if (!r->ran[c])
-      return;
+      return false;
   for (int i = 0; i < r->seed_count; i++)
     {
       double best_ratio = INFINITY;
@@ -171,23 +177,64 @@
           most = fmax (most, figure_of (r, c, i, segment, FIGURE_USEFUL));
           fewest = fmin (fewest, figure_of (r, c, i, segment, FIGURE_RELIEF));
         }
-      ratio[i] = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_RATIO);
-      excess[i] = (best_ratio - 1) / (ratio[i] - 1);
-      useful[i]
+      double ratio = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_RATIO);
+      values[0][i] = ratio;
+      values[1][i] = (best_ratio - 1) / (ratio - 1);
+      values[2][i]
           = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_USEFUL) / most;
-      evictions[i]
+      values[3][i]
           = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_RELIEF) / fewest;
     }
+  for (int v = 0; v < 4; v++)
+    t->median[v]
+        = median_of (values[v], r->seed_count, &t->low[v], &t->high[v]);
+  return true;
+}
+
+static void
+targets_print (const struct report *r, int segment, FILE *out)
+{
+  struct targets t;
+  if (!targets_fill (r, segment, &t))
+    return;
   fprintf (out, "targets, %s:", segment_names[segment]);
   for (int v = 0; v < 4; v++)
+    fprintf (out, "%s %s %.3g [%.3g %.3g]", v > 0 ? "," : "", target_names[v],
+             t.median[v], t.low[v], t.high[v]);
+  fprintf (out, "\n");
+}
+
+/* Holds the segment with learned estimates against the targets of section 10
+   of the design page, and whole runs against the limits for single tasks and
+   workers; prints to OUT what is missed.  Returns whether all are met.  */
+bool
+report_check (const struct report *r, FILE *out)
+{
+  static const double limits[4] = { 1.25, 2, 0.9, 0.25 };
+  static const bool upper[4] = { true, false, false, true };
+  struct targets t;
+  bool met = targets_fill (r, 1, &t);
+  for (int v = 0; met && v < 4; v++)
+    if (upper[v] ? t.median[v] > limits[v] : t.median[v] < limits[v])
+      {
+        fprintf (out, "%s is %.3g, target %.3g\n", target_names[v],
+                 t.median[v], limits[v]);
+        met = false;
+      }
+  for (int i = 0; i < r->seed_count; i++)
     {
-      double low;
-      double high;
-      double m = median_of (values[v], r->seed_count, &low, &high);
-      fprintf (out, "%s %s %.3g [%.3g %.3g]", v > 0 ? "," : "", names[v], m,
-               low, high);
+      const struct loop_result *x = &r->results[CHOOSER_POLICY][i];
+      if (x->task_evictions_max <= 2 && x->failing_worker_starts_max <= 5
+          && x->over_capacity == 0)
+        continue;
+      fprintf (out,
+               "seed %u: %d evictions of one task, %d starts on a failing "
+               "worker, %d workers over capacity\n",
+               r->seeds[i], x->task_evictions_max,
+               x->failing_worker_starts_max, x->over_capacity);
+      met = false;
     }
-  fprintf (out, "\n");
+  return met;
 }
 
 /* Prints the largest values over whole runs and all seeds.  */
--- a/bench/report.h
+++ b/bench/report.h
@@ -18,6 +18,7 @@
 };
 
 void report_text (const struct report *r, bool per_seed, FILE *out);
+bool report_check (const struct report *r, FILE *out);
 void report_csv (const struct report *r, FILE *out);
 void report_csv_header (FILE *out);
 
--- a/bench/rr_bench.c
+++ b/bench/rr_bench.c
@@ -107,8 +107,10 @@
 /* Runs the closed loop for the deployments that NAME selects.  */
 static int
 loop_command (const char *name, const char *seeds, const char *choosers,
-              const struct rr_policy *policy, bool per_seed, FILE *csv)
+              const struct rr_policy *policy, bool per_seed, bool check,
+              FILE *csv)
 {
+  int status = EXIT_SUCCESS;
   static struct report report;
   int matched = 0;
   if (csv != NULL)
@@ -130,11 +132,13 @@
       report_text (&report, per_seed, stdout);
       if (csv != NULL)
         report_csv (&report, csv);
+      if (check && !report_check (&report, stdout))
+        status = EXIT_FAILURE;
       report_release (&report);
     }
   if (matched == 0)
     fprintf (stderr, "rr-bench: no deployment \"%s\"\n", name);
-  return matched > 0 ? EXIT_SUCCESS : EXIT_USAGE;
+  return matched > 0 ? status : EXIT_USAGE;
 }
 
 int
@@ -157,10 +161,12 @@
   struct arg_file *csv_file = arg_file0 (NULL, "csv", "FILE", "rows as CSV");
   struct arg_lit *per_seed
       = arg_lit0 (NULL, "per-seed", "figures of each seed as text");
+  struct arg_lit *check = arg_lit0 (
+      NULL, "check", "fail when a target of the design page is missed");
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
   struct arg_end *end = arg_end (10);
-  void *table[] = { command,    deployment, seeds,    choosers, set,
-                    iterations, csv_file,   per_seed, help,     end };
+  void *table[] = { command,  deployment, seeds, choosers, set, iterations,
+                    csv_file, per_seed,   check, help,     end };
   if (arg_nullcheck (table) != 0)
     return EXIT_FAILURE;
   deployment->sval[0] = "all";
@@ -202,7 +208,7 @@
   else
     status
         = loop_command (deployment->sval[0], seeds->sval[0], choosers->sval[0],
-                        &policy, per_seed->count > 0, csv);
+                        &policy, per_seed->count > 0, check->count > 0, csv);
   if (csv != NULL)
     fclose (csv);
   arg_freetable (table, sizeof table / sizeof table[0]);
