--- a/bench/cost.c
+++ b/bench/cost.c
@@ -81,6 +81,8 @@
           .latency_ms = 10 + gsl_rng_uniform (b->rng) };
   for (int i = 0; i < 6; i++)
     r.share[1 + gsl_rng_uniform_int (b->rng, CLASSES)] = 0.1;
+  for (int c = 1; c <= 4; c++) /* the noisy classes */
+    r.latency_ms *= exp (2 * r.share[c]);
   return r;
 }
 
@@ -151,7 +153,14 @@
 static void
 run_relief (struct bench *b, int i)
 {
-  b->now += 1000;
+  if (i % b->workers == 0)
+    b->now += 4000;
+  /* Fresh jobs and teams, so that budgets do not end the search early.  */
+  for (int k = 0; k < 8; k++)
+    {
+      b->relief_tasks[k].job = (uint64_t)i * 8 + (uint64_t)k;
+      b->relief_tasks[k].team = (uint64_t)i;
+    }
   struct rr_relief_service s
       = { .service = 1, .requests = 100, .latency_ms = 40, .target_ms = 10 };
   struct rr_relief_view view = { .worker = i % b->workers,
@@ -257,6 +266,30 @@
                    rr_time_from_ms (b->now), &out);
 }
 
+/* Everything the decision modules do for one start and its end.  */
+static void
+run_whole_start (struct bench *b, int i)
+{
+  struct rr_batch_pick pick;
+  struct rr_placement_choice c;
+  struct rr_time now = rr_time_from_ms (b->now);
+  if (!rr_batch_queue_next (b->queue, now, &pick))
+    return;
+  run_estimate (b, i);
+  struct rr_placement_request r = random_request (b, RR_KIND_BATCH);
+  if (rr_placement_choose (b->placement, &r, b->rng, &c))
+    {
+      rr_placement_task_add (b->placement, c.worker, &r.task);
+      rr_placement_task_remove (b->placement, c.worker, &r.task);
+    }
+  rr_batch_queue_started (b->queue, &pick);
+  run_quarantine_end (b, i);
+  run_quarantine_check (b, i);
+  rr_batch_queue_ended (b->queue, pick.team, &pick.size);
+  rr_batch_queue_capacity_changed (b->queue);
+  rr_batch_queue_task_add (b->queue, pick.job, pick.task, NULL);
+}
+
 static void
 bench_init (struct bench *b, int workers, unsigned seed)
 {
@@ -319,6 +352,11 @@
                                    .placement = random_task (b, RR_KIND_BATCH),
                                    .can_checkpoint = true,
                                    .percent = 25 };
+  for (int i = 0; i < 8; i++)
+    {
+      b->relief_tasks[i].placement.class_number = 1 + i % 4;
+      b->relief_tasks[i].placement.size.cores_milli = 4000;
+    }
 }
 
 static void
@@ -348,6 +386,7 @@
 {
   static const int sizes[] = { 50, 65, 200, 670 };
   static const struct decision decisions[] = {
+    { "whole start", run_whole_start },
     { "place batch", run_place_batch },
     { "place service", run_place_service },
     { "place, nothing fits", run_place_nowhere },
@@ -367,8 +406,8 @@
   double *us = calloc ((size_t)iterations, sizeof *us);
   if (us == NULL)
     abort ();
-  fprintf (out, "%-26s %8s %10s %10s\n", "decision (us)", "workers", "p50",
-           "p99");
+  fprintf (out, "%-26s %8s %10s %10s %10s\n", "decision (us)", "workers",
+           "p50", "p99", "mean");
   if (csv != NULL)
     fprintf (csv, "decision,workers,iterations,p50_us,p99_us,max_us\n");
   for (size_t d = 0; d < sizeof decisions / sizeof decisions[0]; d++)
@@ -391,8 +430,8 @@
             = gsl_stats_quantile_from_sorted_data (us, 1, (size_t)n, 0.5);
         double p99
             = gsl_stats_quantile_from_sorted_data (us, 1, (size_t)n, 0.99);
-        fprintf (out, "%-26s %8d %10.2f %10.2f\n", decisions[d].name, sizes[s],
-                 p50, p99);
+        fprintf (out, "%-26s %8d %10.2f %10.2f %10.2f\n", decisions[d].name,
+                 sizes[s], p50, p99, gsl_stats_mean (us, 1, (size_t)n));
         if (csv != NULL)
           fprintf (csv, "%s,%d,%d,%.3f,%.3f,%.3f\n", decisions[d].name,
                    sizes[s], n, p50, p99, us[n - 1]);
--- a/bench/rr_bench.c
+++ b/bench/rr_bench.c
@@ -95,6 +95,17 @@
       }
 }
 
+/* Prints the table of parameters as rows of docs/policy.md.  */
+static void
+parameters_print (void)
+{
+  size_t count;
+  const struct rr_policy_parameter *p = rr_policy_parameters (&count);
+  for (size_t i = 0; i < count; i++)
+    printf ("| %s | %s | %g | %g | %g | %s |\n", p[i].name, p[i].unit,
+            p[i].minimum, p[i].maximum, p[i].fallback, p[i].meaning);
+}
+
 static void
 report_release (struct report *report)
 {
@@ -144,9 +155,9 @@
 int
 main (int argc, char **argv)
 {
-  struct arg_str *command
-      = arg_str1 (NULL, NULL, "cost|loop",
-                  "cost of each decision, or policy in a closed loop");
+  struct arg_str *command = arg_str1 (NULL, NULL, "cost|loop|parameters",
+                                      "cost of each decision, policy in a "
+                                      "closed loop, or table of parameters");
   struct arg_str *deployment
       = arg_str0 ("d", "deployment", "NAME", "heshima, kamnik or all (all)");
   struct arg_str *seeds
@@ -205,6 +216,13 @@
     }
   else if (strcmp (command->sval[0], "cost") == 0)
     cost_run (stdout, csv, 1, iterations->ival[0]);
+  else if (strcmp (command->sval[0], "parameters") == 0)
+    parameters_print ();
+  else if (strcmp (command->sval[0], "loop") != 0)
+    {
+      fprintf (stderr, "rr-bench: no command \"%s\"\n", command->sval[0]);
+      status = EXIT_USAGE;
+    }
   else
     status
         = loop_command (deployment->sval[0], seeds->sval[0], choosers->sval[0],
