--- a/bench/report.c
+++ b/bench/report.c
@@ -21,13 +21,17 @@
   FIGURE_QUEUED,
   FIGURE_URGENT_LATE,
   FIGURE_HEALTHY_OUT,
+  FIGURE_THROTTLES,
+  FIGURE_OCCUPIED,
+  FIGURE_SLOWED,
   FIGURES
 };
 
 static const char *const figure_names[FIGURES] = {
-  "p50_ms", "p99_ms",      "p999_ms",     "p99_ratio",   "goodput_per_s",
-  "useful", "relief",      "guard",       "lost_core_s", "refused",
-  "queued", "urgent_late", "healthy_out",
+  "p50_ms",        "p99_ms",    "p999_ms",  "p99_ratio",
+  "goodput_per_s", "useful",    "relief",   "guard",
+  "lost_core_s",   "refused",   "queued",   "urgent_late",
+  "healthy_out",   "throttles", "occupied", "slowed",
 };
 
 static double
@@ -64,7 +68,14 @@
     case FIGURE_QUEUED:
       return m->queued_end;
     case FIGURE_URGENT_LATE:
-      return m->urgent_late;
+      return m->urgent > 0 ? m->urgent_late / m->urgent : 0;
+    case FIGURE_THROTTLES:
+      return m->throttles;
+    case FIGURE_OCCUPIED: /* of all slots */
+      return m->slot_ms
+             / ((double)r->deployment->workers * SLOTS * SEGMENT_MS);
+    case FIGURE_SLOWED: /* of the occupied slots */
+      return m->slot_ms > 0 ? m->slowed_ms / m->slot_ms : 0;
     case FIGURE_HEALTHY_OUT:
       return m->healthy_out;
     case FIGURES:
@@ -130,6 +141,102 @@
   fprintf (out, "\n");
 }
 
+/* Figures with targets in section 10 of the design page, medians over the
+   seeds with the extremes.  "Excess" is the p99 ratio less 1, compared with
+   the best baseline of the same seed; useful work is compared with the
+   baseline that completes the most, evictions with the baseline that makes the
+   fewest.  */
+struct targets
+{
+  double median[4];
+  double low[4];
+  double high[4];
+};
+
+static const char *const target_names[4]
+    = { "p99 ratio", "baseline excess / excess", "useful / most",
+        "evictions / fewest" };
+
+/* Fills T for SEGMENT; returns false unless all choosers ran.  */
+static bool
+targets_fill (const struct report *r, int segment, struct targets *t)
+{
+  double values[4][SEEDS_MAX];
+  for (int c = 0; c < CHOOSERS; c++)
+    if (!r->ran[c])
+      return false;
+  for (int i = 0; i < r->seed_count; i++)
+    {
+      double best_ratio = INFINITY;
+      double most = 0;
+      double fewest = INFINITY;
+      for (int c = CHOOSER_FIRST_FIT; c <= CHOOSER_TWO_CHOICES; c++)
+        {
+          best_ratio
+              = fmin (best_ratio, figure_of (r, c, i, segment, FIGURE_RATIO));
+          most = fmax (most, figure_of (r, c, i, segment, FIGURE_USEFUL));
+          fewest = fmin (fewest, figure_of (r, c, i, segment, FIGURE_RELIEF));
+        }
+      double ratio = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_RATIO);
+      values[0][i] = ratio;
+      values[1][i] = (best_ratio - 1) / (ratio - 1);
+      values[2][i]
+          = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_USEFUL) / most;
+      values[3][i]
+          = figure_of (r, CHOOSER_POLICY, i, segment, FIGURE_RELIEF) / fewest;
+    }
+  for (int v = 0; v < 4; v++)
+    t->median[v]
+        = median_of (values[v], r->seed_count, &t->low[v], &t->high[v]);
+  return true;
+}
+
+static void
+targets_print (const struct report *r, int segment, FILE *out)
+{
+  struct targets t;
+  if (!targets_fill (r, segment, &t))
+    return;
+  fprintf (out, "targets, %s:", segment_names[segment]);
+  for (int v = 0; v < 4; v++)
+    fprintf (out, "%s %s %.3g [%.3g %.3g]", v > 0 ? "," : "", target_names[v],
+             t.median[v], t.low[v], t.high[v]);
+  fprintf (out, "\n");
+}
+
+/* Holds the segment with learned estimates against the targets of section 10
+   of the design page, and whole runs against the limits for single tasks and
+   workers; prints to OUT what is missed.  Returns whether all are met.  */
+bool
+report_check (const struct report *r, FILE *out)
+{
+  static const double limits[4] = { 1.25, 2, 0.9, 0.25 };
+  static const bool upper[4] = { true, false, false, true };
+  struct targets t;
+  bool met = targets_fill (r, 1, &t);
+  for (int v = 0; met && v < 4; v++)
+    if (upper[v] ? t.median[v] > limits[v] : t.median[v] < limits[v])
+      {
+        fprintf (out, "%s is %.3g, target %.3g\n", target_names[v],
+                 t.median[v], limits[v]);
+        met = false;
+      }
+  for (int i = 0; i < r->seed_count; i++)
+    {
+      const struct loop_result *x = &r->results[CHOOSER_POLICY][i];
+      if (x->task_evictions_max <= 2 && x->failing_worker_starts_max <= 5
+          && x->over_capacity == 0)
+        continue;
+      fprintf (out,
+               "seed %u: %d evictions of one task, %d starts on a failing "
+               "worker, %d workers over capacity\n",
+               r->seeds[i], x->task_evictions_max,
+               x->failing_worker_starts_max, x->over_capacity);
+      met = false;
+    }
+  return met;
+}
+
 /* Prints the largest values over whole runs and all seeds.  */
 static void
 largest_print (const struct report *r, FILE *out)
@@ -183,6 +290,8 @@
           merged_print (r, segment, out);
       }
   fprintf (out, "\n");
+  for (int segment = 0; segment < SEGMENTS; segment++)
+    targets_print (r, segment, out);
   largest_print (r, out);
 }
 
--- a/bench/rr_bench.c
+++ b/bench/rr_bench.c
@@ -95,6 +95,17 @@
       }
 }
 
+/* Prints the table of parameters as rows of docs/policy.md.  */
+static void
+parameters_print (void)
+{
+  size_t count;
+  const struct rr_policy_parameter *p = rr_policy_parameters (&count);
+  for (size_t i = 0; i < count; i++)
+    printf ("| %s | %s | %g | %g | %g | %s |\n", p[i].name, p[i].unit,
+            p[i].minimum, p[i].maximum, p[i].fallback, p[i].meaning);
+}
+
 static void
 report_release (struct report *report)
 {
@@ -107,8 +118,10 @@
 /* Runs the closed loop for the deployments that NAME selects.  */
 static int
 loop_command (const char *name, const char *seeds, const char *choosers,
-              const struct rr_policy *policy, bool per_seed, FILE *csv)
+              const struct rr_policy *policy, bool per_seed, bool check,
+              FILE *csv)
 {
+  int status = EXIT_SUCCESS;
   static struct report report;
   int matched = 0;
   if (csv != NULL)
@@ -130,19 +143,21 @@
       report_text (&report, per_seed, stdout);
       if (csv != NULL)
         report_csv (&report, csv);
+      if (check && !report_check (&report, stdout))
+        status = EXIT_FAILURE;
       report_release (&report);
     }
   if (matched == 0)
     fprintf (stderr, "rr-bench: no deployment \"%s\"\n", name);
-  return matched > 0 ? EXIT_SUCCESS : EXIT_USAGE;
+  return matched > 0 ? status : EXIT_USAGE;
 }
 
 int
 main (int argc, char **argv)
 {
-  struct arg_str *command
-      = arg_str1 (NULL, NULL, "cost|loop",
-                  "cost of each decision, or policy in a closed loop");
+  struct arg_str *command = arg_str1 (NULL, NULL, "cost|loop|parameters",
+                                      "cost of each decision, policy in a "
+                                      "closed loop, or table of parameters");
   struct arg_str *deployment
       = arg_str0 ("d", "deployment", "NAME", "heshima, kamnik or all (all)");
   struct arg_str *seeds
@@ -157,10 +172,12 @@
   struct arg_file *csv_file = arg_file0 (NULL, "csv", "FILE", "rows as CSV");
   struct arg_lit *per_seed
       = arg_lit0 (NULL, "per-seed", "figures of each seed as text");
+  struct arg_lit *check = arg_lit0 (
+      NULL, "check", "fail when a target of the design page is missed");
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
   struct arg_end *end = arg_end (10);
-  void *table[] = { command,    deployment, seeds,    choosers, set,
-                    iterations, csv_file,   per_seed, help,     end };
+  void *table[] = { command,  deployment, seeds, choosers, set, iterations,
+                    csv_file, per_seed,   check, help,     end };
   if (arg_nullcheck (table) != 0)
     return EXIT_FAILURE;
   deployment->sval[0] = "all";
@@ -199,10 +216,17 @@
     }
   else if (strcmp (command->sval[0], "cost") == 0)
     cost_run (stdout, csv, 1, iterations->ival[0]);
+  else if (strcmp (command->sval[0], "parameters") == 0)
+    parameters_print ();
+  else if (strcmp (command->sval[0], "loop") != 0)
+    {
+      fprintf (stderr, "rr-bench: no command \"%s\"\n", command->sval[0]);
+      status = EXIT_USAGE;
+    }
   else
     status
         = loop_command (deployment->sval[0], seeds->sval[0], choosers->sval[0],
-                        &policy, per_seed->count > 0, csv);
+                        &policy, per_seed->count > 0, check->count > 0, csv);
   if (csv != NULL)
     fclose (csv);
   arg_freetable (table, sizeof table / sizeof table[0]);
--- a/include/rosemaryrail/policy.h
+++ b/include/rosemaryrail/policy.h
@@ -30,6 +30,9 @@
   double interference_exploration;
   double interference_outlier_limit;
   int64_t interference_warmup_reports;
+  int64_t interference_min_reports;
+  double interference_change_ratio;
+  double interference_change_keep;
   int64_t interference_peer_max_age_ms;
   double interference_tolerance;
   /* relief */
@@ -41,6 +44,7 @@
   int64_t relief_min_requests;
   int64_t relief_throttle_step_percent;
   int64_t relief_throttle_floor_percent;
+  int64_t relief_throttle_patience_ms;
   int64_t relief_long_task_ms;
   int64_t relief_task_evictions_max;
   int64_t relief_job_evictions_max;
