--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -4,7 +4,7 @@
 packages="libh2o-dev libuv1-dev libtirpc-dev rpcsvc-proto libjson-c-dev
 libargtable2-dev liblog4c-dev check libgsl-dev libxxhash-dev
 libcurl4-openssl-dev libssl-dev meson ninja-build pkg-config scdoc gcc make
-clang-format clang-tidy cppcheck curl git"
+clang-format clang-tidy cppcheck curl git jq"
 missing=
 for package in $packages; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null \
