--- /dev/null
+++ b/tests/daemon/owner_frozen.sh
@@ -0,0 +1,24 @@
+# The owner of a team's shard is frozen while it places the tasks of a job.
+# Another daemon takes the shard over; the frozen one wakes up with queued work
+# and must start nothing.  Guards against a paused owner acting on old state.
+. ./lib.sh
+shard=5 # of team "batch"
+deploy z1 3 2
+owner=$(status z1-d0 -r ".shards[$shard].owner")
+other=z1-d0
+[ "$owner" = z1-d0 ] && other=z1-d1
+submit "$other" frozen 30 --work-ms 600
+wait_for "the first tasks start" logged '.event == "start" and (.task // "" | startswith("batch:"))'
+freeze "$owner"
+wait_for "the shard moves" owned $other "$owner"
+echo "shard moved"
+submit "$other" second 4
+wait_for "new job runs" logged '.event == "start" and (.task // "" | startswith("batch:second"))'
+thaw "$owner"
+wait_for "the woken daemon drops the shard" counted "$owner" shard_losses_total
+echo "woken daemon lost the shard"
+for id in frozen second; do
+  wait_for "job $id ends" job_is batch:$id-j0 succeeded $other
+  echo "$id: $(job batch:$id-j0 $other)"
+done
+verify
