daemon: leaving workers are emptied, job errors are listed, stalled shards refuse

Cause: tasks on a leaving VM ran on until the VM was gone and then lost their work; a malformed job was answered with one long message. Change: batch tasks of a leaving worker are checkpointed and stopped, services are stopped once idle; POST /v1/jobs lists errors as PUT /v1/config does; new grants and jobs are refused while the shard's log is stalled; retention runs every 30 s instead of four times a second.

--- a/include/rosemaryraild/shards_internal.h
+++ b/include/rosemaryraild/shards_internal.h
@@ -24,6 +24,7 @@
   struct rr_time elected_since; /* 0: not elected */
   bool dirty;                   /* its jobs may have something to do */
   struct rr_time next_scan;
+  struct rr_time next_expiry;
   struct rr_batch_queue *queue; /* during a round of placing */
 };
 
--- a/include/rosemaryraild/workers_internal.h
+++ b/include/rosemaryraild/workers_internal.h
@@ -155,6 +155,7 @@
 
 /* workers_relief.c */
 void decisions_learn (struct worker *w, const struct worker_account *a);
+void decisions_empty_leaving (struct worker *w);
 
 /* workers_tasks.c */
 void workers_handle_rpc (struct workers *ws, struct message_rpc_request *q);
--- a/rosemaryraild/front_config.c
+++ b/rosemaryraild/front_config.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "rosemaryraild/config_json.h"
 #include "rosemaryraild/config_keeper.h"
 #include "rosemaryraild/front_internal.h"
 #include "rosemaryraild/peers.h"
@@ -42,22 +43,7 @@
 static void
 respond_errors (struct http_exchange *x, const struct rr_config_errors *errors)
 {
-  struct json_object *o = json_object_new_object ();
-  struct json_object *e = json_object_new_object ();
-  json_add_string (e, "code", "invalid");
-  json_add_string (e, "message", "the configuration is not valid");
-  json_object_object_add (o, "error", e);
-  struct json_object *list = json_object_new_array ();
-  for (size_t i = 0; i < errors->count; i++)
-    {
-      struct json_object *line = json_object_new_object ();
-      json_add_string (line, "file", errors->items[i].file);
-      json_add_int (line, "line", errors->items[i].line);
-      json_add_int (line, "column", errors->items[i].column);
-      json_add_string (line, "message", errors->items[i].message);
-      json_object_array_add (list, line);
-    }
-  json_object_object_add (o, "errors", list);
+  struct json_object *o = config_errors_json (errors, "the configuration");
   http_exchange_respond_json (x, 400, json_text (o));
   json_object_put (o);
 }
--- a/rosemaryraild/shards.c
+++ b/rosemaryraild/shards.c
@@ -21,7 +21,8 @@
   ELECTION_FROM_LIVE_MS = 6000,
   RETENTION_MS = 24 * 3600 * 1000,
   FINISHED_JOBS_MAX = 400,
-  EXPIRED_BATCH = 16
+  EXPIRED_BATCH = 16,
+  EXPIRY_MS = 30000
 };
 
 /* A read or write of a shard's log.  */
@@ -316,7 +317,11 @@
       if (due)
         {
           s->next_scan = rr_time_add (now, SCAN_MS);
-          expire (s);
+          if (!rr_time_before (now, s->next_expiry))
+            {
+              s->next_expiry = rr_time_add (now, EXPIRY_MS);
+              expire (s);
+            }
         }
       if (due || s->dirty)
         {
--- a/rosemaryraild/shards_grants.c
+++ b/rosemaryraild/shards_grants.c
@@ -343,7 +343,8 @@
       g->deadline_ms = daemon_wall_ms () + a.timeout_ms;
       struct rr_error err = { 0 };
       uint64_t token = pending_add (ss, PENDING_GRANT, &q->origin, a.id);
-      if (!platform_reachable (ss->d->platform))
+      if (rr_shard_log_is_stalled (s->log)
+          || !platform_reachable (ss->d->platform))
         rr_error_set (&err, RR_ERROR_UNAVAILABLE, "platform unreachable");
       if (err.code != RR_OK || !shard_append (s, &r, token, &err))
         reply_grant (ss, &q->origin, PEER_GRANT_REFUSED, NULL);
--- a/rosemaryraild/shards_jobs.c
+++ b/rosemaryraild/shards_jobs.c
@@ -5,6 +5,7 @@
 
 #include "common/json.h"
 #include "common/log.h"
+#include "rosemaryraild/config_json.h"
 #include "rosemaryraild/config_keeper.h"
 #include "rosemaryraild/shards_internal.h"
 
@@ -350,7 +351,8 @@
       return;
     }
   struct rr_error err = { 0 };
-  if (!platform_reachable (ss->d->platform))
+  if (rr_shard_log_is_stalled (s->log)
+      || !platform_reachable (ss->d->platform))
     rr_error_set (&err, RR_ERROR_UNAVAILABLE,
                   "the platform can't be reached; the job was not accepted");
   if (err.code != RR_OK
@@ -374,11 +376,7 @@
   bool ok = rr_config_parse_job (config_keeper_config (ss->d->config), &file,
                                  &job, &errors);
   if (!ok)
-    {
-      char *text = rr_config_errors_text (&errors);
-      reply_error (ss, origin, 400, "invalid", text);
-      free (text);
-    }
+    reply_json (ss, origin, 400, config_errors_json (&errors, "the job"));
   else if (!id_fits (&job))
     reply_error (ss, origin, 400, "invalid",
                  "team and id together have more than 63 characters");
--- a/rosemaryraild/workers.c
+++ b/rosemaryraild/workers.c
@@ -221,6 +221,8 @@
       rr_ledger_set_leaving (w->ledger);
       worker_event (w, ws->chart.left);
     }
+  if (w->state == ws->chart.leaving)
+    decisions_empty_leaving (w);
 }
 
 static void
--- a/rosemaryraild/workers_relief.c
+++ b/rosemaryraild/workers_relief.c
@@ -10,7 +10,8 @@
 enum
 {
   SERVICES_PER_WORKER_MAX = 16,
-  CHECKPOINT_COST_MS = 1000
+  CHECKPOINT_COST_MS = 1000,
+  LEAVING_MOVES_MAX = 4
 };
 
 /* A throttle, checkpoint or stop in progress.  */
@@ -269,3 +270,26 @@
   w->learned_until_ms = end_ms;
   relieve (w, a, start_ms, end_ms);
 }
+
+/* Moves the tasks of a worker that is leaving: batch tasks continue elsewhere
+   from a checkpoint; a service task is stopped once no request is in progress
+   on the worker.  A few at a time, so that one report's work stays small.  */
+void
+decisions_empty_leaving (struct worker *w)
+{
+  unsigned moving = 0;
+  bool idle = rr_ledger_used (w->ledger).connections == 0;
+  for (size_t i = 0; i < w->hosted_count; i++)
+    moving += w->hosted[i].evicting && w->hosted[i].running;
+  for (size_t i = 0; i < w->hosted_count && moving < LEAVING_MOVES_MAX; i++)
+    {
+      struct hosted_task *t = &w->hosted[i];
+      bool service = strcmp (t->kind, "service") == 0;
+      if (!t->running || t->evicting || (service && !idle))
+        continue;
+      struct rr_relief_outcome out
+          = { .action = service ? RR_RELIEF_STOP : RR_RELIEF_MOVE };
+      act (w, t, &out);
+      moving++;
+    }
+}
