daemon: outcomes of requests follow from the interpreted chart

Cause: the outcome told to a caller was worked out in several places from a flag for an earlier call without answer. Change: charts/request.jsonc is interpreted; its final state is the outcome, and an event that a state does not allow gives "unknown", which is never a false statement. The attempt and shard charts are checked at the start. Entries of the VM list no longer outrank the process incarnations of heartbeats.

--- a/include/rosemaryraild/daemon.h
+++ b/include/rosemaryraild/daemon.h
@@ -13,6 +13,7 @@
 #include "rosemaryraild/message.h"
 #include "rosemaryraild/metrics.h"
 #include "rosemaryraild/platform.h"
+#include "rosemaryraild/request_chart.h"
 
 struct front;
 struct peers;
@@ -33,6 +34,7 @@
   gsl_rng *rng;
   struct metrics metrics;
   struct rr_histogram_set *histograms;
+  struct request_chart request_chart;
   bool stopping;
 
   struct front *front;
--- a/include/rosemaryraild/message.h
+++ b/include/rosemaryraild/message.h
@@ -47,8 +47,8 @@
   char *body;
   size_t body_length;
   /* Progress.  */
+  int state; /* of charts/request.jsonc */
   unsigned calls;
-  bool earlier_unknown;
   /* Outcome.  */
   enum rr_outcome outcome;
   int status;
--- a/rosemaryraild/front_requests.c
+++ b/rosemaryraild/front_requests.c
@@ -207,13 +207,17 @@
   r->token = front_hold (f, x);
   const char *exceeded
       = front_rate_exceeded (f, r->team, peers_alive (d->peers));
+  const struct request_chart *chart = &d->request_chart;
+  request_begin (chart, r);
   if (exceeded != NULL)
     {
+      request_event (chart, r, chart->rejected);
       request_set_outcome (r, RR_OUTCOME_NOT_RUN, 429, exceeded);
       respond (f, r);
       request_free (r);
       return;
     }
+  request_event (chart, r, r->repeatable ? chart->queue : chart->ask);
   struct message m
       = { .type = r->repeatable ? MESSAGE_REQUEST_RUN : MESSAGE_GRANT_ASK };
   m.u.request = r;
@@ -228,48 +232,72 @@
   daemon_send (f->d, &f->d->shards_actor, &m);
 }
 
+/* Ends R by EVENT with the outcome that the chart gives.  */
+static void
+end_on (struct front *f, struct request *r, int event, const char *reason)
+{
+  const struct request_chart *c = &f->d->request_chart;
+  request_event (c, r, event);
+  request_set_outcome (r, request_outcome (c, r), 0, reason);
+  respond (f, r);
+}
+
+/* Answers with the recorded outcome of an earlier request of the same id.  */
+static void
+take_record (struct front *f, struct request *r)
+{
+  const struct request_chart *c = &f->d->request_chart;
+  if (r->outcome == RR_OUTCOME_ANSWERED && r->reason[0] == '\0')
+    {
+      request_event (c, r, c->recorded_answer);
+      respond (f, r);
+    }
+  else if (r->outcome == RR_OUTCOME_NOT_RUN)
+    end_on (f, r, c->recorded_not_run, "the outcome was recorded before");
+  else
+    /* Also when it ran, but its response was too large to keep.  */
+    end_on (f, r, c->recorded_unknown,
+            r->reason[0] != '\0' ? r->reason
+                                 : "the outcome was recorded before");
+}
+
 /* A non-repeatable request may be sent, or its outcome is known.  */
 void
 front_request_verdict (struct front *f, struct request *r,
                        enum peer_grant_verdict verdict)
 {
+  const struct request_chart *c = &f->d->request_chart;
   switch (verdict)
     {
     case PEER_GRANT_GO:
       {
+        request_event (c, r, c->go);
         struct message m = { .type = MESSAGE_REQUEST_RUN };
         m.u.request = r;
         daemon_send (f->d, &f->d->workers_actor, &m);
         return;
       }
     case PEER_GRANT_RECORDED:
-      if (r->outcome == RR_OUTCOME_ANSWERED && r->reason[0] != '\0')
-        /* It ran, but its response was too large to keep.  */
-        request_set_outcome (r, RR_OUTCOME_UNKNOWN, 504, r->reason);
-      else if (r->outcome != RR_OUTCOME_ANSWERED)
-        request_set_outcome (r, r->outcome, 504,
-                             "the outcome was recorded before");
+      take_record (f, r);
       break;
     case PEER_GRANT_REFUSED:
     case PEER_GRANT_NOT_OWNER:
-      request_set_outcome (r, RR_OUTCOME_NOT_RUN, 503,
-                           "the request can't be recorded now");
+      end_on (f, r, c->not_attempted, "the request can't be recorded now");
       break;
     case PEER_GRANT_PENDING:
-      request_set_outcome (r, RR_OUTCOME_UNKNOWN, 504,
-                           "an earlier request of this id is in progress");
+      request_event (c, r, c->held);
+      end_on (f, r, c->deadline,
+              "an earlier request of this id is in progress");
       break;
     case PEER_GRANT_UNKNOWN:
       /* This daemon never sends under this permission, so that recording "not
          run" is true and lets a later request of the same id run.  */
-      request_set_outcome (r, RR_OUTCOME_UNKNOWN, 504,
-                           "whether the request was recorded is unknown");
-      respond (f, r);
+      end_on (f, r, c->unresolved,
+              "whether the request was recorded is unknown");
       r->outcome = RR_OUTCOME_NOT_RUN;
       send_result (f, r);
       return;
     }
-  respond (f, r);
   request_free (r);
 }
 
--- a/rosemaryraild/main.c
+++ b/rosemaryraild/main.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "rosemaryraild/charts.h"
 #include "rosemaryraild/config_keeper.h"
 #include "rosemaryraild/daemon.h"
 #include "rosemaryraild/front.h"
@@ -93,6 +94,22 @@
   *a = (struct actor){ .name = name, .state = state, .handle = handle };
 }
 
+/* Checks the charts of states that the library keeps itself, so that a damaged
+   chart directory shows at the start.  */
+static bool
+check_library_charts (const char *directory, struct rr_error *err)
+{
+  static const char *const names[] = { "attempt", "shard" };
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    {
+      struct rr_chart *c = chart_open (directory, names[i], err);
+      if (c == NULL)
+        return false;
+      rr_chart_free (c);
+    }
+  return true;
+}
+
 /* Starts all actors; false with ERR when one can't start.  */
 static bool
 start (struct daemon *d, struct rr_error *err)
@@ -106,7 +123,8 @@
   metrics_open (&d->metrics);
   d->histograms = rr_histogram_set_new ();
   d->http = http_client_open (d->loop, err);
-  if (d->http == NULL)
+  if (d->http == NULL || !check_library_charts (s->chart_directory, err)
+      || !request_chart_open (&d->request_chart, s->chart_directory, err))
     return false;
   d->platform = platform_open (d->http, s->platform_address,
                                (uint16_t)s->platform_port,
--- a/rosemaryraild/peers.c
+++ b/rosemaryraild/peers.c
@@ -279,6 +279,17 @@
     }
 }
 
+/* The list numbers VMs, heartbeats number processes: a daemon that was started
+   again on its VM is a new incarnation to its peers.  A listed daemon
+   therefore counts as the process that was heard last.  */
+static uint64_t
+daemon_incarnation (const struct peers *p, const struct vm *v)
+{
+  if (strcmp (v->name, p->d->settings.name) == 0)
+    return p->d->incarnation;
+  return v->loaded ? v->load.incarnation : 1;
+}
+
 static void
 take_list (struct peers *p, const char *text, size_t length)
 {
@@ -304,6 +315,8 @@
         continue;
       snprintf (v->name, sizeof v->name, "%s", e->info.name);
       v->role = e->info.role;
+      if (v->role == RR_ROLE_ENTRY)
+        infos[i].incarnation = daemon_incarnation (p, v);
       v->same_zone = strcmp (e->info.zone, p->d->settings.zone) == 0;
       struct vm_address at
           = { .http_port = e->info.http_port, .rpc_port = e->info.rpc_port };
--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -105,11 +105,16 @@
   request_free (r);
 }
 
+/* Ends R by EVENT, which leads to a final state of its chart.  */
 static void
-finish_as (struct workers *ws, struct request *r, enum rr_outcome outcome,
-           int status, const char *reason)
-{
-  request_set_outcome (r, outcome, status, reason);
+finish_on (struct workers *ws, struct request *r, int event,
+           const char *reason)
+{
+  const struct request_chart *c = &ws->d->request_chart;
+  request_event (c, r, event);
+  enum rr_outcome outcome = request_outcome (c, r);
+  request_set_outcome (r, outcome, outcome == RR_OUTCOME_NOT_RUN ? 503 : 504,
+                       reason);
   finish (ws, r);
 }
 
@@ -133,30 +138,25 @@
 retry_or_finish (struct workers *ws, struct request *r,
                  enum rr_call_state state, const char *reason)
 {
-  if (state == RR_CALL_UNKNOWN)
-    r->earlier_unknown = true;
+  const struct request_chart *c = &ws->d->request_chart;
+  bool lost = state == RR_CALL_UNKNOWN;
   struct rr_retry_input in
       = { .repeatable = r->repeatable,
           .state = state,
-          .earlier_unknown = r->earlier_unknown,
           .remaining_ms = remaining_ms (r),
           .needed_ms = 1,
           .budget = rr_retry_budget_available (&ws->retry_budget) };
-  struct rr_retry_decision decision = rr_retry_decide (&in);
   struct rr_backoff backoff = { BACKOFF_BASE_MS, BACKOFF_MAX_MS };
-  int64_t delay = decision.send_again
-                      ? rr_backoff_delay (&backoff, ws->d->rng, r->calls,
-                                          in.remaining_ms, in.needed_ms)
-                      : -1;
+  int64_t delay = -1;
+  if (rr_retry_decide (&in).send_again)
+    delay = rr_backoff_delay (&backoff, ws->d->rng, r->calls, in.remaining_ms,
+                              in.needed_ms);
   if (delay < 0 || !rr_retry_budget_take (&ws->retry_budget))
     {
-      enum rr_outcome outcome = decision.outcome;
-      if (decision.send_again)
-        outcome = r->earlier_unknown ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_NOT_RUN;
-      finish_as (ws, r, outcome, outcome == RR_OUTCOME_NOT_RUN ? 503 : 504,
-                 reason);
+      finish_on (ws, r, lost ? c->lost_last : c->refused_last, reason);
       return;
     }
+  request_event (c, r, lost ? c->lost : c->refused);
   metric_add (&ws->d->metrics, METRIC_REQUEST_RETRIES, 1);
   struct delayed_request *d = calloc (1, sizeof *d);
   assert (d != NULL);
@@ -240,6 +240,8 @@
   if (state == RR_CALL_ANSWERED)
     {
       take_answer (e->r, h);
+      request_event (&ws->d->request_chart, e->r,
+                     ws->d->request_chart.response);
       finish (ws, e->r);
     }
   else
@@ -289,6 +291,7 @@
                            .sent = now };
   w->references++;
   r->calls++;
+  request_event (&ws->d->request_chart, r, ws->d->request_chart.send);
   int64_t left = rr_time_diff (r->deadline, now);
   worker_execute (w->upstream, epoch, r, (uint64_t)(left < 1 ? 1 : left),
                   ANSWER_MAX_BYTES, on_executed, e);
@@ -313,9 +316,7 @@
       else
         {
           struct request *r = take_request (ws, step.request);
-          enum rr_outcome outcome
-              = r->earlier_unknown ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_NOT_RUN;
-          finish_as (ws, r, outcome, 503,
+          finish_on (ws, r, ws->d->request_chart.rejected,
                      rr_admission_result_name (step.reason));
         }
     }
@@ -497,6 +498,7 @@
       r->answer_length = f->body.body_len;
       f->body.body_val = NULL;
       f->body.body_len = 0;
+      request_event (&ws->d->request_chart, r, ws->d->request_chart.response);
       finish (ws, r);
       break;
     case PEER_NOT_RUN:
@@ -551,6 +553,7 @@
   assert (call != NULL);
   *call = (struct forwarded_call){ ws, r };
   r->calls++;
+  request_event (&ws->d->request_chart, r, ws->d->request_chart.send);
   peer_forward_args args
       = { .id = r->id,
           .service = r->service,
@@ -571,12 +574,11 @@
 static void
 dispatch (struct workers *ws, struct request *r)
 {
-  enum rr_outcome none
-      = r->earlier_unknown ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_NOT_RUN;
+  int rejected = ws->d->request_chart.rejected;
   struct route *route = workers_route (ws, r->service);
   if (route == NULL)
     {
-      finish_as (ws, r, none, 503, "too many services");
+      finish_on (ws, r, rejected, "too many services");
       return;
     }
   struct rr_handle handle;
@@ -593,7 +595,7 @@
   rr_table_remove (ws->requests, handle);
   if (forward (ws, r))
     return;
-  finish_as (ws, r, none, 503, rr_admission_result_name (admission));
+  finish_on (ws, r, rejected, rr_admission_result_name (admission));
 }
 
 /* Runs a request of this daemon's front, which gets it back with its outcome
@@ -634,6 +636,8 @@
   a.body.body_len = 0;
   xdr_free ((xdrproc_t)xdr_peer_forward_args, &a);
   ws->in_progress++;
+  request_begin (&ws->d->request_chart, r);
+  request_event (&ws->d->request_chart, r, ws->d->request_chart.queue);
   dispatch (ws, r);
 }
 
