config: an apply replaces only the head that it read

Cause: the write of the head used the revision last seen by the daemon's watch. When another head was accepted while an apply wrote its parts, the watch moved that revision on and the apply overwrote the accepted head with one of the same generation: a fork, so that an accepted configuration was reverted. Ruled out: the platform's compare-and-swap, which did what was asked. Change: an apply keeps the revision of its own read.

--- a/include/rosemaryraild/config_internal.h
+++ b/include/rosemaryraild/config_internal.h
@@ -39,6 +39,7 @@
   unsigned failures;
   struct config_fetch *fetch;
   struct apply *apply;
+  uint64_t apply_revision; /* of the head that the apply replaces */
   size_t apply_part;
   struct rr_config_parts apply_parts;
   struct rr_config_head apply_head;
--- a/rosemaryraild/config_apply.c
+++ b/rosemaryraild/config_apply.c
@@ -139,7 +139,7 @@
   struct config_keeper *k = data;
   if (r->state == PLATFORM_OK && is_our_head (k, r->value, r->length))
     take_acceptance (k, r->revision);
-  else if (r->state == PLATFORM_OK && r->revision != k->store_revision)
+  else if (r->state == PLATFORM_OK && r->revision != k->apply_revision)
     {
       config_consider (k, r->value, r->length, "");
       lose_race (k);
@@ -222,7 +222,7 @@
     }
   char *text = rr_config_head_text (&k->apply_head);
   platform_put (k->d->platform, head_key, text, strlen (text),
-                k->store_revision, on_head_written, k);
+                k->apply_revision, on_head_written, k);
   free (text);
 }
 
@@ -239,7 +239,9 @@
       return;
     }
   bool found = r->state == PLATFORM_OK;
-  k->store_revision = found ? r->revision : 0;
+  /* The watch moves store_revision on while this apply writes its parts; the
+     head may replace only the one that was read here.  */
+  k->apply_revision = found ? r->revision : 0;
   struct rr_config_decision decision
       = config_consider (k, r->value, found ? r->length : 0, "");
   if (decision.verdict == RR_CONFIG_ADOPT || decision.verdict == RR_CONFIG_FORK
