decisions: bounded budgets, estimates fade in silence

Eviction budgets are kept only for jobs and teams with evictions and expire with their window, so that a long-lived daemon does not collect them. Estimates of a service without reports are decayed by the periodic refresh too; before, they stayed as certain as at the last report.

--- a/include/rosemaryrail/batch_queue.h
+++ b/include/rosemaryrail/batch_queue.h
@@ -10,6 +10,8 @@
 #include "rosemaryrail/policy.h"
 #include "rosemaryrail/size.h"
 
+/* Queue of the batch tasks of one scheduler.  A job stays known, without
+   queued tasks, until rr_batch_queue_job_cancel, so that tasks can return.  */
 struct rr_batch_queue;
 
 /* Quota of a team: WEIGHT sets its share of the capacity under contention,
--- a/include/rosemaryrail/quarantine.h
+++ b/include/rosemaryrail/quarantine.h
@@ -8,6 +8,8 @@
 #include "rosemaryrail/clock.h"
 #include "rosemaryrail/policy.h"
 
+/* Quarantine of the workers of one ledger owner.  Worker ids stand for a VM
+   and its incarnation and are never 0.  */
 struct rr_quarantine;
 
 enum rr_quarantine_state
--- a/rosemaryrail/interference.c
+++ b/rosemaryrail/interference.c
@@ -18,6 +18,10 @@
 #define SURPRISE_REPORTS 32.0
 #define SURPRISE_MAX 9.0
 
+/* Without reports, estimates are decayed each time this part of the half-life
+   has passed, so that certainty fades in silence too.  */
+#define STALE_SHARE 16
+
 /* Pause after a change, in ms, in which the estimates settle.  */
 #define CHANGE_PAUSE_MS 30000
 
@@ -250,8 +254,11 @@
         model->peers[kept++] = peer;
     }
   model->peer_count = kept;
+  int64_t stale = model->policy->interference_half_life_ms / STALE_SHARE;
   for (int s = 0; s < RR_CLASSES_MAX; s++)
-    if (model->dirty[s])
+    if (model->dirty[s]
+        || (model->own[s].m[rr_moment (0, 0)] > 0
+            && rr_time_diff (now, model->own[s].at) > stale))
       {
         decay (model, s, now);
         rr_interference_solve (model, s);
--- a/rosemaryrail/placement.c
+++ b/rosemaryrail/placement.c
@@ -163,6 +163,7 @@
   struct rr_placement_slot *s = &p->slots[worker];
   assert (s->used);
   int c = task->class_number;
+  assert (c >= 0 && c < RR_CLASSES_MAX);
   uint32_t bit = UINT32_C (1) << c;
   uint32_t *mask
       = task->kind == RR_KIND_SERVICE ? &s->service_mask : &s->batch_mask;
--- a/rosemaryrail/relief.c
+++ b/rosemaryrail/relief.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "rosemaryrail/id_map.h"
+#include "relief_budget.h"
 
 /* A task is worth throttling when it causes at least this share of the
    expected slowdown; throttling the others costs work and gains little.  */
@@ -20,27 +20,12 @@
   bool eased;          /* the last action eased a throttle */
 };
 
-struct budget
-{
-  double used; /* evictions, falling off evenly over the window */
-  struct rr_time at;
-};
-
 struct rr_relief
 {
   const struct rr_policy *policy;
   struct worker_state *workers;
   size_t worker_count;
-  struct rr_id_map budget_index; /* job or team: position + 1 */
-  struct budget *budgets;
-  size_t budget_count;
-  size_t budget_capacity;
-};
-
-enum budget_kind
-{
-  BUDGET_JOB = 1,
-  BUDGET_TEAM
+  struct rr_budgets budgets;
 };
 
 /* Returns the relief of one ledger owner; the caller frees it with
@@ -63,8 +48,7 @@
   if (relief == NULL)
     return;
   free (relief->workers);
-  free (relief->budgets);
-  rr_id_map_free (&relief->budget_index);
+  rr_budgets_free (&relief->budgets);
   free (relief);
 }
 
@@ -91,55 +75,18 @@
   memset (state_of (relief, worker), 0, sizeof (struct worker_state));
 }
 
-/* Returns the budget entry of ID, brought up to NOW; MAX evictions fall off
-   over the window.  */
-static struct budget *
-budget_of (struct rr_relief *relief, enum budget_kind kind, uint64_t id,
-           int64_t max, struct rr_time now)
-{
-  uint64_t *position
-      = rr_id_map_put (&relief->budget_index, rr_id_pair (kind, id));
-  if (*position == 0)
-    {
-      if (relief->budget_count == relief->budget_capacity)
-        {
-          relief->budget_capacity = relief->budget_capacity == 0
-                                        ? 16
-                                        : relief->budget_capacity * 2;
-          relief->budgets
-              = realloc (relief->budgets,
-                         relief->budget_capacity * sizeof *relief->budgets);
-          if (relief->budgets == NULL)
-            abort ();
-        }
-      relief->budgets[relief->budget_count++] = (struct budget){ .at = now };
-      *position = relief->budget_count;
-    }
-  struct budget *b = &relief->budgets[*position - 1];
-  double passed = (double)rr_time_diff (now, b->at);
-  if (passed > 0)
-    {
-      b->used = fmax (
-          0, b->used
-                 - passed * (double)max
-                       / (double)relief->policy->relief_budget_window_ms);
-      b->at = now;
-    }
-  return b;
-}
-
 /* Tells whether the budgets of JOB and TEAM allow one more eviction.  */
 bool
 rr_relief_budget_allows (struct rr_relief *relief, uint64_t job, uint64_t team,
                          struct rr_time now)
 {
-  int64_t job_max = relief->policy->relief_job_evictions_max;
-  int64_t team_max = relief->policy->relief_team_evictions_max;
-  if (budget_of (relief, BUDGET_JOB, job, job_max, now)->used + 1
-      > (double)job_max + 1e-9)
-    return false;
-  return budget_of (relief, BUDGET_TEAM, team, team_max, now)->used + 1
-         <= (double)team_max + 1e-9;
+  const struct rr_policy *policy = relief->policy;
+  return rr_budgets_allow (&relief->budgets, RR_BUDGET_JOB, job,
+                           policy->relief_job_evictions_max,
+                           policy->relief_budget_window_ms, now)
+         && rr_budgets_allow (&relief->budgets, RR_BUDGET_TEAM, team,
+                              policy->relief_team_evictions_max,
+                              policy->relief_budget_window_ms, now);
 }
 
 /* Charges one eviction to JOB and TEAM.  rr_relief_decide does so for its own
@@ -148,14 +95,13 @@
 rr_relief_budget_charge (struct rr_relief *relief, uint64_t job, uint64_t team,
                          struct rr_time now)
 {
-  budget_of (relief, BUDGET_JOB, job, relief->policy->relief_job_evictions_max,
-             now)
-      ->used
-      += 1;
-  budget_of (relief, BUDGET_TEAM, team,
-             relief->policy->relief_team_evictions_max, now)
-      ->used
-      += 1;
+  const struct rr_policy *policy = relief->policy;
+  rr_budgets_charge (&relief->budgets, RR_BUDGET_JOB, job,
+                     policy->relief_job_evictions_max,
+                     policy->relief_budget_window_ms, now);
+  rr_budgets_charge (&relief->budgets, RR_BUDGET_TEAM, team,
+                     policy->relief_team_evictions_max,
+                     policy->relief_budget_window_ms, now);
 }
 
 /* Returns the worst latency / target over the services with enough requests,
--- /dev/null
+++ b/rosemaryrail/relief_budget.h
@@ -0,0 +1,42 @@
+#ifndef ROSEMARYRAIL_RELIEF_BUDGET_H
+#define ROSEMARYRAIL_RELIEF_BUDGET_H
+
+/* Internal to the relief module: eviction budgets of jobs and teams.  The zero
+   value is an empty set.  */
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "rosemaryrail/clock.h"
+#include "rosemaryrail/id_map.h"
+
+enum rr_budget_kind
+{
+  RR_BUDGET_JOB = 1,
+  RR_BUDGET_TEAM
+};
+
+struct rr_budget
+{
+  uint64_t key;
+  double used; /* evictions, falling off evenly over the window */
+  struct rr_time at;
+};
+
+struct rr_budgets
+{
+  struct rr_id_map index; /* kind and id: position + 1 */
+  struct rr_budget *budgets;
+  size_t count;
+  size_t capacity;
+};
+
+bool rr_budgets_allow (struct rr_budgets *set, enum rr_budget_kind kind,
+                       uint64_t id, int64_t max, int64_t window_ms,
+                       struct rr_time now);
+void rr_budgets_charge (struct rr_budgets *set, enum rr_budget_kind kind,
+                        uint64_t id, int64_t max, int64_t window_ms,
+                        struct rr_time now);
+void rr_budgets_free (struct rr_budgets *set);
+
+#endif
--- a/tests/decisions/test_interference.c
+++ b/tests/decisions/test_interference.c
@@ -132,7 +132,7 @@
   /* Silence brings the uncertainty back.  */
   double sd = estimate (1, 1).sd;
   clock_ms += 20 * policy.interference_half_life_ms;
-  teach (model, 1, 1, -1, 0, 10, 5, &clock_ms);
+  rr_interference_refresh (model, rr_time_from_ms (clock_ms));
   ck_assert (estimate (1, 1).sd > 2 * sd);
   rr_interference_free (model);
 }
