daemon: latencies for the limiter in fractions of a millisecond, fewer allocations

Change: latencies come from the monotonic clock in nanoseconds; request and response headers are built without printf, header look-ups reuse one buffer.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -12,7 +12,8 @@
 
 enum
 {
-  LISTEN_BACKLOG = 512
+  LISTEN_BACKLOG = 512,
+  HEADER_SLACK_BYTES = 64
 };
 
 struct http_server
@@ -43,6 +44,7 @@
   char *path; /* without the query */
   char *query;
   char *header_value; /* storage of the last header looked up */
+  size_t header_size;
 };
 
 /* Owned by h2o's request; lets the exchange outlive the connection.  */
@@ -262,8 +264,15 @@
   if (at < 0)
     return NULL;
   h2o_iovec_t v = x->req->headers.entries[at].value;
-  free (x->header_value);
-  x->header_value = copy_bytes (v.base, v.len);
+  if (v.len >= x->header_size)
+    {
+      free (x->header_value);
+      x->header_size = v.len + HEADER_SLACK_BYTES;
+      x->header_value = malloc (x->header_size);
+      assert (x->header_value != NULL);
+    }
+  memcpy (x->header_value, v.base, v.len);
+  x->header_value[v.len] = '\0';
   return x->header_value;
 }
 
--- a/common/upstream.c
+++ b/common/upstream.c
@@ -138,6 +138,15 @@
   return 0;
 }
 
+/* Appends TEXT at OUT + AT and returns the new end.  */
+static size_t
+put_text (char *out, size_t at, const char *text)
+{
+  size_t n = strlen (text);
+  memcpy (out + at, text, n);
+  return at + n;
+}
+
 /* Copies the headers as lines and tells whether they announce how the body
    ends.  Without that a cut response can't be told from a whole one.  */
 static bool
@@ -159,8 +168,13 @@
                    && strncasecmp (name->base, "transfer-encoding", 17) == 0);
       if (at + name->len + value->len + 4 > HEADERS_MAX_BYTES)
         return false;
-      at += (size_t)sprintf (c->headers + at, "%.*s: %.*s\n", (int)name->len,
-                             name->base, (int)value->len, value->base);
+      memcpy (c->headers + at, name->base, name->len);
+      at += name->len;
+      at = put_text (c->headers, at, ": ");
+      memcpy (c->headers + at, value->base, value->len);
+      at += value->len;
+      c->headers[at++] = '\n';
+      c->headers[at] = '\0';
     }
   return framed;
 }
@@ -228,8 +242,12 @@
       c->request, size, "%s %s HTTP/1.1\r\nhost: %s:%u\r\n", call->method,
       call->url, c->u->host, c->u->port);
   for (size_t i = 0; i < call->header_count; i++)
-    at += (size_t)snprintf (c->request + at, size - at, "%s: %s\r\n",
-                            call->headers[i].name, call->headers[i].value);
+    {
+      at = put_text (c->request, at, call->headers[i].name);
+      at = put_text (c->request, at, ": ");
+      at = put_text (c->request, at, call->headers[i].value);
+      at = put_text (c->request, at, "\r\n");
+    }
   at += (size_t)snprintf (c->request + at, size - at,
                           "content-length: %zu\r\n\r\n", call->body_length);
   memcpy (c->request + at, call->body, call->body_length);
--- a/include/rosemaryraild/message.h
+++ b/include/rosemaryraild/message.h
@@ -41,6 +41,7 @@
   char service[NAME_SIZE];
   char team[NAME_SIZE];
   struct rr_time received;
+  uint64_t received_ns; /* for the latency histogram */
   struct rr_time deadline;
   bool repeatable;
   uint64_t ask; /* non-repeatable: number of the permission asked for */
--- a/rosemaryraild/front_requests.c
+++ b/rosemaryraild/front_requests.c
@@ -137,7 +137,7 @@
               .class_name = v == NULL ? "" : v->class_name,
               .team = r->team };
       rr_histogram_add (rr_histogram_set_get (d->histograms, &key),
-                        (double)rr_time_diff (daemon_now (), r->received));
+                        (double)(uv_hrtime () - r->received_ns) / 1e6);
       metric_add (&d->metrics, METRIC_REQUESTS_ANSWERED, 1);
       if (r->content_type[0] != '\0')
         headers[n++] = (struct http_header){ "Content-Type", r->content_type };
@@ -186,6 +186,7 @@
   struct request *r = calloc (1, sizeof *r);
   assert (r != NULL);
   r->received = daemon_now ();
+  r->received_ns = uv_hrtime ();
   snprintf (r->service, sizeof r->service, "%s", v->name);
   snprintf (r->team, sizeof r->team, "%s", v->team);
   size_t length;
--- a/rosemaryraild/request_chart.c
+++ b/rosemaryraild/request_chart.c
@@ -8,11 +8,10 @@
 request_chart_open (struct request_chart *c, const char *directory,
                     struct rr_error *err)
 {
-  const struct rr_chart_name states[]
-      = { { "answered", &c->answered },
-          { "not_run", &c->not_run },
-          { "unknown", &c->unknown },
-          { NULL, NULL } };
+  const struct rr_chart_name states[] = { { "answered", &c->answered },
+                                          { "not_run", &c->not_run },
+                                          { "unknown", &c->unknown },
+                                          { NULL, NULL } };
   const struct rr_chart_name events[]
       = { { "ask", &c->ask },
           { "go", &c->go },
--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -35,7 +35,7 @@
   int number; /* of the worker in the route's admission */
   int team;
   uint64_t epoch;
-  struct rr_time sent;
+  uint64_t sent_ns; /* the limiter compares latencies far below 1 ms */
 };
 
 /* A request that waits before it is sent again.  */
@@ -233,7 +233,7 @@
     sample = RR_SAMPLE_OVERLOAD;
   rr_ledger_disconnect (e->w->ledger, now, e->epoch, state != RR_CALL_UNKNOWN);
   rr_admission_done (e->route->admission, e->number, e->team, sample,
-                     (double)rr_time_diff (now, e->sent));
+                     (double)(uv_hrtime () - e->sent_ns) / 1e6);
   if (state == RR_CALL_REFUSED)
     learn_refusal (e, reason);
   e->w->references--;
@@ -288,7 +288,7 @@
                            .number = step->worker,
                            .team = step->team,
                            .epoch = epoch,
-                           .sent = now };
+                           .sent_ns = uv_hrtime () };
   w->references++;
   r->calls++;
   request_event (&ws->d->request_chart, r, ws->d->request_chart.send);
