workers: ends are kept until all earlier ones are recorded; quarantine probes

Cause: in a demo run two ends were taken in twice (once more after their record was confirmed out of order), which counted them twice for quarantine, estimates and metrics; a worker in quarantine was never chosen for a probe; tasks waited minutes of real time for the placement's patience although the demo runs batch work 2,000 times faster. Change: an end stays listed until every earlier end is recorded; probes go to workers in quarantine with jobs that succeeded elsewhere; observed use reaches the placement index; the demo applies a policy file with a shorter patience.

--- a/include/rosemaryraild/workers_internal.h
+++ b/include/rosemaryraild/workers_internal.h
@@ -47,6 +47,7 @@
   bool running;
   bool ended;
   bool end_reported; /* being told to the shard owner */
+  bool end_recorded; /* by the shard owner */
   int64_t sequence;
   char result[32];
   char checkpoint[WORKER_CHECKPOINT_SIZE];
@@ -55,6 +56,7 @@
   struct rr_placement_task placement;
   unsigned evictions;
   int percent; /* throttle; 100: none */
+  struct rr_time throttled_since;
   bool evicting;
   struct rr_time started;
   double peak_memory_mb;
@@ -146,7 +148,8 @@
 void decisions_host (struct worker *w, struct hosted_task *t);
 void decisions_unhost (struct worker *w, struct hosted_task *t);
 struct worker *decisions_choose (struct workers *ws, const peer_task *t,
-                                 struct rr_time now,
+                                 struct rr_time now, struct rr_resources *need,
+                                 bool *probe,
                                  struct rr_placement_explanation *why);
 void decisions_started (struct worker *w, const struct hosted_task *t);
 void decisions_ended (struct worker *w, const struct hosted_task *t,
--- a/rosemaryraild/workers_decisions.c
+++ b/rosemaryraild/workers_decisions.c
@@ -96,11 +96,13 @@
   enum rr_ledger_state state = rr_ledger_state (w->ledger, now);
   enum rr_quarantine_state out
       = rr_quarantine_state (s->quarantine, w->id, now);
-  bool quarantined = out == RR_QUARANTINE_OUT || out == RR_QUARANTINE_CLOSED;
+  bool probes_only = out == RR_QUARANTINE_OUT || out == RR_QUARANTINE_CLOSED;
+  bool waits
+      = rr_quarantine_check (s->quarantine, w->id, now) == RR_QUARANTINE_WAIT;
   if (state == RR_LEDGER_OPEN || state == RR_LEDGER_QUARANTINED)
     {
-      rr_ledger_set_quarantined (w->ledger, quarantined);
-      if (quarantined)
+      rr_ledger_set_quarantined (w->ledger, probes_only);
+      if (probes_only)
         worker_event (w, w->ws->chart.quarantine);
       else if (w->state == w->ws->chart.quarantined)
         worker_event (w, w->ws->chart.quarantine_ended);
@@ -112,9 +114,9 @@
           .zone = ZONE,
           .rack = (int)(decisions_hash (w->rack) & 0x7fffffff),
           .total = size_of (&capacity),
-          .leased = worker_is_open (w, now) || quarantined,
+          .leased = worker_is_open (w, now) || probes_only,
           .leaving = state == RR_LEDGER_LEAVING,
-          .quarantined = quarantined };
+          .quarantined = waits };
   if (w->index == RR_WORKER_NONE)
     w->index = rr_placement_worker_add (s->placement, &view);
   else
@@ -194,18 +196,39 @@
   return NULL;
 }
 
-/* Chooses a worker for T, which the ledger must still admit.  Returns null and
-   fills WHY when no worker fits.  */
+/* Tells whether W may be given the task: a worker in quarantine only as a
+   probe, with a job that succeeded elsewhere, so that a failure says something
+   about the worker.  */
+static bool
+may_start (struct worker *w, const struct rr_placement_request *request,
+           const struct rr_resources *need, struct rr_time now, bool *probe)
+{
+  struct decisions *s = w->ws->decisions;
+  enum rr_quarantine_verdict verdict
+      = rr_quarantine_check (s->quarantine, w->id, now);
+  *probe = verdict == RR_QUARANTINE_PROBE;
+  if (verdict == RR_QUARANTINE_WAIT || w->hosted_count == HOSTED_MAX
+      || (*probe
+          && !rr_quarantine_job_proven (s->quarantine, request->task.group,
+                                        now)))
+    return false;
+  return rr_ledger_check (w->ledger, now, need, *probe) == RR_ADMIT_OK;
+}
+
+/* Chooses a worker for T, which the ledger must still admit, and says whether
+   it is a probe.  NEED receives the size to reserve.  Returns null and fills
+   WHY when no worker fits.  */
 struct worker *
 decisions_choose (struct workers *ws, const peer_task *t, struct rr_time now,
+                  struct rr_resources *need, bool *probe,
                   struct rr_placement_explanation *why)
 {
   struct decisions *s = ws->decisions;
-  struct rr_resources need = corrected_need (s, t, now);
+  *need = corrected_need (s, t, now);
   int avoid[CHOICES_MAX];
   struct rr_placement_request request
       = { .task
-          = describe (s, t->kind, t->service, t->task_class, t->task, &need),
+          = describe (s, t->kind, t->service, t->task_class, t->task, need),
           .checkpoint_worker = RR_WORKER_NONE,
           .checkpoint_zone = -1,
           .avoid = avoid,
@@ -219,12 +242,7 @@
           || choice.worker == RR_WORKER_NONE)
         break;
       struct worker *w = worker_at (ws, choice.worker);
-      bool allowed
-          = w != NULL && w->hosted_count < HOSTED_MAX
-            && rr_quarantine_check (s->quarantine, w->id, now)
-                   != RR_QUARANTINE_WAIT
-            && rr_ledger_check (w->ledger, now, &need, false) == RR_ADMIT_OK;
-      if (allowed)
+      if (w != NULL && may_start (w, &request, need, now, probe))
         return w;
       avoid[request.avoid_count++] = choice.worker;
     }
--- a/rosemaryraild/workers_relief.c
+++ b/rosemaryraild/workers_relief.c
@@ -52,7 +52,11 @@
   struct relief_call *c = data;
   struct hosted_task *t = worker_hosted (c->w, c->task, c->attempt);
   if (t != NULL && r->state == WORKER_OK)
-    t->percent = c->percent;
+    {
+      if (t->percent == 100)
+        t->throttled_since = daemon_now ();
+      t->percent = c->percent;
+    }
   call_free (c);
 }
 
@@ -138,6 +142,8 @@
     .checkpoint_cost_ms = CHECKPOINT_COST_MS,
     .can_checkpoint = true,
     .percent = t->percent,
+    .throttled_ms
+    = t->percent < 100 ? rr_time_diff (now, t->throttled_since) : 0,
     .evictions = (int)t->evictions,
   };
 }
@@ -239,6 +245,20 @@
     }
 }
 
+/* Tells the placement index what the worker's tasks really use.  */
+static void
+observe (struct worker *w, const struct worker_account *a)
+{
+  struct rr_size used = { 0 };
+  for (size_t i = 0; i < a->usage_count; i++)
+    {
+      used.cores_milli += a->usage[i].cores_milli;
+      used.memory_mb += a->usage[i].memory_mb;
+    }
+  if (a->usage_count > 0 && w->index != RR_WORKER_NONE)
+    rr_placement_worker_observe (w->ws->decisions->placement, w->index, &used);
+}
+
 /* Learns from the usage in a report and relieves the worker when it slows its
    services.  A window that was taken in before teaches nothing.  */
 void
@@ -249,6 +269,7 @@
   int64_t start_ms = 0;
   int64_t end_ms = 0;
   learn_usage (w, a);
+  observe (w, a);
   for (size_t i = 0; i < a->service_count; i++)
     {
       const struct worker_service_usage *u = &a->services[i];
--- a/rosemaryraild/workers_tasks.c
+++ b/rosemaryraild/workers_tasks.c
@@ -48,15 +48,6 @@
   free (c);
 }
 
-static struct rr_resources
-need_of (const peer_task *t)
-{
-  return (struct rr_resources){ .cores_milli = t->cores_milli,
-                                .memory_mb = t->memory_mb,
-                                .accelerators = t->accelerators,
-                                .slots = 1 };
-}
-
 /* Writes how many workers each filter rejected, "NAME=COUNT" with blanks
    between.  */
 static void
@@ -80,13 +71,14 @@
   struct rr_placement_explanation why = { 0 };
   char filters[256];
   peer_reserve_result out = { .message = "", .worker = "" };
-  struct rr_resources need = need_of (t);
+  struct rr_resources need;
+  bool probe = false;
   struct rr_time now = daemon_now ();
-  struct worker *w = decisions_choose (ws, t, now, &why);
+  struct worker *w = decisions_choose (ws, t, now, &need, &probe, &why);
   uint64_t reservation = 0;
   if (w == NULL
       || rr_ledger_reserve (w->ledger, now, t->task, t->attempt, &need,
-                            RESERVATION_MS, false, &reservation)
+                            RESERVATION_MS, probe, &reservation)
              != RR_ADMIT_OK)
     {
       describe_filters (&why, filters, sizeof filters);
@@ -477,15 +469,30 @@
   uint32_t attempt;
 };
 
-/* Every end up to the returned sequence has been recorded.  */
-static int64_t
-recorded_up_to (const struct worker *w, int64_t recorded)
+/* Drops the ends that are recorded and older than every one that is not; the
+   worker need not report those again.  */
+static void
+drop_recorded (struct worker *w)
 {
-  int64_t up_to = recorded;
+  int64_t first_open = INT64_MAX;
   for (size_t i = 0; i < w->hosted_count; i++)
-    if (w->hosted[i].ended && w->hosted[i].sequence <= up_to)
-      up_to = w->hosted[i].sequence - 1;
-  return up_to > w->ended_after ? up_to : w->ended_after;
+    {
+      const struct hosted_task *h = &w->hosted[i];
+      if (h->ended && !h->end_recorded && h->sequence < first_open)
+        first_open = h->sequence;
+    }
+  for (size_t i = 0; i < w->hosted_count;)
+    {
+      struct hosted_task *h = &w->hosted[i];
+      if (!h->ended || !h->end_recorded || h->sequence >= first_open)
+        {
+          i++;
+          continue;
+        }
+      if (h->sequence > w->ended_after)
+        w->ended_after = h->sequence;
+      worker_unhost (w, h);
+    }
 }
 
 static void
@@ -503,12 +510,8 @@
   if (h != NULL && h->ended)
     {
       h->end_reported = false;
-      if (recorded)
-        {
-          int64_t sequence = h->sequence;
-          worker_unhost (w, h);
-          w->ended_after = recorded_up_to (w, sequence);
-        }
+      h->end_recorded = recorded;
+      drop_recorded (w);
     }
   xdr_free ((xdrproc_t)xdr_peer_status, &s);
   w->references--;
@@ -524,7 +527,7 @@
   for (size_t i = 0; i < w->hosted_count; i++)
     {
       struct hosted_task *h = &w->hosted[i];
-      if (!h->ended || h->end_reported)
+      if (!h->ended || h->end_reported || h->end_recorded)
         continue;
       uint32_t shard = rr_shard_of (h->team);
       char owner[NAME_SIZE];
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -124,7 +124,8 @@
 }
 wait_for "daemons start" curl -fs "http://$first/healthz"
 sleep 2.5
-"$ctl" apply --wait --daemon "$first" "examples/$deployment.jsonc" || exit 1
+"$ctl" apply --wait --daemon "$first" "examples/$deployment.jsonc" \
+  scripts/demo-policy.jsonc || exit 1
 sleep 2
 
 # Load starts, then the failures: one daemon is killed, one frozen, one zone is
