--- a/common/base64.c
+++ b/common/base64.c
@@ -17,25 +17,29 @@
 }
 
 /* Decodes base64 TEXT into BYTES, terminated, which the caller frees.  Returns
-   false for text that is not base64.  */
+   false for text that is not base64.  EVP_DecodeBlock itself takes padding
+   anywhere for zeros and skips blanks at the ends.  */
 bool
 base64_decode (const char *text, char **bytes, size_t *length)
 {
+  static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                               "abcdefghijklmnopqrstuvwxyz0123456789+/";
+  *bytes = NULL;
   size_t n = strlen (text);
+  size_t padding = n - strspn (text, digits);
+  if (n % 4 != 0 || padding > 2 || strspn (text + n - padding, "=") != padding)
+    return false;
   *bytes = malloc (n / 4 * 3 + 4);
   assert (*bytes != NULL);
   int decoded = n == 0 ? 0
                        : EVP_DecodeBlock ((unsigned char *)*bytes,
                                           (const unsigned char *)text, (int)n);
-  if (n % 4 != 0 || decoded < 0)
+  if (decoded < 0)
     {
       free (*bytes);
       *bytes = NULL;
       return false;
     }
-  size_t padding = 0;
-  while (padding < 2 && padding < n && text[n - 1 - padding] == '=')
-    padding++;
   *length = (size_t)decoded - padding;
   (*bytes)[*length] = '\0';
   return true;
