--- /dev/null
+++ b/examples/embed.c
@@ -0,0 +1,127 @@
+/* Uses librosemaryrail's admission and retry modules with a loop of its own:
+   requests arrive, wait for one of two workers, are answered or refused, and
+   are sent again while budget and deadline allow.  The loop keeps the time
+   itself, since the library reads no clock and does no I/O.
+
+   cc embed.c $(pkg-config --cflags --libs rosemaryrail)  */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include <rosemaryrail/admission.h>
+#include <rosemaryrail/retry.h>
+
+enum
+{
+  REQUESTS = 6,
+  SERVICE_MS = 20,
+  DEADLINE_MS = 120
+};
+
+/* A request that has been sent; WORKER is -1 while it has not.  */
+struct call
+{
+  int worker;
+  int team;
+  unsigned calls;
+  struct rr_time ends;
+  struct rr_time deadline;
+  struct rr_time again;
+};
+
+/* Stands for the network: worker 1 refuses the first call of each request.  */
+static enum rr_call_state
+call_result (const struct call *c)
+{
+  return c->worker == 1 && c->calls == 1 ? RR_CALL_REFUSED : RR_CALL_ANSWERED;
+}
+
+/* Ends the call of request I and decides what follows.  */
+static void
+finish_call (struct rr_admission *a, struct rr_retry_budget *budget,
+             gsl_rng *rng, struct call *c, uint64_t i, struct rr_time now)
+{
+  enum rr_call_state state = call_result (c);
+  bool answered = state == RR_CALL_ANSWERED;
+  rr_admission_done (a, c->worker, c->team,
+                     answered ? RR_SAMPLE_ANSWERED : RR_SAMPLE_OVERLOAD,
+                     SERVICE_MS);
+  c->worker = -1;
+  struct rr_retry_input in = { .repeatable = true,
+                               .state = state,
+                               .remaining_ms = rr_time_diff (c->deadline, now),
+                               .needed_ms = SERVICE_MS,
+                               .budget = rr_retry_budget_available (budget) };
+  struct rr_retry_decision d = rr_retry_decide (&in);
+  struct rr_backoff backoff = { 5, 50 };
+  int64_t delay = d.send_again ? rr_backoff_delay (&backoff, rng, c->calls,
+                                                   in.remaining_ms, SERVICE_MS)
+                               : -1;
+  if (delay >= 0 && rr_retry_budget_take (budget))
+    {
+      c->again = rr_time_add (now, delay);
+      printf ("%3" PRId64 " ms  request %" PRIu64 " refused, again\n", now.ms,
+              i);
+    }
+  else
+    printf ("%3" PRId64 " ms  request %" PRIu64 " %s\n", now.ms, i,
+            rr_outcome_name (d.outcome));
+}
+
+int
+main (void)
+{
+  struct rr_admission_options options;
+  rr_admission_options_default (&options);
+  options.initial_service_ms = SERVICE_MS;
+  options.limiter.initial = options.limiter.min = options.limiter.max = 1;
+  struct rr_admission *a = rr_admission_new (&options);
+  int team = rr_admission_team (a, "checks");
+  rr_admission_add_worker (a);
+  rr_admission_add_worker (a);
+  struct rr_retry_budget budget;
+  rr_retry_budget_init (&budget, 0.1, 10);
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_mt19937);
+  struct call calls[REQUESTS];
+  for (uint64_t i = 0; i < REQUESTS; i++)
+    calls[i] = (struct call){ .worker = -1,
+                              .team = team,
+                              .deadline = rr_time_from_ms (DEADLINE_MS),
+                              .again = rr_time_from_ms ((int64_t)i) };
+
+  for (struct rr_time now = { 0 }; now.ms <= DEADLINE_MS;
+       now = rr_time_add (now, 1))
+    {
+      for (uint64_t i = 0; i < REQUESTS; i++)
+        {
+          struct call *c = &calls[i];
+          if (c->worker >= 0 && c->ends.ms == now.ms)
+            finish_call (a, &budget, rng, c, i, now);
+          if (c->worker >= 0 || c->again.ms != now.ms)
+            continue;
+          if (c->calls == 0)
+            rr_retry_budget_first (&budget);
+          enum rr_admission_result r
+              = rr_admission_offer (a, now, i, team, c->deadline);
+          if (r != RR_ADMISSION_QUEUED)
+            printf ("%3" PRId64 " ms  request %" PRIu64 " not-run: %s\n",
+                    now.ms, i, rr_admission_result_name (r));
+        }
+      struct rr_admission_step s;
+      while ((s = rr_admission_next (a, now)).action != RR_ADMISSION_NONE)
+        if (s.action == RR_ADMISSION_SEND)
+          {
+            struct call *c = &calls[s.request];
+            c->worker = s.worker;
+            c->calls++;
+            c->ends = rr_time_add (now, SERVICE_MS);
+            printf ("%3" PRId64 " ms  request %" PRIu64 " to worker %d\n",
+                    now.ms, s.request, s.worker);
+          }
+        else
+          printf ("%3" PRId64 " ms  request %" PRIu64 " not-run: %s\n", now.ms,
+                  s.request, rr_admission_result_name (s.reason));
+    }
+  gsl_rng_free (rng);
+  rr_admission_free (a);
+  return 0;
+}
