workers: a daemon in contact with a worker never promises to give it up

Cause: session zone_cut: after the cut healed, a shard owner with three failed calls in a row asked the zone's daemons for the lease proof; the holder of a healthy worker released its ledger for it, the tasks ran out of their lease and the service of the zone had no instance. Ruled out: membership (the workers were live all the time) and the ledger module, which abandons as it is told. Change: the proof asks two questions. First whether any daemon of the zone is in contact with the worker; only when none is, for the promise.

--- a/common/peer.x
+++ b/common/peer.x
@@ -203,7 +203,8 @@
   unsigned hyper shard_epoch;
   string worker<PEER_NAME_MAX>;
   unsigned hyper incarnation;
-  bool checkpoint;
+  bool checkpoint; /* stop: write a checkpoint first */
+  bool promise;    /* lease proof: promise never to claim the worker again */
 };
 
 enum peer_attempt_state
--- a/common/peer_xdr.c
+++ b/common/peer_xdr.c
@@ -648,6 +648,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->checkpoint))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->promise))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/include/common/peer.h
+++ b/include/common/peer.h
@@ -266,6 +266,7 @@
     char *worker;
     u_quad_t incarnation;
     bool_t checkpoint;
+    bool_t promise;
   };
   typedef struct peer_attempt_args peer_attempt_args;
 
--- a/include/rosemaryraild/shards_internal.h
+++ b/include/rosemaryraild/shards_internal.h
@@ -61,6 +61,7 @@
   struct rr_time waiting_since; /* for a place */
   unsigned outstanding;         /* lease proofs */
   bool proof_failed;
+  bool promising; /* the second question of a lease proof is being asked */
   bool extend_pending; /* the ledger owner has to learn of a longer grant */
   bool lease_expired;
   char filters[160];
--- a/rosemaryraild/shards_tasks.c
+++ b/rosemaryraild/shards_tasks.c
@@ -212,9 +212,11 @@
       b->proof_failed = b->proof_failed || !expired;
       if (--b->outstanding == 0)
         {
-          b->lease_expired = !b->proof_failed;
+          bool all = !b->proof_failed;
+          b->lease_expired = all && b->promising;
+          b->promising = all && !b->promising;
           busy_ready (b);
-          if (b->proof_failed)
+          if (!all)
             b->until = rr_time_add (daemon_now (), PROOF_RETRY_MS);
         }
     }
@@ -250,7 +252,8 @@
                                  .shard = s->number,
                                  .shard_epoch = rr_shard_log_epoch (s->log),
                                  .worker = (char *)a->worker,
-                                 .incarnation = a->worker_incarnation };
+                                 .incarnation = a->worker_incarnation,
+                                 .promise = b->promising };
       daemon_call (ss->d, &ss->d->shards_actor, member->info.name,
                    LEASE_ABANDON, (xdrproc_t)xdr_peer_attempt_args, &args,
                    SHARD_CALL_TIMEOUT_MS, on_proof, c);
--- a/rosemaryraild/workers_tasks.c
+++ b/rosemaryraild/workers_tasks.c
@@ -287,25 +287,40 @@
     worker_stop (d->http, &w->at, &c->to, timeout_ms, on_attempt_done, c);
 }
 
+/* Tells whether this daemon is in contact with W: it holds the controller
+   lease, or a claim is on its way.  */
+static bool
+in_contact (struct worker *w, struct rr_time now)
+{
+  enum rr_ledger_state state = rr_ledger_state (w->ledger, now);
+  return w->state == w->ws->chart.claiming || state == RR_LEDGER_CLAIMED
+         || state == RR_LEDGER_OPEN || state == RR_LEDGER_LEAVING
+         || state == RR_LEDGER_QUARANTINED;
+}
+
+/* Answers one of the two questions of a lease proof: whether this daemon is
+   out of contact with the worker, and, once every daemon of the zone said so,
+   the promise never to claim this incarnation again.  A daemon in contact
+   never promises: that would stop the tasks of a healthy worker.  */
 static void
 answer_abandon (struct workers *ws, const struct call_origin *origin,
                 const peer_attempt_args *a)
 {
   struct worker *w = workers_find (ws, a->worker, a->incarnation);
   struct rr_time now = daemon_now ();
-  if (w == NULL)
+  peer_attempt_state answer = PEER_ATTEMPT_UNREACHABLE;
+  /* Without the VM list this daemon can't tell an unknown worker from one that
+     it will claim in a moment.  */
+  if (w != NULL && in_contact (w, now))
+    answer = PEER_ATTEMPT_RUNNING;
+  else if (w != NULL && !a->promise)
+    answer = PEER_ATTEMPT_LEASE_EXPIRED;
+  else if (w != NULL && rr_ledger_abandon (w->ledger, a->incarnation, now))
     {
-      /* Without the VM list this daemon can't tell an unknown worker from one
-         that it will claim in a moment.  */
-      reply_attempt (ws, origin, NULL, PEER_ATTEMPT_UNREACHABLE, "", "");
-      return;
+      worker_event (w, ws->chart.abandon);
+      answer = PEER_ATTEMPT_LEASE_EXPIRED;
     }
-  bool done = rr_ledger_abandon (w->ledger, a->incarnation, now);
-  if (done)
-    worker_event (w, ws->chart.abandon);
-  reply_attempt (ws, origin, NULL,
-                 done ? PEER_ATTEMPT_LEASE_EXPIRED : PEER_ATTEMPT_UNREACHABLE,
-                 "", "");
+  reply_attempt (ws, origin, NULL, answer, "", "");
 }
 
 static void
