--- a/include/rosemaryraild/shards_internal.h
+++ b/include/rosemaryraild/shards_internal.h
@@ -56,6 +56,8 @@
   uint32_t attempt;
   char name[TASK_NAME_SIZE];
   bool calling;
+  bool reserving; /* a place in ZONE is asked for, or its record is queued */
+  char zone[NAME_SIZE];
   struct rr_time until; /* when not calling: look again after this */
   unsigned tries;
   struct rr_time waiting_since; /* for a place */
--- a/rosemaryraild/shards_busy.c
+++ b/rosemaryraild/shards_busy.c
@@ -151,6 +151,7 @@
   snprintf (c->name, sizeof c->name, "%s", b->name);
   c->attempt = attempt;
   b->calling = true;
+  b->reserving = false;
   b->attempt = attempt;
   return c;
 }
--- a/rosemaryraild/shards_place.c
+++ b/rosemaryraild/shards_place.c
@@ -24,14 +24,23 @@
          && h->free_accelerators >= job->spec.accelerators;
 }
 
-/* Number of live attempts of JOB in ZONE.  */
+/* Number of tasks of JOB that are in ZONE or are about to be: live attempts
+   and reservations on their way.  Without the latter all instances of a
+   service, which are placed in one round, could land in one zone.  */
 static unsigned
-attempts_in_zone (const struct rr_job *job, const char *zone)
+attempts_in_zone (struct shards *ss, const struct rr_job *job,
+                  const char *zone)
 {
   unsigned n = 0;
   for (uint32_t i = 0; i < job->spec.tasks; i++)
     n += rr_attempt_is_live (&job->tasks[i].attempt)
          && strcmp (job->tasks[i].attempt.zone, zone) == 0;
+  struct rr_handle cursor = { 0 };
+  struct busy_task *b;
+  while ((b = rr_table_next (ss->busy, &cursor)) != NULL)
+    n += b->reserving && strcmp (b->job, job->spec.job) == 0
+         && strcmp (b->zone, zone) == 0
+         && !rr_attempt_is_live (&job->tasks[b->task].attempt);
   return n;
 }
 
@@ -60,7 +69,7 @@
       if (h == NULL || h->stopping || !has_room (h, job))
         continue;
       double score = h->free_cores_milli * gsl_rng_uniform (d->rng)
-                     - 1e9 * attempts_in_zone (job, member->info.zone);
+                     - 1e9 * attempts_in_zone (ss, job, member->info.zone);
       if (score > best)
         {
           best = score;
@@ -87,6 +96,7 @@
       if (decoded)
         snprintf (b->filters, sizeof b->filters, "%.*s",
                   (int)r.filters.filters_len, r.filters.filters_val);
+      b->reserving = false;
       busy_back_off (b);
     }
   else if (b != NULL)
@@ -167,6 +177,8 @@
     }
   struct task_call *c = task_call_new (b, attempt);
   snprintf (c->zone, sizeof c->zone, "%s", zone);
+  snprintf (b->zone, sizeof b->zone, "%s", zone);
+  b->reserving = true;
   peer_task args = shards_task_args (s, job, task, attempt, b->name);
   args.waited_ms = (u_quad_t)rr_time_diff (now, b->waiting_since);
   daemon_call (ss->d, &ss->d->shards_actor, daemon, TASK_RESERVE,
