workers: a held worker is not given up for a lease proof

Cause: asked for the proof that a worker's lease expired, a daemon that held and reached this worker released its ledger, but went on sending reports, which renewed the controller lease. Ruled out: a stale epoch, since both sides of the log line show the same one. Change: a daemon whose controller lease is in force answers such a request with 'unreachable', which proves nothing.

--- a/rosemaryraild/workers_tasks.c
+++ b/rosemaryraild/workers_tasks.c
@@ -349,6 +349,14 @@
       reply_attempt (ws, origin, NULL, PEER_ATTEMPT_UNREACHABLE, "", "");
       return;
     }
+  enum rr_ledger_state state = rr_ledger_state (w->ledger, now);
+  if (state != RR_LEDGER_UNCLAIMED && state != RR_LEDGER_LEASE_LOST)
+    {
+      /* The worker is reachable from here: giving it up would end its tasks
+         and bar this incarnation for good.  */
+      reply_attempt (ws, origin, NULL, PEER_ATTEMPT_UNREACHABLE, "", "");
+      return;
+    }
   bool done = rr_ledger_abandon (w->ledger, a->incarnation, now);
   if (done)
     worker_event (w, ws->chart.abandon);
--- a/tests/daemon/lib.sh
+++ b/tests/daemon/lib.sh
@@ -175,6 +175,11 @@
     wait_for "$name starts" curl -fs "$(http "$name")/healthz"
   done
   wait_for "owners of all shards" owned
+  # Placement spreads over the zones that it knows capacity of.
+  for name in "${daemons[@]}"; do
+    wait_for "$name sees all workers" status "$name" --argjson n ${#workers[@]} \
+      '(.daemons | map(.workers) | add) == $n'
+  done
   wait_for "configuration" apply "${daemons[0]}" "$source/tests/daemon/${CONFIG:-session.jsonc}"
   wait_for "services" served
 }
