workers: forward what waits for a released worker

Cause: requests queued in a daemon that released its workers during a graceful shutdown waited for their deadline there, and the process with them. Change: what waits in a route without instances is forwarded as soon as a peer can take it.

--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -66,6 +66,7 @@
 }
 
 static void dispatch (struct workers *ws, struct request *r);
+static bool forward (struct workers *ws, struct request *r);
 
 static peer_outcome
 peer_outcome_of (enum rr_outcome o)
@@ -315,6 +316,24 @@
     }
 }
 
+/* Forwards what waits in a route whose last instance went to another daemon;
+   requests that no daemon can take now wait on, up to their deadline.  */
+static void
+forward_waiting (struct route *route)
+{
+  struct workers *ws = route->ws;
+  struct rr_handle h = { 0 };
+  struct request **row;
+  while ((row = rr_table_next (ws->requests, &h)) != NULL)
+    {
+      struct request *r = *row;
+      if (strcmp (r->service, route->service) != 0 || !forward (ws, r))
+        continue;
+      rr_admission_withdraw (route->admission, token_of (h));
+      rr_table_remove (ws->requests, h);
+    }
+}
+
 static void
 on_queue_tick (uv_timer_t *timer)
 {
@@ -340,6 +359,9 @@
             rr_admission_block_worker (route->admission, j, !free);
           }
       run_route (route);
+      if (route->instance_count == 0
+          && rr_admission_waiting (route->admission) > 0)
+        forward_waiting (route);
       waiting += rr_admission_waiting (route->admission);
     }
   if (waiting > 0 && !ws->queue_timer_active)
