shard_log: ring of 256 slots, bounded takeover reads

A takeover has at most 16 reads in flight. After a read (or another call before the takeover) without an answer one read per pause goes out until one is answered. An entry that the former owner appended during the reading is taken from the failed write of the ownership record and replayed: reading again takes about as long as the owner's interval, so a takeover from a busy owner would often read 258 keys several times. The search for the newest entry still reads every slot: each slot's revision is needed for a later write, and a torn reading is only found by comparing all sequences.

A log written with 32 slots is not read by this version: the takeover halts with an alarm as soon as an entry is not in its slot. A restored backup is noticed by an idle owner's confirmation only once the next slot was written before, which now takes 256 entries instead of 32; the next append notices it in any case.

New: bounded reads, one read per retry in an outage, takeover from a busy owner; each fails when its mechanism is removed.

--- a/bench/bench_replay.c
+++ b/bench/bench_replay.c
@@ -10,7 +10,10 @@
   JOBS = 250,
   TASKS = 700,
   ROUNDS = 20,
-  KEYS_MAX = 64
+  LATENCY_MS = 5, /* of a store call where latency counts */
+  CALLS_MAX = 512,
+  FIRST_SPREAD = 1, /* attempt of the tasks that spread () restarts */
+  KEYS_MAX = RR_RING_SLOTS + 32
 };
 
 struct value
@@ -32,6 +35,7 @@
   uint64_t ring_writes;
   uint64_t snapshot_writes;
   size_t read_bytes;
+  uint64_t reads;
 };
 
 static struct value *
@@ -71,34 +75,66 @@
     }
 }
 
+/* Carries out OUT; false if it is not a store call.  */
+static bool
+call_store (struct store *s, const struct rr_shard_output *out,
+            struct rr_kv_result *r)
+{
+  memset (r, 0, sizeof *r);
+  if (out->kind == RR_SHARD_WRITE)
+    {
+      write_value (s, out, r);
+      return true;
+    }
+  if (out->kind == RR_SHARD_READ)
+    {
+      const struct value *v = find (s, out->key);
+      r->revision = v->revision;
+      r->value = v->data;
+      r->length = v->length;
+      s->read_bytes += v->length;
+      s->reads++;
+      return true;
+    }
+  if (out->kind == RR_SHARD_ALARM
+      || (out->kind == RR_SHARD_SETTLED && !out->applied))
+    {
+      fprintf (stderr, "%s\n", out->reason.message);
+      exit (EXIT_FAILURE);
+    }
+  return false;
+}
+
 static void
 drive (struct rr_shard_log *l, struct store *s, int64_t now)
 {
   struct rr_shard_output out;
+  struct rr_kv_result r;
   while (rr_shard_log_next (l, rr_time_from_ms (now), &out))
-    {
-      struct rr_kv_result r = { 0 };
-      if (out.kind == RR_SHARD_WRITE)
-        write_value (s, &out, &r);
-      else if (out.kind == RR_SHARD_READ)
-        {
-          const struct value *v = find (s, out.key);
-          r.revision = v->revision;
-          r.value = v->data;
-          r.length = v->length;
-          s->read_bytes += v->length;
-        }
-      else
-        {
-          if (out.kind == RR_SHARD_ALARM
-              || (out.kind == RR_SHARD_SETTLED && !out.applied))
-            {
-              fprintf (stderr, "%s\n", out.reason.message);
-              exit (EXIT_FAILURE);
-            }
-          continue;
-        }
+    if (call_store (s, &out, &r))
       rr_shard_log_complete (l, out.ticket, &r, rr_time_from_ms (now));
+}
+
+/* As drive, with every store call answered after LATENCY_MS of virtual time.
+   Returns the time when the last one was answered.  */
+static int64_t
+drive_late (struct rr_shard_log *l, struct store *s, int64_t now)
+{
+  static struct rr_kv_result results[CALLS_MAX];
+  static uint64_t tickets[CALLS_MAX];
+  for (;;)
+    {
+      struct rr_shard_output out;
+      int n = 0;
+      while (rr_shard_log_next (l, rr_time_from_ms (now), &out))
+        if (call_store (s, &out, &results[n]))
+          tickets[n++] = out.ticket;
+      if (n == 0)
+        return now;
+      now += LATENCY_MS;
+      for (int i = 0; i < n; i++)
+        rr_shard_log_complete (l, tickets[i], &results[i],
+                               rr_time_from_ms (now));
     }
 }
 
@@ -111,13 +147,20 @@
 }
 
 static struct rr_shard_log *
-take_over (struct store *s, uint64_t incarnation)
+new_owner (uint64_t incarnation)
 {
   struct rr_shard_log_options o
       = { .shard = 5, .owner = "entry-a1", .incarnation = incarnation };
   struct rr_shard_log *l = rr_shard_log_new (&o);
   if (l == NULL || !rr_shard_log_take_over (l, rr_time_from_ms (0), 0, NULL))
     abort ();
+  return l;
+}
+
+static struct rr_shard_log *
+take_over (struct store *s, uint64_t incarnation)
+{
+  struct rr_shard_log *l = new_owner (incarnation);
   drive (l, s, 0);
   if (rr_shard_log_state (l) != RR_SHARD_OWNER)
     abort ();
@@ -274,6 +317,43 @@
   return now;
 }
 
+/* Starts tasks one after the other at PER_SECOND on average.  The three
+   records of a start come at random times, as those of independent tasks do,
+   so that most entries carry one record.  */
+static int64_t
+spread (struct rr_shard_log *l, struct store *s, int64_t now,
+        double per_second, int64_t ms)
+{
+  struct store before = *s;
+  static uint32_t attempts[JOBS];
+  unsigned short seed[3] = { 1, 2, 3 };
+  const int64_t start = now;
+  int job = 0;
+  for (int step = 0; now < start + ms; now += 10)
+    {
+      drive (l, s, now);
+      if (erand48 (seed) >= 3 * per_second / 100)
+        continue;
+      uint32_t k = attempts[job] + FIRST_SPREAD;
+      struct rr_record r = step == 0   ? ended_record (job, 1, k)
+                           : step == 1 ? placed_record (job, 1, k + 1)
+                                       : running_record (job, 1, k + 1);
+      append (l, &r, now);
+      step = (step + 1) % 3;
+      attempts[job] += step == 0 ? 1 : 0;
+      job = step == 0 ? (job + 1) % JOBS : job;
+    }
+  double time = (double)ms / 1000;
+  printf ("%.3f starts/s at random times for %.0f s:\n", per_second, time);
+  printf ("  ring %.3f KB/s, %.2f writes/s; snapshots %.3f KB/s, %llu "
+          "writes\n",
+          (double)(s->ring_bytes - before.ring_bytes) / 1000 / time,
+          (double)(s->ring_writes - before.ring_writes) / time,
+          (double)(s->snapshot_bytes - before.snapshot_bytes) / 1000 / time,
+          (unsigned long long)(s->snapshot_writes - before.snapshot_writes));
+  return now;
+}
+
 static void
 print_sizes (void)
 {
@@ -319,7 +399,11 @@
   rr_shard_state_free (copy);
   free (data);
   now = churn (l, s, now, 1);
-  churn (l, s, now, 4);
+  now = churn (l, s, now, 4);
+  /* The design size over 16 shards: 55 starts per second, and 4,000 jobs of 10
+     tasks per day.  */
+  now = spread (l, s, now + 1000, 55.0 / 16, 600000);
+  spread (l, s, now + 1000, 40000.0 / 86400 / 16, 86400000);
   rr_shard_log_free (l);
   double times[ROUNDS];
   s->read_bytes = 0;
@@ -336,6 +420,14 @@
           "%.2f ms, %zu bytes read\n",
           times[ROUNDS / 2] * 1e3, times[ROUNDS - 1] * 1e3,
           s->read_bytes / ROUNDS);
+  s->reads = 0;
+  l = new_owner (ROUNDS + 2);
+  int64_t end = drive_late (l, s, 0);
+  if (rr_shard_log_state (l) != RR_SHARD_OWNER)
+    return EXIT_FAILURE;
+  printf ("takeover with %d ms per store call: %lld ms, %llu reads\n",
+          LATENCY_MS, (long long)end, (unsigned long long)s->reads);
+  rr_shard_log_free (l);
   for (int i = 0; i < s->count; i++)
     free (s->values[i].data);
   return EXIT_SUCCESS;
--- a/include/rosemaryrail/shard_log.h
+++ b/include/rosemaryrail/shard_log.h
@@ -5,10 +5,15 @@
 
 enum
 {
-  RR_RING_SLOTS = 32,
+  /* With 32 slots a shard at its full entry rate wrote 141 to 182 KB/s of
+     snapshots; the length of the ring divides that.  */
+  RR_RING_SLOTS = 256,
   /* A snapshot is due after this many entries, less than half a turn, so that
      retries of the snapshot fit before the ring may not advance further.  */
-  RR_SNAPSHOT_EVERY = 12,
+  RR_SNAPSHOT_EVERY = 120,
+  /* Reads of one takeover in flight at once: the store sustains about 2,000
+     reads per second for all its clients.  */
+  RR_TAKEOVER_READS_MAX = 16,
   RR_APPEND_INTERVAL_MS = 100, /* 16 shards: 160 writes/s at most */
   RR_ENTRY_MAX = 128 * 1024,   /* bytes of one ring entry */
   /* Records that may wait for an append; a daemon that repeats reports during
--- a/rosemaryrail/shard_append.c
+++ b/rosemaryrail/shard_append.c
@@ -245,7 +245,9 @@
   bool ownership = e.epoch == e.sequence;
   if (l->state == RR_SHARD_TAKING && !ownership)
     {
-      rr_shard_retry_takeover (l, now, false, "the owner is still appending");
+      if (!rr_shard_catch_up (l, &e, r->revision, now))
+        rr_shard_retry_takeover (l, now, false,
+                                 "the owner is still appending");
       return;
     }
   bool lost = !l->append.uncertain || e.sequence == next;
--- a/rosemaryrail/shard_log.c
+++ b/rosemaryrail/shard_log.c
@@ -348,6 +348,11 @@
 {
   if (ticket == 0)
     return;
+  /* During a takeover only its reads decide when the store is back: results of
+     calls issued before the outage may still arrive.  */
+  if (l->state != RR_SHARD_TAKING)
+    l->store_silent = result->status == RR_KV_NO_ANSWER
+                      || result->status == RR_KV_NOT_SENT;
   if (l->append.ticket == ticket)
     rr_shard_append_result (l, result, now);
   else if (l->snapshot.ticket == ticket)
@@ -386,9 +391,8 @@
     earliest (&any, at, l->snapshot.at);
   if (l->confirm.phase == CALL_WAIT)
     earliest (&any, at, l->confirm.at);
-  for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
-    if (l->reads[i].phase == CALL_WAIT)
-      earliest (&any, at, l->reads[i].at);
+  if (rr_shard_reads_due (l, &t))
+    earliest (&any, at, t);
   if (rr_shard_append_due (l, &t))
     earliest (&any, at, t);
   return any;
--- a/rosemaryrail/shard_private.h
+++ b/rosemaryrail/shard_private.h
@@ -7,9 +7,11 @@
 enum
 {
   NO_SNAPSHOT = 2, /* value of rr_snapshot_pointer.slot */
-  /* Ordinary entries stop here until a newer snapshot is confirmed; the rest
-     of the ring is left to takeovers, each of which adds one entry.  */
-  RING_ADVANCE_MAX = 20,
+  /* Ordinary entries stop here until a newer snapshot is confirmed.  The 72
+     entries after RR_SNAPSHOT_EVERY take 7.2 s at the full rate, more than the
+     longest pause between retries (5 s).  The remaining 64 slots are left to
+     takeovers, each of which adds one entry.  */
+  RING_ADVANCE_MAX = 192,
   TAKEOVER_TRIES = 8, /* rereads while the old owner keeps appending */
   ENTRY_HEADER_MAX = 256
 };
@@ -124,6 +126,10 @@
   uint32_t tries;
   uint32_t stuck; /* unusable readings in a row without a new entry */
   bool reading_snapshots;
+  bool store_silent; /* the last call was not answered: read one key first */
+  /* Pause of all reads after one was not answered; its phase is CALL_WAIT from
+     then until a later read is answered.  */
+  struct store_call read_pause;
   struct store_call reads[RR_RING_SLOTS + 2];
   struct slot_image images[RR_RING_SLOTS + 2];
   uint64_t read_high; /* highest sequence of the previous reading */
@@ -191,10 +197,13 @@
 void rr_shard_begin_reading (struct rr_shard_log *l);
 void rr_shard_retry_takeover (struct rr_shard_log *l, struct rr_time now,
                               bool unusable, const char *reason);
+bool rr_shard_catch_up (struct rr_shard_log *l, const struct rr_shard_entry *e,
+                        uint64_t revision, struct rr_time now);
 void rr_shard_advance_takeover (struct rr_shard_log *l, struct rr_time now);
 void rr_shard_takeover_result (struct rr_shard_log *l, uint32_t image,
                                const struct rr_kv_result *r,
                                struct rr_time now);
+bool rr_shard_reads_due (const struct rr_shard_log *l, struct rr_time *at);
 void rr_shard_free_images (struct rr_shard_log *l);
 
 #endif
--- a/rosemaryrail/shard_takeover.c
+++ b/rosemaryrail/shard_takeover.c
@@ -18,6 +18,7 @@
       memset (&l->images[i], 0, sizeof l->images[i]);
       rr_shard_call_done (&l->reads[i]);
     }
+  rr_shard_call_done (&l->read_pause);
 }
 
 static void
@@ -144,34 +145,34 @@
   return true;
 }
 
+/* Folds the records of E, the entry after the state; halts if it is damaged.
+ */
 static bool
-replay_entry (struct rr_shard_log *l, uint64_t sequence, struct rr_time now)
+replay_entry (struct rr_shard_log *l, const struct rr_shard_entry *e,
+              struct rr_time now)
 {
-  struct rr_shard_entry e;
-  if (!read_entry (l, (uint32_t)(sequence % RR_RING_SLOTS), &e))
-    return false;
   size_t at = 0;
-  for (uint32_t i = 0; i < e.records; i++)
+  for (uint32_t i = 0; i < e->records; i++)
     {
       struct rr_record r;
       struct rr_error err = { 0 };
       size_t used = 0;
-      if (!rr_record_decode (&r, e.data + at, e.length - at, &used, &err))
+      if (!rr_record_decode (&r, e->data + at, e->length - at, &used, &err))
         {
           rr_shard_halt (l, err.message);
           return false;
         }
       at += used;
       /* A refused record was refused when it was written, too.  */
-      rr_shard_state_apply (l->data, e.sequence, &r, now, NULL);
+      rr_shard_state_apply (l->data, e->sequence, &r, now, NULL);
       rr_record_clear (&r);
     }
-  if (at != e.length)
+  if (at != e->length)
     {
       rr_shard_halt (l, "a ring entry has bytes after its records");
       return false;
     }
-  l->data->sequence = sequence;
+  l->data->sequence = e->sequence;
   return true;
 }
 
@@ -205,6 +206,59 @@
   return true;
 }
 
+/* Prepares the ownership record as the entry after the state.  */
+static void
+prepare_ownership (struct rr_shard_log *l, struct rr_time now)
+{
+  uint64_t next = l->data->sequence + 1;
+  if (next - l->pointer.sequence > RR_RING_SLOTS)
+    {
+      /* Only reached when owners in a row filled the rest of the ring and
+         stopped before they could write a snapshot.  */
+      rr_shard_halt (l, "the ring has no free slot since the last snapshot");
+      return;
+    }
+  struct rr_record r
+      = { .kind = RR_RECORD_OWNERSHIP_TAKEN, .at_ms = l->wall_ms };
+  memcpy (r.u.ownership_taken.owner, l->options.owner,
+          sizeof r.u.ownership_taken.owner);
+  r.u.ownership_taken.incarnation = l->options.incarnation;
+  r.u.ownership_taken.tenure = l->tenure;
+  if (!rr_shard_build_entry (l, next, next, &r))
+    rr_shard_retry_takeover (l, now, false, "out of memory");
+}
+
+/* Goes on after E, written to the slot of the ownership record with REVISION
+   while this process was reading.  Reading all slots again takes about as long
+   as an owner at the full rate needs for its next entry.  Returns false if the
+   ring has to be read again: E does not follow the state, or the owner was
+   faster too often.  */
+bool
+rr_shard_catch_up (struct rr_shard_log *l, const struct rr_shard_entry *e,
+                   uint64_t revision, struct rr_time now)
+{
+  if (e->sequence != l->data->sequence + 1 || e->epoch != l->data->epoch
+      || l->tries + 1 >= TAKEOVER_TRIES)
+    return false;
+  l->tries++;
+  if (!replay_entry (l, e, now))
+    return true;
+  l->slot_revision[e->sequence % RR_RING_SLOTS] = revision;
+  l->max_sequence = e->sequence;
+  l->pointer = e->snapshot;
+  if (e->snapshot.slot != NO_SNAPSHOT
+      && l->snapshot_revision[e->snapshot.slot] < e->snapshot.revision)
+    l->snapshot_revision[e->snapshot.slot] = e->snapshot.revision;
+  rr_shard_call_done (&l->append);
+  prepare_ownership (l, now);
+  if (l->state != RR_SHARD_TAKING || l->entry == NULL)
+    return true;
+  /* At once, not after RR_APPEND_INTERVAL_MS, which the owner also waits.  */
+  l->append.phase = CALL_WAIT;
+  l->append.at = now;
+  return true;
+}
+
 /* Replays what was read and prepares the ownership record.  */
 static void
 assemble (struct rr_shard_log *l, struct rr_time now)
@@ -214,8 +268,12 @@
       || !load_snapshot (l, &newest.snapshot, now))
     return;
   for (uint64_t q = newest.snapshot.sequence + 1; q <= newest.sequence; q++)
-    if (!replay_entry (l, q, now))
-      return;
+    {
+      struct rr_shard_entry e;
+      if (!read_entry (l, (uint32_t)(q % RR_RING_SLOTS), &e)
+          || !replay_entry (l, &e, now))
+        return;
+    }
   l->pointer = newest.snapshot;
   l->max_sequence = newest.sequence;
   for (uint32_t i = 0; i < RR_RING_SLOTS; i++)
@@ -223,22 +281,41 @@
   for (uint32_t i = 0; i < 2; i++)
     l->snapshot_revision[i] = l->images[RR_RING_SLOTS + i].revision;
   rr_shard_free_images (l);
-  uint64_t next = newest.sequence + 1;
-  if (next - l->pointer.sequence > RR_RING_SLOTS)
-    {
-      /* Only reached when this many owners in a row stopped before they could
-         write a snapshot.  */
-      rr_shard_halt (l, "the ring has no free slot since the last snapshot");
-      return;
-    }
-  struct rr_record r
-      = { .kind = RR_RECORD_OWNERSHIP_TAKEN, .at_ms = l->wall_ms };
-  memcpy (r.u.ownership_taken.owner, l->options.owner,
-          sizeof r.u.ownership_taken.owner);
-  r.u.ownership_taken.incarnation = l->options.incarnation;
-  r.u.ownership_taken.tenure = l->tenure;
-  if (!rr_shard_build_entry (l, next, next, &r))
-    rr_shard_retry_takeover (l, now, false, "out of memory");
+  prepare_ownership (l, now);
+}
+
+/* Returns how many more reads may go out: one at a time while the store gives
+   no answer, so that an outage costs one read per retry.  */
+static uint32_t
+reads_allowed (const struct rr_shard_log *l)
+{
+  uint32_t most = l->store_silent ? 1 : RR_TAKEOVER_READS_MAX;
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
+    n += l->reads[i].phase == CALL_READING ? 1 : 0;
+  return n < most ? most - n : 0;
+}
+
+/* Stores in AT when the next read may go out; false if none waits or an answer
+   has to arrive first.  */
+bool
+rr_shard_reads_due (const struct rr_shard_log *l, struct rr_time *at)
+{
+  if (l->state != RR_SHARD_TAKING || l->entry != NULL
+      || reads_allowed (l) == 0)
+    return false;
+  bool any = false;
+  for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
+    if (l->reads[i].phase == CALL_WAIT
+        && (!any || rr_time_before (l->reads[i].at, *at)))
+      {
+        *at = l->reads[i].at;
+        any = true;
+      }
+  if (any && l->read_pause.phase == CALL_WAIT
+      && rr_time_before (*at, l->read_pause.at))
+    *at = l->read_pause.at;
+  return any;
 }
 
 /* Issues the reads that are due and goes on once all have answered.  The
@@ -250,10 +327,15 @@
   if (l->entry != NULL)
     return;
   bool waiting = false;
+  uint32_t allowed = reads_allowed (l);
+  if (l->read_pause.phase == CALL_WAIT
+      && rr_time_before (now, l->read_pause.at))
+    allowed = 0;
   for (uint32_t i = 0; i < RR_RING_SLOTS + 2; i++)
     {
-      if (rr_shard_call_due (&l->reads[i], now))
+      if (allowed > 0 && rr_shard_call_due (&l->reads[i], now))
         {
+          allowed--;
           char key[RR_KEY_SIZE];
           if (i < RR_RING_SLOTS)
             rr_shard_ring_key (l, i, key);
@@ -275,17 +357,39 @@
   rr_shard_advance_takeover (l, now);
 }
 
+/* Notes whether the read C was answered.  A read that went out before the
+   pause began says nothing about the store after it.  */
+static void
+judge_silence (struct rr_shard_log *l, struct store_call *c, bool answered,
+               struct rr_time now)
+{
+  bool older = l->read_pause.phase == CALL_WAIT
+               && rr_time_before (c->issued, l->read_pause.at);
+  if (!older)
+    {
+      l->store_silent = !answered;
+      if (answered)
+        rr_shard_call_done (&l->read_pause);
+      else
+        rr_shard_call_wait (l, &l->read_pause, now);
+    }
+  if (!answered)
+    {
+      rr_shard_call_done (c);
+      c->phase = CALL_WAIT;
+      c->at = now;
+    }
+}
+
 /* Handles the result of the read of IMAGE: a ring slot, or a snapshot key
    after those.  */
 void
 rr_shard_takeover_result (struct rr_shard_log *l, uint32_t image,
                           const struct rr_kv_result *r, struct rr_time now)
 {
+  judge_silence (l, &l->reads[image], r->status == RR_KV_OK, now);
   if (r->status != RR_KV_OK)
-    {
-      rr_shard_call_wait (l, &l->reads[image], now);
-      return;
-    }
+    return;
   uint64_t known = image < RR_RING_SLOTS
                        ? l->slot_revision[image]
                        : l->snapshot_revision[image - RR_RING_SLOTS];
--- a/tests/state/fake_store.c
+++ b/tests/state/fake_store.c
@@ -66,7 +66,7 @@
     }
   if (v == NULL)
     {
-      assert (s->count < STORE_KEYS_MAX);
+      assert (s->count < (int)STORE_KEYS_MAX);
       v = &s->values[s->count++];
       memset (v, 0, sizeof *v);
       memcpy (v->key, key, strlen (key) + 1);
--- a/tests/state/fake_store.h
+++ b/tests/state/fake_store.h
@@ -5,7 +5,7 @@
 
 enum
 {
-  STORE_KEYS_MAX = 64
+  STORE_KEYS_MAX = RR_RING_SLOTS + 32
 };
 
 struct store_value
--- a/tests/state/test_random.c
+++ b/tests/state/test_random.c
@@ -10,7 +10,10 @@
   SEEDS = 120,
   ACTIONS = 220,
   JOBS = 14,
-  REQUESTS = 24
+  REQUESTS = 24,
+  /* Long enough for about 10 snapshots and 4 full turns of the ring in a
+     session; with less, faults rarely meet either.  */
+  CHURN_MAX = 2 * RR_RING_SLOTS
 };
 
 struct chaos
@@ -198,7 +201,7 @@
     case 9:
       if (owner >= 0)
         command (c, "churn %s J0 %d", c->w->daemons[owner].name,
-                 1 + pick (c, 14));
+                 1 + pick (c, CHURN_MAX));
       break;
     default:
       if (idle (d) && (owner < 0 || pick (c, 3) == 0))
--- a/tests/state/test_shard_log.c
+++ b/tests/state/test_shard_log.c
@@ -247,21 +247,27 @@
 }
 END_TEST
 
-/* Writes 20 entries, and with them a snapshot, to the store of B and ends its
-   owner.  */
+enum
+{
+  FILLED = RR_SNAPSHOT_EVERY + 8
+};
+
+/* Writes FILLED entries, and with them a snapshot, to the store of B and ends
+   its owner.  */
 static void
 fill_store (struct bench *b)
 {
   take (b);
   char name[16];
-  for (int i = 0; i < 20; i++)
+  for (int i = 0; i < FILLED; i++)
     {
       snprintf (name, sizeof name, "job-%d", i);
       ck_assert (append (b, unit_job (name, 1), NULL));
       b->now += 100;
       drive (b);
     }
-  ck_assert_uint_gt (rr_shard_log_data (b->log)->sequence, 20);
+  ck_assert_uint_gt (rr_shard_log_data (b->log)->sequence, FILLED);
+  ck_assert_uint_eq (rr_shard_log_stats (b->log)->snapshots, 1);
   rr_shard_log_free (b->log);
   b->log = NULL;
 }
@@ -328,7 +334,9 @@
   static const uint8_t values[] = { 0, 1, 0x7f, 0xff };
   struct bench b = { .log = new_log (0, 0) };
   fill_store (&b);
-  struct store_value *v = store_find (&b.store, "shard/1/ring/20");
+  char key[RR_KEY_SIZE];
+  snprintf (key, sizeof key, "shard/1/ring/%d", FILLED);
+  struct store_value *v = store_find (&b.store, key);
   ck_assert_ptr_nonnull (v);
   uint8_t *whole = v->data;
   size_t body = v->length - 8;
@@ -398,13 +406,207 @@
 }
 END_TEST
 
+enum
+{
+  CALLS_MAX = 64
+};
+
+/* Reads of a takeover that the store has not answered yet.  */
+struct calls
+{
+  struct rr_shard_output call[CALLS_MAX];
+  int count;
+  int reads; /* since the beginning */
+};
+
+/* Collects the reads that go out now; writes are carried out at once.  */
+static void
+collect_reads (struct bench *b, struct calls *c)
+{
+  struct rr_time now = rr_time_from_ms (b->now);
+  struct rr_shard_output out;
+  while (rr_shard_log_next (b->log, now, &out))
+    {
+      struct rr_kv_result r = { 0 };
+      if (out.kind == RR_SHARD_READ)
+        {
+          ck_assert_int_lt (c->count, CALLS_MAX);
+          c->call[c->count++] = out;
+          c->reads++;
+        }
+      else if (out.kind == RR_SHARD_WRITE)
+        {
+          store_write (&b->store, out.key, out.value, out.length, out.expect,
+                       &r);
+          rr_shard_log_complete (b->log, out.ticket, &r, now);
+        }
+    }
+}
+
+/* Answers the collected read I from the store, or with STATUS.  */
+static void
+answer_read (struct bench *b, struct calls *c, int i, enum rr_kv_status status)
+{
+  struct rr_kv_result r = { .status = status };
+  if (status == RR_KV_OK)
+    store_read (&b->store, c->call[i].key, &r);
+  uint64_t ticket = c->call[i].ticket;
+  c->call[i] = c->call[--c->count];
+  rr_shard_log_complete (b->log, ticket, &r, rr_time_from_ms (b->now));
+}
+
+/* Guards against a takeover that floods the store, that asks to be woken while
+   it can only wait for answers, and that reads a key twice.  */
+START_TEST (takeover_reads_are_bounded)
+{
+  struct bench b = { .log = new_log (0, 0) };
+  fill_store (&b);
+  b.log = new_log (0, 0);
+  struct calls c = { .count = 0 };
+  struct rr_time at;
+  ck_assert (
+      rr_shard_log_take_over (b.log, rr_time_from_ms (b.now), b.now, NULL));
+  collect_reads (&b, &c);
+  ck_assert_int_eq (c.count, RR_TAKEOVER_READS_MAX);
+  for (int i = 0; c.count > 0; i++)
+    {
+      ck_assert_int_le (c.count, RR_TAKEOVER_READS_MAX);
+      ck_assert (c.count < RR_TAKEOVER_READS_MAX
+                 || !rr_shard_log_wakeup (b.log, &at));
+      b.now++;
+      answer_read (&b, &c, (7 * i) % c.count, RR_KV_OK);
+      collect_reads (&b, &c);
+    }
+  ck_assert_int_eq (c.reads, RR_RING_SLOTS + 2);
+  ck_assert (rr_shard_log_is_owner (b.log));
+  bench_free (&b);
+}
+END_TEST
+
+/* Lets MS pass with a store that answers reads with STATUS a second late.
+   Returns the largest number of reads in flight.  */
+static int
+outage (struct bench *b, struct calls *c, int ms, enum rr_kv_status status)
+{
+  int most = 0;
+  for (int i = 0; i < ms; i += 100, b->now += 100)
+    {
+      if (i % 1000 == 0)
+        while (c->count > 0)
+          answer_read (b, c, 0, status);
+      collect_reads (b, c);
+      most = c->count > most ? c->count : most;
+      struct rr_time at;
+      ck_assert (!rr_shard_log_wakeup (b->log, &at)
+                 || rr_time_before (rr_time_from_ms (b->now), at));
+    }
+  return most;
+}
+
+/* Guards against an outage in which each retry of a takeover reads all slots:
+   after the first reads only one goes out per pause, also when the takeover
+   starts over, and the takeover succeeds once the store is back.  */
+START_TEST (outage_costs_one_read_per_retry)
+{
+  static const enum rr_kv_status kinds[] = { RR_KV_NO_ANSWER, RR_KV_NOT_SENT };
+  struct bench b = { .log = new_log (0, 0) };
+  fill_store (&b);
+  for (size_t k = 0; k < sizeof kinds / sizeof kinds[0]; k++)
+    {
+      b.log = new_log (0, 0);
+      struct calls c = { .count = 0 };
+      ck_assert (rr_shard_log_take_over (b.log, rr_time_from_ms (b.now), b.now,
+                                         NULL));
+      ck_assert_int_eq (outage (&b, &c, 2000, kinds[k]),
+                        RR_TAKEOVER_READS_MAX);
+      c.reads = 0;
+      ck_assert_int_eq (outage (&b, &c, 120000, kinds[k]), 1);
+      /* Pauses of 2.5 to 5 s, and a second until the answer.  */
+      ck_assert_int_ge (c.reads, 120 / 7);
+      ck_assert_int_le (c.reads, 120 / 3);
+      rr_shard_log_drop (b.log, rr_time_from_ms (b.now));
+      ck_assert (rr_shard_log_take_over (b.log, rr_time_from_ms (b.now), b.now,
+                                         NULL));
+      c.count = 0;
+      ck_assert_int_eq (outage (&b, &c, 20000, kinds[k]), 1);
+      c.reads = 0;
+      for (int i = 0; i < 100 && !rr_shard_log_is_owner (b.log); i++)
+        {
+          while (c.count > 0)
+            answer_read (&b, &c, 0, RR_KV_OK);
+          b.now += 100;
+          collect_reads (&b, &c);
+          ck_assert_int_le (c.count, RR_TAKEOVER_READS_MAX);
+        }
+      ck_assert (rr_shard_log_is_owner (b.log));
+      ck_assert_int_le (c.reads, RR_RING_SLOTS + 2);
+      rr_shard_log_free (b.log);
+    }
+  store_free (&b.store);
+}
+END_TEST
+
+/* Guards against a takeover that never succeeds, or loses the entries written
+   meanwhile, while the former owner appends at its full rate: with 6 ms per
+   call the reading alone takes longer than the owner's interval.  */
+START_TEST (takeover_overtakes_a_busy_owner)
+{
+  struct bench b = { .log = new_log (0, 0) };
+  fill_store (&b);
+  struct bench owner = { .store = b.store, .log = new_log (0, 0) };
+  owner.now = b.now;
+  take (&owner);
+  b.log = new_log (0, 0);
+  b.now = owner.now;
+  struct calls c = { .count = 0 };
+  ck_assert (
+      rr_shard_log_take_over (b.log, rr_time_from_ms (b.now), b.now, NULL));
+  int written = 0;
+  char name[16];
+  for (int i = 0; i < 500 && !rr_shard_log_is_owner (b.log); i++)
+    {
+      if (i % 17 == 12)
+        {
+          snprintf (name, sizeof name, "late-%d", written++);
+          ck_assert (append (&owner, unit_job (name, 1), NULL));
+          drive (&owner);
+        }
+      b.store = owner.store;
+      while (c.count > 0)
+        answer_read (&b, &c, 0, RR_KV_OK);
+      collect_reads (&b, &c);
+      owner.store = b.store;
+      b.now += 6;
+      owner.now = b.now;
+    }
+  ck_assert (rr_shard_log_is_owner (b.log));
+  ck_assert_int_gt (written, 0);
+  ck_assert_int_eq (owner.committed, written);
+  struct rr_shard_state *s = rr_shard_log_data (b.log);
+  for (int i = 0; i < written; i++)
+    {
+      snprintf (name, sizeof name, "late-%d", i);
+      ck_assert_ptr_nonnull (rr_job_store_find (s->jobs, name));
+    }
+  ck_assert_int_eq (c.reads, RR_RING_SLOTS + 2);
+  rr_shard_log_free (owner.log);
+  bench_free (&b);
+}
+END_TEST
+
 int
 main (void)
 {
-  const TTest *const tests[]
-      = { appends_are_grouped,           bursts_are_split_into_entries,
-          full_shard_rejects_new_work,   request_count_is_bounded,
-          damaged_store_raises_an_alarm, malformed_entries_do_no_harm,
-          every_record_gets_an_outcome,  queue_is_bounded };
+  const TTest *const tests[] = { appends_are_grouped,
+                                 bursts_are_split_into_entries,
+                                 full_shard_rejects_new_work,
+                                 request_count_is_bounded,
+                                 damaged_store_raises_an_alarm,
+                                 malformed_entries_do_no_harm,
+                                 every_record_gets_an_outcome,
+                                 queue_is_bounded,
+                                 takeover_reads_are_bounded,
+                                 outage_costs_one_read_per_retry,
+                                 takeover_overtakes_a_busy_owner };
   return unit_run ("shard_log", tests, sizeof tests / sizeof tests[0]);
 }
