--- a/scripts/start-local.sh
+++ b/scripts/start-local.sh
@@ -30,7 +30,7 @@
 if $stop; then
   running || { echo "not running (port base $base)"; exit 1; }
   kill "$pid"
-  while kill -0 "$pid" 2>/dev/null; do sleep 0.1; done
+  while running; do sleep 0.1; done
   echo "stopped"
   exit 0
 fi
