--- a/rosemaryraild/config_keeper.c
+++ b/rosemaryraild/config_keeper.c
@@ -309,7 +309,10 @@
     case PLATFORM_ABSENT:
       {
         k->failures = 0;
-        bool moved = r->revision != k->store_revision;
+        /* The revision of an absent head is the store's, which grows with
+           every other write.  */
+        bool moved
+            = r->state == PLATFORM_OK && r->revision != k->store_revision;
         k->store_revision = r->state == PLATFORM_OK ? r->revision : 0;
         struct rr_config_decision decision = config_consider (
             k, r->value, r->state == PLATFORM_OK ? r->length : 0, "");
--- a/rosemaryraild/main.c
+++ b/rosemaryraild/main.c
@@ -15,7 +15,10 @@
 enum
 {
   SHUTDOWN_TICK_MS = 50,
-  HANDOVER_MS = 3000
+  HANDOVER_MS = 3000,
+  /* Requests end by their deadlines, at most 120 s; what is still open later
+     waits for something that will not come.  */
+  SHUTDOWN_MAX_MS = 130000
 };
 
 /* State of a graceful shutdown.  */
@@ -54,8 +57,8 @@
   if (!shards_all_released (d->shards)
       && rr_time_before (now, s->handover_until))
     return;
-  log_event (LOG_LEVEL_INFO, "stopped", "handed_over=%s",
-             shards_all_released (d->shards) ? "true" : "false");
+  log_event (LOG_LEVEL_INFO, "stopped", "in_progress=%zu",
+             front_in_progress (d->front));
   uv_stop (d->loop);
 }
 
--- a/rosemaryraild/shards.c
+++ b/rosemaryraild/shards.c
@@ -499,6 +499,18 @@
   return true;
 }
 
+/* Gives up all shards without a record, at the end of a shutdown that could
+   not hand them over.  Records still queued end as lost or unknown.  */
+void
+shards_drop_all (struct shards *ss)
+{
+  for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+    {
+      rr_shard_log_drop (ss->shard[i].log, daemon_now ());
+      shard_drive (&ss->shard[i]);
+    }
+}
+
 /* Returns the alarm's text or null, and since when (wall clock) it stands.  */
 const char *
 shards_alarm (const struct shards *ss, int64_t *since_ms)
