--- a/include/rosemaryraild/message.h
+++ b/include/rosemaryraild/message.h
@@ -44,6 +44,7 @@
   uint64_t received_ns; /* for the latency histogram */
   struct rr_time deadline;
   bool repeatable;
+  bool resent;  /* the caller sent it before and knows no outcome */
   uint64_t ask; /* non-repeatable: number of the permission asked for */
   char *body;
   size_t body_length;
--- a/include/rosemaryraild/shards.h
+++ b/include/rosemaryraild/shards.h
@@ -29,6 +29,7 @@
 bool shards_status_at (struct shards *s, uint32_t shard,
                        struct shard_status *out);
 bool shards_all_released (const struct shards *s);
+bool shards_handed_over (const struct shards *s);
 void shards_drop_all (struct shards *s);
 const char *shards_alarm (const struct shards *s, int64_t *since_ms);
 
--- a/rosemaryraild/front_requests.c
+++ b/rosemaryraild/front_requests.c
@@ -82,6 +82,22 @@
   return true;
 }
 
+/* A caller that repeats a request numbers its sendings.  */
+static bool
+read_attempt (struct http_exchange *x, struct request *r, struct rr_error *err)
+{
+  const char *v = http_exchange_header (x, "Request-Attempt");
+  if (v == NULL)
+    return true;
+  char *end;
+  long n = strtol (v, &end, 10);
+  if (*v == '\0' || *end != '\0' || n < 1 || n > 1000000)
+    return rr_error_set (err, RR_ERROR_INVALID,
+                         "Request-Attempt must be 1 to 1000000");
+  r->resent = n > 1;
+  return true;
+}
+
 static bool
 read_deadline (struct http_exchange *x, const struct rr_config_service *v,
                int64_t limit_ms, struct request *r, struct rr_error *err)
@@ -192,6 +208,7 @@
   size_t length;
   http_exchange_body (x, &length);
   bool ok = read_repeatable (x, r, &err) && read_id (f, x, r, &err)
+            && read_attempt (x, r, &err)
             && read_deadline (x, v, c->limits.deadline_max_ms, r, &err);
   if (ok && v->request_max_bytes > 0 && (int64_t)length > v->request_max_bytes)
     ok = rr_error_set (&err, RR_ERROR_LIMIT, "the body exceeds %lld bytes",
@@ -283,7 +300,9 @@
       break;
     case PEER_GRANT_REFUSED:
     case PEER_GRANT_NOT_OWNER:
-      end_on (f, r, c->not_attempted, "the request can't be recorded now");
+      /* An earlier sending may have run; only its record could tell.  */
+      end_on (f, r, r->resent ? c->unresolved : c->not_attempted,
+              "the request can't be recorded now");
       break;
     case PEER_GRANT_PENDING:
       request_event (c, r, c->held);
--- a/rosemaryraild/main.c
+++ b/rosemaryraild/main.c
@@ -57,7 +57,8 @@
   if (!shards_all_released (d->shards)
       && rr_time_before (now, s->handover_until))
     return;
-  log_event (LOG_LEVEL_INFO, "stopped", "in_progress=%zu",
+  log_event (LOG_LEVEL_INFO, "stopped", "handed_over=%s in_progress=%zu",
+             shards_handed_over (d->shards) ? "true" : "false",
              front_in_progress (d->front));
   uv_stop (d->loop);
 }
--- a/rosemaryraild/shards.c
+++ b/rosemaryraild/shards.c
@@ -178,6 +178,7 @@
                  s->number, o->reason.message);
       break;
     case RR_SHARD_RELEASED:
+      ss->to_hand_over -= ss->to_hand_over > 0;
       log_event (LOG_LEVEL_INFO, "shard_released", "shard=%u", s->number);
       break;
     case RR_SHARD_ALARM:
@@ -389,6 +390,10 @@
     case MESSAGE_PAUSED:
       after_pause (ss);
       break;
+    case MESSAGE_STOP:
+      for (uint32_t i = 0; i < RR_SHARD_COUNT; i++)
+        ss->to_hand_over += rr_shard_log_is_owner (ss->shard[i].log);
+      break;
     default:
       message_rpc_done_run (m);
       break;
@@ -499,6 +504,14 @@
   return true;
 }
 
+/* Tells whether every shard owned when the shutdown began has a recorded
+   hand-over.  */
+bool
+shards_handed_over (const struct shards *ss)
+{
+  return ss->to_hand_over == 0;
+}
+
 /* Gives up all shards without a record, at the end of a shutdown that could
    not hand them over.  Records still queued end as lost or unknown.  */
 void
