workers: a request waits for an instance while ledgers move

Change: without any instance a request is looked at again each 50 ms for at most 10 s of its deadline, which covers a controller lease that runs out.

--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -12,6 +12,8 @@
 enum
 {
   QUEUE_TICK_MS = 5,
+  NO_WORKER_WAIT_MS = 10000, /* covers a controller lease that runs out */
+  NO_WORKER_POLL_MS = 50,
   BACKOFF_BASE_MS = 5,
   BACKOFF_MAX_MS = 200,
   ANSWER_MAX_BYTES = 1000000,
@@ -133,6 +135,18 @@
   uv_close ((uv_handle_t *)timer, on_delay_closed);
 }
 
+static void
+dispatch_later (struct workers *ws, struct request *r, uint64_t delay_ms)
+{
+  struct delayed_request *d = calloc (1, sizeof *d);
+  assert (d != NULL);
+  d->ws = ws;
+  d->r = r;
+  uv_timer_init (ws->d->loop, &d->timer);
+  d->timer.data = d;
+  uv_timer_start (&d->timer, on_delay_over, delay_ms, 0);
+}
+
 /* Decides what follows a call that brought no answer: another one after a
    delay, or the outcome.  */
 static void
@@ -159,13 +173,7 @@
     }
   request_event (c, r, lost ? c->lost : c->refused);
   metric_add (&ws->d->metrics, METRIC_REQUEST_RETRIES, 1);
-  struct delayed_request *d = calloc (1, sizeof *d);
-  assert (d != NULL);
-  d->ws = ws;
-  d->r = r;
-  uv_timer_init (ws->d->loop, &d->timer);
-  d->timer.data = d;
-  uv_timer_start (&d->timer, on_delay_over, (uint64_t)delay, 0);
+  dispatch_later (ws, r, (uint64_t)delay);
 }
 
 static enum rr_call_state
@@ -617,6 +625,15 @@
   rr_table_remove (ws->requests, handle);
   if (forward (ws, r))
     return;
+  /* While ledgers move between daemons a service has no instance for a moment;
+     that is no reason to refuse a request that can wait.  */
+  int64_t waited = rr_time_diff (daemon_now (), r->received);
+  if (admission == RR_ADMISSION_NOT_RUN_NO_WORKER && waited < NO_WORKER_WAIT_MS
+      && remaining_ms (r) > NO_WORKER_POLL_MS)
+    {
+      dispatch_later (ws, r, NO_WORKER_POLL_MS);
+      return;
+    }
   finish_on (ws, r, rejected, rr_admission_result_name (admission));
 }
 
