workers: a refused claim is tried again shortly

A claim that met the old holder just before its release waited for the holder's whole remaining lease (2.7 s of 3 s), and the tasks ran out of their lease of 4 s. Ruled out: the hand-over itself, which released the worker in time. Change: refused claims are repeated after 300 ms.

--- a/rosemaryraild/workers.c
+++ b/rosemaryraild/workers.c
@@ -13,7 +13,9 @@
 enum
 {
   TICK_MS = 100,
-  CLAIM_RETRY_MS = 500,
+  /* Short, since a holder that hands its worker over releases it long before
+     its lease ends, and the tasks' leases run on meanwhile.  */
+  CLAIM_RETRY_MS = 300,
   RENEWALS_MAX = 256,
   REQUEST_LIMIT_MS = 60000 /* a worker ends a request after this time */
 };
@@ -184,8 +186,6 @@
   if (r->state != WORKER_REFUSED)
     rr_membership_failed (peers_membership (d->peers), now, w->name,
                           w->incarnation);
-  else if (r->remaining_ms > CLAIM_RETRY_MS)
-    w->next_call = rr_time_add (now, r->remaining_ms);
 }
 
 static void
