--- a/tests/daemon/platform_outage.sh
+++ b/tests/daemon/platform_outage.sh
@@ -18,6 +18,11 @@
   -H 'Request-Timeout-Ms: 1000' "$(http z1-d0)/v1/services/check"
 grep -i -E '^(HTTP|request-outcome|retry-after)' "$work/head" | tr -d '\r' | sort
 jq -c .error "$work/body"
+# An earlier sending may have run, so that "not run" could be false.
+echo "sent again: $(curl -s -o /dev/null -w '%{http_code}' -X POST -d '{}' \
+  -H 'Request-Repeatable: false' -H 'Request-Id: by-hand' \
+  -H 'Request-Attempt: 2' -H 'Request-Timeout-Ms: 1000' \
+  "$(http z1-d0)/v1/services/check")"
 echo "job: $(curl -s -X POST "$(http z1-d0)/v1/jobs" -d '{"id":"late","team":"batch","class":"scan","tasks":1,"cores_milli":1000,"memory_mb":100,"work_ms":100}' | jq -r .error.code)"
 sed 's/"instances": 4/"instances": 3/' "$source/tests/daemon/session.jsonc" >"$work/other.jsonc"
 apply z1-d0 "$work/other.jsonc" 2>&1 | sed "s/$address:[0-9]*/ADDRESS/;s|$work|WORK|"
