daemon: split request handling, one way to pack handles

The packing of a handle into a number stood five times and is in the library's table module now. Behavior is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	@scripts/demo.sh $(DEPLOYMENT)
 
 format:
-	@git ls-files '*.c' '*.h' | grep -v peer_xdr | xargs clang-format -i
+	@git ls-files -co --exclude-standard '*.c' '*.h' | grep -v peer_xdr | xargs clang-format -i
 
 lint: build
 	@scripts/lint.sh $(BUILD)
--- a/common/upstream.c
+++ b/common/upstream.c
@@ -142,9 +142,9 @@
 static size_t
 put_text (char *out, size_t at, const char *text)
 {
-  size_t n = strlen (text);
-  memcpy (out + at, text, n);
-  return at + n;
+  while (*text != '\0')
+    out[at++] = *text++;
+  return at;
 }
 
 /* Copies the headers as lines and tells whether they announce how the body
--- a/include/rosemaryrail/table.h
+++ b/include/rosemaryrail/table.h
@@ -14,6 +14,10 @@
   uint32_t generation;
 };
 
+/* A handle as one number, for messages and callbacks.  */
+uint64_t rr_handle_pack (struct rr_handle h);
+struct rr_handle rr_handle_unpack (uint64_t token);
+
 /* Rows of one fixed size; a row keeps its address until it is removed.  */
 struct rr_table;
 
--- a/include/rosemaryraild/workers_internal.h
+++ b/include/rosemaryraild/workers_internal.h
@@ -165,7 +165,17 @@
 void worker_take_account (struct worker *w, const struct worker_account *a);
 void worker_tell_ends (struct worker *w);
 
+/* workers_forward.c */
+bool request_forward (struct workers *ws, struct request *r);
+
 /* workers_requests.c */
+int64_t request_remaining_ms (const struct request *r);
+void request_finish (struct workers *ws, struct request *r);
+void request_finish_on (struct workers *ws, struct request *r, int event,
+                        const char *reason);
+void request_retry_or_finish (struct workers *ws, struct request *r,
+                              enum rr_call_state state, const char *reason);
+void request_dispatch (struct workers *ws, struct request *r);
 void workers_run_request (struct workers *ws, struct request *r);
 void workers_forwarded_request (struct workers *ws,
                                 const struct message_rpc_request *q);
--- a/rosemaryrail/table.c
+++ b/rosemaryrail/table.c
@@ -23,6 +23,21 @@
   char **chunks; /* rows never move, so pointers to them stay valid */
 };
 
+/* Returns H as one number, which is never 0 for an issued handle.  */
+uint64_t
+rr_handle_pack (struct rr_handle h)
+{
+  return (uint64_t)h.generation << 32 | h.index;
+}
+
+/* Returns the handle that TOKEN was made from.  */
+struct rr_handle
+rr_handle_unpack (uint64_t token)
+{
+  return (struct rr_handle){ .index = (uint32_t)token,
+                             .generation = (uint32_t)(token >> 32) };
+}
+
 /* Returns an empty table with rows of ROW_SIZE bytes, or null without
    memory.  */
 struct rr_table *
--- a/rosemaryraild/front.c
+++ b/rosemaryraild/front.c
@@ -9,12 +9,6 @@
 #include "rosemaryraild/front_internal.h"
 #include "rosemaryraild/peers.h"
 
-static uint64_t
-token_of (struct rr_handle h)
-{
-  return (uint64_t)h.generation << 32 | h.index;
-}
-
 /* Keeps X until its answer is known and returns its token.  */
 uint64_t
 front_hold (struct front *f, struct http_exchange *x)
@@ -22,7 +16,7 @@
   struct rr_handle h;
   struct http_exchange **row = rr_table_insert (f->exchanges, &h);
   *row = x;
-  return token_of (h);
+  return rr_handle_pack (h);
 }
 
 /* Returns the exchange with TOKEN, which then has to be answered; null when it
@@ -30,8 +24,7 @@
 struct http_exchange *
 front_release (struct front *f, uint64_t token)
 {
-  struct rr_handle h
-      = { .index = (uint32_t)token, .generation = (uint32_t)(token >> 32) };
+  struct rr_handle h = rr_handle_unpack (token);
   struct http_exchange **row = rr_table_get (f->exchanges, h);
   if (row == NULL)
     return NULL;
--- a/rosemaryraild/shards.c
+++ b/rosemaryraild/shards.c
@@ -78,12 +78,6 @@
                   o->length, o->expect, on_log_call, c);
 }
 
-static uint64_t
-token_of (struct rr_handle h)
-{
-  return (uint64_t)h.generation << 32 | h.index;
-}
-
 /* Remembers what to do once the record with the returned token has an
    outcome.  */
 uint64_t
@@ -97,7 +91,7 @@
   if (origin != NULL)
     p->origin = *origin;
   snprintf (p->id, sizeof p->id, "%s", id);
-  return token_of (h);
+  return rr_handle_pack (h);
 }
 
 static void
@@ -112,8 +106,7 @@
 take_settled (struct shard *s, const struct rr_shard_output *o)
 {
   struct shards *ss = s->ss;
-  struct rr_handle h = { .index = (uint32_t)o->token,
-                         .generation = (uint32_t)(o->token >> 32) };
+  struct rr_handle h = rr_handle_unpack (o->token);
   struct pending *row = rr_table_get (ss->pending, h);
   s->dirty = true;
   if (row == NULL)
@@ -210,8 +203,7 @@
   r->at_ms = daemon_wall_ms ();
   if (!rr_shard_log_append (s->log, r, token, daemon_now (), err))
     {
-      struct rr_handle h = { .index = (uint32_t)token,
-                             .generation = (uint32_t)(token >> 32) };
+      struct rr_handle h = rr_handle_unpack (token);
       rr_table_remove (s->ss->pending, h);
       return false;
     }
--- a/rosemaryraild/shards_place.c
+++ b/rosemaryraild/shards_place.c
@@ -270,7 +270,7 @@
   const struct rr_attempt *a = &job->tasks[task].attempt;
   struct rr_handle h
       = rr_job_store_handle (rr_shard_log_data (s->log)->jobs, job->spec.job);
-  uint64_t id = (uint64_t)h.generation << 32 | h.index;
+  uint64_t id = rr_handle_pack (h);
   bool first = job->spec.urgent || job->spec.kind == RR_JOB_SERVICE;
   if (a->number > 0 && a->result == RR_RESULT_LOST && !first
       && rr_pacer_take (&ss->restarts, 1, daemon_now ()) == 0)
@@ -295,8 +295,7 @@
   for (int calls = 0; calls < RESERVE_CALLS_MAX
                       && rr_batch_queue_next (s->queue, now, &pick);)
     {
-      struct rr_handle h = { .index = (uint32_t)pick.job,
-                             .generation = (uint32_t)(pick.job >> 32) };
+      struct rr_handle h = rr_handle_unpack (pick.job);
       struct rr_job *job = rr_job_store_get (jobs, h);
       assert (job != NULL);
       if (place (s, job, (uint32_t)pick.task, now))
--- a/rosemaryraild/workers_requests.c
+++ b/rosemaryraild/workers_requests.c
@@ -1,5 +1,4 @@
 #include <assert.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,13 +15,7 @@
   NO_WORKER_POLL_MS = 50,
   BACKOFF_BASE_MS = 5,
   BACKOFF_MAX_MS = 200,
-  ANSWER_MAX_BYTES = 1000000,
-  FORWARD_PEERS_MAX = 64,
-  /* Left of a forwarded deadline for the way back.  */
-  FORWARD_MARGIN_MS = 2,
-  /* Calls of a forwarded request are numbered from its own attempt number
-     times this, so that no two calls of a request share a number.  */
-  FORWARD_ATTEMPT_STRIDE = 100
+  ANSWER_MAX_BYTES = 1000000
 };
 
 static const double retry_ratio = 0.1;
@@ -48,28 +41,14 @@
   struct request *r;
 };
 
-static uint64_t
-token_of (struct rr_handle h)
-{
-  return (uint64_t)h.generation << 32 | h.index;
-}
-
-static struct rr_handle
-handle_of (uint64_t token)
-{
-  return (struct rr_handle){ .index = (uint32_t)token,
-                             .generation = (uint32_t)(token >> 32) };
-}
-
-static int64_t
-remaining_ms (const struct request *r)
+/* Returns the milliseconds until R's deadline; negative once it has passed. */
+int64_t
+request_remaining_ms (const struct request *r)
 {
   return rr_time_diff (r->deadline, daemon_now ());
 }
 
-static void dispatch (struct workers *ws, struct request *r);
 static void run_route (struct route *route);
-static bool forward (struct workers *ws, struct request *r);
 
 static peer_outcome
 peer_outcome_of (enum rr_outcome o)
@@ -87,8 +66,8 @@
 }
 
 /* Gives R with its outcome back to whoever sent it.  */
-static void
-finish (struct workers *ws, struct request *r)
+void
+request_finish (struct workers *ws, struct request *r)
 {
   ws->in_progress--;
   if (!r->forwarded)
@@ -109,16 +88,16 @@
 }
 
 /* Ends R by EVENT, which leads to a final state of its chart.  */
-static void
-finish_on (struct workers *ws, struct request *r, int event,
-           const char *reason)
+void
+request_finish_on (struct workers *ws, struct request *r, int event,
+                   const char *reason)
 {
   const struct request_chart *c = &ws->d->request_chart;
   request_event (c, r, event);
   enum rr_outcome outcome = request_outcome (c, r);
   request_set_outcome (r, outcome, outcome == RR_OUTCOME_NOT_RUN ? 503 : 504,
                        reason);
-  finish (ws, r);
+  request_finish (ws, r);
 }
 
 static void
@@ -131,7 +110,7 @@
 on_delay_over (uv_timer_t *timer)
 {
   struct delayed_request *d = timer->data;
-  dispatch (d->ws, d->r);
+  request_dispatch (d->ws, d->r);
   uv_close ((uv_handle_t *)timer, on_delay_closed);
 }
 
@@ -149,16 +128,16 @@
 
 /* Decides what follows a call that brought no answer: another one after a
    delay, or the outcome.  */
-static void
-retry_or_finish (struct workers *ws, struct request *r,
-                 enum rr_call_state state, const char *reason)
+void
+request_retry_or_finish (struct workers *ws, struct request *r,
+                         enum rr_call_state state, const char *reason)
 {
   const struct request_chart *c = &ws->d->request_chart;
   bool lost = state == RR_CALL_UNKNOWN;
   struct rr_retry_input in
       = { .repeatable = r->repeatable,
           .state = state,
-          .remaining_ms = remaining_ms (r),
+          .remaining_ms = request_remaining_ms (r),
           .needed_ms = 1,
           .budget = rr_retry_budget_available (&ws->retry_budget) };
   struct rr_backoff backoff = { BACKOFF_BASE_MS, BACKOFF_MAX_MS };
@@ -168,7 +147,7 @@
                               in.needed_ms);
   if (delay < 0 || !rr_retry_budget_take (&ws->retry_budget))
     {
-      finish_on (ws, r, lost ? c->lost_last : c->refused_last, reason);
+      request_finish_on (ws, r, lost ? c->lost_last : c->refused_last, reason);
       return;
     }
   request_event (c, r, lost ? c->lost : c->refused);
@@ -251,10 +230,10 @@
       take_answer (e->r, h);
       request_event (&ws->d->request_chart, e->r,
                      ws->d->request_chart.response);
-      finish (ws, e->r);
+      request_finish (ws, e->r);
     }
   else
-    retry_or_finish (ws, e->r, state, reason);
+    request_retry_or_finish (ws, e->r, state, reason);
   struct route *route = e->route;
   if (route->instances[e->number] == e->w && worker_is_open (e->w, now))
     rr_admission_block_worker (route->admission, e->number, false);
@@ -265,7 +244,7 @@
 static struct request *
 take_request (struct workers *ws, uint64_t token)
 {
-  struct rr_handle handle = handle_of (token);
+  struct rr_handle handle = rr_handle_unpack (token);
   struct request **row = rr_table_get (ws->requests, handle);
   assert (row != NULL);
   struct request *r = *row;
@@ -325,8 +304,8 @@
       else
         {
           struct request *r = take_request (ws, step.request);
-          finish_on (ws, r, ws->d->request_chart.rejected,
-                     rr_admission_result_name (step.reason));
+          request_finish_on (ws, r, ws->d->request_chart.rejected,
+                             rr_admission_result_name (step.reason));
         }
     }
   if (rr_admission_waiting (route->admission) > 0 && !ws->queue_timer_active)
@@ -348,9 +327,9 @@
   while ((row = rr_table_next (ws->requests, &h)) != NULL)
     {
       struct request *r = *row;
-      if (strcmp (r->service, route->service) != 0 || !forward (ws, r))
+      if (strcmp (r->service, route->service) != 0 || !request_forward (ws, r))
         continue;
-      rr_admission_withdraw (route->admission, token_of (h));
+      rr_admission_withdraw (route->admission, rr_handle_pack (h));
       rr_table_remove (ws->requests, h);
     }
 }
@@ -392,249 +371,43 @@
     }
 }
 
-/* Returns the route of SERVICE, made on first use; null when there are too
-   many.  */
-struct route *
-workers_route (struct workers *ws, const char *service)
-{
-  for (size_t i = 0; i < ws->route_count; i++)
-    if (strcmp (ws->routes[i]->service, service) == 0)
-      return ws->routes[i];
-  if (ws->route_count == SERVICES_MAX)
-    return NULL;
-  struct route *r = calloc (1, sizeof *r);
-  assert (r != NULL);
-  r->ws = ws;
-  snprintf (r->service, sizeof r->service, "%s", service);
-  struct rr_admission_options options;
-  rr_admission_options_default (&options);
-  const struct rr_config_service *v
-      = rr_config_service (config_keeper_config (ws->d->config), service);
-  if (v != NULL && v->concurrency > 0)
-    {
-      options.limiter.max = (double)v->concurrency;
-      if (options.limiter.initial > options.limiter.max)
-        options.limiter.initial = options.limiter.max;
-    }
-  r->admission = rr_admission_new (&options);
-  ws->routes[ws->route_count++] = r;
-  return r;
-}
-
-/* A service task runs on W from now on.  */
-void
-route_add_instance (struct worker *w, struct hosted_task *t)
-{
-  if (t->instance >= 0 || strcmp (t->kind, "service") != 0)
-    return;
-  struct route *r = workers_route (w->ws, t->service);
-  if (r == NULL || r->instance_count == INSTANCES_MAX)
-    return;
-  int number = rr_admission_add_worker (r->admission);
-  if (number >= INSTANCES_MAX)
-    {
-      rr_admission_remove_worker (r->admission, number);
-      return;
-    }
-  r->instances[number] = w;
-  r->instance_count++;
-  if (number >= r->instances_used)
-    r->instances_used = number + 1;
-  t->instance = number;
-}
-
-/* The service task T on W has ended, or its ledger is no longer ours.  */
-void
-route_remove_instance (struct worker *w, struct hosted_task *t)
-{
-  if (t->instance < 0)
-    return;
-  struct route *r = workers_route (w->ws, t->service);
-  rr_admission_remove_worker (r->admission, t->instance);
-  r->instances[t->instance] = NULL;
-  r->instance_count--;
-  t->instance = -1;
-}
-
-/* Whether the daemon PEER can run the service now; fills its latency.  */
-static bool
-peer_serves (const peer_heartbeat *h, const char *service, u_int *latency_us)
-{
-  for (u_int i = 0; i < h->services.services_len; i++)
-    {
-      const peer_service *s = &h->services.services_val[i];
-      if (strcmp (s->name, service) == 0 && s->free_connections > 0)
-        {
-          *latency_us = s->latency_us;
-          return true;
-        }
-    }
-  return false;
-}
-
-/* Picks the daemon to forward R to: one of this zone before others, then the
-   lowest latency; a tie is broken at random, so that daemons with the same
-   view spread their requests.  */
-static bool
-choose_peer (struct workers *ws, const struct request *r, char *name)
-{
-  struct rr_membership *m = peers_membership (ws->d->peers);
-  struct rr_time now = daemon_now ();
-  double best = HUGE_VAL;
-  for (size_t i = 0; i < rr_membership_count (m); i++)
-    {
-      const struct rr_member *member = rr_membership_at (m, now, i);
-      if (member->info.role != RR_ROLE_ENTRY || !member->alive
-          || member->state != RR_MEMBER_LIVE
-          || rr_membership_is_self (m, member))
-        continue;
-      const peer_heartbeat *h = peers_load (ws->d->peers, member->info.name);
-      u_int latency_us = 0;
-      if (h == NULL || h->stopping
-          || !peer_serves (h, r->service, &latency_us))
-        continue;
-      double cost = latency_us * (1 + 0.2 * gsl_rng_uniform (ws->d->rng)) + 1;
-      if (strcmp (member->info.zone, ws->d->settings.zone) != 0)
-        cost += 1e9;
-      if (cost < best)
-        {
-          best = cost;
-          snprintf (name, NAME_SIZE, "%s", member->info.name);
-        }
-    }
-  return best < HUGE_VAL;
-}
-
-/* A request on its one hop to another daemon.  */
-struct forwarded_call
-{
-  struct workers *ws;
-  struct request *r;
-};
-
-static void
-take_forward_result (struct workers *ws, struct request *r,
-                     peer_forward_result *f)
-{
-  switch (f->outcome)
-    {
-    case PEER_ANSWERED:
-      r->outcome = RR_OUTCOME_ANSWERED;
-      r->status = f->status;
-      snprintf (r->content_type, sizeof r->content_type, "%s",
-                f->content_type);
-      free (r->answer);
-      r->answer = f->body.body_val;
-      r->answer_length = f->body.body_len;
-      f->body.body_val = NULL;
-      f->body.body_len = 0;
-      request_event (&ws->d->request_chart, r, ws->d->request_chart.response);
-      finish (ws, r);
-      break;
-    case PEER_NOT_RUN:
-      retry_or_finish (ws, r, RR_CALL_REFUSED, f->reason);
-      break;
-    case PEER_UNKNOWN:
-      retry_or_finish (ws, r, RR_CALL_UNKNOWN, f->reason);
-      break;
-    }
-}
-
-static void
-on_forwarded (void *data, enum rpc_call_state state, const char *result,
-              size_t length)
-{
-  struct forwarded_call *call = data;
-  struct workers *ws = call->ws;
-  struct request *r = call->r;
-  free (call);
-  peer_forward_result f = { 0 };
-  switch (state)
-    {
-    case RPC_CALL_ANSWERED:
-      if (!xdr_decode ((xdrproc_t)xdr_peer_forward_result, &f, result, length))
-        {
-          retry_or_finish (ws, r, RR_CALL_UNKNOWN, "malformed answer");
-          return;
-        }
-      take_forward_result (ws, r, &f);
-      xdr_free ((xdrproc_t)xdr_peer_forward_result, &f);
-      break;
-    case RPC_CALL_NOT_SENT:
-    case RPC_CALL_REJECTED:
-      retry_or_finish (ws, r, RR_CALL_NOT_SENT, "daemon unreachable");
-      break;
-    case RPC_CALL_UNKNOWN:
-      retry_or_finish (ws, r, RR_CALL_UNKNOWN, "daemon gave no answer");
-      break;
-    }
-}
-
-static bool
-forward (struct workers *ws, struct request *r)
-{
-  char peer[NAME_SIZE];
-  if (r->forwarded || !choose_peer (ws, r, peer))
-    return false;
-  int64_t left = remaining_ms (r) - FORWARD_MARGIN_MS;
-  if (left < 1)
-    return false;
-  struct forwarded_call *call = calloc (1, sizeof *call);
-  assert (call != NULL);
-  *call = (struct forwarded_call){ ws, r };
-  r->calls++;
-  request_event (&ws->d->request_chart, r, ws->d->request_chart.send);
-  peer_forward_args args
-      = { .id = r->id,
-          .service = r->service,
-          .team = r->team,
-          .timeout_ms = (u_int)left,
-          .attempt = r->calls,
-          .repeatable = r->repeatable,
-          .body = { .body_len = (u_int)r->body_length, .body_val = r->body } };
-  metric_add (&ws->d->metrics, METRIC_REQUESTS_FORWARDED, 1);
-  daemon_call (ws->d, &ws->d->workers_actor, peer, REQUEST_FORWARD,
-               (xdrproc_t)xdr_peer_forward_args, &args, (uint64_t)left,
-               on_forwarded, call);
-  return true;
-}
-
 /* Runs R here if a worker can take it, forwards it otherwise, and ends it as
    "not run" when neither is possible.  */
-static void
-dispatch (struct workers *ws, struct request *r)
+void
+request_dispatch (struct workers *ws, struct request *r)
 {
   int rejected = ws->d->request_chart.rejected;
   struct route *route = workers_route (ws, r->service);
   if (route == NULL)
     {
-      finish_on (ws, r, rejected, "too many services");
+      request_finish_on (ws, r, rejected, "too many services");
       return;
     }
   struct rr_handle handle;
   struct request **row = rr_table_insert (ws->requests, &handle);
   *row = r;
   int team = rr_admission_team (route->admission, r->team);
-  enum rr_admission_result admission = rr_admission_offer (
-      route->admission, daemon_now (), token_of (handle), team, r->deadline);
+  enum rr_admission_result admission
+      = rr_admission_offer (route->admission, daemon_now (),
+                            rr_handle_pack (handle), team, r->deadline);
   if (admission == RR_ADMISSION_QUEUED)
     {
       run_route (route);
       return;
     }
   rr_table_remove (ws->requests, handle);
-  if (forward (ws, r))
+  if (request_forward (ws, r))
     return;
   /* While ledgers move between daemons a service has no instance for a moment;
      that is no reason to refuse a request that can wait.  */
   int64_t waited = rr_time_diff (daemon_now (), r->received);
   if (admission == RR_ADMISSION_NOT_RUN_NO_WORKER && waited < NO_WORKER_WAIT_MS
-      && remaining_ms (r) > NO_WORKER_POLL_MS)
+      && request_remaining_ms (r) > NO_WORKER_POLL_MS)
     {
       dispatch_later (ws, r, NO_WORKER_POLL_MS);
       return;
     }
-  finish_on (ws, r, rejected, rr_admission_result_name (admission));
+  request_finish_on (ws, r, rejected, rr_admission_result_name (admission));
 }
 
 /* Runs a request of this daemon's front, which gets it back with its outcome
@@ -644,40 +417,7 @@
 {
   ws->in_progress++;
   rr_retry_budget_first (&ws->retry_budget);
-  dispatch (ws, r);
-}
-
-/* Runs a request that another daemon forwarded.  */
-void
-workers_forwarded_request (struct workers *ws,
-                           const struct message_rpc_request *q)
-{
-  peer_forward_args a = { 0 };
-  if (!xdr_decode ((xdrproc_t)xdr_peer_forward_args, &a, q->args, q->length))
-    {
-      daemon_reject (ws->d, &q->origin);
-      return;
-    }
-  struct request *r = calloc (1, sizeof *r);
-  assert (r != NULL);
-  r->forwarded = true;
-  r->origin = q->origin;
-  snprintf (r->id, sizeof r->id, "%s", a.id);
-  snprintf (r->service, sizeof r->service, "%s", a.service);
-  snprintf (r->team, sizeof r->team, "%s", a.team);
-  r->received = daemon_now ();
-  r->deadline = rr_time_add (r->received, a.timeout_ms);
-  r->repeatable = a.repeatable;
-  r->calls = a.attempt * FORWARD_ATTEMPT_STRIDE;
-  r->body = a.body.body_val;
-  r->body_length = a.body.body_len;
-  a.body.body_val = NULL;
-  a.body.body_len = 0;
-  xdr_free ((xdrproc_t)xdr_peer_forward_args, &a);
-  ws->in_progress++;
-  request_begin (&ws->d->request_chart, r);
-  request_event (&ws->d->request_chart, r, ws->d->request_chart.queue);
-  dispatch (ws, r);
+  request_dispatch (ws, r);
 }
 
 /* Prepares the parts that serve requests.  */
