--- /dev/null
+++ b/include/rosemaryraild/peers_internal.h
@@ -0,0 +1,52 @@
+#ifndef ROSEMARYRAILD_PEERS_INTERNAL_H
+#define ROSEMARYRAILD_PEERS_INTERNAL_H
+
+#include <uv.h>
+
+#include "rosemaryraild/daemon.h"
+#include "rosemaryraild/peers.h"
+
+enum
+{
+  VMS_MAX = 4096
+};
+
+/* A VM that was listed, or a daemon that answered a seed address.  */
+struct vm
+{
+  char name[RR_MEMBER_NAME_SIZE]; /* empty: a seed that hasn't answered */
+  struct vm_address at;
+  enum rr_role role;
+  bool same_zone;
+  struct rpc_client *client; /* daemons only */
+  bool heartbeat_pending;
+  struct rr_time last_exchange;
+  bool loaded;
+  peer_heartbeat load; /* last heartbeat received */
+};
+
+struct peers
+{
+  struct daemon *d;
+  struct rr_membership *membership;
+  struct rpc_server *server;
+  uv_timer_t timer;
+  struct vm *vms[VMS_MAX]; /* rows keep their address */
+  size_t vm_count;
+  char *list_text;
+  size_t list_length;
+  bool list_pending;
+  struct rr_time list_due;
+  uint64_t leaving_version;
+  size_t alive;
+  struct rr_pause pause;
+};
+
+struct vm *peers_find (const struct peers *p, const char *name);
+
+/* peers_heartbeat.c */
+void peers_send_heartbeats (struct peers *p, struct rr_time now);
+void peers_answer_heartbeat (struct peers *p, const struct call_origin *origin,
+                             const char *args, size_t length);
+
+#endif
--- a/rosemaryraild/peers.c
+++ b/rosemaryraild/peers.c
@@ -7,60 +7,18 @@
 
 #include "common/log.h"
 #include "rosemaryraild/config_keeper.h"
-#include "rosemaryraild/daemon.h"
-#include "rosemaryraild/shards.h"
+#include "rosemaryraild/peers_internal.h"
 #include "rosemaryraild/vm_list.h"
-#include "rosemaryraild/workers.h"
 
 enum
 {
   TICK_MS = 200,
-  HEARTBEAT_TIMEOUT_MS = 2000,
-  VM_LIST_TIMEOUT_MS = 2000,
-  VMS_MAX = 4096,
-  LEAVING_MAX = 4096
+  VM_LIST_TIMEOUT_MS = 2000
 };
 
-/* A VM that was listed, or a daemon that answered a seed address.  */
-struct vm
-{
-  char name[RR_MEMBER_NAME_SIZE]; /* empty: a seed that hasn't answered */
-  struct vm_address at;
-  enum rr_role role;
-  bool same_zone;
-  struct rpc_client *client; /* daemons only */
-  bool heartbeat_pending;
-  struct rr_time last_exchange;
-  bool loaded;
-  peer_heartbeat load; /* last heartbeat received */
-};
-
-struct peers
-{
-  struct daemon *d;
-  struct rr_membership *membership;
-  struct rpc_server *server;
-  uv_timer_t timer;
-  struct vm *vms[VMS_MAX]; /* rows keep their address */
-  size_t vm_count;
-  char *list_text;
-  size_t list_length;
-  bool list_pending;
-  struct rr_time list_due;
-  uint64_t leaving_version;
-  size_t alive;
-  struct rr_pause pause;
-};
-
-/* What a completed heartbeat needs to know.  */
-struct heartbeat_call
-{
-  struct peers *peers;
-  struct vm *vm;
-};
-
-static struct vm *
-find_vm (const struct peers *p, const char *name)
+/* Returns the VM called NAME, or null.  */
+struct vm *
+peers_find (const struct peers *p, const char *name)
 {
   for (size_t i = 0; i < p->vm_count; i++)
     if (strcmp (p->vms[i]->name, name) == 0)
@@ -103,182 +61,6 @@
   daemon_broadcast (p->d, MESSAGE_MEMBERSHIP);
 }
 
-/* Builds our heartbeat; its strings belong to others and must not be
-   freed, its arrays are in STORAGE.  */
-struct heartbeat_storage
-{
-  peer_leaving leaving[LEAVING_MAX];
-  struct rr_leaving entries[LEAVING_MAX];
-};
-
-static void
-build_heartbeat (struct peers *p, peer_heartbeat *h,
-                 struct heartbeat_storage *storage)
-{
-  struct daemon *d = p->d;
-  memset (h, 0, sizeof *h);
-  h->name = d->settings.name;
-  h->incarnation = d->incarnation;
-  h->zone = d->settings.zone;
-  h->generation = (uint64_t)config_keeper_generation (d->config);
-  h->digest = (char *)config_keeper_digest (d->config);
-  h->stopping = d->stopping;
-  h->platform_reachable = platform_reachable (d->platform);
-  size_t n = rr_membership_leaving_set (p->membership, storage->entries,
-                                        LEAVING_MAX);
-  if (n > LEAVING_MAX)
-    n = LEAVING_MAX;
-  for (size_t i = 0; i < n; i++)
-    {
-      struct rr_leaving *e = &storage->entries[i];
-      storage->leaving[i] = (peer_leaving){ .vm = e->address,
-                                            .incarnation = e->incarnation,
-                                            .source = (u_int)e->source,
-                                            .generation = e->generation };
-    }
-  h->leaving.leaving_len = (u_int)n;
-  h->leaving.leaving_val = storage->leaving;
-  workers_load (d->workers, h);
-  shards_load (d->shards, h);
-}
-
-static void
-take_heartbeat (struct peers *p, const peer_heartbeat *h)
-{
-  struct rr_time now = daemon_now ();
-  static struct rr_leaving leaving[LEAVING_MAX];
-  for (u_int i = 0; i < h->leaving.leaving_len; i++)
-    {
-      const peer_leaving *l = &h->leaving.leaving_val[i];
-      snprintf (leaving[i].address, sizeof leaving[i].address, "%s", l->vm);
-      leaving[i].incarnation = l->incarnation;
-      leaving[i].source = (enum rr_source)l->source;
-      leaving[i].generation = l->generation;
-    }
-  uint32_t owned = 0;
-  for (u_int i = 0; i < h->shards.shards_len; i++)
-    if (h->shards.shards_val[i].shard < RR_SHARD_COUNT)
-      owned |= 1u << h->shards.shards_val[i].shard;
-  struct rr_heartbeat in = { .incarnation = h->incarnation,
-                             .leaving = h->stopping,
-                             .store_lost = !h->platform_reachable,
-                             .config_generation = h->generation,
-                             .shards = owned,
-                             .leaving_set = leaving,
-                             .leaving_count = h->leaving.leaving_len };
-  snprintf (in.name, sizeof in.name, "%s", h->name);
-  snprintf (in.address, sizeof in.address, "%s", h->name);
-  snprintf (in.zone, sizeof in.zone, "%s", h->zone);
-  snprintf (in.config_digest, sizeof in.config_digest, "%s", h->digest);
-  if (!rr_membership_heartbeat (p->membership, now, &in))
-    return;
-  struct vm *v = find_vm (p, h->name);
-  if (v != NULL)
-    {
-      v->last_exchange = now;
-      v->same_zone = strcmp (h->zone, p->d->settings.zone) == 0;
-      if (v->loaded)
-        xdr_free ((xdrproc_t)xdr_peer_heartbeat, &v->load);
-      char *bytes;
-      size_t length;
-      memset (&v->load, 0, sizeof v->load);
-      v->loaded = xdr_encode ((xdrproc_t)xdr_peer_heartbeat, (void *)h, &bytes,
-                              &length)
-                  && xdr_decode ((xdrproc_t)xdr_peer_heartbeat, &v->load,
-                                 bytes, length);
-      free (bytes);
-    }
-  if ((int64_t)h->generation > config_keeper_generation (p->d->config))
-    {
-      struct message m = { .type = MESSAGE_CONFIG_HINT };
-      snprintf (m.u.config_hint.peer, sizeof m.u.config_hint.peer, "%s",
-                h->name);
-      m.u.config_hint.generation = (int64_t)h->generation;
-      daemon_send (p->d, &p->d->config_actor, &m);
-    }
-}
-
-/* A seed that answered is known under its name from now on; one that is known
-   already, or is this daemon, gets no heartbeats of its own.  */
-static void
-name_seed (struct peers *p, struct vm *v, const peer_heartbeat *h)
-{
-  if (v->name[0] != '\0')
-    return;
-  if (find_vm (p, h->name) != NULL
-      || strcmp (h->name, p->d->settings.name) == 0)
-    {
-      rpc_client_close (v->client);
-      v->client = NULL;
-      return;
-    }
-  snprintf (v->name, sizeof v->name, "%s", h->name);
-  v->same_zone = strcmp (h->zone, p->d->settings.zone) == 0;
-}
-
-static void
-on_heartbeat_done (void *data, enum rpc_call_state state, const char *result,
-                   size_t length)
-{
-  struct heartbeat_call *call = data;
-  struct peers *p = call->peers;
-  call->vm->heartbeat_pending = false;
-  peer_heartbeat h = { 0 };
-  if (state == RPC_CALL_ANSWERED)
-    {
-      if (xdr_decode ((xdrproc_t)xdr_peer_heartbeat, &h, result, length))
-        {
-          name_seed (p, call->vm, &h);
-          take_heartbeat (p, &h);
-          xdr_free ((xdrproc_t)xdr_peer_heartbeat, &h);
-        }
-      else
-        metric_add (&p->d->metrics, METRIC_RPC_MALFORMED, 1);
-    }
-  free (call);
-}
-
-static void
-send_heartbeat (struct peers *p, struct vm *v)
-{
-  static struct heartbeat_storage storage;
-  peer_heartbeat h;
-  build_heartbeat (p, &h, &storage);
-  char *bytes;
-  size_t length;
-  if (!xdr_encode ((xdrproc_t)xdr_peer_heartbeat, &h, &bytes, &length))
-    return;
-  struct heartbeat_call *call = calloc (1, sizeof *call);
-  assert (call != NULL);
-  *call = (struct heartbeat_call){ p, v };
-  v->heartbeat_pending = true;
-  v->last_exchange = daemon_now ();
-  rpc_client_call (v->client, HEARTBEAT, bytes, length, HEARTBEAT_TIMEOUT_MS,
-                   on_heartbeat_done, call);
-  free (bytes);
-}
-
-/* Starts the heartbeats that are due.  A heartbeat received counts as well as
-   one sent, so that each pair of daemons exchanges only one per interval.  */
-static void
-send_due_heartbeats (struct peers *p, struct rr_time now)
-{
-  uint64_t version = rr_membership_leaving_version (p->membership);
-  bool at_once = version != p->leaving_version;
-  p->leaving_version = version;
-  for (size_t i = 0; i < p->vm_count; i++)
-    {
-      struct vm *v = p->vms[i];
-      if (v->client == NULL || v->heartbeat_pending)
-        continue;
-      int64_t interval = v->same_zone || v->name[0] == '\0'
-                             ? p->d->settings.heartbeat_zone_ms
-                             : p->d->settings.heartbeat_remote_ms;
-      if (at_once || rr_time_diff (now, v->last_exchange) >= interval)
-        send_heartbeat (p, v);
-    }
-}
-
 /* The list numbers VMs, heartbeats number processes: a daemon that was started
    again on its VM is a new incarnation to its peers.  A listed daemon
    therefore counts as the process that was heard last.  */
@@ -308,7 +90,7 @@
     {
       const struct vm_entry *e = &entries[i];
       infos[i] = e->info;
-      struct vm *v = find_vm (p, e->info.name);
+      struct vm *v = peers_find (p, e->info.name);
       if (v == NULL)
         v = add_vm (p);
       if (v == NULL)
@@ -422,25 +204,7 @@
   rr_membership_store_lost (p->membership,
                             !platform_reachable (p->d->platform));
   watch_liveness (p, now);
-  send_due_heartbeats (p, now);
-}
-
-static void
-answer_heartbeat (struct peers *p, const struct call_origin *origin,
-                  const char *args, size_t length)
-{
-  peer_heartbeat in = { 0 };
-  if (!xdr_decode ((xdrproc_t)xdr_peer_heartbeat, &in, args, length))
-    {
-      daemon_reject (p->d, origin);
-      return;
-    }
-  take_heartbeat (p, &in);
-  xdr_free ((xdrproc_t)xdr_peer_heartbeat, &in);
-  static struct heartbeat_storage storage;
-  peer_heartbeat out;
-  build_heartbeat (p, &out, &storage);
-  daemon_reply (p->d, origin, (xdrproc_t)xdr_peer_heartbeat, &out);
+  peers_send_heartbeats (p, now);
 }
 
 static void
@@ -487,7 +251,7 @@
   struct daemon *d = p->d;
   if (procedure == HEARTBEAT)
     {
-      answer_heartbeat (p, origin, args, length);
+      peers_answer_heartbeat (p, origin, args, length);
       return;
     }
   if (procedure == VM_LIST)
@@ -559,7 +323,7 @@
   struct relayed_call *call = calloc (1, sizeof *call);
   assert (call != NULL);
   *call = (struct relayed_call){ p->d, origin };
-  struct vm *v = find_vm (p, c->peer);
+  struct vm *v = peers_find (p, c->peer);
   if (v == NULL || v->client == NULL)
     {
       relay_done (call, RPC_CALL_NOT_SENT, NULL, 0);
@@ -655,7 +419,7 @@
 peers_vm_address (const struct peers *p, const char *name,
                   struct vm_address *out)
 {
-  const struct vm *v = find_vm (p, name);
+  const struct vm *v = peers_find (p, name);
   if (v == NULL)
     return false;
   *out = v->at;
@@ -666,7 +430,7 @@
 const peer_heartbeat *
 peers_load (const struct peers *p, const char *name)
 {
-  const struct vm *v = find_vm (p, name);
+  const struct vm *v = peers_find (p, name);
   return v != NULL && v->loaded ? &v->load : NULL;
 }
 
