--- a/rosemaryrail/config.c
+++ b/rosemaryrail/config.c
@@ -389,7 +389,7 @@
 rr_config_is_drained (const struct rr_config *c, const char *vm)
 {
   struct rr_config_drain key = { 0 };
-  if (!rr_name_valid (vm, strlen (vm)))
+  if (c->drain_count == 0 || !rr_name_valid (vm, strlen (vm)))
     return false;
   snprintf (key.vm, sizeof key.vm, "%s", vm);
   return bsearch (&key, c->drains, c->drain_count, sizeof key, compare_drains)
