daemon: one way to read the policy and to record a reported end

Two actors copied the policy's parameters in loops of their own although the library's rr_config_policy_fill does that; the record of an end that a worker reported was built twice in shards_tasks.c. Behavior is unchanged.

--- a/rosemaryraild/shards_place.c
+++ b/rosemaryraild/shards_place.c
@@ -314,15 +314,7 @@
 void
 shards_set_policy (struct shards *ss)
 {
-  const struct rr_config *c = config_keeper_config (ss->d->config);
-  size_t count;
-  const struct rr_policy_parameter *p = rr_policy_parameters (&count);
-  for (size_t i = 0; c->policy != NULL && i < count; i++)
-    {
-      double value;
-      if (rr_config_policy (c, p[i].name, &value))
-        rr_policy_set (&ss->policy, p[i].name, value, NULL);
-    }
+  rr_config_policy_fill (config_keeper_config (ss->d->config), &ss->policy);
   struct rr_time now = daemon_now ();
   rr_pacer_init_restarts (&ss->restarts, &ss->policy, now);
   rr_pacer_init_cancels (&ss->cancels, &ss->policy, now);
--- a/rosemaryraild/shards_tasks.c
+++ b/rosemaryraild/shards_tasks.c
@@ -52,19 +52,27 @@
   e->proof = proof;
 }
 
+/* Fills R with an end that the worker reported in its own words.  */
 static void
-append_end (struct busy_task *b, const struct rr_job *job, uint32_t attempt,
-            const char *result, const char *checkpoint)
+fill_reported_end (struct rr_record *r, const struct rr_job *job,
+                   uint32_t task, uint32_t attempt, const char *result,
+                   const char *checkpoint)
 {
-  struct rr_record r;
   enum rr_attempt_result how = result_of (result);
   if (how == RR_RESULT_EVICTED && job->cancelled)
     how = RR_RESULT_STOPPED;
-  fill_end (&r, b->job, b->task, attempt, how, RR_PROOF_REPORTED);
-  snprintf (r.u.attempt_ended.checkpoint, sizeof r.u.attempt_ended.checkpoint,
-            "%s", checkpoint);
-  snprintf (r.u.attempt_ended.detail, sizeof r.u.attempt_ended.detail, "%s",
-            result);
+  fill_end (r, job->spec.job, task, attempt, how, RR_PROOF_REPORTED);
+  struct rr_record_attempt_ended *e = &r->u.attempt_ended;
+  snprintf (e->checkpoint, sizeof e->checkpoint, "%s", checkpoint);
+  snprintf (e->detail, sizeof e->detail, "%s", result);
+}
+
+static void
+append_end (struct busy_task *b, const struct rr_job *job, uint32_t attempt,
+            const char *result, const char *checkpoint)
+{
+  struct rr_record r;
+  fill_reported_end (&r, job, b->task, attempt, result, checkpoint);
   shard_record (b->shard, &r);
 }
 
@@ -485,14 +493,7 @@
       && rr_attempt_is_live (&job->tasks[task].attempt))
     {
       struct rr_record r;
-      enum rr_attempt_result how = result_of (a.result);
-      if (how == RR_RESULT_EVICTED && job->cancelled)
-        how = RR_RESULT_STOPPED;
-      fill_end (&r, name, task, a.attempt, how, RR_PROOF_REPORTED);
-      snprintf (r.u.attempt_ended.checkpoint,
-                sizeof r.u.attempt_ended.checkpoint, "%s", a.checkpoint);
-      snprintf (r.u.attempt_ended.detail, sizeof r.u.attempt_ended.detail,
-                "%s", a.result);
+      fill_reported_end (&r, job, task, a.attempt, a.result, a.checkpoint);
       struct rr_error err = { 0 };
       if (!shard_append (
               s, &r, pending_add (ss, PENDING_END, &q->origin, a.task), &err))
--- a/rosemaryraild/workers_decisions.c
+++ b/rosemaryraild/workers_decisions.c
@@ -40,17 +40,8 @@
 void
 decisions_set_policy (struct workers *ws)
 {
-  const struct rr_config *c = config_keeper_config (ws->d->config);
-  size_t count;
-  const struct rr_policy_parameter *p = rr_policy_parameters (&count);
-  if (c->policy == NULL)
-    return;
-  for (size_t i = 0; i < count; i++)
-    {
-      double value;
-      if (rr_config_policy (c, p[i].name, &value))
-        rr_policy_set (&ws->decisions->policy, p[i].name, value, NULL);
-    }
+  rr_config_policy_fill (config_keeper_config (ws->d->config),
+                         &ws->decisions->policy);
 }
 
 static struct rr_size
