--- /dev/null
+++ b/include/platform/store.h
@@ -0,0 +1,97 @@
+#ifndef PLATFORM_STORE_H
+#define PLATFORM_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+/* The platform's key-value store: transactions under expected revisions,
+   watches and leases.  Each function makes one call; nothing is repeated.  */
+struct store;
+
+enum
+{
+  STORE_TXN_ENTRIES_MAX = 32 /* conditions, writes and removals together */
+};
+
+enum store_state
+{
+  STORE_OK,
+  STORE_CONFLICT,  /* a condition did not hold; ITEMS has the present state */
+  STORE_MISSING,   /* no such key or lease */
+  STORE_COMPACTED, /* the history asked for is gone */
+  STORE_REFUSED,   /* nothing was done */
+  STORE_UNKNOWN,   /* no answer: done, not done, or done later */
+  STORE_INVALID    /* the store did not accept the call, or its answer can't be
+                      read */
+};
+
+struct store_item
+{
+  const char *key;
+  char *value; /* terminated; null for a removed key */
+  size_t value_length;
+  int64_t revision;
+  int64_t lease; /* 0: none */
+  bool removed;
+};
+
+/* Valid only during the callback.  */
+struct store_result
+{
+  enum store_state state;
+  struct store_item *items;
+  size_t item_count;
+  bool truncated;   /* of a range: more follows */
+  int64_t revision; /* of the write, else the store's current one */
+  int64_t lease;
+  int64_t ttl_ms;
+  const char *reason; /* why there is no answer */
+};
+
+typedef void store_done_fn (void *data, const struct store_result *r);
+
+struct store_condition
+{
+  const char *key;
+  int64_t revision; /* 0: the key does not exist */
+};
+
+struct store_write
+{
+  const char *key;
+  const char *value; /* terminated */
+  int64_t lease;     /* 0: none */
+};
+
+/* All or nothing.  */
+struct store_txn
+{
+  const struct store_condition *conditions;
+  size_t condition_count;
+  const struct store_write *writes;
+  size_t write_count;
+  const char *const *removals;
+  size_t removal_count;
+};
+
+struct store *store_open (uv_loop_t *loop, const char *address, uint16_t port);
+void store_get (struct store *s, const char *key, uint64_t timeout_ms,
+                store_done_fn *done, void *data);
+void store_range (struct store *s, const char *prefix, const char *after,
+                  uint64_t timeout_ms, store_done_fn *done, void *data);
+void store_watch (struct store *s, const char *prefix, int64_t after,
+                  uint64_t wait_ms, uint64_t timeout_ms, store_done_fn *done,
+                  void *data);
+void store_commit (struct store *s, const struct store_txn *txn,
+                   uint64_t timeout_ms, store_done_fn *done, void *data);
+void store_lease_grant (struct store *s, int64_t ttl_ms, uint64_t timeout_ms,
+                        store_done_fn *done, void *data);
+void store_lease_renew (struct store *s, int64_t lease, uint64_t timeout_ms,
+                        store_done_fn *done, void *data);
+void store_lease_end (struct store *s, int64_t lease, uint64_t timeout_ms,
+                      store_done_fn *done, void *data);
+uint64_t store_calls (const struct store *s);
+
+#endif
--- /dev/null
+++ b/include/platform/worker.h
@@ -0,0 +1,34 @@
+#ifndef PLATFORM_WORKER_H
+#define PLATFORM_WORKER_H
+
+#include "common/upstream.h"
+#include "rosemaryrail/dispatch.h"
+
+/* Calls to one worker of the platform.  TOKEN is the fencing token of the
+   sender, LEASE_END a time on the worker's clock (0: none).  */
+
+struct worker_look
+{
+  const char *id;
+  int64_t token;
+  int64_t lease_end;
+  int64_t observed; /* ends up to this one may be forgotten */
+  int64_t wait_ms;  /* longest wait for an end; 0: answer at once */
+  uint64_t timeout_ms;
+};
+
+/* OUTCOME is accepted with a REPORT, or tells why there is none.  */
+typedef void worker_look_fn (void *data, enum rr_order_outcome outcome,
+                             const struct rr_worker_report *report);
+
+typedef void worker_order_fn (void *data, enum rr_order_outcome outcome,
+                              int64_t clock_ms);
+
+void worker_look (struct upstream *u, const struct worker_look *look,
+                  struct rr_time (*now) (void), worker_look_fn *done,
+                  void *data);
+void worker_order (struct upstream *u, const struct rr_order *o, int64_t token,
+                   int64_t lease_end, uint64_t timeout_ms,
+                   worker_order_fn *done, void *data);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/choice.h
@@ -0,0 +1,10 @@
+#ifndef ROSEMARYENTRYD_CHOICE_H
+#define ROSEMARYENTRYD_CHOICE_H
+
+#include "rosemaryentryd/records.h"
+#include "rosemaryrail/graph.h"
+
+/* Returns the shard for the new job G; null when there are no shards.  */
+struct shard_record *choice_shard (struct entry *e, const struct rr_graph *g);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/entry.h
@@ -0,0 +1,47 @@
+#ifndef ROSEMARYENTRYD_ENTRY_H
+#define ROSEMARYENTRYD_ENTRY_H
+
+#include <uv.h>
+
+#include "platform/store.h"
+#include "rosemaryentryd/settings.h"
+#include "rosemaryrail/clock.h"
+#include "rosemaryrail/queues.h"
+
+struct mirror;
+struct records;
+struct session;
+struct owners;
+struct front;
+
+/* What the parts of an entry daemon share.  */
+struct entry
+{
+  uv_loop_t *loop;
+  struct entry_settings settings;
+  struct store *store;
+  struct rr_queues *queues; /* in force; null before the first */
+  struct mirror *records_mirror;
+  struct mirror *workers_mirror;
+  struct mirror *config_mirror;
+  struct records *records;
+  struct session *session;
+  struct owners *owners;
+  struct front *front;
+  bool stopping;
+};
+
+enum
+{
+  /* One call to the store: 15 times its answer at 60 times the usual 4 ms.  */
+  STORE_TIMEOUT_MS = 1000,
+  /* A daemon that has not heard from the store for this long can't accept
+     work: a watch returns after 1 s at the latest.  */
+  STORE_SILENCE_MAX_MS = 2500
+};
+
+struct rr_time entry_now (void);
+int64_t entry_wall_ms (void);
+struct rr_time entry_store_heard (const struct entry *e);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/mirror.h
@@ -0,0 +1,21 @@
+#ifndef ROSEMARYENTRYD_MIRROR_H
+#define ROSEMARYENTRYD_MIRROR_H
+
+#include "rosemaryentryd/entry.h"
+
+/* A copy of all keys under a prefix of the store, kept up to date by a
+   watch.  */
+struct mirror;
+
+/* Called for every change in the order of revisions; on a first read and after
+   lost history in any order.  */
+typedef void mirror_item_fn (void *data, const struct store_item *item);
+
+struct mirror *mirror_open (struct entry *e, const char *prefix,
+                            mirror_item_fn *on_item, void *data);
+bool mirror_synced (const struct mirror *m);
+struct rr_time mirror_confirmed (const struct mirror *m);
+int64_t mirror_revision (const struct mirror *m);
+void mirror_pause_set (struct mirror *m, uint64_t pause_ms);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/owners.h
@@ -0,0 +1,23 @@
+#ifndef ROSEMARYENTRYD_OWNERS_H
+#define ROSEMARYENTRYD_OWNERS_H
+
+#include "rosemaryentryd/records.h"
+
+/* Which shards this daemon owns; takes over those without an owner.  */
+struct owners;
+struct shard;
+
+struct owners *owners_open (struct entry *e);
+void owners_job_seen (struct owners *o, struct job_record *j);
+void owners_job_cancelled (struct owners *o, struct job_record *j);
+void owners_owner_seen (struct owners *o, struct shard_record *s);
+void owners_worker_seen (struct owners *o, const struct platform_worker *w);
+void owners_worker_gone (struct owners *o, const struct platform_worker *w);
+void owners_queues_changed (struct owners *o);
+void owners_lease_lost (struct owners *o);
+void owners_shard_lost (struct owners *o, struct shard *s, const char *why);
+void owners_release (struct owners *o);
+bool owners_released (const struct owners *o);
+size_t owners_count (const struct owners *o);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/records.h
@@ -0,0 +1,81 @@
+#ifndef ROSEMARYENTRYD_RECORDS_H
+#define ROSEMARYENTRYD_RECORDS_H
+
+#include "platform/documents.h"
+#include "rosemaryentryd/entry.h"
+#include "rosemaryrail/table.h"
+
+/* What the store holds of this deployment, decoded: jobs, owners of shards,
+   workers.  Filled by the mirrors.  */
+struct records;
+
+/* Keys of the project in the store.  */
+#define KEY_ROOT "rail/"
+#define KEY_JOB KEY_ROOT "job/"
+#define KEY_PROGRESS KEY_ROOT "progress/"
+#define KEY_CANCEL KEY_ROOT "cancel/"
+#define KEY_OWNER KEY_ROOT "owner/"
+#define KEY_ROSTER KEY_ROOT "workers/"
+#define KEY_LOAD KEY_ROOT "load/"
+#define KEY_DAEMON KEY_ROOT "daemon/"
+
+enum
+{
+  KEY_SIZE = 128
+};
+
+/* A job as the store has it.  GRAPH_TEXT is dropped once the job is over.  */
+struct job_record
+{
+  char id[RR_GRAPH_NAME_SIZE];
+  char queue[RR_GRAPH_NAME_SIZE];
+  char shard[RR_GRAPH_NAME_SIZE];
+  char *graph_text;
+  bool accepted; /* the job itself was seen, not only its progress */
+  bool cancelled;
+  bool has_progress;
+  enum rr_job_phase phase;
+  char *progress_text;
+  int64_t progress_revision; /* 0: none */
+  int64_t job_revision;
+  int64_t cancel_revision;
+  struct rr_time finished; /* when its end was seen here */
+};
+
+/* The owner of a shard, and what it last said of its load.  */
+struct shard_record
+{
+  char name[RR_GRAPH_NAME_SIZE];
+  char owner[RR_GRAPH_NAME_SIZE]; /* empty: none */
+  int64_t owner_revision;
+  struct rr_time ownerless_since;
+  char *roster; /* JSON list of worker ids */
+  int64_t roster_revision;
+  int64_t capacity_milli;
+  int64_t demand_milli;
+  int64_t added_milli; /* accepted here since the last word */
+};
+
+struct daemon_record
+{
+  char name[RR_GRAPH_NAME_SIZE];
+  char zone[RR_GRAPH_NAME_SIZE];
+};
+
+struct records *records_open (struct entry *e);
+struct job_record *records_job (struct records *r, const char *id);
+struct job_record *records_job_next (struct records *r,
+                                     struct rr_handle *cursor);
+void records_job_forget (struct records *r, struct rr_handle h);
+enum rr_job_phase records_job_phase (const struct job_record *j);
+size_t records_pending (struct records *r, const char *queue);
+struct shard_record *records_shard (struct records *r, const char *name);
+struct shard_record *records_shard_at (struct records *r, size_t i);
+size_t records_shard_count (const struct records *r);
+const struct daemon_record *records_daemon_next (const struct records *r,
+                                                 struct rr_handle *cursor);
+const struct platform_worker *records_worker_next (const struct records *r,
+                                                   struct rr_handle *cursor);
+const char *records_shard_of_zone (const struct records *r, const char *zone);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/settings.h
@@ -0,0 +1,41 @@
+#ifndef ROSEMARYENTRYD_SETTINGS_H
+#define ROSEMARYENTRYD_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/settings.h"
+#include "rosemaryrail/error.h"
+#include "rosemaryrail/graph.h"
+
+enum
+{
+  ENTRY_ZONES_MAX = 32
+};
+
+/* The settings of one entry daemon.  Times are in milliseconds.  */
+struct entry_settings
+{
+  char name[RR_GRAPH_NAME_SIZE];
+  char zone[RR_GRAPH_NAME_SIZE];
+  char zones[ENTRY_ZONES_MAX][RR_GRAPH_NAME_SIZE]; /* of the deployment */
+  size_t zone_count;
+  struct settings_peer front; /* callers */
+  struct settings_peer ready; /* health checks of the load balancer */
+  struct settings_peer store;
+  char log_level[16];
+  int64_t lease_max_ms;    /* longest lease that workers give */
+  int64_t stop_grace_ms;   /* longest time a stop takes */
+  int64_t gang_timeout_ms; /* members of a gang wait this long */
+  int64_t shutdown_ms;     /* between the request to stop and the kill */
+  int64_t retention_ms;    /* state of finished jobs is kept this long */
+  double remote_factor;    /* slowdown away from the data's rack */
+};
+
+bool entry_settings_parse (const char *text, size_t length,
+                           struct entry_settings *s, struct rr_error *err);
+bool entry_settings_load (const char *path, struct entry_settings *s,
+                          struct rr_error *err);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/shard.h
@@ -0,0 +1,27 @@
+#ifndef ROSEMARYENTRYD_SHARD_H
+#define ROSEMARYENTRYD_SHARD_H
+
+#include "common/upstream.h"
+#include "rosemaryentryd/records.h"
+
+/* A shard that this daemon owns: its dispatcher, its workers' connections and
+   the storing of its progress.  TOKEN is the revision of the owner key; it
+   rises with each owner, fences orders to workers and is the condition of
+   every write.  */
+struct shard;
+
+struct shard *shard_open (struct entry *e, struct shard_record *record,
+                          int64_t token, bool inherited);
+void shard_close (struct shard *s);
+const char *shard_name (const struct shard *s);
+int64_t shard_token (const struct shard *s);
+void shard_job_seen (struct shard *s, const struct job_record *j,
+                     bool inherited);
+void shard_job_cancelled (struct shard *s, const struct job_record *j);
+void shard_worker_seen (struct shard *s, const struct platform_worker *w);
+void shard_worker_gone (struct shard *s, const struct platform_worker *w);
+void shard_queues_changed (struct shard *s);
+void shard_stop_starting (struct shard *s);
+bool shard_stored (struct shard *s);
+
+#endif
--- /dev/null
+++ b/include/rosemaryrail/dispatch.h
@@ -0,0 +1,223 @@
+#ifndef ROSEMARYRAIL_DISPATCH_H
+#define ROSEMARYRAIL_DISPATCH_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rosemaryrail/clock.h"
+#include "rosemaryrail/graph.h"
+#include "rosemaryrail/progress.h"
+#include "rosemaryrail/table.h"
+
+/* The scheduler of one shard: the workers and the jobs that belong to it.  It
+   performs no I/O: the owner passes in what workers and the store say and
+   carries out the orders that come back.  */
+struct rr_dispatch;
+
+enum
+{
+  RR_WORKER_LABELS = 8
+};
+
+/* What is known of a worker from its registration.  */
+struct rr_worker_info
+{
+  char id[RR_GRAPH_NAME_SIZE];
+  char service[RR_GRAPH_NAME_SIZE];
+  char rack[RR_GRAPH_NAME_SIZE];
+  char labels[RR_WORKER_LABELS][RR_GRAPH_NAME_SIZE];
+  size_t label_count;
+  bool draining;
+  int64_t remaining_ms; /* least time until a draining worker leaves */
+  int64_t cores_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+  int64_t born_ms; /* start of this incarnation, since 1970 */
+};
+
+/* Names one run of one task.  */
+struct rr_run_name
+{
+  char job[RR_GRAPH_NAME_SIZE];
+  int32_t occurrence;
+  int32_t step;
+  int32_t task;
+  uint32_t run;
+};
+
+/* A run that a worker reports as running.  */
+struct rr_run_status
+{
+  struct rr_run_name name;
+  char checkpoint[RR_CHECKPOINT_SIZE];
+  int32_t percent;
+  int64_t figure; /* tail in ms where users are served, else cores_milli */
+};
+
+enum rr_end_kind
+{
+  RR_END_DONE,
+  RR_END_FAILED,
+  RR_END_STOPPED,
+  RR_END_LAPSED, /* its lease expired */
+  RR_END_BROKEN, /* another member of its gang ended */
+  RR_END_ALONE   /* waited in vain for its gang */
+};
+
+/* A run that has ended on a worker.  */
+struct rr_run_end
+{
+  int64_t number; /* rises within an incarnation */
+  struct rr_run_name name;
+  enum rr_end_kind kind;
+  char checkpoint[RR_CHECKPOINT_SIZE];
+};
+
+/* A worker's account of its runs, as of CLOCK_MS on its own clock.  */
+struct rr_worker_report
+{
+  int64_t born_ms; /* 0: not given */
+  int64_t clock_ms;
+  struct rr_time sent;     /* when the call went out */
+  struct rr_time received; /* when the answer arrived */
+  struct rr_run_status *running;
+  size_t running_count;
+  struct rr_run_end *ended;
+  size_t ended_count;
+};
+
+enum rr_order_kind
+{
+  RR_ORDER_START,
+  RR_ORDER_STOP, /* also keeps a run that has not arrived from starting */
+  RR_ORDER_PACE
+};
+
+/* An instruction to a worker.  Valid during the callback.  */
+struct rr_order
+{
+  enum rr_order_kind kind;
+  struct rr_handle worker;
+  const char *worker_id;
+  struct rr_run_name name;
+  const char *spec;       /* of a start */
+  const char *checkpoint; /* of a start; empty: none */
+  int32_t percent;        /* of a pace */
+  const char *reason;
+};
+
+enum rr_order_outcome
+{
+  RR_OUTCOME_ACCEPTED,
+  RR_OUTCOME_FENCED,    /* another owner has a higher token */
+  RR_OUTCOME_STALE_RUN, /* the run number was ended there already */
+  RR_OUTCOME_TOO_LATE,  /* the lease of the order had expired */
+  RR_OUTCOME_NO_ROOM,
+  RR_OUTCOME_UNHEALTHY,      /* the worker did nothing */
+  RR_OUTCOME_WRONG_INSTANCE, /* another incarnation answered */
+  RR_OUTCOME_INVALID,        /* the order itself was refused */
+  RR_OUTCOME_NOT_SENT,       /* certainly not received */
+  RR_OUTCOME_UNKNOWN         /* may be carried out, now or later */
+};
+
+/* How a queue's jobs are treated.  */
+struct rr_queue_policy
+{
+  char queue[RR_GRAPH_NAME_SIZE];
+  char service[RR_GRAPH_NAME_SIZE];
+  int32_t priority; /* 0 comes first */
+  int32_t attempts_max;
+  double slack_factor;       /* objective: this times the chain of work */
+  int64_t target_runtime_ms; /* plus this */
+};
+
+/* Settings and callbacks of a dispatcher.  */
+struct rr_dispatch_options
+{
+  int64_t lease_ms;        /* of what runs, renewed by each report */
+  int64_t lease_max_ms;    /* longest time a lease can reach ahead */
+  int64_t stop_grace_ms;   /* longest time a stop takes */
+  int64_t gang_timeout_ms; /* members of a gang wait this long */
+  double remote_factor;    /* slowdown away from the data's rack */
+  int64_t wall_offset_ms;  /* wall clock minus the clock of rr_time */
+  void (*order) (void *data, const struct rr_order *o);
+  void (*note) (void *data, const char *event, const char *text);
+  void *data;
+};
+
+/* State that the shard's owner reads for load reports and metrics.  */
+struct rr_dispatch_load
+{
+  size_t jobs;
+  size_t workers;
+  size_t running;
+  size_t waiting;         /* tasks whose turn has come */
+  int64_t cores_milli;    /* of usable workers */
+  int64_t used_milli;     /* by tasks, fillers included */
+  int64_t queued_core_ms; /* estimated work that waits */
+};
+
+struct rr_dispatch *rr_dispatch_new (const struct rr_dispatch_options *o);
+void rr_dispatch_free (struct rr_dispatch *d);
+
+void rr_dispatch_queue_set (struct rr_dispatch *d,
+                            const struct rr_queue_policy *p);
+
+/* Workers that a former owner may have used; until all of them have reported
+   or UNTIL has passed, what is not seen running may still run.  */
+void rr_dispatch_inherit_worker (struct rr_dispatch *d, const char *id);
+void rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until);
+
+struct rr_handle rr_dispatch_worker_set (struct rr_dispatch *d,
+                                         const struct rr_worker_info *info,
+                                         struct rr_time now);
+void rr_dispatch_worker_unlist (struct rr_dispatch *d, const char *id,
+                                struct rr_time now);
+void rr_dispatch_worker_recorded (struct rr_dispatch *d, const char *id);
+bool rr_dispatch_worker_droppable (const struct rr_dispatch *d,
+                                   struct rr_handle h, struct rr_time now);
+void rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h);
+bool rr_dispatch_worker_needed (const struct rr_dispatch *d, const char *id);
+
+int64_t rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
+                                  struct rr_time valid_until,
+                                  struct rr_time now);
+int64_t rr_dispatch_worker_observed (struct rr_dispatch *d,
+                                     struct rr_handle h);
+bool rr_dispatch_worker_backlog (struct rr_dispatch *d, struct rr_handle h);
+void rr_dispatch_report (struct rr_dispatch *d, struct rr_handle h,
+                         const struct rr_worker_report *r, struct rr_time now);
+void rr_dispatch_unreached (struct rr_dispatch *d, struct rr_handle h,
+                            struct rr_time now);
+void rr_dispatch_answer (struct rr_dispatch *d, struct rr_handle h,
+                         enum rr_order_kind kind,
+                         const struct rr_run_name *name,
+                         enum rr_order_outcome outcome, int64_t clock_ms,
+                         struct rr_time now);
+
+/* Takes ownership of G.  PROGRESS is null for a new job; INHERITED tells that
+   a former owner may have started tasks.  */
+void rr_dispatch_job_add (struct rr_dispatch *d, struct rr_graph *g,
+                          const struct rr_progress *progress, bool inherited,
+                          struct rr_time now);
+bool rr_dispatch_job_known (const struct rr_dispatch *d, const char *id);
+void rr_dispatch_job_cancel (struct rr_dispatch *d, const char *id,
+                             struct rr_time now);
+
+void rr_dispatch_plan (struct rr_dispatch *d, struct rr_time valid_until,
+                       struct rr_time now);
+
+/* Changed progress that waits to be stored.  URGENT: callers wait for it.
+   Returns the number of jobs written to IDS (at most MAX).  */
+size_t rr_dispatch_changed (struct rr_dispatch *d, const char **ids,
+                            size_t max, bool *urgent);
+char *rr_dispatch_progress (struct rr_dispatch *d, const char *id,
+                            const char *mark, uint64_t *version);
+void rr_dispatch_stored (struct rr_dispatch *d, const char *id,
+                         uint64_t version);
+
+void rr_dispatch_load_get (const struct rr_dispatch *d,
+                           struct rr_dispatch_load *load, struct rr_time now);
+
+#endif
--- /dev/null
+++ b/include/rosemaryrail/graph.h
@@ -0,0 +1,73 @@
+#ifndef ROSEMARYRAIL_GRAPH_H
+#define ROSEMARYRAIL_GRAPH_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rosemaryrail/error.h"
+
+enum
+{
+  RR_GRAPH_NAME_SIZE = 64,
+  RR_CHECKPOINT_SIZE = 64,
+  RR_GRAPH_TASKS_MAX = 20000 /* of one job, over all occurrences */
+};
+
+/* Equal tasks of a job that may start once the steps in AFTER are done.  */
+struct rr_graph_step
+{
+  int32_t task_count;
+  int64_t cores_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+  int64_t estimate_ms; /* rough run time of one task */
+  int32_t *after;      /* numbers of earlier steps */
+  size_t after_count;
+  bool gang;              /* tasks work only together */
+  bool same_rack;         /* tasks are slower when spread over racks */
+  bool speculative;       /* copies may run in parallel */
+  bool long_running;      /* runs until the job is cancelled */
+  bool checkpointing;     /* saves its progress */
+  bool filler;            /* takes only the cores that other tasks leave */
+  int32_t per_worker_max; /* tasks of an occurrence on a worker; 0: no limit */
+  int32_t unavailable_max; /* tasks that may be away by our doing */
+  int64_t tail_target_ms;  /* response time to stay below; 0: none */
+  char required_label[RR_GRAPH_NAME_SIZE]; /* empty: any worker */
+  char rack[RR_GRAPH_NAME_SIZE];           /* where the data is */
+  char image[RR_GRAPH_NAME_SIZE];
+};
+
+/* A submitted job: steps that depend on each other, run once or at set
+   times.  Never changes after it was accepted.  */
+struct rr_graph
+{
+  char id[RR_GRAPH_NAME_SIZE];
+  char queue[RR_GRAPH_NAME_SIZE];
+  char service[RR_GRAPH_NAME_SIZE]; /* of the queue when it was accepted */
+  char shard[RR_GRAPH_NAME_SIZE];
+  char *spec; /* passed to every task */
+  struct rr_graph_step *steps;
+  size_t step_count;
+  int32_t occurrence_count; /* at least 1 */
+  bool scheduled;           /* occurrences start at set times */
+  int64_t first_run_ms;     /* since 1970 */
+  int64_t interval_ms;
+  int64_t accepted_ms; /* since 1970 */
+};
+
+struct rr_graph *rr_graph_new (size_t step_count);
+void rr_graph_free (struct rr_graph *g);
+bool rr_graph_check (const struct rr_graph *g, struct rr_error *err);
+size_t rr_graph_occurrence_tasks (const struct rr_graph *g);
+size_t rr_graph_step_offset (const struct rr_graph *g, size_t step);
+int64_t rr_graph_chain_ms (const struct rr_graph *g);
+int64_t rr_graph_chain_from_ms (const struct rr_graph *g, size_t step);
+int64_t rr_graph_core_ms (const struct rr_graph *g);
+
+/* The stored form: a JSON text that the caller frees.  */
+char *rr_graph_encode (const struct rr_graph *g);
+struct rr_graph *rr_graph_decode (const char *text, size_t length,
+                                  struct rr_error *err);
+
+#endif
--- /dev/null
+++ b/include/rosemaryrail/progress.h
@@ -0,0 +1,47 @@
+#ifndef ROSEMARYRAIL_PROGRESS_H
+#define ROSEMARYRAIL_PROGRESS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rosemaryrail/error.h"
+#include "rosemaryrail/graph.h"
+
+enum rr_job_phase
+{
+  RR_PHASE_QUEUED, /* no task has started */
+  RR_PHASE_ACTIVE,
+  RR_PHASE_COMPLETED,
+  RR_PHASE_FAILED,
+  RR_PHASE_CANCELLED
+};
+
+/* What is durable about one task: its number counts through occurrences and
+   steps.  */
+struct rr_progress_row
+{
+  uint32_t number;
+  uint32_t run; /* highest run that is known to have ended */
+  uint32_t failures;
+  bool done;
+  char checkpoint[RR_CHECKPOINT_SIZE];
+};
+
+/* The stored progress of a job.  MARK names the write, so that a writer
+   recognises its own after a lost answer.  */
+struct rr_progress
+{
+  enum rr_job_phase phase;
+  char mark[RR_GRAPH_NAME_SIZE];
+  struct rr_progress_row *rows;
+  size_t row_count;
+};
+
+char *rr_progress_encode (const struct rr_progress *p);
+struct rr_progress *rr_progress_decode (const char *text, size_t length,
+                                        struct rr_error *err);
+void rr_progress_free (struct rr_progress *p);
+const char *rr_job_phase_name (enum rr_job_phase phase);
+
+#endif
--- /dev/null
+++ b/rosemaryentryd/entry.c
@@ -0,0 +1,31 @@
+#include "rosemaryentryd/entry.h"
+
+#include <time.h>
+
+#include "rosemaryentryd/mirror.h"
+
+/* Returns the time since boot.  Unlike the monotonic clock it counts the time
+   that a VM spends suspended, during which workers' leases run on.  */
+struct rr_time
+entry_now (void)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return rr_time_from_ms ((int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000);
+}
+
+/* Returns the time of day in milliseconds since 1970.  */
+int64_t
+entry_wall_ms (void)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_REALTIME, &t);
+  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
+/* Returns when the store last answered a watch that E depends on.  */
+struct rr_time
+entry_store_heard (const struct entry *e)
+{
+  return mirror_confirmed (e->records_mirror);
+}
--- /dev/null
+++ b/rosemaryentryd/front.c
@@ -0,0 +1,427 @@
+#include "rosemaryentryd/front.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http_server.h"
+#include "common/log.h"
+#include "platform/documents.h"
+#include "rosemaryentryd/choice.h"
+#include "rosemaryentryd/mirror.h"
+#include "rosemaryentryd/records.h"
+#include "rosemaryentryd/session.h"
+
+enum
+{
+  BODY_MAX_BYTES = 1 << 20,
+  REQUEST_TIMEOUT_MS = 15000, /* whole request, and idle keep-alive */
+  DEADLINE_DEFAULT_MS = 3000, /* callers that give none */
+  DEADLINE_SLACK_MS = 60,     /* for the way of the answer */
+  TRY_TIMEOUT_MS = 700,       /* one call to the store */
+  TRY_PAUSE_MS = 60,
+  /* A refusing store is tried this long before the caller is sent away: other
+     daemons may reach it.  */
+  REFUSED_MAX_MS = 250
+};
+
+struct front
+{
+  struct entry *entry;
+  struct http_server *callers;
+  struct http_server *checks;
+};
+
+/* A caller's request that waits for the store.  */
+struct request
+{
+  struct front *front;
+  struct http_exchange *exchange;
+  enum
+  {
+    REQUEST_SUBMIT,
+    REQUEST_CANCEL,
+    REQUEST_STATE
+  } kind;
+  char id[RR_GRAPH_NAME_SIZE];
+  char key[KEY_SIZE];
+  char *text;   /* value to write */
+  bool unknown; /* a write may take effect yet */
+  struct rr_time arrived;
+  struct rr_time deadline;
+  uv_timer_t pause;
+};
+
+static void attempt (struct request *q);
+
+static void
+answer (struct http_exchange *x, int status, const char *json)
+{
+  /* Retry-After counts whole seconds; other daemons may serve at once, and
+     the store is usually back within one.  */
+  struct http_header headers[]
+      = { { "content-type", "application/json" }, { "Retry-After", "1" } };
+  size_t n = status == 503 || status == 429 ? 2 : 1;
+  http_exchange_respond (x, status, headers, n, json, strlen (json));
+}
+
+static void
+answer_error (struct http_exchange *x, int status, const char *code)
+{
+  char json[128];
+  snprintf (json, sizeof json, "{\"error\":\"%s\"}", code);
+  answer (x, status, json);
+}
+
+static void
+on_request_closed (uv_handle_t *h)
+{
+  struct request *q = h->data;
+  free (q->text);
+  free (q);
+}
+
+static const char *
+kind_name (const struct request *q)
+{
+  static const char *const names[] = { "submit", "cancel", "state" };
+  return names[q->kind];
+}
+
+/* Ends Q with STATUS.  JSON is the body, or with an error status its code.  */
+static void
+finish (struct request *q, int status, const char *json)
+{
+  log_event (status < 400 || status == 410 ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+             "request_answered", "job=%s kind=%s status=%d ms=%lld unknown=%d",
+             q->id, kind_name (q), status,
+             (long long)rr_time_diff (entry_now (), q->arrived), q->unknown);
+  if (status < 400)
+    answer (q->exchange, status, json);
+  else
+    answer_error (q->exchange, status, json);
+  uv_timer_stop (&q->pause);
+  uv_close ((uv_handle_t *)&q->pause, on_request_closed);
+}
+
+static void
+on_pause_over (uv_timer_t *timer)
+{
+  attempt (timer->data);
+}
+
+/* Tries again shortly, or gives the final answer that is true by then.  */
+static void
+try_again (struct request *q, const struct store_result *r)
+{
+  struct rr_time now = entry_now ();
+  if (r->state == STORE_UNKNOWN && q->kind != REQUEST_STATE)
+    q->unknown = true;
+  bool late = !rr_time_before (rr_time_add (now, TRY_PAUSE_MS), q->deadline);
+  bool refused
+      = !q->unknown && rr_time_diff (now, q->arrived) > REFUSED_MAX_MS;
+  if (late || refused || r->state == STORE_INVALID)
+    {
+      finish (q, q->unknown ? 504 : 503,
+              q->unknown ? "outcome-unknown" : "store-unavailable");
+      return;
+    }
+  uv_timer_start (&q->pause, on_pause_over, TRY_PAUSE_MS, 0);
+}
+
+static void
+on_submitted (void *data, const struct store_result *r)
+{
+  struct request *q = data;
+  /* A conflict means that the job is there: from an earlier attempt of ours
+     or of the caller.  */
+  if (r->state == STORE_OK || r->state == STORE_CONFLICT)
+    finish (q, 200, "{}");
+  else
+    try_again (q, r);
+}
+
+static void
+on_cancelled (void *data, const struct store_result *r)
+{
+  struct request *q = data;
+  if (r->state == STORE_OK || r->state == STORE_CONFLICT)
+    finish (q, 200, "{}");
+  else
+    try_again (q, r);
+}
+
+static void
+write_key (struct request *q, const char *value, store_done_fn *done)
+{
+  struct store_condition cond = { .key = q->key, .revision = 0 };
+  struct store_write w = { .key = q->key, .value = value };
+  struct store_txn txn = {
+    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
+  };
+  store_commit (q->front->entry->store, &txn, TRY_TIMEOUT_MS, done, q);
+}
+
+/* The job was not known here; the store tells whether it exists.  */
+static void
+on_looked_up (void *data, const struct store_result *r)
+{
+  struct request *q = data;
+  if (r->state == STORE_MISSING)
+    finish (q, 410, "no-such-job");
+  else if (r->state != STORE_OK)
+    try_again (q, r);
+  else if (q->kind == REQUEST_CANCEL)
+    {
+      snprintf (q->key, sizeof q->key, "%s%s", KEY_CANCEL, q->id);
+      write_key (q, "{}", on_cancelled);
+    }
+  else
+    {
+      const struct job_record *j
+          = records_job (q->front->entry->records, q->id);
+      finish (q, 200,
+              platform_state_answer (j == NULL ? RR_PHASE_QUEUED
+                                               : records_job_phase (j)));
+    }
+}
+
+static void
+attempt (struct request *q)
+{
+  struct entry *e = q->front->entry;
+  const struct job_record *j = records_job (e->records, q->id);
+  bool known = j != NULL && j->accepted;
+  switch (q->kind)
+    {
+    case REQUEST_SUBMIT:
+      if (known)
+        finish (q, 200, "{}");
+      else
+        write_key (q, q->text, on_submitted);
+      return;
+    case REQUEST_CANCEL:
+      if (known && j->cancelled)
+        finish (q, 200, "{}");
+      else if (known)
+        {
+          snprintf (q->key, sizeof q->key, "%s%s", KEY_CANCEL, q->id);
+          write_key (q, "{}", on_cancelled);
+        }
+      else
+        store_get (e->store, q->key, TRY_TIMEOUT_MS, on_looked_up, q);
+      return;
+    case REQUEST_STATE:
+      if (known)
+        finish (q, 200, platform_state_answer (records_job_phase (j)));
+      else
+        store_get (e->store, q->key, TRY_TIMEOUT_MS, on_looked_up, q);
+      return;
+    }
+}
+
+static struct rr_time
+deadline_of (struct http_exchange *x, const struct rr_route *route)
+{
+  const char *text = http_exchange_header (x, "deadline-ms");
+  long long ms = text == NULL ? 0 : strtoll (text, NULL, 10);
+  if (ms <= 0)
+    ms = DEADLINE_DEFAULT_MS;
+  if (route->timeout_ms > 0 && route->timeout_ms < ms)
+    ms = route->timeout_ms;
+  return rr_time_add (entry_now (), ms - DEADLINE_SLACK_MS);
+}
+
+static struct request *
+request_new (struct front *f, struct http_exchange *x,
+             const struct rr_route *route, const char *id)
+{
+  struct request *q = calloc (1, sizeof *q);
+  assert (q != NULL);
+  q->front = f;
+  q->exchange = x;
+  q->arrived = entry_now ();
+  q->deadline = deadline_of (x, route);
+  snprintf (q->id, sizeof q->id, "%s", id);
+  snprintf (q->key, sizeof q->key, "%s%s", KEY_JOB, id);
+  uv_timer_init (f->entry->loop, &q->pause);
+  q->pause.data = q;
+  return q;
+}
+
+/* Tells whether the store has answered lately; without it nothing can be
+   accepted.  */
+static bool
+store_heard (const struct entry *e)
+{
+  return mirror_synced (e->records_mirror)
+         && rr_time_diff (entry_now (), entry_store_heard (e))
+                <= STORE_SILENCE_MAX_MS;
+}
+
+static void
+submit (struct front *f, struct http_exchange *x, const struct rr_route *route,
+        const char *id)
+{
+  struct entry *e = f->entry;
+  size_t length;
+  const char *body = http_exchange_body (x, &length);
+  struct rr_error err = { 0 };
+  if (e->queues->body_max_bytes > 0
+      && length > (size_t)e->queues->body_max_bytes)
+    {
+      answer_error (x, 413, "body-too-large");
+      return;
+    }
+  struct rr_graph *g = platform_job_decode (id, body, length, &err);
+  if (g == NULL)
+    {
+      log_event (LOG_LEVEL_WARN, "job_rejected", "job=%s status=400 %s", id,
+                 err.message);
+      http_exchange_respond_error (x, 400, &err);
+      return;
+    }
+  snprintf (g->queue, sizeof g->queue, "%s", route->policy.queue);
+  snprintf (g->service, sizeof g->service, "%s", route->policy.service);
+  g->accepted_ms = entry_wall_ms ();
+  const struct shard_record *s = choice_shard (e, g);
+  snprintf (g->shard, sizeof g->shard, "%s", s->name);
+  struct request *q = request_new (f, x, route, id);
+  q->kind = REQUEST_SUBMIT;
+  q->text = rr_graph_encode (g);
+  log_event (LOG_LEVEL_INFO, "job_submitted",
+             "job=%s queue=%s shard=%s steps=%zu config=%lld", id, g->queue,
+             s->name, g->step_count, (long long)e->queues->version);
+  rr_graph_free (g);
+  attempt (q);
+}
+
+static void
+answer_pending (struct front *f, struct http_exchange *x,
+                const struct rr_route *route)
+{
+  char json[64];
+  platform_pending_answer (
+      records_pending (f->entry->records, route->policy.queue), json,
+      sizeof json);
+  answer (x, 200, json);
+}
+
+static bool
+id_valid (const char *id)
+{
+  size_t n = strspn (id, "0123456789abcdefABCDEF");
+  return n == 16 && id[n] == '\0';
+}
+
+static void
+handle (struct front *f, struct http_exchange *x, const struct rr_route *route,
+        const char *id)
+{
+  const char *method = http_exchange_method (x);
+  bool post = strcmp (method, "POST") == 0;
+  bool get = strcmp (method, "GET") == 0;
+  bool cancel = strcmp (method, "DELETE") == 0;
+  if (get && id[0] == '\0')
+    {
+      answer_pending (f, x, route);
+      return;
+    }
+  if (!id_valid (id) || (!post && !get && !cancel))
+    {
+      answer_error (x, id_valid (id) ? 405 : 404, "no-such-resource");
+      return;
+    }
+  const struct job_record *j = records_job (f->entry->records, id);
+  bool known = j != NULL && j->accepted;
+  if (!store_heard (f->entry) && !(known && !cancel))
+    {
+      log_event (LOG_LEVEL_WARN, "request_refused",
+                 "job=%s method=%s status=503 reason=store-silent ms=%lld", id,
+                 method,
+                 (long long)rr_time_diff (entry_now (),
+                                          entry_store_heard (f->entry)));
+      answer_error (x, 503, "store-unavailable");
+      return;
+    }
+  if (post)
+    {
+      submit (f, x, route, id);
+      return;
+    }
+  struct request *q = request_new (f, x, route, id);
+  q->kind = cancel ? REQUEST_CANCEL : REQUEST_STATE;
+  attempt (q);
+}
+
+static void
+on_caller (void *data, struct http_exchange *x)
+{
+  struct front *f = data;
+  const struct rr_queues *queues = f->entry->queues;
+  if (queues == NULL)
+    {
+      answer_error (x, 503, "no-configuration");
+      return;
+    }
+  const char *host = http_exchange_header (x, "host");
+  const char *path = http_exchange_path (x);
+  const struct rr_route *route
+      = rr_queues_find (queues, host == NULL ? "" : host, path);
+  if (route == NULL)
+    {
+      log_event (LOG_LEVEL_INFO, "request_refused",
+                 "path=%s status=404 config=%lld", path,
+                 (long long)queues->version);
+      answer_error (x, 404, "no-such-queue");
+      return;
+    }
+  handle (f, x, route, path + strlen (route->prefix));
+}
+
+static void
+on_check (void *data, struct http_exchange *x)
+{
+  struct front *f = data;
+  struct entry *e = f->entry;
+  bool known_path = strcmp (http_exchange_path (x), PLATFORM_READY_PATH) == 0;
+  bool ready = e->queues != NULL && !e->stopping && store_heard (e);
+  answer (x, !known_path ? 404 : ready ? 200 : 503, "{}");
+}
+
+/* Starts to serve callers and checks; null with ERR when an address can't be
+   bound.  */
+struct front *
+front_open (struct entry *e, struct rr_error *err)
+{
+  struct front *f = calloc (1, sizeof *f);
+  assert (f != NULL);
+  f->entry = e;
+  struct http_server_limits limits
+      = { .body_max_bytes = BODY_MAX_BYTES,
+          .request_timeout_ms = REQUEST_TIMEOUT_MS };
+  f->callers
+      = http_server_open (e->loop, e->settings.front.address,
+                          e->settings.front.port, &limits, on_caller, f, err);
+  if (f->callers == NULL)
+    return NULL;
+  f->checks
+      = http_server_open (e->loop, e->settings.ready.address,
+                          e->settings.ready.port, &limits, on_check, f, err);
+  return f->checks == NULL ? NULL : f;
+}
+
+/* Lets each connection end with the request in progress on it.  */
+void
+front_shutdown (struct front *f)
+{
+  http_server_shutdown (f->callers);
+}
+
+/* Returns the number of callers' requests without an answer.  */
+size_t
+front_in_progress (const struct front *f)
+{
+  return http_server_in_progress (f->callers);
+}
--- /dev/null
+++ b/rosemaryentryd/main.c
@@ -0,0 +1,187 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/log.h"
+#include "rosemaryentryd/entry.h"
+#include "rosemaryentryd/front.h"
+#include "rosemaryentryd/owners.h"
+#include "rosemaryentryd/session.h"
+
+enum
+{
+  SHUTDOWN_TICK_MS = 20,
+  /* After SIGTERM the load balancer needs two failed checks, a second apart,
+     to send callers elsewhere; until then requests are served.  */
+  DRAIN_MS = 2300,
+  /* The shards are handed over this long after SIGTERM at the latest.  */
+  HANDOVER_MS = 600,
+  EXIT_MARGIN_MS = 700 /* before the kill */
+};
+
+static const char usage[]
+    = "usage: rosemaryentryd [--check] [FILE]\n"
+      "Serves callers of one entry VM.  FILE, or the file that\n"
+      "ROSEMARYRAIL_SETTINGS names, holds the settings.\n"
+      "  --check  report errors in the settings and exit\n";
+
+/* State of a graceful shutdown.  */
+struct stop
+{
+  struct entry *entry;
+  uv_signal_t term;
+  uv_signal_t interrupt;
+  uv_signal_t hangup;
+  uv_timer_t timer;
+  struct rr_time began;
+  bool handed_over;
+  bool draining;
+  const char *path;
+};
+
+static void
+on_stop_tick (uv_timer_t *timer)
+{
+  struct stop *s = timer->data;
+  struct entry *e = s->entry;
+  int64_t age = rr_time_diff (entry_now (), s->began);
+  if (!s->handed_over && (owners_released (e->owners) || age > HANDOVER_MS))
+    {
+      s->handed_over = true;
+      log_event (LOG_LEVEL_INFO, "handed_over", "ms=%lld shards=%zu",
+                 (long long)age, owners_count (e->owners));
+      owners_lease_lost (e->owners);
+      session_close (e->session);
+    }
+  if (!s->handed_over || age < DRAIN_MS)
+    return;
+  if (!s->draining)
+    front_shutdown (e->front);
+  s->draining = true;
+  if (front_in_progress (e->front) > 0
+      && age < e->settings.shutdown_ms - EXIT_MARGIN_MS)
+    return;
+  log_event (LOG_LEVEL_INFO, "stopped", "ms=%lld in_progress=%zu",
+             (long long)age, front_in_progress (e->front));
+  uv_stop (e->loop);
+}
+
+static void
+on_term (uv_signal_t *signal, int number)
+{
+  struct stop *s = signal->data;
+  if (s->entry->stopping)
+    return;
+  s->entry->stopping = true;
+  s->began = entry_now ();
+  log_event (LOG_LEVEL_INFO, "stopping", "signal=%d", number);
+  owners_release (s->entry->owners);
+  uv_timer_start (&s->timer, on_stop_tick, 0, SHUTDOWN_TICK_MS);
+}
+
+/* Settings that can change while the daemon runs are times only; the others
+   need a restart.  */
+static void
+on_hangup (uv_signal_t *signal, int number)
+{
+  (void)number;
+  struct stop *s = signal->data;
+  struct entry_settings fresh;
+  struct rr_error err = { 0 };
+  if (!entry_settings_load (s->path, &fresh, &err))
+    {
+      log_event (LOG_LEVEL_WARN, "reload_failed", "path=%s %s", s->path,
+                 err.message);
+      return;
+    }
+  s->entry->settings.shutdown_ms = fresh.shutdown_ms;
+  s->entry->settings.retention_ms = fresh.retention_ms;
+  log_event (LOG_LEVEL_INFO, "reloaded", "path=%s", s->path);
+}
+
+static void
+watch_signals (struct stop *s)
+{
+  uv_loop_t *loop = s->entry->loop;
+  uv_timer_init (loop, &s->timer);
+  s->timer.data = s;
+  uv_signal_init (loop, &s->term);
+  uv_signal_init (loop, &s->interrupt);
+  uv_signal_init (loop, &s->hangup);
+  s->term.data = s;
+  s->interrupt.data = s;
+  s->hangup.data = s;
+  uv_signal_start (&s->term, on_term, SIGTERM);
+  uv_signal_start (&s->interrupt, on_term, SIGINT);
+  uv_signal_start (&s->hangup, on_hangup, SIGHUP);
+}
+
+static int
+run (struct entry *e, const char *path)
+{
+  static struct stop stop;
+  struct rr_error err = { 0 };
+  signal (SIGPIPE, SIG_IGN);
+  srand ((unsigned)entry_wall_ms () ^ (unsigned)getpid ());
+  e->loop = uv_default_loop ();
+  stop.entry = e;
+  stop.path = path;
+  watch_signals (&stop);
+  e->store = store_open (e->loop, e->settings.store.address,
+                         e->settings.store.port);
+  if (e->store == NULL)
+    {
+      fprintf (stderr, "rosemaryentryd: bad address of the store\n");
+      return 1;
+    }
+  e->owners = owners_open (e);
+  records_open (e);
+  e->session = session_open (e);
+  e->front = front_open (e, &err);
+  if (e->front == NULL)
+    {
+      fprintf (stderr, "rosemaryentryd: %s\n", err.message);
+      return 1;
+    }
+  log_event (LOG_LEVEL_INFO, "started",
+             "name=%s zone=%s zones=%zu front=%s:%u", e->settings.name,
+             e->settings.zone, e->settings.zone_count,
+             e->settings.front.address, e->settings.front.port);
+  uv_run (e->loop, UV_RUN_DEFAULT);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct entry e;
+  struct rr_error err = { 0 };
+  bool check = argc > 1 && strcmp (argv[1], "--check") == 0;
+  if (argc > 1 && strcmp (argv[1], "--help") == 0)
+    {
+      fputs (usage, stdout);
+      return 0;
+    }
+  int first = check ? 2 : 1;
+  const char *path
+      = argc > first ? argv[first] : getenv ("ROSEMARYRAIL_SETTINGS");
+  if (path == NULL || argc > first + 1)
+    {
+      fputs (usage, stderr);
+      return 2;
+    }
+  log_open ("rosemaryentryd", LOG_LEVEL_INFO);
+  if (!entry_settings_load (path, &e.settings, &err))
+    {
+      fprintf (stderr, "rosemaryentryd: %s: %s\n", path, err.message);
+      return 1;
+    }
+  if (check)
+    return 0;
+  enum log_level level;
+  if (log_level_from_name (e.settings.log_level, &level))
+    log_open ("rosemaryentryd", level);
+  return run (&e, path);
+}
--- /dev/null
+++ b/rosemaryentryd/owners.c
@@ -0,0 +1,290 @@
+#include "rosemaryentryd/owners.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "rosemaryentryd/mirror.h"
+#include "rosemaryentryd/session.h"
+#include "rosemaryentryd/shard.h"
+
+enum
+{
+  TICK_MS = 50,
+  /* Daemons claim a free shard in the order of their rank, this far apart:
+     longer than a claim takes, so that usually only one is made.  */
+  RANK_STEP_MS = 60,
+  /* After its start a daemon waits for the others to register.  */
+  SETTLE_MS = 300,
+  /* News is gathered this long while the daemon owns no shard.  */
+  FOLLOWER_PAUSE_MS = 40
+};
+
+struct claim
+{
+  struct owners *owners;
+  struct shard_record *record;
+};
+
+struct owners
+{
+  struct entry *entry;
+  uv_timer_t timer;
+  struct shard *shards[ENTRY_ZONES_MAX]; /* by number; null: not owned */
+  bool claiming[ENTRY_ZONES_MAX];
+  struct claim claims[ENTRY_ZONES_MAX];
+  struct rr_time opened;
+  bool releasing;
+};
+
+static size_t
+shard_number (const struct owners *o, const struct shard_record *s)
+{
+  return (size_t)(s - records_shard_at (o->entry->records, 0));
+}
+
+/* Returns the number of shards owned.  */
+size_t
+owners_count (const struct owners *o)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+    n += o->shards[i] != NULL ? 1 : 0;
+  return n;
+}
+
+static struct shard *
+shard_named (const struct owners *o, const char *name)
+{
+  struct shard_record *s = records_shard (o->entry->records, name);
+  return s == NULL ? NULL : o->shards[shard_number (o, s)];
+}
+
+/* A job was accepted or read.  */
+void
+owners_job_seen (struct owners *o, struct job_record *j)
+{
+  struct shard *s = shard_named (o, j->shard);
+  if (s != NULL)
+    shard_job_seen (s, j, false);
+}
+
+void
+owners_job_cancelled (struct owners *o, struct job_record *j)
+{
+  struct shard *s = shard_named (o, j->shard);
+  if (s != NULL)
+    shard_job_cancelled (s, j);
+}
+
+static struct shard *
+shard_of_worker (const struct owners *o, const struct platform_worker *w)
+{
+  return shard_named (o, records_shard_of_zone (o->entry->records, w->zone));
+}
+
+void
+owners_worker_seen (struct owners *o, const struct platform_worker *w)
+{
+  struct shard *s = shard_of_worker (o, w);
+  if (s != NULL)
+    shard_worker_seen (s, w);
+}
+
+void
+owners_worker_gone (struct owners *o, const struct platform_worker *w)
+{
+  struct shard *s = shard_of_worker (o, w);
+  if (s != NULL)
+    shard_worker_gone (s, w);
+}
+
+void
+owners_queues_changed (struct owners *o)
+{
+  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+    if (o->shards[i] != NULL)
+      shard_queues_changed (o->shards[i]);
+}
+
+static void
+set_pause (struct owners *o)
+{
+  mirror_pause_set (o->entry->records_mirror,
+                    owners_count (o) > 0 ? 0 : FOLLOWER_PAUSE_MS);
+}
+
+static void
+drop (struct owners *o, size_t i, const char *why)
+{
+  log_event (LOG_LEVEL_WARN, "shard_lost", "shard=%s token=%lld why=%s",
+             shard_name (o->shards[i]), (long long)shard_token (o->shards[i]),
+             why);
+  shard_close (o->shards[i]);
+  o->shards[i] = NULL;
+  set_pause (o);
+}
+
+/* Gives up the shard S, which another daemon owns or may own.  */
+void
+owners_shard_lost (struct owners *o, struct shard *s, const char *why)
+{
+  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+    if (o->shards[i] == s)
+      drop (o, i, why);
+}
+
+/* The owner keys went with the lease.  */
+void
+owners_lease_lost (struct owners *o)
+{
+  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+    if (o->shards[i] != NULL)
+      drop (o, i, "lease-lost");
+}
+
+/* Begins to serve a shard once the mirror shows our claim, since then it has
+   also shown everything that was written before.  */
+void
+owners_owner_seen (struct owners *o, struct shard_record *s)
+{
+  size_t i = shard_number (o, s);
+  bool ours = s->owner_revision != 0
+              && strcmp (s->owner, o->entry->settings.name) == 0;
+  if (o->shards[i] != NULL
+      && (!ours || shard_token (o->shards[i]) != s->owner_revision))
+    drop (o, i, "owner-changed");
+  if (!ours || o->shards[i] != NULL || o->releasing
+      || session_lease (o->entry->session) == 0)
+    return;
+  o->claiming[i] = false;
+  o->shards[i]
+      = shard_open (o->entry, s, s->owner_revision, s->roster != NULL);
+  set_pause (o);
+}
+
+static void
+on_claimed (void *data, const struct store_result *r)
+{
+  struct claim *c = data;
+  size_t i = shard_number (c->owners, c->record);
+  log_event (LOG_LEVEL_INFO, "shard_claim", "shard=%s state=%d revision=%lld",
+             c->record->name, (int)r->state, (long long)r->revision);
+  c->owners->claiming[i] = false;
+}
+
+static void
+claim (struct owners *o, size_t i)
+{
+  struct shard_record *s = records_shard_at (o->entry->records, i);
+  char key[KEY_SIZE];
+  snprintf (key, sizeof key, "%s%s", KEY_OWNER, s->name);
+  struct store_condition cond = { .key = key, .revision = 0 };
+  struct store_write w = { .key = key,
+                           .value = o->entry->settings.name,
+                           .lease = session_lease (o->entry->session) };
+  struct store_txn txn = {
+    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
+  };
+  o->claiming[i] = true;
+  o->claims[i] = (struct claim){ .owners = o, .record = s };
+  store_commit (o->entry->store, &txn, STORE_TIMEOUT_MS, on_claimed,
+                &o->claims[i]);
+}
+
+static size_t
+shards_owned_by (const struct owners *o, const char *daemon)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
+    if (strcmp (records_shard_at (o->entry->records, i)->owner, daemon) == 0)
+      n++;
+  return n;
+}
+
+/* How little a daemon suits as the owner of a shard: another zone counts more
+   than shards that it owns already; the rest is spread by hash.  */
+static uint64_t
+unfitness (const struct owners *o, const struct shard_record *s,
+           const char *name, const char *zone)
+{
+  char text[2 * RR_GRAPH_NAME_SIZE + 2];
+  int n = snprintf (text, sizeof text, "%s/%s", s->name, name);
+  uint64_t hash = XXH64 (text, (size_t)n, 0) >> 16;
+  uint64_t away = strcmp (s->name, zone) == 0 ? 0 : 1;
+  return away << 60 | (uint64_t)shards_owned_by (o, name) << 52 | hash;
+}
+
+static size_t
+rank (const struct owners *o, const struct shard_record *s)
+{
+  const struct entry_settings *me = &o->entry->settings;
+  uint64_t mine = unfitness (o, s, me->name, me->zone);
+  size_t better = 0;
+  struct rr_handle h = { 0 };
+  const struct daemon_record *d;
+  while ((d = records_daemon_next (o->entry->records, &h)) != NULL)
+    if (strcmp (d->name, me->name) != 0
+        && unfitness (o, s, d->name, d->zone) < mine)
+      better++;
+  return better;
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct owners *o = timer->data;
+  struct rr_time now = entry_now ();
+  if (o->releasing || !mirror_synced (o->entry->records_mirror)
+      || session_lease (o->entry->session) == 0
+      || rr_time_diff (now, o->opened) < SETTLE_MS
+      || rr_time_diff (now, session_confirmed (o->entry->session))
+             > SESSION_TTL_MS)
+    return;
+  for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
+    {
+      struct shard_record *s = records_shard_at (o->entry->records, i);
+      if (s->owner_revision != 0 || o->claiming[i] || o->shards[i] != NULL)
+        continue;
+      int64_t wait = (int64_t)(rank (o, s) * RANK_STEP_MS);
+      if (rr_time_diff (now, s->ownerless_since) >= wait)
+        claim (o, i);
+    }
+}
+
+/* Begins to look for shards without an owner.  */
+struct owners *
+owners_open (struct entry *e)
+{
+  struct owners *o = calloc (1, sizeof *o);
+  assert (o != NULL);
+  o->entry = e;
+  o->opened = entry_now ();
+  uv_timer_init (e->loop, &o->timer);
+  o->timer.data = o;
+  uv_timer_start (&o->timer, on_tick, TICK_MS, TICK_MS);
+  return o;
+}
+
+/* Starts nothing more and claims nothing; owners_released tells when all
+   progress is stored.  */
+void
+owners_release (struct owners *o)
+{
+  o->releasing = true;
+  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+    if (o->shards[i] != NULL)
+      shard_stop_starting (o->shards[i]);
+}
+
+bool
+owners_released (const struct owners *o)
+{
+  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+    if (o->shards[i] != NULL && !shard_stored (o->shards[i]))
+      return false;
+  return true;
+}
--- /dev/null
+++ b/rosemaryentryd/records.c
@@ -0,0 +1,400 @@
+#include "rosemaryentryd/records.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/json.h"
+#include "common/log.h"
+#include "rosemaryentryd/mirror.h"
+#include "rosemaryentryd/owners.h"
+
+struct records
+{
+  struct entry *entry;
+  struct rr_table *jobs;
+  struct rr_key_index *job_index;
+  struct rr_table *daemons;
+  struct rr_key_index *daemon_index;
+  struct rr_table *workers;
+  struct rr_key_index *worker_index;
+  struct shard_record shards[ENTRY_ZONES_MAX];
+  size_t shard_count;
+};
+
+/* Returns the record of job ID or null.  */
+struct job_record *
+records_job (struct records *r, const char *id)
+{
+  return rr_table_get (r->jobs, rr_key_index_get (r->job_index, id));
+}
+
+/* Steps through the jobs; null after the last.  */
+struct job_record *
+records_job_next (struct records *r, struct rr_handle *cursor)
+{
+  return rr_table_next (r->jobs, cursor);
+}
+
+/* Frees the record H.  */
+void
+records_job_forget (struct records *r, struct rr_handle h)
+{
+  struct job_record *j = rr_table_get (r->jobs, h);
+  rr_key_index_remove (r->job_index, j->id);
+  free (j->graph_text);
+  free (j->progress_text);
+  rr_table_remove (r->jobs, h);
+}
+
+/* Returns the phase that callers are shown.  A job that had ended before its
+   cancellation stays as it ended.  */
+enum rr_job_phase
+records_job_phase (const struct job_record *j)
+{
+  if (j->cancelled && j->phase != RR_PHASE_COMPLETED
+      && j->phase != RR_PHASE_FAILED)
+    return RR_PHASE_CANCELLED;
+  return j->phase;
+}
+
+/* Returns the number of jobs of QUEUE of which no task has started.  */
+size_t
+records_pending (struct records *r, const char *queue)
+{
+  size_t n = 0;
+  struct rr_handle h = { 0 };
+  struct job_record *j;
+  while ((j = records_job_next (r, &h)) != NULL)
+    if (j->accepted && records_job_phase (j) == RR_PHASE_QUEUED
+        && strcmp (j->queue, queue) == 0)
+      n++;
+  return n;
+}
+
+/* Returns the shard called NAME or null.  */
+struct shard_record *
+records_shard (struct records *r, const char *name)
+{
+  for (size_t i = 0; i < r->shard_count; i++)
+    if (strcmp (r->shards[i].name, name) == 0)
+      return &r->shards[i];
+  return NULL;
+}
+
+/* Returns shard number I, from 0.  */
+struct shard_record *
+records_shard_at (struct records *r, size_t i)
+{
+  return &r->shards[i];
+}
+
+size_t
+records_shard_count (const struct records *r)
+{
+  return r->shard_count;
+}
+
+/* Returns the shard that has the workers of ZONE.  */
+const char *
+records_shard_of_zone (const struct records *r, const char *zone)
+{
+  for (size_t i = 0; i < r->shard_count; i++)
+    if (strcmp (r->shards[i].name, zone) == 0)
+      return r->shards[i].name;
+  return r->shards[XXH64 (zone, strlen (zone), 0) % r->shard_count].name;
+}
+
+const struct daemon_record *
+records_daemon_next (const struct records *r, struct rr_handle *cursor)
+{
+  return rr_table_next (r->daemons, cursor);
+}
+
+const struct platform_worker *
+records_worker_next (const struct records *r, struct rr_handle *cursor)
+{
+  return rr_table_next (r->workers, cursor);
+}
+
+static struct job_record *
+job_record_for (struct records *r, const char *id)
+{
+  struct job_record *j = records_job (r, id);
+  if (j != NULL)
+    return j;
+  struct rr_handle h;
+  j = rr_table_insert (r->jobs, &h);
+  assert (j != NULL);
+  snprintf (j->id, sizeof j->id, "%s", id);
+  rr_key_index_put (r->job_index, id, h);
+  return j;
+}
+
+static bool
+phase_final (enum rr_job_phase phase)
+{
+  return phase == RR_PHASE_COMPLETED || phase == RR_PHASE_FAILED
+         || phase == RR_PHASE_CANCELLED;
+}
+
+/* Drops what only a job in progress needs.  */
+static void
+job_record_trim (struct job_record *j)
+{
+  if (!phase_final (records_job_phase (j)))
+    return;
+  j->finished = entry_now ();
+  free (j->graph_text);
+  free (j->progress_text);
+  j->graph_text = NULL;
+  j->progress_text = NULL;
+}
+
+static void
+on_job (struct records *r, const char *id, const struct store_item *item)
+{
+  if (item->removed)
+    {
+      struct rr_handle h = rr_key_index_get (r->job_index, id);
+      if (rr_table_get (r->jobs, h) != NULL)
+        records_job_forget (r, h);
+      return;
+    }
+  struct rr_error err = { 0 };
+  struct rr_graph *g = rr_graph_decode (item->value, item->value_length, &err);
+  if (g == NULL)
+    {
+      log_event (LOG_LEVEL_ERROR, "job_unreadable", "job=%s %s", id,
+                 err.message);
+      return;
+    }
+  struct job_record *j = job_record_for (r, id);
+  snprintf (j->queue, sizeof j->queue, "%s", g->queue);
+  snprintf (j->shard, sizeof j->shard, "%s", g->shard);
+  j->accepted = true;
+  j->job_revision = item->revision;
+  free (j->graph_text);
+  j->graph_text = strdup (item->value);
+  rr_graph_free (g);
+  job_record_trim (j);
+  owners_job_seen (r->entry->owners, j);
+}
+
+static void
+on_progress (struct records *r, const char *id, const struct store_item *item)
+{
+  if (item->removed)
+    return;
+  struct rr_error err = { 0 };
+  struct rr_progress *p
+      = rr_progress_decode (item->value, item->value_length, &err);
+  if (p == NULL)
+    {
+      log_event (LOG_LEVEL_ERROR, "progress_unreadable", "job=%s %s", id,
+                 err.message);
+      return;
+    }
+  struct job_record *j = job_record_for (r, id);
+  j->phase = p->phase;
+  j->has_progress = true;
+  if (item->revision > j->progress_revision)
+    j->progress_revision = item->revision;
+  free (j->progress_text);
+  j->progress_text = strdup (item->value);
+  rr_progress_free (p);
+  job_record_trim (j);
+}
+
+static void
+on_cancel (struct records *r, const char *id, const struct store_item *item)
+{
+  if (item->removed)
+    return;
+  struct job_record *j = job_record_for (r, id);
+  j->cancelled = true;
+  j->cancel_revision = item->revision;
+  job_record_trim (j);
+  owners_job_cancelled (r->entry->owners, j);
+}
+
+static void
+on_owner (struct records *r, const char *name, const struct store_item *item)
+{
+  struct shard_record *s = records_shard (r, name);
+  if (s == NULL)
+    return;
+  s->owner_revision = item->removed ? 0 : item->revision;
+  s->owner[0] = '\0';
+  if (item->removed)
+    s->ownerless_since = entry_now ();
+  else
+    snprintf (s->owner, sizeof s->owner, "%s", item->value);
+  owners_owner_seen (r->entry->owners, s);
+}
+
+static void
+on_load (struct records *r, const char *name, const struct store_item *item)
+{
+  struct shard_record *s = records_shard (r, name);
+  struct rr_error err = { 0 };
+  struct json_object *o
+      = s == NULL || item->removed
+            ? NULL
+            : json_parse (item->value, item->value_length, &err);
+  if (o == NULL)
+    return;
+  s->capacity_milli = json_int_or (o, "capacity", 0);
+  s->demand_milli = json_int_or (o, "demand", 0);
+  s->added_milli = 0;
+  json_object_put (o);
+}
+
+static void
+on_roster (struct records *r, const char *name, const struct store_item *item)
+{
+  struct shard_record *s = records_shard (r, name);
+  if (s == NULL || item->removed)
+    return;
+  if (item->revision > s->roster_revision)
+    s->roster_revision = item->revision;
+  free (s->roster);
+  s->roster = strdup (item->value);
+}
+
+static void
+on_daemon (struct records *r, const char *name, const struct store_item *item)
+{
+  struct rr_handle h = rr_key_index_get (r->daemon_index, name);
+  struct daemon_record *d = rr_table_get (r->daemons, h);
+  log_event (LOG_LEVEL_INFO, item->removed ? "peer_lost" : "peer_seen",
+             "daemon=%s revision=%lld", name, (long long)item->revision);
+  if (item->removed)
+    {
+      if (d == NULL)
+        return;
+      rr_key_index_remove (r->daemon_index, name);
+      rr_table_remove (r->daemons, h);
+      return;
+    }
+  if (d == NULL)
+    {
+      d = rr_table_insert (r->daemons, &h);
+      rr_key_index_put (r->daemon_index, name, h);
+    }
+  snprintf (d->name, sizeof d->name, "%s", name);
+  snprintf (d->zone, sizeof d->zone, "%s", item->value);
+}
+
+static void
+on_record (void *data, const struct store_item *item)
+{
+  struct records *r = data;
+  static const struct
+  {
+    const char *prefix;
+    void (*take) (struct records *, const char *, const struct store_item *);
+  } kinds[] = { { KEY_JOB, on_job },       { KEY_PROGRESS, on_progress },
+                { KEY_CANCEL, on_cancel }, { KEY_OWNER, on_owner },
+                { KEY_LOAD, on_load },     { KEY_ROSTER, on_roster },
+                { KEY_DAEMON, on_daemon } };
+  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+    {
+      size_t n = strlen (kinds[i].prefix);
+      if (strncmp (item->key, kinds[i].prefix, n) != 0)
+        continue;
+      if (strlen (item->key + n) < RR_GRAPH_NAME_SIZE)
+        kinds[i].take (r, item->key + n, item);
+      return;
+    }
+}
+
+static void
+on_worker (void *data, const struct store_item *item)
+{
+  struct records *r = data;
+  struct rr_handle h = rr_key_index_get (r->worker_index, item->key);
+  struct platform_worker *known = rr_table_get (r->workers, h);
+  struct platform_worker w;
+  struct rr_error err = { 0 };
+  bool usable = !item->removed
+                && platform_worker_decode (item->key, item->value,
+                                           item->value_length, &w, &err);
+  if (!item->removed && !usable)
+    log_event (LOG_LEVEL_WARN, "vm_entry_unusable", "key=%s %s", item->key,
+               err.message);
+  if (!usable)
+    {
+      if (known == NULL)
+        return;
+      owners_worker_gone (r->entry->owners, known);
+      rr_key_index_remove (r->worker_index, item->key);
+      rr_table_remove (r->workers, h);
+      return;
+    }
+  if (known == NULL)
+    {
+      known = rr_table_insert (r->workers, &h);
+      rr_key_index_put (r->worker_index, item->key, h);
+    }
+  *known = w;
+  owners_worker_seen (r->entry->owners, known);
+}
+
+static void
+on_config (void *data, const struct store_item *item)
+{
+  struct records *r = data;
+  struct entry *e = r->entry;
+  struct rr_error err = { 0 };
+  if (item->removed || strcmp (item->key, PLATFORM_CONFIG_KEY) != 0)
+    return;
+  struct rr_queues *q
+      = platform_config_decode (item->value, item->value_length, &err);
+  if (q == NULL || (e->queues != NULL && q->version <= e->queues->version))
+    {
+      log_event (LOG_LEVEL_WARN, "config_ignored", "revision=%lld %s",
+                 (long long)item->revision,
+                 q == NULL ? err.message : "not newer");
+      rr_queues_free (q);
+      return;
+    }
+  log_event (LOG_LEVEL_INFO, "config_applied",
+             "version=%lld before=%lld routes=%zu revision=%lld",
+             (long long)q->version,
+             e->queues == NULL ? 0LL : (long long)e->queues->version,
+             q->route_count, (long long)item->revision);
+  rr_queues_free (e->queues);
+  e->queues = q;
+  owners_queues_changed (e->owners);
+}
+
+/* Creates the records and begins to fill them from the store.  The owners of
+   E must be there already.  */
+struct records *
+records_open (struct entry *e)
+{
+  struct records *r = calloc (1, sizeof *r);
+  assert (r != NULL);
+  r->entry = e;
+  r->jobs = rr_table_new (sizeof (struct job_record));
+  r->job_index = rr_key_index_new ();
+  r->daemons = rr_table_new (sizeof (struct daemon_record));
+  r->daemon_index = rr_key_index_new ();
+  r->workers = rr_table_new (sizeof (struct platform_worker));
+  r->worker_index = rr_key_index_new ();
+  r->shard_count = e->settings.zone_count;
+  for (size_t i = 0; i < r->shard_count; i++)
+    {
+      struct shard_record *s = &r->shards[i];
+      snprintf (s->name, sizeof s->name, "%s", e->settings.zones[i]);
+      s->ownerless_since = entry_now ();
+    }
+  e->records = r;
+  e->records_mirror = mirror_open (e, KEY_ROOT, on_record, r);
+  e->workers_mirror = mirror_open (e, PLATFORM_WORKERS_PREFIX, on_worker, r);
+  e->config_mirror = mirror_open (e, PLATFORM_CONFIG_KEY, on_config, r);
+  return r;
+}
--- /dev/null
+++ b/rosemaryentryd/session.c
@@ -0,0 +1,169 @@
+#include "rosemaryentryd/session.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "rosemaryentryd/owners.h"
+#include "rosemaryentryd/records.h"
+
+enum
+{
+  RENEW_MS = 500,        /* four renewals in the lease's time */
+  CALL_TIMEOUT_MS = 450, /* less than RENEW_MS: one call at a time */
+  SLOW_TIMEOUT_MS = 1200 /* once calls are lost, for a slow store */
+};
+
+struct session
+{
+  struct entry *entry;
+  uv_timer_t timer;
+  int64_t lease; /* 0: none */
+  bool registered;
+  bool calling;
+  bool slow;
+  struct rr_time sent;
+  struct rr_time confirmed; /* the lease was alive then */
+};
+
+static void renew (struct session *s);
+
+/* Returns the lease, or 0 when there is none.  */
+int64_t
+session_lease (const struct session *s)
+{
+  return s->lease;
+}
+
+/* Returns the last time at which the lease was certainly alive.  */
+struct rr_time
+session_confirmed (const struct session *s)
+{
+  return s->confirmed;
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  renew (timer->data);
+}
+
+static void
+next (struct session *s, uint64_t pause_ms)
+{
+  s->calling = false;
+  uv_timer_start (&s->timer, on_timer, pause_ms, 0);
+}
+
+static void
+on_registered (void *data, const struct store_result *r)
+{
+  struct session *s = data;
+  s->registered = r->state == STORE_OK;
+  if (r->state == STORE_MISSING)
+    s->lease = 0;
+  log_event (LOG_LEVEL_INFO, "registration",
+             "state=%d revision=%lld lease=%lld", (int)r->state,
+             (long long)r->revision, (long long)s->lease);
+  next (s, s->registered ? RENEW_MS : RENEW_MS / 4);
+}
+
+static void
+register_daemon (struct session *s)
+{
+  char key[KEY_SIZE];
+  snprintf (key, sizeof key, "%s%s", KEY_DAEMON, s->entry->settings.name);
+  struct store_write w
+      = { .key = key, .value = s->entry->settings.zone, .lease = s->lease };
+  struct store_txn txn = { .writes = &w, .write_count = 1 };
+  store_commit (s->entry->store, &txn, STORE_TIMEOUT_MS, on_registered, s);
+}
+
+static void
+on_granted (void *data, const struct store_result *r)
+{
+  struct session *s = data;
+  s->slow = r->state == STORE_UNKNOWN;
+  if (r->state != STORE_OK || r->lease == 0)
+    {
+      next (s, RENEW_MS / 4);
+      return;
+    }
+  s->lease = r->lease;
+  s->confirmed = s->sent;
+  log_event (LOG_LEVEL_INFO, "lease_granted", "lease=%lld ttl_ms=%lld",
+             (long long)s->lease, (long long)r->ttl_ms);
+  register_daemon (s);
+}
+
+static void
+on_renewed (void *data, const struct store_result *r)
+{
+  struct session *s = data;
+  s->slow = r->state == STORE_UNKNOWN;
+  if (r->state == STORE_OK)
+    {
+      s->confirmed = s->sent;
+      if (!s->registered)
+        register_daemon (s);
+      else
+        next (s, RENEW_MS);
+      return;
+    }
+  if (r->state == STORE_MISSING)
+    {
+      log_event (LOG_LEVEL_WARN, "lease_lost", "lease=%lld age_ms=%lld",
+                 (long long)s->lease,
+                 (long long)rr_time_diff (entry_now (), s->confirmed));
+      s->lease = 0;
+      s->registered = false;
+      owners_lease_lost (s->entry->owners);
+    }
+  next (s, RENEW_MS / 4);
+}
+
+static void
+renew (struct session *s)
+{
+  if (s->calling)
+    return;
+  s->calling = true;
+  s->sent = entry_now ();
+  uint64_t timeout = s->slow ? SLOW_TIMEOUT_MS : CALL_TIMEOUT_MS;
+  if (s->lease == 0)
+    store_lease_grant (s->entry->store, SESSION_TTL_MS, SLOW_TIMEOUT_MS,
+                       on_granted, s);
+  else
+    store_lease_renew (s->entry->store, s->lease, timeout, on_renewed, s);
+}
+
+/* Begins to hold a lease and registers the daemon under it.  */
+struct session *
+session_open (struct entry *e)
+{
+  struct session *s = calloc (1, sizeof *s);
+  assert (s != NULL);
+  s->entry = e;
+  uv_timer_init (e->loop, &s->timer);
+  s->timer.data = s;
+  renew (s);
+  return s;
+}
+
+static void
+on_ended (void *data, const struct store_result *r)
+{
+  (void)data;
+  log_event (LOG_LEVEL_INFO, "lease_ended", "state=%d", (int)r->state);
+}
+
+/* Ends the lease, so that the shards are free for other daemons at once.  */
+void
+session_close (struct session *s)
+{
+  uv_timer_stop (&s->timer);
+  if (s->lease != 0)
+    store_lease_end (s->entry->store, s->lease, STORE_TIMEOUT_MS, on_ended, s);
+  s->lease = 0;
+}
--- /dev/null
+++ b/rosemaryentryd/settings.c
@@ -0,0 +1,129 @@
+#include "rosemaryentryd/settings.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/json.h"
+#include "common/log.h"
+
+enum
+{
+  SETTINGS_MAX_BYTES = 1 << 20
+};
+
+static bool
+take_address (struct json_object *o, const char *name,
+              struct settings_peer *peer, struct rr_error *err)
+{
+  const char *text = json_get_string (o, name, err);
+  if (text == NULL)
+    return false;
+  if (settings_parse_peer (text, peer))
+    return true;
+  return rr_error_set (err, RR_ERROR_INVALID,
+                       "setting \"%s\": expected ADDRESS:PORT, found \"%s\"",
+                       name, text);
+}
+
+static bool
+take_name (struct json_object *o, const char *name, char *out,
+           struct rr_error *err)
+{
+  const char *text = json_get_string (o, name, err);
+  if (text == NULL)
+    return false;
+  if (text[0] == '\0' || strlen (text) >= RR_GRAPH_NAME_SIZE)
+    return rr_error_set (err, RR_ERROR_INVALID,
+                         "setting \"%s\": expected 1 to %d bytes", name,
+                         RR_GRAPH_NAME_SIZE - 1);
+  snprintf (out, RR_GRAPH_NAME_SIZE, "%s", text);
+  return true;
+}
+
+/* A number of milliseconds; a missing or wrong one is reported, and FALLBACK
+   serves in its place.  */
+static int64_t
+take_ms (struct json_object *o, const char *name, double scale,
+         int64_t fallback)
+{
+  struct json_object *v = NULL;
+  if (json_object_object_get_ex (o, name, &v)
+      && (json_object_is_type (v, json_type_int)
+          || json_object_is_type (v, json_type_double))
+      && json_object_get_double (v) > 0)
+    return (int64_t)(json_object_get_double (v) * scale);
+  log_event (LOG_LEVEL_WARN, "setting_default",
+             "name=%s expected=positive-number value=%lld", name,
+             (long long)fallback);
+  return fallback;
+}
+
+static void
+take_zones (struct json_object *o, struct entry_settings *s)
+{
+  struct json_object *zones = NULL;
+  json_object_object_get_ex (o, "zones", &zones);
+  size_t n = json_object_is_type (zones, json_type_array)
+                 ? json_object_array_length (zones)
+                 : 0;
+  for (size_t i = 0; i < n && s->zone_count < ENTRY_ZONES_MAX; i++)
+    snprintf (s->zones[s->zone_count++], RR_GRAPH_NAME_SIZE, "%s",
+              json_object_get_string (json_object_array_get_idx (zones, i)));
+  if (s->zone_count > 0)
+    return;
+  log_event (LOG_LEVEL_WARN, "setting_default", "name=zones value=%s",
+             s->zone);
+  snprintf (s->zones[s->zone_count++], RR_GRAPH_NAME_SIZE, "%s", s->zone);
+}
+
+/* Reads settings, JSON with comments; false with RR_ERROR_INVALID when one
+   that has no default is missing or wrong.  */
+bool
+entry_settings_parse (const char *text, size_t length,
+                      struct entry_settings *s, struct rr_error *err)
+{
+  memset (s, 0, sizeof *s);
+  struct json_object *o = json_parse (text, length, err);
+  if (o == NULL)
+    return false;
+  bool ok = take_name (o, "name", s->name, err)
+            && take_name (o, "zone", s->zone, err)
+            && take_address (o, "front", &s->front, err)
+            && take_address (o, "ready", &s->ready, err)
+            && take_address (o, "store", &s->store, err);
+  if (ok)
+    {
+      take_zones (o, s);
+      snprintf (s->log_level, sizeof s->log_level, "%s",
+                json_string_or (o, "log_level", "info"));
+      s->lease_max_ms = take_ms (o, "lease_max_ms", 1, 10000);
+      s->stop_grace_ms = take_ms (o, "stop_grace_ms", 1, 1000);
+      s->gang_timeout_ms = take_ms (o, "gang_timeout_ms", 1, 3000);
+      s->shutdown_ms = take_ms (o, "shutdown_s", 1000, 6000);
+      s->retention_ms = take_ms (o, "retention_s", 1000, 120000);
+      s->remote_factor
+          = (double)take_ms (o, "remote_factor", 1000, 3000) / 1000;
+    }
+  json_object_put (o);
+  return ok;
+}
+
+/* Reads the settings file PATH; false with RR_ERROR_SYSTEM when it can't be
+   read.  */
+bool
+entry_settings_load (const char *path, struct entry_settings *s,
+                     struct rr_error *err)
+{
+  FILE *f = fopen (path, "r");
+  if (f == NULL)
+    return rr_error_set (err, RR_ERROR_SYSTEM, "can't read %s: %s", path,
+                         strerror (errno));
+  char *text = malloc (SETTINGS_MAX_BYTES);
+  size_t n = text == NULL ? 0 : fread (text, 1, SETTINGS_MAX_BYTES, f);
+  fclose (f);
+  bool ok = entry_settings_parse (text, n, s, err);
+  free (text);
+  return ok;
+}
--- /dev/null
+++ b/rosemaryrail/dispatch.c
@@ -0,0 +1,504 @@
+#include "dispatch_private.h"
+
+#include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /* Pause before a failed task starts again; doubles with each failure.  */
+  FAILURE_PAUSE_MS = 50,
+  FAILURE_PAUSE_DOUBLINGS = 5
+};
+
+/* Passes one line about a decision to the owner's log.  */
+void
+dispatch_note (struct rr_dispatch *d, const char *event, const char *format,
+               ...)
+{
+  if (d->o.note == NULL)
+    return;
+  char text[400];
+  va_list args;
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  d->o.note (d->o.data, event, text);
+}
+
+/* Returns an empty dispatcher.  */
+struct rr_dispatch *
+rr_dispatch_new (const struct rr_dispatch_options *o)
+{
+  struct rr_dispatch *d = calloc (1, sizeof *d);
+  assert (d != NULL);
+  d->o = *o;
+  d->workers = rr_table_new (sizeof (struct dispatch_worker));
+  d->worker_ids = rr_key_index_new ();
+  d->jobs = rr_table_new (sizeof (struct dispatch_job));
+  d->job_ids = rr_key_index_new ();
+  return d;
+}
+
+static void
+job_release (struct dispatch_job *j)
+{
+  rr_graph_free (j->graph);
+  free (j->tasks);
+  free (j->steps);
+}
+
+/* Frees D, which may be null.  Nothing is ordered.  */
+void
+rr_dispatch_free (struct rr_dispatch *d)
+{
+  if (d == NULL)
+    return;
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while ((j = rr_table_next (d->jobs, &h)) != NULL)
+    job_release (j);
+  struct rr_handle hw = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &hw)) != NULL)
+    {
+      free (w->runs);
+      free (w->ends);
+    }
+  rr_table_free (d->jobs);
+  rr_key_index_free (d->job_ids);
+  rr_table_free (d->workers);
+  rr_key_index_free (d->worker_ids);
+  free (d->queues);
+  free (d->inherited);
+  free (d);
+}
+
+/* Sets or replaces the policy of the queue that P names.  */
+void
+rr_dispatch_queue_set (struct rr_dispatch *d, const struct rr_queue_policy *p)
+{
+  for (size_t i = 0; i < d->queue_count; i++)
+    if (strcmp (d->queues[i].queue, p->queue) == 0)
+      {
+        d->queues[i] = *p;
+        return;
+      }
+  d->queues = realloc (d->queues, (d->queue_count + 1) * sizeof *d->queues);
+  assert (d->queues != NULL);
+  d->queues[d->queue_count++] = *p;
+}
+
+/* Returns the policy of J's queue; a queue that was removed meanwhile keeps
+   its last one, an unknown queue a cautious one.  */
+const struct rr_queue_policy *
+dispatch_queue (const struct rr_dispatch *d, const struct dispatch_job *j)
+{
+  static const struct rr_queue_policy unknown
+      = { .priority = 100, .attempts_max = 1, .slack_factor = 1.0 };
+  for (size_t i = 0; i < d->queue_count; i++)
+    if (strcmp (d->queues[i].queue, j->graph->queue) == 0)
+      return &d->queues[i];
+  return &unknown;
+}
+
+struct dispatch_job *
+dispatch_job_find (const struct rr_dispatch *d, const char *id)
+{
+  return rr_table_get (d->jobs, rr_key_index_get (d->job_ids, id));
+}
+
+struct dispatch_job *
+dispatch_job_get (const struct rr_dispatch *d, struct rr_handle h)
+{
+  return rr_table_get (d->jobs, h);
+}
+
+/* Finds the number of the task that NAME means; false when J has none such. */
+bool
+dispatch_task_number (const struct dispatch_job *j,
+                      const struct rr_run_name *name, uint32_t *number)
+{
+  const struct rr_graph *g = j->graph;
+  if (name->occurrence < 0 || name->occurrence >= g->occurrence_count
+      || name->step < 0 || (size_t)name->step >= g->step_count
+      || name->task < 0 || name->task >= g->steps[name->step].task_count)
+    return false;
+  *number = (uint32_t)((size_t)name->occurrence * j->occurrence_tasks
+                       + rr_graph_step_offset (g, (size_t)name->step)
+                       + (size_t)name->task);
+  return true;
+}
+
+/* Fills NAME for the task with NUMBER; its run is left at 0.  */
+void
+dispatch_task_name (const struct dispatch_job *j, uint32_t number,
+                    struct rr_run_name *name)
+{
+  memset (name, 0, sizeof *name);
+  snprintf (name->job, sizeof name->job, "%s", j->graph->id);
+  name->occurrence = (int32_t)(number / j->occurrence_tasks);
+  size_t rest = number % j->occurrence_tasks;
+  size_t step = 0;
+  while (rest >= (size_t)j->graph->steps[step].task_count)
+    rest -= (size_t)j->graph->steps[step++].task_count;
+  name->step = (int32_t)step;
+  name->task = (int32_t)rest;
+}
+
+struct dispatch_step *
+dispatch_step_of (struct dispatch_job *j, const struct rr_run_name *name)
+{
+  return &j->steps[(size_t)name->occurrence * j->graph->step_count
+                   + (size_t)name->step];
+}
+
+static void
+job_changed (struct dispatch_job *j)
+{
+  j->version++;
+}
+
+static void
+task_set_waiting (struct dispatch_job *j, uint32_t number)
+{
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  if (j->tasks[number].state != TASK_WAITING)
+    dispatch_step_of (j, &name)->waiting++;
+  j->tasks[number].state = TASK_WAITING;
+}
+
+static void
+task_set_done (struct dispatch_job *j, uint32_t number)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  if (t->state == TASK_DONE)
+    return;
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  struct dispatch_step *s = dispatch_step_of (j, &name);
+  if (t->state == TASK_WAITING)
+    s->waiting--;
+  t->state = TASK_DONE;
+  s->done++;
+  j->done_count++;
+}
+
+/* A done member ends the whole run of its gang well.  */
+static void
+gang_set_done (struct dispatch_job *j, const struct rr_run_name *name)
+{
+  struct rr_run_name member = *name;
+  for (member.task = 0; member.task < j->graph->steps[name->step].task_count;
+       member.task++)
+    {
+      uint32_t number;
+      if (dispatch_task_number (j, &member, &number))
+        task_set_done (j, number);
+    }
+}
+
+static uint32_t
+failures_of (const struct dispatch_job *j, uint32_t number)
+{
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  const struct rr_graph_step *s = &j->graph->steps[name.step];
+  if (!s->gang)
+    return j->tasks[number].failures;
+  uint32_t sum = 0;
+  uint32_t first = number - (uint32_t)name.task;
+  for (int32_t i = 0; i < s->task_count; i++)
+    sum += j->tasks[first + (uint32_t)i].failures;
+  return sum;
+}
+
+/* Accounts for END, the first news of how a run of task NUMBER ended.  */
+void
+dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
+                   uint32_t number, const struct rr_run_end *end,
+                   struct rr_handle worker, struct rr_time now)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  const struct rr_graph_step *s = &j->graph->steps[end->name.step];
+  t->ended_run = end->name.run;
+  if (t->next_run <= end->name.run)
+    t->next_run = end->name.run + 1;
+  if (end->checkpoint[0] != '\0')
+    snprintf (t->checkpoint, sizeof t->checkpoint, "%s", end->checkpoint);
+  job_changed (j);
+  if (t->state == TASK_DONE)
+    return;
+  if (end->kind == RR_END_DONE && !s->long_running)
+    {
+      task_set_done (j, number);
+      if (s->gang)
+        gang_set_done (j, &end->name);
+      dispatch_job_settle (d, j);
+      return;
+    }
+  task_set_waiting (j, number);
+  t->not_before = now;
+  if (end->kind != RR_END_FAILED)
+    return;
+  t->failures++;
+  t->bad_worker = worker;
+  uint32_t doublings = t->failures < FAILURE_PAUSE_DOUBLINGS
+                           ? t->failures
+                           : FAILURE_PAUSE_DOUBLINGS;
+  t->not_before = rr_time_add (now, FAILURE_PAUSE_MS << (doublings - 1));
+  int32_t max = dispatch_queue (d, j)->attempts_max;
+  if (s->long_running || (int32_t)failures_of (j, number) < max)
+    return;
+  dispatch_note (d, "job_failed", "job=%s task=%d.%d.%d failures=%u max=%d",
+                 j->graph->id, end->name.occurrence, end->name.step,
+                 end->name.task, t->failures, max);
+  j->phase = RR_PHASE_FAILED;
+  dispatch_job_stop_runs (d, j, "job-failed");
+}
+
+/* Accounts for a run of task NUMBER that is certainly over, or never was, and
+   of which nothing else is known.  */
+void
+dispatch_task_lost (struct rr_dispatch *d, struct dispatch_job *j,
+                    uint32_t number, struct rr_time now)
+{
+  (void)d;
+  struct dispatch_task *t = &j->tasks[number];
+  if (t->state != TASK_PLACED)
+    return;
+  t->ended_run = t->current_run;
+  if (t->next_run <= t->current_run)
+    t->next_run = t->current_run + 1;
+  t->not_before = now;
+  task_set_waiting (j, number);
+  job_changed (j);
+}
+
+/* Asks for a stop of every run of J.  */
+void
+dispatch_job_stop_runs (struct rr_dispatch *d, struct dispatch_job *j,
+                        const char *reason)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    for (size_t i = 0; i < w->run_count; i++)
+      if (dispatch_job_get (d, w->runs[i].job) == j)
+        dispatch_run_stop (&w->runs[i], reason);
+}
+
+/* Completes J when all of its tasks are done.  */
+void
+dispatch_job_settle (struct rr_dispatch *d, struct dispatch_job *j)
+{
+  if (j->done_count < j->task_count || j->phase == RR_PHASE_FAILED
+      || j->phase == RR_PHASE_COMPLETED)
+    return;
+  j->phase = RR_PHASE_COMPLETED;
+  job_changed (j);
+  dispatch_note (d, "job_done", "job=%s tasks=%zu", j->graph->id,
+                 j->task_count);
+}
+
+static void
+restore_row (struct dispatch_job *j, const struct rr_progress_row *row)
+{
+  if (row->number >= j->task_count)
+    return;
+  struct dispatch_task *t = &j->tasks[row->number];
+  t->ended_run = row->run;
+  t->next_run = row->run + 1;
+  t->failures = row->failures;
+  memcpy (t->checkpoint, row->checkpoint, sizeof t->checkpoint);
+  if (row->done)
+    task_set_done (j, row->number);
+}
+
+static void
+restore (struct rr_dispatch *d, struct dispatch_job *j,
+         const struct rr_progress *p)
+{
+  j->phase = p->phase;
+  for (size_t i = 0; i < p->row_count; i++)
+    restore_row (j, &p->rows[i]);
+  dispatch_job_settle (d, j);
+}
+
+static void
+mark_uncertain (struct dispatch_job *j)
+{
+  for (uint32_t i = 0; i < j->task_count; i++)
+    {
+      struct dispatch_task *t = &j->tasks[i];
+      if (t->state != TASK_WAITING)
+        continue;
+      struct rr_run_name name;
+      dispatch_task_name (j, i, &name);
+      dispatch_step_of (j, &name)->waiting--;
+      t->state = TASK_UNCERTAIN;
+      t->next_run += INHERITED_RUN_GAP;
+    }
+}
+
+/* Adds the job G, or frees it when it is known already.  */
+void
+rr_dispatch_job_add (struct rr_dispatch *d, struct rr_graph *g,
+                     const struct rr_progress *progress, bool inherited,
+                     struct rr_time now)
+{
+  if (rr_dispatch_job_known (d, g->id))
+    {
+      rr_graph_free (g);
+      return;
+    }
+  struct rr_handle h;
+  struct dispatch_job *j = rr_table_insert (d->jobs, &h);
+  memset (j, 0, sizeof *j);
+  j->graph = g;
+  j->handle = h;
+  j->occurrence_tasks = rr_graph_occurrence_tasks (g);
+  j->task_count = j->occurrence_tasks * (size_t)g->occurrence_count;
+  j->tasks = calloc (j->task_count, sizeof *j->tasks);
+  j->steps
+      = calloc (g->step_count * (size_t)g->occurrence_count, sizeof *j->steps);
+  assert (j->tasks != NULL && j->steps != NULL);
+  j->accepted = rr_time_from_ms (g->accepted_ms - d->o.wall_offset_ms);
+  if (rr_time_before (now, j->accepted))
+    j->accepted = now;
+  for (uint32_t i = 0; i < j->task_count; i++)
+    {
+      struct rr_run_name name;
+      dispatch_task_name (j, i, &name);
+      dispatch_step_of (j, &name)->waiting++;
+      j->tasks[i].next_run = 1;
+      j->tasks[i].not_before = rr_time_from_ms (INT64_MIN / 2);
+      if (g->scheduled)
+        j->tasks[i].not_before = rr_time_from_ms (
+            g->first_run_ms + name.occurrence * g->interval_ms
+            - d->o.wall_offset_ms);
+    }
+  rr_key_index_put (d->job_ids, g->id, h);
+  if (progress != NULL)
+    restore (d, j, progress);
+  if (inherited && d->inheriting)
+    mark_uncertain (j);
+}
+
+/* Tells whether the job ID is in hand.  */
+bool
+rr_dispatch_job_known (const struct rr_dispatch *d, const char *id)
+{
+  return dispatch_job_find (d, id) != NULL;
+}
+
+/* Ends the job ID: nothing of it starts any more, and what runs is stopped. */
+void
+rr_dispatch_job_cancel (struct rr_dispatch *d, const char *id,
+                        struct rr_time now)
+{
+  (void)now;
+  struct dispatch_job *j = dispatch_job_find (d, id);
+  if (j == NULL || j->cancelled)
+    return;
+  j->cancelled = true;
+  dispatch_note (d, "job_cancelled", "job=%s runs=%zu", id, j->run_count);
+  dispatch_job_stop_runs (d, j, "job-cancelled");
+}
+
+static bool
+job_finished (const struct dispatch_job *j)
+{
+  return j->cancelled || j->phase == RR_PHASE_COMPLETED
+         || j->phase == RR_PHASE_FAILED;
+}
+
+/* Forgets jobs that are over, stored, and run nowhere.  */
+static void
+forget_finished (struct rr_dispatch *d)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while ((j = rr_table_next (d->jobs, &h)) != NULL)
+    {
+      if (!job_finished (j) || j->run_count > 0
+          || (!j->cancelled && j->version > j->stored_version))
+        continue;
+      rr_key_index_remove (d->job_ids, j->graph->id);
+      job_release (j);
+      rr_table_remove (d->jobs, j->handle);
+    }
+}
+
+static size_t
+collect_changed (struct rr_dispatch *d, const char **ids, size_t n, size_t max,
+                 bool finished)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while (n < max && (j = rr_table_next (d->jobs, &h)) != NULL)
+    if (j->version != j->stored_version && !j->cancelled
+        && job_finished (j) == finished)
+      ids[n++] = j->graph->id;
+  return n;
+}
+
+/* Writes the ids of at most MAX jobs with changes to store, finished jobs
+   first, since their callers wait for the result.  */
+size_t
+rr_dispatch_changed (struct rr_dispatch *d, const char **ids, size_t max,
+                     bool *urgent)
+{
+  forget_finished (d);
+  size_t n = collect_changed (d, ids, 0, max, true);
+  *urgent = n > 0;
+  return collect_changed (d, ids, n, max, false);
+}
+
+static void
+add_row (const struct dispatch_job *j, uint32_t number, struct rr_progress *p)
+{
+  const struct dispatch_task *t = &j->tasks[number];
+  if (t->ended_run == 0 && t->state != TASK_DONE)
+    return;
+  struct rr_progress_row *r = &p->rows[p->row_count++];
+  r->number = number;
+  r->run = t->ended_run;
+  r->failures = t->failures;
+  r->done = t->state == TASK_DONE;
+  if (!r->done)
+    memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
+}
+
+/* Returns the progress of job ID in its stored form, signed with MARK, and its
+   VERSION for rr_dispatch_stored; null when the job is not in hand.  */
+char *
+rr_dispatch_progress (struct rr_dispatch *d, const char *id, const char *mark,
+                      uint64_t *version)
+{
+  const struct dispatch_job *j = dispatch_job_find (d, id);
+  if (j == NULL)
+    return NULL;
+  struct rr_progress p = { .phase = j->phase };
+  snprintf (p.mark, sizeof p.mark, "%s", mark);
+  p.rows = calloc (j->task_count + 1, sizeof *p.rows);
+  assert (p.rows != NULL);
+  for (uint32_t i = 0; i < j->task_count && !job_finished (j); i++)
+    add_row (j, i, &p);
+  char *text = rr_progress_encode (&p);
+  free (p.rows);
+  *version = j->version;
+  return text;
+}
+
+/* Records that VERSION of job ID is durable.  */
+void
+rr_dispatch_stored (struct rr_dispatch *d, const char *id, uint64_t version)
+{
+  struct dispatch_job *j = dispatch_job_find (d, id);
+  if (j != NULL && version > j->stored_version)
+    j->stored_version = version;
+}
--- /dev/null
+++ b/rosemaryrail/dispatch_plan.c
@@ -0,0 +1,596 @@
+#include "dispatch_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /* A filler starts only where at least this share of its cores is unused,
+     since more of them would only slow each other down.  */
+  FILLER_ROOM_PERCENT = 60,
+  /* ... and where fillers may run at this speed at least.  */
+  FILLER_SPEED_MIN_PERCENT = 50,
+  /* A draining worker's short tasks are stopped this long before it leaves, so
+     that their end is known and they start again at once.  */
+  LEAVING_STOP_MS = 1500
+};
+
+/* A job with tasks to start, and what decides its turn.  */
+struct turn
+{
+  struct dispatch_job *job;
+  int32_t priority;
+  bool long_running;
+  bool late; /* can't meet its objective any more */
+  struct rr_time due;
+};
+
+static bool
+step_in_turn (const struct dispatch_job *j, int32_t occurrence, size_t step)
+{
+  const struct rr_graph_step *s = &j->graph->steps[step];
+  const struct dispatch_step *states
+      = &j->steps[(size_t)occurrence * j->graph->step_count];
+  for (size_t i = 0; i < s->after_count; i++)
+    if (states[s->after[i]].done < j->graph->steps[s->after[i]].task_count)
+      return false;
+  return true;
+}
+
+static struct rr_time
+occurrence_begin (const struct rr_dispatch *d, const struct dispatch_job *j,
+                  int32_t occurrence)
+{
+  if (!j->graph->scheduled)
+    return j->accepted;
+  return rr_time_from_ms (j->graph->first_run_ms
+                          + occurrence * j->graph->interval_ms
+                          - d->o.wall_offset_ms);
+}
+
+/* Fills T for J; false when no task of it waits for its turn now.  */
+static bool
+turn_of_job (const struct rr_dispatch *d, struct dispatch_job *j,
+             struct turn *t, struct rr_time now)
+{
+  const struct rr_queue_policy *q = dispatch_queue (d, j);
+  int64_t chain = rr_graph_chain_ms (j->graph);
+  for (int32_t k = 0; k < j->graph->occurrence_count; k++)
+    {
+      struct rr_time begin = occurrence_begin (d, j, k);
+      if (j->graph->scheduled && rr_time_before (now, begin))
+        return false;
+      for (size_t s = 0; s < j->graph->step_count; s++)
+        {
+          const struct dispatch_step *st
+              = &j->steps[(size_t)k * j->graph->step_count + s];
+          if (st->waiting == 0 || !step_in_turn (j, k, s))
+            continue;
+          t->job = j;
+          t->priority = q->priority;
+          t->long_running = j->graph->steps[s].long_running;
+          t->due
+              = rr_time_add (begin, (int64_t)(q->slack_factor * (double)chain)
+                                        + q->target_runtime_ms);
+          int64_t rest = rr_graph_chain_from_ms (j->graph, s);
+          t->late = !t->long_running
+                    && rr_time_before (t->due, rr_time_add (now, rest));
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Tasks that last come first: their users wait all the while.  Jobs that will
+   be late in any case come after those that can still be on time.  */
+static int
+compare_turns (const void *a, const void *b)
+{
+  const struct turn *x = a;
+  const struct turn *y = b;
+  if (x->priority != y->priority)
+    return x->priority < y->priority ? -1 : 1;
+  if (x->long_running != y->long_running)
+    return x->long_running ? -1 : 1;
+  if (x->late != y->late)
+    return x->late ? 1 : -1;
+  int64_t diff = rr_time_diff (x->due, y->due);
+  if (diff != 0)
+    return diff < 0 ? -1 : 1;
+  return strcmp (x->job->graph->id, y->job->graph->id);
+}
+
+static void
+measure_worker (struct dispatch_worker *w)
+{
+  w->free_cores_milli = w->info.cores_milli;
+  w->free_memory_mb = w->info.memory_mb;
+  w->free_accelerators = w->info.accelerators;
+  w->filler_cores_milli = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      const struct dispatch_run *r = &w->runs[i];
+      w->free_memory_mb -= r->memory_mb;
+      w->free_accelerators -= r->accelerators;
+      if (r->filler)
+        w->filler_cores_milli += r->cores_milli;
+      else
+        w->free_cores_milli -= r->cores_milli;
+    }
+}
+
+static bool
+worker_usable (const struct dispatch_worker *w, struct rr_time now)
+{
+  return w->listed && !w->info.draining && w->recorded && w->reported
+         && rr_time_diff (now, w->last_report) <= REPORT_AGE_MAX_MS
+         && !rr_time_before (now, w->full_until)
+         && !rr_time_before (now, w->avoid_until);
+}
+
+static bool
+worker_has_label (const struct dispatch_worker *w, const char *label)
+{
+  for (size_t i = 0; i < w->info.label_count; i++)
+    if (strcmp (w->info.labels[i], label) == 0)
+      return true;
+  return false;
+}
+
+static int32_t
+count_step_runs (const struct dispatch_worker *w, const struct dispatch_job *j,
+                 const struct rr_run_name *name)
+{
+  int32_t n = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      const struct dispatch_run *r = &w->runs[i];
+      if (r->job.index == j->handle.index
+          && r->job.generation == j->handle.generation
+          && r->name.occurrence == name->occurrence
+          && r->name.step == name->step)
+        n++;
+    }
+  return n;
+}
+
+/* What limits the choice of a worker for one task.  */
+struct demand
+{
+  struct dispatch_job *job;
+  const struct rr_graph_step *step;
+  const struct rr_run_name *name;
+  const char *service;
+  const char *rack; /* only there; null: anywhere */
+};
+
+static bool
+worker_allowed (const struct dispatch_worker *w, const struct demand *m,
+                struct rr_time now)
+{
+  const struct rr_graph_step *s = m->step;
+  if (!worker_usable (w, now) || strcmp (w->info.service, m->service) != 0)
+    return false;
+  if (s->required_label[0] != '\0' && !worker_has_label (w, s->required_label))
+    return false;
+  if (m->rack != NULL && !worker_has_label (w, m->rack))
+    return false;
+  return s->per_worker_max == 0
+         || count_step_runs (w, m->job, m->name) < s->per_worker_max;
+}
+
+static bool
+worker_fits (const struct dispatch_worker *w, const struct rr_graph_step *s)
+{
+  if (w->free_memory_mb < s->memory_mb
+      || w->free_accelerators < s->accelerators)
+    return false;
+  if (!s->filler)
+    return w->free_cores_milli >= s->cores_milli;
+  return w->filler_percent >= FILLER_SPEED_MIN_PERCENT
+         && (w->free_cores_milli - w->filler_cores_milli) * 100
+                >= s->cores_milli * FILLER_ROOM_PERCENT;
+}
+
+/* Returns the allowed worker with the most cores that nothing uses; the one
+   where the task failed last only when there is no other.  */
+static struct dispatch_worker *
+choose_worker (struct rr_dispatch *d, const struct demand *m,
+               struct rr_handle bad_worker, struct rr_time now)
+{
+  struct dispatch_worker *best = NULL;
+  int64_t best_score = 0;
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      if (!worker_allowed (w, m, now) || !worker_fits (w, m->step))
+        continue;
+      int64_t score = w->free_cores_milli - w->filler_cores_milli;
+      if (m->step->filler)
+        score = score * w->filler_percent / 100;
+      if (w->handle.index == bad_worker.index
+          && w->handle.generation == bad_worker.generation)
+        score -= INT64_MAX / 4;
+      if (best == NULL || score > best_score)
+        {
+          best = w;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static void
+reserve (struct rr_dispatch *d, struct dispatch_worker *w,
+         struct dispatch_job *j, uint32_t number,
+         const struct rr_run_name *name, struct rr_time now)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  const struct rr_graph_step *s = &j->graph->steps[name->step];
+  t->state = TASK_PLACED;
+  t->current_run = name->run;
+  t->worker = w->handle;
+  dispatch_step_of (j, name)->waiting--;
+  dispatch_run_add (d, w, j, name, now);
+  w->free_memory_mb -= s->memory_mb;
+  w->free_accelerators -= s->accelerators;
+  if (s->filler)
+    w->filler_cores_milli += s->cores_milli;
+  else
+    w->free_cores_milli -= s->cores_milli;
+}
+
+static void
+unreserve (struct rr_dispatch *d, struct dispatch_job *j, uint32_t number,
+           const struct rr_run_name *name)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
+  dispatch_run_remove (d, w, dispatch_run_find (w, name));
+  t->state = TASK_WAITING;
+  dispatch_step_of (j, name)->waiting++;
+  measure_worker (w);
+}
+
+static void
+order_start (struct rr_dispatch *d, struct dispatch_job *j, uint32_t number,
+             const struct rr_run_name *name)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
+  t->next_run = name->run + 1;
+  struct rr_order o = { .kind = RR_ORDER_START,
+                        .worker = t->worker,
+                        .worker_id = w->info.id,
+                        .name = *name,
+                        .spec = j->graph->spec,
+                        .checkpoint = t->checkpoint,
+                        .reason = "in-turn" };
+  d->o.order (d->o.data, &o);
+}
+
+/* Fills M and returns the worker for the task NAME, or null.  Away from its
+   data a task takes longer by the remote factor, so it waits about as long
+   as it would lose there.  */
+static struct dispatch_worker *
+find_worker (struct rr_dispatch *d, struct dispatch_job *j,
+             const struct rr_run_name *name, uint32_t number,
+             const char *gang_rack, struct rr_time now)
+{
+  const struct rr_graph_step *s = &j->graph->steps[name->step];
+  const struct rr_queue_policy *q = dispatch_queue (d, j);
+  struct demand m
+      = { .job = j,
+          .step = s,
+          .name = name,
+          .service = q->service[0] != '\0' ? q->service : j->graph->service,
+          .rack = gang_rack };
+  struct rr_handle bad = j->tasks[number].bad_worker;
+  if (gang_rack != NULL || s->rack[0] == '\0')
+    return choose_worker (d, &m, bad, now);
+  m.rack = s->rack;
+  struct dispatch_worker *w = choose_worker (d, &m, bad, now);
+  struct rr_time since = occurrence_begin (d, j, name->occurrence);
+  if (rr_time_before (since, j->tasks[number].not_before))
+    since = j->tasks[number].not_before;
+  double patience = (d->o.remote_factor - 1) * (double)s->estimate_ms / 2;
+  if (w != NULL || (double)rr_time_diff (now, since) < patience)
+    return w;
+  m.rack = NULL;
+  return choose_worker (d, &m, bad, now);
+}
+
+static bool
+place_single (struct rr_dispatch *d, struct dispatch_job *j,
+              struct rr_run_name *name, uint32_t number, struct rr_time now)
+{
+  struct dispatch_worker *w = find_worker (d, j, name, number, NULL, now);
+  if (w == NULL)
+    return false;
+  name->run = j->tasks[number].next_run;
+  reserve (d, w, j, number, name, now);
+  dispatch_note (d, "start",
+                 "job=%s task=%d.%d.%d run=%u vm=%s free_cores=%lld "
+                 "fillers=%lld report_age_ms=%lld",
+                 name->job, name->occurrence, name->step, name->task,
+                 name->run, w->info.id, (long long)w->free_cores_milli,
+                 (long long)w->filler_cores_milli,
+                 (long long)rr_time_diff (now, w->last_report));
+  order_start (d, j, number, name);
+  return true;
+}
+
+/* Reserves room for all members of a gang, in RACK unless null; none stays
+   reserved when one finds no room.  */
+static bool
+reserve_gang (struct rr_dispatch *d, struct dispatch_job *j,
+              struct rr_run_name *name, const char *rack, struct rr_time now)
+{
+  int32_t count = j->graph->steps[name->step].task_count;
+  for (name->task = 0; name->task < count; name->task++)
+    {
+      uint32_t number;
+      dispatch_task_number (j, name, &number);
+      struct dispatch_worker *w = find_worker (d, j, name, number, rack, now);
+      if (w != NULL)
+        {
+          reserve (d, w, j, number, name, now);
+          continue;
+        }
+      while (--name->task >= 0)
+        {
+          dispatch_task_number (j, name, &number);
+          unreserve (d, j, number, name);
+        }
+      return false;
+    }
+  return true;
+}
+
+static bool
+reserve_gang_in_a_rack (struct rr_dispatch *d, struct dispatch_job *j,
+                        struct rr_run_name *name, struct rr_time now)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (w->info.rack[0] != '\0'
+        && reserve_gang (d, j, name, w->info.rack, now))
+      return true;
+  return false;
+}
+
+/* Starts all members of a gang with one run number, or none.  The checkpoint
+   of any member holds for all.  */
+static bool
+place_gang (struct rr_dispatch *d, struct dispatch_job *j,
+            struct rr_run_name *name, struct rr_time now)
+{
+  const struct rr_graph_step *s = &j->graph->steps[name->step];
+  const char *checkpoint = "";
+  name->task = 0;
+  uint32_t first;
+  dispatch_task_number (j, name, &first);
+  for (int32_t i = 0; i < s->task_count; i++)
+    {
+      struct dispatch_task *t = &j->tasks[first + (uint32_t)i];
+      if (t->state != TASK_WAITING || rr_time_before (now, t->not_before))
+        return false;
+      if (t->next_run > name->run)
+        name->run = t->next_run;
+      if (strcmp (t->checkpoint, checkpoint) > 0)
+        checkpoint = t->checkpoint;
+    }
+  bool placed = s->same_rack && reserve_gang_in_a_rack (d, j, name, now);
+  if (!placed && !reserve_gang (d, j, name, NULL, now))
+    return false;
+  char common[RR_CHECKPOINT_SIZE];
+  snprintf (common, sizeof common, "%s", checkpoint);
+  for (name->task = 0; name->task < s->task_count; name->task++)
+    {
+      uint32_t number = first + (uint32_t)name->task;
+      memcpy (j->tasks[number].checkpoint, common, sizeof common);
+      order_start (d, j, number, name);
+    }
+  dispatch_note (d, "start_gang", "job=%s step=%d.%d run=%u members=%d",
+                 name->job, name->occurrence, name->step, name->run,
+                 s->task_count);
+  return true;
+}
+
+static void
+place_step (struct rr_dispatch *d, struct dispatch_job *j, int32_t occurrence,
+            size_t step, struct rr_time now)
+{
+  const struct rr_graph_step *s = &j->graph->steps[step];
+  struct rr_run_name name
+      = { .occurrence = occurrence, .step = (int32_t)step };
+  snprintf (name.job, sizeof name.job, "%s", j->graph->id);
+  if (s->gang)
+    {
+      place_gang (d, j, &name, now);
+      return;
+    }
+  for (name.task = 0; name.task < s->task_count; name.task++)
+    {
+      uint32_t number;
+      dispatch_task_number (j, &name, &number);
+      struct dispatch_task *t = &j->tasks[number];
+      if (t->state != TASK_WAITING || rr_time_before (now, t->not_before))
+        continue;
+      if (!place_single (d, j, &name, number, now))
+        return;
+    }
+}
+
+static void
+place_job (struct rr_dispatch *d, struct dispatch_job *j, struct rr_time now)
+{
+  for (int32_t k = 0; k < j->graph->occurrence_count; k++)
+    {
+      if (j->graph->scheduled
+          && rr_time_before (now, occurrence_begin (d, j, k)))
+        return;
+      for (size_t s = 0; s < j->graph->step_count; s++)
+        if (j->steps[(size_t)k * j->graph->step_count + s].waiting > 0
+            && step_in_turn (j, k, s))
+          place_step (d, j, k, s, now);
+    }
+}
+
+static bool
+job_active (const struct dispatch_job *j)
+{
+  return !j->cancelled && j->phase != RR_PHASE_FAILED
+         && j->phase != RR_PHASE_COMPLETED;
+}
+
+static void
+place_jobs (struct rr_dispatch *d, struct rr_time now)
+{
+  size_t count = rr_table_count (d->jobs);
+  struct turn *turns = calloc (count + 1, sizeof *turns);
+  assert (turns != NULL);
+  size_t n = 0;
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while ((j = rr_table_next (d->jobs, &h)) != NULL)
+    if (job_active (j) && turn_of_job (d, j, &turns[n], now))
+      n++;
+  qsort (turns, n, sizeof *turns, compare_turns);
+  for (size_t i = 0; i < n; i++)
+    place_job (d, turns[i].job, now);
+  free (turns);
+}
+
+/* Ends the uncertainty about inherited tasks: whatever was not reported as
+   running runs nowhere.  */
+static void
+settle_inherited (struct rr_dispatch *d, struct rr_time now)
+{
+  if (!d->inheriting
+      || (d->inherited_count > 0 && rr_time_before (now, d->inherited_until)))
+    return;
+  size_t tasks = 0;
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while ((j = rr_table_next (d->jobs, &h)) != NULL)
+    for (uint32_t i = 0; i < j->task_count; i++)
+      if (j->tasks[i].state == TASK_UNCERTAIN)
+        {
+          struct rr_run_name name;
+          dispatch_task_name (j, i, &name);
+          dispatch_step_of (j, &name)->waiting++;
+          j->tasks[i].state = TASK_WAITING;
+          tasks++;
+        }
+  dispatch_note (d, "inheritance_settled", "unheard=%zu tasks=%zu",
+                 d->inherited_count, tasks);
+  d->inheriting = false;
+  d->inherited_count = 0;
+}
+
+/* Moves work off a worker that is about to leave.  */
+static void
+clear_draining (struct dispatch_worker *w, struct rr_time now)
+{
+  int64_t remaining
+      = w->info.remaining_ms - rr_time_diff (now, w->last_report);
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].long_running || remaining < LEAVING_STOP_MS)
+      dispatch_run_stop (&w->runs[i], "vm-leaving");
+}
+
+static void
+order_stops (struct rr_dispatch *d, struct dispatch_worker *w,
+             struct rr_time now)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      if (!r->stop_wanted || r->stop_in_flight || r->stop_confirmed
+          || rr_time_before (now, r->stop_at))
+        continue;
+      r->stop_in_flight = true;
+      struct rr_order o = { .kind = RR_ORDER_STOP,
+                            .worker = w->handle,
+                            .worker_id = w->info.id,
+                            .name = r->name,
+                            .reason = r->stop_reason };
+      dispatch_note (d, "stop", "job=%s task=%d.%d.%d run=%u vm=%s reason=%s",
+                     r->name.job, r->name.occurrence, r->name.step,
+                     r->name.task, r->name.run, w->info.id, r->stop_reason);
+      d->o.order (d->o.data, &o);
+    }
+}
+
+/* Decides what to start, stop and slow down now.  Nothing starts once less
+   than the least lease is left until VALID_UNTIL.  */
+void
+rr_dispatch_plan (struct rr_dispatch *d, struct rr_time valid_until,
+                  struct rr_time now)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      dispatch_expire (d, w, now);
+      if (w->info.draining)
+        clear_draining (w, now);
+      measure_worker (w);
+    }
+  settle_inherited (d, now);
+  if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS)
+    place_jobs (d, now);
+  h = (struct rr_handle){ 0 };
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      order_stops (d, w, now);
+      dispatch_share_order (d, w);
+    }
+}
+
+static void
+load_add_job (struct rr_dispatch_load *load, const struct dispatch_job *j)
+{
+  load->jobs++;
+  for (size_t i = 0;
+       i < j->graph->step_count * (size_t)j->graph->occurrence_count; i++)
+    {
+      const struct rr_graph_step *s
+          = &j->graph->steps[i % j->graph->step_count];
+      int32_t waiting = j->steps[i].waiting;
+      if (waiting <= 0)
+        continue;
+      load->waiting += (size_t)waiting;
+      load->queued_core_ms += waiting * s->estimate_ms * s->cores_milli / 1000;
+    }
+}
+
+/* Fills LOAD with the state of the shard.  */
+void
+rr_dispatch_load_get (const struct rr_dispatch *d,
+                      struct rr_dispatch_load *load, struct rr_time now)
+{
+  memset (load, 0, sizeof *load);
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      load->running += w->run_count;
+      if (!worker_usable (w, now))
+        continue;
+      load->workers++;
+      load->cores_milli += w->info.cores_milli;
+      for (size_t i = 0; i < w->run_count; i++)
+        load->used_milli += w->runs[i].cores_milli;
+    }
+  h = (struct rr_handle){ 0 };
+  struct dispatch_job *j;
+  while ((j = rr_table_next (d->jobs, &h)) != NULL)
+    if (job_active (j))
+      load_add_job (load, j);
+}
--- /dev/null
+++ b/rosemaryrail/dispatch_private.h
@@ -0,0 +1,203 @@
+#ifndef RR_DISPATCH_PRIVATE_H
+#define RR_DISPATCH_PRIVATE_H
+
+#include "rosemaryrail/dispatch.h"
+
+enum task_state
+{
+  TASK_WAITING,
+  TASK_UNCERTAIN, /* a former owner may have started it */
+  TASK_PLACED,    /* ordered to a worker, not known to have ended */
+  TASK_DONE
+};
+
+struct dispatch_task
+{
+  enum task_state state;
+  uint32_t current_run; /* while placed */
+  uint32_t next_run;
+  uint32_t ended_run; /* highest run whose end is accounted for */
+  uint32_t failures;
+  struct rr_handle worker;     /* while placed */
+  struct rr_handle bad_worker; /* where its last run failed */
+  struct rr_time not_before;   /* of the next start */
+  char checkpoint[RR_CHECKPOINT_SIZE];
+};
+
+/* Progress of one step in one occurrence.  */
+struct dispatch_step
+{
+  int32_t done;
+  int32_t waiting; /* tasks to be started, in turn or not */
+};
+
+struct dispatch_job
+{
+  struct rr_graph *graph;
+  struct rr_handle handle;
+  struct dispatch_task *tasks; /* by occurrence, step and number */
+  struct dispatch_step *steps; /* by occurrence and step */
+  size_t occurrence_tasks;
+  size_t task_count;
+  size_t done_count;
+  size_t run_count; /* runs on workers */
+  enum rr_job_phase phase;
+  bool cancelled;
+  uint64_t version; /* rises with each durable change */
+  uint64_t stored_version;
+  struct rr_time accepted;
+};
+
+enum run_phase
+{
+  RUN_STARTING,   /* ordered, no answer yet */
+  RUN_UNRESOLVED, /* the order may still be carried out */
+  RUN_RUNNING
+};
+
+/* A run on a worker, or one that may start there.  */
+struct dispatch_run
+{
+  struct rr_run_name name;
+  struct rr_handle job; /* null: of no known job */
+  uint32_t number;      /* of the task in its job */
+  enum run_phase phase;
+  bool stop_wanted;
+  bool stop_in_flight;
+  bool stop_confirmed;    /* the worker has taken the stop at SETTLED_CLOCK */
+  struct rr_time stop_at; /* earliest time of the next stop order */
+  const char *stop_reason;
+  int64_t settled_clock; /* worker's clock when it answered the last order */
+  int32_t missing;       /* reports in a row that lack it */
+  int64_t cores_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+  bool filler;
+  bool long_running;
+  int64_t tail_target_ms;
+  int64_t estimate_ms;
+  int32_t percent;
+  int64_t figure;
+  struct rr_time started;
+  struct rr_time progressed; /* last change of PERCENT */
+  int32_t pace;              /* percent of full speed last ordered */
+  bool pace_in_flight;
+};
+
+/* An end that the worker may forget once VERSION of JOB is stored.  */
+struct dispatch_end
+{
+  int64_t number;
+  struct rr_handle job;
+  uint64_t version;
+};
+
+struct dispatch_worker
+{
+  struct rr_worker_info info;
+  struct rr_handle handle;
+  bool listed;   /* registered at present */
+  bool recorded; /* stored as one that we may use */
+  bool reported; /* has answered us in this incarnation */
+  struct rr_time unlisted_at;
+  struct rr_time last_report;
+  bool has_clock;
+  int64_t clock_ms; /* last known, at most as old as CLOCK_SENT */
+  struct rr_time clock_sent;
+  struct rr_time clock_received;
+  int64_t lease_clock_ms; /* latest lease end that we gave, on its clock */
+  struct dispatch_run *runs;
+  size_t run_count;
+  size_t run_capacity;
+  struct dispatch_end *ends;
+  size_t end_count;
+  size_t end_capacity;
+  int64_t ends_seen;          /* highest number taken in */
+  int64_t observed;           /* highest number whose effect is stored */
+  struct rr_time full_until;  /* it refused a start for want of room */
+  struct rr_time avoid_until; /* it fails or stalls what it starts */
+  int32_t failed_in_row;
+  struct rr_handle failed_job; /* of the last failure in the row */
+  int32_t filler_percent;      /* speed allowed to its fillers */
+  struct rr_time filler_changed;
+  /* Derived from RUNS at the start of a planning round.  */
+  int64_t free_cores_milli;
+  int64_t free_memory_mb;
+  int64_t free_accelerators;
+  int64_t filler_cores_milli;
+};
+
+struct rr_dispatch
+{
+  struct rr_dispatch_options o;
+  struct rr_table *workers;
+  struct rr_key_index *worker_ids;
+  struct rr_table *jobs;
+  struct rr_key_index *job_ids;
+  struct rr_queue_policy *queues;
+  size_t queue_count;
+  char (*inherited)[RR_GRAPH_NAME_SIZE]; /* workers not yet heard */
+  size_t inherited_count;
+  struct rr_time inherited_until;
+  bool inheriting;
+};
+
+enum
+{
+  /* Least lease that a start needs to be worth sending.  */
+  START_LEASE_MIN_MS = 1000,
+  /* A worker without a report for this long gets no new task: twice the time
+     between reports of an idle worker.  */
+  REPORT_AGE_MAX_MS = 1600,
+  /* Runs that a former owner may have started without a record of it.  */
+  INHERITED_RUN_GAP = 16
+};
+
+void dispatch_note (struct rr_dispatch *d, const char *event,
+                    const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+const struct rr_queue_policy *dispatch_queue (const struct rr_dispatch *d,
+                                              const struct dispatch_job *j);
+struct dispatch_job *dispatch_job_find (const struct rr_dispatch *d,
+                                        const char *id);
+struct dispatch_job *dispatch_job_get (const struct rr_dispatch *d,
+                                       struct rr_handle h);
+struct dispatch_worker *dispatch_worker_get (const struct rr_dispatch *d,
+                                             struct rr_handle h);
+bool dispatch_task_number (const struct dispatch_job *j,
+                           const struct rr_run_name *name, uint32_t *number);
+void dispatch_task_name (const struct dispatch_job *j, uint32_t number,
+                         struct rr_run_name *name);
+struct dispatch_step *dispatch_step_of (struct dispatch_job *j,
+                                        const struct rr_run_name *name);
+void dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
+                        uint32_t number, const struct rr_run_end *end,
+                        struct rr_handle worker, struct rr_time now);
+void dispatch_task_lost (struct rr_dispatch *d, struct dispatch_job *j,
+                         uint32_t number, struct rr_time now);
+void dispatch_job_stop_runs (struct rr_dispatch *d, struct dispatch_job *j,
+                             const char *reason);
+void dispatch_job_settle (struct rr_dispatch *d, struct dispatch_job *j);
+
+struct dispatch_run *dispatch_run_find (struct dispatch_worker *w,
+                                        const struct rr_run_name *name);
+struct dispatch_run *dispatch_run_add (struct rr_dispatch *d,
+                                       struct dispatch_worker *w,
+                                       struct dispatch_job *j,
+                                       const struct rr_run_name *name,
+                                       struct rr_time now);
+void dispatch_run_remove (struct rr_dispatch *d, struct dispatch_worker *w,
+                          struct dispatch_run *r);
+void dispatch_run_stop (struct dispatch_run *r, const char *reason);
+void dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
+                      struct rr_time now);
+void dispatch_share_update (struct rr_dispatch *d, struct dispatch_worker *w,
+                            struct rr_time now);
+void dispatch_share_order (struct rr_dispatch *d, struct dispatch_worker *w);
+void dispatch_health_end (struct rr_dispatch *d, struct dispatch_worker *w,
+                          struct rr_handle job, enum rr_end_kind kind,
+                          struct rr_time now);
+void dispatch_health_check (struct rr_dispatch *d, struct dispatch_worker *w,
+                            struct rr_time now);
+
+#endif
--- /dev/null
+++ b/rosemaryrail/dispatch_workers.c
@@ -0,0 +1,650 @@
+#include "dispatch_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A worker's clock may run this much slower than ours.  */
+static const double CLOCK_RATE_MIN = 0.98;
+
+enum
+{
+  /* Reports in a row that must lack a run before it is taken as lost: one may
+     have been under way when the run started.  */
+  MISSING_REPORTS_MAX = 2,
+  /* Time for a worker to end what it runs once a lease has expired.  */
+  KILL_MARGIN_MS = 100,
+  /* Pause before a stop that got no answer is sent again.  */
+  STOP_RETRY_MS = 400
+};
+
+struct dispatch_worker *
+dispatch_worker_get (const struct rr_dispatch *d, struct rr_handle h)
+{
+  return rr_table_get (d->workers, h);
+}
+
+static struct dispatch_worker *
+worker_find (const struct rr_dispatch *d, const char *id)
+{
+  return dispatch_worker_get (d, rr_key_index_get (d->worker_ids, id));
+}
+
+/* Records that a former owner may have used the worker ID.  */
+void
+rr_dispatch_inherit_worker (struct rr_dispatch *d, const char *id)
+{
+  d->inherited = realloc (d->inherited,
+                          (d->inherited_count + 1) * sizeof *d->inherited);
+  assert (d->inherited != NULL);
+  snprintf (d->inherited[d->inherited_count++], sizeof *d->inherited, "%s",
+            id);
+  struct dispatch_worker *w = worker_find (d, id);
+  if (w != NULL)
+    w->recorded = true;
+}
+
+/* Begins the time in which tasks of inherited jobs may run unseen; it ends at
+   UNTIL, when every lease of the former owner has expired, or earlier once
+   all inherited workers have reported.  */
+void
+rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until)
+{
+  d->inheriting = true;
+  d->inherited_until = until;
+}
+
+static void
+inherited_heard (struct rr_dispatch *d, const char *id)
+{
+  for (size_t i = 0; i < d->inherited_count; i++)
+    if (strcmp (d->inherited[i], id) == 0)
+      {
+        memmove (d->inherited[i], d->inherited[d->inherited_count - 1],
+                 sizeof *d->inherited);
+        d->inherited_count--;
+        return;
+      }
+}
+
+/* Tells whether the worker ID must stay on record: it may still run tasks. */
+bool
+rr_dispatch_worker_needed (const struct rr_dispatch *d, const char *id)
+{
+  if (worker_find (d, id) != NULL)
+    return true;
+  for (size_t i = 0; i < d->inherited_count; i++)
+    if (strcmp (d->inherited[i], id) == 0)
+      return true;
+  return false;
+}
+
+/* Finds the run of W with the task and run number of NAME, or null.  */
+struct dispatch_run *
+dispatch_run_find (struct dispatch_worker *w, const struct rr_run_name *name)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct rr_run_name *n = &w->runs[i].name;
+      if (n->run == name->run && n->task == name->task && n->step == name->step
+          && n->occurrence == name->occurrence
+          && strcmp (n->job, name->job) == 0)
+        return &w->runs[i];
+    }
+  return NULL;
+}
+
+/* Adds a run to W; J is null when its job is not known.  */
+struct dispatch_run *
+dispatch_run_add (struct rr_dispatch *d, struct dispatch_worker *w,
+                  struct dispatch_job *j, const struct rr_run_name *name,
+                  struct rr_time now)
+{
+  (void)d;
+  if (w->run_count == w->run_capacity)
+    {
+      w->run_capacity = w->run_capacity == 0 ? 16 : w->run_capacity * 2;
+      w->runs = realloc (w->runs, w->run_capacity * sizeof *w->runs);
+      assert (w->runs != NULL);
+    }
+  struct dispatch_run *r = &w->runs[w->run_count++];
+  memset (r, 0, sizeof *r);
+  r->name = *name;
+  r->started = now;
+  r->progressed = now;
+  r->pace = 100;
+  if (j == NULL)
+    return r;
+  const struct rr_graph_step *s = &j->graph->steps[name->step];
+  r->job = j->handle;
+  dispatch_task_number (j, name, &r->number);
+  r->cores_milli = s->cores_milli;
+  r->memory_mb = s->memory_mb;
+  r->accelerators = s->accelerators;
+  r->filler = s->filler;
+  r->long_running = s->long_running;
+  r->tail_target_ms = s->tail_target_ms;
+  r->estimate_ms = s->estimate_ms;
+  j->run_count++;
+  return r;
+}
+
+/* Removes R from W; its task is left as it is.  */
+void
+dispatch_run_remove (struct rr_dispatch *d, struct dispatch_worker *w,
+                     struct dispatch_run *r)
+{
+  struct dispatch_job *j = dispatch_job_get (d, r->job);
+  if (j != NULL)
+    j->run_count--;
+  *r = w->runs[--w->run_count];
+}
+
+/* Asks for a stop of R, which also keeps it from starting late.  */
+void
+dispatch_run_stop (struct dispatch_run *r, const char *reason)
+{
+  if (r->stop_wanted)
+    return;
+  r->stop_wanted = true;
+  r->stop_reason = reason;
+}
+
+static void
+run_lost (struct rr_dispatch *d, struct dispatch_worker *w,
+          struct dispatch_run *r, const char *reason, struct rr_time now)
+{
+  struct dispatch_job *j = dispatch_job_get (d, r->job);
+  dispatch_note (d, "run_lost", "job=%s task=%d.%d.%d run=%u vm=%s reason=%s",
+                 r->name.job, r->name.occurrence, r->name.step, r->name.task,
+                 r->name.run, w->info.id, reason);
+  if (j != NULL)
+    {
+      struct dispatch_task *t = &j->tasks[r->number];
+      if (t->state == TASK_PLACED && t->current_run == r->name.run)
+        dispatch_task_lost (d, j, r->number, now);
+    }
+  dispatch_run_remove (d, w, r);
+}
+
+static void
+all_runs_lost (struct rr_dispatch *d, struct dispatch_worker *w,
+               const char *reason, struct rr_time now)
+{
+  while (w->run_count > 0)
+    run_lost (d, w, &w->runs[w->run_count - 1], reason, now);
+}
+
+/* A new incarnation of W holds and knows nothing of before.  */
+static void
+worker_reborn (struct rr_dispatch *d, struct dispatch_worker *w,
+               int64_t born_ms, struct rr_time now)
+{
+  dispatch_note (d, "vm_restarted", "vm=%s born=%lld before=%lld runs=%zu",
+                 w->info.id, (long long)born_ms, (long long)w->info.born_ms,
+                 w->run_count);
+  w->info.born_ms = born_ms;
+  w->reported = false;
+  w->has_clock = false;
+  w->lease_clock_ms = 0;
+  w->ends_seen = 0;
+  w->observed = 0;
+  w->end_count = 0;
+  w->failed_in_row = 0;
+  w->filler_percent = 100;
+  all_runs_lost (d, w, "vm-restarted", now);
+}
+
+/* Adds or updates the registered worker INFO.  */
+struct rr_handle
+rr_dispatch_worker_set (struct rr_dispatch *d,
+                        const struct rr_worker_info *info, struct rr_time now)
+{
+  struct dispatch_worker *w = worker_find (d, info->id);
+  if (w == NULL)
+    {
+      struct rr_handle h;
+      w = rr_table_insert (d->workers, &h);
+      memset (w, 0, sizeof *w);
+      w->handle = h;
+      w->info = *info;
+      w->filler_percent = 100;
+      for (size_t i = 0; i < d->inherited_count; i++)
+        if (strcmp (d->inherited[i], info->id) == 0)
+          w->recorded = true;
+      rr_key_index_put (d->worker_ids, info->id, h);
+    }
+  if (info->born_ms > w->info.born_ms && w->info.born_ms != 0)
+    worker_reborn (d, w, info->born_ms, now);
+  if (info->draining && !w->info.draining)
+    dispatch_note (d, "vm_draining", "vm=%s runs=%zu", info->id, w->run_count);
+  int64_t born = w->info.born_ms;
+  w->info = *info;
+  if (born > info->born_ms)
+    w->info.born_ms = born;
+  w->listed = true;
+  return w->handle;
+}
+
+/* Records that the worker ID is no longer registered.  What it runs may go
+   on.  */
+void
+rr_dispatch_worker_unlist (struct rr_dispatch *d, const char *id,
+                           struct rr_time now)
+{
+  struct dispatch_worker *w = worker_find (d, id);
+  if (w == NULL || !w->listed)
+    return;
+  w->listed = false;
+  w->unlisted_at = now;
+  dispatch_note (d, "vm_unlisted", "vm=%s runs=%zu", id, w->run_count);
+}
+
+/* Records that the store names the worker ID as one we use, so that a later
+   owner asks it: it may be given tasks now.  */
+void
+rr_dispatch_worker_recorded (struct rr_dispatch *d, const char *id)
+{
+  struct dispatch_worker *w = worker_find (d, id);
+  if (w != NULL)
+    w->recorded = true;
+}
+
+/* Tells whether an unregistered worker runs nothing and can be forgotten.  */
+bool
+rr_dispatch_worker_droppable (const struct rr_dispatch *d, struct rr_handle h,
+                              struct rr_time now)
+{
+  const struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w == NULL || w->listed || w->run_count > 0)
+    return false;
+  /* It may have just left the list because the store was away.  */
+  return rr_time_diff (now, w->unlisted_at) > 5000;
+}
+
+/* Forgets the worker H.  */
+void
+rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  assert (w != NULL && w->run_count == 0);
+  rr_key_index_remove (d->worker_ids, w->info.id);
+  free (w->runs);
+  free (w->ends);
+  rr_table_remove (d->workers, h);
+}
+
+/* Returns the lease end for the next order to worker H, on its own clock, or 0
+   when its clock is not known or no lease may be given.  Our right to act
+   ends at VALID_UNTIL plus the lease.  */
+int64_t
+rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
+                          struct rr_time valid_until, struct rr_time now)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w == NULL || !w->has_clock)
+    return 0;
+  int64_t ahead = d->o.lease_ms;
+  int64_t valid = rr_time_diff (valid_until, now);
+  if (valid < ahead)
+    ahead = valid;
+  if (ahead <= 0)
+    return 0;
+  int64_t end
+      = w->clock_ms
+        + (int64_t)((double)rr_time_diff (now, w->clock_sent) * CLOCK_RATE_MIN)
+        + ahead;
+  if (end > w->lease_clock_ms)
+    w->lease_clock_ms = end;
+  return end;
+}
+
+/* Returns the highest end number that worker H may forget.  */
+int64_t
+rr_dispatch_worker_observed (struct rr_dispatch *d, struct rr_handle h)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w == NULL)
+    return 0;
+  size_t kept = 0;
+  while (kept < w->end_count)
+    {
+      struct dispatch_end *e = &w->ends[kept];
+      struct dispatch_job *j = dispatch_job_get (d, e->job);
+      if (j != NULL && !j->cancelled && j->stored_version < e->version)
+        break;
+      w->observed = e->number;
+      kept++;
+    }
+  memmove (w->ends, w->ends + kept, (w->end_count - kept) * sizeof *w->ends);
+  w->end_count -= kept;
+  return w->observed;
+}
+
+/* Tells whether worker H has listed ends that are not stored yet.  */
+bool
+rr_dispatch_worker_backlog (struct rr_dispatch *d, struct rr_handle h)
+{
+  rr_dispatch_worker_observed (d, h);
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  return w != NULL && w->end_count > 0;
+}
+
+static void
+queue_end (struct dispatch_worker *w, int64_t number, struct dispatch_job *j)
+{
+  if (w->end_count == w->end_capacity)
+    {
+      w->end_capacity = w->end_capacity == 0 ? 32 : w->end_capacity * 2;
+      w->ends = realloc (w->ends, w->end_capacity * sizeof *w->ends);
+      assert (w->ends != NULL);
+    }
+  struct dispatch_end *e = &w->ends[w->end_count++];
+  memset (e, 0, sizeof *e);
+  e->number = number;
+  if (j == NULL)
+    return;
+  e->job = j->handle;
+  e->version = j->version;
+}
+
+static const char *const end_names[]
+    = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+static void
+take_end (struct rr_dispatch *d, struct dispatch_worker *w,
+          const struct rr_run_end *end, struct rr_time now)
+{
+  struct dispatch_run *r = dispatch_run_find (w, &end->name);
+  if (r != NULL)
+    dispatch_run_remove (d, w, r);
+  struct dispatch_job *j = dispatch_job_find (d, end->name.job);
+  uint32_t number = 0;
+  if (j == NULL || !dispatch_task_number (j, &end->name, &number))
+    {
+      queue_end (w, end->number, NULL);
+      return;
+    }
+  struct dispatch_task *t = &j->tasks[number];
+  bool current = t->state == TASK_PLACED && t->current_run == end->name.run
+                 && t->worker.index == w->handle.index
+                 && t->worker.generation == w->handle.generation;
+  bool news = t->state == TASK_UNCERTAIN && end->name.run > t->ended_run;
+  if (current || news)
+    {
+      dispatch_note (d, "run_ended",
+                     "job=%s task=%d.%d.%d run=%u vm=%s how=%s clock=%lld",
+                     end->name.job, end->name.occurrence, end->name.step,
+                     end->name.task, end->name.run, w->info.id,
+                     end_names[end->kind], (long long)w->clock_ms);
+      dispatch_task_end (d, j, number, end, w->handle, now);
+      dispatch_health_end (d, w, j->handle, end->kind, now);
+    }
+  queue_end (w, end->number, j);
+}
+
+static void
+adopt (struct rr_dispatch *d, struct dispatch_worker *w,
+       struct dispatch_job *j, uint32_t number,
+       const struct rr_run_status *status, struct rr_time now)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  if (t->state == TASK_WAITING)
+    dispatch_step_of (j, &status->name)->waiting--;
+  t->state = TASK_PLACED;
+  t->current_run = status->name.run;
+  if (t->next_run <= status->name.run)
+    t->next_run = status->name.run + 1;
+  t->worker = w->handle;
+  struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
+  r->phase = RUN_RUNNING;
+  if (j->phase == RR_PHASE_QUEUED)
+    {
+      j->phase = RR_PHASE_ACTIVE;
+      j->version++;
+    }
+  dispatch_note (d, "run_adopted", "job=%s task=%d.%d.%d run=%u vm=%s",
+                 status->name.job, status->name.occurrence, status->name.step,
+                 status->name.task, status->name.run, w->info.id);
+}
+
+/* A run that we have not on record: adopts it, or stops it.  */
+static struct dispatch_run *
+take_unknown (struct rr_dispatch *d, struct dispatch_worker *w,
+              const struct rr_run_status *status, struct rr_time now)
+{
+  struct dispatch_job *j = dispatch_job_find (d, status->name.job);
+  uint32_t number = 0;
+  if (j != NULL && dispatch_task_number (j, &status->name, &number))
+    {
+      struct dispatch_task *t = &j->tasks[number];
+      if ((t->state == TASK_UNCERTAIN || t->state == TASK_WAITING)
+          && status->name.run > t->ended_run)
+        {
+          adopt (d, w, j, number, status, now);
+          struct dispatch_run *r = dispatch_run_find (w, &status->name);
+          if (j->cancelled || j->phase == RR_PHASE_FAILED)
+            dispatch_run_stop (r, "job-over");
+          return r;
+        }
+    }
+  dispatch_note (d, "run_unexpected", "job=%s task=%d.%d.%d run=%u vm=%s",
+                 status->name.job, status->name.occurrence, status->name.step,
+                 status->name.task, status->name.run, w->info.id);
+  struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
+  r->phase = RUN_RUNNING;
+  dispatch_run_stop (r, "not-ours");
+  return r;
+}
+
+static void
+take_status (struct rr_dispatch *d, struct dispatch_worker *w,
+             const struct rr_run_status *status, struct rr_time now)
+{
+  struct dispatch_run *r = dispatch_run_find (w, &status->name);
+  if (r == NULL)
+    r = take_unknown (d, w, status, now);
+  if (r->phase == RUN_UNRESOLVED || r->phase == RUN_STARTING)
+    {
+      r->phase = RUN_RUNNING;
+      r->progressed = now;
+      r->settled_clock = w->clock_ms;
+    }
+  r->missing = -1;
+  if (status->percent != r->percent)
+    {
+      r->percent = status->percent;
+      r->progressed = now;
+    }
+  r->figure = status->figure;
+  struct dispatch_job *j = dispatch_job_get (d, r->job);
+  if (j != NULL && status->checkpoint[0] != '\0'
+      && j->tasks[r->number].state == TASK_PLACED
+      && j->tasks[r->number].current_run == r->name.run)
+    snprintf (j->tasks[r->number].checkpoint,
+              sizeof j->tasks[r->number].checkpoint, "%s", status->checkpoint);
+}
+
+/* Looks at the runs that a report of CLOCK_MS did not list.  */
+static void
+take_absence (struct rr_dispatch *d, struct dispatch_worker *w,
+              int64_t clock_ms, struct rr_time now)
+{
+  for (size_t i = w->run_count; i-- > 0;)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      if (r->missing < 0)
+        {
+          r->missing = 0;
+          continue;
+        }
+      if (r->phase == RUN_STARTING && !r->stop_confirmed)
+        continue;
+      if (r->phase == RUN_UNRESOLVED && !r->stop_confirmed)
+        continue;
+      if (clock_ms <= r->settled_clock)
+        continue;
+      r->missing++;
+      if (r->stop_confirmed || r->missing >= MISSING_REPORTS_MAX)
+        run_lost (d, w, r, r->stop_confirmed ? "never-started" : "missing",
+                  now);
+    }
+}
+
+static bool
+report_is_old (const struct dispatch_worker *w,
+               const struct rr_worker_report *r)
+{
+  if (r->born_ms != 0 && r->born_ms < w->info.born_ms)
+    return true;
+  return w->has_clock && r->clock_ms < w->clock_ms
+         && rr_time_before (r->sent, w->clock_sent);
+}
+
+/* Takes in a worker's account of its runs.  */
+void
+rr_dispatch_report (struct rr_dispatch *d, struct rr_handle h,
+                    const struct rr_worker_report *r, struct rr_time now)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w == NULL || report_is_old (w, r))
+    return;
+  if (r->born_ms > w->info.born_ms)
+    {
+      if (w->info.born_ms != 0)
+        worker_reborn (d, w, r->born_ms, now);
+      w->info.born_ms = r->born_ms;
+    }
+  w->has_clock = true;
+  w->clock_ms = r->clock_ms;
+  w->clock_sent = r->sent;
+  w->clock_received = r->received;
+  w->last_report = now;
+  for (size_t i = 0; i < r->ended_count; i++)
+    if (r->ended[i].number > w->ends_seen)
+      {
+        w->ends_seen = r->ended[i].number;
+        take_end (d, w, &r->ended[i], now);
+      }
+  for (size_t i = 0; i < r->running_count; i++)
+    take_status (d, w, &r->running[i], now);
+  take_absence (d, w, r->clock_ms, now);
+  if (!w->reported)
+    {
+      w->reported = true;
+      inherited_heard (d, w->info.id);
+      dispatch_note (d, "vm_heard", "vm=%s born=%lld running=%zu ended=%zu",
+                     w->info.id, (long long)w->info.born_ms, r->running_count,
+                     r->ended_count);
+    }
+  dispatch_health_check (d, w, now);
+  dispatch_share_update (d, w, now);
+}
+
+/* Records that worker H has not answered a call.  */
+void
+rr_dispatch_unreached (struct rr_dispatch *d, struct rr_handle h,
+                       struct rr_time now)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w != NULL)
+    dispatch_expire (d, w, now);
+}
+
+/* Gives up what W runs once every lease that we gave must have expired, by its
+   slowest possible clock, and a stop would have ended.  */
+void
+dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
+                 struct rr_time now)
+{
+  if (w->run_count == 0 || !w->has_clock)
+    return;
+  double elapsed
+      = (double)(rr_time_diff (now, w->clock_received) - KILL_MARGIN_MS);
+  if ((double)w->clock_ms + elapsed * CLOCK_RATE_MIN
+      <= (double)w->lease_clock_ms)
+    return;
+  dispatch_note (d, "vm_lease_expired", "vm=%s runs=%zu silent_ms=%lld",
+                 w->info.id, w->run_count,
+                 (long long)rr_time_diff (now, w->clock_received));
+  all_runs_lost (d, w, "lease-expired", now);
+}
+
+static void
+start_refused (struct rr_dispatch *d, struct dispatch_worker *w,
+               struct dispatch_run *r, enum rr_order_outcome outcome,
+               struct rr_time now)
+{
+  enum
+  {
+    FULL_PAUSE_MS = 250,       /* until room by its account is tried again */
+    UNHEALTHY_PAUSE_MS = 1000, /* until an unhealthy worker is tried again */
+    INVALID_PAUSE_MS = 2000 /* until a task that was refused is tried again */
+  };
+  if (outcome == RR_OUTCOME_NO_ROOM)
+    w->full_until = rr_time_add (now, FULL_PAUSE_MS);
+  if (outcome == RR_OUTCOME_UNHEALTHY || outcome == RR_OUTCOME_WRONG_INSTANCE)
+    w->avoid_until = rr_time_add (now, UNHEALTHY_PAUSE_MS);
+  static const char *const names[]
+      = { "accepted",  "fenced",         "stale-run", "too-late", "no-room",
+          "unhealthy", "wrong-instance", "invalid",   "not-sent", "unknown" };
+  struct dispatch_job *j = dispatch_job_get (d, r->job);
+  uint32_t number = r->number;
+  run_lost (d, w, r, names[outcome], now);
+  if (j != NULL && outcome == RR_OUTCOME_INVALID)
+    j->tasks[number].not_before = rr_time_add (now, INVALID_PAUSE_MS);
+}
+
+/* Takes in how worker H answered an order; CLOCK_MS is 0 when the answer gave
+   no time.  */
+void
+rr_dispatch_answer (struct rr_dispatch *d, struct rr_handle h,
+                    enum rr_order_kind kind, const struct rr_run_name *name,
+                    enum rr_order_outcome outcome, int64_t clock_ms,
+                    struct rr_time now)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
+  if (r == NULL)
+    return;
+  switch (kind)
+    {
+    case RR_ORDER_PACE:
+      r->pace_in_flight = false;
+      if (outcome != RR_OUTCOME_ACCEPTED)
+        r->pace = -1;
+      return;
+    case RR_ORDER_STOP:
+      r->stop_in_flight = false;
+      r->stop_at = rr_time_add (now, STOP_RETRY_MS);
+      if (outcome != RR_OUTCOME_ACCEPTED)
+        return;
+      r->stop_confirmed = true;
+      r->settled_clock = clock_ms;
+      return;
+    case RR_ORDER_START:
+      break;
+    }
+  if (r->phase != RUN_STARTING)
+    return;
+  if (outcome == RR_OUTCOME_ACCEPTED)
+    {
+      r->phase = RUN_RUNNING;
+      r->settled_clock = clock_ms;
+      r->progressed = now;
+      struct dispatch_job *j = dispatch_job_get (d, r->job);
+      if (j != NULL && j->phase == RR_PHASE_QUEUED)
+        {
+          j->phase = RR_PHASE_ACTIVE;
+          j->version++;
+        }
+    }
+  else if (outcome == RR_OUTCOME_UNKNOWN)
+    {
+      r->phase = RUN_UNRESOLVED;
+      dispatch_run_stop (r, "start-unanswered");
+    }
+  else
+    start_refused (d, w, r, outcome, now);
+}
