--- a/common/http_server.c
+++ b/common/http_server.c
@@ -243,12 +243,31 @@
   return *length == 0 ? "" : x->req->entity.base;
 }
 
+/* Returns a terminated copy of V that is valid until the next call.  */
+static const char *
+keep_value (struct http_exchange *x, h2o_iovec_t v)
+{
+  if (v.len >= x->header_size)
+    {
+      free (x->header_value);
+      x->header_size = v.len + HEADER_SLACK_BYTES;
+      x->header_value = malloc (x->header_size);
+      assert (x->header_value != NULL);
+    }
+  memcpy (x->header_value, v.base, v.len);
+  x->header_value[v.len] = '\0';
+  return x->header_value;
+}
+
 /* Returns the value of header NAME or null; valid until the next look-up.  */
 const char *
 http_exchange_header (struct http_exchange *x, const char *name)
 {
   if (x->req == NULL)
     return NULL;
+  /* h2o takes Host out of the headers.  */
+  if (strcasecmp (name, "host") == 0)
+    return keep_value (x, x->req->authority);
   char lower[64];
   size_t n = strlen (name);
   assert (n < sizeof lower);
@@ -263,17 +282,7 @@
     at = h2o_find_header_by_str (&x->req->headers, lower, n, -1);
   if (at < 0)
     return NULL;
-  h2o_iovec_t v = x->req->headers.entries[at].value;
-  if (v.len >= x->header_size)
-    {
-      free (x->header_value);
-      x->header_size = v.len + HEADER_SLACK_BYTES;
-      x->header_value = malloc (x->header_size);
-      assert (x->header_value != NULL);
-    }
-  memcpy (x->header_value, v.base, v.len);
-  x->header_value[v.len] = '\0';
-  return x->header_value;
+  return keep_value (x, x->req->headers.entries[at].value);
 }
 
 /* Copies the query parameter NAME into VALUE; false when it is absent or does
