--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -39,6 +39,7 @@
   d->worker_ids = rr_key_index_new ();
   d->jobs = rr_table_new (sizeof (struct dispatch_job));
   d->job_ids = rr_key_index_new ();
+  dispatch_share_open (d);
   return d;
 }
 
@@ -73,6 +74,7 @@
   rr_key_index_free (d->worker_ids);
   free (d->queues);
   free (d->inherited);
+  rr_interference_free (d->model);
   free (d);
 }
 
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -10,8 +10,11 @@
   /* A filler starts only where at least this share of its cores is unused,
      since more of them would only slow each other down.  */
   FILLER_ROOM_PERCENT = 60,
-  /* ... and where fillers may run at this speed at least.  */
+  /* ... and where it may run at this speed at least.  */
   FILLER_SPEED_MIN_PERCENT = 50,
+  /* Share of their cores that tasks with users use at their peak.  */
+  SERVING_USE_PERCENT = 60,
+  SCORE_BASE = 1000000000, /* keeps scores of tasks that go anywhere above 0 */
   /* A draining worker's short tasks are stopped this long before it leaves, so
      that their end is known and they start again at once.  */
   LEAVING_STOP_MS = 1500
@@ -109,6 +112,7 @@
   w->free_memory_mb = w->info.memory_mb;
   w->free_accelerators = w->info.accelerators;
   w->filler_cores_milli = 0;
+  w->serving_cores_milli = 0;
   for (size_t i = 0; i < w->run_count; i++)
     {
       const struct dispatch_run *r = &w->runs[i];
@@ -118,6 +122,8 @@
         w->filler_cores_milli += r->cores_milli;
       else
         w->free_cores_milli -= r->cores_milli;
+      if (r->tail_target_ms > 0)
+        w->serving_cores_milli += r->cores_milli;
     }
 }
 
@@ -181,6 +187,14 @@
          || count_step_runs (w, m->job, m->name) < s->per_worker_max;
 }
 
+/* Cores that nothing uses: tasks that serve users leave part of theirs.  */
+static int64_t
+unused_cores (const struct dispatch_worker *w)
+{
+  return w->free_cores_milli - w->filler_cores_milli
+         + w->serving_cores_milli * (100 - SERVING_USE_PERCENT) / 100;
+}
+
 static bool
 worker_fits (const struct dispatch_worker *w, const struct rr_graph_step *s)
 {
@@ -189,17 +203,65 @@
     return false;
   if (!s->filler)
     return w->free_cores_milli >= s->cores_milli;
-  return w->filler_percent >= FILLER_SPEED_MIN_PERCENT
-         && (w->free_cores_milli - w->filler_cores_milli) * 100
-                >= s->cores_milli * FILLER_ROOM_PERCENT;
+  return unused_cores (w) * 100 >= s->cores_milli * FILLER_ROOM_PERCENT;
+}
+
+/* Servers of one image go together, so that fillers that disturb some images
+   but not others find workers that suit them.  */
+static int64_t
+server_score (const struct dispatch_worker *w, int image)
+{
+  int64_t same = 0;
+  int64_t other = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].tail_target_ms > 0)
+      {
+        same += w->runs[i].image == image ? 1 : 0;
+        other += w->runs[i].image == image ? 0 : 1;
+      }
+  return same * 100000 - other * 150000 - w->free_cores_milli
+         - w->filler_cores_milli / 2;
 }
 
-/* Returns the allowed worker with the most cores that nothing uses; the one
-   where the task failed last only when there is no other.  */
+/* A filler goes where it may run at full speed; among these where others
+   could not, so that the most tolerant workers stay free for them.  Returns
+   a negative score where it would have to run too slowly.  */
+static int64_t
+filler_score (const struct rr_dispatch *d, const struct dispatch_worker *w,
+              const struct rr_graph_step *s, int image)
+{
+  int32_t speed = dispatch_share_speed (d, w, image, s->cores_milli);
+  if (speed < FILLER_SPEED_MIN_PERCENT)
+    return -1;
+  int64_t unused = unused_cores (w);
+  if (unused > s->cores_milli)
+    unused = s->cores_milli;
+  int64_t share = s->cores_milli == 0 ? 100 : unused * 100 / s->cores_milli;
+  return (int64_t)speed * share * 1000
+         - (int64_t)dispatch_share_tolerance (d, w, image) * 1000
+         + unused_cores (w) / 100;
+}
+
+/* Returns the score of the allowed worker W for a task of step S.  */
+static int64_t
+worker_score (const struct rr_dispatch *d, const struct dispatch_worker *w,
+              const struct rr_graph_step *s, int image)
+{
+  if (s->filler)
+    return filler_score (d, w, s, image);
+  if (s->tail_target_ms > 0)
+    return server_score (w, image) + SCORE_BASE;
+  return unused_cores (w) + SCORE_BASE;
+}
+
+/* Returns the allowed worker with the best score; the one where the task
+   failed last only when there is no other.  */
 static struct dispatch_worker *
 choose_worker (struct rr_dispatch *d, const struct demand *m,
                struct rr_handle bad_worker, struct rr_time now)
 {
+  struct dispatch_run probe = { 0 };
+  dispatch_share_classify (d, &probe, m->step);
   struct dispatch_worker *best = NULL;
   int64_t best_score = 0;
   struct rr_handle h = { 0 };
@@ -208,12 +270,12 @@
     {
       if (!worker_allowed (w, m, now) || !worker_fits (w, m->step))
         continue;
-      int64_t score = w->free_cores_milli - w->filler_cores_milli;
-      if (m->step->filler)
-        score = score * w->filler_percent / 100;
+      int64_t score = worker_score (d, w, m->step, probe.image);
+      if (score < 0)
+        continue;
       if (w->handle.index == bad_worker.index
           && w->handle.generation == bad_worker.generation)
-        score -= INT64_MAX / 4;
+        score -= 2 * SCORE_BASE;
       if (best == NULL || score > best_score)
         {
           best = w;
@@ -241,6 +303,8 @@
     w->filler_cores_milli += s->cores_milli;
   else
     w->free_cores_milli -= s->cores_milli;
+  if (s->tail_target_ms > 0)
+    w->serving_cores_milli += s->cores_milli;
 }
 
 static void
@@ -543,13 +607,14 @@
       measure_worker (w);
     }
   settle_inherited (d, now);
+  dispatch_share_refresh (d, now);
   if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS)
     place_jobs (d, now);
   h = (struct rr_handle){ 0 };
   while ((w = rr_table_next (d->workers, &h)) != NULL)
     {
       order_stops (d, w, now);
-      dispatch_share_order (d, w);
+      dispatch_share_order (d, w, now);
     }
 }
 
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -2,6 +2,8 @@
 #define RR_DISPATCH_PRIVATE_H
 
 #include "rosemaryrail/dispatch.h"
+#include "rosemaryrail/interference.h"
+#include "rosemaryrail/policy.h"
 
 enum task_state
 {
@@ -80,7 +82,11 @@
   int64_t figure;
   struct rr_time started;
   struct rr_time progressed; /* last change of PERCENT */
-  int32_t pace;              /* percent of full speed last ordered */
+  int image;                 /* class in the interference model */
+  double load_log; /* log of a server's tail without fillers, smoothed */
+  struct rr_time crowded_since; /* a filler slowed below use */
+  int32_t pace_wanted;          /* percent of full speed */
+  int32_t pace;                 /* last ordered */
   bool pace_in_flight;
 };
 
@@ -125,6 +131,7 @@
   int64_t free_memory_mb;
   int64_t free_accelerators;
   int64_t filler_cores_milli;
+  int64_t serving_cores_milli;
 };
 
 struct rr_dispatch
@@ -140,6 +147,9 @@
   size_t inherited_count;
   struct rr_time inherited_until;
   bool inheriting;
+  struct rr_policy policy; /* of the interference model */
+  struct rr_interference *model;
+  struct rr_time model_refreshed;
 };
 
 enum
@@ -191,9 +201,19 @@
 void dispatch_run_stop (struct dispatch_run *r, const char *reason);
 void dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
                       struct rr_time now);
+void dispatch_share_open (struct rr_dispatch *d);
+void dispatch_share_refresh (struct rr_dispatch *d, struct rr_time now);
+void dispatch_share_classify (struct rr_dispatch *d, struct dispatch_run *r,
+                              const struct rr_graph_step *s);
+int32_t dispatch_share_speed (const struct rr_dispatch *d,
+                              const struct dispatch_worker *w, int image,
+                              int64_t cores_milli);
+int32_t dispatch_share_tolerance (const struct rr_dispatch *d,
+                                  const struct dispatch_worker *w, int image);
 void dispatch_share_update (struct rr_dispatch *d, struct dispatch_worker *w,
                             struct rr_time now);
-void dispatch_share_order (struct rr_dispatch *d, struct dispatch_worker *w);
+void dispatch_share_order (struct rr_dispatch *d, struct dispatch_worker *w,
+                           struct rr_time now);
 void dispatch_health_end (struct rr_dispatch *d, struct dispatch_worker *w,
                           struct rr_handle job, enum rr_end_kind kind,
                           struct rr_time now);
--- a/rosemaryrail/dispatch_share.c
+++ b/rosemaryrail/dispatch_share.c
@@ -1,84 +1,384 @@
 #include "dispatch_private.h"
 
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
 /* Tasks that serve users share a worker's caches and memory bandwidth with
-   fillers.  Their tail against its target decides how fast the fillers of the
-   worker may run.  */
+   fillers.  How much an image of fillers disturbs an image of servers is
+   learned from the reported tails; it decides where fillers go and how fast
+   they may run.  */
 
 enum
 {
-  /* The reported tail covers the last half second, so that the effect of a
-     change shows in full only after it.  */
-  SHARE_SETTLE_MS = 500,
-  /* Fillers slow down above the first share of the target, and speed up below
-     the second: the gap keeps them from alternating.  */
-  TAIL_HIGH_PERCENT = 95,
-  TAIL_LOW_PERCENT = 75,
-  SPEED_STEP_PERCENT = 15,
-  SPEED_MIN_PERCENT = 10 /* below this they pause */
+  REFRESH_MS = 500,
+  /* The reported tail covers the last half second.  */
+  TAIL_WINDOW_MS = 500,
+  /* A change of speed shows in full only after the tail's window.  */
+  SETTLE_MS = 600,
+  CUT_STEP_PERCENT = 25,
+  PACE_CHANGE_MIN_PERCENT = 10,
+  PACE_MIN_PERCENT = 10, /* slower than this is a pause */
+  /* A filler that is held below this speed for this long moves, if it saves
+     its progress.  */
+  MOVE_BELOW_PERCENT = 30,
+  MOVE_AFTER_MS = 1200,
+  HALF_LIFE_MS = 10000, /* of what was learned: effects change in seconds */
+  /* Requests that a tail of half a second stands for in the model's weights.
+   */
+  TAIL_REQUESTS = 30
 };
 
-static int64_t
-worst_tail_percent (const struct dispatch_worker *w)
+/* Predicted tails stay below the first share of the target when fillers start,
+   below the second while they run.  Above the third something is wrong with
+   the prediction, and all fillers slow down.  */
+static const double PLACE_SHARE = 0.75;
+static const double RUN_SHARE = 0.85;
+static const double CUT_SHARE = 1.0;
+static const double CUT_END_SHARE = 0.8;
+/* Weight of a new tail in the smoothed load of a server.  */
+static const double LOAD_WEIGHT = 0.4;
+/* First guess of a server's tail without fillers: this share of its target. */
+static const double LOAD_GUESS = 0.5;
+
+/* Begins with an empty model.  */
+void
+dispatch_share_open (struct rr_dispatch *d)
+{
+  rr_policy_init (&d->policy);
+  d->policy.interference_half_life_ms = HALF_LIFE_MS;
+  d->policy.interference_prior_mean = 0.5;
+  d->policy.interference_prior_sd = 2.0;
+  d->policy.interference_noise_sd = 0.35;
+  d->policy.interference_caution = 0.3;
+  d->policy.interference_warmup_reports = 2;
+  d->model = rr_interference_new (&d->policy);
+}
+
+/* Brings the estimates up to date.  */
+void
+dispatch_share_refresh (struct rr_dispatch *d, struct rr_time now)
+{
+  if (rr_time_diff (now, d->model_refreshed) < REFRESH_MS)
+    return;
+  d->model_refreshed = now;
+  rr_interference_refresh (d->model, now);
+}
+
+/* Sets what the model calls R, a run of step S.  */
+void
+dispatch_share_classify (struct rr_dispatch *d, struct dispatch_run *r,
+                         const struct rr_graph_step *s)
+{
+  r->image = RR_CLASS_OTHER;
+  r->load_log = log (LOAD_GUESS * (double)(s->tail_target_ms + 1));
+  if (s->image[0] == '\0' || (!s->filler && s->tail_target_ms == 0))
+    return;
+  r->image = rr_interference_class (
+      d->model, s->filler ? RR_KIND_BATCH : RR_KIND_SERVICE, s->image);
+}
+
+static bool
+is_server (const struct dispatch_run *r)
 {
-  int64_t worst = 0;
+  return r->tail_target_ms > 0;
+}
+
+static double
+share_of (const struct dispatch_worker *w, double cores_milli)
+{
+  return w->info.cores_milli <= 0 ? 0
+                                  : cores_milli / (double)w->info.cores_milli;
+}
+
+static double
+effect (const struct rr_dispatch *d, const struct dispatch_worker *w,
+        int server, int filler, double cores_milli)
+{
+  return rr_interference_cost (d->model, server, filler)
+         * share_of (w, cores_milli);
+}
+
+/* Returns the log of server R's tail relative to its target, as the model
+   predicts it for the speeds that W's fillers shall have.  */
+static double
+predict (const struct rr_dispatch *d, const struct dispatch_worker *w,
+         const struct dispatch_run *r)
+{
+  double sum = r->load_log;
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].filler && !w->runs[i].stop_wanted)
+      sum += effect (d, w, r->image, w->runs[i].image,
+                     (double)w->runs[i].cores_milli * w->runs[i].pace_wanted
+                         / 100);
+  return sum - log ((double)r->tail_target_ms);
+}
+
+/* Returns the speed in percent that a filler of IMAGE with CORES_MILLI could
+   have on W beside the present ones.  */
+int32_t
+dispatch_share_speed (const struct rr_dispatch *d,
+                      const struct dispatch_worker *w, int image,
+                      int64_t cores_milli)
+{
+  double speed = w->filler_percent;
   for (size_t i = 0; i < w->run_count; i++)
     {
       const struct dispatch_run *r = &w->runs[i];
-      if (r->tail_target_ms <= 0 || r->phase != RUN_RUNNING
-          || r->percent < 100)
+      if (!is_server (r))
         continue;
-      int64_t percent = r->figure * 100 / r->tail_target_ms;
-      if (percent > worst)
-        worst = percent;
+      double more = effect (d, w, r->image, image, (double)cores_milli);
+      double room = log (PLACE_SHARE) - predict (d, w, r);
+      if (more > 0.02 && room < more * speed / 100)
+        speed = room <= 0 ? 0 : 100 * room / more;
     }
-  return worst;
+  return (int32_t)speed;
 }
 
-/* Adjusts the speed of W's fillers after a report: down by half at once when a
-   tail is near its target, to a halt when it is far over, up in steps.  */
-void
-dispatch_share_update (struct rr_dispatch *d, struct dispatch_worker *w,
-                       struct rr_time now)
+/* Returns how well W's servers bear fillers other than those of IMAGE: the
+   share of known filler images that disturb none of them, in percent.  */
+int32_t
+dispatch_share_tolerance (const struct rr_dispatch *d,
+                          const struct dispatch_worker *w, int image)
+{
+  int32_t borne = 0;
+  int32_t known = 0;
+  for (int f = 1; f < RR_CLASSES_MAX; f++)
+    {
+      if (rr_interference_class_name (d->model, RR_KIND_BATCH, f) == NULL
+          || rr_interference_class_name (d->model, RR_KIND_BATCH, f)[0]
+                 == '\0')
+        break;
+      if (f == image)
+        continue;
+      known++;
+      bool harmless = true;
+      for (size_t i = 0; i < w->run_count && harmless; i++)
+        harmless = !is_server (&w->runs[i])
+                   || rr_interference_mean (d->model, w->runs[i].image, f) < 1;
+      borne += harmless ? 1 : 0;
+    }
+  return known == 0 ? 0 : borne * 100 / known;
+}
+
+/* Teaches the model the tails of W's servers of one image.  */
+static void
+learn_image (struct rr_dispatch *d, struct dispatch_worker *w, size_t first,
+             struct rr_interference_report *report, struct rr_time now)
 {
-  if (rr_time_diff (now, w->filler_changed) < SHARE_SETTLE_MS)
+  double sum = 0;
+  int n = 0;
+  for (size_t i = first; i < w->run_count; i++)
+    {
+      const struct dispatch_run *r = &w->runs[i];
+      if (!is_server (r) || r->image != w->runs[first].image
+          || r->phase != RUN_RUNNING || r->percent < 100 || r->figure <= 0)
+        continue;
+      sum += log ((double)r->figure);
+      n++;
+    }
+  if (n == 0)
     return;
-  int64_t tail = worst_tail_percent (w);
-  int32_t before = w->filler_percent;
-  if (tail > TAIL_HIGH_PERCENT && w->filler_cores_milli > 0)
+  report->service = w->runs[first].image;
+  report->latency_ms = exp (sum / n);
+  report->requests = TAIL_REQUESTS * n;
+  rr_interference_learn (d->model, report, now);
+}
+
+static void
+learn (struct rr_dispatch *d, struct dispatch_worker *w, struct rr_time now)
+{
+  struct rr_interference_report report
+      = { .worker = (uint64_t)w->info.born_ms ^ rr_handle_pack (w->handle),
+          .window_start = rr_time_from_ms (w->clock_ms - TAIL_WINDOW_MS),
+          .window_end = rr_time_from_ms (w->clock_ms) };
+  bool seen[RR_CLASSES_MAX] = { false };
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].filler)
+      report.share[w->runs[i].image]
+          += share_of (w, (double)w->runs[i].figure);
+  for (size_t i = 0; i < w->run_count; i++)
+    if (is_server (&w->runs[i]) && !seen[w->runs[i].image])
+      {
+        seen[w->runs[i].image] = true;
+        learn_image (d, w, i, &report, now);
+      }
+}
+
+/* Follows the tail that each server would have without its fillers.  */
+static void
+follow_load (struct rr_dispatch *d, struct dispatch_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      if (!is_server (r) || r->percent < 100 || r->figure <= 0)
+        continue;
+      double alone = log ((double)r->figure);
+      for (size_t k = 0; k < w->run_count; k++)
+        if (w->runs[k].filler)
+          alone -= effect (d, w, r->image, w->runs[k].image,
+                           (double)w->runs[k].figure);
+      r->load_log += LOAD_WEIGHT * (alone - r->load_log);
+    }
+}
+
+/* Slows the filler that disturbs server R most by what R is over its limit, or
+   to a halt.  Returns false when none disturbs it.  */
+static bool
+slow_worst (const struct rr_dispatch *d, struct dispatch_worker *w,
+            const struct dispatch_run *r, double over)
+{
+  struct dispatch_run *worst = NULL;
+  double worst_effect = 0.01;
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct dispatch_run *f = &w->runs[i];
+      if (!f->filler || f->stop_wanted || f->pace_wanted == 0)
+        continue;
+      double e = effect (d, w, r->image, f->image,
+                         (double)f->cores_milli * f->pace_wanted / 100);
+      if (e > worst_effect)
+        {
+          worst = f;
+          worst_effect = e;
+        }
+    }
+  if (worst == NULL)
+    return false;
+  double keep = over >= worst_effect ? 0 : 1 - over / worst_effect;
+  worst->pace_wanted = (int32_t)(worst->pace_wanted * keep);
+  if (worst->pace_wanted < PACE_MIN_PERCENT)
+    worst->pace_wanted = 0;
+  return true;
+}
+
+/* Sets the speeds of W's fillers so that no server is predicted over its
+   limit.  */
+static void
+set_speeds (struct rr_dispatch *d, struct dispatch_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    w->runs[i].pace_wanted = w->filler_percent;
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      const struct dispatch_run *r = &w->runs[i];
+      if (!is_server (r))
+        continue;
+      double over = predict (d, w, r) - log (RUN_SHARE);
+      while (over > 0 && slow_worst (d, w, r, over))
+        over = predict (d, w, r) - log (RUN_SHARE);
+    }
+}
+
+static double
+worst_tail (const struct dispatch_worker *w)
+{
+  double worst = 0;
+  for (size_t i = 0; i < w->run_count; i++)
     {
-      w->filler_percent = tail > 2 * TAIL_HIGH_PERCENT ? 0 : before / 2;
-      if (w->filler_percent < SPEED_MIN_PERCENT)
-        w->filler_percent = 0;
+      const struct dispatch_run *r = &w->runs[i];
+      if (!is_server (r) || r->percent < 100)
+        continue;
+      double share = (double)r->figure / (double)r->tail_target_ms;
+      if (share > worst)
+        worst = share;
     }
-  else if (tail < TAIL_LOW_PERCENT && before < 100)
-    w->filler_percent = before + SPEED_STEP_PERCENT > 100
-                            ? 100
-                            : before + SPEED_STEP_PERCENT;
+  return worst;
+}
+
+/* Cuts all fillers when a tail is over its target in spite of the model.  */
+static void
+cut (struct rr_dispatch *d, struct dispatch_worker *w, struct rr_time now)
+{
+  if (rr_time_diff (now, w->filler_changed) < SETTLE_MS)
+    return;
+  double tail = worst_tail (w);
+  int32_t before = w->filler_percent;
+  if (tail > CUT_SHARE && w->filler_cores_milli > 0)
+    w->filler_percent = before > 2 * CUT_STEP_PERCENT ? before / 2 : 0;
+  else if (tail < CUT_END_SHARE)
+    w->filler_percent
+        = before + CUT_STEP_PERCENT > 100 ? 100 : before + CUT_STEP_PERCENT;
   if (w->filler_percent == before)
     return;
   w->filler_changed = now;
-  dispatch_note (d, "fillers_paced", "vm=%s percent=%d before=%d tail=%lld%%",
-                 w->info.id, w->filler_percent, before, (long long)tail);
+  dispatch_note (d, "fillers_cut", "vm=%s percent=%d before=%d tail=%.2f",
+                 w->info.id, w->filler_percent, before, tail);
+}
+
+/* Learns from a report of W and sets the speeds of its fillers.  */
+void
+dispatch_share_update (struct rr_dispatch *d, struct dispatch_worker *w,
+                       struct rr_time now)
+{
+  learn (d, w, now);
+  follow_load (d, w);
+  cut (d, w, now);
+  set_speeds (d, w);
+}
+
+static void
+order_pace (struct rr_dispatch *d, struct dispatch_worker *w,
+            struct dispatch_run *r)
+{
+  int32_t change = r->pace_wanted - r->pace;
+  bool small
+      = change < PACE_CHANGE_MIN_PERCENT && change > -PACE_CHANGE_MIN_PERCENT;
+  bool end = r->pace_wanted == 0 || r->pace_wanted == 100;
+  if (change == 0 || (small && !end))
+    return;
+  r->pace_in_flight = true;
+  r->pace = r->pace_wanted;
+  struct rr_order o = { .kind = RR_ORDER_PACE,
+                        .worker = w->handle,
+                        .worker_id = w->info.id,
+                        .name = r->name,
+                        .percent = r->pace,
+                        .reason = "tail" };
+  d->o.order (d->o.data, &o);
+}
+
+static bool
+is_saving (const struct rr_dispatch *d, const struct dispatch_run *r)
+{
+  const struct dispatch_job *j = dispatch_job_get (d, r->job);
+  return j != NULL && j->graph->steps[r->name.step].checkpointing;
+}
+
+static bool
+better_place (struct rr_dispatch *d, const struct dispatch_worker *from,
+              const struct dispatch_run *r)
+{
+  struct rr_handle h = { 0 };
+  const struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (w != from && w->listed && !w->info.draining
+        && w->free_memory_mb >= r->memory_mb
+        && dispatch_share_speed (d, w, r->image, r->cores_milli) > 80)
+      return true;
+  return false;
 }
 
-/* Orders the allowed speed for each filler that runs at another one.  */
+/* Orders the wanted speeds, and moves fillers that are held too slow while
+   another worker could run them.  */
 void
-dispatch_share_order (struct rr_dispatch *d, struct dispatch_worker *w)
+dispatch_share_order (struct rr_dispatch *d, struct dispatch_worker *w,
+                      struct rr_time now)
 {
   for (size_t i = 0; i < w->run_count; i++)
     {
       struct dispatch_run *r = &w->runs[i];
-      if (!r->filler || r->phase != RUN_RUNNING || r->pace_in_flight
-          || r->stop_wanted || r->pace == w->filler_percent)
+      if (!r->filler || r->phase != RUN_RUNNING || r->stop_wanted)
         continue;
-      r->pace_in_flight = true;
-      r->pace = w->filler_percent;
-      struct rr_order o = { .kind = RR_ORDER_PACE,
-                            .worker = w->handle,
-                            .worker_id = w->info.id,
-                            .name = r->name,
-                            .percent = r->pace,
-                            .reason = "tail" };
-      d->o.order (d->o.data, &o);
+      if (!r->pace_in_flight)
+        order_pace (d, w, r);
+      if (r->pace_wanted >= MOVE_BELOW_PERCENT)
+        r->crowded_since = now;
+      else if (r->crowded_since.ms == 0)
+        r->crowded_since = now;
+      else if (rr_time_diff (now, r->crowded_since) > MOVE_AFTER_MS
+               && is_saving (d, r) && better_place (d, w, r))
+        dispatch_run_stop (r, "slowed");
     }
 }
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -101,7 +101,6 @@
                   struct dispatch_job *j, const struct rr_run_name *name,
                   struct rr_time now)
 {
-  (void)d;
   if (w->run_count == w->run_capacity)
     {
       w->run_capacity = w->run_capacity == 0 ? 16 : w->run_capacity * 2;
@@ -114,6 +113,7 @@
   r->started = now;
   r->progressed = now;
   r->pace = 100;
+  r->pace_wanted = 100;
   if (j == NULL)
     return r;
   const struct rr_graph_step *s = &j->graph->steps[name->step];
@@ -126,6 +126,7 @@
   r->long_running = s->long_running;
   r->tail_target_ms = s->tail_target_ms;
   r->estimate_ms = s->estimate_ms;
+  dispatch_share_classify (d, r, s);
   j->run_count++;
   return r;
 }
