--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -22,6 +22,7 @@
   struct store *store;
   struct rr_queues *queues; /* in force; null before the first */
   struct mirror *records_mirror;
+  struct mirror *progress_mirror;
   struct mirror *workers_mirror;
   struct mirror *config_mirror;
   struct records *records;
--- a/include/rosemaryentryd/mirror.h
+++ b/include/rosemaryentryd/mirror.h
@@ -16,6 +16,7 @@
 bool mirror_synced (const struct mirror *m);
 struct rr_time mirror_confirmed (const struct mirror *m);
 int64_t mirror_revision (const struct mirror *m);
+void mirror_catch_up (struct mirror *m);
 void mirror_pause_set (struct mirror *m, uint64_t pause_ms);
 
 #endif
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -12,7 +12,8 @@
 /* Keys of the project in the store.  */
 #define KEY_ROOT "rail/"
 #define KEY_JOB KEY_ROOT "job/"
-#define KEY_PROGRESS KEY_ROOT "progress/"
+/* Apart from the others, since it changes most and is needed least soon.  */
+#define KEY_PROGRESS "rail-progress/"
 #define KEY_CANCEL KEY_ROOT "cancel/"
 #define KEY_OWNER KEY_ROOT "owner/"
 #define KEY_ROSTER KEY_ROOT "workers/"
@@ -67,6 +68,8 @@
 struct job_record *records_job_next (struct records *r,
                                      struct rr_handle *cursor);
 void records_job_forget (struct records *r, struct rr_handle h);
+void records_progress_set (struct records *r, const char *id, const char *text,
+                           int64_t revision);
 enum rr_job_phase records_job_phase (const struct job_record *j);
 size_t records_pending (struct records *r, const char *queue);
 struct shard_record *records_shard (struct records *r, const char *name);
--- a/rosemaryentryd/mirror.c
+++ b/rosemaryentryd/mirror.c
@@ -42,6 +42,7 @@
   char after[200 + 1]; /* last key read of a full read */
   bool reading;        /* a full read is under way */
   bool synced;
+  bool catching_up;
   bool lost; /* the store does not answer */
   struct rr_time sent;
   struct rr_time confirmed;
@@ -211,6 +212,37 @@
   read_page (m);
 }
 
+/* Two watches can be under way, so that some events are old.  */
+static void
+take_events (struct mirror *m, const struct store_result *r)
+{
+  for (size_t i = 0; i < r->item_count; i++)
+    if (r->items[i].revision > m->revision)
+      apply (m, &r->items[i]);
+  if (r->revision > m->revision)
+    m->revision = r->revision;
+}
+
+static void
+on_caught_up (void *data, const struct store_result *r)
+{
+  struct mirror *m = data;
+  m->catching_up = false;
+  if (r->state == STORE_OK && !m->reading)
+    take_events (m, r);
+}
+
+/* Asks for the changes so far without waiting for more.  */
+void
+mirror_catch_up (struct mirror *m)
+{
+  if (m->catching_up || m->reading)
+    return;
+  m->catching_up = true;
+  store_watch (m->entry->store, m->prefix, m->revision, 1, WATCH_TIMEOUT_MS,
+               on_caught_up, m);
+}
+
 static void
 on_watch (void *data, const struct store_result *r)
 {
@@ -229,10 +261,7 @@
     }
   heard (m);
   m->confirmed = m->sent;
-  for (size_t i = 0; i < r->item_count; i++)
-    apply (m, &r->items[i]);
-  if (r->revision > m->revision)
-    m->revision = r->revision;
+  take_events (m, r);
   if (m->pause_ms > 0)
     uv_timer_start (&m->timer, on_timer, m->pause_ms, 0);
   else
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -20,7 +20,8 @@
   /* After its start a daemon waits for the others to register.  */
   SETTLE_MS = 300,
   /* News is gathered this long while the daemon owns no shard.  */
-  FOLLOWER_PAUSE_MS = 40
+  FOLLOWER_PAUSE_MS = 200,
+  OWNER_PAUSE_MS = 10 /* the same while it owns one */
 };
 
 struct claim
@@ -114,7 +115,7 @@
 set_pause (struct owners *o)
 {
   mirror_pause_set (o->entry->records_mirror,
-                    owners_count (o) > 0 ? 0 : FOLLOWER_PAUSE_MS);
+                    owners_count (o) > 0 ? OWNER_PAUSE_MS : FOLLOWER_PAUSE_MS);
 }
 
 static void
@@ -146,26 +147,37 @@
       drop (o, i, "lease-lost");
 }
 
-/* Begins to serve a shard once the mirror shows our claim, since then it has
-   also shown everything that was written before.  */
-void
-owners_owner_seen (struct owners *o, struct shard_record *s)
+/* Begins to serve shard I, which is ours, once both mirrors have shown
+   everything that was written before our claim.  */
+static void
+serve (struct owners *o, size_t i)
 {
-  size_t i = shard_number (o, s);
+  struct shard_record *s = records_shard_at (o->entry->records, i);
   bool ours = s->owner_revision != 0
               && strcmp (s->owner, o->entry->settings.name) == 0;
-  if (o->shards[i] != NULL
-      && (!ours || shard_token (o->shards[i]) != s->owner_revision))
-    drop (o, i, "owner-changed");
   if (!ours || o->shards[i] != NULL || o->releasing
       || session_lease (o->entry->session) == 0)
     return;
-  o->claiming[i] = false;
+  if (mirror_revision (o->entry->progress_mirror) < s->owner_revision)
+    {
+      mirror_catch_up (o->entry->progress_mirror);
+      return;
+    }
   o->shards[i]
       = shard_open (o->entry, s, s->owner_revision, s->roster != NULL);
   set_pause (o);
 }
 
+/* The owner key of a shard has changed.  */
+void
+owners_owner_seen (struct owners *o, struct shard_record *s)
+{
+  size_t i = shard_number (o, s);
+  if (o->shards[i] != NULL && shard_token (o->shards[i]) != s->owner_revision)
+    drop (o, i, "owner-changed");
+  serve (o, i);
+}
+
 static void
 on_claimed (void *data, const struct store_result *r)
 {
@@ -174,6 +186,8 @@
   log_event (LOG_LEVEL_INFO, "shard_claim", "shard=%s state=%d revision=%lld",
              c->record->name, (int)r->state, (long long)r->revision);
   c->owners->claiming[i] = false;
+  if (r->state == STORE_OK)
+    mirror_catch_up (c->owners->entry->records_mirror);
 }
 
 static void
@@ -247,7 +261,10 @@
   for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
     {
       struct shard_record *s = records_shard_at (o->entry->records, i);
-      if (s->owner_revision != 0 || o->claiming[i] || o->shards[i] != NULL)
+      if (o->shards[i] != NULL)
+        continue;
+      serve (o, i);
+      if (s->owner_revision != 0 || o->claiming[i])
         continue;
       int64_t wait = (int64_t)(rank (o, s) * RANK_STEP_MS);
       if (rr_time_diff (now, s->ownerless_since) >= wait)
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -11,6 +11,16 @@
 #include "rosemaryentryd/mirror.h"
 #include "rosemaryentryd/owners.h"
 
+enum
+{
+  /* Heartbeats of all workers change their entries all the time; news that
+     counts (a worker drains, leaves or joins) can wait this long.  */
+  WORKERS_PAUSE_MS = 400,
+  /* Callers who ask for a job's state see its end this much later at most,
+     unless they ask its owner.  */
+  PROGRESS_PAUSE_MS = 100
+};
+
 struct records
 {
   struct entry *entry;
@@ -183,31 +193,40 @@
   owners_job_seen (r->entry->owners, j);
 }
 
-static void
-on_progress (struct records *r, const char *id, const struct store_item *item)
+/* Takes in the progress TEXT of job ID as of REVISION, unless a later one is
+   known.  */
+void
+records_progress_set (struct records *r, const char *id, const char *text,
+                      int64_t revision)
 {
-  if (item->removed)
+  struct job_record *j = job_record_for (r, id);
+  if (revision < j->progress_revision
+      || (revision == j->progress_revision && j->has_progress))
     return;
   struct rr_error err = { 0 };
-  struct rr_progress *p
-      = rr_progress_decode (item->value, item->value_length, &err);
+  struct rr_progress *p = rr_progress_decode (text, strlen (text), &err);
   if (p == NULL)
     {
       log_event (LOG_LEVEL_ERROR, "progress_unreadable", "job=%s %s", id,
                  err.message);
       return;
     }
-  struct job_record *j = job_record_for (r, id);
   j->phase = p->phase;
   j->has_progress = true;
-  if (item->revision > j->progress_revision)
-    j->progress_revision = item->revision;
+  j->progress_revision = revision;
   free (j->progress_text);
-  j->progress_text = strdup (item->value);
+  j->progress_text = strdup (text);
   rr_progress_free (p);
   job_record_trim (j);
 }
 
+static void
+on_progress (struct records *r, const char *id, const struct store_item *item)
+{
+  if (!item->removed)
+    records_progress_set (r, id, item->value, item->revision);
+}
+
 static void
 on_cancel (struct records *r, const char *id, const struct store_item *item)
 {
@@ -394,7 +413,10 @@
     }
   e->records = r;
   e->records_mirror = mirror_open (e, KEY_ROOT, on_record, r);
+  e->progress_mirror = mirror_open (e, KEY_PROGRESS, on_record, r);
   e->workers_mirror = mirror_open (e, PLATFORM_WORKERS_PREFIX, on_worker, r);
   e->config_mirror = mirror_open (e, PLATFORM_CONFIG_KEY, on_config, r);
+  mirror_pause_set (e->workers_mirror, WORKERS_PAUSE_MS);
+  mirror_pause_set (e->progress_mirror, PROGRESS_PAUSE_MS);
   return r;
 }
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -16,7 +16,7 @@
 {
   TICK_MS = 100,
   PLAN_PAUSE_MS = 3,    /* gathers what arrives together */
-  COMMIT_PAUSE_MS = 25, /* the same for progress that nobody waits for */
+  COMMIT_PAUSE_MS = 60, /* the same for progress that nobody waits for */
   COMMIT_RETRY_MS = 100,
   COMMIT_TIMEOUT_MS = 900,
   /* Each job takes a condition and a write; the owner key a condition.  */
@@ -36,6 +36,7 @@
 {
   char id[RR_GRAPH_NAME_SIZE];
   uint64_t version;
+  char *text; /* progress as it was sent */
 };
 
 struct shard
@@ -276,15 +277,22 @@
 {
   for (size_t i = 0; i < s->commit_count; i++)
     {
-      struct job_record *j = records_job (s->entry->records, s->commit[i].id);
-      if (j != NULL && revision > j->progress_revision)
-        j->progress_revision = revision;
-      rr_dispatch_stored (s->dispatch, s->commit[i].id, s->commit[i].version);
+      struct commit_entry *c = &s->commit[i];
+      records_progress_set (s->entry->records, c->id, c->text, revision);
+      rr_dispatch_stored (s->dispatch, c->id, c->version);
     }
   for (size_t i = 0; i < s->link_count; i++)
     link_progress_stored (s->links[i]);
 }
 
+static void
+commit_clear (struct shard *s)
+{
+  for (size_t i = 0; i < s->commit_count; i++)
+    free (s->commit[i].text);
+  s->commit_count = 0;
+}
+
 static void
 on_committed (void *data, const struct store_result *r)
 {
@@ -293,17 +301,20 @@
   s->committing = false;
   if (s->closed)
     {
+      commit_clear (s);
       shard_free (s);
       return;
     }
   if (r->state == STORE_OK)
     {
       commit_took_effect (s, r->revision);
+      commit_clear (s);
       wake (s);
       return;
     }
   if (r->state == STORE_CONFLICT && owner_changed (s, r))
     {
+      commit_clear (s);
       lose (s, "commit-rejected");
       return;
     }
@@ -314,6 +325,7 @@
                "shard=%s jobs=%zu state=%d why=%s", s->record->name,
                s->commit_count, (int)r->state,
                r->reason == NULL ? "" : r->reason);
+  commit_clear (s);
   schedule_commit (s, r->state == STORE_CONFLICT ? 0 : COMMIT_RETRY_MS);
 }
 
@@ -332,7 +344,6 @@
   static char keys[COMMIT_JOBS_MAX][KEY_SIZE];
   struct store_condition conds[COMMIT_JOBS_MAX + 1];
   struct store_write writes[COMMIT_JOBS_MAX];
-  char *texts[COMMIT_JOBS_MAX];
   char mark[RR_GRAPH_NAME_SIZE];
   snprintf (mark, sizeof mark, "%lld-%llu", (long long)s->token,
             (unsigned long long)++s->marks);
@@ -343,12 +354,12 @@
       struct commit_entry *c = &s->commit[i];
       snprintf (c->id, sizeof c->id, "%s", ids[i]);
       snprintf (keys[i], KEY_SIZE, "%s%s", KEY_PROGRESS, ids[i]);
-      texts[i] = rr_dispatch_progress (s->dispatch, ids[i], mark, &c->version);
+      c->text = rr_dispatch_progress (s->dispatch, ids[i], mark, &c->version);
       struct job_record *j = records_job (s->entry->records, ids[i]);
       conds[i + 1]
           = (struct store_condition){ keys[i],
                                       j == NULL ? 0 : j->progress_revision };
-      writes[i] = (struct store_write){ .key = keys[i], .value = texts[i] };
+      writes[i] = (struct store_write){ .key = keys[i], .value = c->text };
     }
   struct store_txn txn = { .conditions = conds,
                            .condition_count = n + 1,
@@ -357,8 +368,6 @@
   s->committing = true;
   s->calls++;
   store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_committed, s);
-  for (size_t i = 0; i < n; i++)
-    free (texts[i]);
 }
 
 static char *
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -83,7 +83,7 @@
   struct rr_time started;
   struct rr_time progressed; /* last change of PERCENT */
   int image;                 /* class in the interference model */
-  double load_log; /* log of a server's tail without fillers, smoothed */
+  double load; /* a server's utilisation without fillers, smoothed */
   struct rr_time crowded_since; /* a filler slowed below use */
   int32_t pace_wanted;          /* percent of full speed */
   int32_t pace;                 /* last ordered */
@@ -149,6 +149,7 @@
   bool inheriting;
   struct rr_policy policy; /* of the interference model */
   struct rr_interference *model;
+  double base_ms[RR_CLASSES_MAX]; /* least tails, by image */
   struct rr_time model_refreshed;
 };
 
--- a/rosemaryrail/dispatch_share.c
+++ b/rosemaryrail/dispatch_share.c
@@ -17,6 +17,9 @@
   /* A change of speed shows in full only after the tail's window.  */
   SETTLE_MS = 600,
   CUT_STEP_PERCENT = 25,
+  /* Fillers that the model takes as harmless slow down only when several cuts
+     of the others have not helped.  */
+  CUT_ALL_PERCENT = 15,
   PACE_CHANGE_MIN_PERCENT = 10,
   PACE_MIN_PERCENT = 10, /* slower than this is a pause */
   /* A filler that is held below this speed for this long moves, if it saves
@@ -29,6 +32,11 @@
   TAIL_REQUESTS = 30
 };
 
+/* Servers queue their users' requests: a tail of B / (1 - u) belongs to the
+   utilisation u, to which fillers add in proportion to their cores.  The
+   model therefore works on u = 1 - B / tail, with the least tail seen of an
+   image as its B.  */
+
 /* Predicted tails stay below the first share of the target when fillers start,
    below the second while they run.  Above the third something is wrong with
    the prediction, and all fillers slow down.  */
@@ -38,8 +46,14 @@
 static const double CUT_END_SHARE = 0.8;
 /* Weight of a new tail in the smoothed load of a server.  */
 static const double LOAD_WEIGHT = 0.4;
-/* First guess of a server's tail without fillers: this share of its target. */
+/* First guess of a server's utilisation without fillers, and of its least
+   tail as a share of its target.  */
+/* Utilisation that a filler on all cores adds to servers that bear it.  */
+static const double HARMLESS_MAX = 0.6;
+/* Smaller effects are within the model's error.  */
+static const double EFFECT_MIN = 0.01;
 static const double LOAD_GUESS = 0.5;
+static const double BASE_GUESS = 0.25;
 
 /* Begins with an empty model.  */
 void
@@ -47,9 +61,9 @@
 {
   rr_policy_init (&d->policy);
   d->policy.interference_half_life_ms = HALF_LIFE_MS;
-  d->policy.interference_prior_mean = 0.5;
-  d->policy.interference_prior_sd = 2.0;
-  d->policy.interference_noise_sd = 0.35;
+  d->policy.interference_prior_mean = 0.4;
+  d->policy.interference_prior_sd = 1.0;
+  d->policy.interference_noise_sd = 0.15;
   d->policy.interference_caution = 0.3;
   d->policy.interference_warmup_reports = 2;
   d->model = rr_interference_new (&d->policy);
@@ -71,11 +85,30 @@
                          const struct rr_graph_step *s)
 {
   r->image = RR_CLASS_OTHER;
-  r->load_log = log (LOAD_GUESS * (double)(s->tail_target_ms + 1));
+  r->load = LOAD_GUESS;
   if (s->image[0] == '\0' || (!s->filler && s->tail_target_ms == 0))
     return;
   r->image = rr_interference_class (
       d->model, s->filler ? RR_KIND_BATCH : RR_KIND_SERVICE, s->image);
+  if (!s->filler && d->base_ms[r->image] == 0)
+    d->base_ms[r->image] = BASE_GUESS * (double)s->tail_target_ms;
+}
+
+/* Returns the utilisation of a server of IMAGE with the tail TAIL_MS.  */
+static double
+utilisation (const struct rr_dispatch *d, int image, double tail_ms)
+{
+  double base = d->base_ms[image];
+  return tail_ms <= base ? 0 : 1 - base / tail_ms;
+}
+
+/* Returns the highest utilisation at which server R stays below SHARE of its
+   target.  */
+static double
+limit_of (const struct rr_dispatch *d, const struct dispatch_run *r,
+          double share)
+{
+  return utilisation (d, r->image, share * (double)r->tail_target_ms);
 }
 
 static bool
@@ -99,19 +132,19 @@
          * share_of (w, cores_milli);
 }
 
-/* Returns the log of server R's tail relative to its target, as the model
-   predicts it for the speeds that W's fillers shall have.  */
+/* Returns server R's utilisation as the model predicts it for the speeds that
+   W's fillers shall have.  */
 static double
 predict (const struct rr_dispatch *d, const struct dispatch_worker *w,
          const struct dispatch_run *r)
 {
-  double sum = r->load_log;
+  double sum = r->load;
   for (size_t i = 0; i < w->run_count; i++)
     if (w->runs[i].filler && !w->runs[i].stop_wanted)
       sum += effect (d, w, r->image, w->runs[i].image,
                      (double)w->runs[i].cores_milli * w->runs[i].pace_wanted
                          / 100);
-  return sum - log ((double)r->tail_target_ms);
+  return sum;
 }
 
 /* Returns the speed in percent that a filler of IMAGE with CORES_MILLI could
@@ -128,8 +161,8 @@
       if (!is_server (r))
         continue;
       double more = effect (d, w, r->image, image, (double)cores_milli);
-      double room = log (PLACE_SHARE) - predict (d, w, r);
-      if (more > 0.02 && room < more * speed / 100)
+      double room = limit_of (d, r, PLACE_SHARE) - predict (d, w, r);
+      if (more > EFFECT_MIN && room < more * speed / 100)
         speed = room <= 0 ? 0 : 100 * room / more;
     }
   return (int32_t)speed;
@@ -155,7 +188,8 @@
       bool harmless = true;
       for (size_t i = 0; i < w->run_count && harmless; i++)
         harmless = !is_server (&w->runs[i])
-                   || rr_interference_mean (d->model, w->runs[i].image, f) < 1;
+                   || rr_interference_mean (d->model, w->runs[i].image, f)
+                          < HARMLESS_MAX;
       borne += harmless ? 1 : 0;
     }
   return known == 0 ? 0 : borne * 100 / known;
@@ -174,12 +208,13 @@
       if (!is_server (r) || r->image != w->runs[first].image
           || r->phase != RUN_RUNNING || r->percent < 100 || r->figure <= 0)
         continue;
-      sum += log ((double)r->figure);
+      sum += utilisation (d, r->image, (double)r->figure);
       n++;
     }
   if (n == 0)
     return;
   report->service = w->runs[first].image;
+  /* The model takes the log of what it is given.  */
   report->latency_ms = exp (sum / n);
   report->requests = TAIL_REQUESTS * n;
   rr_interference_learn (d->model, report, now);
@@ -214,12 +249,14 @@
       struct dispatch_run *r = &w->runs[i];
       if (!is_server (r) || r->percent < 100 || r->figure <= 0)
         continue;
-      double alone = log ((double)r->figure);
+      if ((double)r->figure < d->base_ms[r->image])
+        d->base_ms[r->image] = (double)r->figure;
+      double alone = utilisation (d, r->image, (double)r->figure);
       for (size_t k = 0; k < w->run_count; k++)
         if (w->runs[k].filler)
           alone -= effect (d, w, r->image, w->runs[k].image,
                            (double)w->runs[k].figure);
-      r->load_log += LOAD_WEIGHT * (alone - r->load_log);
+      r->load += LOAD_WEIGHT * (alone - r->load);
     }
 }
 
@@ -230,7 +267,7 @@
             const struct dispatch_run *r, double over)
 {
   struct dispatch_run *worst = NULL;
-  double worst_effect = 0.01;
+  double worst_effect = EFFECT_MIN;
   for (size_t i = 0; i < w->run_count; i++)
     {
       struct dispatch_run *f = &w->runs[i];
@@ -253,21 +290,41 @@
   return true;
 }
 
+/* Tells whether a filler of IMAGE is known to disturb none of W's servers. */
+static bool
+is_harmless (const struct rr_dispatch *d, const struct dispatch_worker *w,
+             int image)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    if (is_server (&w->runs[i])
+        && rr_interference_cost (d->model, w->runs[i].image, image)
+               >= HARMLESS_MAX)
+      return false;
+  return true;
+}
+
 /* Sets the speeds of W's fillers so that no server is predicted over its
    limit.  */
 static void
 set_speeds (struct rr_dispatch *d, struct dispatch_worker *w)
 {
   for (size_t i = 0; i < w->run_count; i++)
-    w->runs[i].pace_wanted = w->filler_percent;
+    {
+      struct dispatch_run *f = &w->runs[i];
+      f->pace_wanted = 100;
+      if (f->filler && w->filler_percent < 100
+          && (w->filler_percent < CUT_ALL_PERCENT
+              || !is_harmless (d, w, f->image)))
+        f->pace_wanted = w->filler_percent;
+    }
   for (size_t i = 0; i < w->run_count; i++)
     {
       const struct dispatch_run *r = &w->runs[i];
       if (!is_server (r))
         continue;
-      double over = predict (d, w, r) - log (RUN_SHARE);
+      double over = predict (d, w, r) - limit_of (d, r, RUN_SHARE);
       while (over > 0 && slow_worst (d, w, r, over))
-        over = predict (d, w, r) - log (RUN_SHARE);
+        over = predict (d, w, r) - limit_of (d, r, RUN_SHARE);
     }
 }
 
@@ -296,7 +353,7 @@
   double tail = worst_tail (w);
   int32_t before = w->filler_percent;
   if (tail > CUT_SHARE && w->filler_cores_milli > 0)
-    w->filler_percent = before > 2 * CUT_STEP_PERCENT ? before / 2 : 0;
+    w->filler_percent = before / 2;
   else if (tail < CUT_END_SHARE)
     w->filler_percent
         = before + CUT_STEP_PERCENT > 100 ? 100 : before + CUT_STEP_PERCENT;
