--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -22,7 +22,10 @@
 
 enum
 {
-  KEY_SIZE = 128
+  KEY_SIZE = 128,
+  SHARDS_MAX = 32,
+  /* One owner carries the 70 workers of today's deployments.  */
+  SHARD_COUNT = 1
 };
 
 /* A job as the store has it.  GRAPH_TEXT is dropped once the job is over.  */
@@ -79,6 +82,7 @@
                                                  struct rr_handle *cursor);
 const struct platform_worker *records_worker_next (const struct records *r,
                                                    struct rr_handle *cursor);
-const char *records_shard_of_zone (const struct records *r, const char *zone);
+const char *records_shard_of_worker (const struct records *r,
+                                     const struct platform_worker *w);
 
 #endif
--- a/rosemaryentryd/choice.c
+++ b/rosemaryentryd/choice.c
@@ -7,9 +7,6 @@
 
 enum
 {
-  /* Another zone's shard must be this much emptier, in thousandths of its
-     capacity, since its traffic crosses zones.  */
-  REMOTE_PENALTY = 20,
   /* A shard without an owner starts nothing for a second or more.  */
   OWNERLESS_PENALTY = 300
 };
@@ -61,8 +58,7 @@
   while ((w = records_worker_next (e->records, &h)) != NULL)
     {
       if (w->info.draining || strcmp (w->info.service, g->service) != 0
-          || strcmp (records_shard_of_zone (e->records, w->zone), s->name)
-                 != 0)
+          || strcmp (records_shard_of_worker (e->records, w), s->name) != 0)
         continue;
       fit.capacity_milli += w->info.cores_milli;
       fit.has_rack = fit.has_rack || has_label (w, rack);
@@ -88,8 +84,6 @@
   int64_t cost = demand * 1000 / fit.capacity_milli;
   if (!fit.has_rack)
     cost += (int64_t)(e->settings.remote_factor * 1000);
-  if (strcmp (s->name, e->settings.zone) != 0)
-    cost += REMOTE_PENALTY;
   if (s->owner_revision == 0)
     cost += OWNERLESS_PENALTY;
   return cost;
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -34,9 +34,9 @@
 {
   struct entry *entry;
   uv_timer_t timer;
-  struct shard *shards[ENTRY_ZONES_MAX]; /* by number; null: not owned */
-  bool claiming[ENTRY_ZONES_MAX];
-  struct claim claims[ENTRY_ZONES_MAX];
+  struct shard *shards[SHARDS_MAX]; /* by number; null: not owned */
+  bool claiming[SHARDS_MAX];
+  struct claim claims[SHARDS_MAX];
   struct rr_time opened;
   bool releasing;
 };
@@ -52,7 +52,7 @@
 owners_count (const struct owners *o)
 {
   size_t n = 0;
-  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+  for (size_t i = 0; i < SHARDS_MAX; i++)
     n += o->shards[i] != NULL ? 1 : 0;
   return n;
 }
@@ -84,7 +84,7 @@
 static struct shard *
 shard_of_worker (const struct owners *o, const struct platform_worker *w)
 {
-  return shard_named (o, records_shard_of_zone (o->entry->records, w->zone));
+  return shard_named (o, records_shard_of_worker (o->entry->records, w));
 }
 
 void
@@ -106,7 +106,7 @@
 void
 owners_queues_changed (struct owners *o)
 {
-  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+  for (size_t i = 0; i < SHARDS_MAX; i++)
     if (o->shards[i] != NULL)
       shard_queues_changed (o->shards[i]);
 }
@@ -133,7 +133,7 @@
 void
 owners_shard_lost (struct owners *o, struct shard *s, const char *why)
 {
-  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+  for (size_t i = 0; i < SHARDS_MAX; i++)
     if (o->shards[i] == s)
       drop (o, i, why);
 }
@@ -142,7 +142,7 @@
 void
 owners_lease_lost (struct owners *o)
 {
-  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+  for (size_t i = 0; i < SHARDS_MAX; i++)
     if (o->shards[i] != NULL)
       drop (o, i, "lease-lost");
 }
@@ -219,30 +219,28 @@
   return n;
 }
 
-/* How little a daemon suits as the owner of a shard: another zone counts more
-   than shards that it owns already; the rest is spread by hash.  */
+/* How little a daemon suits as the owner of a shard: first by the shards that
+   it owns already; the rest is spread by hash.  */
 static uint64_t
 unfitness (const struct owners *o, const struct shard_record *s,
-           const char *name, const char *zone)
+           const char *name)
 {
   char text[2 * RR_GRAPH_NAME_SIZE + 2];
   int n = snprintf (text, sizeof text, "%s/%s", s->name, name);
   uint64_t hash = XXH64 (text, (size_t)n, 0) >> 16;
-  uint64_t away = strcmp (s->name, zone) == 0 ? 0 : 1;
-  return away << 60 | (uint64_t)shards_owned_by (o, name) << 52 | hash;
+  return (uint64_t)shards_owned_by (o, name) << 52 | hash;
 }
 
 static size_t
 rank (const struct owners *o, const struct shard_record *s)
 {
   const struct entry_settings *me = &o->entry->settings;
-  uint64_t mine = unfitness (o, s, me->name, me->zone);
+  uint64_t mine = unfitness (o, s, me->name);
   size_t better = 0;
   struct rr_handle h = { 0 };
   const struct daemon_record *d;
   while ((d = records_daemon_next (o->entry->records, &h)) != NULL)
-    if (strcmp (d->name, me->name) != 0
-        && unfitness (o, s, d->name, d->zone) < mine)
+    if (strcmp (d->name, me->name) != 0 && unfitness (o, s, d->name) < mine)
       better++;
   return better;
 }
@@ -292,7 +290,7 @@
 owners_release (struct owners *o)
 {
   o->releasing = true;
-  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+  for (size_t i = 0; i < SHARDS_MAX; i++)
     if (o->shards[i] != NULL)
       shard_stop_starting (o->shards[i]);
 }
@@ -300,7 +298,7 @@
 bool
 owners_released (const struct owners *o)
 {
-  for (size_t i = 0; i < ENTRY_ZONES_MAX; i++)
+  for (size_t i = 0; i < SHARDS_MAX; i++)
     if (o->shards[i] != NULL && !shard_stored (o->shards[i]))
       return false;
   return true;
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -30,7 +30,7 @@
   struct rr_key_index *daemon_index;
   struct rr_table *workers;
   struct rr_key_index *worker_index;
-  struct shard_record shards[ENTRY_ZONES_MAX];
+  struct shard_record shards[SHARDS_MAX];
   size_t shard_count;
 };
 
@@ -107,14 +107,14 @@
   return r->shard_count;
 }
 
-/* Returns the shard that has the workers of ZONE.  */
+/* Returns the shard that worker W belongs to.  A rack is never divided.  */
 const char *
-records_shard_of_zone (const struct records *r, const char *zone)
+records_shard_of_worker (const struct records *r,
+                         const struct platform_worker *w)
 {
-  for (size_t i = 0; i < r->shard_count; i++)
-    if (strcmp (r->shards[i].name, zone) == 0)
-      return r->shards[i].name;
-  return r->shards[XXH64 (zone, strlen (zone), 0) % r->shard_count].name;
+  const char *rack = w->info.rack[0] != '\0' ? w->info.rack : w->info.id;
+  uint64_t hash = XXH64 (rack, strlen (rack), 0);
+  return r->shards[hash % r->shard_count].name;
 }
 
 const struct daemon_record *
@@ -404,11 +404,11 @@
   r->daemon_index = rr_key_index_new ();
   r->workers = rr_table_new (sizeof (struct platform_worker));
   r->worker_index = rr_key_index_new ();
-  r->shard_count = e->settings.zone_count;
+  r->shard_count = SHARD_COUNT;
   for (size_t i = 0; i < r->shard_count; i++)
     {
       struct shard_record *s = &r->shards[i];
-      snprintf (s->name, sizeof s->name, "%s", e->settings.zones[i]);
+      snprintf (s->name, sizeof s->name, "s%zu", i);
       s->ownerless_since = entry_now ();
     }
   e->records = r;
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -717,8 +717,7 @@
   struct rr_handle hw = { 0 };
   const struct platform_worker *w;
   while ((w = records_worker_next (e->records, &hw)) != NULL)
-    if (strcmp (records_shard_of_zone (e->records, w->zone), record->name)
-        == 0)
+    if (strcmp (records_shard_of_worker (e->records, w), record->name) == 0)
       shard_worker_seen (s, w);
   log_event (LOG_LEVEL_INFO, "shard_owned",
              "shard=%s token=%lld inherited=%s jobs=%zu workers=%zu",
