--- a/common/upstream.c
+++ b/common/upstream.c
@@ -27,6 +27,8 @@
   h2o_http1client_ctx_t context;
   unsigned calls;
   bool closed;
+  uv_timer_t release; /* outlives the timers inside POOL and TIMEOUT */
+  bool released_once;
 };
 
 /* One call in progress.  */
@@ -48,6 +50,22 @@
   size_t answer_length;
 };
 
+/* Frees the upstream one round of closing later than h2o closes the timers
+   that are part of it.  */
+static void
+on_release_closed (uv_handle_t *h)
+{
+  struct upstream *u = h->data;
+  if (u->released_once)
+    {
+      free (u);
+      return;
+    }
+  u->released_once = true;
+  uv_timer_init (u->loop, &u->release);
+  uv_close (h, on_release_closed);
+}
+
 static void
 upstream_unref (struct upstream *u)
 {
@@ -55,7 +73,9 @@
     return;
   h2o_socketpool_dispose (&u->pool);
   h2o_timeout_dispose (u->loop, &u->timeout);
-  free (u);
+  uv_timer_init (u->loop, &u->release);
+  u->release.data = u;
+  uv_close ((uv_handle_t *)&u->release, on_release_closed);
 }
 
 static void
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -52,6 +52,7 @@
   char name[RR_GRAPH_NAME_SIZE];
   char owner[RR_GRAPH_NAME_SIZE]; /* empty: none */
   int64_t owner_revision;
+  int64_t owner_lease; /* tells incarnations of the owner apart */
   struct rr_time ownerless_since;
   char *roster; /* JSON list of worker ids */
   int64_t roster_revision;
--- a/include/rosemaryentryd/session.h
+++ b/include/rosemaryentryd/session.h
@@ -11,7 +11,7 @@
 {
   /* Long enough for a few lost renewals, short enough that a dead owner's
      shards move before the leases of its workers' tasks expire.  */
-  SESSION_TTL_MS = 2000
+  SESSION_TTL_MS = 1500
 };
 
 struct session *session_open (struct entry *e);
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -178,7 +178,8 @@
 bool rr_dispatch_worker_droppable (const struct rr_dispatch *d,
                                    struct rr_handle h, struct rr_time now);
 void rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h);
-bool rr_dispatch_worker_needed (const struct rr_dispatch *d, const char *id);
+bool rr_dispatch_worker_needed (struct rr_dispatch *d, const char *id,
+                                struct rr_time now);
 
 int64_t rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
                                   struct rr_time valid_until,
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -35,6 +35,7 @@
   struct entry *entry;
   uv_timer_t timer;
   struct shard *shards[SHARDS_MAX]; /* by number; null: not owned */
+  int64_t lost_token[SHARDS_MAX];   /* a claim that is known to be void */
   bool claiming[SHARDS_MAX];
   struct claim claims[SHARDS_MAX];
   struct rr_time opened;
@@ -124,6 +125,7 @@
   log_event (LOG_LEVEL_WARN, "shard_lost", "shard=%s token=%lld why=%s",
              shard_name (o->shards[i]), (long long)shard_token (o->shards[i]),
              why);
+  o->lost_token[i] = shard_token (o->shards[i]);
   shard_close (o->shards[i]);
   o->shards[i] = NULL;
   set_pause (o);
@@ -153,10 +155,10 @@
 serve (struct owners *o, size_t i)
 {
   struct shard_record *s = records_shard_at (o->entry->records, i);
-  bool ours = s->owner_revision != 0
-              && strcmp (s->owner, o->entry->settings.name) == 0;
-  if (!ours || o->shards[i] != NULL || o->releasing
-      || session_lease (o->entry->session) == 0)
+  int64_t lease = session_lease (o->entry->session);
+  bool ours = s->owner_revision != 0 && lease != 0 && s->owner_lease == lease;
+  if (!ours || s->owner_revision <= o->lost_token[i] || o->shards[i] != NULL
+      || o->releasing || session_lease (o->entry->session) == 0)
     return;
   if (mirror_revision (o->entry->progress_mirror) < s->owner_revision)
     {
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -246,6 +246,7 @@
   if (s == NULL)
     return;
   s->owner_revision = item->removed ? 0 : item->revision;
+  s->owner_lease = item->lease;
   s->owner[0] = '\0';
   if (item->removed)
     s->ownerless_since = entry_now ();
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -10,8 +10,8 @@
 
 enum
 {
-  RENEW_MS = 500,        /* four renewals in the lease's time */
-  CALL_TIMEOUT_MS = 450, /* less than RENEW_MS: one call at a time */
+  RENEW_MS = 375,        /* four renewals in the lease's time */
+  CALL_TIMEOUT_MS = 370, /* less than RENEW_MS: one call at a time */
   SLOW_TIMEOUT_MS = 1200 /* once calls are lost, for a slow store */
 };
 
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -54,6 +54,7 @@
   struct commit_entry commit[COMMIT_JOBS_MAX];
   size_t commit_count;
   bool committing;
+  struct rr_time commit_after; /* a failed write is not repeated sooner */
   bool roster_writing;
   char *roster; /* last one stored */
   char *roster_sent;
@@ -205,6 +206,9 @@
 static void
 schedule_commit (struct shard *s, uint64_t ms)
 {
+  int64_t pause = rr_time_diff (s->commit_after, entry_now ());
+  if (pause > 0 && (uint64_t)pause > ms)
+    ms = (uint64_t)pause;
   if (!uv_is_active ((uv_handle_t *)&s->commit_timer)
       || uv_timer_get_due_in (&s->commit_timer) > ms)
     uv_timer_start (&s->commit_timer, on_commit_timer, ms, 0);
@@ -326,7 +330,9 @@
                s->commit_count, (int)r->state,
                r->reason == NULL ? "" : r->reason);
   commit_clear (s);
-  schedule_commit (s, r->state == STORE_CONFLICT ? 0 : COMMIT_RETRY_MS);
+  if (r->state != STORE_CONFLICT)
+    s->commit_after = rr_time_add (entry_now (), COMMIT_RETRY_MS);
+  schedule_commit (s, 0);
 }
 
 /* Stores the progress of changed jobs, under the condition that we still own
@@ -370,27 +376,41 @@
   store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_committed, s);
 }
 
+static bool
+list_has (struct json_object *list, const char *id)
+{
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    if (strcmp (json_object_get_string (json_object_array_get_idx (list, i)),
+                id)
+        == 0)
+      return true;
+  return false;
+}
+
+static void
+list_add (struct json_object *list, const char *id)
+{
+  if (!list_has (list, id))
+    json_object_array_add (list, json_object_new_string (id));
+}
+
+/* Returns the workers that may be given tasks or may run some: those in use,
+   and those of former owners that are not heard yet.  */
 static char *
 roster_text (struct shard *s)
 {
   struct json_object *list = json_object_new_array ();
+  struct rr_time now = entry_now ();
   struct rr_handle h = { 0 };
   const struct platform_worker *w;
   while ((w = records_worker_next (s->entry->records, &h)) != NULL)
-    if (link_find (s, w->info.id) != NULL)
-      json_object_array_add (list, json_object_new_string (w->info.id));
+    if (link_find (s, w->info.id) != NULL
+        && rr_dispatch_worker_needed (s->dispatch, w->info.id, now))
+      list_add (list, w->info.id);
   for (size_t i = 0; i < s->link_count; i++)
-    {
-      const char *id = link_worker_id (s->links[i]);
-      bool listed = false;
-      for (size_t k = 0; k < json_object_array_length (list) && !listed; k++)
-        listed = strcmp (json_object_get_string (
-                             json_object_array_get_idx (list, k)),
-                         id)
-                 == 0;
-      if (!listed)
-        json_object_array_add (list, json_object_new_string (id));
-    }
+    if (rr_dispatch_worker_needed (s->dispatch, link_worker_id (s->links[i]),
+                                   now))
+      list_add (list, link_worker_id (s->links[i]));
   struct rr_error err = { 0 };
   struct json_object *before
       = s->record->roster == NULL
@@ -401,9 +421,8 @@
     {
       const char *id
           = json_object_get_string (json_object_array_get_idx (before, i));
-      if (link_find (s, id) == NULL
-          && rr_dispatch_worker_needed (s->dispatch, id))
-        json_object_array_add (list, json_object_new_string (id));
+      if (rr_dispatch_worker_needed (s->dispatch, id, now))
+        list_add (list, id);
     }
   json_object_put (before);
   char *text = strdup (json_text (list));
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -242,7 +242,10 @@
       dispatch_job_settle (d, j);
       return;
     }
-  task_set_waiting (j, number);
+  /* While workers of a former owner are unheard, a later run of the task may
+     be going on at one of them.  */
+  if (t->state != TASK_UNCERTAIN)
+    task_set_waiting (j, number);
   t->not_before = now;
   if (end->kind != RR_END_FAILED)
     return;
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -13,6 +13,10 @@
   /* Reports in a row that must lack a run before it is taken as lost: one may
      have been under way when the run started.  */
   MISSING_REPORTS_MAX = 2,
+  SILENT_MS = 2500, /* without a report: several looks have failed */
+  /* An unlisted worker is kept this long, since entries that change hands are
+     removed and written again.  */
+  UNLISTED_MS = 500,
   /* Time for a worker to end what it runs once a lease has expired.  */
   KILL_MARGIN_MS = 100,
   /* Pause before a stop that got no answer is sent again.  */
@@ -68,12 +72,21 @@
       }
 }
 
-/* Tells whether the worker ID must stay on record: it may still run tasks. */
+/* Tells whether the worker ID must stay on record: it may be given tasks, or
+   may still run some.  A silent one without runs leaves the record, so that a
+   later owner need not wait for it, and is given tasks only after it is
+   recorded again.  */
 bool
-rr_dispatch_worker_needed (const struct rr_dispatch *d, const char *id)
+rr_dispatch_worker_needed (struct rr_dispatch *d, const char *id,
+                           struct rr_time now)
 {
-  if (worker_find (d, id) != NULL)
+  struct dispatch_worker *w = worker_find (d, id);
+  bool fresh = w != NULL && w->reported
+               && rr_time_diff (now, w->last_report) <= SILENT_MS;
+  if (w != NULL && (w->run_count > 0 || (w->listed && fresh)))
     return true;
+  if (w != NULL && w->reported)
+    w->recorded = false;
   for (size_t i = 0; i < d->inherited_count; i++)
     if (strcmp (d->inherited[i], id) == 0)
       return true;
@@ -260,8 +273,7 @@
   const struct dispatch_worker *w = dispatch_worker_get (d, h);
   if (w == NULL || w->listed || w->run_count > 0)
     return false;
-  /* It may have just left the list because the store was away.  */
-  return rr_time_diff (now, w->unlisted_at) > 5000;
+  return rr_time_diff (now, w->unlisted_at) > UNLISTED_MS;
 }
 
 /* Forgets the worker H.  */
@@ -371,7 +383,8 @@
   bool current = t->state == TASK_PLACED && t->current_run == end->name.run
                  && t->worker.index == w->handle.index
                  && t->worker.generation == w->handle.generation;
-  bool news = t->state == TASK_UNCERTAIN && end->name.run > t->ended_run;
+  bool news = (t->state == TASK_UNCERTAIN || t->state == TASK_WAITING)
+              && end->name.run > t->ended_run;
   if (current || news)
     {
       dispatch_note (d, "run_ended",
@@ -400,6 +413,9 @@
   t->worker = w->handle;
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
+  /* Another owner gave its lease, of which only the longest time is known. */
+  if (w->lease_clock_ms < w->clock_ms + d->o.lease_max_ms)
+    w->lease_clock_ms = w->clock_ms + d->o.lease_max_ms;
   if (j->phase == RR_PHASE_QUEUED)
     {
       j->phase = RR_PHASE_ACTIVE;
