--- a/rosemaryentryd/link.c
+++ b/rosemaryentryd/link.c
@@ -12,6 +12,7 @@
 {
   LOOK_WAIT_MS = 600,     /* longest time between two accounts */
   LOOK_TIMEOUT_MS = 1200, /* the wait and an answer on a slow link */
+  PROBE_TIMEOUT_MS = 600, /* a look that does not wait */
   LOOK_RETRY_MIN_MS = 50,
   LOOK_RETRY_MAX_MS = 400,
   /* Ends that are not stored yet would be listed again at once, so the next
@@ -163,15 +164,20 @@
   struct worker_look k = {
     .id = l->id,
     .token = l->owner.token,
-    .lease_end
-    = rr_dispatch_worker_lease (l->owner.dispatch, l->worker,
-                                l->owner.valid_until (l->owner.data), now),
     .observed = rr_dispatch_worker_observed (l->owner.dispatch, l->worker),
     .timeout_ms = LOOK_TIMEOUT_MS,
   };
-  /* The first look gives no lease, since the worker's clock is not known. */
+  /* A look at a silent worker renews nothing: a worker that hears but can't
+     answer would otherwise keep its tasks for ever.  */
+  if (!l->lost)
+    k.lease_end
+        = rr_dispatch_worker_lease (l->owner.dispatch, l->worker,
+                                    l->owner.valid_until (l->owner.data), now);
+  /* Without a lease the worker's clock is not known yet, or not any more.  */
   if (k.lease_end > 0)
     k.wait_ms = LOOK_WAIT_MS;
+  else
+    k.timeout_ms = PROBE_TIMEOUT_MS;
   l->looking = true;
   l->calls++;
   worker_look (l->upstream, &k, entry_now, on_look, l);
