--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -189,8 +189,6 @@
 bool rr_dispatch_worker_backlog (struct rr_dispatch *d, struct rr_handle h);
 void rr_dispatch_report (struct rr_dispatch *d, struct rr_handle h,
                          const struct rr_worker_report *r, struct rr_time now);
-void rr_dispatch_unreached (struct rr_dispatch *d, struct rr_handle h,
-                            struct rr_time now);
 void rr_dispatch_answer (struct rr_dispatch *d, struct rr_handle h,
                          enum rr_order_kind kind,
                          const struct rr_run_name *name,
@@ -206,8 +204,8 @@
 void rr_dispatch_job_cancel (struct rr_dispatch *d, const char *id,
                              struct rr_time now);
 
-void rr_dispatch_plan (struct rr_dispatch *d, struct rr_time valid_until,
-                       struct rr_time now);
+void rr_dispatch_plan (struct rr_dispatch *d, struct rr_time confirmed,
+                       struct rr_time valid_until, struct rr_time now);
 
 /* Changed progress that waits to be stored.  URGENT: callers wait for it.
    Returns the number of jobs written to IDS (at most MAX).  */
--- a/rosemaryentryd/link.c
+++ b/rosemaryentryd/link.c
@@ -144,7 +144,6 @@
     }
   if (report == NULL)
     {
-      rr_dispatch_unreached (l->owner.dispatch, l->worker, entry_now ());
       worker_silent (l, outcome);
       l->owner.changed (l->owner.data);
       return;
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -126,15 +126,21 @@
     owners_shard_lost (s->entry->owners, s, why);
 }
 
+/* Returns the last time at which we certainly owned the shard.  */
+static struct rr_time
+confirmed (const struct shard *s)
+{
+  struct rr_time lease = session_confirmed (s->entry->session);
+  struct rr_time news = mirror_confirmed (s->entry->records_mirror);
+  return rr_time_before (lease, news) ? lease : news;
+}
+
 /* Returns the end of our right to act: no lease reaches further.  */
 static struct rr_time
 valid_until (void *data)
 {
   const struct shard *s = data;
-  struct rr_time lease = session_confirmed (s->entry->session);
-  struct rr_time news = mirror_confirmed (s->entry->records_mirror);
-  struct rr_time known = rr_time_before (lease, news) ? lease : news;
-  return rr_time_add (known, s->entry->settings.lease_max_ms);
+  return rr_time_add (confirmed (s), s->entry->settings.lease_max_ms);
 }
 
 static void
@@ -220,7 +226,7 @@
   struct rr_time now = entry_now ();
   struct rr_time until
       = s->stopping ? rr_time_from_ms (INT64_MIN / 2) : valid_until (s);
-  rr_dispatch_plan (s->dispatch, until, now);
+  rr_dispatch_plan (s->dispatch, confirmed (s), until, now);
   send_orders (s);
   const char *ids[1];
   bool urgent;
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -533,10 +533,11 @@
 /* Ends the uncertainty about inherited tasks: whatever was not reported as
    running runs nowhere.  */
 static void
-settle_inherited (struct rr_dispatch *d, struct rr_time now)
+settle_inherited (struct rr_dispatch *d, struct rr_time confirmed)
 {
   if (!d->inheriting
-      || (d->inherited_count > 0 && rr_time_before (now, d->inherited_until)))
+      || (d->inherited_count > 0
+          && rr_time_before (confirmed, d->inherited_until)))
     return;
   size_t tasks = 0;
   struct rr_handle h = { 0 };
@@ -591,22 +592,24 @@
     }
 }
 
-/* Decides what to start, stop and slow down now.  Nothing starts once less
-   than the least lease is left until VALID_UNTIL.  */
+/* Decides what to start, stop and slow down now.  CONFIRMED is the last time
+   at which we certainly owned the shard: what follows from a lease that
+   expired later may not hold, since another owner may have renewed it.
+   Nothing starts once less than the least lease is left until VALID_UNTIL.  */
 void
-rr_dispatch_plan (struct rr_dispatch *d, struct rr_time valid_until,
-                  struct rr_time now)
+rr_dispatch_plan (struct rr_dispatch *d, struct rr_time confirmed,
+                  struct rr_time valid_until, struct rr_time now)
 {
   struct rr_handle h = { 0 };
   struct dispatch_worker *w;
   while ((w = rr_table_next (d->workers, &h)) != NULL)
     {
-      dispatch_expire (d, w, now);
+      dispatch_expire (d, w, confirmed, now);
       if (w->info.draining)
         clear_draining (w, now);
       measure_worker (w);
     }
-  settle_inherited (d, now);
+  settle_inherited (d, confirmed);
   dispatch_share_refresh (d, now);
   if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS)
     place_jobs (d, now);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -201,7 +201,7 @@
                           struct dispatch_run *r);
 void dispatch_run_stop (struct dispatch_run *r, const char *reason);
 void dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
-                      struct rr_time now);
+                      struct rr_time confirmed, struct rr_time now);
 void dispatch_share_open (struct rr_dispatch *d);
 void dispatch_share_refresh (struct rr_dispatch *d, struct rr_time now);
 void dispatch_share_classify (struct rr_dispatch *d, struct dispatch_run *r,
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -559,26 +559,16 @@
   dispatch_share_update (d, w, now);
 }
 
-/* Records that worker H has not answered a call.  */
-void
-rr_dispatch_unreached (struct rr_dispatch *d, struct rr_handle h,
-                       struct rr_time now)
-{
-  struct dispatch_worker *w = dispatch_worker_get (d, h);
-  if (w != NULL)
-    dispatch_expire (d, w, now);
-}
-
 /* Gives up what W runs once every lease that we gave must have expired, by its
-   slowest possible clock, and a stop would have ended.  */
+   slowest possible clock, at a time when we certainly owned the shard.  */
 void
 dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
-                 struct rr_time now)
+                 struct rr_time confirmed, struct rr_time now)
 {
   if (w->run_count == 0 || !w->has_clock)
     return;
   double elapsed
-      = (double)(rr_time_diff (now, w->clock_received) - KILL_MARGIN_MS);
+      = (double)(rr_time_diff (confirmed, w->clock_received) - KILL_MARGIN_MS);
   if ((double)w->clock_ms + elapsed * CLOCK_RATE_MIN
       <= (double)w->lease_clock_ms)
     return;
