--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -22,7 +22,8 @@
 struct rr_progress_row
 {
   uint32_t number;
-  uint32_t run; /* highest run that is known to have ended */
+  uint32_t run;     /* highest run that is known to be over */
+  uint64_t counted; /* bit I: the end of run RUN - I is accounted for */
   uint32_t failures;
   bool done;
   char checkpoint[RR_CHECKPOINT_SIZE];
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -218,6 +218,35 @@
   return sum;
 }
 
+/* Moves the account of T's runs up to RUN.  */
+static void
+end_pass (struct dispatch_task *t, uint32_t run)
+{
+  if (run <= t->ended_run)
+    return;
+  uint32_t ahead = run - t->ended_run;
+  t->counted = ahead >= 64 ? 0 : t->counted << ahead;
+  t->ended_run = run;
+}
+
+static void
+end_count (struct dispatch_task *t, uint32_t run)
+{
+  end_pass (t, run);
+  if (t->ended_run - run < 64)
+    t->counted |= UINT64_C (1) << (t->ended_run - run);
+}
+
+/* Tells whether the end of RUN is accounted for, or too old to tell.  */
+bool
+dispatch_end_counted (const struct dispatch_task *t, uint32_t run)
+{
+  if (run > t->ended_run)
+    return false;
+  uint32_t age = t->ended_run - run;
+  return age >= 64 || (t->counted >> age & 1) != 0;
+}
+
 /* Accounts for END, the first news of how a run of task NUMBER ended.  */
 void
 dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
@@ -226,7 +255,7 @@
 {
   struct dispatch_task *t = &j->tasks[number];
   const struct rr_graph_step *s = &j->graph->steps[end->name.step];
-  t->ended_run = end->name.run;
+  end_count (t, end->name.run);
   if (t->next_run <= end->name.run)
     t->next_run = end->name.run + 1;
   if (end->checkpoint[0] != '\0')
@@ -234,6 +263,11 @@
   job_changed (j);
   if (t->state == TASK_DONE)
     return;
+  /* The end of an older run, which was taken as lost, while a newer one is
+     going on: only its failure counts.  */
+  bool old = t->state == TASK_PLACED && t->current_run != end->name.run;
+  if (old && end->kind != RR_END_FAILED)
+    return;
   if (end->kind == RR_END_DONE && !s->long_running)
     {
       task_set_done (j, number);
@@ -244,7 +278,7 @@
     }
   /* While workers of a former owner are unheard, a later run of the task may
      be going on at one of them.  */
-  if (t->state != TASK_UNCERTAIN)
+  if (t->state != TASK_UNCERTAIN && !old)
     task_set_waiting (j, number);
   t->not_before = now;
   if (end->kind != RR_END_FAILED)
@@ -275,7 +309,7 @@
   struct dispatch_task *t = &j->tasks[number];
   if (t->state != TASK_PLACED)
     return;
-  t->ended_run = t->current_run;
+  end_pass (t, t->current_run);
   if (t->next_run <= t->current_run)
     t->next_run = t->current_run + 1;
   t->not_before = now;
@@ -316,6 +350,7 @@
     return;
   struct dispatch_task *t = &j->tasks[row->number];
   t->ended_run = row->run;
+  t->counted = row->counted;
   t->next_run = row->run + 1;
   t->failures = row->failures;
   memcpy (t->checkpoint, row->checkpoint, sizeof t->checkpoint);
@@ -472,6 +507,7 @@
   struct rr_progress_row *r = &p->rows[p->row_count++];
   r->number = number;
   r->run = t->ended_run;
+  r->counted = t->counted;
   r->failures = t->failures;
   r->done = t->state == TASK_DONE;
   if (!r->done)
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -18,7 +18,10 @@
   enum task_state state;
   uint32_t current_run; /* while placed */
   uint32_t next_run;
-  uint32_t ended_run; /* highest run whose end is accounted for */
+  uint32_t ended_run; /* highest run that is over */
+  /* Bit I: the end of run ENDED_RUN - I is accounted for.  Ends can become
+     known in any order when several workers were out of reach.  */
+  uint64_t counted;
   uint32_t failures;
   struct rr_handle worker;     /* while placed */
   struct rr_handle bad_worker; /* where its last run failed */
@@ -181,6 +184,7 @@
                          struct rr_run_name *name);
 struct dispatch_step *dispatch_step_of (struct dispatch_job *j,
                                         const struct rr_run_name *name);
+bool dispatch_end_counted (const struct dispatch_task *t, uint32_t run);
 void dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
                         uint32_t number, const struct rr_run_end *end,
                         struct rr_handle worker, struct rr_time now);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -379,13 +379,7 @@
       queue_end (w, end->number, NULL);
       return;
     }
-  struct dispatch_task *t = &j->tasks[number];
-  bool current = t->state == TASK_PLACED && t->current_run == end->name.run
-                 && t->worker.index == w->handle.index
-                 && t->worker.generation == w->handle.generation;
-  bool news = (t->state == TASK_UNCERTAIN || t->state == TASK_WAITING)
-              && end->name.run > t->ended_run;
-  if (current || news)
+  if (!dispatch_end_counted (&j->tasks[number], end->name.run))
     {
       dispatch_note (d, "run_ended",
                      "job=%s task=%d.%d.%d run=%u vm=%s how=%s clock=%lld",
