--- a/rosemaryentryd/link.c
+++ b/rosemaryentryd/link.c
@@ -144,6 +144,7 @@
     }
   if (report == NULL)
     {
+      rr_dispatch_unreached (l->owner.dispatch, l->worker);
       worker_silent (l, outcome);
       l->owner.changed (l->owner.data);
       return;
@@ -166,13 +167,10 @@
     .observed = rr_dispatch_worker_observed (l->owner.dispatch, l->worker),
     .timeout_ms = LOOK_TIMEOUT_MS,
   };
-  /* A look at a silent worker renews nothing: a worker that hears but can't
-     answer would otherwise keep its tasks for ever.  */
-  if (!l->lost)
-    k.lease_end
-        = rr_dispatch_worker_lease (l->owner.dispatch, l->worker,
-                                    l->owner.valid_until (l->owner.data), now);
-  /* Without a lease the worker's clock is not known yet, or not any more.  */
+  k.lease_end = rr_dispatch_worker_lease (
+      l->owner.dispatch, l->worker, l->owner.valid_until (l->owner.data), now);
+  /* There is no lease while the worker's clock is not known or it is silent.
+   */
   if (k.lease_end > 0)
     k.wait_ms = LOOK_WAIT_MS;
   else
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -107,6 +107,7 @@
   struct rr_handle handle;
   bool listed;   /* registered at present */
   bool recorded; /* stored as one that we may use */
+  bool silent;   /* has not answered the last look */
   bool reported; /* has answered us in this incarnation */
   struct rr_time unlisted_at;
   struct rr_time last_report;
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -296,7 +296,7 @@
                           struct rr_time valid_until, struct rr_time now)
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
-  if (w == NULL || !w->has_clock)
+  if (w == NULL || !w->has_clock || w->silent)
     return 0;
   int64_t ahead = d->o.lease_ms;
   int64_t valid = rr_time_diff (valid_until, now);
@@ -532,6 +532,7 @@
   w->clock_sent = r->sent;
   w->clock_received = r->received;
   w->last_report = now;
+  w->silent = false;
   for (size_t i = 0; i < r->ended_count; i++)
     if (r->ended[i].number > w->ends_seen)
       {
@@ -553,6 +554,17 @@
   dispatch_share_update (d, w, now);
 }
 
+/* Records that worker H has not answered a look.  Until it answers one, it is
+   given no lease: a worker that hears but can't answer would otherwise keep
+   its tasks for ever.  */
+void
+rr_dispatch_unreached (struct rr_dispatch *d, struct rr_handle h)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w != NULL)
+    w->silent = true;
+}
+
 /* Gives up what W runs once every lease that we gave must have expired, by its
    slowest possible clock, at a time when we certainly owned the shard.  */
 void
--- /dev/null
+++ b/tests/dispatch/dispatch_script.c
@@ -0,0 +1,562 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rosemaryrail/dispatch.h"
+
+/* Runs a script of events against a dispatcher and prints its decisions.
+   Workers are small fakes that carry out orders at once unless told otherwise.
+   Compared with an expected output by compare.sh.  Commands, one a line; #
+   starts a comment:
+     queue NAME PRIORITY ATTEMPTS      policy of a queue
+     worker ID RACK CORES MEMORY       register a worker (cores in thousandths)
+     drain ID | gone ID                it drains; its registration is removed
+     reborn ID                         it restarts under the same id
+     job ID QUEUE STEP...              a job; STEP is COUNTxCORES[,FLAG]...
+                                       flags: after long fill save gang spread
+                                       image=NAME target=MS estimate=MS
+     cancel ID
+     end ID STEP.TASK HOW              the task's run ends on its worker
+     tail ID STEP.TASK MS              the figure that its worker reports
+     mute W | unmute W                 W's answers get lost
+     deaf W | hear W                   orders to W get lost; HEAR delivers them
+     look [W]                          the account of one worker or of all
+     store                             all progress becomes durable
+     confirm on|off                    whether ownership is confirmed
+     takeover W...                     a new owner, with this record of workers
+     wait MS | plan                    */
+
+enum
+{
+  WORKERS_MAX = 16,
+  RUNS_MAX = 256,
+  JOBS_MAX = 64,
+  LEASE_MS = 4500,
+  LEASE_MAX_MS = 10000
+};
+
+struct fake_run
+{
+  struct rr_run_status status;
+  struct rr_run_end end;
+  bool ended;
+  bool late; /* ordered, and carried out when the worker hears again */
+  bool sealed;
+};
+
+struct fake_worker
+{
+  char id[16];
+  struct rr_worker_info info;
+  struct rr_handle handle;
+  bool listed;
+  bool mute;
+  bool deaf;
+  int64_t born;
+  int64_t lease_end; /* on its own clock, which equals the script's */
+  int64_t ends;
+  struct fake_run runs[RUNS_MAX];
+  size_t run_count;
+};
+
+struct fake_job
+{
+  char id[RR_GRAPH_NAME_SIZE];
+  char *graph;
+  char *progress; /* null: none stored */
+  bool cancelled;
+};
+
+static struct rr_dispatch *d;
+static struct fake_worker workers[WORKERS_MAX];
+static size_t worker_count;
+static struct fake_job jobs[JOBS_MAX];
+static size_t job_count;
+static struct rr_time now = { 1000000 };
+static struct rr_time confirmed = { 1000000 };
+static bool confirming = true;
+static struct rr_queue_policy queues[8];
+static size_t queue_count;
+static struct rr_order orders[1024];
+static size_t order_count;
+
+static struct fake_worker *
+worker_named (const char *id)
+{
+  for (size_t i = 0; i < worker_count; i++)
+    if (strcmp (workers[i].id, id) == 0)
+      return &workers[i];
+  fprintf (stderr, "no worker %s\n", id);
+  exit (1);
+}
+
+static void
+on_note (void *data, const char *event, const char *text)
+{
+  (void)data;
+  static const char *const shown[]
+      = { "run_lost",           "run_adopted",  "run_unexpected",
+          "vm_lease_expired",   "job_failed",   "job_done",
+          "vm_avoided",         "vm_restarted", "fillers_cut",
+          "inheritance_settled" };
+  for (size_t i = 0; i < sizeof shown / sizeof shown[0]; i++)
+    if (strcmp (shown[i], event) == 0)
+      printf ("%s %s\n", event, text);
+}
+
+static void
+on_order (void *data, const struct rr_order *o)
+{
+  (void)data;
+  assert (order_count < sizeof orders / sizeof orders[0]);
+  orders[order_count++] = *o;
+}
+
+static struct rr_dispatch *
+dispatch_open (void)
+{
+  struct rr_dispatch_options o = { .lease_ms = LEASE_MS,
+                                   .lease_max_ms = LEASE_MAX_MS,
+                                   .stop_grace_ms = 900,
+                                   .gang_timeout_ms = 3000,
+                                   .remote_factor = 3,
+                                   .order = on_order,
+                                   .note = on_note };
+  struct rr_dispatch *fresh = rr_dispatch_new (&o);
+  for (size_t i = 0; i < queue_count; i++)
+    rr_dispatch_queue_set (fresh, &queues[i]);
+  return fresh;
+}
+
+static bool
+same_run (const struct rr_run_name *a, const struct rr_run_name *b)
+{
+  return strcmp (a->job, b->job) == 0 && a->step == b->step
+         && a->task == b->task && a->occurrence == b->occurrence
+         && a->run == b->run;
+}
+
+static struct fake_run *
+run_find (struct fake_worker *w, const struct rr_run_name *name)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    if (same_run (&w->runs[i].status.name, name))
+      return &w->runs[i];
+  return NULL;
+}
+
+static void
+run_end (struct fake_worker *w, struct fake_run *r, enum rr_end_kind kind)
+{
+  r->ended = true;
+  r->end = (struct rr_run_end){ .number = ++w->ends,
+                                .name = r->status.name,
+                                .kind = kind };
+}
+
+static struct fake_run *
+run_new (struct fake_worker *w, const struct rr_run_name *name)
+{
+  assert (w->run_count < RUNS_MAX);
+  struct fake_run *r = &w->runs[w->run_count++];
+  *r = (struct fake_run){ .status = { .name = *name, .percent = 100 } };
+  return r;
+}
+
+static void
+start (struct fake_worker *w, const struct rr_run_name *name)
+{
+  struct fake_run *r = run_find (w, name);
+  if (r == NULL)
+    r = run_new (w, name);
+  else if (!r->sealed)
+    r->late = false;
+}
+
+static void
+stop (struct fake_worker *w, const struct rr_run_name *name)
+{
+  struct fake_run *r = run_find (w, name);
+  if (r == NULL)
+    r = run_new (w, name);
+  if (r->ended)
+    return;
+  if (r->late || r->sealed)
+    r->sealed = true;
+  else
+    run_end (w, r, RR_END_STOPPED);
+}
+
+static void
+carry_out (const struct rr_order *o)
+{
+  static const char *const kinds[] = { "start", "stop", "pace" };
+  struct fake_worker *w = worker_named (o->worker_id);
+  printf ("%s %s %d.%d run %u on %s", kinds[o->kind], o->name.job,
+          o->name.step, o->name.task, o->name.run, o->worker_id);
+  if (o->kind == RR_ORDER_PACE)
+    printf (" at %d%%", o->percent);
+  if (o->kind == RR_ORDER_STOP)
+    printf (" (%s)", o->reason);
+  printf ("%s\n", w->deaf ? ": no answer" : "");
+  int64_t lease = o->kind == RR_ORDER_START ? rr_dispatch_worker_lease (
+                      d, w->handle, rr_time_add (confirmed, LEASE_MAX_MS), now)
+                                            : 0;
+  if (lease > w->lease_end)
+    w->lease_end = lease;
+  if (w->deaf)
+    {
+      if (o->kind == RR_ORDER_START)
+        run_new (w, &o->name)->late = true;
+    }
+  else if (o->kind == RR_ORDER_START)
+    start (w, &o->name);
+  else if (o->kind == RR_ORDER_STOP)
+    stop (w, &o->name);
+  struct rr_run_name name = o->name;
+  rr_dispatch_answer (d, w->handle, o->kind, &name,
+                      w->deaf ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_ACCEPTED,
+                      now.ms, now);
+}
+
+static void
+plan (void)
+{
+  if (confirming)
+    confirmed = now;
+  order_count = 0;
+  rr_dispatch_plan (d, confirmed, rr_time_add (confirmed, LEASE_MAX_MS), now);
+  for (size_t i = 0; i < order_count; i++)
+    carry_out (&orders[i]);
+}
+
+static void
+expire (struct fake_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    if (!w->runs[i].ended && !w->runs[i].late && w->lease_end <= now.ms)
+      run_end (w, &w->runs[i], RR_END_LAPSED);
+}
+
+static void
+look (struct fake_worker *w)
+{
+  int64_t observed = rr_dispatch_worker_observed (d, w->handle);
+  int64_t lease = rr_dispatch_worker_lease (
+      d, w->handle, rr_time_add (confirmed, LEASE_MAX_MS), now);
+  expire (w);
+  if (w->deaf || w->mute)
+    {
+      if (w->mute && lease > w->lease_end)
+        w->lease_end = lease;
+      rr_dispatch_unreached (d, w->handle);
+      return;
+    }
+  if (lease > w->lease_end)
+    w->lease_end = lease;
+  static struct rr_run_status running[RUNS_MAX];
+  static struct rr_run_end ended[RUNS_MAX];
+  struct rr_worker_report r = { .born_ms = w->born,
+                                .clock_ms = now.ms,
+                                .sent = now,
+                                .received = now,
+                                .running = running,
+                                .ended = ended };
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].ended && w->runs[i].end.number > observed)
+      ended[r.ended_count++] = w->runs[i].end;
+    else if (!w->runs[i].ended && !w->runs[i].late && !w->runs[i].sealed)
+      running[r.running_count++] = w->runs[i].status;
+  rr_dispatch_report (d, w->handle, &r, now);
+}
+
+static void
+look_at (const char *id)
+{
+  for (size_t i = 0; i < worker_count; i++)
+    if (id == NULL || strcmp (workers[i].id, id) == 0)
+      look (&workers[i]);
+}
+
+static void
+worker_list (struct fake_worker *w)
+{
+  w->listed = true;
+  w->handle = rr_dispatch_worker_set (d, &w->info, now);
+  rr_dispatch_worker_recorded (d, w->id);
+}
+
+static void
+worker_add (char **word)
+{
+  struct fake_worker *w = &workers[worker_count++];
+  snprintf (w->id, sizeof w->id, "%s", word[1]);
+  w->born = now.ms;
+  snprintf (w->info.id, sizeof w->info.id, "%s", word[1]);
+  snprintf (w->info.service, sizeof w->info.service, "desk");
+  snprintf (w->info.rack, sizeof w->info.rack, "%s", word[2]);
+  snprintf (w->info.labels[0], RR_GRAPH_NAME_SIZE, "%s", word[2]);
+  w->info.label_count = 1;
+  w->info.cores_milli = strtol (word[3], NULL, 10);
+  w->info.memory_mb = strtol (word[4], NULL, 10);
+  w->info.born_ms = w->born;
+  worker_list (w);
+}
+
+static void
+step_flag (struct rr_graph_step *s, size_t number, char *flag)
+{
+  if (strcmp (flag, "after") == 0)
+    {
+      s->after = calloc (1, sizeof *s->after);
+      s->after[0] = (int32_t)number - 1;
+      s->after_count = 1;
+    }
+  s->long_running = s->long_running || strcmp (flag, "long") == 0;
+  s->filler = s->filler || strcmp (flag, "fill") == 0;
+  s->checkpointing = s->checkpointing || strcmp (flag, "save") == 0;
+  s->gang = s->gang || strcmp (flag, "gang") == 0;
+  if (strcmp (flag, "spread") == 0)
+    s->per_worker_max = 1;
+  if (strncmp (flag, "image=", 6) == 0)
+    snprintf (s->image, sizeof s->image, "%s", flag + 6);
+  if (strncmp (flag, "target=", 7) == 0)
+    s->tail_target_ms = strtol (flag + 7, NULL, 10);
+  if (strncmp (flag, "estimate=", 9) == 0)
+    s->estimate_ms = strtol (flag + 9, NULL, 10);
+}
+
+static void
+job_add (char **word, size_t words)
+{
+  struct rr_graph *g = rr_graph_new (words - 3);
+  snprintf (g->id, sizeof g->id, "%s", word[1]);
+  snprintf (g->queue, sizeof g->queue, "%s", word[2]);
+  snprintf (g->service, sizeof g->service, "desk");
+  g->spec = strdup ("spec");
+  g->accepted_ms = now.ms;
+  for (size_t i = 0; i < g->step_count; i++)
+    {
+      struct rr_graph_step *s = &g->steps[i];
+      char *rest = NULL;
+      char *part = strtok_r (word[i + 3], ",", &rest);
+      char *cores = NULL;
+      s->task_count = (int32_t)strtol (part, &cores, 10);
+      s->cores_milli = strtol (cores + 1, NULL, 10);
+      s->memory_mb = 100;
+      s->estimate_ms = 1000;
+      while ((part = strtok_r (NULL, ",", &rest)) != NULL)
+        step_flag (s, i, part);
+    }
+  struct fake_job *j = &jobs[job_count++];
+  snprintf (j->id, sizeof j->id, "%s", g->id);
+  j->graph = rr_graph_encode (g);
+  rr_dispatch_job_add (d, g, NULL, false, now);
+}
+
+static struct fake_run *
+run_of (char *job, char *place, struct fake_worker **where)
+{
+  char *dot = NULL;
+  long step = strtol (place, &dot, 10);
+  long task = strtol (dot + 1, NULL, 10);
+  for (size_t i = 0; i < worker_count; i++)
+    for (size_t k = workers[i].run_count; k-- > 0;)
+      {
+        struct fake_run *r = &workers[i].runs[k];
+        if (!r->ended && !r->late && strcmp (r->status.name.job, job) == 0
+            && r->status.name.step == step && r->status.name.task == task)
+          {
+            *where = &workers[i];
+            return r;
+          }
+      }
+  fprintf (stderr, "%s %s does not run\n", job, place);
+  exit (1);
+}
+
+static void
+end (char **word)
+{
+  static const char *const names[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  struct fake_worker *w = NULL;
+  struct fake_run *r = run_of (word[1], word[2], &w);
+  for (int i = 0; i < 6; i++)
+    if (strcmp (names[i], word[3]) == 0)
+      run_end (w, r, (enum rr_end_kind)i);
+}
+
+static void
+store (void)
+{
+  const char *ids[8];
+  bool urgent;
+  size_t n;
+  while ((n = rr_dispatch_changed (d, ids, 8, &urgent)) > 0)
+    for (size_t i = 0; i < n; i++)
+      {
+        uint64_t version;
+        char id[RR_GRAPH_NAME_SIZE];
+        snprintf (id, sizeof id, "%s", ids[i]);
+        char *text = rr_dispatch_progress (d, id, "mark", &version);
+        for (size_t k = 0; k < job_count; k++)
+          if (strcmp (jobs[k].id, id) == 0)
+            {
+              free (jobs[k].progress);
+              jobs[k].progress = strdup (text);
+            }
+        free (text);
+        rr_dispatch_stored (d, id, version);
+      }
+}
+
+static void
+job_restore (const struct fake_job *j)
+{
+  struct rr_error err = { 0 };
+  struct rr_progress *p
+      = j->progress == NULL
+            ? NULL
+            : rr_progress_decode (j->progress, strlen (j->progress), &err);
+  bool over = j->cancelled
+              || (p != NULL
+                  && (p->phase == RR_PHASE_COMPLETED
+                      || p->phase == RR_PHASE_FAILED));
+  if (!over)
+    rr_dispatch_job_add (
+        d, rr_graph_decode (j->graph, strlen (j->graph), &err), p, true, now);
+  rr_progress_free (p);
+}
+
+/* Replaces the dispatcher by that of a new owner, which knows what was stored
+   and which workers are on record.  */
+static void
+takeover (char **word, size_t words)
+{
+  rr_dispatch_free (d);
+  d = dispatch_open ();
+  confirmed = now;
+  confirming = true;
+  for (size_t i = 1; i < words; i++)
+    rr_dispatch_inherit_worker (d, word[i]);
+  rr_dispatch_inherit_until (d, rr_time_add (now, LEASE_MAX_MS + 900));
+  for (size_t i = 0; i < job_count; i++)
+    job_restore (&jobs[i]);
+  for (size_t i = 0; i < worker_count; i++)
+    if (workers[i].listed)
+      worker_list (&workers[i]);
+}
+
+static void
+reborn (struct fake_worker *w)
+{
+  w->run_count = 0;
+  w->ends = 0;
+  w->lease_end = 0;
+  w->born = now.ms;
+  w->info.born_ms = w->born;
+  worker_list (w);
+}
+
+static void
+worker_command (char **word, struct fake_worker *w)
+{
+  if (strcmp (word[0], "drain") == 0)
+    {
+      w->info.draining = true;
+      w->info.remaining_ms = 2000;
+      worker_list (w);
+    }
+  else if (strcmp (word[0], "gone") == 0)
+    {
+      w->listed = false;
+      rr_dispatch_worker_unlist (d, w->id, now);
+    }
+  else if (strcmp (word[0], "reborn") == 0)
+    reborn (w);
+  else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
+    w->mute = word[0][0] == 'm';
+  else
+    {
+      w->deaf = strcmp (word[0], "deaf") == 0;
+      for (size_t i = 0; i < w->run_count && !w->deaf; i++)
+        w->runs[i].late = w->runs[i].late && w->runs[i].sealed;
+    }
+}
+
+static void
+command (char **word, size_t words)
+{
+  const char *c = word[0];
+  struct fake_worker *w = NULL;
+  if (strcmp (c, "queue") == 0)
+    {
+      struct rr_queue_policy *q = &queues[queue_count++];
+      snprintf (q->queue, sizeof q->queue, "%s", word[1]);
+      snprintf (q->service, sizeof q->service, "desk");
+      q->priority = (int32_t)strtol (word[2], NULL, 10);
+      q->attempts_max = (int32_t)strtol (word[3], NULL, 10);
+      q->slack_factor = 2;
+      q->target_runtime_ms = 500;
+      rr_dispatch_queue_set (d, q);
+    }
+  else if (strcmp (c, "worker") == 0)
+    worker_add (word);
+  else if (strcmp (c, "job") == 0)
+    job_add (word, words);
+  else if (strcmp (c, "cancel") == 0)
+    {
+      for (size_t i = 0; i < job_count; i++)
+        if (strcmp (jobs[i].id, word[1]) == 0)
+          jobs[i].cancelled = true;
+      rr_dispatch_job_cancel (d, word[1], now);
+    }
+  else if (strcmp (c, "end") == 0)
+    end (word);
+  else if (strcmp (c, "tail") == 0)
+    run_of (word[1], word[2], &w)->status.figure = strtol (word[3], NULL, 10);
+  else if (strcmp (c, "look") == 0)
+    look_at (words > 1 ? word[1] : NULL);
+  else if (strcmp (c, "store") == 0)
+    store ();
+  else if (strcmp (c, "confirm") == 0)
+    confirming = strcmp (word[1], "on") == 0;
+  else if (strcmp (c, "takeover") == 0)
+    takeover (word, words);
+  else if (strcmp (c, "wait") == 0)
+    now.ms += strtol (word[1], NULL, 10);
+  else if (strcmp (c, "plan") == 0)
+    plan ();
+  else
+    worker_command (word, worker_named (word[1]));
+}
+
+int
+main (void)
+{
+  char line[512];
+  d = dispatch_open ();
+  while (fgets (line, sizeof line, stdin) != NULL)
+    {
+      line[strcspn (line, "#\n")] = '\0';
+      if (line[strspn (line, " ")] == '\0')
+        continue;
+      printf ("> %s\n", line);
+      char *word[32] = { NULL };
+      size_t words = 0;
+      char *rest = NULL;
+      for (char *p = strtok_r (line, " ", &rest); p != NULL && words < 32;
+           p = strtok_r (NULL, " ", &rest))
+        word[words++] = p;
+      command (word, words);
+    }
+  for (size_t i = 0; i < job_count; i++)
+    {
+      free (jobs[i].graph);
+      free (jobs[i].progress);
+    }
+  rr_dispatch_free (d);
+  return 0;
+}
