--- a/common/log.c
+++ b/common/log.c
@@ -1,10 +1,35 @@
 #include "common/log.h"
 
+#include <errno.h>
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
+
+enum
+{
+  BUFFER_BYTES = 1 << 16,
+  /* A pipe that is ready takes this much without blocking (POSIX).  */
+  WRITE_BYTES = 4096,
+  LINE_BYTES = 2200,
+  /* Lines of one event in a second; the rest is counted.  The busiest event of
+     a daemon at today's sizes comes 300 times a second.  */
+  EVENT_LINES_PER_S = 600,
+  EVENTS_MAX = 128
+};
+
+/* Lines of one event in the present second.  */
+struct event_budget
+{
+  const char *event;
+  int64_t second;
+  unsigned lines;
+  unsigned dropped;
+};
 
 static const struct
 {
@@ -36,7 +61,7 @@
 format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
   (void)layout;
-  static char line[2200];
+  static char line[LINE_BYTES];
   struct timespec now;
   struct tm utc;
   clock_gettime (CLOCK_REALTIME, &now);
@@ -53,21 +78,79 @@
 static const log4c_layout_type_t layout_type
     = { .name = "rosemaryrail", .format = format_line };
 
+static char buffer[BUFFER_BYTES];
+static size_t buffered;
+static unsigned lines_lost; /* the reader is too slow */
+static int log_fd = STDOUT_FILENO;
+static bool deferred;
+static struct event_budget budgets[EVENTS_MAX];
+
+/* Writes what the reader can take; never waits for it.  */
+void
+log_flush (void)
+{
+  size_t done = 0;
+  while (done < buffered)
+    {
+      struct pollfd p = { .fd = log_fd, .events = POLLOUT };
+      if (poll (&p, 1, 0) <= 0 || (p.revents & POLLOUT) == 0)
+        break;
+      size_t n = buffered - done;
+      ssize_t rc
+          = write (log_fd, buffer + done, n < WRITE_BYTES ? n : WRITE_BYTES);
+      if (rc < 0 && errno == EINTR)
+        continue;
+      if (rc <= 0)
+        break;
+      done += (size_t)rc;
+    }
+  memmove (buffer, buffer + done, buffered - done);
+  buffered -= done;
+}
+
+/* Keeps lines until log_flush when DEFER is set, so that an event loop writes
+   once a round.  */
+void
+log_defer (bool defer)
+{
+  deferred = defer;
+}
+
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   (void)appender;
-  return fputs (event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+  size_t n = strlen (event->evt_rendered_msg);
+  if (buffered + n > sizeof buffer)
+    log_flush ();
+  if (buffered + n > sizeof buffer)
+    {
+      lines_lost++;
+      return -1;
+    }
+  memcpy (buffer + buffered, event->evt_rendered_msg, n);
+  buffered += n;
+  if (!deferred)
+    log_flush ();
+  return (int)n;
 }
 
 /* log4c's own stream appenders put the appender's name before each line.  */
 static const log4c_appender_type_t appender_type
     = { .name = "rosemaryrail", .append = append_line };
 
-/* Sends log lines of PROGRAM at LEVEL and above to standard error.  */
+/* Sends log lines of PROGRAM at LEVEL and above to standard output.  */
 void
 log_open (const char *program, enum log_level level)
 {
+  log_open_on (program, level, STDOUT_FILENO);
+}
+
+/* Sends log lines of PROGRAM at LEVEL and above to FD.  */
+void
+log_open_on (const char *program, enum log_level level, int fd)
+{
+  log_fd = fd;
   log4c_init ();
   log4c_layout_type_set (&layout_type);
   log4c_layout_t *layout = log4c_layout_get ("rosemaryrail");
@@ -82,20 +165,72 @@
   log4c_category_set_priority (category, levels[level].priority);
 }
 
-/* Writes one line for a change of state: EVENT and further key=value pairs
-   given by FORMAT.  Does nothing before log_open.  */
+static struct event_budget *
+budget_of (const char *event)
+{
+  size_t i = 0;
+  for (; i < EVENTS_MAX - 1 && budgets[i].event != NULL; i++)
+    if (strcmp (budgets[i].event, event) == 0)
+      return &budgets[i];
+  if (budgets[i].event == NULL)
+    budgets[i].event = strdup (event);
+  return &budgets[i];
+}
+
+static void
+write_line (enum log_level level, const char *event, const char *pairs)
+{
+  log4c_category_log (category, levels[level].priority, "event=%s %s", event,
+                      pairs);
+}
+
+/* Counts a line of EVENT; false when the event has used up its second.  What
+   was left out is told with the first line of the next one.  */
+static bool
+budget_take (const char *event)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  struct event_budget *b = budget_of (event);
+  if (b->second != now.tv_sec)
+    {
+      char pairs[96];
+      snprintf (pairs, sizeof pairs, "of=%.40s lines=%u", event, b->dropped);
+      if (b->dropped > 0)
+        write_line (LOG_LEVEL_WARN, "log_lines_left_out", pairs);
+      b->second = now.tv_sec;
+      b->lines = 0;
+      b->dropped = 0;
+    }
+  if (b->lines >= EVENT_LINES_PER_S)
+    {
+      b->dropped++;
+      return false;
+    }
+  b->lines++;
+  return true;
+}
+
+/* Writes one line: EVENT and further key=value pairs given by FORMAT.  Never
+   waits for a slow reader; lines that find no room are counted.  Does nothing
+   before log_open.  */
 void
 log_event (enum log_level level, const char *event, const char *format, ...)
 {
   if (category == NULL
-      || !log4c_category_is_priority_enabled (category,
-                                              levels[level].priority))
+      || !log4c_category_is_priority_enabled (category, levels[level].priority)
+      || !budget_take (event))
     return;
   char pairs[1500];
+  if (lines_lost > 0 && buffered < sizeof buffer - 2 * LINE_BYTES)
+    {
+      snprintf (pairs, sizeof pairs, "of=all lines=%u", lines_lost);
+      lines_lost = 0;
+      write_line (LOG_LEVEL_WARN, "log_lines_left_out", pairs);
+    }
   va_list args;
   va_start (args, format);
   vsnprintf (pairs, sizeof pairs, format, args);
   va_end (args);
-  log4c_category_log (category, levels[level].priority, "event=%s %s", event,
-                      pairs);
+  write_line (level, event, pairs);
 }
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -13,7 +13,10 @@
 
 bool log_level_from_name (const char *name, enum log_level *level);
 void log_open (const char *program, enum log_level level);
+void log_open_on (const char *program, enum log_level level, int fd);
 void log_event (enum log_level level, const char *event, const char *format,
                 ...) __attribute__ ((format (printf, 3, 4)));
+void log_defer (bool defer);
+void log_flush (void);
 
 #endif
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -118,9 +118,17 @@
   uv_signal_start (&s->hangup, on_hangup, SIGHUP);
 }
 
+static void
+on_round (uv_prepare_t *prepare)
+{
+  (void)prepare;
+  log_flush ();
+}
+
 static int
 run (struct entry *e, const char *path)
 {
+  static uv_prepare_t rounds;
   static struct stop stop;
   struct rr_error err = { 0 };
   signal (SIGPIPE, SIG_IGN);
@@ -149,7 +157,11 @@
              "name=%s zone=%s zones=%zu front=%s:%u", e->settings.name,
              e->settings.zone, e->settings.zone_count,
              e->settings.front.address, e->settings.front.port);
+  uv_prepare_init (e->loop, &rounds);
+  uv_prepare_start (&rounds, on_round);
+  log_defer (true);
   uv_run (e->loop, UV_RUN_DEFAULT);
+  log_flush ();
   return 0;
 }
 
--- a/standins/tool.c
+++ b/standins/tool.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include "common/log.h"
@@ -147,7 +148,7 @@
              tool_address ());
   else
     {
-      log_open (program, level);
+      log_open_on (program, level, STDERR_FILENO);
       if (loop != NULL)
         loop_open (loop);
       return true;
--- /dev/null
+++ b/tests/common/slow_reader.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Guards against a program that waits for the reader of its log: the reader
+# takes nothing until the writer has ended.
+set -eu
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+mkfifo "$work/pipe"
+# Opens the pipe and reads nothing while the writer runs.
+exec 3<>"$work/pipe"
+timeout 20 "$1" >"$work/pipe"
+timeout 1 cat <&3 >"$work/lines" || true
+bytes=$(wc -c <"$work/lines")
+[ "$bytes" -gt 1000 ] || { echo "nothing was written"; exit 1; }
+[ "$bytes" -lt 200000 ] || { echo "more than the pipe holds"; exit 1; }
+echo "written $((bytes > 0)) and not blocked"
