--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -20,13 +20,22 @@
   LEAVING_STOP_MS = 1500
 };
 
+/* Groups of jobs of one priority, in the order of their turns.  */
+enum turn_group
+{
+  TURN_BEGUN,   /* on time so far, and some work is done already */
+  TURN_ON_TIME, /* can still meet its objective */
+  TURN_LATE,    /* can't, but its result still counts for something */
+  TURN_LASTING, /* runs until it is cancelled */
+  TURN_OVERDUE  /* its result hardly counts any more */
+};
+
 /* A job with tasks to start, and what decides its turn.  */
 struct turn
 {
   struct dispatch_job *job;
   int32_t priority;
-  bool long_running;
-  bool late; /* can't meet its objective any more */
+  enum turn_group group;
   struct rr_time due;
 };
 
@@ -53,6 +62,25 @@
                           - d->o.wall_offset_ms);
 }
 
+/* A job is overdue at this multiple of its objective.  */
+static const double OVERDUE_FACTOR = 3;
+
+static enum turn_group
+group_of (const struct dispatch_job *j, const struct turn *t, size_t step,
+          struct rr_time begin, struct rr_time now)
+{
+  if (j->graph->steps[step].long_running)
+    return TURN_LASTING;
+  int64_t rest = rr_graph_chain_from_ms (j->graph, step);
+  struct rr_time end = rr_time_add (now, rest);
+  if (!rr_time_before (t->due, end))
+    return j->done_count > 0 || j->run_count > 0 ? TURN_BEGUN : TURN_ON_TIME;
+  int64_t objective = rr_time_diff (t->due, begin);
+  struct rr_time overdue
+      = rr_time_add (begin, (int64_t)(OVERDUE_FACTOR * (double)objective));
+  return rr_time_before (end, overdue) ? TURN_LATE : TURN_OVERDUE;
+}
+
 /* Fills T for J; false when no task of it waits for its turn now.  */
 static bool
 turn_of_job (const struct rr_dispatch *d, struct dispatch_job *j,
@@ -73,21 +101,18 @@
             continue;
           t->job = j;
           t->priority = q->priority;
-          t->long_running = j->graph->steps[s].long_running;
           t->due
               = rr_time_add (begin, (int64_t)(q->slack_factor * (double)chain)
                                         + q->target_runtime_ms);
-          int64_t rest = rr_graph_chain_from_ms (j->graph, s);
-          t->late = !t->long_running
-                    && rr_time_before (t->due, rr_time_add (now, rest));
+          t->group = group_of (j, t, s, begin, now);
           return true;
         }
     }
   return false;
 }
 
-/* Tasks that last come first: their users wait all the while.  Jobs that will
-   be late in any case come after those that can still be on time.  */
+/* Begun jobs come first, since work on a job that ends too late is lost.
+   Tasks that last come after short ones, which give their room back soon.  */
 static int
 compare_turns (const void *a, const void *b)
 {
@@ -95,10 +120,8 @@
   const struct turn *y = b;
   if (x->priority != y->priority)
     return x->priority < y->priority ? -1 : 1;
-  if (x->long_running != y->long_running)
-    return x->long_running ? -1 : 1;
-  if (x->late != y->late)
-    return x->late ? 1 : -1;
+  if (x->group != y->group)
+    return x->group < y->group ? -1 : 1;
   int64_t diff = rr_time_diff (x->due, y->due);
   if (diff != 0)
     return diff < 0 ? -1 : 1;
