--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -13,7 +13,7 @@
   /* ... and where it may run at this speed at least.  */
   FILLER_SPEED_MIN_PERCENT = 50,
   /* Share of their cores that tasks with users use at their peak.  */
-  SERVING_USE_PERCENT = 60,
+  SERVING_USE_PERCENT = 40,
   SCORE_BASE = 1000000000, /* keeps scores of tasks that go anywhere above 0 */
   /* A draining worker's short tasks are stopped this long before it leaves, so
      that their end is known and they start again at once.  */
--- a/rosemaryrail/dispatch_share.c
+++ b/rosemaryrail/dispatch_share.c
@@ -40,8 +40,8 @@
 /* Predicted tails stay below the first share of the target when fillers start,
    below the second while they run.  Above the third something is wrong with
    the prediction, and all fillers slow down.  */
-static const double PLACE_SHARE = 0.75;
-static const double RUN_SHARE = 0.85;
+static const double PLACE_SHARE = 0.65;
+static const double RUN_SHARE = 0.8;
 static const double CUT_SHARE = 1.0;
 static const double CUT_END_SHARE = 0.8;
 /* Weight of a new tail in the smoothed load of a server.  */
