--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -13,6 +13,7 @@
 struct session;
 struct owners;
 struct front;
+struct entry_metrics;
 
 /* What the parts of an entry daemon share.  */
 struct entry
@@ -29,6 +30,7 @@
   struct session *session;
   struct owners *owners;
   struct front *front;
+  struct entry_metrics *metrics;
   bool stopping;
 };
 
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -19,13 +19,13 @@
 #define KEY_ROSTER KEY_ROOT "workers/"
 #define KEY_LOAD KEY_ROOT "load/"
 #define KEY_DAEMON KEY_ROOT "daemon/"
+/* The number of shards, set once when the deployment first starts.  */
+#define KEY_LAYOUT KEY_ROOT "layout"
 
 enum
 {
   KEY_SIZE = 128,
-  SHARDS_MAX = 32,
-  /* One owner carries the 70 workers of today's deployments.  */
-  SHARD_COUNT = 1
+  SHARDS_MAX = 64
 };
 
 /* A job as the store has it.  GRAPH_TEXT is dropped once the job is over.  */
@@ -43,6 +43,7 @@
   int64_t progress_revision; /* 0: none */
   int64_t job_revision;
   int64_t cancel_revision;
+  int64_t accepted_ms;     /* since 1970 */
   struct rr_time finished; /* when its end was seen here */
 };
 
@@ -79,6 +80,7 @@
 struct shard_record *records_shard (struct records *r, const char *name);
 struct shard_record *records_shard_at (struct records *r, size_t i);
 size_t records_shard_count (const struct records *r);
+size_t records_daemon_count (const struct records *r);
 const struct daemon_record *records_daemon_next (const struct records *r,
                                                  struct rr_handle *cursor);
 const struct platform_worker *records_worker_next (const struct records *r,
--- /dev/null
+++ b/include/rosemaryentryd/shard_private.h
@@ -0,0 +1,91 @@
+#ifndef ROSEMARYENTRYD_SHARD_PRIVATE_H
+#define ROSEMARYENTRYD_SHARD_PRIVATE_H
+
+#include "common/json.h"
+#include "common/log.h"
+#include "rosemaryentryd/link.h"
+#include "rosemaryentryd/metrics.h"
+#include "rosemaryentryd/shard.h"
+
+enum
+{
+  TICK_MS = 100,
+  PLAN_PAUSE_MS = 3,    /* gathers what arrives together */
+  COMMIT_PAUSE_MS = 60, /* the same for progress that nobody waits for */
+  COMMIT_RETRY_MS = 100,
+  COMMIT_TIMEOUT_MS = 900,
+  /* Each job takes a condition and a write; the owner key a condition.  */
+  COMMIT_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 2,
+  LOAD_MS = 700,
+  /* Leases of workers' tasks: the time to notice a dead owner and to take
+     over, and as short as that allows, since tasks of a silent worker wait
+     for its end.  */
+  TASK_LEASE_MS = 4500,
+  /* Added to the leases of a former owner for clocks that are 2% slow and
+     for orders under way.  */
+  INHERIT_MARGIN_MS = 700,
+  LINKS_MAX = 1024,
+  /* Between removals of old jobs from the store.  */
+  FORGET_MS = 3000,
+  /* A finished job is kept this much longer than callers were promised, for
+     repeated submissions that are still under way.  */
+  FORGET_MARGIN_MS = 60000,
+  /* Each job has three keys, beside the condition on the owner key.  */
+  FORGET_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 3
+};
+
+struct commit_entry
+{
+  char id[RR_GRAPH_NAME_SIZE];
+  uint64_t version;
+  char *text; /* progress as it was sent */
+};
+
+struct shard
+{
+  struct entry *entry;
+  struct shard_record *record;
+  char owner_key[KEY_SIZE];
+  int64_t token;
+  struct rr_dispatch *dispatch;
+  struct link *links[LINKS_MAX];
+  size_t link_count;
+  uv_timer_t tick;
+  uv_timer_t plan_timer;
+  uv_timer_t commit_timer;
+  struct commit_entry commit[COMMIT_JOBS_MAX];
+  size_t commit_count;
+  bool committing;
+  struct rr_time commit_after; /* a failed write is not repeated sooner */
+  bool roster_writing;
+  char *roster; /* last one stored */
+  char *roster_sent;
+  uint64_t marks;
+  struct rr_time load_sent;
+  bool load_writing;
+  int64_t last_demand;
+  bool stopping; /* starts nothing more */
+  bool closed;
+  size_t calls;
+  struct rr_time forgot; /* when old jobs were last removed */
+  bool forgetting;
+  size_t timers_open;
+  struct rr_order *orders; /* of the planning round */
+  size_t order_count;
+  size_t order_capacity;
+};
+
+void shard_release (struct shard *s);
+void shard_lose (struct shard *s, const char *why);
+void shard_wake (struct shard *s);
+struct link *shard_link (const struct shard *s, const char *worker_id);
+bool shard_owner_changed (const struct shard *s, const struct store_result *r);
+
+void shard_commit (struct shard *s);
+void shard_commit_soon (struct shard *s, uint64_t ms);
+void shard_commit_clear (struct shard *s);
+void shard_write_roster (struct shard *s);
+void shard_write_load (struct shard *s, struct rr_time now);
+void shard_forget_jobs (struct shard *s, struct rr_time now);
+
+#endif
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "platform/documents.h"
 #include "rosemaryentryd/choice.h"
+#include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/mirror.h"
 #include "rosemaryentryd/records.h"
 #include "rosemaryentryd/session.h"
@@ -46,6 +47,7 @@
   } kind;
   char id[RR_GRAPH_NAME_SIZE];
   char key[KEY_SIZE];
+  char queue[RR_GRAPH_NAME_SIZE];
   char *text;   /* value to write */
   bool unknown; /* a write may take effect yet */
   struct rr_time arrived;
@@ -97,6 +99,12 @@
              "request_answered", "job=%s kind=%s status=%d ms=%lld unknown=%d",
              q->id, kind_name (q), status,
              (long long)rr_time_diff (entry_now (), q->arrived), q->unknown);
+  entry_metrics_latency (q->front->entry->metrics, q->queue, kind_name (q),
+                         rr_time_diff (entry_now (), q->arrived));
+  entry_metrics_event (q->front->entry->metrics,
+                       status < 400    ? "request_served"
+                       : status == 410 ? "request_unknown_job"
+                                       : "request_failed");
   if (status < 400)
     answer (q->exchange, status, json);
   else
@@ -244,6 +252,7 @@
   q->arrived = entry_now ();
   q->deadline = deadline_of (x, route);
   snprintf (q->id, sizeof q->id, "%s", id);
+  snprintf (q->queue, sizeof q->queue, "%s", route->policy.queue);
   snprintf (q->key, sizeof q->key, "%s%s", KEY_JOB, id);
   uv_timer_init (f->entry->loop, &q->pause);
   q->pause.data = q;
@@ -286,6 +295,14 @@
   snprintf (g->service, sizeof g->service, "%s", route->policy.service);
   g->accepted_ms = entry_wall_ms ();
   const struct shard_record *s = choice_shard (e, g);
+  if (s == NULL)
+    {
+      log_event (LOG_LEVEL_WARN, "request_refused",
+                 "job=%s status=503 reason=no-layout", id);
+      answer_error (x, 503, "starting");
+      rr_graph_free (g);
+      return;
+    }
   snprintf (g->shard, sizeof g->shard, "%s", s->name);
   struct request *q = request_new (f, x, route, id);
   q->kind = REQUEST_SUBMIT;
@@ -386,7 +403,8 @@
   struct front *f = data;
   struct entry *e = f->entry;
   bool known_path = strcmp (http_exchange_path (x), PLATFORM_READY_PATH) == 0;
-  bool ready = e->queues != NULL && !e->stopping && store_heard (e);
+  bool ready = e->queues != NULL && !e->stopping && store_heard (e)
+               && records_shard_count (e->records) > 0;
   answer (x, !known_path ? 404 : ready ? 200 : 503, "{}");
 }
 
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/front.h"
+#include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/session.h"
 
@@ -144,6 +145,12 @@
       fprintf (stderr, "rosemaryentryd: bad address of the store\n");
       return 1;
     }
+  e->metrics = entry_metrics_open (e, &err);
+  if (e->metrics == NULL)
+    {
+      fprintf (stderr, "rosemaryentryd: %s\n", err.message);
+      return 1;
+    }
   e->owners = owners_open (e);
   records_open (e);
   e->session = session_open (e);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -19,6 +19,12 @@
   RANK_STEP_MS = 60,
   /* After its start a daemon waits for the others to register.  */
   SETTLE_MS = 300,
+  /* Machines start within 0.3 s of each other; the first daemons to be ready
+     count those that have registered this long after.  */
+  LAYOUT_SETTLE_MS = 700,
+  /* Daemons for each shard: an owner of 70 workers uses about 0.05 of a core,
+     and the others carry the callers and stand by.  */
+  DAEMONS_PER_SHARD = 6,
   /* News is gathered this long while the daemon owns no shard.  */
   FOLLOWER_PAUSE_MS = 200,
   OWNER_PAUSE_MS = 10 /* the same while it owns one */
@@ -39,6 +45,7 @@
   bool claiming[SHARDS_MAX];
   struct claim claims[SHARDS_MAX];
   struct rr_time opened;
+  bool laying_out;
   bool releasing;
 };
 
@@ -211,6 +218,34 @@
                 &o->claims[i]);
 }
 
+static void
+on_layout_written (void *data, const struct store_result *r)
+{
+  struct owners *o = data;
+  o->laying_out = false;
+  log_event (LOG_LEVEL_INFO, "layout_written", "state=%d revision=%lld",
+             (int)r->state, (long long)r->revision);
+}
+
+/* Sets the number of shards of a deployment that starts for the first time. */
+static void
+lay_out (struct owners *o)
+{
+  size_t n = records_daemon_count (o->entry->records) / DAEMONS_PER_SHARD;
+  char value[64];
+  snprintf (value, sizeof value, "{\"shards\":%zu}",
+            n < 1            ? 1
+            : n > SHARDS_MAX ? (size_t)SHARDS_MAX
+                             : n);
+  struct store_condition cond = { .key = KEY_LAYOUT, .revision = 0 };
+  struct store_write w = { .key = KEY_LAYOUT, .value = value };
+  struct store_txn txn = {
+    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
+  };
+  o->laying_out = true;
+  store_commit (o->entry->store, &txn, STORE_TIMEOUT_MS, on_layout_written, o);
+}
+
 static size_t
 shards_owned_by (const struct owners *o, const char *daemon)
 {
@@ -258,6 +293,9 @@
       || rr_time_diff (now, session_confirmed (o->entry->session))
              > SESSION_TTL_MS)
     return;
+  if (records_shard_count (o->entry->records) == 0 && !o->laying_out
+      && rr_time_diff (now, o->opened) > LAYOUT_SETTLE_MS)
+    lay_out (o);
   for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
     {
       struct shard_record *s = records_shard_at (o->entry->records, i);
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -107,14 +107,43 @@
   return r->shard_count;
 }
 
-/* Returns the shard that worker W belongs to.  A rack is never divided.  */
+/* Returns the sum of the numbers in a rack's name, which spreads racks that
+   are numbered within their zones evenly; a hash for other names.  */
+static uint64_t
+rack_number (const char *rack)
+{
+  uint64_t sum = 0;
+  bool found = false;
+  for (const char *p = rack; *p != '\0';)
+    if (*p >= '0' && *p <= '9')
+      {
+        char *end = NULL;
+        sum += strtoull (p, &end, 10);
+        found = true;
+        p = end;
+      }
+    else
+      p++;
+  return found ? sum : XXH64 (rack, strlen (rack), 0);
+}
+
+/* Returns the shard that worker W belongs to, or "" while the number of shards
+   is not known.  A rack is never divided.  */
 const char *
 records_shard_of_worker (const struct records *r,
                          const struct platform_worker *w)
 {
   const char *rack = w->info.rack[0] != '\0' ? w->info.rack : w->info.id;
-  uint64_t hash = XXH64 (rack, strlen (rack), 0);
-  return r->shards[hash % r->shard_count].name;
+  if (r->shard_count == 0)
+    return "";
+  return r->shards[rack_number (rack) % r->shard_count].name;
+}
+
+/* Returns the number of registered daemons.  */
+size_t
+records_daemon_count (const struct records *r)
+{
+  return rr_table_count (r->daemons);
 }
 
 const struct daemon_record *
@@ -185,6 +214,7 @@
   snprintf (j->queue, sizeof j->queue, "%s", g->queue);
   snprintf (j->shard, sizeof j->shard, "%s", g->shard);
   j->accepted = true;
+  j->accepted_ms = g->accepted_ms;
   j->job_revision = item->revision;
   free (j->graph_text);
   j->graph_text = strdup (item->value);
@@ -308,6 +338,29 @@
   snprintf (d->zone, sizeof d->zone, "%s", item->value);
 }
 
+/* Takes in the number of shards; it never changes afterwards.  */
+static void
+on_layout (struct records *r, const struct store_item *item)
+{
+  struct rr_error err = { 0 };
+  struct json_object *o
+      = item->removed ? NULL
+                      : json_parse (item->value, item->value_length, &err);
+  int64_t n = json_int_or (o, "shards", 0);
+  json_object_put (o);
+  if (r->shard_count > 0 || n < 1 || n > SHARDS_MAX)
+    return;
+  r->shard_count = (size_t)n;
+  for (size_t i = 0; i < r->shard_count; i++)
+    {
+      struct shard_record *s = &r->shards[i];
+      snprintf (s->name, sizeof s->name, "s%zu", i);
+      s->ownerless_since = entry_now ();
+    }
+  log_event (LOG_LEVEL_INFO, "layout", "shards=%lld revision=%lld",
+             (long long)n, (long long)item->revision);
+}
+
 static void
 on_record (void *data, const struct store_item *item)
 {
@@ -320,6 +373,8 @@
                 { KEY_CANCEL, on_cancel }, { KEY_OWNER, on_owner },
                 { KEY_LOAD, on_load },     { KEY_ROSTER, on_roster },
                 { KEY_DAEMON, on_daemon } };
+  if (strcmp (item->key, KEY_LAYOUT) == 0)
+    on_layout (r, item);
   for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
     {
       size_t n = strlen (kinds[i].prefix);
@@ -405,13 +460,6 @@
   r->daemon_index = rr_key_index_new ();
   r->workers = rr_table_new (sizeof (struct platform_worker));
   r->worker_index = rr_key_index_new ();
-  r->shard_count = SHARD_COUNT;
-  for (size_t i = 0; i < r->shard_count; i++)
-    {
-      struct shard_record *s = &r->shards[i];
-      snprintf (s->name, sizeof s->name, "s%zu", i);
-      s->ownerless_since = entry_now ();
-    }
   e->records = r;
   e->records_mirror = mirror_open (e, KEY_ROOT, on_record, r);
   e->progress_mirror = mirror_open (e, KEY_PROGRESS, on_record, r);
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -95,6 +95,10 @@
             && take_address (o, "store", &s->store, err);
   if (ok)
     {
+      struct rr_error ignored = { 0 };
+      if (!take_address (o, "metrics", &s->metrics, &ignored))
+        log_event (LOG_LEVEL_WARN, "metrics_not_served", "%s",
+                   ignored.message);
       take_zones (o, s);
       snprintf (s->log_level, sizeof s->log_level, "%s",
                 json_string_or (o, "log_level", "info"));
--- /dev/null
+++ b/rosemaryentryd/shard_commit.c
@@ -0,0 +1,179 @@
+#include "rosemaryentryd/shard_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Storing of the progress of a shard's jobs.  */
+
+static void
+on_commit_timer (uv_timer_t *timer)
+{
+  shard_commit (timer->data);
+}
+
+/* Stores changed progress after MS milliseconds at the latest.  */
+void
+shard_commit_soon (struct shard *s, uint64_t ms)
+{
+  int64_t pause = rr_time_diff (s->commit_after, entry_now ());
+  if (pause > 0 && (uint64_t)pause > ms)
+    ms = (uint64_t)pause;
+  if (!uv_is_active ((uv_handle_t *)&s->commit_timer)
+      || uv_timer_get_due_in (&s->commit_timer) > ms)
+    uv_timer_start (&s->commit_timer, on_commit_timer, ms, 0);
+}
+
+/* Tells whether the answer R to a failed write shows another owner.  */
+bool
+shard_owner_changed (const struct shard *s, const struct store_result *r)
+{
+  for (size_t i = 0; i < r->item_count; i++)
+    if (strcmp (r->items[i].key, s->owner_key) == 0)
+      return r->items[i].revision != s->token;
+  return true;
+}
+
+/* A condition on a job's progress failed although we own the shard: an earlier
+   write of ours took effect without an answer.  Takes its revision.  */
+static void
+adopt_revisions (struct shard *s, const struct store_result *r)
+{
+  for (size_t i = 0; i < s->commit_count; i++)
+    {
+      struct job_record *j = records_job (s->entry->records, s->commit[i].id);
+      if (j == NULL)
+        continue;
+      char key[KEY_SIZE];
+      snprintf (key, sizeof key, "%s%s", KEY_PROGRESS, j->id);
+      for (size_t k = 0; k < r->item_count; k++)
+        if (strcmp (r->items[k].key, key) == 0
+            && r->items[k].revision > j->progress_revision)
+          {
+            log_event (LOG_LEVEL_INFO, "progress_write_found",
+                       "job=%s revision=%lld before=%lld", j->id,
+                       (long long)r->items[k].revision,
+                       (long long)j->progress_revision);
+            j->progress_revision = r->items[k].revision;
+          }
+    }
+}
+
+/* Takes in stored progress, and measures how long a job took to begin and to
+   complete.  */
+static void
+note_phase (struct shard *s, const struct commit_entry *c, int64_t revision)
+{
+  struct records *records = s->entry->records;
+  const struct job_record *j = records_job (records, c->id);
+  enum rr_job_phase before = j == NULL ? RR_PHASE_QUEUED : j->phase;
+  records_progress_set (records, c->id, c->text, revision);
+  j = records_job (records, c->id);
+  if (j == NULL || !j->accepted || j->phase == before)
+    return;
+  entry_metrics_latency (s->entry->metrics, j->queue,
+                         rr_job_phase_name (j->phase),
+                         entry_wall_ms () - j->accepted_ms);
+}
+
+static void
+commit_took_effect (struct shard *s, int64_t revision)
+{
+  for (size_t i = 0; i < s->commit_count; i++)
+    {
+      struct commit_entry *c = &s->commit[i];
+      note_phase (s, c, revision);
+      rr_dispatch_stored (s->dispatch, c->id, c->version);
+    }
+  for (size_t i = 0; i < s->link_count; i++)
+    link_progress_stored (s->links[i]);
+}
+
+/* Forgets the write under way.  */
+void
+shard_commit_clear (struct shard *s)
+{
+  for (size_t i = 0; i < s->commit_count; i++)
+    free (s->commit[i].text);
+  s->commit_count = 0;
+}
+
+static void
+on_committed (void *data, const struct store_result *r)
+{
+  struct shard *s = data;
+  s->calls--;
+  s->committing = false;
+  if (s->closed)
+    {
+      shard_commit_clear (s);
+      shard_release (s);
+      return;
+    }
+  if (r->state == STORE_OK)
+    {
+      commit_took_effect (s, r->revision);
+      shard_commit_clear (s);
+      shard_wake (s);
+      return;
+    }
+  if (r->state == STORE_CONFLICT && shard_owner_changed (s, r))
+    {
+      shard_commit_clear (s);
+      shard_lose (s, "commit-rejected");
+      return;
+    }
+  if (r->state == STORE_CONFLICT)
+    adopt_revisions (s, r);
+  else
+    log_event (LOG_LEVEL_WARN, "progress_not_stored",
+               "shard=%s jobs=%zu state=%d why=%s", s->record->name,
+               s->commit_count, (int)r->state,
+               r->reason == NULL ? "" : r->reason);
+  shard_commit_clear (s);
+  if (r->state != STORE_CONFLICT)
+    s->commit_after = rr_time_add (entry_now (), COMMIT_RETRY_MS);
+  shard_commit_soon (s, 0);
+}
+
+/* Stores the progress of changed jobs, under the condition that we still own
+   the shard and that nothing else was written.  */
+void
+shard_commit (struct shard *s)
+{
+  if (s->committing || s->closed)
+    return;
+  const char *ids[COMMIT_JOBS_MAX];
+  bool urgent;
+  size_t n = rr_dispatch_changed (s->dispatch, ids, COMMIT_JOBS_MAX, &urgent);
+  if (n == 0)
+    return;
+  static char keys[COMMIT_JOBS_MAX][KEY_SIZE];
+  struct store_condition conds[COMMIT_JOBS_MAX + 1];
+  struct store_write writes[COMMIT_JOBS_MAX];
+  char mark[RR_GRAPH_NAME_SIZE];
+  snprintf (mark, sizeof mark, "%lld-%llu", (long long)s->token,
+            (unsigned long long)++s->marks);
+  conds[0] = (struct store_condition){ s->owner_key, s->token };
+  s->commit_count = n;
+  for (size_t i = 0; i < n; i++)
+    {
+      struct commit_entry *c = &s->commit[i];
+      snprintf (c->id, sizeof c->id, "%s", ids[i]);
+      snprintf (keys[i], KEY_SIZE, "%s%s", KEY_PROGRESS, ids[i]);
+      c->text = rr_dispatch_progress (s->dispatch, ids[i], mark, &c->version);
+      struct job_record *j = records_job (s->entry->records, ids[i]);
+      conds[i + 1]
+          = (struct store_condition){ keys[i],
+                                      j == NULL ? 0 : j->progress_revision };
+      writes[i] = (struct store_write){ .key = keys[i], .value = c->text };
+    }
+  struct store_txn txn = { .conditions = conds,
+                           .condition_count = n + 1,
+                           .writes = writes,
+                           .write_count = n };
+  s->committing = true;
+  s->calls++;
+  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_committed, s);
+}
--- /dev/null
+++ b/rosemaryentryd/shard_forget.c
@@ -0,0 +1,62 @@
+#include "rosemaryentryd/shard_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Removal of jobs that ended long ago from the store.  */
+
+static void
+on_forgotten (void *data, const struct store_result *r)
+{
+  struct shard *s = data;
+  s->calls--;
+  s->forgetting = false;
+  if (s->closed)
+    shard_release (s);
+  else if (r->state != STORE_OK)
+    log_event (LOG_LEVEL_WARN, "old_jobs_not_removed", "shard=%s state=%d",
+               s->record->name, (int)r->state);
+}
+
+static bool
+is_old (const struct shard *s, const struct job_record *j, struct rr_time now)
+{
+  int64_t kept = s->entry->settings.retention_ms + FORGET_MARGIN_MS;
+  return j->finished.ms != 0 && strcmp (j->shard, s->record->name) == 0
+         && rr_time_diff (now, j->finished) > kept;
+}
+
+/* Removes some of the jobs that ended longer ago than their state is kept.  */
+void
+shard_forget_jobs (struct shard *s, struct rr_time now)
+{
+  if (s->forgetting || rr_time_diff (now, s->forgot) < FORGET_MS)
+    return;
+  s->forgot = now;
+  static const char *const prefixes[] = { KEY_JOB, KEY_PROGRESS, KEY_CANCEL };
+  static char keys[3 * FORGET_JOBS_MAX][KEY_SIZE];
+  const char *removals[3 * FORGET_JOBS_MAX];
+  size_t n = 0;
+  struct rr_handle h = { 0 };
+  const struct job_record *j;
+  while (n < 3 * FORGET_JOBS_MAX
+         && (j = records_job_next (s->entry->records, &h)) != NULL)
+    for (size_t i = 0; i < 3 && is_old (s, j, now); i++)
+      {
+        snprintf (keys[n], KEY_SIZE, "%s%s", prefixes[i], j->id);
+        removals[n] = keys[n];
+        n++;
+      }
+  if (n == 0)
+    return;
+  struct store_condition cond = { s->owner_key, s->token };
+  struct store_txn txn = { .conditions = &cond,
+                           .condition_count = 1,
+                           .removals = removals,
+                           .removal_count = n };
+  s->forgetting = true;
+  s->calls++;
+  log_event (LOG_LEVEL_INFO, "old_jobs_removed", "shard=%s jobs=%zu",
+             s->record->name, n / 3);
+  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_forgotten, s);
+}
--- /dev/null
+++ b/rosemaryentryd/shard_roster.c
@@ -0,0 +1,170 @@
+#include "rosemaryentryd/shard_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* What an owner tells other daemons: which workers it may use, and its
+   load.  */
+
+static bool
+list_has (struct json_object *list, const char *id)
+{
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    if (strcmp (json_object_get_string (json_object_array_get_idx (list, i)),
+                id)
+        == 0)
+      return true;
+  return false;
+}
+
+static void
+list_add (struct json_object *list, const char *id)
+{
+  if (!list_has (list, id))
+    json_object_array_add (list, json_object_new_string (id));
+}
+
+/* Returns the workers that may be given tasks or may run some: those in use,
+   and those of former owners that are not heard yet.  */
+static char *
+roster_text (struct shard *s)
+{
+  struct json_object *list = json_object_new_array ();
+  struct rr_time now = entry_now ();
+  struct rr_handle h = { 0 };
+  const struct platform_worker *w;
+  while ((w = records_worker_next (s->entry->records, &h)) != NULL)
+    if (shard_link (s, w->info.id) != NULL
+        && rr_dispatch_worker_needed (s->dispatch, w->info.id, now))
+      list_add (list, w->info.id);
+  for (size_t i = 0; i < s->link_count; i++)
+    if (rr_dispatch_worker_needed (s->dispatch, link_worker_id (s->links[i]),
+                                   now))
+      list_add (list, link_worker_id (s->links[i]));
+  struct rr_error err = { 0 };
+  struct json_object *before
+      = s->record->roster == NULL
+            ? NULL
+            : json_parse (s->record->roster, strlen (s->record->roster), &err);
+  size_t n = before == NULL ? 0 : json_object_array_length (before);
+  for (size_t i = 0; i < n; i++)
+    {
+      const char *id
+          = json_object_get_string (json_object_array_get_idx (before, i));
+      if (rr_dispatch_worker_needed (s->dispatch, id, now))
+        list_add (list, id);
+    }
+  json_object_put (before);
+  char *text = strdup (json_text (list));
+  json_object_put (list);
+  return text;
+}
+
+static void
+roster_recorded (struct shard *s)
+{
+  struct rr_error err = { 0 };
+  struct json_object *list = json_parse (s->roster, strlen (s->roster), &err);
+  size_t n = list == NULL ? 0 : json_object_array_length (list);
+  for (size_t i = 0; i < n; i++)
+    rr_dispatch_worker_recorded (
+        s->dispatch,
+        json_object_get_string (json_object_array_get_idx (list, i)));
+  json_object_put (list);
+}
+
+static void
+on_roster_written (void *data, const struct store_result *r)
+{
+  struct shard *s = data;
+  s->calls--;
+  s->roster_writing = false;
+  if (s->closed)
+    {
+      shard_release (s);
+      return;
+    }
+  if (r->state == STORE_CONFLICT && shard_owner_changed (s, r))
+    {
+      shard_lose (s, "roster-rejected");
+      return;
+    }
+  if (r->state != STORE_OK)
+    return;
+  free (s->roster);
+  s->roster = s->roster_sent;
+  s->roster_sent = NULL;
+  roster_recorded (s);
+  shard_wake (s);
+}
+
+/* Writes the list of workers that we may use, so that a later owner asks all
+   of them before it takes a task as not running.  */
+void
+shard_write_roster (struct shard *s)
+{
+  if (s->roster_writing)
+    return;
+  char *text = roster_text (s);
+  if (s->roster != NULL && strcmp (text, s->roster) == 0)
+    {
+      free (text);
+      return;
+    }
+  char key[KEY_SIZE];
+  snprintf (key, sizeof key, "%s%s", KEY_ROSTER, s->record->name);
+  struct store_condition cond = { s->owner_key, s->token };
+  struct store_write w = { .key = key, .value = text };
+  struct store_txn txn = {
+    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
+  };
+  free (s->roster_sent);
+  s->roster_sent = text;
+  s->roster_writing = true;
+  s->calls++;
+  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_roster_written,
+                s);
+}
+
+static void
+on_load_written (void *data, const struct store_result *r)
+{
+  struct shard *s = data;
+  (void)r; /* a load that is not stored is replaced by the next one */
+  s->calls--;
+  s->load_writing = false;
+  shard_release (s);
+}
+
+/* Tells the other daemons how much work the shard has, for the choice of a
+   shard for new jobs.  */
+void
+shard_write_load (struct shard *s, struct rr_time now)
+{
+  if (s->load_writing || rr_time_diff (now, s->load_sent) < LOAD_MS)
+    return;
+  struct rr_dispatch_load load;
+  rr_dispatch_load_get (s->dispatch, &load, now);
+  int64_t demand = load.used_milli + load.queued_core_ms;
+  int64_t change = demand - s->last_demand;
+  if ((change < 0 ? -change : change) * 20 < load.cores_milli
+      && s->load_sent.ms != 0 && load.cores_milli == s->record->capacity_milli)
+    return;
+  char key[KEY_SIZE];
+  char value[128];
+  snprintf (key, sizeof key, "%s%s", KEY_LOAD, s->record->name);
+  snprintf (value, sizeof value, "{\"capacity\":%lld,\"demand\":%lld}",
+            (long long)load.cores_milli, (long long)demand);
+  struct store_condition cond = { s->owner_key, s->token };
+  struct store_write w = { .key = key, .value = value };
+  struct store_txn txn = {
+    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
+  };
+  s->load_writing = true;
+  s->load_sent = now;
+  s->last_demand = demand;
+  s->calls++;
+  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_load_written, s);
+}
