--- a/common/log.c
+++ b/common/log.c
@@ -222,7 +222,7 @@
       || !budget_take (event))
     return;
   char pairs[1500];
-  if (lines_lost > 0 && buffered < sizeof buffer - 2 * LINE_BYTES)
+  if (lines_lost > 0 && buffered + LINE_BYTES + LINE_BYTES < sizeof buffer)
     {
       snprintf (pairs, sizeof pairs, "of=all lines=%u", lines_lost);
       lines_lost = 0;
--- a/rosemaryentryd/shard_forget.c
+++ b/rosemaryentryd/shard_forget.c
@@ -39,7 +39,7 @@
   size_t n = 0;
   struct rr_handle h = { 0 };
   const struct job_record *j;
-  while (n < 3 * FORGET_JOBS_MAX
+  while (n < sizeof removals / sizeof removals[0]
          && (j = records_job_next (s->entry->records, &h)) != NULL)
     for (size_t i = 0; i < 3 && is_old (s, j, now); i++)
       {
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -285,10 +285,10 @@
     return;
   t->failures++;
   t->bad_worker = worker;
-  uint32_t doublings = t->failures < FAILURE_PAUSE_DOUBLINGS
-                           ? t->failures
-                           : FAILURE_PAUSE_DOUBLINGS;
-  t->not_before = rr_time_add (now, FAILURE_PAUSE_MS << (doublings - 1));
+  int64_t pause = FAILURE_PAUSE_MS;
+  for (uint32_t i = 1; i < t->failures && i < FAILURE_PAUSE_DOUBLINGS; i++)
+    pause *= 2;
+  t->not_before = rr_time_add (now, pause);
   int32_t max = dispatch_queue (d, j)->attempts_max;
   if (s->long_running || (int32_t)failures_of (j, number) < max)
     return;
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -14,6 +14,11 @@
   FILLER_SPEED_MIN_PERCENT = 50,
   /* Share of their cores that tasks with users use at their peak.  */
   SERVING_USE_PERCENT = 40,
+  /* A server beside others of its image outweighs any difference in free
+     cores, and a mixture of images costs more than one more of the same.  */
+  SAME_IMAGE_SCORE = 100000,
+  OTHER_IMAGE_SCORE = 150000,
+  SPEED_SCORE = 1000,      /* one percent of a filler's speed */
   SCORE_BASE = 1000000000, /* keeps scores of tasks that go anywhere above 0 */
   /* A draining worker's short tasks are stopped this long before it leaves, so
      that their end is known and they start again at once.  */
@@ -63,7 +68,7 @@
 }
 
 /* A job is overdue at this multiple of its objective.  */
-static const double OVERDUE_FACTOR = 3;
+#define OVERDUE_FACTOR 3
 
 static enum turn_group
 group_of (const struct dispatch_job *j, const struct turn *t, size_t step,
@@ -242,8 +247,8 @@
         same += w->runs[i].image == image ? 1 : 0;
         other += w->runs[i].image == image ? 0 : 1;
       }
-  return same * 100000 - other * 150000 - w->free_cores_milli
-         - w->filler_cores_milli / 2;
+  return same * SAME_IMAGE_SCORE - other * OTHER_IMAGE_SCORE
+         - w->free_cores_milli - w->filler_cores_milli / 2;
 }
 
 /* A filler goes where it may run at full speed; among these where others
@@ -260,8 +265,8 @@
   if (unused > s->cores_milli)
     unused = s->cores_milli;
   int64_t share = s->cores_milli == 0 ? 100 : unused * 100 / s->cores_milli;
-  return (int64_t)speed * share * 1000
-         - (int64_t)dispatch_share_tolerance (d, w, image) * 1000
+  return (int64_t)speed * share * SPEED_SCORE
+         - (int64_t)dispatch_share_tolerance (d, w, image) * SPEED_SCORE
          + unused_cores (w) / 100;
 }
 
@@ -298,7 +303,7 @@
         continue;
       if (w->handle.index == bad_worker.index
           && w->handle.generation == bad_worker.generation)
-        score -= 2 * SCORE_BASE;
+        score -= INT64_C (2) * SCORE_BASE;
       if (best == NULL || score > best_score)
         {
           best = w;
--- a/rosemaryrail/dispatch_share.c
+++ b/rosemaryrail/dispatch_share.c
@@ -40,20 +40,20 @@
 /* Predicted tails stay below the first share of the target when fillers start,
    below the second while they run.  Above the third something is wrong with
    the prediction, and all fillers slow down.  */
-static const double PLACE_SHARE = 0.65;
-static const double RUN_SHARE = 0.8;
-static const double CUT_SHARE = 1.0;
-static const double CUT_END_SHARE = 0.8;
+#define PLACE_SHARE 0.65
+#define RUN_SHARE 0.8
+#define CUT_SHARE 1.0
+#define CUT_END_SHARE 0.8
 /* Weight of a new tail in the smoothed load of a server.  */
-static const double LOAD_WEIGHT = 0.4;
+#define LOAD_WEIGHT 0.4
 /* First guess of a server's utilisation without fillers, and of its least
    tail as a share of its target.  */
 /* Utilisation that a filler on all cores adds to servers that bear it.  */
-static const double HARMLESS_MAX = 0.6;
+#define HARMLESS_MAX 0.6
 /* Smaller effects are within the model's error.  */
-static const double EFFECT_MIN = 0.01;
-static const double LOAD_GUESS = 0.5;
-static const double BASE_GUESS = 0.25;
+#define EFFECT_MIN 0.01
+#define LOAD_GUESS 0.5
+#define BASE_GUESS 0.25
 
 /* Begins with an empty model.  */
 void
@@ -216,7 +216,7 @@
   report->service = w->runs[first].image;
   /* The model takes the log of what it is given.  */
   report->latency_ms = exp (sum / n);
-  report->requests = TAIL_REQUESTS * n;
+  report->requests = (int64_t)n * TAIL_REQUESTS;
   rr_interference_learn (d->model, report, now);
 }
 
@@ -430,9 +430,7 @@
         continue;
       if (!r->pace_in_flight)
         order_pace (d, w, r);
-      if (r->pace_wanted >= MOVE_BELOW_PERCENT)
-        r->crowded_since = now;
-      else if (r->crowded_since.ms == 0)
+      if (r->pace_wanted >= MOVE_BELOW_PERCENT || r->crowded_since.ms == 0)
         r->crowded_since = now;
       else if (rr_time_diff (now, r->crowded_since) > MOVE_AFTER_MS
                && is_saving (d, r) && better_place (d, w, r))
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 /* A worker's clock may run this much slower than ours.  */
-static const double CLOCK_RATE_MIN = 0.98;
+#define CLOCK_RATE_MIN 0.98
 
 enum
 {
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -80,6 +80,7 @@
 static size_t queue_count;
 static struct rr_order orders[1024];
 static size_t order_count;
+static char no_word[] = ""; /* in place of missing words */
 
 static struct fake_worker *
 worker_named (const char *id)
@@ -169,7 +170,7 @@
 {
   struct fake_run *r = run_find (w, name);
   if (r == NULL)
-    r = run_new (w, name);
+    run_new (w, name);
   else if (!r->sealed)
     r->late = false;
 }
@@ -544,8 +545,10 @@
       if (line[strspn (line, " ")] == '\0')
         continue;
       printf ("> %s\n", line);
-      char *word[32] = { NULL };
+      char *word[32];
       size_t words = 0;
+      for (size_t i = 0; i < 32; i++)
+        word[i] = no_word;
       char *rest = NULL;
       for (char *p = strtok_r (line, " ", &rest); p != NULL && words < 32;
            p = strtok_r (NULL, " ", &rest))
