--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -27,6 +27,8 @@
                       read */
 };
 
+const char *store_state_name (enum store_state state);
+
 struct store_item
 {
   const char *key;
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -121,6 +121,9 @@
   RR_OUTCOME_UNKNOWN         /* may be carried out, now or later */
 };
 
+const char *rr_order_kind_name (enum rr_order_kind kind);
+const char *rr_order_outcome_name (enum rr_order_outcome outcome);
+
 /* How a queue's jobs are treated.  */
 struct rr_queue_policy
 {
--- a/rosemaryentryd/link.c
+++ b/rosemaryentryd/link.c
@@ -117,8 +117,8 @@
 worker_silent (struct link *l, enum rr_order_outcome outcome)
 {
   if (!l->lost)
-    log_event (LOG_LEVEL_WARN, "vm_lost", "vm=%s outcome=%d", l->id,
-               (int)outcome);
+    log_event (LOG_LEVEL_WARN, "vm_lost", "vm=%s outcome=%s", l->id,
+               rr_order_outcome_name (outcome));
   l->lost = true;
   look_after (l, l->retry_ms);
   if (l->retry_ms < LOOK_RETRY_MAX_MS)
@@ -206,10 +206,11 @@
     {
       if (outcome != RR_OUTCOME_ACCEPTED)
         log_event (LOG_LEVEL_WARN, "order_failed",
-                   "vm=%s kind=%d job=%s task=%d.%d.%d run=%u outcome=%d",
-                   l->id, (int)q->order.kind, q->order.name.job,
-                   q->order.name.occurrence, q->order.name.step,
-                   q->order.name.task, q->order.name.run, (int)outcome);
+                   "vm=%s kind=%s job=%s task=%d.%d.%d run=%u outcome=%s",
+                   l->id, rr_order_kind_name (q->order.kind),
+                   q->order.name.job, q->order.name.occurrence,
+                   q->order.name.step, q->order.name.task, q->order.name.run,
+                   rr_order_outcome_name (outcome));
       rr_dispatch_answer (l->owner.dispatch, l->worker, q->order.kind,
                           &q->order.name, outcome, clock_ms, entry_now ());
       l->owner.changed (l->owner.data);
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -201,6 +201,11 @@
     return 0;
   enum log_level level;
   if (log_level_from_name (e.settings.log_level, &level))
-    log_open ("rosemaryentryd", level);
+    {
+      static char program[RR_GRAPH_NAME_SIZE + 32];
+      snprintf (program, sizeof program, "rosemaryentryd daemon=%s",
+                e.settings.name);
+      log_open (program, level);
+    }
   return run (&e, path);
 }
--- a/rosemaryentryd/mirror.c
+++ b/rosemaryentryd/mirror.c
@@ -94,8 +94,9 @@
 retry (struct mirror *m, const struct store_result *r)
 {
   if (!m->lost)
-    log_event (LOG_LEVEL_WARN, "store_watch_lost", "prefix=%s state=%d why=%s",
-               m->prefix, (int)r->state, r->reason == NULL ? "" : r->reason);
+    log_event (LOG_LEVEL_WARN, "store_watch_lost", "prefix=%s state=%s why=%s",
+               m->prefix, store_state_name (r->state),
+               r->reason == NULL ? "" : r->reason);
   m->lost = true;
   uint64_t jitter = (uint64_t)(rand () % RETRY_MIN_MS);
   uv_timer_start (&m->timer, on_timer, m->retry_ms + jitter, 0);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -192,8 +192,9 @@
 {
   struct claim *c = data;
   size_t i = shard_number (c->owners, c->record);
-  log_event (LOG_LEVEL_INFO, "shard_claim", "shard=%s state=%d revision=%lld",
-             c->record->name, (int)r->state, (long long)r->revision);
+  log_event (LOG_LEVEL_INFO, "shard_claim", "shard=%s state=%s revision=%lld",
+             c->record->name, store_state_name (r->state),
+             (long long)r->revision);
   c->owners->claiming[i] = false;
   if (r->state == STORE_OK)
     mirror_catch_up (c->owners->entry->records_mirror);
@@ -223,8 +224,8 @@
 {
   struct owners *o = data;
   o->laying_out = false;
-  log_event (LOG_LEVEL_INFO, "layout_written", "state=%d revision=%lld",
-             (int)r->state, (long long)r->revision);
+  log_event (LOG_LEVEL_INFO, "layout_written", "state=%s revision=%lld",
+             store_state_name (r->state), (long long)r->revision);
 }
 
 /* Sets the number of shards of a deployment that starts for the first time. */
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -320,7 +320,7 @@
   struct rr_handle h = rr_key_index_get (r->daemon_index, name);
   struct daemon_record *d = rr_table_get (r->daemons, h);
   log_event (LOG_LEVEL_INFO, item->removed ? "peer_lost" : "peer_seen",
-             "daemon=%s revision=%lld", name, (long long)item->revision);
+             "peer=%s revision=%lld", name, (long long)item->revision);
   if (item->removed)
     {
       if (d == NULL)
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -64,7 +64,7 @@
   if (r->state == STORE_MISSING)
     s->lease = 0;
   log_event (LOG_LEVEL_INFO, "registration",
-             "state=%d revision=%lld lease=%lld", (int)r->state,
+             "state=%s revision=%lld lease=%lld", store_state_name (r->state),
              (long long)r->revision, (long long)s->lease);
   next (s, s->registered ? RENEW_MS : RENEW_MS / 4);
 }
@@ -155,7 +155,8 @@
 on_ended (void *data, const struct store_result *r)
 {
   (void)data;
-  log_event (LOG_LEVEL_INFO, "lease_ended", "state=%d", (int)r->state);
+  log_event (LOG_LEVEL_INFO, "lease_ended", "state=%s",
+             store_state_name (r->state));
 }
 
 /* Ends the lease, so that the shards are free for other daemons at once.  */
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -128,8 +128,8 @@
     adopt_revisions (s, r);
   else
     log_event (LOG_LEVEL_WARN, "progress_not_stored",
-               "shard=%s jobs=%zu state=%d why=%s", s->record->name,
-               s->commit_count, (int)r->state,
+               "shard=%s jobs=%zu state=%s why=%s", s->record->name,
+               s->commit_count, store_state_name (r->state),
                r->reason == NULL ? "" : r->reason);
   shard_commit_clear (s);
   if (r->state != STORE_CONFLICT)
--- a/rosemaryentryd/shard_forget.c
+++ b/rosemaryentryd/shard_forget.c
@@ -14,8 +14,8 @@
   if (s->closed)
     shard_release (s);
   else if (r->state != STORE_OK)
-    log_event (LOG_LEVEL_WARN, "old_jobs_not_removed", "shard=%s state=%d",
-               s->record->name, (int)r->state);
+    log_event (LOG_LEVEL_WARN, "old_jobs_not_removed", "shard=%s state=%s",
+               s->record->name, store_state_name (r->state));
 }
 
 static bool
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -584,6 +584,24 @@
   all_runs_lost (d, w, "lease-expired", now);
 }
 
+/* Returns the name of KIND in logs.  */
+const char *
+rr_order_kind_name (enum rr_order_kind kind)
+{
+  static const char *const names[] = { "start", "stop", "pace" };
+  return names[kind];
+}
+
+/* Returns the name of OUTCOME in logs.  */
+const char *
+rr_order_outcome_name (enum rr_order_outcome outcome)
+{
+  static const char *const names[]
+      = { "accepted",  "fenced",         "stale-run", "too-late", "no-room",
+          "unhealthy", "wrong-instance", "invalid",   "not-sent", "unknown" };
+  return names[outcome];
+}
+
 static void
 start_refused (struct rr_dispatch *d, struct dispatch_worker *w,
                struct dispatch_run *r, enum rr_order_outcome outcome,
@@ -599,12 +617,9 @@
     w->full_until = rr_time_add (now, FULL_PAUSE_MS);
   if (outcome == RR_OUTCOME_UNHEALTHY || outcome == RR_OUTCOME_WRONG_INSTANCE)
     w->avoid_until = rr_time_add (now, UNHEALTHY_PAUSE_MS);
-  static const char *const names[]
-      = { "accepted",  "fenced",         "stale-run", "too-late", "no-room",
-          "unhealthy", "wrong-instance", "invalid",   "not-sent", "unknown" };
   struct dispatch_job *j = dispatch_job_get (d, r->job);
   uint32_t number = r->number;
-  run_lost (d, w, r, names[outcome], now);
+  run_lost (d, w, r, rr_order_outcome_name (outcome), now);
   if (j != NULL && outcome == RR_OUTCOME_INVALID)
     j->tasks[number].not_before = rr_time_add (now, INVALID_PAUSE_MS);
 }
