--- /dev/null
+++ b/tests/entry/test_documents.c
@@ -0,0 +1,203 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/documents.h"
+#include "rosemaryentryd/settings.h"
+
+static struct rr_graph *
+decode_job (const char *body, struct rr_error *err)
+{
+  memset (err, 0, sizeof *err);
+  return platform_job_decode ("5c0e7a21d94b36f8", body, strlen (body), err);
+}
+
+/* Guards against fields of a submission that are lost on the way to the
+   dispatcher.  */
+START_TEST (test_job_fields)
+{
+  struct rr_error err;
+  struct rr_graph *g = decode_job (
+      "{\"spec\":\"text\",\"repeatCount\":3,\"firstRunMs\":100,"
+      "\"intervalMs\":50,\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":256,"
+      "\"estimateMs\":900,\"affinity\":\"r1-3\"},{\"count\":2,\"cpu\":2000,"
+      "\"gpu\":1,\"after\":[0],\"gang\":true,\"sameRack\":true,"
+      "\"checkpointing\":true,\"fills\":true,\"longRunning\":true,"
+      "\"requirements\":\"a\",\"antiAffinity\":2,\"image\":\"i1\","
+      "\"targetMs\":18,\"mayMiss\":1}]}",
+      &err);
+  ck_assert_ptr_nonnull (g);
+  ck_assert_str_eq (g->spec, "text");
+  ck_assert_int_eq (g->occurrence_count, 3);
+  ck_assert_int_eq (g->interval_ms, 50);
+  ck_assert_int_eq (g->steps[0].task_count, 4);
+  ck_assert_int_eq (g->steps[0].cores_milli, 500);
+  ck_assert_str_eq (g->steps[0].rack, "r1-3");
+  const struct rr_graph_step *s = &g->steps[1];
+  ck_assert (s->gang && s->same_rack && s->checkpointing && s->filler
+             && s->long_running);
+  ck_assert_int_eq (s->after[0], 0);
+  ck_assert_int_eq (s->accelerators, 1);
+  ck_assert_int_eq (s->per_worker_max, 2);
+  ck_assert_int_eq (s->tail_target_ms, 18);
+  ck_assert_int_eq (s->unavailable_max, 1);
+  ck_assert_str_eq (s->required_label, "a");
+
+  /* The stored form keeps all of it.  */
+  char *text = rr_graph_encode (g);
+  struct rr_graph *copy = rr_graph_decode (text, strlen (text), &err);
+  ck_assert_ptr_nonnull (copy);
+  char *again = rr_graph_encode (copy);
+  ck_assert_str_eq (text, again);
+  free (text);
+  free (again);
+  rr_graph_free (copy);
+  rr_graph_free (g);
+}
+END_TEST
+
+/* Guards against bad submissions that are accepted or end the process.  */
+START_TEST (test_bad_jobs)
+{
+  static const char *const bad[] = {
+    "",
+    "{",
+    "[]",
+    "{\"spec\":\"x\"}",
+    "{\"spec\":\"x\",\"steps\":[]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":0,\"cpu\":1}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-5}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":30000,\"cpu\":1}]}",
+    "{\"spec\":\"x\",\"repeatCount\":999999999,\"steps\":[{\"count\":9}]}",
+    "{\"spec\":\"x\",\"steps\":[7]}",
+  };
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct rr_error err;
+      ck_assert_msg (decode_job (bad[i], &err) == NULL, "accepted %s", bad[i]);
+      ck_assert_int_eq (err.code, RR_ERROR_INVALID);
+      ck_assert_int_ne (err.message[0], '\0');
+    }
+}
+END_TEST
+
+/* Guards against entries of other writers that are taken for workers.  */
+START_TEST (test_worker_entries)
+{
+  static const char good[]
+      = "{\"service\":\"desk\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z1\","
+        "\"state\":\"draining\",\"remainingMs\":1500,\"born\":17,\"capacity\":"
+        "{\"cpu\":16000,\"memMb\":32768,\"gpu\":2},\"labels\":[\"a\",\"r1\"]}";
+  struct platform_worker w;
+  struct rr_error err = { 0 };
+  ck_assert (
+      platform_worker_decode ("servers/i-1", good, strlen (good), &w, &err));
+  ck_assert_str_eq (w.info.id, "i-1");
+  ck_assert_str_eq (w.info.rack, "r1");
+  ck_assert (w.info.draining);
+  ck_assert_int_eq (w.info.remaining_ms, 1500);
+  ck_assert_int_eq (w.info.born_ms, 17);
+  ck_assert_int_eq (w.port, 8080);
+  static const char *const bad[] = {
+    "\x01\x02",
+    "{}",
+    "[1]",
+    "{\"service\":\"d\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+    "\"state\":\"happy\",\"capacity\":{}}",
+    "{\"service\":\"d\",\"address\":\"nowhere\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"capacity\":{}}",
+    "{\"service\":\"d\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"capacity\":7}",
+    "{\"service\":5,\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"capacity\":{}}",
+  };
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct rr_error e = { 0 };
+      ck_assert_msg (!platform_worker_decode ("servers/i-2", bad[i],
+                                              strlen (bad[i]), &w, &e),
+                     "accepted %s", bad[i]);
+      ck_assert_int_ne (e.message[0], '\0');
+    }
+}
+END_TEST
+
+/* Guards against a request that goes to the queue of a shorter prefix, or of
+   another host.  */
+START_TEST (test_routes)
+{
+  static const char text[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"a.example\","
+        "\"prefix\":\"/x/\",\"service\":\"desk\",\"priority\":2,"
+        "\"maxAttempts\":4,\"slackFactor\":1.5,\"targetRuntimeMs\":250},"
+        "{\"name\":\"r2\",\"host\":\"a.example\",\"prefix\":\"/x/y/\","
+        "\"service\":\"desk\"}],\"limits\":{\"maxBodyBytes\":100}}";
+  struct rr_error err = { 0 };
+  struct rr_queues *q = platform_config_decode (text, strlen (text), &err);
+  ck_assert_ptr_nonnull (q);
+  ck_assert_int_eq (q->version, 7);
+  ck_assert_int_eq (q->body_max_bytes, 100);
+  const struct rr_route *r = rr_queues_find (q, "A.example:80", "/x/12");
+  ck_assert_ptr_nonnull (r);
+  ck_assert_str_eq (r->policy.queue, "r1");
+  ck_assert_int_eq (r->policy.attempts_max, 4);
+  ck_assert (r->policy.slack_factor > 1.4 && r->policy.slack_factor < 1.6);
+  ck_assert_str_eq (rr_queues_find (q, "a.example", "/x/y/1")->policy.queue,
+                    "r2");
+  ck_assert_ptr_null (rr_queues_find (q, "b.example", "/x/1"));
+  ck_assert_ptr_null (rr_queues_find (q, "a.example", "/z/1"));
+  rr_queues_free (q);
+  ck_assert_ptr_null (platform_config_decode ("{}", 2, &err));
+}
+END_TEST
+
+/* Guards against settings that are used although they are wrong, and against
+   new or missing fields that stop a daemon.  */
+START_TEST (test_settings)
+{
+  static const char good[]
+      = "// comment\n{\"name\":\"e1\",\"zone\":\"z1\",\"zones\":[\"z1\"],"
+        "\"front\":\"127.0.0.1:8001\",\"ready\":\"127.0.0.1:8002\","
+        "\"store\":\"127.0.0.1:8003\",\"lease_max_ms\":10000,"
+        "\"shutdown_s\":6,\"later\":[1]}";
+  struct entry_settings s;
+  struct rr_error err = { 0 };
+  ck_assert (entry_settings_parse (good, strlen (good), &s, &err));
+  ck_assert_int_eq (s.shutdown_ms, 6000);
+  ck_assert_int_eq (s.retention_ms, 120000);
+  ck_assert_int_eq (s.metrics.port, 0);
+  static const char *const bad[] = {
+    "{",
+    "{\"name\":\"\"}",
+    "{\"name\":\"e\",\"zone\":\"z\",\"front\":\"here\"}",
+    "{\"name\":\"e\",\"zone\":\"z\",\"front\":\"127.0.0.1:1\","
+    "\"ready\":\"127.0.0.1:2\"}",
+  };
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct rr_error e = { 0 };
+      ck_assert (!entry_settings_parse (bad[i], strlen (bad[i]), &s, &e));
+      ck_assert_int_ne (e.message[0], '\0');
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("documents");
+  TCase *tc = tcase_create ("platform");
+  tcase_add_test (tc, test_job_fields);
+  tcase_add_test (tc, test_bad_jobs);
+  tcase_add_test (tc, test_worker_entries);
+  tcase_add_test (tc, test_routes);
+  tcase_add_test (tc, test_settings);
+  suite_add_tcase (s, tc);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed == 0 ? 0 : 1;
+}
