--- /dev/null
+++ b/standins/rr-taskworker.c
@@ -0,0 +1,464 @@
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <time.h>
+
+#include "common/http_client.h"
+#include "standins/tool.h"
+
+/* Stand-in of a worker on the users' platform: runs tasks under a lease,
+   registers itself in rr-kv, and logs every start and end.  What a task does
+   stands in its spec: "work=MS" and "fail=PERCENT".  */
+
+enum
+{
+  TICK_MS = 10,
+  HEARTBEAT_MS = 400,
+  TEXT_MAX = 128,
+  STOP_MS = 30
+};
+
+struct run
+{
+  LIST_ENTRY (run) link;
+  char task[TEXT_MAX];
+  int64_t run;
+  int64_t end_us;
+  int64_t begin_us;
+  bool fails;
+  bool stopping;
+};
+
+struct end
+{
+  int64_t number;
+  char task[TEXT_MAX];
+  int64_t run;
+  const char *how;
+  int64_t at_us;
+  bool noted;
+};
+
+struct hold
+{
+  LIST_ENTRY (hold) link;
+  struct http_exchange *exchange;
+  int64_t observed;
+  int64_t until_us;
+};
+
+/* The highest run that was stopped or has ended here, by task.  */
+struct seal
+{
+  char task[TEXT_MAX];
+  int64_t run;
+};
+
+static const char *id;
+static const char *zone;
+static int port;
+static int listed_port;
+static int cores_milli;
+static int store_port;
+static FILE *log_file;
+static struct http_client *client;
+static LIST_HEAD (, run) runs;
+static LIST_HEAD (, hold) holds;
+static struct end *ends;
+static size_t end_count;
+static int64_t last_end;
+static struct seal *seals;
+static size_t seal_count;
+static int64_t token;
+static int64_t lease_end_us;
+static int64_t lapsed_us; /* when the lease was last found expired */
+static int64_t born_ms;
+static int64_t born_us;
+static int64_t sequence;
+
+static int64_t
+clock_ms (void)
+{
+  return (tool_now_us () - born_us) / 1000;
+}
+
+static int64_t
+wall_ms (void)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_REALTIME, &t);
+  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
+static void
+log_run (const char *event, const char *task, int64_t run, const char *how)
+{
+  fprintf (log_file,
+           "{\"t\":%lld,\"vm\":\"%s\",\"event\":\"%s\",\"task\":\"%s\","
+           "\"run\":%lld,\"how\":\"%s\"}\n",
+           (long long)wall_ms (), id, event, task, (long long)run, how);
+  fflush (log_file);
+}
+
+static void
+hold_answer (struct hold *h)
+{
+  struct json_object *o = json_object_new_object ();
+  json_add_int (o, "clockMs", clock_ms ());
+  json_add_int (o, "born", born_ms);
+  struct json_object *running = json_object_new_array ();
+  struct run *r;
+  LIST_FOREACH (r, &runs, link)
+  {
+    struct json_object *row = json_object_new_array ();
+    int64_t percent
+        = (tool_now_us () - r->begin_us) * 100 / (r->end_us - r->begin_us + 1);
+    json_object_array_add (row, json_object_new_string (r->task));
+    json_object_array_add (row, json_object_new_int64 (r->run));
+    json_object_array_add (row, json_object_new_string (""));
+    json_object_array_add (row, json_object_new_int64 (percent));
+    json_object_array_add (row, json_object_new_int64 (0));
+    json_object_array_add (running, row);
+  }
+  struct json_object *finished = json_object_new_array ();
+  for (size_t i = 0; i < end_count; i++)
+    {
+      if (ends[i].number <= h->observed)
+        continue;
+      struct json_object *row = json_object_new_array ();
+      json_object_array_add (row, json_object_new_int64 (ends[i].number));
+      json_object_array_add (row, json_object_new_string (ends[i].task));
+      json_object_array_add (row, json_object_new_int64 (ends[i].run));
+      json_object_array_add (row, json_object_new_string (ends[i].how));
+      json_object_array_add (row, json_object_new_string (""));
+      json_object_array_add (finished, row);
+    }
+  json_object_object_add (o, "running", running);
+  json_object_object_add (o, "finished", finished);
+  http_exchange_respond_json (h->exchange, 200, json_text (o));
+  json_object_put (o);
+  LIST_REMOVE (h, link);
+  free (h);
+}
+
+static struct seal *
+seal_of (const char *task)
+{
+  for (size_t i = 0; i < seal_count; i++)
+    if (strcmp (seals[i].task, task) == 0)
+      return &seals[i];
+  seals = realloc (seals, (seal_count + 1) * sizeof *seals);
+  struct seal *s = &seals[seal_count++];
+  memset (s, 0, sizeof *s);
+  snprintf (s->task, sizeof s->task, "%s", task);
+  return s;
+}
+
+static void
+run_end (struct run *r, const char *how)
+{
+  ends = realloc (ends, (end_count + 1) * sizeof *ends);
+  struct end *e = &ends[end_count++];
+  memset (e, 0, sizeof *e);
+  e->number = ++last_end;
+  snprintf (e->task, sizeof e->task, "%s", r->task);
+  e->run = r->run;
+  e->how = how;
+  e->at_us = tool_now_us ();
+  struct seal *s = seal_of (r->task);
+  if (s->run < r->run)
+    s->run = r->run;
+  log_run ("end", r->task, r->run, how);
+  LIST_REMOVE (r, link);
+  free (r);
+  while (!LIST_EMPTY (&holds))
+    hold_answer (LIST_FIRST (&holds));
+}
+
+static void
+extend_lease (int64_t deadline)
+{
+  enum
+  {
+    LEASE_MAX_MS = 10000
+  };
+  int64_t now = clock_ms ();
+  if (deadline > now + LEASE_MAX_MS)
+    deadline = now + LEASE_MAX_MS;
+  if (deadline > 0 && born_us + deadline * 1000 > lease_end_us)
+    lease_end_us = born_us + deadline * 1000;
+}
+
+static void
+respond_reason (struct http_exchange *x, const char *reason)
+{
+  char json[128];
+  snprintf (json, sizeof json, "{\"clockMs\":%lld,\"reason\":\"%s\"}",
+            (long long)clock_ms (), reason);
+  http_exchange_respond_json (x, 409, json);
+}
+
+static void
+respond_clock (struct http_exchange *x)
+{
+  char json[64];
+  snprintf (json, sizeof json, "{\"clockMs\":%lld}", (long long)clock_ms ());
+  http_exchange_respond_json (x, 200, json);
+}
+
+static struct run *
+run_find (const char *task)
+{
+  struct run *r;
+  LIST_FOREACH (r, &runs, link)
+  if (strcmp (r->task, task) == 0)
+    return r;
+  return NULL;
+}
+
+static long
+spec_value (const char *spec, const char *name)
+{
+  const char *p = strstr (spec, name);
+  return p == NULL ? 0 : strtol (p + strlen (name), NULL, 10);
+}
+
+static void
+on_start (struct http_exchange *x, struct json_object *body)
+{
+  const char *task = json_string_or (body, "task", "");
+  const char *spec = json_string_or (body, "spec", "");
+  int64_t run = json_int_or (body, "run", 0);
+  int64_t deadline = json_int_or (body, "deadlineMs", 0);
+  struct run *present = run_find (task);
+  if (present != NULL && present->run == run)
+    {
+      respond_clock (x);
+      return;
+    }
+  if (present != NULL || run <= seal_of (task)->run)
+    {
+      respond_reason (x, "old");
+      return;
+    }
+  if (deadline <= clock_ms ())
+    {
+      respond_reason (x, "late");
+      return;
+    }
+  extend_lease (deadline);
+  struct run *r = tool_alloc (sizeof *r);
+  memset (r, 0, sizeof *r);
+  snprintf (r->task, sizeof r->task, "%s", task);
+  r->run = run;
+  r->begin_us = tool_now_us ();
+  r->end_us = r->begin_us + spec_value (spec, "work=") * 1000;
+  r->fails = rand () % 100 < spec_value (spec, "fail=");
+  LIST_INSERT_HEAD (&runs, r, link);
+  log_run ("start", task, run, "");
+  respond_clock (x);
+}
+
+static void
+on_stop (struct http_exchange *x, struct json_object *body)
+{
+  const char *task = json_string_or (body, "task", "");
+  int64_t run = json_int_or (body, "run", 0);
+  struct run *r = run_find (task);
+  struct seal *s = seal_of (task);
+  if (s->run < run)
+    s->run = run;
+  if (r != NULL && r->run == run)
+    {
+      r->stopping = true;
+      r->end_us = tool_now_us () + STOP_MS * 1000;
+    }
+  respond_clock (x);
+}
+
+/* Logs the ends that the caller has taken note of: those that it no longer
+   wants listed, unless the lease expired in between.  */
+static void
+note_ends (int64_t observed)
+{
+  if (tool_now_us () > lease_end_us)
+    lapsed_us = tool_now_us ();
+  for (size_t i = 0; i < end_count; i++)
+    if (!ends[i].noted && ends[i].number <= observed)
+      {
+        ends[i].noted = true;
+        if (ends[i].at_us > lapsed_us)
+          log_run ("noted", ends[i].task, ends[i].run, ends[i].how);
+      }
+}
+
+static void
+on_hold (struct http_exchange *x, struct json_object *body)
+{
+  note_ends (json_int_or (body, "observed", 0));
+  struct hold *h = tool_alloc (sizeof *h);
+  h->exchange = x;
+  h->observed = json_int_or (body, "observed", 0);
+  h->until_us = tool_now_us () + json_int_or (body, "waitMs", 0) * 1000;
+  extend_lease (json_int_or (body, "deadlineMs", 0));
+  LIST_INSERT_HEAD (&holds, h, link);
+  if (h->until_us <= tool_now_us () || last_end > h->observed)
+    hold_answer (h);
+}
+
+static void
+on_request (void *data, struct http_exchange *x)
+{
+  (void)data;
+  const char *path = http_exchange_path (x);
+  struct json_object *body = tool_body_json (x);
+  if (body == NULL)
+    return;
+  int64_t given = json_int_or (body, "fencingToken", 0);
+  if (given < token)
+    respond_reason (x, "fence");
+  else if (strcmp (path, "/-/hold") == 0)
+    {
+      token = given;
+      on_hold (x, body);
+    }
+  else if (strcmp (path, "/-/run-start") == 0)
+    {
+      token = given;
+      on_start (x, body);
+    }
+  else if (strcmp (path, "/-/run-stop") == 0)
+    {
+      token = given;
+      on_stop (x, body);
+    }
+  else
+    respond_clock (x);
+  json_object_put (body);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  (void)timer;
+  int64_t now = tool_now_us ();
+  bool lapsed = now > lease_end_us;
+  if (lapsed)
+    lapsed_us = now;
+  struct run *r = LIST_FIRST (&runs);
+  while (r != NULL)
+    {
+      struct run *next = LIST_NEXT (r, link);
+      if (lapsed)
+        run_end (r, "lapsed");
+      else if (r->end_us <= now)
+        run_end (r, r->stopping ? "stopped" : r->fails ? "failed" : "done");
+      r = next;
+    }
+  struct hold *h = LIST_FIRST (&holds);
+  while (h != NULL)
+    {
+      struct hold *next = LIST_NEXT (h, link);
+      if (h->until_us <= now)
+        hold_answer (h);
+      h = next;
+    }
+}
+
+static void
+on_registered (void *data, const struct http_result *r)
+{
+  (void)data;
+  (void)r; /* the next heartbeat repeats it */
+}
+
+static void
+on_heartbeat (uv_timer_t *timer)
+{
+  (void)timer;
+  struct json_object *entry = json_object_new_object ();
+  json_add_string (entry, "service", "desk");
+  json_add_string (entry, "state", "ready");
+  char address[64];
+  snprintf (address, sizeof address, "%s:%d", tool_address (), listed_port);
+  json_add_string (entry, "address", address);
+  json_add_string (entry, "zone", zone);
+  json_add_int (entry, "born", born_ms);
+  json_add_int (entry, "sequence", ++sequence);
+  struct json_object *capacity = json_object_new_object ();
+  json_add_int (capacity, "cpu", cores_milli);
+  json_add_int (capacity, "memMb", 64000);
+  json_object_object_add (entry, "capacity", capacity);
+  struct json_object *labels = json_object_new_array ();
+  json_object_array_add (labels, json_object_new_string ("a"));
+  json_object_array_add (labels, json_object_new_string (zone));
+  json_object_object_add (entry, "labels", labels);
+  struct json_object *body = json_object_new_object ();
+  char key[TEXT_MAX];
+  snprintf (key, sizeof key, "servers/%s", id);
+  json_add_string (body, "key", key);
+  json_add_string (body, "value", json_text (entry));
+  char url[128];
+  snprintf (url, sizeof url, "http://%s:%d/standin/put", tool_address (),
+            store_port);
+  const char *text = json_text (body);
+  struct http_call call = { .method = "POST",
+                            .url = url,
+                            .body = text,
+                            .body_length = strlen (text),
+                            .timeout_ms = HEARTBEAT_MS,
+                            .answer_max_bytes = TOOL_ANSWER_MAX,
+                            .idempotent = true };
+  http_client_send (client, &call, on_registered, NULL);
+  json_object_put (body);
+  json_object_put (entry);
+}
+
+static void
+repeat (uv_loop_t *loop, uv_timer_t *timer, uv_timer_cb callback, int64_t ms)
+{
+  tool_timer (loop, timer, callback, NULL, 1);
+  uv_timer_set_repeat (timer, (uint64_t)ms);
+  uv_timer_again (timer);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct tool_flag flags[]
+      = { PORT_FLAG ("port", "port to listen on"),
+          PORT_FLAG ("store", "port of rr-kv"),
+          INT_FLAG ("listed-port", "port to register, 0: the same", 0),
+          TEXT_FLAG ("id", "id of the worker", "w1"),
+          TEXT_FLAG ("zone", "availability zone", "z1"),
+          INT_FLAG ("cores", "capacity in thousandths of a core", 8000),
+          TEXT_FLAG ("log", "file for starts and ends", "/dev/stdout") };
+  uv_loop_t *loop = uv_default_loop ();
+  struct rr_error err = { 0 };
+  int code;
+  if (!tool_start (argc, argv, "rr-taskworker",
+                   "Stand-in of a worker on the users' platform.", flags, 7,
+                   loop, &code))
+    return code;
+  port = flags[0].number;
+  store_port = flags[1].number;
+  listed_port = flags[2].number == 0 ? port : flags[2].number;
+  id = flags[3].text;
+  zone = flags[4].text;
+  cores_milli = flags[5].number;
+  log_file = fopen (flags[6].text, "a");
+  client = http_client_open (loop, &err);
+  if (log_file == NULL || client == NULL
+      || tool_listen (loop, port, on_request, NULL, &err) == NULL)
+    return tool_fail ("rr-taskworker", &err);
+  born_ms = wall_ms ();
+  born_us = tool_now_us ();
+  srand ((unsigned)born_ms);
+  log_run ("born", "", 0, "");
+  uv_timer_t tick;
+  uv_timer_t heartbeat;
+  repeat (loop, &tick, on_tick, TICK_MS);
+  repeat (loop, &heartbeat, on_heartbeat, HEARTBEAT_MS);
+  uv_run (loop, UV_RUN_DEFAULT);
+  return 0;
+}
