dispatch: a start that reached a worker's new incarnation is not lost

Runs that the former incarnation never listed now stay until the new one has reported. start_at_restart failed before.

--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -67,6 +67,7 @@
   struct rr_handle job; /* null: of no known job */
   uint32_t number;      /* of the task in its job */
   enum run_phase phase;
+  bool listed; /* the worker has reported it in its present incarnation */
   bool stop_wanted;
   bool stop_in_flight;
   bool stop_confirmed;    /* the worker has taken the stop at SETTLED_CLOCK */
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -190,6 +190,45 @@
     run_lost (d, w, &w->runs[w->run_count - 1], reason, now);
 }
 
+/* Gives up the runs of W's former incarnation.  Those that it never listed may
+   have reached the new one and stay until that has reported.  */
+static void
+former_runs_lost (struct rr_dispatch *d, struct dispatch_worker *w,
+                  struct rr_time now)
+{
+  for (size_t i = w->run_count; i-- > 0;)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      if (!r->listed)
+        {
+          r->phase = RUN_UNRESOLVED;
+          r->stop_confirmed = false;
+          r->settled_clock = 0;
+        }
+      else
+        run_lost (d, w, r, "vm-restarted", now);
+    }
+}
+
+/* Stops what may have been started in W's new incarnation and was not
+   reported.  */
+static void
+unresolved_stop (struct dispatch_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].phase == RUN_UNRESOLVED)
+      dispatch_run_stop (&w->runs[i], "vm-restarted");
+}
+
+/* The longest lease that another owner, or an order on the clock of a former
+   incarnation, can have given to what W runs.  */
+static void
+assume_longest_lease (struct rr_dispatch *d, struct dispatch_worker *w)
+{
+  if (w->lease_clock_ms < w->clock_ms + d->o.lease_max_ms)
+    w->lease_clock_ms = w->clock_ms + d->o.lease_max_ms;
+}
+
 /* A new incarnation of W holds and knows nothing of before.  */
 static void
 worker_reborn (struct rr_dispatch *d, struct dispatch_worker *w,
@@ -207,7 +246,7 @@
   w->end_count = 0;
   w->failed_in_row = 0;
   w->filler_percent = 100;
-  all_runs_lost (d, w, "vm-restarted", now);
+  former_runs_lost (d, w, now);
 }
 
 /* Adds or updates the registered worker INFO.  */
@@ -407,9 +446,7 @@
   t->worker = w->handle;
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
-  /* Another owner gave its lease, of which only the longest time is known. */
-  if (w->lease_clock_ms < w->clock_ms + d->o.lease_max_ms)
-    w->lease_clock_ms = w->clock_ms + d->o.lease_max_ms;
+  assume_longest_lease (d, w);
   if (j->phase == RR_PHASE_QUEUED)
     {
       j->phase = RR_PHASE_ACTIVE;
@@ -445,6 +482,7 @@
                  status->name.task, status->name.run, w->info.id);
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
+  assume_longest_lease (d, w);
   dispatch_run_stop (r, "not-ours");
   return r;
 }
@@ -463,6 +501,7 @@
       r->settled_clock = w->clock_ms;
     }
   r->missing = -1;
+  r->listed = true;
   if (status->percent != r->percent)
     {
       r->percent = status->percent;
@@ -527,6 +566,7 @@
         worker_reborn (d, w, r->born_ms, now);
       w->info.born_ms = r->born_ms;
     }
+  bool first = !w->has_clock;
   w->has_clock = true;
   w->clock_ms = r->clock_ms;
   w->clock_sent = r->sent;
@@ -542,6 +582,11 @@
   for (size_t i = 0; i < r->running_count; i++)
     take_status (d, w, &r->running[i], now);
   take_absence (d, w, r->clock_ms, now);
+  if (first && w->run_count > 0)
+    {
+      assume_longest_lease (d, w);
+      unresolved_stop (w);
+    }
   if (!w->reported)
     {
       w->reported = true;
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -12,9 +12,9 @@
      queue NAME PRIORITY ATTEMPTS      policy of a queue
      worker ID RACK CORES MEMORY       register a worker (cores in thousandths)
      drain ID | gone ID                it drains; its registration is removed
-     reborn ID                         it restarts under the same id
-     job ID QUEUE STEP...              a job; STEP is COUNTxCORES[,FLAG]...
-                                       flags: after long fill save gang spread
+     reborn ID | restart ID            it restarts under the same id, and says
+   so in its registration or in looks only job ID QUEUE STEP...              a
+   job; STEP is COUNTxCORES[,FLAG]... flags: after long fill save gang spread
                                        image=NAME target=MS estimate=MS
      cancel ID
      end ID STEP.TASK HOW              the task's run ends on its worker
@@ -457,8 +457,6 @@
   w->ends = 0;
   w->lease_end = 0;
   w->born = now.ms;
-  w->info.born_ms = w->born;
-  worker_list (w);
 }
 
 static void
@@ -475,8 +473,14 @@
       w->listed = false;
       rr_dispatch_worker_unlist (d, w->id, now);
     }
-  else if (strcmp (word[0], "reborn") == 0)
+  else if (strcmp (word[0], "restart") == 0)
     reborn (w);
+  else if (strcmp (word[0], "reborn") == 0)
+    {
+      reborn (w);
+      w->info.born_ms = w->born;
+      worker_list (w);
+    }
   else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
     w->mute = word[0][0] == 'm';
   else
