--- a/include/rosemaryentryd/choice.h
+++ b/include/rosemaryentryd/choice.h
@@ -6,5 +6,6 @@
 
 /* Returns the shard for the new job G; null when there are no shards.  */
 struct shard_record *choice_shard (struct entry *e, const struct rr_graph *g);
+void choice_job_seen (struct shard_record *s, const struct rr_graph *g);
 
 #endif
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -59,13 +59,14 @@
   int64_t roster_revision;
   int64_t capacity_milli;
   int64_t demand_milli;
-  int64_t added_milli; /* accepted here since the last word */
+  int64_t firm_milli; /* without fillers */
 };
 
 struct daemon_record
 {
   char name[RR_GRAPH_NAME_SIZE];
   char zone[RR_GRAPH_NAME_SIZE];
+  int64_t cpu_milli; /* its share of a core */
 };
 
 struct records *records_open (struct entry *e);
--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -11,7 +11,8 @@
 
 enum
 {
-  ENTRY_ZONES_MAX = 32
+  ENTRY_ZONES_MAX = 32,
+  CPU_DEFAULT_MILLI = 100 /* of a core, when the settings don't tell */
 };
 
 /* The settings of one entry daemon.  Times are in milliseconds.  */
@@ -31,6 +32,7 @@
   int64_t gang_timeout_ms; /* members of a gang wait this long */
   int64_t shutdown_ms;     /* between the request to stop and the kill */
   int64_t retention_ms;    /* state of finished jobs is kept this long */
+  int64_t cpu_milli;       /* share of a core, in thousandths */
   double remote_factor;    /* slowdown away from the data's rack */
 };
 
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -159,6 +159,7 @@
   int64_t cores_milli;    /* of usable workers */
   int64_t used_milli;     /* by tasks, fillers included */
   int64_t queued_core_ms; /* estimated work that waits */
+  int64_t firm_milli;     /* running or waiting, without fillers */
 };
 
 struct rr_dispatch *rr_dispatch_new (const struct rr_dispatch_options *o);
--- a/rosemaryentryd/choice.c
+++ b/rosemaryentryd/choice.c
@@ -1,14 +1,18 @@
 #include "rosemaryentryd/choice.h"
 
+#include <stdlib.h>
 #include <string.h>
 
-/* Which shard a new job goes to: the one with the most room for it, by what
-   the owners last said and what was accepted here since.  */
+/* Which shard a new job goes to: shards with more room for it are more likely,
+   by what the owners last said and what was accepted since.  */
 
 enum
 {
-  /* A shard without an owner starts nothing for a second or more.  */
-  OWNERLESS_PENALTY = 300
+  FULL_SHARE = 200, /* a full shard counts as if 1/200 of it were free */
+  /* Away from its data a task takes three times as long; a shard without an
+     owner starts nothing for a second or more.  */
+  AWAY_DIVISOR = 20,
+  OWNERLESS_DIVISOR = 3
 };
 
 struct shard_fit
@@ -67,44 +71,73 @@
   return fit;
 }
 
+/* Tells whether all of G runs beside other tasks, on what they leave.  */
+static bool
+is_filling (const struct rr_graph *g)
+{
+  for (size_t i = 0; i < g->step_count; i++)
+    if (!g->steps[i].filler)
+      return false;
+  return true;
+}
+
 static int64_t
 first_demand (const struct rr_graph *g)
 {
   return g->steps[0].task_count * g->steps[0].cores_milli;
 }
 
+/* Counts the new job G towards the load of its shard S until the owner tells
+   the next one.  */
+void
+choice_job_seen (struct shard_record *s, const struct rr_graph *g)
+{
+  s->demand_milli += first_demand (g);
+  if (!is_filling (g))
+    s->firm_milli += first_demand (g);
+}
+
+/* Returns the weight of shard S in the choice for G: the cores that nothing
+   competes for, 0 where G can't run.  */
 static int64_t
-cost_of (struct entry *e, const struct shard_record *s,
-         const struct rr_graph *g)
+weight_of (struct entry *e, const struct shard_record *s,
+           const struct rr_graph *g)
 {
   struct shard_fit fit = fit_of (e, s, g);
   if (fit.capacity_milli == 0 || !fit.has_label)
-    return INT64_MAX / 2;
-  int64_t demand = s->demand_milli + s->added_milli + first_demand (g);
-  int64_t cost = demand * 1000 / fit.capacity_milli;
+    return 0;
+  int64_t room = fit.capacity_milli
+                 - (is_filling (g) ? s->demand_milli : s->firm_milli);
+  int64_t least = fit.capacity_milli / FULL_SHARE;
+  if (room < least)
+    room = least;
   if (!fit.has_rack)
-    cost += (int64_t)(e->settings.remote_factor * 1000);
+    room /= AWAY_DIVISOR;
   if (s->owner_revision == 0)
-    cost += OWNERLESS_PENALTY;
-  return cost;
+    room /= OWNERLESS_DIVISOR;
+  return room > 0 ? room : 1;
 }
 
+/* Draws a shard by weight.  Taking the emptiest one would send the jobs of all
+   daemons to the same shard until its owner has told its load.  */
 struct shard_record *
 choice_shard (struct entry *e, const struct rr_graph *g)
 {
-  struct shard_record *best = NULL;
-  int64_t best_cost = 0;
-  for (size_t i = 0; i < records_shard_count (e->records); i++)
+  size_t n = records_shard_count (e->records);
+  int64_t weights[SHARDS_MAX];
+  int64_t sum = 0;
+  for (size_t i = 0; i < n; i++)
     {
-      struct shard_record *s = records_shard_at (e->records, i);
-      int64_t cost = cost_of (e, s, g);
-      if (best == NULL || cost < best_cost)
-        {
-          best = s;
-          best_cost = cost;
-        }
+      weights[i] = weight_of (e, records_shard_at (e->records, i), g);
+      sum += weights[i];
     }
-  if (best != NULL)
-    best->added_milli += first_demand (g);
-  return best;
+  if (n == 0)
+    return NULL;
+  if (sum == 0)
+    return records_shard_at (e->records, (size_t)rand () % n);
+  int64_t drawn = (int64_t)((double)sum * rand () / ((double)RAND_MAX + 1));
+  size_t i = 0;
+  while (i + 1 < n && drawn >= weights[i])
+    drawn -= weights[i++];
+  return records_shard_at (e->records, i);
 }
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -22,9 +22,11 @@
   /* Machines start within 0.3 s of each other; the first daemons to be ready
      count those that have registered this long after.  */
   LAYOUT_SETTLE_MS = 700,
-  /* Daemons for each shard: an owner of 70 workers uses about 0.05 of a core,
-     and the others carry the callers and stand by.  */
-  DAEMONS_PER_SHARD = 6,
+  /* Daemons for each shard.  Few shards place better, since room in another
+     shard is out of reach; an owner of 115 workers uses about 0.09 of a core.
+   */
+  DAEMONS_PER_SHARD = 10,
+  CORE_MILLI_MAX = 1000000, /* scale of shards for a share of a core */
   /* News is gathered this long while the daemon owns no shard.  */
   FOLLOWER_PAUSE_MS = 200,
   OWNER_PAUSE_MS = 10 /* the same while it owns one */
@@ -257,28 +259,32 @@
   return n;
 }
 
-/* How little a daemon suits as the owner of a shard: first by the shards that
-   it owns already; the rest is spread by hash.  */
+/* How little a daemon suits as the owner of one more shard: first by the
+   shards that it would then own for its share of a core; the rest is spread by
+   hash.  */
 static uint64_t
 unfitness (const struct owners *o, const struct shard_record *s,
-           const char *name)
+           const char *name, int64_t cpu_milli)
 {
   char text[2 * RR_GRAPH_NAME_SIZE + 2];
   int n = snprintf (text, sizeof text, "%s/%s", s->name, name);
-  uint64_t hash = XXH64 (text, (size_t)n, 0) >> 16;
-  return (uint64_t)shards_owned_by (o, name) << 52 | hash;
+  uint64_t hash = XXH64 (text, (size_t)n, 0) >> 32;
+  uint64_t shards = shards_owned_by (o, name) + 1;
+  uint64_t cpu = cpu_milli > 0 ? (uint64_t)cpu_milli : 1;
+  return (shards * CORE_MILLI_MAX / cpu) << 32 | hash;
 }
 
 static size_t
 rank (const struct owners *o, const struct shard_record *s)
 {
   const struct entry_settings *me = &o->entry->settings;
-  uint64_t mine = unfitness (o, s, me->name);
+  uint64_t mine = unfitness (o, s, me->name, me->cpu_milli);
   size_t better = 0;
   struct rr_handle h = { 0 };
   const struct daemon_record *d;
   while ((d = records_daemon_next (o->entry->records, &h)) != NULL)
-    if (strcmp (d->name, me->name) != 0 && unfitness (o, s, d->name) < mine)
+    if (strcmp (d->name, me->name) != 0
+        && unfitness (o, s, d->name, d->cpu_milli) < mine)
       better++;
   return better;
 }
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -8,6 +8,7 @@
 
 #include "common/json.h"
 #include "common/log.h"
+#include "rosemaryentryd/choice.h"
 #include "rosemaryentryd/mirror.h"
 #include "rosemaryentryd/owners.h"
 
@@ -211,6 +212,9 @@
       return;
     }
   struct job_record *j = job_record_for (r, id);
+  struct shard_record *s = records_shard (r, g->shard);
+  if (s != NULL && !j->accepted)
+    choice_job_seen (s, g);
   snprintf (j->queue, sizeof j->queue, "%s", g->queue);
   snprintf (j->shard, sizeof j->shard, "%s", g->shard);
   j->accepted = true;
@@ -298,7 +302,7 @@
     return;
   s->capacity_milli = json_int_or (o, "capacity", 0);
   s->demand_milli = json_int_or (o, "demand", 0);
-  s->added_milli = 0;
+  s->firm_milli = json_int_or (o, "firm", 0);
   json_object_put (o);
 }
 
@@ -335,7 +339,11 @@
       rr_key_index_put (r->daemon_index, name, h);
     }
   snprintf (d->name, sizeof d->name, "%s", name);
-  snprintf (d->zone, sizeof d->zone, "%s", item->value);
+  struct rr_error err = { 0 };
+  struct json_object *o = json_parse (item->value, item->value_length, &err);
+  snprintf (d->zone, sizeof d->zone, "%s", json_string_or (o, "zone", ""));
+  d->cpu_milli = json_int_or (o, "cpu", CPU_DEFAULT_MILLI);
+  json_object_put (o);
 }
 
 /* Takes in the number of shards; it never changes afterwards.  */
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -73,9 +73,11 @@
 register_daemon (struct session *s)
 {
   char key[KEY_SIZE];
+  char value[2 * RR_GRAPH_NAME_SIZE + 32];
   snprintf (key, sizeof key, "%s%s", KEY_DAEMON, s->entry->settings.name);
-  struct store_write w
-      = { .key = key, .value = s->entry->settings.zone, .lease = s->lease };
+  snprintf (value, sizeof value, "{\"zone\":\"%s\",\"cpu\":%lld}",
+            s->entry->settings.zone, (long long)s->entry->settings.cpu_milli);
+  struct store_write w = { .key = key, .value = value, .lease = s->lease };
   struct store_txn txn = { .writes = &w, .write_count = 1 };
   store_commit (s->entry->store, &txn, STORE_TIMEOUT_MS, on_registered, s);
 }
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -107,6 +107,7 @@
       s->gang_timeout_ms = take_ms (o, "gang_timeout_ms", 1, 3000);
       s->shutdown_ms = take_ms (o, "shutdown_s", 1000, 6000);
       s->retention_ms = take_ms (o, "retention_s", 1000, 120000);
+      s->cpu_milli = take_ms (o, "cpu_share", 1000, CPU_DEFAULT_MILLI);
       s->remote_factor
           = (double)take_ms (o, "remote_factor", 1000, 3000) / 1000;
     }
--- a/rosemaryentryd/shard_roster.c
+++ b/rosemaryentryd/shard_roster.c
@@ -155,8 +155,10 @@
   char key[KEY_SIZE];
   char value[128];
   snprintf (key, sizeof key, "%s%s", KEY_LOAD, s->record->name);
-  snprintf (value, sizeof value, "{\"capacity\":%lld,\"demand\":%lld}",
-            (long long)load.cores_milli, (long long)demand);
+  snprintf (value, sizeof value,
+            "{\"capacity\":%lld,\"demand\":%lld,\"firm\":%lld}",
+            (long long)load.cores_milli, (long long)demand,
+            (long long)load.firm_milli);
   struct store_condition cond = { s->owner_key, s->token };
   struct store_write w = { .key = key, .value = value };
   struct store_txn txn = {
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -663,6 +663,8 @@
         continue;
       load->waiting += (size_t)waiting;
       load->queued_core_ms += waiting * s->estimate_ms * s->cores_milli / 1000;
+      if (!s->filler)
+        load->firm_milli += waiting * s->cores_milli;
     }
 }
 
@@ -682,7 +684,11 @@
       load->workers++;
       load->cores_milli += w->info.cores_milli;
       for (size_t i = 0; i < w->run_count; i++)
-        load->used_milli += w->runs[i].cores_milli;
+        {
+          load->used_milli += w->runs[i].cores_milli;
+          if (!w->runs[i].filler)
+            load->firm_milli += w->runs[i].cores_milli;
+        }
     }
   h = (struct rr_handle){ 0 };
   struct dispatch_job *j;
