--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -20,6 +20,9 @@
   OTHER_IMAGE_SCORE = 150000,
   SPEED_SCORE = 1000,      /* one percent of a filler's speed */
   SCORE_BASE = 1000000000, /* keeps scores of tasks that go anywhere above 0 */
+  /* A lasting task that has waited this long goes first, and room is kept for
+     it: short tasks would take the room that others leave bit by bit.  */
+  LASTING_PATIENCE_MS = 1500,
   /* A draining worker's short tasks are stopped this long before it leaves, so
      that their end is known and they start again at once.  */
   LEAVING_STOP_MS = 1500
@@ -70,12 +73,33 @@
 /* A job is overdue at this multiple of its objective.  */
 #define OVERDUE_FACTOR 3
 
+/* Returns how long the longest waiting task of STEP could have started.  */
+static int64_t
+waited_ms (const struct dispatch_job *j, size_t step, struct rr_time begin,
+           struct rr_time now)
+{
+  int64_t longest = 0;
+  size_t first = rr_graph_step_offset (j->graph, step);
+  for (int32_t i = 0; i < j->graph->steps[step].task_count; i++)
+    {
+      const struct dispatch_task *t = &j->tasks[first + (size_t)i];
+      struct rr_time since = t->not_before;
+      if (rr_time_before (since, begin))
+        since = begin;
+      if (t->state == TASK_WAITING && rr_time_diff (now, since) > longest)
+        longest = rr_time_diff (now, since);
+    }
+  return longest;
+}
+
 static enum turn_group
 group_of (const struct dispatch_job *j, const struct turn *t, size_t step,
           struct rr_time begin, struct rr_time now)
 {
   if (j->graph->steps[step].long_running)
-    return TURN_LASTING;
+    return waited_ms (j, step, begin, now) > LASTING_PATIENCE_MS
+               ? TURN_BEGUN
+               : TURN_LASTING;
   int64_t rest = rr_graph_chain_from_ms (j->graph, step);
   struct rr_time end = rr_time_add (now, rest);
   if (!rr_time_before (t->due, end))
@@ -493,6 +517,29 @@
   return true;
 }
 
+/* Keeps other tasks off the allowed worker that comes closest to room for the
+   task NAME, for this round.  */
+static void
+keep_room (struct rr_dispatch *d, struct dispatch_job *j,
+           const struct rr_run_name *name, struct rr_time now)
+{
+  const struct rr_queue_policy *q = dispatch_queue (d, j);
+  struct demand m
+      = { .job = j,
+          .step = &j->graph->steps[name->step],
+          .name = name,
+          .service = q->service[0] != '\0' ? q->service : j->graph->service };
+  struct dispatch_worker *best = NULL;
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (worker_allowed (w, &m, now) && w->free_memory_mb >= m.step->memory_mb
+        && (best == NULL || w->free_cores_milli > best->free_cores_milli))
+      best = w;
+  if (best != NULL)
+    best->free_cores_milli = 0;
+}
+
 static void
 place_step (struct rr_dispatch *d, struct dispatch_job *j, int32_t occurrence,
             size_t step, struct rr_time now)
@@ -513,8 +560,12 @@
       struct dispatch_task *t = &j->tasks[number];
       if (t->state != TASK_WAITING || rr_time_before (now, t->not_before))
         continue;
-      if (!place_single (d, j, &name, number, now))
-        return;
+      if (place_single (d, j, &name, number, now))
+        continue;
+      if (s->long_running
+          && rr_time_diff (now, t->not_before) > LASTING_PATIENCE_MS)
+        keep_room (d, j, &name, now);
+      return;
     }
 }
 
