--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -23,6 +23,8 @@
   /* A lasting task that has waited this long goes first, and room is kept for
      it: short tasks would take the room that others leave bit by bit.  */
   LASTING_PATIENCE_MS = 1500,
+  /* ... unless free cores are scarce: then short tasks use them better.  */
+  LASTING_ROOM_FACTOR = 6,
   /* A draining worker's short tasks are stopped this long before it leaves, so
      that their end is known and they start again at once.  */
   LEAVING_STOP_MS = 1500
@@ -93,11 +95,14 @@
 }
 
 static enum turn_group
-group_of (const struct dispatch_job *j, const struct turn *t, size_t step,
-          struct rr_time begin, struct rr_time now)
+group_of (const struct rr_dispatch *d, const struct dispatch_job *j,
+          const struct turn *t, size_t step, struct rr_time begin,
+          struct rr_time now)
 {
   if (j->graph->steps[step].long_running)
     return waited_ms (j, step, begin, now) > LASTING_PATIENCE_MS
+                   && d->free_cores_milli >= j->graph->steps[step].cores_milli
+                                                 * LASTING_ROOM_FACTOR
                ? TURN_BEGUN
                : TURN_LASTING;
   int64_t rest = rr_graph_chain_from_ms (j->graph, step);
@@ -133,7 +138,7 @@
           t->due
               = rr_time_add (begin, (int64_t)(q->slack_factor * (double)chain)
                                         + q->target_runtime_ms);
-          t->group = group_of (j, t, s, begin, now);
+          t->group = group_of (d, j, t, s, begin, now);
           return true;
         }
     }
@@ -563,7 +568,8 @@
       if (place_single (d, j, &name, number, now))
         continue;
       if (s->long_running
-          && rr_time_diff (now, t->not_before) > LASTING_PATIENCE_MS)
+          && rr_time_diff (now, t->not_before) > LASTING_PATIENCE_MS
+          && d->free_cores_milli >= s->cores_milli * LASTING_ROOM_FACTOR)
         keep_room (d, j, &name, now);
       return;
     }
@@ -681,12 +687,15 @@
 {
   struct rr_handle h = { 0 };
   struct dispatch_worker *w;
+  d->free_cores_milli = 0;
   while ((w = rr_table_next (d->workers, &h)) != NULL)
     {
       dispatch_expire (d, w, confirmed, now);
       if (w->info.draining)
         clear_draining (w, now);
       measure_worker (w);
+      if (worker_usable (w, now))
+        d->free_cores_milli += w->free_cores_milli;
     }
   settle_inherited (d, confirmed);
   dispatch_share_refresh (d, now);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -152,6 +152,7 @@
   size_t inherited_count;
   struct rr_time inherited_until;
   bool inheriting;
+  int64_t free_cores_milli; /* of usable workers, as a round begins */
   struct rr_policy policy; /* of the interference model */
   struct rr_interference *model;
   double base_ms[RR_CLASSES_MAX]; /* least tails, by image */
