dispatch: permits of workers, and run numbers of each owner's own

Queues with advice: which workers may run a step is asked for in batches of 30, and starts carry the ticket.

Trace: two owners in a row gave run 17 to a task, since neither start was stored; the check took the end of the second for that of the first (the first worker had died with its end, which is allowed). The same number for two runs was ours: each owner now numbers from a range of its own, by its place in the stored record of workers, and starts nothing before that record is written.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -9,6 +9,7 @@
 #include "rosemaryrail/queues.h"
 
 struct mirror;
+struct upstream;
 struct records;
 struct session;
 struct owners;
@@ -21,6 +22,7 @@
   uv_loop_t *loop;
   struct entry_settings settings;
   struct store *store;
+  struct upstream *permits; /* service for permits, or null */
   struct rr_queues *queues; /* in force; null before the first */
   struct mirror *records_mirror;
   struct mirror *progress_mirror;
--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -25,6 +25,7 @@
   struct settings_peer front; /* callers */
   struct settings_peer ready; /* health checks of the load balancer */
   struct settings_peer store;
+  struct settings_peer permits; /* service for permits; port 0: none */
   struct settings_peer metrics; /* port 0: not served */
   char log_level[16];
   int64_t lease_max_ms;    /* longest lease that workers give */
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -3,6 +3,7 @@
 
 #include "common/json.h"
 #include "common/log.h"
+#include "platform/permits.h"
 #include "rosemaryentryd/link.h"
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/shard.h"
@@ -24,6 +25,10 @@
   /* Added to the leases of a former owner for clocks that are 2% slow and
      for orders under way.  */
   INHERIT_MARGIN_MS = 700,
+  /* Calls of one daemon are answered one after the other.  */
+  PERMITS_TIMEOUT_MS = 2500,
+  /* Runs of one task that an owner starts at most without a stored end.  */
+  RUNS_OF_AN_OWNER = 16,
   LINKS_MAX = 1024,
   /* Between removals of old jobs from the store.  */
   FORGET_MS = 3000,
@@ -58,7 +63,8 @@
   bool committing;
   struct rr_time commit_after; /* a failed write is not repeated sooner */
   bool roster_writing;
-  char *roster; /* last one stored */
+  int64_t ordinal; /* of this owner among those of the shard, from 0 */
+  char *roster;    /* last one stored */
   char *roster_sent;
   uint64_t marks;
   struct rr_time load_sent;
@@ -84,6 +90,7 @@
 void shard_commit (struct shard *s);
 void shard_commit_soon (struct shard *s, uint64_t ms);
 void shard_commit_clear (struct shard *s);
+struct json_object *shard_roster_parse (const char *text, int64_t *ordinal);
 void shard_write_roster (struct shard *s);
 void shard_write_load (struct shard *s, struct rr_time now);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -103,6 +103,7 @@
   struct rr_run_name name;
   const char *spec;       /* of a start */
   const char *checkpoint; /* of a start; empty: none */
+  const char *ticket;     /* of a start; empty: none needed */
   int32_t percent;        /* of a pace */
   const char *reason;
 };
@@ -114,6 +115,7 @@
   RR_OUTCOME_STALE_RUN, /* the run number was ended there already */
   RR_OUTCOME_TOO_LATE,  /* the lease of the order had expired */
   RR_OUTCOME_NO_ROOM,
+  RR_OUTCOME_NO_PERMIT,      /* its ticket is missing, wrong or expired */
   RR_OUTCOME_UNHEALTHY,      /* the worker did nothing */
   RR_OUTCOME_WRONG_INSTANCE, /* another incarnation answered */
   RR_OUTCOME_INVALID,        /* the order itself was refused */
@@ -133,6 +135,29 @@
   int32_t attempts_max;
   double slack_factor;       /* objective: this times the chain of work */
   int64_t target_runtime_ms; /* plus this */
+  bool needs_permits;        /* only some workers may run a step */
+};
+
+enum
+{
+  RR_TICKET_SIZE = 64,
+  RR_PERMIT_WORKERS_MAX = 100 /* in one question */
+};
+
+/* The question which of some workers may run a step.  NAME has the job, the
+   occurrence and the step.  Valid during the callback.  */
+struct rr_permit_question
+{
+  struct rr_run_name name;
+  const char *workers[RR_PERMIT_WORKERS_MAX]; /* ids */
+  size_t worker_count;
+};
+
+/* A worker that may run the step, with the ticket that proves it.  */
+struct rr_permit
+{
+  char worker[RR_GRAPH_NAME_SIZE];
+  char ticket[RR_TICKET_SIZE];
 };
 
 /* Settings and callbacks of a dispatcher.  */
@@ -145,6 +170,7 @@
   double remote_factor;    /* slowdown away from the data's rack */
   int64_t wall_offset_ms;  /* wall clock minus the clock of rr_time */
   void (*order) (void *data, const struct rr_order *o);
+  void (*ask) (void *data, const struct rr_permit_question *q);
   void (*note) (void *data, const char *event, const char *text);
   void *data;
 };
@@ -171,7 +197,8 @@
 /* Workers that a former owner may have used; until all of them have reported
    or UNTIL has passed, what is not seen running may still run.  */
 void rr_dispatch_inherit_worker (struct rr_dispatch *d, const char *id);
-void rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until);
+void rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until,
+                                uint32_t first_run);
 
 struct rr_handle rr_dispatch_worker_set (struct rr_dispatch *d,
                                          const struct rr_worker_info *info,
@@ -200,6 +227,14 @@
                          enum rr_order_outcome outcome, int64_t clock_ms,
                          struct rr_time now);
 
+/* The answer to a question about the step of NAME; COUNT is 0 when nobody may,
+   and PERMITS null when there was no answer.  The tickets hold for
+   VALID_MS.  */
+void rr_dispatch_permits (struct rr_dispatch *d,
+                          const struct rr_run_name *name,
+                          const struct rr_permit *permits, size_t count,
+                          int64_t valid_ms, struct rr_time now);
+
 /* Takes ownership of G.  PROGRESS is null for a new job; INHERITED tells that
    a former owner may have started tasks.  */
 void rr_dispatch_job_add (struct rr_dispatch *d, struct rr_graph *g,
--- a/include/rosemaryrail/queues.h
+++ b/include/rosemaryrail/queues.h
@@ -9,7 +9,6 @@
   char host[128];
   char prefix[128];
   int64_t timeout_ms; /* of a caller's request */
-  bool needs_advice;  /* only some workers may run its steps */
   struct rr_queue_policy policy;
 };
 
--- a/rosemaryentryd/link.c
+++ b/rosemaryentryd/link.c
@@ -29,6 +29,7 @@
   struct rr_order order;
   char *spec;
   char checkpoint[RR_CHECKPOINT_SIZE];
+  char ticket[RR_TICKET_SIZE];
   struct link *link;
   struct queued_order *next;
 };
@@ -268,6 +269,9 @@
   if (o->checkpoint != NULL)
     snprintf (q->checkpoint, sizeof q->checkpoint, "%s", o->checkpoint);
   q->order.checkpoint = q->checkpoint;
+  if (o->ticket != NULL)
+    snprintf (q->ticket, sizeof q->ticket, "%s", o->ticket);
+  q->order.ticket = q->ticket;
   *l->last = q;
   l->last = &q->next;
   send_orders (l);
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "common/log.h"
+#include "common/upstream.h"
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/front.h"
 #include "rosemaryentryd/metrics.h"
@@ -145,6 +146,9 @@
       fprintf (stderr, "rosemaryentryd: bad address of the store\n");
       return 1;
     }
+  if (e->settings.permits.port != 0)
+    e->permits = upstream_open (e->loop, e->settings.permits.address,
+                                e->settings.permits.port);
   e->metrics = entry_metrics_open (e, &err);
   if (e->metrics == NULL)
     {
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -96,6 +96,10 @@
   if (ok)
     {
       struct rr_error ignored = { 0 };
+      struct rr_error no_permits = { 0 };
+      if (!take_address (o, "permits", &s->permits, &no_permits))
+        log_event (LOG_LEVEL_INFO, "no_permit_service", "%s",
+                   no_permits.message);
       if (!take_address (o, "metrics", &s->metrics, &ignored))
         log_event (LOG_LEVEL_WARN, "metrics_not_served", "%s",
                    ignored.message);
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -103,6 +103,30 @@
              (long long)s->token, text);
 }
 
+static void
+on_permits (void *data, const struct rr_run_name *name,
+            const struct rr_permit *permits, size_t count, int64_t valid_ms)
+{
+  struct shard *s = data;
+  s->calls--;
+  if (s->closed)
+    {
+      shard_release (s);
+      return;
+    }
+  rr_dispatch_permits (s->dispatch, name, permits, count, valid_ms,
+                       entry_now ());
+  shard_wake (s);
+}
+
+static void
+on_ask (void *data, const struct rr_permit_question *q)
+{
+  struct shard *s = data;
+  s->calls++;
+  permits_ask (s->entry->permits, q, PERMITS_TIMEOUT_MS, on_permits, s);
+}
+
 /* Returns the link to the worker, or null.  */
 struct link *
 shard_link (const struct shard *s, const char *worker_id)
@@ -303,18 +327,18 @@
 static void
 inherit_workers (struct shard *s)
 {
-  struct rr_error err = { 0 };
-  struct json_object *list
-      = json_parse (s->record->roster, strlen (s->record->roster), &err);
-  size_t n = list == NULL ? 0 : json_object_array_length (list);
-  for (size_t i = 0; i < n; i++)
+  int64_t former = 0;
+  struct json_object *list = shard_roster_parse (s->record->roster, &former);
+  for (size_t i = 0; i < json_object_array_length (list); i++)
     rr_dispatch_inherit_worker (
         s->dispatch,
         json_object_get_string (json_object_array_get_idx (list, i)));
   json_object_put (list);
+  s->ordinal = former + 1;
   int64_t leases = s->entry->settings.lease_max_ms * 102 / 100;
   rr_dispatch_inherit_until (
-      s->dispatch, rr_time_add (entry_now (), leases + INHERIT_MARGIN_MS));
+      s->dispatch, rr_time_add (entry_now (), leases + INHERIT_MARGIN_MS),
+      (uint32_t)(s->ordinal * RUNS_OF_AN_OWNER + 1));
 }
 
 static void
@@ -353,6 +377,7 @@
           .remote_factor = e->settings.remote_factor,
           .wall_offset_ms = entry_wall_ms () - entry_now ().ms,
           .order = on_order,
+          .ask = e->permits == NULL ? NULL : on_ask,
           .note = on_note,
           .data = s };
   s->dispatch = rr_dispatch_new (&o);
--- a/rosemaryentryd/shard_roster.c
+++ b/rosemaryentryd/shard_roster.c
@@ -26,6 +26,27 @@
     json_object_array_add (list, json_object_new_string (id));
 }
 
+/* Reads a stored roster: returns the list of worker ids, which the caller
+   drops, and the ORDINAL of the owner that wrote it.  TEXT may be null.  */
+struct json_object *
+shard_roster_parse (const char *text, int64_t *ordinal)
+{
+  struct rr_error err = { 0 };
+  struct json_object *o
+      = text == NULL ? NULL : json_parse (text, strlen (text), &err);
+  struct json_object *list = NULL;
+  *ordinal = json_int_or (o, "ordinal", 0);
+  if (o == NULL || !json_object_object_get_ex (o, "workers", &list)
+      || !json_object_is_type (list, json_type_array))
+    list = json_object_new_array ();
+  else
+    json_object_get (list);
+  if (text != NULL && o == NULL)
+    log_event (LOG_LEVEL_ERROR, "roster_unreadable", "%s", err.message);
+  json_object_put (o);
+  return list;
+}
+
 /* Returns the workers that may be given tasks or may run some: those in use,
    and those of former owners that are not heard yet.  */
 static char *
@@ -43,13 +64,10 @@
     if (rr_dispatch_worker_needed (s->dispatch, link_worker_id (s->links[i]),
                                    now))
       list_add (list, link_worker_id (s->links[i]));
-  struct rr_error err = { 0 };
+  int64_t ordinal;
   struct json_object *before
-      = s->record->roster == NULL
-            ? NULL
-            : json_parse (s->record->roster, strlen (s->record->roster), &err);
-  size_t n = before == NULL ? 0 : json_object_array_length (before);
-  for (size_t i = 0; i < n; i++)
+      = shard_roster_parse (s->record->roster, &ordinal);
+  for (size_t i = 0; i < json_object_array_length (before); i++)
     {
       const char *id
           = json_object_get_string (json_object_array_get_idx (before, i));
@@ -57,17 +75,20 @@
         list_add (list, id);
     }
   json_object_put (before);
-  char *text = strdup (json_text (list));
-  json_object_put (list);
+  struct json_object *roster = json_object_new_object ();
+  json_add_int (roster, "ordinal", s->ordinal);
+  json_object_object_add (roster, "workers", list);
+  char *text = strdup (json_text (roster));
+  json_object_put (roster);
   return text;
 }
 
 static void
 roster_recorded (struct shard *s)
 {
-  struct rr_error err = { 0 };
-  struct json_object *list = json_parse (s->roster, strlen (s->roster), &err);
-  size_t n = list == NULL ? 0 : json_object_array_length (list);
+  int64_t ordinal;
+  struct json_object *list = shard_roster_parse (s->roster, &ordinal);
+  size_t n = json_object_array_length (list);
   for (size_t i = 0; i < n; i++)
     rr_dispatch_worker_recorded (
         s->dispatch,
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -46,6 +46,7 @@
 static void
 job_release (struct dispatch_job *j)
 {
+  dispatch_permits_free (j);
   rr_graph_free (j->graph);
   free (j->tasks);
   free (j->steps);
@@ -369,7 +370,7 @@
 }
 
 static void
-mark_uncertain (struct dispatch_job *j)
+mark_uncertain (struct rr_dispatch *d, struct dispatch_job *j)
 {
   for (uint32_t i = 0; i < j->task_count; i++)
     {
@@ -380,7 +381,8 @@
       dispatch_task_name (j, i, &name);
       dispatch_step_of (j, &name)->waiting--;
       t->state = TASK_UNCERTAIN;
-      t->next_run += INHERITED_RUN_GAP;
+      if (t->next_run < d->first_run)
+        t->next_run = d->first_run;
     }
 }
 
@@ -425,7 +427,7 @@
   if (progress != NULL)
     restore (d, j, progress);
   if (inherited && d->inheriting)
-    mark_uncertain (j);
+    mark_uncertain (d, j);
 }
 
 /* Tells whether the job ID is in hand.  */
--- /dev/null
+++ b/rosemaryrail/dispatch_permits.c
@@ -0,0 +1,152 @@
+#include "dispatch_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Permits of workers to run a step, for queues whose policy is kept by another
+   service.  Which workers may is asked for in batches, since an answer takes
+   time for each worker named.  */
+
+enum
+{
+  /* An objective leaves time for one question about so many workers.  */
+  ASK_WORKERS = 30,
+  ASK_PAUSE_MS = 300, /* before the next batch, when the first has no room */
+  ASK_RETRY_MS = 200, /* after no answer */
+  TICKET_MARGIN_MS = 150 /* a start needs a ticket that holds on arrival */
+};
+
+/* Returns W's ticket for the step of NAME, or null when it has no valid
+   one.  */
+const char *
+dispatch_permit_ticket (struct dispatch_job *j, const struct rr_run_name *name,
+                        const struct dispatch_worker *w, struct rr_time now)
+{
+  const struct dispatch_step *s = dispatch_step_of (j, name);
+  struct rr_time needed = rr_time_add (now, TICKET_MARGIN_MS);
+  for (size_t i = 0; i < s->permit_count; i++)
+    {
+      const struct dispatch_permit *p = &s->permits[i];
+      if (p->worker.index == w->handle.index
+          && p->worker.generation == w->handle.generation
+          && p->born_ms == w->info.born_ms
+          && rr_time_before (needed, p->expires))
+        return p->ticket;
+    }
+  return NULL;
+}
+
+/* Forgets W's ticket for the step of NAME, which W has refused.  */
+void
+dispatch_permit_drop (struct dispatch_job *j, const struct rr_run_name *name,
+                      const struct dispatch_worker *w)
+{
+  struct dispatch_step *s = dispatch_step_of (j, name);
+  for (size_t i = 0; i < s->permit_count; i++)
+    if (s->permits[i].worker.index == w->handle.index
+        && s->permits[i].worker.generation == w->handle.generation)
+      {
+        s->permits[i] = s->permits[--s->permit_count];
+        return;
+      }
+}
+
+/* Frees the permits of all steps of J.  */
+void
+dispatch_permits_free (struct dispatch_job *j)
+{
+  size_t n = j->graph->step_count * (size_t)j->graph->occurrence_count;
+  for (size_t i = 0; i < n; i++)
+    free (j->steps[i].permits);
+}
+
+/* Asks which workers may run the step of NAME: those with the most free cores
+   first, then the others in turn.  */
+void
+dispatch_permit_ask (struct rr_dispatch *d, struct dispatch_job *j,
+                     const struct rr_run_name *name, struct rr_time now)
+{
+  struct dispatch_step *s = dispatch_step_of (j, name);
+  if (d->o.ask == NULL || s->asking || rr_time_before (now, s->ask_at))
+    return;
+  const struct rr_graph_step *step = &j->graph->steps[name->step];
+  struct rr_permit_question q = { .name = *name };
+  size_t seen = 0;
+  size_t total = rr_table_count (d->workers);
+  struct rr_handle h = { 0 };
+  const struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      size_t place = seen++;
+      bool turn = place >= s->permit_cursor % (total + 1);
+      if (!turn || q.worker_count == ASK_WORKERS || !w->listed
+          || w->info.draining || !w->reported
+          || w->free_memory_mb < step->memory_mb
+          || (!step->filler && w->free_cores_milli < step->cores_milli)
+          || dispatch_permit_ticket (j, name, w, now) != NULL)
+        continue;
+      q.workers[q.worker_count++] = w->info.id;
+      s->permit_cursor = place + 1;
+    }
+  s->ask_at = rr_time_add (now, ASK_PAUSE_MS);
+  if (q.worker_count == 0)
+    {
+      s->permit_cursor = 0;
+      return;
+    }
+  s->asking = true;
+  dispatch_note (d, "permits_asked", "job=%s step=%d.%d workers=%zu",
+                 name->job, name->occurrence, name->step, q.worker_count);
+  d->o.ask (d->o.data, &q);
+}
+
+static void
+permit_set (struct rr_dispatch *d, struct dispatch_step *s,
+            const struct rr_permit *permit, struct rr_time expires)
+{
+  struct rr_handle h = rr_key_index_get (d->worker_ids, permit->worker);
+  const struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w == NULL)
+    return;
+  struct dispatch_permit *p = NULL;
+  for (size_t i = 0; i < s->permit_count; i++)
+    if (s->permits[i].worker.index == h.index
+        && s->permits[i].worker.generation == h.generation)
+      p = &s->permits[i];
+  if (p == NULL)
+    {
+      s->permits
+          = realloc (s->permits, (s->permit_count + 1) * sizeof *s->permits);
+      assert (s->permits != NULL);
+      p = &s->permits[s->permit_count++];
+    }
+  *p = (struct dispatch_permit){ .worker = h,
+                                 .born_ms = w->info.born_ms,
+                                 .expires = expires };
+  snprintf (p->ticket, sizeof p->ticket, "%s", permit->ticket);
+}
+
+void
+rr_dispatch_permits (struct rr_dispatch *d, const struct rr_run_name *name,
+                     const struct rr_permit *permits, size_t count,
+                     int64_t valid_ms, struct rr_time now)
+{
+  struct dispatch_job *j = dispatch_job_find (d, name->job);
+  uint32_t number;
+  if (j == NULL || !dispatch_task_number (j, name, &number))
+    return;
+  struct dispatch_step *s = dispatch_step_of (j, name);
+  s->asking = false;
+  dispatch_note (d, "permits", "job=%s step=%d.%d allowed=%zu valid_ms=%lld",
+                 name->job, name->occurrence, name->step, count,
+                 (long long)valid_ms);
+  if (permits == NULL)
+    {
+      s->ask_at = rr_time_add (now, ASK_RETRY_MS);
+      return;
+    }
+  for (size_t i = 0; i < count; i++)
+    permit_set (d, s, &permits[i], rr_time_add (now, valid_ms));
+}
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -227,6 +227,7 @@
   const struct rr_run_name *name;
   const char *service;
   const char *rack; /* only there; null: anywhere */
+  bool needs_permits;
 };
 
 static bool
@@ -240,6 +241,9 @@
     return false;
   if (m->rack != NULL && !worker_has_label (w, m->rack))
     return false;
+  if (m->needs_permits
+      && dispatch_permit_ticket (m->job, m->name, w, now) == NULL)
+    return false;
   return s->per_worker_max == 0
          || count_step_runs (w, m->job, m->name) < s->per_worker_max;
 }
@@ -378,17 +382,19 @@
 
 static void
 order_start (struct rr_dispatch *d, struct dispatch_job *j, uint32_t number,
-             const struct rr_run_name *name)
+             const struct rr_run_name *name, struct rr_time now)
 {
   struct dispatch_task *t = &j->tasks[number];
   struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
   t->next_run = name->run + 1;
+  const char *ticket = dispatch_permit_ticket (j, name, w, now);
   struct rr_order o = { .kind = RR_ORDER_START,
                         .worker = t->worker,
                         .worker_id = w->info.id,
                         .name = *name,
                         .spec = j->graph->spec,
                         .checkpoint = t->checkpoint,
+                        .ticket = ticket == NULL ? "" : ticket,
                         .reason = "in-turn" };
   d->o.order (d->o.data, &o);
 }
@@ -408,7 +414,8 @@
           .step = s,
           .name = name,
           .service = q->service[0] != '\0' ? q->service : j->graph->service,
-          .rack = gang_rack };
+          .rack = gang_rack,
+          .needs_permits = q->needs_permits };
   struct rr_handle bad = j->tasks[number].bad_worker;
   if (gang_rack != NULL || s->rack[0] == '\0')
     return choose_worker (d, &m, bad, now);
@@ -440,7 +447,7 @@
                  name->run, w->info.id, (long long)w->free_cores_milli,
                  (long long)w->filler_cores_milli,
                  (long long)rr_time_diff (now, w->last_report));
-  order_start (d, j, number, name);
+  order_start (d, j, number, name, now);
   return true;
 }
 
@@ -514,7 +521,7 @@
     {
       uint32_t number = first + (uint32_t)name->task;
       memcpy (j->tasks[number].checkpoint, common, sizeof common);
-      order_start (d, j, number, name);
+      order_start (d, j, number, name, now);
     }
   dispatch_note (d, "start_gang", "job=%s step=%d.%d run=%u members=%d",
                  name->job, name->occurrence, name->step, name->run,
@@ -533,7 +540,8 @@
       = { .job = j,
           .step = &j->graph->steps[name->step],
           .name = name,
-          .service = q->service[0] != '\0' ? q->service : j->graph->service };
+          .service = q->service[0] != '\0' ? q->service : j->graph->service,
+          .needs_permits = q->needs_permits };
   struct dispatch_worker *best = NULL;
   struct rr_handle h = { 0 };
   struct dispatch_worker *w;
@@ -553,9 +561,11 @@
   struct rr_run_name name
       = { .occurrence = occurrence, .step = (int32_t)step };
   snprintf (name.job, sizeof name.job, "%s", j->graph->id);
+  bool needs_permits = dispatch_queue (d, j)->needs_permits;
   if (s->gang)
     {
-      place_gang (d, j, &name, now);
+      if (!place_gang (d, j, &name, now) && needs_permits)
+        dispatch_permit_ask (d, j, &name, now);
       return;
     }
   for (name.task = 0; name.task < s->task_count; name.task++)
@@ -567,6 +577,8 @@
         continue;
       if (place_single (d, j, &name, number, now))
         continue;
+      if (needs_permits)
+        dispatch_permit_ask (d, j, &name, now);
       if (s->long_running
           && rr_time_diff (now, t->not_before) > LASTING_PATIENCE_MS
           && d->free_cores_milli >= s->cores_milli * LASTING_ROOM_FACTOR)
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -29,11 +29,25 @@
   char checkpoint[RR_CHECKPOINT_SIZE];
 };
 
+/* A worker's permit to run a step.  */
+struct dispatch_permit
+{
+  struct rr_handle worker;
+  int64_t born_ms; /* it holds in this incarnation only */
+  char ticket[RR_TICKET_SIZE];
+  struct rr_time expires;
+};
+
 /* Progress of one step in one occurrence.  */
 struct dispatch_step
 {
   int32_t done;
-  int32_t waiting; /* tasks to be started, in turn or not */
+  int32_t waiting;                 /* tasks to be started, in turn or not */
+  struct dispatch_permit *permits; /* of a queue that needs them */
+  size_t permit_count;
+  size_t permit_cursor; /* which workers are asked about next */
+  bool asking;
+  struct rr_time ask_at; /* not before */
 };
 
 struct dispatch_job
@@ -152,8 +166,9 @@
   size_t inherited_count;
   struct rr_time inherited_until;
   bool inheriting;
+  uint32_t first_run; /* of inherited tasks: above those of former owners */
   int64_t free_cores_milli; /* of usable workers, as a round begins */
-  struct rr_policy policy; /* of the interference model */
+  struct rr_policy policy;  /* of the interference model */
   struct rr_interference *model;
   double base_ms[RR_CLASSES_MAX]; /* least tails, by image */
   struct rr_time model_refreshed;
@@ -165,9 +180,7 @@
   START_LEASE_MIN_MS = 1000,
   /* A worker without a report for this long gets no new task: twice the time
      between reports of an idle worker.  */
-  REPORT_AGE_MAX_MS = 1600,
-  /* Runs that a former owner may have started without a record of it.  */
-  INHERITED_RUN_GAP = 16
+  REPORT_AGE_MAX_MS = 1600
 };
 
 void dispatch_note (struct rr_dispatch *d, const char *event,
@@ -209,6 +222,16 @@
 void dispatch_run_stop (struct dispatch_run *r, const char *reason);
 void dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
                       struct rr_time confirmed, struct rr_time now);
+const char *dispatch_permit_ticket (struct dispatch_job *j,
+                                    const struct rr_run_name *name,
+                                    const struct dispatch_worker *w,
+                                    struct rr_time now);
+void dispatch_permit_ask (struct rr_dispatch *d, struct dispatch_job *j,
+                          const struct rr_run_name *name, struct rr_time now);
+void dispatch_permit_drop (struct dispatch_job *j,
+                           const struct rr_run_name *name,
+                           const struct dispatch_worker *w);
+void dispatch_permits_free (struct dispatch_job *j);
 void dispatch_share_open (struct rr_dispatch *d);
 void dispatch_share_refresh (struct rr_dispatch *d, struct rr_time now);
 void dispatch_share_classify (struct rr_dispatch *d, struct dispatch_run *r,
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -44,17 +44,17 @@
   assert (d->inherited != NULL);
   snprintf (d->inherited[d->inherited_count++], sizeof *d->inherited, "%s",
             id);
-  struct dispatch_worker *w = worker_find (d, id);
-  if (w != NULL)
-    w->recorded = true;
 }
 
 /* Begins the time in which tasks of inherited jobs may run unseen; it ends at
    UNTIL, when every lease of the former owner has expired, or earlier once
-   all inherited workers have reported.  */
+   all inherited workers have reported.  Runs of inherited tasks are numbered
+   from FIRST_RUN on, since former owners may have used lower numbers.  */
 void
-rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until)
+rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until,
+                           uint32_t first_run)
 {
+  d->first_run = first_run;
   d->inheriting = true;
   d->inherited_until = until;
 }
@@ -263,9 +263,6 @@
       w->handle = h;
       w->info = *info;
       w->filler_percent = 100;
-      for (size_t i = 0; i < d->inherited_count; i++)
-        if (strcmp (d->inherited[i], info->id) == 0)
-          w->recorded = true;
       rr_key_index_put (d->worker_ids, info->id, h);
     }
   if (info->born_ms > w->info.born_ms && w->info.born_ms != 0)
@@ -642,8 +639,9 @@
 rr_order_outcome_name (enum rr_order_outcome outcome)
 {
   static const char *const names[]
-      = { "accepted",  "fenced",         "stale-run", "too-late", "no-room",
-          "unhealthy", "wrong-instance", "invalid",   "not-sent", "unknown" };
+      = { "accepted", "fenced",    "stale-run", "too-late",
+          "no-room",  "no-permit", "unhealthy", "wrong-instance",
+          "invalid",  "not-sent",  "unknown" };
   return names[outcome];
 }
 
@@ -664,6 +662,8 @@
     w->avoid_until = rr_time_add (now, UNHEALTHY_PAUSE_MS);
   struct dispatch_job *j = dispatch_job_get (d, r->job);
   uint32_t number = r->number;
+  if (j != NULL && outcome == RR_OUTCOME_NO_PERMIT)
+    dispatch_permit_drop (j, &r->name, w);
   run_lost (d, w, r, rr_order_outcome_name (outcome), now);
   if (j != NULL && outcome == RR_OUTCOME_INVALID)
     j->tasks[number].not_before = rr_time_add (now, INVALID_PAUSE_MS);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,11 +22,25 @@
 control_port=$((base + 2))
 relay=500
 
+# Ends this run's processes and waits for them, so that the next run finds its
+# ports free and no old daemon speaks to its store.
 cleanup() {
   for pid in "${pids[@]}"; do
     kill -CONT "$pid" 2>/dev/null
     kill "$pid" 2>/dev/null
   done
+  for _ in $(seq 40); do
+    left=
+    for pid in "${pids[@]}"; do
+      kill -0 "$pid" 2>/dev/null && left=$pid
+    done
+    [ -n "$left" ] || return
+    sleep 0.05
+  done
+  for pid in "${pids[@]}"; do
+    kill -9 "$pid" 2>/dev/null
+  done
+  sleep 0.2
 }
 trap cleanup EXIT
 
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -9,7 +9,9 @@
    Workers are small fakes that carry out orders at once unless told otherwise.
    Compared with an expected output by compare.sh.  Commands, one a line; #
    starts a comment:
-     queue NAME PRIORITY ATTEMPTS      policy of a queue
+     queue NAME PRIORITY ATTEMPTS [permits]
+                                       policy of a queue
+     permit JOB STEP MS [W...]         these may run the step, for so long
      worker ID RACK CORES MEMORY       register a worker (cores in thousandths)
      drain ID | gone ID                it drains; its registration is removed
      reborn ID | restart ID            it restarts under the same id, and says
@@ -32,6 +34,7 @@
   WORKERS_MAX = 16,
   RUNS_MAX = 256,
   JOBS_MAX = 64,
+  RUNS_OF_AN_OWNER = 16,
   LEASE_MS = 4500,
   LEASE_MAX_MS = 10000
 };
@@ -80,6 +83,7 @@
 static size_t queue_count;
 static struct rr_order orders[1024];
 static size_t order_count;
+static int takeovers;
 static char no_word[] = ""; /* in place of missing words */
 
 static struct fake_worker *
@@ -114,6 +118,16 @@
   orders[order_count++] = *o;
 }
 
+static void
+on_ask (void *data, const struct rr_permit_question *q)
+{
+  (void)data;
+  printf ("ask %s step %d:", q->name.job, q->name.step);
+  for (size_t i = 0; i < q->worker_count; i++)
+    printf (" %s", q->workers[i]);
+  printf ("\n");
+}
+
 static struct rr_dispatch *
 dispatch_open (void)
 {
@@ -123,6 +137,7 @@
                                    .gang_timeout_ms = 3000,
                                    .remote_factor = 3,
                                    .order = on_order,
+                                   .ask = on_ask,
                                    .note = on_note };
   struct rr_dispatch *fresh = rr_dispatch_new (&o);
   for (size_t i = 0; i < queue_count; i++)
@@ -196,6 +211,8 @@
   struct fake_worker *w = worker_named (o->worker_id);
   printf ("%s %s %d.%d run %u on %s", kinds[o->kind], o->name.job,
           o->name.step, o->name.task, o->name.run, o->worker_id);
+  if (o->kind == RR_ORDER_START && o->ticket[0] != '\0')
+    printf (" with %s", o->ticket);
   if (o->kind == RR_ORDER_PACE)
     printf (" at %d%%", o->percent);
   if (o->kind == RR_ORDER_STOP)
@@ -442,7 +459,8 @@
   confirming = true;
   for (size_t i = 1; i < words; i++)
     rr_dispatch_inherit_worker (d, word[i]);
-  rr_dispatch_inherit_until (d, rr_time_add (now, LEASE_MAX_MS + 900));
+  rr_dispatch_inherit_until (d, rr_time_add (now, LEASE_MAX_MS + 900),
+                             (uint32_t)(++takeovers * RUNS_OF_AN_OWNER + 1));
   for (size_t i = 0; i < job_count; i++)
     job_restore (&jobs[i]);
   for (size_t i = 0; i < worker_count; i++)
@@ -450,6 +468,21 @@
       worker_list (&workers[i]);
 }
 
+static void
+permit (char **word, size_t words)
+{
+  struct rr_permit permits[16];
+  struct rr_run_name name = { .step = (int32_t)strtol (word[2], NULL, 10) };
+  snprintf (name.job, sizeof name.job, "%s", word[1]);
+  for (size_t i = 4; i < words; i++)
+    {
+      snprintf (permits[i - 4].worker, RR_GRAPH_NAME_SIZE, "%s", word[i]);
+      snprintf (permits[i - 4].ticket, RR_TICKET_SIZE, "t-%s", word[i]);
+    }
+  rr_dispatch_permits (d, &name, permits, words - 4,
+                       strtol (word[3], NULL, 10), now);
+}
+
 static void
 reborn (struct fake_worker *w)
 {
@@ -503,6 +536,7 @@
       snprintf (q->service, sizeof q->service, "desk");
       q->priority = (int32_t)strtol (word[2], NULL, 10);
       q->attempts_max = (int32_t)strtol (word[3], NULL, 10);
+      q->needs_permits = strcmp (word[4], "permits") == 0;
       q->slack_factor = 2;
       q->target_runtime_ms = 500;
       rr_dispatch_queue_set (d, q);
@@ -526,6 +560,8 @@
     look_at (words > 1 ? word[1] : NULL);
   else if (strcmp (c, "store") == 0)
     store ();
+  else if (strcmp (c, "permit") == 0)
+    permit (word, words);
   else if (strcmp (c, "confirm") == 0)
     confirming = strcmp (word[1], "on") == 0;
   else if (strcmp (c, "takeover") == 0)
