--- a/standins/rr-kv.c
+++ b/standins/rr-kv.c
@@ -247,8 +247,8 @@
   char after[TEXT_MAX];
   query_text (x, "prefix", prefix);
   query_text (x, "after", after);
-  struct item **found
-      = tool_alloc ((rr_table_count (items) + 1) * sizeof *found);
+  const struct item **found
+      = tool_alloc ((rr_table_count (items) + 1) * sizeof (void *));
   size_t n = 0;
   struct rr_handle h = { 0 };
   struct item *it;
@@ -256,7 +256,7 @@
     if (strncmp (it->key, prefix, strlen (prefix)) == 0
         && strcmp (it->key, after) > 0)
       found[n++] = it;
-  qsort (found, n, sizeof *found, compare_items);
+  qsort (found, n, sizeof (void *), compare_items);
   struct json_object *list = json_object_new_array ();
   for (size_t i = 0; i < n && i < PAGE_ITEMS; i++)
     json_object_array_add (list, item_json (found[i]));
--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -271,7 +271,7 @@
   if (r != NULL && r->run == run)
     {
       r->stopping = true;
-      r->end_us = tool_now_us () + STOP_MS * 1000;
+      r->end_us = tool_now_us () + STOP_MS * INT64_C (1000);
     }
   respond_clock (x);
 }
