--- a/standins/rr-kv.c
+++ b/standins/rr-kv.c
@@ -66,8 +66,10 @@
 static int64_t compacted; /* changes up to this revision are forgotten */
 static int64_t revision = 1;
 static int64_t last_lease;
-static LIST_HEAD (, lease) leases;
-static LIST_HEAD (, watch) watches;
+LIST_HEAD (lease_list, lease);
+static struct lease_list leases;
+LIST_HEAD (watch_list, watch);
+static struct watch_list watches;
 static enum mode mode;
 
 static struct item *
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -472,6 +472,7 @@
 permit (char **word, size_t words)
 {
   struct rr_permit permits[16];
+  memset (permits, 0, sizeof permits);
   struct rr_run_name name = { .step = (int32_t)strtol (word[2], NULL, 10) };
   snprintf (name.job, sizeof name.job, "%s", word[1]);
   for (size_t i = 4; i < words; i++)
