--- a/standins/rr-kv.c
+++ b/standins/rr-kv.c
@@ -81,7 +81,11 @@
 static void
 change_add (const char *key, const char *value, int64_t lease)
 {
-  changes = realloc (changes, (change_count + 1) * sizeof *changes);
+  struct change *grown
+      = realloc (changes, (change_count + 1) * sizeof *changes);
+  if (grown == NULL)
+    abort ();
+  changes = grown;
   struct change *c = &changes[change_count++];
   memset (c, 0, sizeof *c);
   snprintf (c->key, sizeof c->key, "%s", key);
@@ -287,14 +291,19 @@
   respond (x, 200, o);
 }
 
+static struct lease *
+lease_find (int64_t id)
+{
+  struct lease *l = LIST_FIRST (&leases);
+  while (l != NULL && l->id != id)
+    l = LIST_NEXT (l, link);
+  return l;
+}
+
 static bool
 lease_exists (int64_t id)
 {
-  struct lease *l;
-  LIST_FOREACH (l, &leases, link)
-  if (l->id == id)
-    return true;
-  return id == 0;
+  return id == 0 || lease_find (id) != NULL;
 }
 
 static bool
@@ -403,10 +412,7 @@
 static void
 on_lease_call (struct http_exchange *x, int64_t id, bool end)
 {
-  struct lease *l;
-  LIST_FOREACH (l, &leases, link)
-  if (l->id == id)
-    break;
+  struct lease *l = lease_find (id);
   struct json_object *o = json_object_new_object ();
   if (l == NULL)
     {
--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -109,19 +109,19 @@
   json_add_int (o, "clockMs", clock_ms ());
   json_add_int (o, "born", born_ms);
   struct json_object *running = json_object_new_array ();
-  struct run *r;
-  LIST_FOREACH (r, &runs, link)
-  {
-    struct json_object *row = json_object_new_array ();
-    int64_t percent
-        = (tool_now_us () - r->begin_us) * 100 / (r->end_us - r->begin_us + 1);
-    json_object_array_add (row, json_object_new_string (r->task));
-    json_object_array_add (row, json_object_new_int64 (r->run));
-    json_object_array_add (row, json_object_new_string (""));
-    json_object_array_add (row, json_object_new_int64 (percent));
-    json_object_array_add (row, json_object_new_int64 (0));
-    json_object_array_add (running, row);
-  }
+  for (const struct run *r = LIST_FIRST (&runs); r != NULL;
+       r = LIST_NEXT (r, link))
+    {
+      struct json_object *row = json_object_new_array ();
+      int64_t percent = (tool_now_us () - r->begin_us) * 100
+                        / (r->end_us - r->begin_us + 1);
+      json_object_array_add (row, json_object_new_string (r->task));
+      json_object_array_add (row, json_object_new_int64 (r->run));
+      json_object_array_add (row, json_object_new_string (""));
+      json_object_array_add (row, json_object_new_int64 (percent));
+      json_object_array_add (row, json_object_new_int64 (0));
+      json_object_array_add (running, row);
+    }
   struct json_object *finished = json_object_new_array ();
   for (size_t i = 0; i < end_count; i++)
     {
@@ -149,7 +149,10 @@
   for (size_t i = 0; i < seal_count; i++)
     if (strcmp (seals[i].task, task) == 0)
       return &seals[i];
-  seals = realloc (seals, (seal_count + 1) * sizeof *seals);
+  struct seal *grown = realloc (seals, (seal_count + 1) * sizeof *seals);
+  if (grown == NULL)
+    abort ();
+  seals = grown;
   struct seal *s = &seals[seal_count++];
   memset (s, 0, sizeof *s);
   snprintf (s->task, sizeof s->task, "%s", task);
@@ -159,7 +162,10 @@
 static void
 run_end (struct run *r, const char *how)
 {
-  ends = realloc (ends, (end_count + 1) * sizeof *ends);
+  struct end *grown = realloc (ends, (end_count + 1) * sizeof *ends);
+  if (grown == NULL)
+    abort ();
+  ends = grown;
   struct end *e = &ends[end_count++];
   memset (e, 0, sizeof *e);
   e->number = ++last_end;
@@ -211,11 +217,10 @@
 static struct run *
 run_find (const char *task)
 {
-  struct run *r;
-  LIST_FOREACH (r, &runs, link)
-  if (strcmp (r->task, task) == 0)
-    return r;
-  return NULL;
+  struct run *r = LIST_FIRST (&runs);
+  while (r != NULL && strcmp (r->task, task) != 0)
+    r = LIST_NEXT (r, link);
+  return r;
 }
 
 static long
