--- a/include/platform/documents.h
+++ b/include/platform/documents.h
@@ -16,6 +16,8 @@
 #define PLATFORM_CONFIG_KEY "op/config"
 #define PLATFORM_WORKERS_PREFIX "servers/"
 #define PLATFORM_READY_PATH "/-/readyz"
+/* How long a caller waits for a response, in milliseconds.  */
+#define PLATFORM_DEADLINE_HEADER "deadline-ms"
 
 /* Reads the body of a submission; ID comes from its path.  Null with
    RR_ERROR_INVALID otherwise.  */
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -232,7 +232,7 @@
 static struct rr_time
 deadline_of (struct http_exchange *x, const struct rr_route *route)
 {
-  const char *text = http_exchange_header (x, "deadline-ms");
+  const char *text = http_exchange_header (x, PLATFORM_DEADLINE_HEADER);
   long long ms = text == NULL ? 0 : strtoll (text, NULL, 10);
   if (ms <= 0)
     ms = DEADLINE_DEFAULT_MS;
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -43,8 +43,9 @@
   return d;
 }
 
-static void
-job_release (struct dispatch_job *j)
+/* Frees what J holds; its row is left.  */
+void
+dispatch_job_release (struct dispatch_job *j)
 {
   dispatch_permits_free (j);
   rr_graph_free (j->graph);
@@ -61,7 +62,7 @@
   struct rr_handle h = { 0 };
   struct dispatch_job *j;
   while ((j = rr_table_next (d->jobs, &h)) != NULL)
-    job_release (j);
+    dispatch_job_release (j);
   struct rr_handle hw = { 0 };
   struct dispatch_worker *w;
   while ((w = rr_table_next (d->workers, &hw)) != NULL)
@@ -450,98 +451,3 @@
   dispatch_note (d, "job_cancelled", "job=%s runs=%zu", id, j->run_count);
   dispatch_job_stop_runs (d, j, "job-cancelled");
 }
-
-static bool
-job_finished (const struct dispatch_job *j)
-{
-  return j->cancelled || j->phase == RR_PHASE_COMPLETED
-         || j->phase == RR_PHASE_FAILED;
-}
-
-/* Forgets jobs that are over, stored, and run nowhere.  */
-static void
-forget_finished (struct rr_dispatch *d)
-{
-  struct rr_handle h = { 0 };
-  struct dispatch_job *j;
-  while ((j = rr_table_next (d->jobs, &h)) != NULL)
-    {
-      if (!job_finished (j) || j->run_count > 0
-          || (!j->cancelled && j->version > j->stored_version))
-        continue;
-      rr_key_index_remove (d->job_ids, j->graph->id);
-      job_release (j);
-      rr_table_remove (d->jobs, j->handle);
-    }
-}
-
-static size_t
-collect_changed (struct rr_dispatch *d, const char **ids, size_t n, size_t max,
-                 bool finished)
-{
-  struct rr_handle h = { 0 };
-  struct dispatch_job *j;
-  while (n < max && (j = rr_table_next (d->jobs, &h)) != NULL)
-    if (j->version != j->stored_version && !j->cancelled
-        && job_finished (j) == finished)
-      ids[n++] = j->graph->id;
-  return n;
-}
-
-/* Writes the ids of at most MAX jobs with changes to store, finished jobs
-   first, since their callers wait for the result.  */
-size_t
-rr_dispatch_changed (struct rr_dispatch *d, const char **ids, size_t max,
-                     bool *urgent)
-{
-  forget_finished (d);
-  size_t n = collect_changed (d, ids, 0, max, true);
-  *urgent = n > 0;
-  return collect_changed (d, ids, n, max, false);
-}
-
-static void
-add_row (const struct dispatch_job *j, uint32_t number, struct rr_progress *p)
-{
-  const struct dispatch_task *t = &j->tasks[number];
-  if (t->ended_run == 0 && t->state != TASK_DONE)
-    return;
-  struct rr_progress_row *r = &p->rows[p->row_count++];
-  r->number = number;
-  r->run = t->ended_run;
-  r->counted = t->counted;
-  r->failures = t->failures;
-  r->done = t->state == TASK_DONE;
-  if (!r->done)
-    memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
-}
-
-/* Returns the progress of job ID in its stored form, signed with MARK, and its
-   VERSION for rr_dispatch_stored; null when the job is not in hand.  */
-char *
-rr_dispatch_progress (struct rr_dispatch *d, const char *id, const char *mark,
-                      uint64_t *version)
-{
-  const struct dispatch_job *j = dispatch_job_find (d, id);
-  if (j == NULL)
-    return NULL;
-  struct rr_progress p = { .phase = j->phase };
-  snprintf (p.mark, sizeof p.mark, "%s", mark);
-  p.rows = calloc (j->task_count + 1, sizeof *p.rows);
-  assert (p.rows != NULL);
-  for (uint32_t i = 0; i < j->task_count && !job_finished (j); i++)
-    add_row (j, i, &p);
-  char *text = rr_progress_encode (&p);
-  free (p.rows);
-  *version = j->version;
-  return text;
-}
-
-/* Records that VERSION of job ID is durable.  */
-void
-rr_dispatch_stored (struct rr_dispatch *d, const char *id, uint64_t version)
-{
-  struct dispatch_job *j = dispatch_job_find (d, id);
-  if (j != NULL && version > j->stored_version)
-    j->stored_version = version;
-}
--- /dev/null
+++ b/rosemaryrail/dispatch_place.c
@@ -0,0 +1,470 @@
+#include "dispatch_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The choice of workers, and starts.  */
+
+enum
+{
+  /* A filler starts only where at least this share of its cores is unused,
+     since more of them would only slow each other down.  */
+  FILLER_ROOM_PERCENT = 60,
+  /* ... and where it may run at this speed at least.  */
+  FILLER_SPEED_MIN_PERCENT = 50,
+  /* Share of their cores that tasks with users use at their peak.  */
+  SERVING_USE_PERCENT = 40,
+  /* A server beside others of its image outweighs any difference in free
+     cores, and a mixture of images costs more than one more of the same.  */
+  SAME_IMAGE_SCORE = 100000,
+  OTHER_IMAGE_SCORE = 150000,
+  SPEED_SCORE = 1000,     /* one percent of a filler's speed */
+  SCORE_BASE = 1000000000 /* keeps scores of tasks that go anywhere above 0 */
+};
+
+/* Counts what is free on W.  */
+void
+dispatch_worker_measure (struct dispatch_worker *w)
+{
+  w->free_cores_milli = w->info.cores_milli;
+  w->free_memory_mb = w->info.memory_mb;
+  w->free_accelerators = w->info.accelerators;
+  w->filler_cores_milli = 0;
+  w->serving_cores_milli = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      const struct dispatch_run *r = &w->runs[i];
+      w->free_memory_mb -= r->memory_mb;
+      w->free_accelerators -= r->accelerators;
+      if (r->filler)
+        w->filler_cores_milli += r->cores_milli;
+      else
+        w->free_cores_milli -= r->cores_milli;
+      if (r->tail_target_ms > 0)
+        w->serving_cores_milli += r->cores_milli;
+    }
+}
+
+/* Tells whether W may be given tasks now.  */
+bool
+dispatch_worker_usable (const struct dispatch_worker *w, struct rr_time now)
+{
+  return w->listed && !w->info.draining && w->recorded && w->reported
+         && rr_time_diff (now, w->last_report) <= REPORT_AGE_MAX_MS
+         && !rr_time_before (now, w->full_until)
+         && !rr_time_before (now, w->avoid_until);
+}
+
+static bool
+worker_has_label (const struct dispatch_worker *w, const char *label)
+{
+  for (size_t i = 0; i < w->info.label_count; i++)
+    if (strcmp (w->info.labels[i], label) == 0)
+      return true;
+  return false;
+}
+
+static int32_t
+count_step_runs (const struct dispatch_worker *w, const struct dispatch_job *j,
+                 const struct rr_run_name *name)
+{
+  int32_t n = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      const struct dispatch_run *r = &w->runs[i];
+      if (r->job.index == j->handle.index
+          && r->job.generation == j->handle.generation
+          && r->name.occurrence == name->occurrence
+          && r->name.step == name->step)
+        n++;
+    }
+  return n;
+}
+
+/* What limits the choice of a worker for one task.  */
+struct demand
+{
+  struct dispatch_job *job;
+  const struct rr_graph_step *step;
+  const struct rr_run_name *name;
+  const char *service;
+  const char *rack; /* only there; null: anywhere */
+  bool needs_permits;
+};
+
+static bool
+worker_allowed (const struct dispatch_worker *w, const struct demand *m,
+                struct rr_time now)
+{
+  const struct rr_graph_step *s = m->step;
+  if (!dispatch_worker_usable (w, now)
+      || strcmp (w->info.service, m->service) != 0)
+    return false;
+  if (s->required_label[0] != '\0' && !worker_has_label (w, s->required_label))
+    return false;
+  if (m->rack != NULL && !worker_has_label (w, m->rack))
+    return false;
+  if (m->needs_permits
+      && dispatch_permit_ticket (m->job, m->name, w, now) == NULL)
+    return false;
+  return s->per_worker_max == 0
+         || count_step_runs (w, m->job, m->name) < s->per_worker_max;
+}
+
+/* Cores that nothing uses: tasks that serve users leave part of theirs.  */
+static int64_t
+unused_cores (const struct dispatch_worker *w)
+{
+  return w->free_cores_milli - w->filler_cores_milli
+         + w->serving_cores_milli * (100 - SERVING_USE_PERCENT) / 100;
+}
+
+static bool
+worker_fits (const struct dispatch_worker *w, const struct rr_graph_step *s)
+{
+  if (w->free_memory_mb < s->memory_mb
+      || w->free_accelerators < s->accelerators)
+    return false;
+  if (!s->filler)
+    return w->free_cores_milli >= s->cores_milli;
+  return unused_cores (w) * 100 >= s->cores_milli * FILLER_ROOM_PERCENT;
+}
+
+/* Servers of one image go together, so that fillers that disturb some images
+   but not others find workers that suit them.  */
+static int64_t
+server_score (const struct dispatch_worker *w, int image)
+{
+  int64_t same = 0;
+  int64_t other = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].tail_target_ms > 0)
+      {
+        same += w->runs[i].image == image ? 1 : 0;
+        other += w->runs[i].image == image ? 0 : 1;
+      }
+  return same * SAME_IMAGE_SCORE - other * OTHER_IMAGE_SCORE
+         - w->free_cores_milli - w->filler_cores_milli / 2;
+}
+
+/* A filler goes where it may run at full speed; among these where others
+   could not, so that the most tolerant workers stay free for them.  Returns
+   a negative score where it would have to run too slowly.  */
+static int64_t
+filler_score (const struct rr_dispatch *d, const struct dispatch_worker *w,
+              const struct rr_graph_step *s, int image)
+{
+  int32_t speed = dispatch_share_speed (d, w, image, s->cores_milli);
+  if (speed < FILLER_SPEED_MIN_PERCENT)
+    return -1;
+  int64_t unused = unused_cores (w);
+  if (unused > s->cores_milli)
+    unused = s->cores_milli;
+  int64_t share = s->cores_milli == 0 ? 100 : unused * 100 / s->cores_milli;
+  return (int64_t)speed * share * SPEED_SCORE
+         - (int64_t)dispatch_share_tolerance (d, w, image) * SPEED_SCORE
+         + unused_cores (w) / 100;
+}
+
+/* Returns the score of the allowed worker W for a task of step S.  */
+static int64_t
+worker_score (const struct rr_dispatch *d, const struct dispatch_worker *w,
+              const struct rr_graph_step *s, int image)
+{
+  if (s->filler)
+    return filler_score (d, w, s, image);
+  if (s->tail_target_ms > 0)
+    return server_score (w, image) + SCORE_BASE;
+  return unused_cores (w) + SCORE_BASE;
+}
+
+/* Returns the allowed worker with the best score; the one where the task
+   failed last only when there is no other.  */
+static struct dispatch_worker *
+choose_worker (struct rr_dispatch *d, const struct demand *m,
+               struct rr_handle bad_worker, struct rr_time now)
+{
+  struct dispatch_run probe = { 0 };
+  dispatch_share_classify (d, &probe, m->step);
+  struct dispatch_worker *best = NULL;
+  int64_t best_score = 0;
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      if (!worker_allowed (w, m, now) || !worker_fits (w, m->step))
+        continue;
+      int64_t score = worker_score (d, w, m->step, probe.image);
+      if (score < 0)
+        continue;
+      if (w->handle.index == bad_worker.index
+          && w->handle.generation == bad_worker.generation)
+        score -= INT64_C (2) * SCORE_BASE;
+      if (best == NULL || score > best_score)
+        {
+          best = w;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static void
+reserve (struct rr_dispatch *d, struct dispatch_worker *w,
+         struct dispatch_job *j, uint32_t number,
+         const struct rr_run_name *name, struct rr_time now)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  const struct rr_graph_step *s = &j->graph->steps[name->step];
+  t->state = TASK_PLACED;
+  t->current_run = name->run;
+  t->worker = w->handle;
+  dispatch_step_of (j, name)->waiting--;
+  dispatch_run_add (d, w, j, name, now);
+  w->free_memory_mb -= s->memory_mb;
+  w->free_accelerators -= s->accelerators;
+  if (s->filler)
+    w->filler_cores_milli += s->cores_milli;
+  else
+    w->free_cores_milli -= s->cores_milli;
+  if (s->tail_target_ms > 0)
+    w->serving_cores_milli += s->cores_milli;
+}
+
+static void
+unreserve (struct rr_dispatch *d, struct dispatch_job *j, uint32_t number,
+           const struct rr_run_name *name)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
+  dispatch_run_remove (d, w, dispatch_run_find (w, name));
+  t->state = TASK_WAITING;
+  dispatch_step_of (j, name)->waiting++;
+  dispatch_worker_measure (w);
+}
+
+static void
+order_start (struct rr_dispatch *d, struct dispatch_job *j, uint32_t number,
+             const struct rr_run_name *name, struct rr_time now)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
+  t->next_run = name->run + 1;
+  const char *ticket = dispatch_permit_ticket (j, name, w, now);
+  struct rr_order o = { .kind = RR_ORDER_START,
+                        .worker = t->worker,
+                        .worker_id = w->info.id,
+                        .name = *name,
+                        .spec = j->graph->spec,
+                        .checkpoint = t->checkpoint,
+                        .ticket = ticket == NULL ? "" : ticket,
+                        .reason = "in-turn" };
+  d->o.order (d->o.data, &o);
+}
+
+/* Fills M and returns the worker for the task NAME, or null.  Away from its
+   data a task takes longer by the remote factor, so it waits about as long
+   as it would lose there.  */
+static struct dispatch_worker *
+find_worker (struct rr_dispatch *d, struct dispatch_job *j,
+             const struct rr_run_name *name, uint32_t number,
+             const char *gang_rack, struct rr_time now)
+{
+  const struct rr_graph_step *s = &j->graph->steps[name->step];
+  const struct rr_queue_policy *q = dispatch_queue (d, j);
+  struct demand m
+      = { .job = j,
+          .step = s,
+          .name = name,
+          .service = q->service[0] != '\0' ? q->service : j->graph->service,
+          .rack = gang_rack,
+          .needs_permits = q->needs_permits };
+  struct rr_handle bad = j->tasks[number].bad_worker;
+  if (gang_rack != NULL || s->rack[0] == '\0')
+    return choose_worker (d, &m, bad, now);
+  m.rack = s->rack;
+  struct dispatch_worker *w = choose_worker (d, &m, bad, now);
+  struct rr_time since = dispatch_occurrence_begin (d, j, name->occurrence);
+  if (rr_time_before (since, j->tasks[number].not_before))
+    since = j->tasks[number].not_before;
+  double patience = (d->o.remote_factor - 1) * (double)s->estimate_ms / 2;
+  if (w != NULL || (double)rr_time_diff (now, since) < patience)
+    return w;
+  m.rack = NULL;
+  return choose_worker (d, &m, bad, now);
+}
+
+static bool
+place_single (struct rr_dispatch *d, struct dispatch_job *j,
+              struct rr_run_name *name, uint32_t number, struct rr_time now)
+{
+  struct dispatch_worker *w = find_worker (d, j, name, number, NULL, now);
+  if (w == NULL)
+    return false;
+  name->run = j->tasks[number].next_run;
+  reserve (d, w, j, number, name, now);
+  dispatch_note (d, "start",
+                 "job=%s task=%d.%d.%d run=%u vm=%s free_cores=%lld "
+                 "fillers=%lld report_age_ms=%lld",
+                 name->job, name->occurrence, name->step, name->task,
+                 name->run, w->info.id, (long long)w->free_cores_milli,
+                 (long long)w->filler_cores_milli,
+                 (long long)rr_time_diff (now, w->last_report));
+  order_start (d, j, number, name, now);
+  return true;
+}
+
+/* Reserves room for all members of a gang, in RACK unless null; none stays
+   reserved when one finds no room.  */
+static bool
+reserve_gang (struct rr_dispatch *d, struct dispatch_job *j,
+              struct rr_run_name *name, const char *rack, struct rr_time now)
+{
+  int32_t count = j->graph->steps[name->step].task_count;
+  for (name->task = 0; name->task < count; name->task++)
+    {
+      uint32_t number;
+      dispatch_task_number (j, name, &number);
+      struct dispatch_worker *w = find_worker (d, j, name, number, rack, now);
+      if (w != NULL)
+        {
+          reserve (d, w, j, number, name, now);
+          continue;
+        }
+      while (--name->task >= 0)
+        {
+          dispatch_task_number (j, name, &number);
+          unreserve (d, j, number, name);
+        }
+      return false;
+    }
+  return true;
+}
+
+static bool
+reserve_gang_in_a_rack (struct rr_dispatch *d, struct dispatch_job *j,
+                        struct rr_run_name *name, struct rr_time now)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (w->info.rack[0] != '\0'
+        && reserve_gang (d, j, name, w->info.rack, now))
+      return true;
+  return false;
+}
+
+/* Starts all members of a gang with one run number, or none.  The checkpoint
+   of any member holds for all.  */
+static bool
+place_gang (struct rr_dispatch *d, struct dispatch_job *j,
+            struct rr_run_name *name, struct rr_time now)
+{
+  const struct rr_graph_step *s = &j->graph->steps[name->step];
+  const char *checkpoint = "";
+  name->task = 0;
+  uint32_t first;
+  dispatch_task_number (j, name, &first);
+  for (int32_t i = 0; i < s->task_count; i++)
+    {
+      struct dispatch_task *t = &j->tasks[first + (uint32_t)i];
+      if (t->state != TASK_WAITING || rr_time_before (now, t->not_before))
+        return false;
+      if (t->next_run > name->run)
+        name->run = t->next_run;
+      if (strcmp (t->checkpoint, checkpoint) > 0)
+        checkpoint = t->checkpoint;
+    }
+  bool placed = s->same_rack && reserve_gang_in_a_rack (d, j, name, now);
+  if (!placed && !reserve_gang (d, j, name, NULL, now))
+    return false;
+  char common[RR_CHECKPOINT_SIZE];
+  snprintf (common, sizeof common, "%s", checkpoint);
+  for (name->task = 0; name->task < s->task_count; name->task++)
+    {
+      uint32_t number = first + (uint32_t)name->task;
+      memcpy (j->tasks[number].checkpoint, common, sizeof common);
+      order_start (d, j, number, name, now);
+    }
+  dispatch_note (d, "start_gang", "job=%s step=%d.%d run=%u members=%d",
+                 name->job, name->occurrence, name->step, name->run,
+                 s->task_count);
+  return true;
+}
+
+/* Keeps other tasks off the allowed worker that comes closest to room for the
+   task NAME, for this round.  */
+static void
+keep_room (struct rr_dispatch *d, struct dispatch_job *j,
+           const struct rr_run_name *name, struct rr_time now)
+{
+  const struct rr_queue_policy *q = dispatch_queue (d, j);
+  struct demand m
+      = { .job = j,
+          .step = &j->graph->steps[name->step],
+          .name = name,
+          .service = q->service[0] != '\0' ? q->service : j->graph->service,
+          .needs_permits = q->needs_permits };
+  struct dispatch_worker *best = NULL;
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (worker_allowed (w, &m, now) && w->free_memory_mb >= m.step->memory_mb
+        && (best == NULL || w->free_cores_milli > best->free_cores_milli))
+      best = w;
+  if (best != NULL)
+    best->free_cores_milli = 0;
+}
+
+static void
+place_step (struct rr_dispatch *d, struct dispatch_job *j, int32_t occurrence,
+            size_t step, struct rr_time now)
+{
+  const struct rr_graph_step *s = &j->graph->steps[step];
+  struct rr_run_name name
+      = { .occurrence = occurrence, .step = (int32_t)step };
+  snprintf (name.job, sizeof name.job, "%s", j->graph->id);
+  bool needs_permits = dispatch_queue (d, j)->needs_permits;
+  if (s->gang)
+    {
+      if (!place_gang (d, j, &name, now) && needs_permits)
+        dispatch_permit_ask (d, j, &name, now);
+      return;
+    }
+  for (name.task = 0; name.task < s->task_count; name.task++)
+    {
+      uint32_t number;
+      dispatch_task_number (j, &name, &number);
+      struct dispatch_task *t = &j->tasks[number];
+      if (t->state != TASK_WAITING || rr_time_before (now, t->not_before))
+        continue;
+      if (place_single (d, j, &name, number, now))
+        continue;
+      if (needs_permits)
+        dispatch_permit_ask (d, j, &name, now);
+      if (s->long_running
+          && rr_time_diff (now, t->not_before) > LASTING_PATIENCE_MS
+          && d->free_cores_milli >= s->cores_milli * LASTING_ROOM_FACTOR)
+        keep_room (d, j, &name, now);
+      return;
+    }
+}
+
+/* Starts what can be started of J.  */
+void
+dispatch_place_job (struct rr_dispatch *d, struct dispatch_job *j,
+                    struct rr_time now)
+{
+  for (int32_t k = 0; k < j->graph->occurrence_count; k++)
+    {
+      if (j->graph->scheduled
+          && rr_time_before (now, dispatch_occurrence_begin (d, j, k)))
+        return;
+      for (size_t s = 0; s < j->graph->step_count; s++)
+        if (j->steps[(size_t)k * j->graph->step_count + s].waiting > 0
+            && dispatch_step_in_turn (j, k, s))
+          place_step (d, j, k, s, now);
+    }
+}
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -183,6 +183,49 @@
   REPORT_AGE_MAX_MS = 1600
 };
 
+/* Groups of jobs of one priority, in the order of their turns.  */
+enum dispatch_turn_group
+{
+  TURN_BEGUN,   /* on time so far, and some work is done already */
+  TURN_ON_TIME, /* can still meet its objective */
+  TURN_LATE,    /* can't, but its result still counts for something */
+  TURN_LASTING, /* runs until it is cancelled */
+  TURN_OVERDUE  /* its result hardly counts any more */
+};
+
+/* A job with tasks to start, and what decides its turn.  */
+struct dispatch_turn
+{
+  struct dispatch_job *job;
+  int32_t priority;
+  enum dispatch_turn_group group;
+  struct rr_time due;
+};
+
+enum
+{
+  /* A lasting task that has waited this long goes first, and room is kept for
+     it: short tasks would take the room that others leave bit by bit.  */
+  LASTING_PATIENCE_MS = 1500,
+  /* ... unless free cores are scarce: then short tasks use them better.  */
+  LASTING_ROOM_FACTOR = 6
+};
+
+bool dispatch_step_in_turn (const struct dispatch_job *j, int32_t occurrence,
+                            size_t step);
+struct rr_time dispatch_occurrence_begin (const struct rr_dispatch *d,
+                                          const struct dispatch_job *j,
+                                          int32_t occurrence);
+bool dispatch_turn_of_job (const struct rr_dispatch *d, struct dispatch_job *j,
+                           struct dispatch_turn *t, struct rr_time now);
+int dispatch_turn_compare (const void *a, const void *b);
+
+void dispatch_worker_measure (struct dispatch_worker *w);
+bool dispatch_worker_usable (const struct dispatch_worker *w,
+                             struct rr_time now);
+void dispatch_place_job (struct rr_dispatch *d, struct dispatch_job *j,
+                         struct rr_time now);
+
 void dispatch_note (struct rr_dispatch *d, const char *event,
                     const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
@@ -208,8 +251,17 @@
                          uint32_t number, struct rr_time now);
 void dispatch_job_stop_runs (struct rr_dispatch *d, struct dispatch_job *j,
                              const char *reason);
+void dispatch_job_release (struct dispatch_job *j);
 void dispatch_job_settle (struct rr_dispatch *d, struct dispatch_job *j);
 
+void dispatch_run_lost (struct rr_dispatch *d, struct dispatch_worker *w,
+                        struct dispatch_run *r, const char *reason,
+                        struct rr_time now);
+void dispatch_worker_reborn (struct rr_dispatch *d, struct dispatch_worker *w,
+                             int64_t born_ms, struct rr_time now);
+void dispatch_lease_assume_longest (struct rr_dispatch *d,
+                                    struct dispatch_worker *w);
+void dispatch_inherited_heard (struct rr_dispatch *d, const char *id);
 struct dispatch_run *dispatch_run_find (struct dispatch_worker *w,
                                         const struct rr_run_name *name);
 struct dispatch_run *dispatch_run_add (struct rr_dispatch *d,
--- /dev/null
+++ b/rosemaryrail/dispatch_progress.c
@@ -0,0 +1,103 @@
+#include "dispatch_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* What is to be stored of the jobs, and the end of jobs.  */
+
+static bool
+job_finished (const struct dispatch_job *j)
+{
+  return j->cancelled || j->phase == RR_PHASE_COMPLETED
+         || j->phase == RR_PHASE_FAILED;
+}
+
+/* Forgets jobs that are over, stored, and run nowhere.  */
+static void
+forget_finished (struct rr_dispatch *d)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while ((j = rr_table_next (d->jobs, &h)) != NULL)
+    {
+      if (!job_finished (j) || j->run_count > 0
+          || (!j->cancelled && j->version > j->stored_version))
+        continue;
+      rr_key_index_remove (d->job_ids, j->graph->id);
+      dispatch_job_release (j);
+      rr_table_remove (d->jobs, j->handle);
+    }
+}
+
+static size_t
+collect_changed (struct rr_dispatch *d, const char **ids, size_t n, size_t max,
+                 bool finished)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while (n < max && (j = rr_table_next (d->jobs, &h)) != NULL)
+    if (j->version != j->stored_version && !j->cancelled
+        && job_finished (j) == finished)
+      ids[n++] = j->graph->id;
+  return n;
+}
+
+/* Writes the ids of at most MAX jobs with changes to store, finished jobs
+   first, since their callers wait for the result.  */
+size_t
+rr_dispatch_changed (struct rr_dispatch *d, const char **ids, size_t max,
+                     bool *urgent)
+{
+  forget_finished (d);
+  size_t n = collect_changed (d, ids, 0, max, true);
+  *urgent = n > 0;
+  return collect_changed (d, ids, n, max, false);
+}
+
+static void
+add_row (const struct dispatch_job *j, uint32_t number, struct rr_progress *p)
+{
+  const struct dispatch_task *t = &j->tasks[number];
+  if (t->ended_run == 0 && t->state != TASK_DONE)
+    return;
+  struct rr_progress_row *r = &p->rows[p->row_count++];
+  r->number = number;
+  r->run = t->ended_run;
+  r->counted = t->counted;
+  r->failures = t->failures;
+  r->done = t->state == TASK_DONE;
+  if (!r->done)
+    memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
+}
+
+/* Returns the progress of job ID in its stored form, signed with MARK, and its
+   VERSION for rr_dispatch_stored; null when the job is not in hand.  */
+char *
+rr_dispatch_progress (struct rr_dispatch *d, const char *id, const char *mark,
+                      uint64_t *version)
+{
+  const struct dispatch_job *j = dispatch_job_find (d, id);
+  if (j == NULL)
+    return NULL;
+  struct rr_progress p = { .phase = j->phase };
+  snprintf (p.mark, sizeof p.mark, "%s", mark);
+  p.rows = calloc (j->task_count + 1, sizeof *p.rows);
+  assert (p.rows != NULL);
+  for (uint32_t i = 0; i < j->task_count && !job_finished (j); i++)
+    add_row (j, i, &p);
+  char *text = rr_progress_encode (&p);
+  free (p.rows);
+  *version = j->version;
+  return text;
+}
+
+/* Records that VERSION of job ID is durable.  */
+void
+rr_dispatch_stored (struct rr_dispatch *d, const char *id, uint64_t version)
+{
+  struct dispatch_job *j = dispatch_job_find (d, id);
+  if (j != NULL && version > j->stored_version)
+    j->stored_version = version;
+}
--- /dev/null
+++ b/rosemaryrail/dispatch_turns.c
@@ -0,0 +1,121 @@
+#include "dispatch_private.h"
+
+#include <string.h>
+
+/* The order in which jobs get their turn.  */
+
+/* Tells whether all steps that STEP waits for are done.  */
+bool
+dispatch_step_in_turn (const struct dispatch_job *j, int32_t occurrence,
+                       size_t step)
+{
+  const struct rr_graph_step *s = &j->graph->steps[step];
+  const struct dispatch_step *states
+      = &j->steps[(size_t)occurrence * j->graph->step_count];
+  for (size_t i = 0; i < s->after_count; i++)
+    if (states[s->after[i]].done < j->graph->steps[s->after[i]].task_count)
+      return false;
+  return true;
+}
+
+/* Returns when OCCURRENCE of J is due.  */
+struct rr_time
+dispatch_occurrence_begin (const struct rr_dispatch *d,
+                           const struct dispatch_job *j, int32_t occurrence)
+{
+  if (!j->graph->scheduled)
+    return j->accepted;
+  return rr_time_from_ms (j->graph->first_run_ms
+                          + occurrence * j->graph->interval_ms
+                          - d->o.wall_offset_ms);
+}
+
+/* A job is overdue at this multiple of its objective.  */
+#define OVERDUE_FACTOR 3
+
+/* Returns how long the longest waiting task of STEP could have started.  */
+static int64_t
+waited_ms (const struct dispatch_job *j, size_t step, struct rr_time begin,
+           struct rr_time now)
+{
+  int64_t longest = 0;
+  size_t first = rr_graph_step_offset (j->graph, step);
+  for (int32_t i = 0; i < j->graph->steps[step].task_count; i++)
+    {
+      const struct dispatch_task *t = &j->tasks[first + (size_t)i];
+      struct rr_time since = t->not_before;
+      if (rr_time_before (since, begin))
+        since = begin;
+      if (t->state == TASK_WAITING && rr_time_diff (now, since) > longest)
+        longest = rr_time_diff (now, since);
+    }
+  return longest;
+}
+
+static enum dispatch_turn_group
+group_of (const struct rr_dispatch *d, const struct dispatch_job *j,
+          const struct dispatch_turn *t, size_t step, struct rr_time begin,
+          struct rr_time now)
+{
+  if (j->graph->steps[step].long_running)
+    return waited_ms (j, step, begin, now) > LASTING_PATIENCE_MS
+                   && d->free_cores_milli >= j->graph->steps[step].cores_milli
+                                                 * LASTING_ROOM_FACTOR
+               ? TURN_BEGUN
+               : TURN_LASTING;
+  int64_t rest = rr_graph_chain_from_ms (j->graph, step);
+  struct rr_time end = rr_time_add (now, rest);
+  if (!rr_time_before (t->due, end))
+    return j->done_count > 0 || j->run_count > 0 ? TURN_BEGUN : TURN_ON_TIME;
+  int64_t objective = rr_time_diff (t->due, begin);
+  struct rr_time overdue
+      = rr_time_add (begin, (int64_t)(OVERDUE_FACTOR * (double)objective));
+  return rr_time_before (end, overdue) ? TURN_LATE : TURN_OVERDUE;
+}
+
+/* Fills T for J; false when no task of it waits for its turn now.  */
+bool
+dispatch_turn_of_job (const struct rr_dispatch *d, struct dispatch_job *j,
+                      struct dispatch_turn *t, struct rr_time now)
+{
+  const struct rr_queue_policy *q = dispatch_queue (d, j);
+  int64_t chain = rr_graph_chain_ms (j->graph);
+  for (int32_t k = 0; k < j->graph->occurrence_count; k++)
+    {
+      struct rr_time begin = dispatch_occurrence_begin (d, j, k);
+      if (j->graph->scheduled && rr_time_before (now, begin))
+        return false;
+      for (size_t s = 0; s < j->graph->step_count; s++)
+        {
+          const struct dispatch_step *st
+              = &j->steps[(size_t)k * j->graph->step_count + s];
+          if (st->waiting == 0 || !dispatch_step_in_turn (j, k, s))
+            continue;
+          t->job = j;
+          t->priority = q->priority;
+          t->due
+              = rr_time_add (begin, (int64_t)(q->slack_factor * (double)chain)
+                                        + q->target_runtime_ms);
+          t->group = group_of (d, j, t, s, begin, now);
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Begun jobs come first, since work on a job that ends too late is lost.
+   Tasks that last come after short ones, which give their room back soon.  */
+int
+dispatch_turn_compare (const void *a, const void *b)
+{
+  const struct dispatch_turn *x = a;
+  const struct dispatch_turn *y = b;
+  if (x->priority != y->priority)
+    return x->priority < y->priority ? -1 : 1;
+  if (x->group != y->group)
+    return x->group < y->group ? -1 : 1;
+  int64_t diff = rr_time_diff (x->due, y->due);
+  if (diff != 0)
+    return diff < 0 ? -1 : 1;
+  return strcmp (x->job->graph->id, y->job->graph->id);
+}
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -10,9 +10,6 @@
 
 enum
 {
-  /* Reports in a row that must lack a run before it is taken as lost: one may
-     have been under way when the run started.  */
-  MISSING_REPORTS_MAX = 2,
   SILENT_MS = 2500, /* without a report: several looks have failed */
   /* An unlisted worker is kept this long, since entries that change hands are
      removed and written again.  */
@@ -59,8 +56,9 @@
   d->inherited_until = until;
 }
 
-static void
-inherited_heard (struct rr_dispatch *d, const char *id)
+/* The worker ID has reported to us.  */
+void
+dispatch_inherited_heard (struct rr_dispatch *d, const char *id)
 {
   for (size_t i = 0; i < d->inherited_count; i++)
     if (strcmp (d->inherited[i], id) == 0)
@@ -165,9 +163,11 @@
   r->stop_reason = reason;
 }
 
-static void
-run_lost (struct rr_dispatch *d, struct dispatch_worker *w,
-          struct dispatch_run *r, const char *reason, struct rr_time now)
+/* Removes R from W and lets its task start again; REASON is for the log.  */
+void
+dispatch_run_lost (struct rr_dispatch *d, struct dispatch_worker *w,
+                   struct dispatch_run *r, const char *reason,
+                   struct rr_time now)
 {
   struct dispatch_job *j = dispatch_job_get (d, r->job);
   dispatch_note (d, "run_lost", "job=%s task=%d.%d.%d run=%u vm=%s reason=%s",
@@ -187,7 +187,7 @@
                const char *reason, struct rr_time now)
 {
   while (w->run_count > 0)
-    run_lost (d, w, &w->runs[w->run_count - 1], reason, now);
+    dispatch_run_lost (d, w, &w->runs[w->run_count - 1], reason, now);
 }
 
 /* Gives up the runs of W's former incarnation.  Those that it never listed may
@@ -206,33 +206,24 @@
           r->settled_clock = 0;
         }
       else
-        run_lost (d, w, r, "vm-restarted", now);
+        dispatch_run_lost (d, w, r, "vm-restarted", now);
     }
 }
 
-/* Stops what may have been started in W's new incarnation and was not
-   reported.  */
-static void
-unresolved_stop (struct dispatch_worker *w)
-{
-  for (size_t i = 0; i < w->run_count; i++)
-    if (w->runs[i].phase == RUN_UNRESOLVED)
-      dispatch_run_stop (&w->runs[i], "vm-restarted");
-}
-
 /* The longest lease that another owner, or an order on the clock of a former
    incarnation, can have given to what W runs.  */
-static void
-assume_longest_lease (struct rr_dispatch *d, struct dispatch_worker *w)
+void
+dispatch_lease_assume_longest (struct rr_dispatch *d,
+                               struct dispatch_worker *w)
 {
   if (w->lease_clock_ms < w->clock_ms + d->o.lease_max_ms)
     w->lease_clock_ms = w->clock_ms + d->o.lease_max_ms;
 }
 
 /* A new incarnation of W holds and knows nothing of before.  */
-static void
-worker_reborn (struct rr_dispatch *d, struct dispatch_worker *w,
-               int64_t born_ms, struct rr_time now)
+void
+dispatch_worker_reborn (struct rr_dispatch *d, struct dispatch_worker *w,
+                        int64_t born_ms, struct rr_time now)
 {
   dispatch_note (d, "vm_restarted", "vm=%s born=%lld before=%lld runs=%zu",
                  w->info.id, (long long)born_ms, (long long)w->info.born_ms,
@@ -266,7 +257,7 @@
       rr_key_index_put (d->worker_ids, info->id, h);
     }
   if (info->born_ms > w->info.born_ms && w->info.born_ms != 0)
-    worker_reborn (d, w, info->born_ms, now);
+    dispatch_worker_reborn (d, w, info->born_ms, now);
   if (info->draining && !w->info.draining)
     dispatch_note (d, "vm_draining", "vm=%s runs=%zu", info->id, w->run_count);
   int64_t born = w->info.born_ms;
@@ -380,222 +371,6 @@
   return w != NULL && w->end_count > 0;
 }
 
-static void
-queue_end (struct dispatch_worker *w, int64_t number, struct dispatch_job *j)
-{
-  if (w->end_count == w->end_capacity)
-    {
-      w->end_capacity = w->end_capacity == 0 ? 32 : w->end_capacity * 2;
-      w->ends = realloc (w->ends, w->end_capacity * sizeof *w->ends);
-      assert (w->ends != NULL);
-    }
-  struct dispatch_end *e = &w->ends[w->end_count++];
-  memset (e, 0, sizeof *e);
-  e->number = number;
-  if (j == NULL)
-    return;
-  e->job = j->handle;
-  e->version = j->version;
-}
-
-static const char *const end_names[]
-    = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
-
-static void
-take_end (struct rr_dispatch *d, struct dispatch_worker *w,
-          const struct rr_run_end *end, struct rr_time now)
-{
-  struct dispatch_run *r = dispatch_run_find (w, &end->name);
-  if (r != NULL)
-    dispatch_run_remove (d, w, r);
-  struct dispatch_job *j = dispatch_job_find (d, end->name.job);
-  uint32_t number = 0;
-  if (j == NULL || !dispatch_task_number (j, &end->name, &number))
-    {
-      queue_end (w, end->number, NULL);
-      return;
-    }
-  if (!dispatch_end_counted (&j->tasks[number], end->name.run))
-    {
-      dispatch_note (d, "run_ended",
-                     "job=%s task=%d.%d.%d run=%u vm=%s how=%s clock=%lld",
-                     end->name.job, end->name.occurrence, end->name.step,
-                     end->name.task, end->name.run, w->info.id,
-                     end_names[end->kind], (long long)w->clock_ms);
-      dispatch_task_end (d, j, number, end, w->handle, now);
-      dispatch_health_end (d, w, j->handle, end->kind, now);
-    }
-  queue_end (w, end->number, j);
-}
-
-static void
-adopt (struct rr_dispatch *d, struct dispatch_worker *w,
-       struct dispatch_job *j, uint32_t number,
-       const struct rr_run_status *status, struct rr_time now)
-{
-  struct dispatch_task *t = &j->tasks[number];
-  if (t->state == TASK_WAITING)
-    dispatch_step_of (j, &status->name)->waiting--;
-  t->state = TASK_PLACED;
-  t->current_run = status->name.run;
-  if (t->next_run <= status->name.run)
-    t->next_run = status->name.run + 1;
-  t->worker = w->handle;
-  struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
-  r->phase = RUN_RUNNING;
-  assume_longest_lease (d, w);
-  if (j->phase == RR_PHASE_QUEUED)
-    {
-      j->phase = RR_PHASE_ACTIVE;
-      j->version++;
-    }
-  dispatch_note (d, "run_adopted", "job=%s task=%d.%d.%d run=%u vm=%s",
-                 status->name.job, status->name.occurrence, status->name.step,
-                 status->name.task, status->name.run, w->info.id);
-}
-
-/* A run that we have not on record: adopts it, or stops it.  */
-static struct dispatch_run *
-take_unknown (struct rr_dispatch *d, struct dispatch_worker *w,
-              const struct rr_run_status *status, struct rr_time now)
-{
-  struct dispatch_job *j = dispatch_job_find (d, status->name.job);
-  uint32_t number = 0;
-  if (j != NULL && dispatch_task_number (j, &status->name, &number))
-    {
-      struct dispatch_task *t = &j->tasks[number];
-      if ((t->state == TASK_UNCERTAIN || t->state == TASK_WAITING)
-          && status->name.run > t->ended_run)
-        {
-          adopt (d, w, j, number, status, now);
-          struct dispatch_run *r = dispatch_run_find (w, &status->name);
-          if (j->cancelled || j->phase == RR_PHASE_FAILED)
-            dispatch_run_stop (r, "job-over");
-          return r;
-        }
-    }
-  dispatch_note (d, "run_unexpected", "job=%s task=%d.%d.%d run=%u vm=%s",
-                 status->name.job, status->name.occurrence, status->name.step,
-                 status->name.task, status->name.run, w->info.id);
-  struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
-  r->phase = RUN_RUNNING;
-  assume_longest_lease (d, w);
-  dispatch_run_stop (r, "not-ours");
-  return r;
-}
-
-static void
-take_status (struct rr_dispatch *d, struct dispatch_worker *w,
-             const struct rr_run_status *status, struct rr_time now)
-{
-  struct dispatch_run *r = dispatch_run_find (w, &status->name);
-  if (r == NULL)
-    r = take_unknown (d, w, status, now);
-  if (r->phase == RUN_UNRESOLVED || r->phase == RUN_STARTING)
-    {
-      r->phase = RUN_RUNNING;
-      r->progressed = now;
-      r->settled_clock = w->clock_ms;
-    }
-  r->missing = -1;
-  r->listed = true;
-  if (status->percent != r->percent)
-    {
-      r->percent = status->percent;
-      r->progressed = now;
-    }
-  r->figure = status->figure;
-  struct dispatch_job *j = dispatch_job_get (d, r->job);
-  if (j != NULL && status->checkpoint[0] != '\0'
-      && j->tasks[r->number].state == TASK_PLACED
-      && j->tasks[r->number].current_run == r->name.run)
-    snprintf (j->tasks[r->number].checkpoint,
-              sizeof j->tasks[r->number].checkpoint, "%s", status->checkpoint);
-}
-
-/* Looks at the runs that a report of CLOCK_MS did not list.  */
-static void
-take_absence (struct rr_dispatch *d, struct dispatch_worker *w,
-              int64_t clock_ms, struct rr_time now)
-{
-  for (size_t i = w->run_count; i-- > 0;)
-    {
-      struct dispatch_run *r = &w->runs[i];
-      if (r->missing < 0)
-        {
-          r->missing = 0;
-          continue;
-        }
-      if (r->phase == RUN_STARTING && !r->stop_confirmed)
-        continue;
-      if (r->phase == RUN_UNRESOLVED && !r->stop_confirmed)
-        continue;
-      if (clock_ms <= r->settled_clock)
-        continue;
-      r->missing++;
-      if (r->stop_confirmed || r->missing >= MISSING_REPORTS_MAX)
-        run_lost (d, w, r, r->stop_confirmed ? "never-started" : "missing",
-                  now);
-    }
-}
-
-static bool
-report_is_old (const struct dispatch_worker *w,
-               const struct rr_worker_report *r)
-{
-  if (r->born_ms != 0 && r->born_ms < w->info.born_ms)
-    return true;
-  return w->has_clock && r->clock_ms < w->clock_ms
-         && rr_time_before (r->sent, w->clock_sent);
-}
-
-/* Takes in a worker's account of its runs.  */
-void
-rr_dispatch_report (struct rr_dispatch *d, struct rr_handle h,
-                    const struct rr_worker_report *r, struct rr_time now)
-{
-  struct dispatch_worker *w = dispatch_worker_get (d, h);
-  if (w == NULL || report_is_old (w, r))
-    return;
-  if (r->born_ms > w->info.born_ms)
-    {
-      if (w->info.born_ms != 0)
-        worker_reborn (d, w, r->born_ms, now);
-      w->info.born_ms = r->born_ms;
-    }
-  bool first = !w->has_clock;
-  w->has_clock = true;
-  w->clock_ms = r->clock_ms;
-  w->clock_sent = r->sent;
-  w->clock_received = r->received;
-  w->last_report = now;
-  w->silent = false;
-  for (size_t i = 0; i < r->ended_count; i++)
-    if (r->ended[i].number > w->ends_seen)
-      {
-        w->ends_seen = r->ended[i].number;
-        take_end (d, w, &r->ended[i], now);
-      }
-  for (size_t i = 0; i < r->running_count; i++)
-    take_status (d, w, &r->running[i], now);
-  take_absence (d, w, r->clock_ms, now);
-  if (first && w->run_count > 0)
-    {
-      assume_longest_lease (d, w);
-      unresolved_stop (w);
-    }
-  if (!w->reported)
-    {
-      w->reported = true;
-      inherited_heard (d, w->info.id);
-      dispatch_note (d, "vm_heard", "vm=%s born=%lld running=%zu ended=%zu",
-                     w->info.id, (long long)w->info.born_ms, r->running_count,
-                     r->ended_count);
-    }
-  dispatch_health_check (d, w, now);
-  dispatch_share_update (d, w, now);
-}
-
 /* Records that worker H has not answered a look.  Until it answers one, it is
    given no lease: a worker that hears but can't answer would otherwise keep
    its tasks for ever.  */
@@ -664,7 +439,7 @@
   uint32_t number = r->number;
   if (j != NULL && outcome == RR_OUTCOME_NO_PERMIT)
     dispatch_permit_drop (j, &r->name, w);
-  run_lost (d, w, r, rr_order_outcome_name (outcome), now);
+  dispatch_run_lost (d, w, r, rr_order_outcome_name (outcome), now);
   if (j != NULL && outcome == RR_OUTCOME_INVALID)
     j->tasks[number].not_before = rr_time_add (now, INVALID_PAUSE_MS);
 }
