--- a/include/rosemaryentryd/owners.h
+++ b/include/rosemaryentryd/owners.h
@@ -8,6 +8,7 @@
 struct shard;
 
 struct owners *owners_open (struct entry *e);
+void owners_mirrors_opened (struct owners *o);
 void owners_job_seen (struct owners *o, struct job_record *j);
 void owners_job_cancelled (struct owners *o, struct job_record *j);
 void owners_owner_seen (struct owners *o, struct shard_record *s);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -28,7 +28,11 @@
   DAEMONS_PER_SHARD = 10,
   CORE_MILLI_MAX = 1000000, /* scale of shards for a share of a core */
   /* News is gathered this long while the daemon owns no shard.  */
-  FOLLOWER_PAUSE_MS = 200,
+  FOLLOWER_PAUSE_MS = 400,
+  /* Heartbeats of all workers change their entries all the time.  An owner
+     has to see within 2 s that a worker drains; others only weigh shards.  */
+  OWNER_WORKERS_PAUSE_MS = 400,
+  FOLLOWER_WORKERS_PAUSE_MS = 1500,
   OWNER_PAUSE_MS = 10 /* the same while it owns one */
 };
 
@@ -121,11 +125,23 @@
       shard_queues_changed (o->shards[i]);
 }
 
+/* Sets how long news of the store is gathered, by whether we act on it.  */
 static void
 set_pause (struct owners *o)
 {
+  bool owner = owners_count (o) > 0;
   mirror_pause_set (o->entry->records_mirror,
-                    owners_count (o) > 0 ? OWNER_PAUSE_MS : FOLLOWER_PAUSE_MS);
+                    owner ? OWNER_PAUSE_MS : FOLLOWER_PAUSE_MS);
+  mirror_pause_set (o->entry->workers_mirror, owner
+                                                  ? OWNER_WORKERS_PAUSE_MS
+                                                  : FOLLOWER_WORKERS_PAUSE_MS);
+}
+
+/* The mirrors of the entry are there; begins as a daemon without shards.  */
+void
+owners_mirrors_opened (struct owners *o)
+{
+  set_pause (o);
 }
 
 static void
@@ -174,6 +190,7 @@
       mirror_catch_up (o->entry->progress_mirror);
       return;
     }
+  mirror_catch_up (o->entry->workers_mirror);
   o->shards[i]
       = shard_open (o->entry, s, s->owner_revision, s->roster != NULL);
   set_pause (o);
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -14,9 +14,6 @@
 
 enum
 {
-  /* Heartbeats of all workers change their entries all the time; news that
-     counts (a worker drains, leaves or joins) can wait this long.  */
-  WORKERS_PAUSE_MS = 400,
   /* Callers who ask for a job's state see its end this much later at most,
      unless they ask its owner.  */
   PROGRESS_PAUSE_MS = 100
@@ -473,7 +470,7 @@
   e->progress_mirror = mirror_open (e, KEY_PROGRESS, on_record, r);
   e->workers_mirror = mirror_open (e, PLATFORM_WORKERS_PREFIX, on_worker, r);
   e->config_mirror = mirror_open (e, PLATFORM_CONFIG_KEY, on_config, r);
-  mirror_pause_set (e->workers_mirror, WORKERS_PAUSE_MS);
   mirror_pause_set (e->progress_mirror, PROGRESS_PAUSE_MS);
+  owners_mirrors_opened (e->owners);
   return r;
 }
