--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -22,6 +22,10 @@
      over, and as short as that allows, since tasks of a silent worker wait
      for its end.  */
   TASK_LEASE_MS = 4500,
+  /* An owner that can't confirm its ownership goes on for so long, which
+     outlasts most outages of the store; a new owner waits as long for workers
+     that it can't hear.  */
+  OWNERSHIP_MS = 7000,
   /* Added to the leases of a former owner for clocks that are 2% slow and
      for orders under way.  */
   INHERIT_MARGIN_MS = 700,
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -73,12 +73,20 @@
   return rr_time_before (lease, news) ? lease : news;
 }
 
+/* Returns how long after the last confirmation an owner goes on.  */
+static int64_t
+ownership_ms (const struct shard *s)
+{
+  int64_t most = s->entry->settings.lease_max_ms;
+  return most < OWNERSHIP_MS ? most : OWNERSHIP_MS;
+}
+
 /* Returns the end of our right to act: no lease reaches further.  */
 static struct rr_time
 valid_until (void *data)
 {
   const struct shard *s = data;
-  return rr_time_add (confirmed (s), s->entry->settings.lease_max_ms);
+  return rr_time_add (confirmed (s), ownership_ms (s));
 }
 
 static void
@@ -335,7 +343,7 @@
         json_object_get_string (json_object_array_get_idx (list, i)));
   json_object_put (list);
   s->ordinal = former + 1;
-  int64_t leases = s->entry->settings.lease_max_ms * 102 / 100;
+  int64_t leases = ownership_ms (s) * 102 / 100;
   rr_dispatch_inherit_until (
       s->dispatch, rr_time_add (entry_now (), leases + INHERIT_MARGIN_MS),
       (uint32_t)(s->ordinal * RUNS_OF_AN_OWNER + 1));
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -18,6 +18,25 @@
          && j->phase != RR_PHASE_COMPLETED;
 }
 
+/* Places the lasting job that has waited longest, or keeps room for it.  */
+static void
+serve_longest_waiting (struct rr_dispatch *d,
+                       const struct dispatch_turn *turns, size_t n,
+                       struct rr_time now)
+{
+  const struct dispatch_turn *longest = NULL;
+  for (size_t i = 0; i < n; i++)
+    if (turns[i].group == TURN_LASTING
+        && turns[i].waited_ms > LASTING_PATIENCE_MS
+        && (longest == NULL || turns[i].waited_ms > longest->waited_ms))
+      longest = &turns[i];
+  if (longest == NULL)
+    return;
+  d->keeping_room = true;
+  dispatch_place_job (d, longest->job, now);
+  d->keeping_room = false;
+}
+
 static void
 place_jobs (struct rr_dispatch *d, struct rr_time now)
 {
@@ -31,6 +50,7 @@
     if (job_active (j) && dispatch_turn_of_job (d, j, &turns[n], now))
       n++;
   qsort (turns, n, sizeof *turns, dispatch_turn_compare);
+  serve_longest_waiting (d, turns, n, now);
   for (size_t i = 0; i < n; i++)
     dispatch_place_job (d, turns[i].job, now);
   free (turns);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -168,6 +168,7 @@
   bool inheriting;
   uint32_t first_run; /* of inherited tasks: above those of former owners */
   int64_t free_cores_milli; /* of usable workers, as a round begins */
+  bool keeping_room;        /* for the job that is placed now */
   struct rr_policy policy;  /* of the interference model */
   struct rr_interference *model;
   double base_ms[RR_CLASSES_MAX]; /* least tails, by image */
@@ -200,15 +201,17 @@
   int32_t priority;
   enum dispatch_turn_group group;
   struct rr_time due;
+  int64_t waited_ms; /* by the task that waits longest */
 };
 
 enum
 {
-  /* A lasting task that has waited this long goes first, and room is kept for
-     it: short tasks would take the room that others leave bit by bit.  */
-  LASTING_PATIENCE_MS = 1500,
-  /* ... unless free cores are scarce: then short tasks use them better.  */
-  LASTING_ROOM_FACTOR = 6
+  /* For the lasting task that has waited longest, if longer than this, room is
+     kept on one worker: short tasks would take what others leave bit by bit.
+   */
+  LASTING_PATIENCE_MS = 2000,
+  /* ... unless less than this many times its cores are free in all.  */
+  LASTING_ROOM_FACTOR = 2
 };
 
 bool dispatch_step_in_turn (const struct dispatch_job *j, int32_t occurrence,
@@ -259,8 +262,7 @@
                         struct rr_time now);
 void dispatch_worker_reborn (struct rr_dispatch *d, struct dispatch_worker *w,
                              int64_t born_ms, struct rr_time now);
-void dispatch_lease_assume_longest (struct rr_dispatch *d,
-                                    struct dispatch_worker *w);
+void dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms);
 void dispatch_inherited_heard (struct rr_dispatch *d, const char *id);
 struct dispatch_run *dispatch_run_find (struct dispatch_worker *w,
                                         const struct rr_run_name *name);
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -15,13 +15,18 @@
 };
 
 /* Stops what may have been started in W's new incarnation and was not
-   reported.  */
-static void
+   reported; false when there is none.  */
+static bool
 unresolved_stop (struct dispatch_worker *w)
 {
+  bool found = false;
   for (size_t i = 0; i < w->run_count; i++)
     if (w->runs[i].phase == RUN_UNRESOLVED)
-      dispatch_run_stop (&w->runs[i], "vm-restarted");
+      {
+        dispatch_run_stop (&w->runs[i], "vm-restarted");
+        found = true;
+      }
+  return found;
 }
 
 static void
@@ -87,7 +92,7 @@
   t->worker = w->handle;
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
-  dispatch_lease_assume_longest (d, w);
+  dispatch_lease_assume (w, d->o.lease_ms);
   if (j->phase == RR_PHASE_QUEUED)
     {
       j->phase = RR_PHASE_ACTIVE;
@@ -123,7 +128,7 @@
                  status->name.task, status->name.run, w->info.id);
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
-  dispatch_lease_assume_longest (d, w);
+  dispatch_lease_assume (w, d->o.lease_ms);
   dispatch_run_stop (r, "not-ours");
   return r;
 }
@@ -223,11 +228,8 @@
   for (size_t i = 0; i < r->running_count; i++)
     take_status (d, w, &r->running[i], now);
   take_absence (d, w, r->clock_ms, now);
-  if (first && w->run_count > 0)
-    {
-      dispatch_lease_assume_longest (d, w);
-      unresolved_stop (w);
-    }
+  if (first && unresolved_stop (w))
+    dispatch_lease_assume (w, d->o.lease_max_ms);
   if (!w->reported)
     {
       w->reported = true;
--- a/rosemaryrail/dispatch_turns.c
+++ b/rosemaryrail/dispatch_turns.c
@@ -53,16 +53,11 @@
 }
 
 static enum dispatch_turn_group
-group_of (const struct rr_dispatch *d, const struct dispatch_job *j,
-          const struct dispatch_turn *t, size_t step, struct rr_time begin,
-          struct rr_time now)
+group_of (const struct dispatch_job *j, const struct dispatch_turn *t,
+          size_t step, struct rr_time begin, struct rr_time now)
 {
   if (j->graph->steps[step].long_running)
-    return waited_ms (j, step, begin, now) > LASTING_PATIENCE_MS
-                   && d->free_cores_milli >= j->graph->steps[step].cores_milli
-                                                 * LASTING_ROOM_FACTOR
-               ? TURN_BEGUN
-               : TURN_LASTING;
+    return TURN_LASTING;
   int64_t rest = rr_graph_chain_from_ms (j->graph, step);
   struct rr_time end = rr_time_add (now, rest);
   if (!rr_time_before (t->due, end))
@@ -96,7 +91,8 @@
           t->due
               = rr_time_add (begin, (int64_t)(q->slack_factor * (double)chain)
                                         + q->target_runtime_ms);
-          t->group = group_of (d, j, t, s, begin, now);
+          t->group = group_of (j, t, s, begin, now);
+          t->waited_ms = waited_ms (j, s, begin, now);
           return true;
         }
     }
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -210,14 +210,13 @@
     }
 }
 
-/* The longest lease that another owner, or an order on the clock of a former
-   incarnation, can have given to what W runs.  */
+/* Assumes a lease of AHEAD_MS for what W runs: the longest that another owner,
+   or an order on the clock of a former incarnation, can have given.  */
 void
-dispatch_lease_assume_longest (struct rr_dispatch *d,
-                               struct dispatch_worker *w)
+dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms)
 {
-  if (w->lease_clock_ms < w->clock_ms + d->o.lease_max_ms)
-    w->lease_clock_ms = w->clock_ms + d->o.lease_max_ms;
+  if (w->lease_clock_ms < w->clock_ms + ahead_ms)
+    w->lease_clock_ms = w->clock_ms + ahead_ms;
 }
 
 /* A new incarnation of W holds and knows nothing of before.  */
