--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -15,18 +15,13 @@
 };
 
 /* Stops what may have been started in W's new incarnation and was not
-   reported; false when there is none.  */
-static bool
+   reported.  */
+static void
 unresolved_stop (struct dispatch_worker *w)
 {
-  bool found = false;
   for (size_t i = 0; i < w->run_count; i++)
     if (w->runs[i].phase == RUN_UNRESOLVED)
-      {
-        dispatch_run_stop (&w->runs[i], "vm-restarted");
-        found = true;
-      }
-  return found;
+      dispatch_run_stop (&w->runs[i], "vm-restarted");
 }
 
 static void
@@ -212,7 +207,8 @@
         dispatch_worker_reborn (d, w, r->born_ms, now);
       w->info.born_ms = r->born_ms;
     }
-  bool first = !w->has_clock;
+  /* Runs kept from before a restart had leases on another clock.  */
+  bool restarted = !w->has_clock && w->run_count > 0;
   w->has_clock = true;
   w->clock_ms = r->clock_ms;
   w->clock_sent = r->sent;
@@ -228,8 +224,11 @@
   for (size_t i = 0; i < r->running_count; i++)
     take_status (d, w, &r->running[i], now);
   take_absence (d, w, r->clock_ms, now);
-  if (first && unresolved_stop (w))
-    dispatch_lease_assume (w, d->o.lease_max_ms);
+  if (restarted)
+    {
+      dispatch_lease_assume (w, d->o.lease_max_ms);
+      unresolved_stop (w);
+    }
   if (!w->reported)
     {
       w->reported = true;
