--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -20,6 +20,9 @@
      cores, and a mixture of images costs more than one more of the same.  */
   SAME_IMAGE_SCORE = 100000,
   OTHER_IMAGE_SCORE = 150000,
+  /* A filler of a job that has nothing running starts after this time even
+     where servers hardly bear it; it then runs as slowly as they need.  */
+  FILLER_PATIENCE_MS = 2500,
   SPEED_SCORE = 1000,     /* one percent of a filler's speed */
   SCORE_BASE = 1000000000 /* keeps scores of tasks that go anywhere above 0 */
 };
@@ -92,6 +95,7 @@
   const char *service;
   const char *rack; /* only there; null: anywhere */
   bool needs_permits;
+  bool any_speed; /* a filler starts even where it has to run slowly */
 };
 
 static bool
@@ -154,11 +158,11 @@
    a negative score where it would have to run too slowly.  */
 static int64_t
 filler_score (const struct rr_dispatch *d, const struct dispatch_worker *w,
-              const struct rr_graph_step *s, int image)
+              const struct rr_graph_step *s, int image, bool any_speed)
 {
   int32_t speed = dispatch_share_speed (d, w, image, s->cores_milli);
   if (speed < FILLER_SPEED_MIN_PERCENT)
-    return -1;
+    return any_speed ? speed : -1;
   int64_t unused = unused_cores (w);
   if (unused > s->cores_milli)
     unused = s->cores_milli;
@@ -171,10 +175,10 @@
 /* Returns the score of the allowed worker W for a task of step S.  */
 static int64_t
 worker_score (const struct rr_dispatch *d, const struct dispatch_worker *w,
-              const struct rr_graph_step *s, int image)
+              const struct rr_graph_step *s, int image, bool any_speed)
 {
   if (s->filler)
-    return filler_score (d, w, s, image);
+    return filler_score (d, w, s, image, any_speed);
   if (s->tail_target_ms > 0)
     return server_score (w, image) + SCORE_BASE;
   return unused_cores (w) + SCORE_BASE;
@@ -196,7 +200,7 @@
     {
       if (!worker_allowed (w, m, now) || !worker_fits (w, m->step))
         continue;
-      int64_t score = worker_score (d, w, m->step, probe.image);
+      int64_t score = worker_score (d, w, m->step, probe.image, m->any_speed);
       if (score < 0)
         continue;
       if (w->handle.index == bad_worker.index
@@ -282,6 +286,8 @@
           .rack = gang_rack,
           .needs_permits = q->needs_permits };
   struct rr_handle bad = j->tasks[number].bad_worker;
+  m.any_speed = s->filler && j->run_count == 0
+                && rr_time_diff (now, j->busy_at) > FILLER_PATIENCE_MS;
   if (gang_rack != NULL || s->rack[0] == '\0')
     return choose_worker (d, &m, bad, now);
   m.rack = s->rack;
@@ -456,6 +462,8 @@
 dispatch_place_job (struct rr_dispatch *d, struct dispatch_job *j,
                     struct rr_time now)
 {
+  if (j->run_count > 0 || j->busy_at.ms == 0)
+    j->busy_at = now;
   for (int32_t k = 0; k < j->graph->occurrence_count; k++)
     {
       if (j->graph->scheduled
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -59,7 +59,8 @@
   size_t occurrence_tasks;
   size_t task_count;
   size_t done_count;
-  size_t run_count; /* runs on workers */
+  size_t run_count;       /* runs on workers */
+  struct rr_time busy_at; /* when a run of it was last seen */
   enum rr_job_phase phase;
   bool cancelled;
   uint64_t version; /* rises with each durable change */
