entry: a takeover waits for the whole record of workers

Found by reading: after lost history a full read shows the owner key before the record of workers, and a shard could have been opened with an old record.

--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -175,7 +175,8 @@
 }
 
 /* Begins to serve shard I, which is ours, once both mirrors have shown
-   everything that was written before our claim.  */
+   everything that was written before our claim.  Called again by the timer
+   until then.  */
 static void
 serve (struct owners *o, size_t i)
 {
@@ -183,7 +184,10 @@
   int64_t lease = session_lease (o->entry->session);
   bool ours = s->owner_revision != 0 && lease != 0 && s->owner_lease == lease;
   if (!ours || s->owner_revision <= o->lost_token[i] || o->shards[i] != NULL
-      || o->releasing || session_lease (o->entry->session) == 0)
+      || o->releasing)
+    return;
+  /* In the middle of a full read the stored record of workers may be old.  */
+  if (mirror_revision (o->entry->records_mirror) < s->owner_revision)
     return;
   if (mirror_revision (o->entry->progress_mirror) < s->owner_revision)
     {
