dispatch, entry: runs without a record, restarts never heard, fillers paused in time

Reading found three ways to lose a task, each mended: a start kept over a restart of a worker that never reports (restart_unheard), the end of a current run taken as counted, and progress kept with the text of an older write after a lost answer. A check once a second puts back and reports a task that counts as placed and has no run.

--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -55,7 +55,8 @@
                        "job=%s revision=%lld before=%lld", j->id,
                        (long long)r->items[k].revision,
                        (long long)j->progress_revision);
-            j->progress_revision = r->items[k].revision;
+            records_progress_set (s->entry->records, j->id, r->items[k].value,
+                                  r->items[k].revision);
           }
     }
 }
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -8,7 +8,8 @@
 {
   /* A draining worker's short tasks are stopped this long before it leaves, so
      that their end is known and they start again at once.  */
-  LEAVING_STOP_MS = 1500
+  LEAVING_STOP_MS = 1500,
+  AUDIT_MS = 1000 /* between checks of the records of runs */
 };
 
 static bool
@@ -118,6 +119,35 @@
     }
 }
 
+/* Checks that each task that counts as placed has a run on its worker.  One
+   that has none would never start again, so it is put back and reported.  */
+static void
+audit_placed (struct rr_dispatch *d, struct rr_time now)
+{
+  if (rr_time_diff (now, d->audited) < AUDIT_MS)
+    return;
+  d->audited = now;
+  struct rr_handle h = { 0 };
+  struct dispatch_job *j;
+  while ((j = rr_table_next (d->jobs, &h)) != NULL)
+    for (uint32_t i = 0; i < j->task_count; i++)
+      {
+        if (j->tasks[i].state != TASK_PLACED)
+          continue;
+        struct rr_run_name name;
+        dispatch_task_name (j, i, &name);
+        name.run = j->tasks[i].current_run;
+        struct dispatch_worker *w
+            = dispatch_worker_get (d, j->tasks[i].worker);
+        if (w != NULL && dispatch_run_find (w, &name) != NULL)
+          continue;
+        dispatch_note (d, "run_record_missing", "job=%s task=%d.%d.%d run=%u",
+                       name.job, name.occurrence, name.step, name.task,
+                       name.run);
+        dispatch_task_lost (d, j, i, now);
+      }
+}
+
 /* Decides what to start, stop and slow down now.  CONFIRMED is the last time
    at which we certainly owned the shard: what follows from a lease that
    expired later may not hold, since another owner may have renewed it.
@@ -139,6 +169,7 @@
         d->free_cores_milli += w->free_cores_milli;
     }
   settle_inherited (d, confirmed);
+  audit_placed (d, now);
   dispatch_share_refresh (d, now);
   if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS)
     place_jobs (d, now);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -169,8 +169,9 @@
   bool inheriting;
   uint32_t first_run; /* of inherited tasks: above those of former owners */
   int64_t free_cores_milli; /* of usable workers, as a round begins */
-  bool keeping_room;        /* for the job that is placed now */
-  struct rr_policy policy;  /* of the interference model */
+  struct rr_time audited;
+  bool keeping_room;       /* for the job that is placed now */
+  struct rr_policy policy; /* of the interference model */
   struct rr_interference *model;
   double base_ms[RR_CLASSES_MAX]; /* least tails, by image */
   struct rr_time model_refreshed;
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -59,7 +59,9 @@
       queue_end (w, end->number, NULL);
       return;
     }
-  if (!dispatch_end_counted (&j->tasks[number], end->name.run))
+  const struct dispatch_task *t = &j->tasks[number];
+  bool current = t->state == TASK_PLACED && t->current_run == end->name.run;
+  if (current || !dispatch_end_counted (t, end->name.run))
     {
       dispatch_note (d, "run_ended",
                      "job=%s task=%d.%d.%d run=%u vm=%s how=%s clock=%lld",
--- a/rosemaryrail/dispatch_share.c
+++ b/rosemaryrail/dispatch_share.c
@@ -353,7 +353,7 @@
   double tail = worst_tail (w);
   int32_t before = w->filler_percent;
   if (tail > CUT_SHARE && w->filler_cores_milli > 0)
-    w->filler_percent = before / 2;
+    w->filler_percent = before / 2 < CUT_ALL_PERCENT ? 0 : before / 2;
   else if (tail < CUT_END_SHARE)
     w->filler_percent
         = before + CUT_STEP_PERCENT > 100 ? 100 : before + CUT_STEP_PERCENT;
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -237,6 +237,13 @@
   w->failed_in_row = 0;
   w->filler_percent = 100;
   former_runs_lost (d, w, now);
+  /* Runs that are kept have the longest lease, in case it never reports.  */
+  if (w->run_count > 0)
+    {
+      w->clock_ms = 0;
+      w->clock_received = now;
+      w->lease_clock_ms = d->o.lease_max_ms;
+    }
 }
 
 /* Adds or updates the registered worker INFO.  */
@@ -387,7 +394,7 @@
 dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
                  struct rr_time confirmed, struct rr_time now)
 {
-  if (w->run_count == 0 || !w->has_clock)
+  if (w->run_count == 0 || (!w->has_clock && w->lease_clock_ms == 0))
     return;
   double elapsed
       = (double)(rr_time_diff (confirmed, w->clock_received) - KILL_MARGIN_MS);
