--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -363,8 +363,9 @@
       w->observed = e->number;
       kept++;
     }
-  memmove (w->ends, w->ends + kept, (w->end_count - kept) * sizeof *w->ends);
   w->end_count -= kept;
+  if (kept > 0)
+    memmove (w->ends, w->ends + kept, w->end_count * sizeof *w->ends);
   return w->observed;
 }
 
