entry: jobs that wait for room pass to a shard that has it

Cause: a job stays in the shard that was drawn at its submission. A shard whose workers are all out of reach starts nothing at all. Ruled out: slow owners (median from submission to start 30 to 60 ms in all shards). The owner now passes jobs of which nothing was ever ordered on, in one transaction under its owner key, so that a later owner of either shard agrees.

--- a/include/rosemaryentryd/owners.h
+++ b/include/rosemaryentryd/owners.h
@@ -10,6 +10,7 @@
 struct owners *owners_open (struct entry *e);
 void owners_mirrors_opened (struct owners *o);
 void owners_job_seen (struct owners *o, struct job_record *j);
+void owners_job_moving (struct owners *o, const struct job_record *j);
 void owners_job_cancelled (struct owners *o, struct job_record *j);
 void owners_owner_seen (struct owners *o, struct shard_record *s);
 void owners_worker_seen (struct owners *o, const struct platform_worker *w);
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -43,6 +43,7 @@
   int64_t progress_revision; /* 0: none */
   int64_t job_revision;
   int64_t cancel_revision;
+  int32_t transfers;       /* changes of its shard that were seen here */
   int64_t accepted_ms;     /* since 1970 */
   struct rr_time finished; /* when its end was seen here */
 };
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -34,6 +34,12 @@
   /* Runs of one task that an owner starts at most without a stored end.  */
   RUNS_OF_AN_OWNER = 16,
   LINKS_MAX = 1024,
+  /* A job without room goes to another shard after this long: several rounds
+     of ends, and soon enough for the shortest objectives, about a second.  */
+  TRANSFER_WAIT_MS = 300,
+  TRANSFERS_MAX = 3, /* of one job, since loads are known late */
+  /* Each job takes two conditions and a write; the owner key a condition.  */
+  TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 3,
   /* Between removals of old jobs from the store.  */
   FORGET_MS = 3000,
   /* A finished job is kept this much longer than callers were promised, for
@@ -50,6 +56,15 @@
   char *text; /* progress as it was sent */
 };
 
+/* A job on its way to another shard.  */
+struct transfer_entry
+{
+  char id[RR_GRAPH_NAME_SIZE];
+  char target[RR_GRAPH_NAME_SIZE];
+  int64_t revision; /* of the job before */
+  char *text;       /* the job as it will be stored */
+};
+
 struct shard
 {
   struct entry *entry;
@@ -66,6 +81,10 @@
   size_t commit_count;
   bool committing;
   struct rr_time commit_after; /* a failed write is not repeated sooner */
+  struct transfer_entry transfer[TRANSFER_JOBS_MAX];
+  size_t transfer_count;
+  bool transferring;
+  bool transfer_unknown; /* an attempt without an answer may take effect */
   bool roster_writing;
   int64_t ordinal; /* of this owner among those of the shard, from 0 */
   char *roster;    /* last one stored */
@@ -97,6 +116,8 @@
 struct json_object *shard_roster_parse (const char *text, int64_t *ordinal);
 void shard_write_roster (struct shard *s);
 void shard_write_load (struct shard *s, struct rr_time now);
+void shard_transfer_jobs (struct shard *s, struct rr_time now);
+void shard_transfer_clear (struct shard *s);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
 
 #endif
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -244,6 +244,14 @@
 void rr_dispatch_job_cancel (struct rr_dispatch *d, const char *id,
                              struct rr_time now);
 
+/* Jobs of which nothing was ordered can pass to another shard: held while the
+   change is stored, and dropped once it is.  */
+size_t rr_dispatch_unstarted (const struct rr_dispatch *d, const char **ids,
+                              size_t max, int64_t waited_ms,
+                              struct rr_time now);
+void rr_dispatch_job_hold (struct rr_dispatch *d, const char *id, bool held);
+bool rr_dispatch_job_drop (struct rr_dispatch *d, const char *id);
+
 void rr_dispatch_plan (struct rr_dispatch *d, struct rr_time confirmed,
                        struct rr_time valid_until, struct rr_time now);
 
--- a/include/rosemaryrail/graph.h
+++ b/include/rosemaryrail/graph.h
@@ -39,7 +39,8 @@
 };
 
 /* A submitted job: steps that depend on each other, run once or at set
-   times.  Never changes after it was accepted.  */
+   times.  Only its shard may change after it was accepted, while nothing of it
+   has started.  */
 struct rr_graph
 {
   char id[RR_GRAPH_NAME_SIZE];
--- a/rosemaryentryd/choice.c
+++ b/rosemaryentryd/choice.c
@@ -141,3 +141,34 @@
     drawn -= weights[i++];
   return records_shard_at (e->records, i);
 }
+
+static int64_t
+room_of (const struct shard_record *s, const struct rr_graph *g)
+{
+  return s->capacity_milli
+         - (is_filling (g) ? s->demand_milli : s->firm_milli);
+}
+
+/* Returns the shard with the most room for G, which waits in FROM; null when
+   none has clearly more than FROM, and enough for G's first step.  */
+struct shard_record *
+choice_transfer (struct entry *e, const struct shard_record *from,
+                 const struct rr_graph *g)
+{
+  struct shard_record *best = NULL;
+  int64_t least = room_of (from, g) + first_demand (g);
+  if (least < first_demand (g))
+    least = first_demand (g);
+  for (size_t i = 0; i < records_shard_count (e->records); i++)
+    {
+      struct shard_record *s = records_shard_at (e->records, i);
+      if (s == from || s->owner_revision == 0 || room_of (s, g) < least)
+        continue;
+      struct shard_fit fit = fit_of (e, s, g);
+      if (fit.capacity_milli == 0 || !fit.has_label || !fit.has_rack)
+        continue;
+      best = s;
+      least = room_of (s, g) + 1;
+    }
+  return best;
+}
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -87,6 +87,15 @@
     shard_job_seen (s, j, false);
 }
 
+/* The job leaves the shard that J still names.  */
+void
+owners_job_moving (struct owners *o, const struct job_record *j)
+{
+  struct shard *s = shard_named (o, j->shard);
+  if (s != NULL)
+    shard_job_moved (s, j->id);
+}
+
 void
 owners_job_cancelled (struct owners *o, struct job_record *j)
 {
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -210,7 +210,13 @@
     }
   struct job_record *j = job_record_for (r, id);
   struct shard_record *s = records_shard (r, g->shard);
-  if (s != NULL && !j->accepted)
+  bool moved = j->accepted && strcmp (j->shard, g->shard) != 0;
+  if (moved)
+    {
+      owners_job_moving (r->entry->owners, j);
+      j->transfers++;
+    }
+  if (s != NULL && (moved || !j->accepted))
     choice_job_seen (s, g);
   snprintf (j->queue, sizeof j->queue, "%s", g->queue);
   snprintf (j->shard, sizeof j->shard, "%s", g->shard);
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -27,6 +27,7 @@
 {
   if (!s->closed || s->calls > 0 || s->timers_open > 0)
     return;
+  shard_transfer_clear (s);
   rr_dispatch_free (s->dispatch);
   free (s->roster);
   free (s->roster_sent);
@@ -227,6 +228,7 @@
   shard_write_roster (s);
   shard_write_load (s, now);
   shard_forget_jobs (s, now);
+  shard_transfer_jobs (s, now);
   plan (s);
 }
 
@@ -299,6 +301,15 @@
   shard_wake (s);
 }
 
+/* The job ID belongs to another shard now.  */
+void
+shard_job_moved (struct shard *s, const char *id)
+{
+  if (!rr_dispatch_job_drop (s->dispatch, id))
+    log_event (LOG_LEVEL_WARN, "moved_job_runs", "shard=%s token=%lld job=%s",
+               s->record->name, (long long)s->token, id);
+}
+
 void
 shard_job_cancelled (struct shard *s, const struct job_record *j)
 {
--- /dev/null
+++ b/rosemaryentryd/shard_transfer.c
@@ -0,0 +1,156 @@
+#include "rosemaryentryd/shard_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rosemaryentryd/choice.h"
+
+/* Jobs that wait for room in vain go to a shard that has it.  Only jobs of
+   which nothing was ever ordered may go, so that the next owner need not ask
+   anybody before it starts them.  */
+
+/* Forgets what was to be transferred; what stays may start here.  */
+void
+shard_transfer_clear (struct shard *s)
+{
+  for (size_t i = 0; i < s->transfer_count; i++)
+    {
+      rr_dispatch_job_hold (s->dispatch, s->transfer[i].id, false);
+      free (s->transfer[i].text);
+    }
+  s->transfer_count = 0;
+  s->transfer_unknown = false;
+}
+
+static void
+transfer_settled (struct shard *s)
+{
+  for (size_t i = 0; i < s->transfer_count; i++)
+    {
+      const struct transfer_entry *t = &s->transfer[i];
+      log_event (LOG_LEVEL_INFO, "job_transferred", "job=%s from=%s to=%s",
+                 t->id, s->record->name, t->target);
+      shard_job_moved (s, t->id);
+    }
+  shard_transfer_clear (s);
+}
+
+static void
+on_transferred (void *data, const struct store_result *r)
+{
+  struct shard *s = data;
+  s->calls--;
+  s->transferring = false;
+  if (s->closed)
+    {
+      shard_release (s);
+      return;
+    }
+  switch (r->state)
+    {
+    case STORE_OK:
+      transfer_settled (s);
+      return;
+    case STORE_CONFLICT:
+      if (shard_owner_changed (s, r))
+        shard_lose (s, "transfer-rejected");
+      else if (s->transfer_unknown)
+        /* Nobody else changes these keys while we own the shard: the earlier
+           attempt took effect.  */
+        transfer_settled (s);
+      else
+        {
+          log_event (LOG_LEVEL_WARN, "transfer_rejected", "shard=%s jobs=%zu",
+                     s->record->name, s->transfer_count);
+          shard_transfer_clear (s);
+        }
+      return;
+    case STORE_UNKNOWN:
+      s->transfer_unknown = true;
+      return;
+    case STORE_MISSING:
+    case STORE_COMPACTED:
+    case STORE_REFUSED:
+    case STORE_INVALID:
+      /* An earlier attempt without an answer may take effect yet, so the jobs
+         stay held until one is answered.  */
+      if (!s->transfer_unknown)
+        shard_transfer_clear (s);
+      return;
+    }
+}
+
+static void
+transfer_send (struct shard *s)
+{
+  static char keys[2 * TRANSFER_JOBS_MAX][KEY_SIZE];
+  struct store_condition conds[2 * TRANSFER_JOBS_MAX + 1];
+  struct store_write writes[TRANSFER_JOBS_MAX];
+  size_t n = 0;
+  conds[n++] = (struct store_condition){ s->owner_key, s->token };
+  for (size_t i = 0; i < s->transfer_count; i++)
+    {
+      const struct transfer_entry *t = &s->transfer[i];
+      char *job = keys[2 * i];
+      char *progress = keys[2 * i + 1];
+      snprintf (job, KEY_SIZE, "%s%s", KEY_JOB, t->id);
+      snprintf (progress, KEY_SIZE, "%s%s", KEY_PROGRESS, t->id);
+      conds[n++] = (struct store_condition){ job, t->revision };
+      conds[n++] = (struct store_condition){ progress, 0 };
+      writes[i] = (struct store_write){ .key = job, .value = t->text };
+    }
+  struct store_txn txn = { .conditions = conds,
+                           .condition_count = n,
+                           .writes = writes,
+                           .write_count = s->transfer_count };
+  s->transferring = true;
+  s->calls++;
+  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_transferred, s);
+}
+
+/* Prepares the transfer of job ID when another shard has room for it.  */
+static void
+transfer_add (struct shard *s, const char *id)
+{
+  const struct job_record *j = records_job (s->entry->records, id);
+  if (j == NULL || j->graph_text == NULL || j->progress_revision != 0
+      || j->transfers >= TRANSFERS_MAX)
+    return;
+  struct rr_error err = { 0 };
+  struct rr_graph *g
+      = rr_graph_decode (j->graph_text, strlen (j->graph_text), &err);
+  struct shard_record *target
+      = g == NULL ? NULL : choice_transfer (s->entry, s->record, g);
+  if (target != NULL)
+    {
+      struct transfer_entry *t = &s->transfer[s->transfer_count++];
+      choice_job_seen (target, g);
+      snprintf (t->id, sizeof t->id, "%s", id);
+      snprintf (t->target, sizeof t->target, "%s", target->name);
+      snprintf (g->shard, sizeof g->shard, "%s", target->name);
+      t->revision = j->job_revision;
+      t->text = rr_graph_encode (g);
+      rr_dispatch_job_hold (s->dispatch, id, true);
+    }
+  rr_graph_free (g);
+}
+
+/* Passes jobs that wait for room to shards that have it.  */
+void
+shard_transfer_jobs (struct shard *s, struct rr_time now)
+{
+  if (s->transferring || s->stopping
+      || records_shard_count (s->entry->records) < 2)
+    return;
+  if (s->transfer_count == 0)
+    {
+      const char *ids[TRANSFER_JOBS_MAX];
+      size_t n = rr_dispatch_unstarted (s->dispatch, ids, TRANSFER_JOBS_MAX,
+                                        TRANSFER_WAIT_MS, now);
+      for (size_t i = 0; i < n; i++)
+        transfer_add (s, ids[i]);
+    }
+  if (s->transfer_count > 0)
+    transfer_send (s);
+}
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -63,6 +63,7 @@
   struct rr_time busy_at; /* when a run of it was last seen */
   enum rr_job_phase phase;
   bool cancelled;
+  bool held;        /* on its way to another shard */
   uint64_t version; /* rises with each durable change */
   uint64_t stored_version;
   struct rr_time accepted;
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -27,6 +27,9 @@
      store                             all progress becomes durable
      confirm on|off                    whether ownership is confirmed
      takeover W...                     a new owner, with this record of workers
+     unstarted MS                      jobs that another shard may take over
+     hold JOB | release JOB | leave JOB
+                                       a job on its way to another shard
      wait MS | plan                    */
 
 enum
@@ -493,6 +496,33 @@
   w->born = now.ms;
 }
 
+static void
+print_unstarted (int64_t waited_ms)
+{
+  const char *ids[JOBS_MAX];
+  size_t n = rr_dispatch_unstarted (d, ids, JOBS_MAX, waited_ms, now);
+  printf ("unstarted:");
+  for (size_t i = 0; i < n; i++)
+    printf (" %s", ids[i]);
+  printf ("\n");
+}
+
+/* Carries out a command about the transfer of a job; false when the words are
+   none.  */
+static bool
+transfer_command (char **word)
+{
+  if (strcmp (word[0], "unstarted") == 0)
+    print_unstarted (strtol (word[1], NULL, 10));
+  else if (strcmp (word[0], "hold") == 0 || strcmp (word[0], "release") == 0)
+    rr_dispatch_job_hold (d, word[1], word[0][0] == 'h');
+  else if (strcmp (word[0], "leave") == 0)
+    printf ("%s\n", rr_dispatch_job_drop (d, word[1]) ? "left" : "stays");
+  else
+    return false;
+  return true;
+}
+
 static void
 worker_command (char **word, struct fake_worker *w)
 {
@@ -571,7 +601,7 @@
     now.ms += strtol (word[1], NULL, 10);
   else if (strcmp (c, "plan") == 0)
     plan ();
-  else
+  else if (!transfer_command (word))
     worker_command (word, worker_named (word[1]));
 }
 
