entry: tasks of lasting jobs pass to a shard that has room

A begun job could not leave its shard. A lasting job has no ends to gather, so its tasks can be divided: the job's own record names the tasks of its shard, and a record JOB.SHARD those of another. One transaction under the giver's owner key changes both. Run numbers go on above those of the giver. Ruled out: preferring restarts to new work within the shard, which does not help a shard that has lost its workers.

--- a/include/rosemaryentryd/choice.h
+++ b/include/rosemaryentryd/choice.h
@@ -9,6 +9,10 @@
 struct shard_record *choice_transfer (struct entry *e,
                                       const struct shard_record *from,
                                       const struct rr_graph *g);
+struct shard_record *choice_task_transfer (struct entry *e,
+                                           const struct shard_record *from,
+                                           const struct rr_graph *g,
+                                           size_t *room);
 void choice_job_seen (struct shard_record *s, const struct rr_graph *g);
 
 #endif
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -28,10 +28,13 @@
   SHARDS_MAX = 64
 };
 
-/* A job as the store has it.  GRAPH_TEXT is dropped once the job is over.  */
+/* A job as the store has it, or the share that one shard has of a divided
+   job; its id is then JOB.SHARD.  GRAPH_TEXT is dropped once the job is over.
+ */
 struct job_record
 {
   char id[RR_GRAPH_NAME_SIZE];
+  char job[RR_GRAPH_NAME_SIZE]; /* id of the job */
   char queue[RR_GRAPH_NAME_SIZE];
   char shard[RR_GRAPH_NAME_SIZE];
   char *graph_text;
@@ -60,7 +63,8 @@
   int64_t roster_revision;
   int64_t capacity_milli;
   int64_t demand_milli;
-  int64_t firm_milli; /* without fillers */
+  int64_t firm_milli;    /* without fillers */
+  int64_t largest_milli; /* most cores that are free on one worker */
 };
 
 struct daemon_record
@@ -75,6 +79,8 @@
 struct job_record *records_job_next (struct records *r,
                                      struct rr_handle *cursor);
 void records_job_forget (struct records *r, struct rr_handle h);
+void records_job_set (struct records *r, const char *id, const char *text,
+                      int64_t revision);
 void records_progress_set (struct records *r, const char *id, const char *text,
                            int64_t revision);
 enum rr_job_phase records_job_phase (const struct job_record *j);
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -18,6 +18,7 @@
   /* Each job takes a condition and a write; the owner key a condition.  */
   COMMIT_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 2,
   LOAD_MS = 700,
+  LOAD_LARGEST_MILLI = 1500, /* change of the largest room that is told */
   /* Leases of workers' tasks: the time to notice a dead owner and to take
      over, and as short as that allows, since tasks of a silent worker wait
      for its end.  */
@@ -40,6 +41,10 @@
   TRANSFERS_MAX = 3, /* of one job, since loads are known late */
   /* Each job takes two conditions and a write; the owner key a condition.  */
   TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 3,
+  /* A lasting task without room goes to another shard after this long: whole
+     jobs go first, and callers notice an absence after 6 s.  */
+  DIVIDE_WAIT_MS = 800,
+  DIVIDE_TASKS_MAX = 32, /* of a job at a time */
   /* Between removals of old jobs from the store.  */
   FORGET_MS = 3000,
   /* A finished job is kept this much longer than callers were promised, for
@@ -51,7 +56,8 @@
 
 struct commit_entry
 {
-  char id[RR_GRAPH_NAME_SIZE];
+  char id[RR_GRAPH_NAME_SIZE];     /* of the job */
+  char record[RR_GRAPH_NAME_SIZE]; /* where this shard stores it */
   uint64_t version;
   char *text; /* progress as it was sent */
 };
@@ -65,6 +71,25 @@
   char *text;       /* the job as it will be stored */
 };
 
+/* A record of a job whose share changes.  */
+struct divided_record
+{
+  char id[RR_GRAPH_NAME_SIZE];
+  int64_t revision; /* before; 0: it does not exist yet */
+  char *text;       /* the record as it will be stored */
+};
+
+/* Tasks of one job on their way to another shard.  */
+struct division
+{
+  bool active;
+  bool sending;
+  bool unknown; /* an attempt without an answer may take effect */
+  size_t tasks;
+  struct divided_record giver;
+  struct divided_record taker;
+};
+
 struct shard
 {
   struct entry *entry;
@@ -85,6 +110,7 @@
   size_t transfer_count;
   bool transferring;
   bool transfer_unknown; /* an attempt without an answer may take effect */
+  struct division division;
   bool roster_writing;
   int64_t ordinal; /* of this owner among those of the shard, from 0 */
   char *roster;    /* last one stored */
@@ -93,6 +119,7 @@
   struct rr_time load_sent;
   bool load_writing;
   int64_t last_demand;
+  int64_t last_largest;
   bool stopping; /* starts nothing more */
   bool closed;
   size_t calls;
@@ -116,6 +143,10 @@
 struct json_object *shard_roster_parse (const char *text, int64_t *ordinal);
 void shard_write_roster (struct shard *s);
 void shard_write_load (struct shard *s, struct rr_time now);
+void shard_record_id (const struct shard *s, const char *job,
+                      char out[RR_GRAPH_NAME_SIZE]);
+void shard_divide_jobs (struct shard *s, struct rr_time now);
+void shard_divide_clear (struct shard *s);
 void shard_transfer_jobs (struct shard *s, struct rr_time now);
 void shard_transfer_clear (struct shard *s);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -186,6 +186,7 @@
   int64_t used_milli;     /* by tasks, fillers included */
   int64_t queued_core_ms; /* estimated work that waits */
   int64_t firm_milli;     /* running or waiting, without fillers */
+  int64_t largest_milli;  /* most cores that are free on one worker */
 };
 
 struct rr_dispatch *rr_dispatch_new (const struct rr_dispatch_options *o);
@@ -252,6 +253,24 @@
 void rr_dispatch_job_hold (struct rr_dispatch *d, const char *id, bool held);
 bool rr_dispatch_job_drop (struct rr_dispatch *d, const char *id);
 
+/* A task of a job that can be divided: another shard may run it, with run
+   numbers from NEXT_RUN on.  */
+struct rr_waiting_task
+{
+  const char *job;
+  uint32_t number;
+  uint32_t next_run;
+};
+
+/* Tasks that wait can pass to another shard: withheld while the change is
+   stored, and then set by what was stored.  */
+size_t rr_dispatch_waiting_tasks (struct rr_dispatch *d,
+                                  struct rr_waiting_task *tasks, size_t max,
+                                  int64_t waited_ms, struct rr_time now);
+void rr_dispatch_task_withhold (struct rr_dispatch *d, const char *id,
+                                uint32_t number);
+void rr_dispatch_job_share (struct rr_dispatch *d, const struct rr_graph *g);
+
 void rr_dispatch_plan (struct rr_dispatch *d, struct rr_time confirmed,
                        struct rr_time valid_until, struct rr_time now);
 
--- a/include/rosemaryrail/graph.h
+++ b/include/rosemaryrail/graph.h
@@ -38,9 +38,17 @@
   char image[RR_GRAPH_NAME_SIZE];
 };
 
+/* A task that belongs to a shard, and the least number of its next run there:
+   above those that it had elsewhere.  */
+struct rr_graph_share
+{
+  uint32_t task;
+  uint32_t first_run;
+};
+
 /* A submitted job: steps that depend on each other, run once or at set
-   times.  Only its shard may change after it was accepted, while nothing of it
-   has started.  */
+   times.  After it was accepted, its shard may change while nothing of it has
+   started; a job of one lasting step may be divided among shards later.  */
 struct rr_graph
 {
   char id[RR_GRAPH_NAME_SIZE];
@@ -55,11 +63,21 @@
   int64_t first_run_ms;     /* since 1970 */
   int64_t interval_ms;
   int64_t accepted_ms; /* since 1970 */
+  bool divided;        /* SHARE has the tasks of SHARD; else all are there */
+  struct rr_graph_share *share; /* in no order */
+  size_t share_count;
 };
 
 struct rr_graph *rr_graph_new (size_t step_count);
 void rr_graph_free (struct rr_graph *g);
 bool rr_graph_check (const struct rr_graph *g, struct rr_error *err);
+bool rr_graph_divisible (const struct rr_graph *g);
+void rr_graph_divide (struct rr_graph *g, bool all);
+void rr_graph_share_add (struct rr_graph *g, uint32_t task,
+                         uint32_t first_run);
+bool rr_graph_share_remove (struct rr_graph *g, uint32_t task);
+const struct rr_graph_share *rr_graph_share_find (const struct rr_graph *g,
+                                                  uint32_t task);
 size_t rr_graph_occurrence_tasks (const struct rr_graph *g);
 size_t rr_graph_step_offset (const struct rr_graph *g, size_t step);
 int64_t rr_graph_chain_ms (const struct rr_graph *g);
--- a/rosemaryentryd/choice.c
+++ b/rosemaryentryd/choice.c
@@ -84,7 +84,9 @@
 static int64_t
 first_demand (const struct rr_graph *g)
 {
-  return g->steps[0].task_count * g->steps[0].cores_milli;
+  int64_t tasks
+      = g->divided ? (int64_t)g->share_count : g->steps[0].task_count;
+  return tasks * g->steps[0].cores_milli;
 }
 
 /* Counts the new job G towards the load of its shard S until the owner tells
@@ -172,3 +174,28 @@
     }
   return best;
 }
+
+/* Returns the shard with the most room for tasks of the lasting job G, of
+   which some wait in FROM, and the number of tasks that may go there in ROOM;
+   null when none has room for one.  */
+struct shard_record *
+choice_task_transfer (struct entry *e, const struct shard_record *from,
+                      const struct rr_graph *g, size_t *room)
+{
+  int64_t cores = g->steps[0].cores_milli > 0 ? g->steps[0].cores_milli : 1;
+  struct shard_record *best = NULL;
+  for (size_t i = 0; i < records_shard_count (e->records); i++)
+    {
+      struct shard_record *s = records_shard_at (e->records, i);
+      if (s == from || s->owner_revision == 0 || s->largest_milli < cores
+          || room_of (s, g) < 2 * cores
+          || (best != NULL && room_of (s, g) <= room_of (best, g)))
+        continue;
+      struct shard_fit fit = fit_of (e, s, g);
+      if (fit.capacity_milli > 0 && fit.has_label && fit.has_rack)
+        best = s;
+    }
+  /* Half of the room, since loads are known late and others give too.  */
+  *room = best == NULL ? 0 : (size_t)(room_of (best, g) / (2 * cores));
+  return best;
+}
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -76,7 +76,8 @@
   struct rr_handle h = { 0 };
   struct job_record *j;
   while ((j = records_job_next (r, &h)) != NULL)
-    if (j->accepted && records_job_phase (j) == RR_PHASE_QUEUED
+    if (j->accepted && strcmp (j->id, j->job) == 0
+        && records_job_phase (j) == RR_PHASE_QUEUED
         && strcmp (j->queue, queue) == 0)
       n++;
   return n;
@@ -166,6 +167,7 @@
   j = rr_table_insert (r->jobs, &h);
   assert (j != NULL);
   snprintf (j->id, sizeof j->id, "%s", id);
+  snprintf (j->job, sizeof j->job, "%s", id);
   rr_key_index_put (r->job_index, id, h);
   return j;
 }
@@ -200,15 +202,26 @@
         records_job_forget (r, h);
       return;
     }
+  records_job_set (r, id, item->value, item->revision);
+}
+
+/* Takes in the record ID with TEXT as of REVISION, unless a later one is
+   known.  */
+void
+records_job_set (struct records *r, const char *id, const char *text,
+                 int64_t revision)
+{
+  struct job_record *j = job_record_for (r, id);
+  if (revision <= j->job_revision)
+    return;
   struct rr_error err = { 0 };
-  struct rr_graph *g = rr_graph_decode (item->value, item->value_length, &err);
+  struct rr_graph *g = rr_graph_decode (text, strlen (text), &err);
   if (g == NULL)
     {
       log_event (LOG_LEVEL_ERROR, "job_unreadable", "job=%s %s", id,
                  err.message);
       return;
     }
-  struct job_record *j = job_record_for (r, id);
   struct shard_record *s = records_shard (r, g->shard);
   bool moved = j->accepted && strcmp (j->shard, g->shard) != 0;
   if (moved)
@@ -222,9 +235,12 @@
   snprintf (j->shard, sizeof j->shard, "%s", g->shard);
   j->accepted = true;
   j->accepted_ms = g->accepted_ms;
-  j->job_revision = item->revision;
+  j->job_revision = revision;
   free (j->graph_text);
-  j->graph_text = strdup (item->value);
+  j->graph_text = strdup (text);
+  snprintf (j->job, sizeof j->job, "%s", g->id);
+  const struct job_record *whole = records_job (r, g->id);
+  j->cancelled = j->cancelled || (whole != NULL && whole->cancelled);
   rr_graph_free (g);
   job_record_trim (j);
   owners_job_seen (r->entry->owners, j);
@@ -249,6 +265,10 @@
       return;
     }
   j->phase = p->phase;
+  struct job_record *whole = records_job (r, j->job);
+  if (whole != NULL && whole->phase == RR_PHASE_QUEUED
+      && p->phase == RR_PHASE_ACTIVE)
+    whole->phase = RR_PHASE_ACTIVE;
   j->has_progress = true;
   j->progress_revision = revision;
   free (j->progress_text);
@@ -264,6 +284,20 @@
     records_progress_set (r, id, item->value, item->revision);
 }
 
+/* Cancels the share that SHARD has of the job ID, if any.  */
+static void
+cancel_share (struct records *r, const char *id, const char *shard)
+{
+  char share[RR_GRAPH_NAME_SIZE];
+  snprintf (share, sizeof share, "%.31s.%.31s", id, shard);
+  struct job_record *j = records_job (r, share);
+  if (j == NULL)
+    return;
+  j->cancelled = true;
+  job_record_trim (j);
+  owners_job_cancelled (r->entry->owners, j);
+}
+
 static void
 on_cancel (struct records *r, const char *id, const struct store_item *item)
 {
@@ -274,6 +308,8 @@
   j->cancel_revision = item->revision;
   job_record_trim (j);
   owners_job_cancelled (r->entry->owners, j);
+  for (size_t i = 0; i < r->shard_count; i++)
+    cancel_share (r, id, r->shards[i].name);
 }
 
 static void
@@ -306,6 +342,7 @@
   s->capacity_milli = json_int_or (o, "capacity", 0);
   s->demand_milli = json_int_or (o, "demand", 0);
   s->firm_milli = json_int_or (o, "firm", 0);
+  s->largest_milli = json_int_or (o, "largest", 0);
   json_object_put (o);
 }
 
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -28,6 +28,7 @@
   if (!s->closed || s->calls > 0 || s->timers_open > 0)
     return;
   shard_transfer_clear (s);
+  shard_divide_clear (s);
   rr_dispatch_free (s->dispatch);
   free (s->roster);
   free (s->roster_sent);
@@ -229,6 +230,7 @@
   shard_write_load (s, now);
   shard_forget_jobs (s, now);
   shard_transfer_jobs (s, now);
+  shard_divide_jobs (s, now);
   plan (s);
 }
 
@@ -276,7 +278,8 @@
   shard_wake (s);
 }
 
-/* A job of the shard was accepted, or is taken over when INHERITED.  */
+/* A job of the shard was accepted or is divided differently, or is taken over
+   when INHERITED.  */
 void
 shard_job_seen (struct shard *s, const struct job_record *j, bool inherited)
 {
@@ -295,6 +298,11 @@
   if (g == NULL)
     log_event (LOG_LEVEL_ERROR, "job_unreadable", "job=%s %s", j->id,
                err.message);
+  else if (rr_dispatch_job_known (s->dispatch, g->id))
+    {
+      rr_dispatch_job_share (s->dispatch, g);
+      rr_graph_free (g);
+    }
   else
     rr_dispatch_job_add (s->dispatch, g, p, inherited, entry_now ());
   rr_progress_free (p);
@@ -313,7 +321,7 @@
 void
 shard_job_cancelled (struct shard *s, const struct job_record *j)
 {
-  rr_dispatch_job_cancel (s->dispatch, j->id, entry_now ());
+  rr_dispatch_job_cancel (s->dispatch, j->job, entry_now ());
   shard_wake (s);
 }
 
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -42,7 +42,8 @@
 {
   for (size_t i = 0; i < s->commit_count; i++)
     {
-      struct job_record *j = records_job (s->entry->records, s->commit[i].id);
+      struct job_record *j
+          = records_job (s->entry->records, s->commit[i].record);
       if (j == NULL)
         continue;
       char key[KEY_SIZE];
@@ -67,11 +68,12 @@
 note_phase (struct shard *s, const struct commit_entry *c, int64_t revision)
 {
   struct records *records = s->entry->records;
-  const struct job_record *j = records_job (records, c->id);
+  const struct job_record *j = records_job (records, c->record);
   enum rr_job_phase before = j == NULL ? RR_PHASE_QUEUED : j->phase;
-  records_progress_set (records, c->id, c->text, revision);
-  j = records_job (records, c->id);
-  if (j == NULL || !j->accepted || j->phase == before)
+  records_progress_set (records, c->record, c->text, revision);
+  j = records_job (records, c->record);
+  if (j == NULL || !j->accepted || j->phase == before
+      || strcmp (c->record, c->id) != 0)
     return;
   entry_metrics_latency (s->entry->metrics, j->queue,
                          rr_job_phase_name (j->phase),
@@ -162,9 +164,10 @@
     {
       struct commit_entry *c = &s->commit[i];
       snprintf (c->id, sizeof c->id, "%s", ids[i]);
-      snprintf (keys[i], KEY_SIZE, "%s%s", KEY_PROGRESS, ids[i]);
+      shard_record_id (s, ids[i], c->record);
+      snprintf (keys[i], KEY_SIZE, "%s%s", KEY_PROGRESS, c->record);
       c->text = rr_dispatch_progress (s->dispatch, ids[i], mark, &c->version);
-      struct job_record *j = records_job (s->entry->records, ids[i]);
+      struct job_record *j = records_job (s->entry->records, c->record);
       conds[i + 1]
           = (struct store_condition){ keys[i],
                                       j == NULL ? 0 : j->progress_revision };
--- /dev/null
+++ b/rosemaryentryd/shard_divide.c
@@ -0,0 +1,214 @@
+#include "rosemaryentryd/shard_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rosemaryentryd/choice.h"
+
+/* Tasks of a lasting job that wait for room go to a shard that has it.  The
+   job then has a record in each shard that runs some of its tasks: its own,
+   and one called JOB.SHARD for each other shard.  Tasks pass between the job's
+   own record and the others, in one transaction under the giver's owner
+   key.  */
+
+/* Writes to OUT the id of the record with this shard's tasks of JOB.  */
+void
+shard_record_id (const struct shard *s, const char *job,
+                 char out[RR_GRAPH_NAME_SIZE])
+{
+  const struct job_record *j = records_job (s->entry->records, job);
+  if (j == NULL || strcmp (j->shard, s->record->name) == 0)
+    snprintf (out, RR_GRAPH_NAME_SIZE, "%s", job);
+  else
+    snprintf (out, RR_GRAPH_NAME_SIZE, "%.31s.%.31s", job, s->record->name);
+}
+
+static struct rr_graph *
+decode_record (const struct job_record *j)
+{
+  struct rr_error err = { 0 };
+  return j == NULL || j->graph_text == NULL
+             ? NULL
+             : rr_graph_decode (j->graph_text, strlen (j->graph_text), &err);
+}
+
+/* Forgets the division under way; what is still in our share starts here.  */
+void
+shard_divide_clear (struct shard *s)
+{
+  struct division *v = &s->division;
+  if (!v->active)
+    return;
+  struct rr_graph *g
+      = decode_record (records_job (s->entry->records, v->giver.id));
+  if (g != NULL)
+    rr_dispatch_job_share (s->dispatch, g);
+  rr_graph_free (g);
+  free (v->giver.text);
+  free (v->taker.text);
+  memset (v, 0, sizeof *v);
+}
+
+/* Takes in the records as a refused write shows them.  */
+static void
+take_current (struct shard *s, const struct store_result *r)
+{
+  size_t n = strlen (KEY_JOB);
+  for (size_t i = 0; i < r->item_count; i++)
+    if (strncmp (r->items[i].key, KEY_JOB, n) == 0 && !r->items[i].removed)
+      records_job_set (s->entry->records, r->items[i].key + n,
+                       r->items[i].value, r->items[i].revision);
+}
+
+static void
+on_divided (void *data, const struct store_result *r)
+{
+  struct shard *s = data;
+  struct division *v = &s->division;
+  s->calls--;
+  v->sending = false;
+  if (s->closed)
+    {
+      shard_release (s);
+      return;
+    }
+  log_event (r->state == STORE_OK ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+             "tasks_transferred", "job=%s from=%s to=%s tasks=%zu state=%s",
+             v->giver.id, s->record->name, v->taker.id, v->tasks,
+             store_state_name (r->state));
+  switch (r->state)
+    {
+    case STORE_OK:
+      records_job_set (s->entry->records, v->giver.id, v->giver.text,
+                       r->revision);
+      records_job_set (s->entry->records, v->taker.id, v->taker.text,
+                       r->revision);
+      shard_divide_clear (s);
+      return;
+    case STORE_CONFLICT:
+      if (shard_owner_changed (s, r))
+        {
+          shard_lose (s, "division-rejected");
+          return;
+        }
+      take_current (s, r);
+      shard_divide_clear (s);
+      return;
+    case STORE_UNKNOWN:
+      v->unknown = true;
+      return;
+    case STORE_MISSING:
+    case STORE_COMPACTED:
+    case STORE_REFUSED:
+    case STORE_INVALID:
+      /* An earlier attempt without an answer may take effect yet, so the
+         tasks stay withheld until one is answered.  */
+      if (!v->unknown)
+        shard_divide_clear (s);
+      return;
+    }
+}
+
+static void
+division_send (struct shard *s)
+{
+  struct division *v = &s->division;
+  char keys[2][KEY_SIZE];
+  snprintf (keys[0], KEY_SIZE, "%s%s", KEY_JOB, v->giver.id);
+  snprintf (keys[1], KEY_SIZE, "%s%s", KEY_JOB, v->taker.id);
+  struct store_condition conds[] = { { s->owner_key, s->token },
+                                     { keys[0], v->giver.revision },
+                                     { keys[1], v->taker.revision } };
+  struct store_write writes[] = { { .key = keys[0], .value = v->giver.text },
+                                  { .key = keys[1], .value = v->taker.text } };
+  struct store_txn txn = { .conditions = conds,
+                           .condition_count = 3,
+                           .writes = writes,
+                           .write_count = 2 };
+  v->sending = true;
+  s->calls++;
+  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_divided, s);
+}
+
+/* Sets the record that takes tasks of FROM: the job's own one, or that of the
+   shard TARGET.  Returns its graph, which the caller frees, or null when
+   nothing is known of it.  */
+static struct rr_graph *
+find_taker (struct shard *s, const struct rr_graph *from,
+            const struct shard_record *target, struct divided_record *taker)
+{
+  const struct job_record *main = records_job (s->entry->records, from->id);
+  if (main == NULL)
+    return NULL;
+  bool back = strcmp (main->shard, s->record->name) != 0;
+  if (back)
+    snprintf (taker->id, sizeof taker->id, "%s", from->id);
+  else
+    snprintf (taker->id, sizeof taker->id, "%.31s.%.31s", from->id,
+              target->name);
+  const struct job_record *j = records_job (s->entry->records, taker->id);
+  struct rr_graph *g = decode_record (j == NULL ? main : j);
+  taker->revision = j == NULL ? 0 : j->job_revision;
+  if (g != NULL && j == NULL)
+    {
+      rr_graph_divide (g, false);
+      g->share_count = 0;
+      snprintf (g->shard, sizeof g->shard, "%s", target->name);
+    }
+  return g;
+}
+
+/* Prepares to pass on N waiting TASKS of one job.  */
+static void
+divide (struct shard *s, const struct rr_waiting_task *tasks, size_t n)
+{
+  struct division *v = &s->division;
+  shard_record_id (s, tasks[0].job, v->giver.id);
+  const struct job_record *j = records_job (s->entry->records, v->giver.id);
+  struct rr_graph *from = decode_record (j);
+  if (from == NULL)
+    return;
+  size_t room;
+  struct shard_record *target
+      = choice_task_transfer (s->entry, s->record, from, &room);
+  struct rr_graph *to
+      = target == NULL ? NULL : find_taker (s, from, target, &v->taker);
+  if (to != NULL)
+    {
+      v->active = true;
+      v->tasks = n < room ? n : room;
+      v->giver.revision = j->job_revision;
+      rr_graph_divide (from, true);
+      for (size_t i = 0; i < v->tasks; i++)
+        {
+          rr_graph_share_remove (from, tasks[i].number);
+          rr_graph_share_add (to, tasks[i].number, tasks[i].next_run);
+          rr_dispatch_task_withhold (s->dispatch, from->id, tasks[i].number);
+        }
+      target->firm_milli += (int64_t)v->tasks * from->steps[0].cores_milli;
+      v->giver.text = rr_graph_encode (from);
+      v->taker.text = rr_graph_encode (to);
+    }
+  rr_graph_free (from);
+  rr_graph_free (to);
+}
+
+/* Passes waiting tasks of lasting jobs to shards that have room.  */
+void
+shard_divide_jobs (struct shard *s, struct rr_time now)
+{
+  struct division *v = &s->division;
+  if (v->sending || s->stopping || records_shard_count (s->entry->records) < 2)
+    return;
+  if (!v->active)
+    {
+      struct rr_waiting_task tasks[DIVIDE_TASKS_MAX];
+      size_t n = rr_dispatch_waiting_tasks (
+          s->dispatch, tasks, DIVIDE_TASKS_MAX, DIVIDE_WAIT_MS, now);
+      if (n > 0)
+        divide (s, tasks, n);
+    }
+  if (v->active)
+    division_send (s);
+}
--- a/rosemaryentryd/shard_roster.c
+++ b/rosemaryentryd/shard_roster.c
@@ -170,16 +170,19 @@
   rr_dispatch_load_get (s->dispatch, &load, now);
   int64_t demand = load.used_milli + load.queued_core_ms;
   int64_t change = demand - s->last_demand;
+  int64_t largest = load.largest_milli - s->last_largest;
   if ((change < 0 ? -change : change) * 20 < load.cores_milli
+      && (largest < 0 ? -largest : largest) < LOAD_LARGEST_MILLI
       && s->load_sent.ms != 0 && load.cores_milli == s->record->capacity_milli)
     return;
   char key[KEY_SIZE];
   char value[128];
   snprintf (key, sizeof key, "%s%s", KEY_LOAD, s->record->name);
-  snprintf (value, sizeof value,
-            "{\"capacity\":%lld,\"demand\":%lld,\"firm\":%lld}",
-            (long long)load.cores_milli, (long long)demand,
-            (long long)load.firm_milli);
+  snprintf (
+      value, sizeof value,
+      "{\"capacity\":%lld,\"demand\":%lld,\"firm\":%lld,\"largest\":%lld}",
+      (long long)load.cores_milli, (long long)demand,
+      (long long)load.firm_milli, (long long)load.largest_milli);
   struct store_condition cond = { s->owner_key, s->token };
   struct store_write w = { .key = key, .value = value };
   struct store_txn txn = {
@@ -188,6 +191,7 @@
   s->load_writing = true;
   s->load_sent = now;
   s->last_demand = demand;
+  s->last_largest = load.largest_milli;
   s->calls++;
   store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_load_written, s);
 }
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -267,7 +267,8 @@
     return;
   /* The end of an older run, which was taken as lost, while a newer one is
      going on: only its failure counts.  */
-  bool old = t->state == TASK_PLACED && t->current_run != end->name.run;
+  bool old = t->state == TASK_AWAY
+             || (t->state == TASK_PLACED && t->current_run != end->name.run);
   if (old && end->kind != RR_END_FAILED)
     return;
   if (end->kind == RR_END_DONE && !s->long_running)
@@ -382,8 +383,9 @@
       dispatch_task_name (j, i, &name);
       dispatch_step_of (j, &name)->waiting--;
       t->state = TASK_UNCERTAIN;
-      if (t->next_run < d->first_run)
-        t->next_run = d->first_run;
+      uint32_t first = d->first_run + t->given_run;
+      if (t->next_run < first)
+        t->next_run = first;
     }
 }
 
@@ -427,6 +429,7 @@
   rr_key_index_put (d->job_ids, g->id, h);
   if (progress != NULL)
     restore (d, j, progress);
+  dispatch_share_tasks (j, g);
   if (inherited && d->inheriting)
     mark_uncertain (d, j);
 }
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -10,6 +10,7 @@
   TASK_WAITING,
   TASK_UNCERTAIN, /* a former owner may have started it */
   TASK_PLACED,    /* ordered to a worker, not known to have ended */
+  TASK_AWAY,      /* another shard runs it */
   TASK_DONE
 };
 
@@ -18,6 +19,7 @@
   enum task_state state;
   uint32_t current_run; /* while placed */
   uint32_t next_run;
+  uint32_t given_run; /* least run number, from the shard that gave it */
   uint32_t ended_run; /* highest run that is over */
   /* Bit I: the end of run ENDED_RUN - I is accounted for.  Ends can become
      known in any order when several workers were out of reach.  */
@@ -168,6 +170,7 @@
   size_t inherited_count;
   struct rr_time inherited_until;
   bool inheriting;
+  struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
   uint32_t first_run; /* of inherited tasks: above those of former owners */
   int64_t free_cores_milli; /* of usable workers, as a round begins */
   struct rr_time audited;
@@ -257,6 +260,7 @@
                          uint32_t number, struct rr_time now);
 void dispatch_job_stop_runs (struct rr_dispatch *d, struct dispatch_job *j,
                              const char *reason);
+void dispatch_share_tasks (struct dispatch_job *j, const struct rr_graph *g);
 void dispatch_job_release (struct dispatch_job *j);
 void dispatch_job_settle (struct rr_dispatch *d, struct dispatch_job *j);
 
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -1,7 +1,8 @@
 #include "dispatch_private.h"
 
-/* Jobs that another shard may take over, since nothing of them was ever
-   ordered here.  */
+/* What another shard may take over: whole jobs of which nothing was ever
+   ordered here, and single tasks of jobs that can be divided, while they
+   certainly run nowhere.  */
 
 static bool
 never_ordered (const struct dispatch_job *j)
@@ -58,3 +59,87 @@
   rr_table_remove (d->jobs, h);
   return true;
 }
+
+/* Sets which tasks of J belong to this shard, by the share of G.  A task that
+   is placed here stays so.  */
+void
+dispatch_share_tasks (struct dispatch_job *j, const struct rr_graph *g)
+{
+  for (uint32_t i = 0; g->divided && i < j->task_count; i++)
+    {
+      struct dispatch_task *t = &j->tasks[i];
+      const struct rr_graph_share *share = rr_graph_share_find (g, i);
+      if (share != NULL && share->first_run > t->given_run)
+        t->given_run = share->first_run;
+      if (t->next_run < t->given_run)
+        t->next_run = t->given_run;
+      if (share != NULL && t->state == TASK_AWAY)
+        {
+          t->state = TASK_WAITING;
+          j->steps[0].waiting++;
+        }
+      else if (share == NULL && t->state == TASK_WAITING)
+        {
+          t->state = TASK_AWAY;
+          j->steps[0].waiting--;
+        }
+    }
+}
+
+/* Sets which tasks of the job G belong to this shard, as was stored.  */
+void
+rr_dispatch_job_share (struct rr_dispatch *d, const struct rr_graph *g)
+{
+  struct dispatch_job *j = dispatch_job_find (d, g->id);
+  if (j != NULL)
+    dispatch_share_tasks (j, g);
+}
+
+/* Writes to TASKS the tasks of one job, at most MAX, that have waited
+   WAITED_MS or longer for room and that another shard could run.  Returns
+   their number; jobs get their turn one after the other.  */
+size_t
+rr_dispatch_waiting_tasks (struct rr_dispatch *d,
+                           struct rr_waiting_task *tasks, size_t max,
+                           int64_t waited_ms, struct rr_time now)
+{
+  struct dispatch_job *j = rr_table_next (d->jobs, &d->waiting_cursor);
+  size_t n = 0;
+  for (size_t seen = 0; seen <= rr_table_count (d->jobs) && n == 0; seen++)
+    {
+      if (j == NULL)
+        {
+          d->waiting_cursor = (struct rr_handle){ 0 };
+          j = rr_table_next (d->jobs, &d->waiting_cursor);
+          continue;
+        }
+      bool divisible = rr_graph_divisible (j->graph) && !j->cancelled
+                       && !j->held && j->steps[0].waiting > 0;
+      for (uint32_t i = 0; divisible && i < j->task_count && n < max; i++)
+        {
+          struct dispatch_task *t = &j->tasks[i];
+          struct rr_time since = t->not_before;
+          if (rr_time_before (since, j->accepted))
+            since = j->accepted;
+          if (t->state == TASK_WAITING
+              && rr_time_diff (now, since) >= waited_ms)
+            tasks[n++]
+                = (struct rr_waiting_task){ j->graph->id, i, t->next_run };
+        }
+      if (n == 0)
+        j = rr_table_next (d->jobs, &d->waiting_cursor);
+    }
+  return n;
+}
+
+/* Starts task NUMBER of job ID no more here, until its share is set again.  */
+void
+rr_dispatch_task_withhold (struct rr_dispatch *d, const char *id,
+                           uint32_t number)
+{
+  struct dispatch_job *j = dispatch_job_find (d, id);
+  if (j == NULL || j->tasks[number].state != TASK_WAITING)
+    return;
+  j->tasks[number].state = TASK_AWAY;
+  j->steps[0].waiting--;
+}
--- a/rosemaryrail/graph.c
+++ b/rosemaryrail/graph.c
@@ -29,9 +29,64 @@
     free (g->steps[i].after);
   free (g->steps);
   free (g->spec);
+  free (g->share);
   free (g);
 }
 
+/* Tells whether the tasks of G don't depend on each other, so that different
+   shards may run them.  */
+bool
+rr_graph_divisible (const struct rr_graph *g)
+{
+  return g->step_count == 1 && g->steps[0].long_running && !g->steps[0].gang
+         && !g->scheduled;
+}
+
+/* Makes G a divided job, whose share has ALL of its tasks or none yet.  */
+void
+rr_graph_divide (struct rr_graph *g, bool all)
+{
+  if (g->divided && all)
+    return;
+  g->divided = true;
+  g->share_count = 0;
+  for (uint32_t i = 0; all && i < (uint32_t)g->steps[0].task_count; i++)
+    rr_graph_share_add (g, i, 1);
+}
+
+/* Adds TASK to the share, with the least number of its next run.  */
+void
+rr_graph_share_add (struct rr_graph *g, uint32_t task, uint32_t first_run)
+{
+  rr_graph_share_remove (g, task);
+  g->share = realloc (g->share, (g->share_count + 1) * sizeof *g->share);
+  assert (g->share != NULL);
+  g->share[g->share_count++] = (struct rr_graph_share){ task, first_run };
+}
+
+/* Returns the entry of TASK in the share of the divided job G, or null.  */
+const struct rr_graph_share *
+rr_graph_share_find (const struct rr_graph *g, uint32_t task)
+{
+  for (size_t i = 0; i < g->share_count; i++)
+    if (g->share[i].task == task)
+      return &g->share[i];
+  return NULL;
+}
+
+/* Removes TASK from the share; false when it is not there.  */
+bool
+rr_graph_share_remove (struct rr_graph *g, uint32_t task)
+{
+  for (size_t i = 0; i < g->share_count; i++)
+    if (g->share[i].task == task)
+      {
+        g->share[i] = g->share[--g->share_count];
+        return true;
+      }
+  return false;
+}
+
 /* Returns the number of tasks of one occurrence.  */
 size_t
 rr_graph_occurrence_tasks (const struct rr_graph *g)
@@ -49,6 +104,19 @@
   return n;
 }
 
+static bool
+check_share (const struct rr_graph *g, struct rr_error *err)
+{
+  if (g->divided && !rr_graph_divisible (g))
+    return rr_error_set (err, RR_ERROR_INVALID,
+                         "only a job of one lasting step can be divided");
+  for (size_t i = 0; i < g->share_count; i++)
+    if (g->share[i].task >= (uint32_t)g->steps[0].task_count)
+      return rr_error_set (err, RR_ERROR_INVALID, "there is no task %u",
+                           (unsigned)g->share[i].task);
+  return true;
+}
+
 static bool
 check_step (const struct rr_graph *g, size_t i, struct rr_error *err)
 {
@@ -86,7 +154,7 @@
     return rr_error_set (err, RR_ERROR_INVALID,
                          "a job can have at most %d tasks",
                          RR_GRAPH_TASKS_MAX);
-  return true;
+  return check_share (g, err);
 }
 
 static int64_t
@@ -245,6 +313,40 @@
     s->after[i] = json_object_get_int (json_object_array_get_idx (a, i));
 }
 
+static struct json_object *
+encode_share (const struct rr_graph *g)
+{
+  struct json_object *list = json_object_new_array ();
+  for (size_t i = 0; i < g->share_count; i++)
+    {
+      struct json_object *row = json_object_new_array ();
+      json_object_array_add (row, json_object_new_int64 (g->share[i].task));
+      json_object_array_add (row,
+                             json_object_new_int64 (g->share[i].first_run));
+      json_object_array_add (list, row);
+    }
+  return list;
+}
+
+static void
+decode_share (struct json_object *o, struct rr_graph *g)
+{
+  struct json_object *list = NULL;
+  if (!json_object_object_get_ex (o, "share", &list)
+      || !json_object_is_type (list, json_type_array))
+    return;
+  rr_graph_divide (g, false);
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      struct json_object *row = json_object_array_get_idx (list, i);
+      rr_graph_share_add (
+          g,
+          (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 0)),
+          (uint32_t)json_object_get_int64 (
+              json_object_array_get_idx (row, 1)));
+    }
+}
+
 /* Returns the stored form of G; the caller frees it.  */
 char *
 rr_graph_encode (const struct rr_graph *g)
@@ -263,6 +365,8 @@
   for (size_t i = 0; i < g->step_count; i++)
     json_object_array_add (steps, encode_step (&g->steps[i]));
   json_object_object_add (o, "steps", steps);
+  if (g->divided)
+    json_object_object_add (o, "share", encode_share (g));
   char *text
       = strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
   assert (text != NULL);
@@ -302,6 +406,7 @@
   g->accepted_ms = take_int (o, "accepted");
   for (size_t i = 0; i < g->step_count; i++)
     decode_step (json_object_array_get_idx (steps, i), &g->steps[i]);
+  decode_share (o, g);
   json_object_put (o);
   if (!rr_graph_check (g, err))
     {
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -30,6 +30,10 @@
      unstarted MS                      jobs that another shard may take over
      hold JOB | release JOB | leave JOB
                                        a job on its way to another shard
+     waiting MS                        tasks that another shard may take over
+     withhold JOB N                    one of them is on its way
+     share JOB N:RUN...                the tasks of the job that are here, with
+                                       the least numbers of their next runs
      wait MS | plan                    */
 
 enum
@@ -507,15 +511,59 @@
   printf ("\n");
 }
 
+static void
+print_waiting (int64_t waited_ms)
+{
+  struct rr_waiting_task tasks[RUNS_MAX];
+  size_t n = rr_dispatch_waiting_tasks (d, tasks, RUNS_MAX, waited_ms, now);
+  printf ("waiting:");
+  for (size_t i = 0; i < n; i++)
+    printf (" %s.%u:%u", tasks[i].job, (unsigned)tasks[i].number,
+            (unsigned)tasks[i].next_run);
+  printf ("\n");
+}
+
+static void
+share (char **word, size_t words)
+{
+  for (size_t i = 0; i < job_count; i++)
+    {
+      if (strcmp (jobs[i].id, word[1]) != 0)
+        continue;
+      struct rr_error err = { 0 };
+      struct rr_graph *g
+          = rr_graph_decode (jobs[i].graph, strlen (jobs[i].graph), &err);
+      rr_graph_divide (g, false);
+      g->share_count = 0;
+      for (size_t k = 2; k < words; k++)
+        {
+          char *run = NULL;
+          uint32_t task = (uint32_t)strtoul (word[k], &run, 10);
+          rr_graph_share_add (g, task, (uint32_t)strtoul (run + 1, NULL, 10));
+        }
+      free (jobs[i].graph);
+      jobs[i].graph = rr_graph_encode (g);
+      rr_dispatch_job_share (d, g);
+      rr_graph_free (g);
+    }
+}
+
 /* Carries out a command about the transfer of a job; false when the words are
    none.  */
 static bool
-transfer_command (char **word)
+transfer_command (char **word, size_t words)
 {
   if (strcmp (word[0], "unstarted") == 0)
     print_unstarted (strtol (word[1], NULL, 10));
   else if (strcmp (word[0], "hold") == 0 || strcmp (word[0], "release") == 0)
     rr_dispatch_job_hold (d, word[1], word[0][0] == 'h');
+  else if (strcmp (word[0], "waiting") == 0)
+    print_waiting (strtol (word[1], NULL, 10));
+  else if (strcmp (word[0], "withhold") == 0)
+    rr_dispatch_task_withhold (d, word[1],
+                               (uint32_t)strtoul (word[2], NULL, 10));
+  else if (strcmp (word[0], "share") == 0)
+    share (word, words);
   else if (strcmp (word[0], "leave") == 0)
     printf ("%s\n", rr_dispatch_job_drop (d, word[1]) ? "left" : "stays");
   else
@@ -601,7 +649,7 @@
     now.ms += strtol (word[1], NULL, 10);
   else if (strcmp (c, "plan") == 0)
     plan ();
-  else if (!transfer_command (word))
+  else if (!transfer_command (word, words))
     worker_command (word, worker_named (word[1]));
 }
 
