platform, entry: one store_put_if; unused marks and settings removed

Found in the last re-read: the condition and write of one key stood in six places, on_submitted and on_cancelled were the same, the mark of stored progress was written and never read (a failed condition shows the revision), and stop_grace_ms and gang_timeout_ms were set and used nowhere.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -88,6 +88,9 @@
                   void *data);
 void store_commit (struct store *s, const struct store_txn *txn,
                    uint64_t timeout_ms, store_done_fn *done, void *data);
+void store_put_if (struct store *s, const struct store_condition *condition,
+                   const struct store_write *write, uint64_t timeout_ms,
+                   store_done_fn *done, void *data);
 void store_lease_grant (struct store *s, int64_t ttl_ms, uint64_t timeout_ms,
                         store_done_fn *done, void *data);
 void store_lease_renew (struct store *s, int64_t lease, uint64_t timeout_ms,
--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -28,13 +28,11 @@
   struct settings_peer permits; /* service for permits; port 0: none */
   struct settings_peer metrics; /* port 0: not served */
   char log_level[16];
-  int64_t lease_max_ms;    /* longest lease that workers give */
-  int64_t stop_grace_ms;   /* longest time a stop takes */
-  int64_t gang_timeout_ms; /* members of a gang wait this long */
-  int64_t shutdown_ms;     /* between the request to stop and the kill */
-  int64_t retention_ms;    /* state of finished jobs is kept this long */
-  int64_t cpu_milli;       /* share of a core, in thousandths */
-  double remote_factor;    /* slowdown away from the data's rack */
+  int64_t lease_max_ms; /* longest lease that workers give */
+  int64_t shutdown_ms;  /* between the request to stop and the kill */
+  int64_t retention_ms; /* state of finished jobs is kept this long */
+  int64_t cpu_milli;    /* share of a core, in thousandths */
+  double remote_factor; /* slowdown away from the data's rack */
 };
 
 bool entry_settings_parse (const char *text, size_t length,
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -115,7 +115,6 @@
   int64_t ordinal; /* of this owner among those of the shard, from 0 */
   char *roster;    /* last one stored */
   char *roster_sent;
-  uint64_t marks;
   struct rr_time load_sent;
   bool load_writing;
   int64_t last_demand;
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -163,12 +163,10 @@
 /* Settings and callbacks of a dispatcher.  */
 struct rr_dispatch_options
 {
-  int64_t lease_ms;        /* of what runs, renewed by each report */
-  int64_t lease_max_ms;    /* longest time a lease can reach ahead */
-  int64_t stop_grace_ms;   /* longest time a stop takes */
-  int64_t gang_timeout_ms; /* members of a gang wait this long */
-  double remote_factor;    /* slowdown away from the data's rack */
-  int64_t wall_offset_ms;  /* wall clock minus the clock of rr_time */
+  int64_t lease_ms;       /* of what runs, renewed by each report */
+  int64_t lease_max_ms;   /* longest time a lease can reach ahead */
+  double remote_factor;   /* slowdown away from the data's rack */
+  int64_t wall_offset_ms; /* wall clock minus the clock of rr_time */
   void (*order) (void *data, const struct rr_order *o);
   void (*ask) (void *data, const struct rr_permit_question *q);
   void (*note) (void *data, const char *event, const char *text);
@@ -279,7 +277,7 @@
 size_t rr_dispatch_changed (struct rr_dispatch *d, const char **ids,
                             size_t max, bool *urgent);
 char *rr_dispatch_progress (struct rr_dispatch *d, const char *id,
-                            const char *mark, uint64_t *version);
+                            uint64_t *version);
 void rr_dispatch_stored (struct rr_dispatch *d, const char *id,
                          uint64_t version);
 
--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -29,12 +29,10 @@
   char checkpoint[RR_CHECKPOINT_SIZE];
 };
 
-/* The stored progress of a job.  MARK names the write, so that a writer
-   recognises its own after a lost answer.  */
+/* The stored progress of a job.  */
 struct rr_progress
 {
   enum rr_job_phase phase;
-  char mark[RR_GRAPH_NAME_SIZE];
   struct rr_progress_row *rows;
   size_t row_count;
 };
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -12,7 +12,6 @@
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/mirror.h"
 #include "rosemaryentryd/records.h"
-#include "rosemaryentryd/session.h"
 
 enum
 {
@@ -139,11 +138,11 @@
 }
 
 static void
-on_submitted (void *data, const struct store_result *r)
+on_written (void *data, const struct store_result *r)
 {
   struct request *q = data;
-  /* A conflict means that the job is there: from an earlier attempt of ours
-     or of the caller.  */
+  /* A conflict means that the job, or its cancellation, is there: from an
+     earlier attempt of ours or of the caller.  */
   if (r->state == STORE_OK || r->state == STORE_CONFLICT)
     finish (q, 200, "{}");
   else
@@ -151,24 +150,19 @@
 }
 
 static void
-on_cancelled (void *data, const struct store_result *r)
+write_key (struct request *q, const char *value)
 {
-  struct request *q = data;
-  if (r->state == STORE_OK || r->state == STORE_CONFLICT)
-    finish (q, 200, "{}");
-  else
-    try_again (q, r);
+  struct store_condition cond = { .key = q->key, .revision = 0 };
+  struct store_write w = { .key = q->key, .value = value };
+  store_put_if (q->front->entry->store, &cond, &w, TRY_TIMEOUT_MS, on_written,
+                q);
 }
 
 static void
-write_key (struct request *q, const char *value, store_done_fn *done)
+write_cancellation (struct request *q)
 {
-  struct store_condition cond = { .key = q->key, .revision = 0 };
-  struct store_write w = { .key = q->key, .value = value };
-  struct store_txn txn = {
-    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
-  };
-  store_commit (q->front->entry->store, &txn, TRY_TIMEOUT_MS, done, q);
+  snprintf (q->key, sizeof q->key, "%s%s", KEY_CANCEL, q->id);
+  write_key (q, "{}");
 }
 
 /* The job was not known here; the store tells whether it exists.  */
@@ -181,10 +175,7 @@
   else if (r->state != STORE_OK)
     try_again (q, r);
   else if (q->kind == REQUEST_CANCEL)
-    {
-      snprintf (q->key, sizeof q->key, "%s%s", KEY_CANCEL, q->id);
-      write_key (q, "{}", on_cancelled);
-    }
+    write_cancellation (q);
   else
     {
       const struct job_record *j
@@ -207,16 +198,13 @@
       if (known)
         finish (q, 200, "{}");
       else
-        write_key (q, q->text, on_submitted);
+        write_key (q, q->text);
       return;
     case REQUEST_CANCEL:
       if (known && j->cancelled)
         finish (q, 200, "{}");
       else if (known)
-        {
-          snprintf (q->key, sizeof q->key, "%s%s", KEY_CANCEL, q->id);
-          write_key (q, "{}", on_cancelled);
-        }
+        write_cancellation (q);
       else
         store_get (e->store, q->key, TRY_TIMEOUT_MS, on_looked_up, q);
       return;
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -242,12 +242,9 @@
   struct store_write w = { .key = key,
                            .value = o->entry->settings.name,
                            .lease = session_lease (o->entry->session) };
-  struct store_txn txn = {
-    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
-  };
   o->claiming[i] = true;
   o->claims[i] = (struct claim){ .owners = o, .record = s };
-  store_commit (o->entry->store, &txn, STORE_TIMEOUT_MS, on_claimed,
+  store_put_if (o->entry->store, &cond, &w, STORE_TIMEOUT_MS, on_claimed,
                 &o->claims[i]);
 }
 
@@ -272,11 +269,9 @@
                              : n);
   struct store_condition cond = { .key = KEY_LAYOUT, .revision = 0 };
   struct store_write w = { .key = KEY_LAYOUT, .value = value };
-  struct store_txn txn = {
-    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
-  };
   o->laying_out = true;
-  store_commit (o->entry->store, &txn, STORE_TIMEOUT_MS, on_layout_written, o);
+  store_put_if (o->entry->store, &cond, &w, STORE_TIMEOUT_MS,
+                on_layout_written, o);
 }
 
 static size_t
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -78,8 +78,7 @@
   snprintf (value, sizeof value, "{\"zone\":\"%s\",\"cpu\":%lld}",
             s->entry->settings.zone, (long long)s->entry->settings.cpu_milli);
   struct store_write w = { .key = key, .value = value, .lease = s->lease };
-  struct store_txn txn = { .writes = &w, .write_count = 1 };
-  store_commit (s->entry->store, &txn, STORE_TIMEOUT_MS, on_registered, s);
+  store_put_if (s->entry->store, NULL, &w, STORE_TIMEOUT_MS, on_registered, s);
 }
 
 static void
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -107,8 +107,6 @@
       snprintf (s->log_level, sizeof s->log_level, "%s",
                 json_string_or (o, "log_level", "info"));
       s->lease_max_ms = take_ms (o, "lease_max_ms", 1, 10000);
-      s->stop_grace_ms = take_ms (o, "stop_grace_ms", 1, 1000);
-      s->gang_timeout_ms = take_ms (o, "gang_timeout_ms", 1, 3000);
       s->shutdown_ms = take_ms (o, "shutdown_s", 1000, 6000);
       s->retention_ms = take_ms (o, "retention_s", 1000, 120000);
       s->cpu_milli = take_ms (o, "cpu_share", 1000, CPU_DEFAULT_MILLI);
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -399,8 +399,6 @@
                           ? TASK_LEASE_MS
                           : e->settings.lease_max_ms,
           .lease_max_ms = e->settings.lease_max_ms,
-          .stop_grace_ms = e->settings.stop_grace_ms,
-          .gang_timeout_ms = e->settings.gang_timeout_ms,
           .remote_factor = e->settings.remote_factor,
           .wall_offset_ms = entry_wall_ms () - entry_now ().ms,
           .order = on_order,
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -155,9 +155,6 @@
   static char keys[COMMIT_JOBS_MAX][KEY_SIZE];
   struct store_condition conds[COMMIT_JOBS_MAX + 1];
   struct store_write writes[COMMIT_JOBS_MAX];
-  char mark[RR_GRAPH_NAME_SIZE];
-  snprintf (mark, sizeof mark, "%lld-%llu", (long long)s->token,
-            (unsigned long long)++s->marks);
   conds[0] = (struct store_condition){ s->owner_key, s->token };
   s->commit_count = n;
   for (size_t i = 0; i < n; i++)
@@ -166,7 +163,7 @@
       snprintf (c->id, sizeof c->id, "%s", ids[i]);
       shard_record_id (s, ids[i], c->record);
       snprintf (keys[i], KEY_SIZE, "%s%s", KEY_PROGRESS, c->record);
-      c->text = rr_dispatch_progress (s->dispatch, ids[i], mark, &c->version);
+      c->text = rr_dispatch_progress (s->dispatch, ids[i], &c->version);
       struct job_record *j = records_job (s->entry->records, c->record);
       conds[i + 1]
           = (struct store_condition){ keys[i],
--- a/rosemaryentryd/shard_roster.c
+++ b/rosemaryentryd/shard_roster.c
@@ -138,15 +138,12 @@
   snprintf (key, sizeof key, "%s%s", KEY_ROSTER, s->record->name);
   struct store_condition cond = { s->owner_key, s->token };
   struct store_write w = { .key = key, .value = text };
-  struct store_txn txn = {
-    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
-  };
   free (s->roster_sent);
   s->roster_sent = text;
   s->roster_writing = true;
   s->calls++;
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_roster_written,
-                s);
+  store_put_if (s->entry->store, &cond, &w, COMMIT_TIMEOUT_MS,
+                on_roster_written, s);
 }
 
 static void
@@ -185,13 +182,11 @@
       (long long)load.firm_milli, (long long)load.largest_milli);
   struct store_condition cond = { s->owner_key, s->token };
   struct store_write w = { .key = key, .value = value };
-  struct store_txn txn = {
-    .conditions = &cond, .condition_count = 1, .writes = &w, .write_count = 1
-  };
   s->load_writing = true;
   s->load_sent = now;
   s->last_demand = demand;
   s->last_largest = load.largest_milli;
   s->calls++;
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_load_written, s);
+  store_put_if (s->entry->store, &cond, &w, COMMIT_TIMEOUT_MS, on_load_written,
+                s);
 }
--- a/rosemaryrail/dispatch_progress.c
+++ b/rosemaryrail/dispatch_progress.c
@@ -72,17 +72,15 @@
     memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
 }
 
-/* Returns the progress of job ID in its stored form, signed with MARK, and its
-   VERSION for rr_dispatch_stored; null when the job is not in hand.  */
+/* Returns the progress of job ID in its stored form, and its VERSION for
+   rr_dispatch_stored; null when the job is not in hand.  */
 char *
-rr_dispatch_progress (struct rr_dispatch *d, const char *id, const char *mark,
-                      uint64_t *version)
+rr_dispatch_progress (struct rr_dispatch *d, const char *id, uint64_t *version)
 {
   const struct dispatch_job *j = dispatch_job_find (d, id);
   if (j == NULL)
     return NULL;
   struct rr_progress p = { .phase = j->phase };
-  snprintf (p.mark, sizeof p.mark, "%s", mark);
   p.rows = calloc (j->task_count + 1, sizeof *p.rows);
   assert (p.rows != NULL);
   for (uint32_t i = 0; i < j->task_count && !job_finished (j); i++)
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -23,7 +23,6 @@
   struct json_object *o = json_object_new_object ();
   json_object_object_add (o, "phase",
                           json_object_new_string (phase_names[p->phase]));
-  json_object_object_add (o, "mark", json_object_new_string (p->mark));
   struct json_object *rows = json_object_new_array ();
   for (size_t i = 0; i < p->row_count; i++)
     {
@@ -100,9 +99,6 @@
   struct rr_progress *p = calloc (1, sizeof *p);
   assert (p != NULL);
   p->phase = phase;
-  struct json_object *mark = NULL;
-  if (json_object_object_get_ex (o, "mark", &mark))
-    snprintf (p->mark, sizeof p->mark, "%s", json_object_get_string (mark));
   p->row_count = json_object_array_length (rows);
   p->rows = calloc (p->row_count + 1, sizeof *p->rows);
   assert (p->rows != NULL);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -140,8 +140,6 @@
 {
   struct rr_dispatch_options o = { .lease_ms = LEASE_MS,
                                    .lease_max_ms = LEASE_MAX_MS,
-                                   .stop_grace_ms = 900,
-                                   .gang_timeout_ms = 3000,
                                    .remote_factor = 3,
                                    .order = on_order,
                                    .ask = on_ask,
@@ -425,7 +423,7 @@
         uint64_t version;
         char id[RR_GRAPH_NAME_SIZE];
         snprintf (id, sizeof id, "%s", ids[i]);
-        char *text = rr_dispatch_progress (d, id, "mark", &version);
+        char *text = rr_dispatch_progress (d, id, &version);
         for (size_t k = 0; k < job_count; k++)
           if (strcmp (jobs[k].id, id) == 0)
             {
