dispatch: a takeover does not hold up steps that can't have started

A step that waits for a task which the new owner sees running, in a run of the last owner, can't have been started: the last owner had not seen that run end and is fenced off from its worker. A run that the last owner had only adopted proves less, so it does not count. The script steps_at_takeover started nothing before, step 1 at once now.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -197,7 +197,7 @@
    or UNTIL has passed, what is not seen running may still run.  */
 void rr_dispatch_inherit_worker (struct rr_dispatch *d, const char *id);
 void rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until,
-                                uint32_t first_run);
+                                uint32_t former_run, uint32_t first_run);
 
 struct rr_handle rr_dispatch_worker_set (struct rr_dispatch *d,
                                          const struct rr_worker_info *info,
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -171,7 +171,8 @@
   struct rr_time inherited_until;
   bool inheriting;
   struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
-  uint32_t first_run; /* of inherited tasks: above those of former owners */
+  uint32_t first_run;  /* of inherited tasks: above those of former owners */
+  uint32_t former_run; /* least one that the last owner gave them */
   int64_t free_cores_milli; /* of usable workers, as a round begins */
   struct rr_time audited;
   bool keeping_room;       /* for the job that is placed now */
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -74,6 +74,45 @@
   queue_end (w, end->number, j);
 }
 
+/* Returns by step of G whether it waits for STEP, directly or through others;
+   the caller frees it.  */
+static bool *
+followers_of (const struct rr_graph *g, size_t step)
+{
+  bool *follows = calloc (g->step_count, sizeof *follows);
+  assert (follows != NULL);
+  for (size_t i = step + 1; i < g->step_count; i++)
+    for (size_t k = 0; k < g->steps[i].after_count; k++)
+      {
+        size_t earlier = (size_t)g->steps[i].after[k];
+        follows[i] = follows[i] || earlier == step || follows[earlier];
+      }
+  return follows;
+}
+
+/* Ends the uncertainty about the steps behind that of NAME, a run that the
+   last owner gave and that still runs: since it had not seen it end, and can't
+   any more, it has started none of them.  */
+static void
+settle_followers (struct rr_dispatch *d, struct dispatch_job *j,
+                  const struct rr_run_name *name)
+{
+  if (!d->inheriting || name->run < d->former_run)
+    return;
+  bool *follows = followers_of (j->graph, (size_t)name->step);
+  uint32_t first = (uint32_t)((size_t)name->occurrence * j->occurrence_tasks);
+  for (uint32_t i = first; i < first + j->occurrence_tasks; i++)
+    {
+      struct rr_run_name other;
+      dispatch_task_name (j, i, &other);
+      if (j->tasks[i].state != TASK_UNCERTAIN || !follows[other.step])
+        continue;
+      j->tasks[i].state = TASK_WAITING;
+      dispatch_step_of (j, &other)->waiting++;
+    }
+  free (follows);
+}
+
 static void
 adopt (struct rr_dispatch *d, struct dispatch_worker *w,
        struct dispatch_job *j, uint32_t number,
@@ -95,6 +134,7 @@
       j->phase = RR_PHASE_ACTIVE;
       j->version++;
     }
+  settle_followers (d, j, &status->name);
   dispatch_note (d, "run_adopted", "job=%s task=%d.%d.%d run=%u vm=%s",
                  status->name.job, status->name.occurrence, status->name.step,
                  status->name.task, status->name.run, w->info.id);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -46,11 +46,13 @@
 /* Begins the time in which tasks of inherited jobs may run unseen; it ends at
    UNTIL, when every lease of the former owner has expired, or earlier once
    all inherited workers have reported.  Runs of inherited tasks are numbered
-   from FIRST_RUN on, since former owners may have used lower numbers.  */
+   from FIRST_RUN on, since former owners may have used lower numbers; the
+   last one used those from FORMER_RUN on.  */
 void
 rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until,
-                           uint32_t first_run)
+                           uint32_t former_run, uint32_t first_run)
 {
+  d->former_run = former_run;
   d->first_run = first_run;
   d->inheriting = true;
   d->inherited_until = until;
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -464,8 +464,11 @@
   confirming = true;
   for (size_t i = 1; i < words; i++)
     rr_dispatch_inherit_worker (d, word[i]);
-  rr_dispatch_inherit_until (d, rr_time_add (now, LEASE_MAX_MS + 900),
-                             (uint32_t)(++takeovers * RUNS_OF_AN_OWNER + 1));
+  rr_dispatch_inherit_until (
+      d, rr_time_add (now, LEASE_MAX_MS + 900),
+      (uint32_t)(takeovers * RUNS_OF_AN_OWNER + 1),
+      (uint32_t)((takeovers + 1) * RUNS_OF_AN_OWNER + 1));
+  takeovers++;
   for (size_t i = 0; i < job_count; i++)
     job_restore (&jobs[i]);
   for (size_t i = 0; i < worker_count; i++)
