entry: the owner tells the daemon that accepted a job when it has ended

The owner now calls the acceptor (ONC RPC on the peer address of the settings) once the progress is stored; other daemons still read the store, every 400 ms.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -15,6 +15,7 @@
 struct owners;
 struct front;
 struct entry_metrics;
+struct notices;
 
 /* What the parts of an entry daemon share.  */
 struct entry
@@ -33,6 +34,7 @@
   struct owners *owners;
   struct front *front;
   struct entry_metrics *metrics;
+  struct notices *notices;
   bool stopping;
 };
 
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -36,6 +36,7 @@
   char id[RR_GRAPH_NAME_SIZE];
   char job[RR_GRAPH_NAME_SIZE]; /* id of the job */
   char queue[RR_GRAPH_NAME_SIZE];
+  char acceptor[RR_GRAPH_NAME_SIZE]; /* daemon that accepted it */
   char shard[RR_GRAPH_NAME_SIZE];
   char *graph_text;
   bool accepted; /* the job itself was seen, not only its progress */
@@ -44,6 +45,7 @@
   enum rr_job_phase phase;
   char *progress_text;
   int64_t progress_revision; /* 0: none */
+  int64_t told_revision;     /* of the phase that the owner told; 0: none */
   int64_t job_revision;
   int64_t cancel_revision;
   int32_t transfers;       /* changes of its shard that were seen here */
@@ -71,7 +73,8 @@
 {
   char name[RR_GRAPH_NAME_SIZE];
   char zone[RR_GRAPH_NAME_SIZE];
-  int64_t cpu_milli; /* its share of a core */
+  int64_t cpu_milli;         /* its share of a core */
+  struct settings_peer peer; /* where other daemons call it; port 0: none */
 };
 
 struct records *records_open (struct entry *e);
@@ -83,6 +86,8 @@
                       int64_t revision);
 void records_progress_set (struct records *r, const char *id, const char *text,
                            int64_t revision);
+void records_phase_told (struct records *r, const char *id,
+                         enum rr_job_phase phase, int64_t revision);
 enum rr_job_phase records_job_phase (const struct job_record *j);
 size_t records_pending (struct records *r, const char *queue);
 struct shard_record *records_shard (struct records *r, const char *name);
--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -27,6 +27,7 @@
   struct settings_peer store;
   struct settings_peer permits; /* service for permits; port 0: none */
   struct settings_peer metrics; /* port 0: not served */
+  struct settings_peer peer;    /* calls of other daemons; port 0: none */
   char log_level[16];
   int64_t lease_max_ms; /* longest lease that workers give */
   int64_t shutdown_ms;  /* between the request to stop and the kill */
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -282,6 +282,7 @@
   snprintf (g->queue, sizeof g->queue, "%s", route->policy.queue);
   snprintf (g->service, sizeof g->service, "%s", route->policy.service);
   g->accepted_ms = entry_wall_ms ();
+  snprintf (g->acceptor, sizeof g->acceptor, "%s", e->settings.name);
   const struct shard_record *s = choice_shard (e, g);
   if (s == NULL)
     {
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -9,6 +9,7 @@
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/front.h"
 #include "rosemaryentryd/metrics.h"
+#include "rosemaryentryd/notices.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/session.h"
 
@@ -155,6 +156,12 @@
       fprintf (stderr, "rosemaryentryd: %s\n", err.message);
       return 1;
     }
+  e->notices = notices_open (e, &err);
+  if (e->notices == NULL)
+    {
+      fprintf (stderr, "rosemaryentryd: %s\n", err.message);
+      return 1;
+    }
   e->owners = owners_open (e);
   records_open (e);
   e->session = session_open (e);
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -14,9 +14,9 @@
 
 enum
 {
-  /* Callers who ask for a job's state see its end this much later at most,
-     unless they ask its owner.  */
-  PROGRESS_PAUSE_MS = 100
+  /* Callers see the end of a job this much later at most, unless they ask its
+     owner or the daemon that accepted it, which is told.  */
+  PROGRESS_PAUSE_MS = 400
 };
 
 struct records
@@ -233,6 +233,7 @@
     choice_job_seen (s, g);
   snprintf (j->queue, sizeof j->queue, "%s", g->queue);
   snprintf (j->shard, sizeof j->shard, "%s", g->shard);
+  snprintf (j->acceptor, sizeof j->acceptor, "%s", g->acceptor);
   j->accepted = true;
   j->accepted_ms = g->accepted_ms;
   j->job_revision = revision;
@@ -264,7 +265,8 @@
                  err.message);
       return;
     }
-  j->phase = p->phase;
+  if (revision >= j->told_revision)
+    j->phase = p->phase;
   struct job_record *whole = records_job (r, j->job);
   if (whole != NULL && whole->phase == RR_PHASE_QUEUED
       && p->phase == RR_PHASE_ACTIVE)
@@ -277,6 +279,20 @@
   job_record_trim (j);
 }
 
+/* The owner of its shard tells that job ID is in PHASE as of REVISION of its
+   progress, which this daemon may not have read yet.  */
+void
+records_phase_told (struct records *r, const char *id, enum rr_job_phase phase,
+                    int64_t revision)
+{
+  struct job_record *j = records_job (r, id);
+  if (j == NULL || revision <= j->progress_revision
+      || revision <= j->told_revision)
+    return;
+  j->told_revision = revision;
+  j->phase = phase;
+}
+
 static void
 on_progress (struct records *r, const char *id, const struct store_item *item)
 {
@@ -383,6 +399,11 @@
   struct json_object *o = json_parse (item->value, item->value_length, &err);
   snprintf (d->zone, sizeof d->zone, "%s", json_string_or (o, "zone", ""));
   d->cpu_milli = json_int_or (o, "cpu", CPU_DEFAULT_MILLI);
+  d->peer.port = 0;
+  const char *peer = json_string_or (o, "peer", "");
+  if (peer[0] != '\0' && !settings_parse_peer (peer, &d->peer))
+    log_event (LOG_LEVEL_WARN, "peer_address_unusable", "peer=%s address=%s",
+               name, peer);
   json_object_put (o);
 }
 
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -73,10 +73,15 @@
 register_daemon (struct session *s)
 {
   char key[KEY_SIZE];
-  char value[2 * RR_GRAPH_NAME_SIZE + 32];
-  snprintf (key, sizeof key, "%s%s", KEY_DAEMON, s->entry->settings.name);
-  snprintf (value, sizeof value, "{\"zone\":\"%s\",\"cpu\":%lld}",
-            s->entry->settings.zone, (long long)s->entry->settings.cpu_milli);
+  const struct entry_settings *me = &s->entry->settings;
+  char value[4 * RR_GRAPH_NAME_SIZE];
+  snprintf (key, sizeof key, "%s%s", KEY_DAEMON, me->name);
+  int n = snprintf (value, sizeof value, "{\"zone\":\"%s\",\"cpu\":%lld",
+                    me->zone, (long long)me->cpu_milli);
+  if (me->peer.port != 0)
+    n += snprintf (value + n, sizeof value - (size_t)n, ",\"peer\":\"%s:%u\"",
+                   me->peer.address, me->peer.port);
+  snprintf (value + n, sizeof value - (size_t)n, "}");
   struct store_write w = { .key = key, .value = value, .lease = s->lease };
   store_put_if (s->entry->store, NULL, &w, STORE_TIMEOUT_MS, on_registered, s);
 }
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -103,6 +103,9 @@
       if (!take_address (o, "metrics", &s->metrics, &ignored))
         log_event (LOG_LEVEL_WARN, "metrics_not_served", "%s",
                    ignored.message);
+      struct rr_error no_peer = { 0 };
+      if (!take_address (o, "peer", &s->peer, &no_peer))
+        log_event (LOG_LEVEL_WARN, "peers_not_served", "%s", no_peer.message);
       take_zones (o, s);
       snprintf (s->log_level, sizeof s->log_level, "%s",
                 json_string_or (o, "log_level", "info"));
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -72,7 +72,7 @@
   cat >"$file" <<SETTINGS
 {"name": "d$1", "zone": "z$(($1 % 2 + 1))", "zones": ["z1", "z2"],
  "front": "$address:$((25500 + $1))", "ready": "$address:$((25600 + $1))",
- "metrics": "$address:$((25700 + $1))",
+ "metrics": "$address:$((25700 + $1))", "peer": "$address:$((25800 + $1))",
  "store": "$address:$((25100 + $1))", "lease_max_ms": 10000,
  "cpu_share": 0.1, "shutdown_s": 6,
  "retention_s": 120, "remote_factor": 3}
--- /dev/null
+++ b/tests/entry/notice.sh
@@ -0,0 +1,22 @@
+#!/bin/bash
+# Guards against callers who wait for a job that has ended, since the daemon they
+# ask has not read it from the store yet: the owner tells the daemon that
+# accepted the job.
+. "$(dirname "$0")/lib.sh"
+deploy 2 2
+: >"$work/none"
+owner=1
+grep -q event=shard_owned "$work/d2.log" && owner=2
+other=$((3 - owner))
+id=00000000000000aa
+answer=$(request POST $other $id \
+  '{"spec":"work=1500","steps":[{"count":2,"cpu":1000,"memMb":100,"estimateMs":1500}]}')
+case $answer in *200*) echo "accepted" ;; *) fail "submission: $answer" ;; esac
+sleep 0.8
+relay_mode d$other cut
+completed() { case $(request GET "$1" $id) in *completed*) true ;; *) false ;; esac; }
+wait_for "the end at the owner" 8 completed $owner
+echo "the owner shows the end"
+wait_for "the end at the acceptor" 1 completed $other
+echo "so does the daemon that accepted it, without the store"
+verify "$work/none"
