entry: owners pass on what they have learned of servers and fillers

Every 2 s an owner now sends its statistics to the owners of the other shards and to the daemon that would take the shard over, by the exchange that the interference module has. Addresses of daemons are kept when their registration ends, so that a daemon cut off from the store is told of ends too. Ruled out: fewer shards (an owner of 245 workers uses 0.38 of a core).

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -16,6 +16,7 @@
 struct front;
 struct entry_metrics;
 struct notices;
+struct lessons;
 
 /* What the parts of an entry daemon share.  */
 struct entry
@@ -35,6 +36,7 @@
   struct front *front;
   struct entry_metrics *metrics;
   struct notices *notices;
+  struct lessons *lessons;
   bool stopping;
 };
 
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -7,6 +7,7 @@
 
 #include "rosemaryrail/clock.h"
 #include "rosemaryrail/graph.h"
+#include "rosemaryrail/interference.h"
 #include "rosemaryrail/progress.h"
 #include "rosemaryrail/table.h"
 
@@ -281,6 +282,21 @@
 void rr_dispatch_stored (struct rr_dispatch *d, const char *id,
                          uint64_t version);
 
+/* What one dispatcher has learned of the servers of one image: how much
+   fillers disturb them, and their tail without.  */
+struct rr_dispatch_lesson
+{
+  struct rr_interference_export statistics;
+  double base_ms;
+};
+
+bool rr_dispatch_lesson_get (const struct rr_dispatch *d, int image,
+                             uint64_t origin, struct rr_time now,
+                             struct rr_dispatch_lesson *out);
+bool rr_dispatch_lesson_take (struct rr_dispatch *d,
+                              const struct rr_dispatch_lesson *in,
+                              struct rr_time now);
+
 void rr_dispatch_load_get (const struct rr_dispatch *d,
                            struct rr_dispatch_load *load, struct rr_time now);
 
--- a/include/rosemaryrail/interference.h
+++ b/include/rosemaryrail/interference.h
@@ -72,6 +72,8 @@
 
 int rr_interference_class (struct rr_interference *model, enum rr_kind kind,
                            const char *name);
+int rr_interference_class_count (const struct rr_interference *model,
+                                 enum rr_kind kind);
 const char *rr_interference_class_name (const struct rr_interference *model,
                                         enum rr_kind kind, int number);
 
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -8,6 +8,7 @@
 #include "common/upstream.h"
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/front.h"
+#include "rosemaryentryd/lessons.h"
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/notices.h"
 #include "rosemaryentryd/owners.h"
@@ -162,6 +163,7 @@
       fprintf (stderr, "rosemaryentryd: %s\n", err.message);
       return 1;
     }
+  e->lessons = lessons_open (e);
   e->owners = owners_open (e);
   records_open (e);
   e->session = session_open (e);
--- a/rosemaryentryd/notices.c
+++ b/rosemaryentryd/notices.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 #include "common/log.h"
-#include "common/rpc.h"
+#include "rosemaryentryd/lessons.h"
+#include "rosemaryentryd/notices_xdr.h"
 #include "rosemaryentryd/records.h"
 
 enum
@@ -14,6 +15,7 @@
   NOTICE_PROGRAM = 0x20524e45, /* from the range for private programs */
   NOTICE_VERSION = 1,
   NOTICE_JOBS_ENDED = 1,
+  NOTICE_LESSONS = 2,
   NOTICE_TIMEOUT_MS = 500, /* later the store has told it anyway */
   NOTICE_CLIENTS_MAX = 256
 };
@@ -34,35 +36,27 @@
   size_t client_count;
 };
 
-/* The argument of NOTICE_JOBS_ENDED.  */
-struct notice_list
+static bool
+take_ended (struct notices *n, const char *args, size_t length)
 {
-  struct notice entries[NOTICES_MAX];
-  unsigned int count;
-};
-
-static bool_t
-xdr_notice (XDR *x, struct notice *n)
-{
-  char *job = n->job;
-  int phase = (int)n->phase;
-  if (!xdr_string (x, &job, sizeof n->job - 1) || !xdr_int (x, &phase)
-      || !xdr_int64_t (x, &n->revision) || phase < RR_PHASE_QUEUED
-      || phase > RR_PHASE_CANCELLED)
-    return FALSE;
-  n->phase = (enum rr_job_phase)phase;
-  return TRUE;
+  struct notice_list list = { 0 };
+  if (!xdr_decode ((xdrproc_t)xdr_notice_list, &list, args, length))
+    return false;
+  for (unsigned int i = 0; i < list.count; i++)
+    records_phase_told (n->entry->records, list.entries[i].job,
+                        list.entries[i].phase, list.entries[i].revision);
+  return true;
 }
 
-static bool_t
-xdr_notice_list (XDR *x, struct notice_list *l)
+static bool
+take_lessons (struct notices *n, const char *args, size_t length)
 {
-  if (!xdr_u_int (x, &l->count) || l->count > NOTICES_MAX)
-    return FALSE;
-  for (unsigned int i = 0; i < l->count; i++)
-    if (!xdr_notice (x, &l->entries[i]))
-      return FALSE;
-  return TRUE;
+  static struct lesson_list list; /* 100 KB */
+  memset (&list, 0, sizeof list);
+  if (!xdr_decode ((xdrproc_t)xdr_lesson_list, &list, args, length))
+    return false;
+  lessons_take (n->entry->lessons, &list);
+  return true;
 }
 
 static void
@@ -70,19 +64,26 @@
          const char *args, size_t length)
 {
   struct notices *n = data;
-  struct notice_list list = { 0 };
-  if (procedure != NOTICE_JOBS_ENDED
-      || !xdr_decode ((xdrproc_t)xdr_notice_list, &list, args, length))
+  bool taken = false;
+  switch (procedure)
+    {
+    case NOTICE_JOBS_ENDED:
+      taken = take_ended (n, args, length);
+      break;
+    case NOTICE_LESSONS:
+      taken = take_lessons (n, args, length);
+      break;
+    default:
+      break;
+    }
+  if (taken)
+    rpc_request_reply (request, "", 0);
+  else
     {
       log_event (LOG_LEVEL_WARN, "notice_invalid", "procedure=%u bytes=%zu",
                  (unsigned)procedure, length);
       rpc_request_reject (request);
-      return;
     }
-  for (unsigned int i = 0; i < list.count; i++)
-    records_phase_told (n->entry->records, list.entries[i].job,
-                        list.entries[i].phase, list.entries[i].revision);
-  rpc_request_reply (request, "", 0);
 }
 
 static void
@@ -99,71 +100,94 @@
   c->lost = lost;
 }
 
-static const struct daemon_record *
-find_daemon (const struct notices *n, const char *name)
+static struct notice_client *
+client_named (struct notices *n, const char *daemon)
 {
-  struct rr_handle h = { 0 };
-  const struct daemon_record *d;
-  while ((d = records_daemon_next (n->entry->records, &h)) != NULL)
-    if (strcmp (d->name, name) == 0)
-      return d;
+  for (size_t i = 0; i < n->client_count; i++)
+    if (strcmp (n->clients[i].daemon, daemon) == 0)
+      return &n->clients[i];
   return NULL;
 }
 
-/* Returns the client for the daemon D at its present address, or null when
-   there are too many.  */
-static struct notice_client *
-client_for (struct notices *n, const struct daemon_record *d)
+/* The daemon D has registered.  Its address is kept when the registration
+   ends, since a daemon that is cut off from the store can be told all the
+   same.  */
+void
+notices_daemon_seen (struct notices *n, const struct daemon_record *d)
 {
-  struct notice_client *c = NULL;
-  for (size_t i = 0; i < n->client_count && c == NULL; i++)
-    if (strcmp (n->clients[i].daemon, d->name) == 0)
-      c = &n->clients[i];
-  if (c == NULL && n->client_count == NOTICE_CLIENTS_MAX)
-    return NULL;
-  if (c == NULL)
+  struct notice_client *c = client_named (n, d->name);
+  if (c == NULL && n->client_count < NOTICE_CLIENTS_MAX)
     {
       c = &n->clients[n->client_count++];
       snprintf (c->daemon, sizeof c->daemon, "%s", d->name);
     }
-  bool same = c->client != NULL && c->address.port == d->peer.port
-              && strcmp (c->address.address, d->peer.address) == 0;
-  if (same)
-    return c;
+  if (c == NULL
+      || (c->address.port == d->peer.port
+          && strcmp (c->address.address, d->peer.address) == 0))
+    return;
   if (c->client != NULL)
     rpc_client_close (c->client);
+  c->client = NULL;
   c->address = d->peer;
-  c->client = rpc_client_open (n->entry->loop, d->peer.address, d->peer.port,
-                               NOTICE_PROGRAM, NOTICE_VERSION);
+}
+
+/* Returns the open client for DAEMON, or null when its address is not known.
+ */
+static struct notice_client *
+client_for (struct notices *n, const char *daemon)
+{
+  struct notice_client *c = client_named (n, daemon);
+  if (c == NULL || c->address.port == 0)
+    return NULL;
+  if (c->client == NULL)
+    c->client
+        = rpc_client_open (n->entry->loop, c->address.address, c->address.port,
+                           NOTICE_PROGRAM, NOTICE_VERSION);
   return c->client == NULL ? NULL : c;
 }
 
-/* Tells DAEMON of COUNT jobs, at most NOTICES_MAX.  A daemon that is not
-   registered is told nothing.  */
-void
-notices_send (struct notices *n, const char *daemon, const struct notice *list,
-              size_t count)
+/* Sends OBJECT, which PROC encodes, to DAEMON unless that is not registered.
+ */
+static void
+call_daemon (struct notices *n, const char *daemon, uint32_t procedure,
+             xdrproc_t proc, void *object)
 {
-  const struct daemon_record *d = find_daemon (n, daemon);
-  if (d == NULL || d->peer.port == 0)
-    return;
-  struct notice_client *c = client_for (n, d);
+  struct notice_client *c = client_for (n, daemon);
   if (c == NULL)
     return;
-  struct notice_list args = { .count = (unsigned int)count };
-  memcpy (args.entries, list, count * sizeof *list);
   char *bytes = NULL;
   size_t length = 0;
-  if (!xdr_encode ((xdrproc_t)xdr_notice_list, &args, &bytes, &length))
+  if (!xdr_encode (proc, object, &bytes, &length))
     {
-      log_event (LOG_LEVEL_ERROR, "notice_not_encoded", "jobs=%zu", count);
+      log_event (LOG_LEVEL_ERROR, "notice_not_encoded", "procedure=%u",
+                 (unsigned)procedure);
       return;
     }
-  rpc_client_call (c->client, NOTICE_JOBS_ENDED, bytes, length,
-                   NOTICE_TIMEOUT_MS, on_answered, c);
+  rpc_client_call (c->client, procedure, bytes, length, NOTICE_TIMEOUT_MS,
+                   on_answered, c);
   free (bytes);
 }
 
+/* Tells DAEMON of COUNT jobs that have ended, at most NOTICES_MAX.  */
+void
+notices_send (struct notices *n, const char *daemon, const struct notice *list,
+              size_t count)
+{
+  struct notice_list args = { .count = (unsigned int)count };
+  memcpy (args.entries, list, count * sizeof *list);
+  call_daemon (n, daemon, NOTICE_JOBS_ENDED, (xdrproc_t)xdr_notice_list,
+               &args);
+}
+
+/* Passes LIST on to DAEMON.  */
+void
+notices_send_lessons (struct notices *n, const char *daemon,
+                      const struct lesson_list *list)
+{
+  call_daemon (n, daemon, NOTICE_LESSONS, (xdrproc_t)xdr_lesson_list,
+               (void *)list);
+}
+
 /* Begins to listen for other daemons; null with ERR when the address can't be
    bound.  */
 struct notices *
--- /dev/null
+++ b/rosemaryentryd/notices_xdr.c
@@ -0,0 +1,66 @@
+#include "rosemaryentryd/notices_xdr.h"
+
+static bool_t
+xdr_notice (XDR *x, struct notice *n)
+{
+  char *job = n->job;
+  int phase = (int)n->phase;
+  if (!xdr_string (x, &job, sizeof n->job - 1) || !xdr_int (x, &phase)
+      || !xdr_int64_t (x, &n->revision) || phase < RR_PHASE_QUEUED
+      || phase > RR_PHASE_CANCELLED)
+    return FALSE;
+  n->phase = (enum rr_job_phase)phase;
+  return TRUE;
+}
+
+/* Encodes or decodes the ends of jobs.  */
+bool_t
+xdr_notice_list (XDR *x, struct notice_list *l)
+{
+  if (!xdr_u_int (x, &l->count) || l->count > NOTICES_MAX)
+    return FALSE;
+  for (unsigned int i = 0; i < l->count; i++)
+    if (!xdr_notice (x, &l->entries[i]))
+      return FALSE;
+  return TRUE;
+}
+
+static size_t
+moment_count (int classes)
+{
+  return (size_t)((classes + 3) * (classes + 4) / 2);
+}
+
+static bool_t
+xdr_lesson (XDR *x, struct rr_dispatch_lesson *l)
+{
+  struct rr_interference_export *s = &l->statistics;
+  if (!xdr_uint64_t (x, &s->origin) || !xdr_uint64_t (x, &s->service)
+      || !xdr_int64_t (x, &s->at.ms) || !xdr_double (x, &l->base_ms)
+      || !xdr_int (x, &s->classes) || s->classes < 0
+      || s->classes > RR_CLASSES_MAX)
+    return FALSE;
+  for (int i = 0; i < s->classes; i++)
+    if (!xdr_uint64_t (x, &s->batch[i]) || !xdr_float (x, &s->reports[i]))
+      return FALSE;
+  for (size_t i = 0; i < moment_count (s->classes); i++)
+    if (!xdr_float (x, &s->moments[i]))
+      return FALSE;
+  return TRUE;
+}
+
+/* Encodes or decodes what an owner has learned.  */
+bool_t
+xdr_lesson_list (XDR *x, struct lesson_list *l)
+{
+  char *shard = l->shard;
+  unsigned int count = (unsigned int)l->count;
+  if (!xdr_string (x, &shard, sizeof l->shard - 1) || !xdr_u_int (x, &count)
+      || count > LESSONS_MAX)
+    return FALSE;
+  l->count = count;
+  for (unsigned int i = 0; i < count; i++)
+    if (!xdr_lesson (x, &l->entries[i]))
+      return FALSE;
+  return TRUE;
+}
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -134,6 +134,15 @@
       shard_queues_changed (o->shards[i]);
 }
 
+/* Passes what the owner of another shard has learned to our shards.  */
+void
+owners_lessons_heard (struct owners *o, const struct lesson_list *list)
+{
+  for (size_t i = 0; i < SHARDS_MAX; i++)
+    if (o->shards[i] != NULL)
+      shard_lessons_heard (o->shards[i], list);
+}
+
 /* Sets how long news of the store is gathered, by whether we act on it.  */
 static void
 set_pause (struct owners *o)
@@ -299,6 +308,26 @@
   return (shards * CORE_MILLI_MAX / cpu) << 32 | hash;
 }
 
+/* Returns the daemon that suits best as the next owner of S, apart from this
+   one; empty when there is no other.  */
+const char *
+owners_heir (const struct owners *o, const struct shard_record *s)
+{
+  const char *best = "";
+  uint64_t least = UINT64_MAX;
+  struct rr_handle h = { 0 };
+  const struct daemon_record *d;
+  while ((d = records_daemon_next (o->entry->records, &h)) != NULL)
+    {
+      uint64_t u = unfitness (o, s, d->name, d->cpu_milli);
+      if (strcmp (d->name, o->entry->settings.name) == 0 || u >= least)
+        continue;
+      best = d->name;
+      least = u;
+    }
+  return best;
+}
+
 static size_t
 rank (const struct owners *o, const struct shard_record *s)
 {
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "rosemaryentryd/choice.h"
 #include "rosemaryentryd/mirror.h"
+#include "rosemaryentryd/notices.h"
 #include "rosemaryentryd/owners.h"
 
 enum
@@ -404,6 +405,7 @@
   if (peer[0] != '\0' && !settings_parse_peer (peer, &d->peer))
     log_event (LOG_LEVEL_WARN, "peer_address_unusable", "peer=%s address=%s",
                name, peer);
+  notices_daemon_seen (r->entry->notices, d);
   json_object_put (o);
 }
 
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "rosemaryentryd/lessons.h"
 #include "rosemaryentryd/mirror.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/session.h"
@@ -231,6 +232,7 @@
   shard_forget_jobs (s, now);
   shard_transfer_jobs (s, now);
   shard_divide_jobs (s, now);
+  shard_teach (s, now);
   plan (s);
 }
 
@@ -407,6 +409,7 @@
           .note = on_note,
           .data = s };
   s->dispatch = rr_dispatch_new (&o);
+  lessons_recall (e->lessons, s->dispatch);
   open_timers (s);
   shard_queues_changed (s);
   if (inherited)
--- a/rosemaryrail/interference.c
+++ b/rosemaryrail/interference.c
@@ -93,6 +93,15 @@
   return i;
 }
 
+/* Returns the number of classes, RR_CLASS_OTHER and those known only from
+   peers included.  */
+int
+rr_interference_class_count (const struct rr_interference *model,
+                             enum rr_kind kind)
+{
+  return model->classes[kind].count;
+}
+
 /* Returns the name of class NUMBER, or "" for a class known only from a
    peer.  Owned by MODEL.  */
 const char *
