--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -142,7 +142,10 @@
 {
   struct request *q = data;
   /* A conflict means that the job, or its cancellation, is there: from an
-     earlier attempt of ours or of the caller.  */
+     earlier attempt of ours or of the caller.  What was written now is taken
+     in at once: callers ask before the store has told it.  */
+  if (r->state == STORE_OK && q->kind == REQUEST_SUBMIT)
+    records_job_set (q->front->entry->records, q->id, q->text, r->revision);
   if (r->state == STORE_OK || r->state == STORE_CONFLICT)
     finish (q, 200, "{}");
   else
--- a/tests/entry/notice.sh
+++ b/tests/entry/notice.sh
@@ -5,14 +5,16 @@
 . "$(dirname "$0")/lib.sh"
 deploy 2 2
 : >"$work/none"
+owned() { grep -q event=shard_owned "$work"/d?.log; }
+wait_for "an owner" 8 owned
 owner=1
 grep -q event=shard_owned "$work/d2.log" && owner=2
 other=$((3 - owner))
 id=00000000000000aa
 answer=$(request POST $other $id \
-  '{"spec":"work=1500","steps":[{"count":2,"cpu":1000,"memMb":100,"estimateMs":1500}]}')
+  '{"spec":"work=4000","steps":[{"count":2,"cpu":1000,"memMb":100,"estimateMs":4000}]}')
 case $answer in *200*) echo "accepted" ;; *) fail "submission: $answer" ;; esac
-sleep 0.8
+sleep 0.3
 relay_mode d$other cut
 completed() { case $(request GET "$1" $id) in *completed*) true ;; *) false ;; esac; }
 wait_for "the end at the owner" 8 completed $owner
