entry: a daemon asks the owner for the phase of a job

Cause: telling the acceptor of ends was not enough. Progress is read every 800 ms, for takeovers and for an owner that does not answer.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -15,7 +15,7 @@
 struct owners;
 struct front;
 struct entry_metrics;
-struct notices;
+struct peers;
 struct lessons;
 
 /* What the parts of an entry daemon share.  */
@@ -35,7 +35,7 @@
   struct owners *owners;
   struct front *front;
   struct entry_metrics *metrics;
-  struct notices *notices;
+  struct peers *peers;
   struct lessons *lessons;
   bool stopping;
 };
--- a/include/rosemaryentryd/lessons.h
+++ b/include/rosemaryentryd/lessons.h
@@ -1,7 +1,7 @@
 #ifndef ROSEMARYENTRYD_LESSONS_H
 #define ROSEMARYENTRYD_LESSONS_H
 
-#include "rosemaryentryd/notices.h"
+#include "rosemaryentryd/peers.h"
 
 /* What owners of other shards, and former owners, have last said of servers
    and fillers.  Kept by every daemon that is told, so that it need not learn
--- /dev/null
+++ b/include/rosemaryentryd/peers.h
@@ -0,0 +1,45 @@
+#ifndef ROSEMARYENTRYD_PEERS_H
+#define ROSEMARYENTRYD_PEERS_H
+
+#include "rosemaryentryd/entry.h"
+#include "rosemaryrail/dispatch.h"
+
+enum
+{
+  LESSONS_MAX = RR_CLASSES_MAX /* images in one call */
+};
+
+/* The phase of a job as its owner has stored it.  */
+struct peer_phase
+{
+  bool known; /* the asked daemon owns the job's shard */
+  enum rr_job_phase phase;
+  int64_t revision; /* of the progress that has it */
+};
+
+/* What the owner of SHARD has learned of servers and fillers.  */
+struct lesson_list
+{
+  char shard[RR_GRAPH_NAME_SIZE];
+  struct rr_dispatch_lesson entries[LESSONS_MAX];
+  size_t count;
+};
+
+struct daemon_record;
+
+/* Calls between entry daemons: any daemon asks the owner of a job's shard for
+   its phase, which the store tells later, and owners pass on what they have
+   learned.  Nothing depends on an answer.  */
+struct peers;
+
+/* P is null when there was no answer.  */
+typedef void peers_phase_fn (void *data, const struct peer_phase *p);
+
+struct peers *peers_open (struct entry *e, struct rr_error *err);
+void peers_daemon_seen (struct peers *p, const struct daemon_record *d);
+void peers_ask_phase (struct peers *p, const char *daemon, const char *job,
+                      peers_phase_fn *done, void *data);
+void peers_send_lessons (struct peers *p, const char *daemon,
+                         const struct lesson_list *list);
+
+#endif
--- /dev/null
+++ b/include/rosemaryentryd/peers_xdr.h
@@ -0,0 +1,16 @@
+#ifndef ROSEMARYENTRYD_PEERS_XDR_H
+#define ROSEMARYENTRYD_PEERS_XDR_H
+
+#include "common/rpc.h"
+#include "rosemaryentryd/peers.h"
+
+struct peer_job
+{
+  char id[RR_GRAPH_NAME_SIZE];
+};
+
+bool_t xdr_peer_job (XDR *x, struct peer_job *j);
+bool_t xdr_peer_phase (XDR *x, struct peer_phase *p);
+bool_t xdr_lesson_list (XDR *x, struct lesson_list *l);
+
+#endif
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -36,7 +36,6 @@
   char id[RR_GRAPH_NAME_SIZE];
   char job[RR_GRAPH_NAME_SIZE]; /* id of the job */
   char queue[RR_GRAPH_NAME_SIZE];
-  char acceptor[RR_GRAPH_NAME_SIZE]; /* daemon that accepted it */
   char shard[RR_GRAPH_NAME_SIZE];
   char *graph_text;
   bool accepted; /* the job itself was seen, not only its progress */
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -6,7 +6,7 @@
 #include "platform/permits.h"
 #include "rosemaryentryd/link.h"
 #include "rosemaryentryd/metrics.h"
-#include "rosemaryentryd/notices.h"
+#include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/shard.h"
 
 enum
--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -41,6 +41,7 @@
 struct rr_progress *rr_progress_decode (const char *text, size_t length,
                                         struct rr_error *err);
 void rr_progress_free (struct rr_progress *p);
+bool rr_job_phase_final (enum rr_job_phase phase);
 const char *rr_job_phase_name (enum rr_job_phase phase);
 
 #endif
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -11,6 +11,7 @@
 #include "rosemaryentryd/choice.h"
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/mirror.h"
+#include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/records.h"
 
 enum
@@ -168,6 +169,15 @@
   write_key (q, "{}");
 }
 
+static void
+finish_state (struct request *q)
+{
+  const struct job_record *j = records_job (q->front->entry->records, q->id);
+  finish (q, 200,
+          platform_state_answer (j == NULL ? RR_PHASE_QUEUED
+                                           : records_job_phase (j)));
+}
+
 /* The job was not known here; the store tells whether it exists.  */
 static void
 on_looked_up (void *data, const struct store_result *r)
@@ -180,13 +190,32 @@
   else if (q->kind == REQUEST_CANCEL)
     write_cancellation (q);
   else
-    {
-      const struct job_record *j
-          = records_job (q->front->entry->records, q->id);
-      finish (q, 200,
-              platform_state_answer (j == NULL ? RR_PHASE_QUEUED
-                                               : records_job_phase (j)));
-    }
+    finish_state (q);
+}
+
+static void
+on_phase (void *data, const struct peer_phase *p)
+{
+  struct request *q = data;
+  if (p != NULL && p->known)
+    records_phase_told (q->front->entry->records, q->id, p->phase,
+                        p->revision);
+  finish_state (q);
+}
+
+/* Answers with the state of the known job J.  Unless it is final, the owner of
+   its shard knows it first.  */
+static void
+answer_state (struct request *q, const struct job_record *j)
+{
+  struct entry *e = q->front->entry;
+  const struct shard_record *s = records_shard (e->records, j->shard);
+  bool ours = s != NULL && strcmp (s->owner, e->settings.name) == 0;
+  if (s == NULL || s->owner[0] == '\0' || ours
+      || rr_job_phase_final (records_job_phase (j)))
+    finish_state (q);
+  else
+    peers_ask_phase (e->peers, s->owner, q->id, on_phase, q);
 }
 
 static void
@@ -213,7 +242,7 @@
       return;
     case REQUEST_STATE:
       if (known)
-        finish (q, 200, platform_state_answer (records_job_phase (j)));
+        answer_state (q, j);
       else
         store_get (e->store, q->key, TRY_TIMEOUT_MS, on_looked_up, q);
       return;
@@ -285,7 +314,6 @@
   snprintf (g->queue, sizeof g->queue, "%s", route->policy.queue);
   snprintf (g->service, sizeof g->service, "%s", route->policy.service);
   g->accepted_ms = entry_wall_ms ();
-  snprintf (g->acceptor, sizeof g->acceptor, "%s", e->settings.name);
   const struct shard_record *s = choice_shard (e, g);
   if (s == NULL)
     {
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -10,8 +10,8 @@
 #include "rosemaryentryd/front.h"
 #include "rosemaryentryd/lessons.h"
 #include "rosemaryentryd/metrics.h"
-#include "rosemaryentryd/notices.h"
 #include "rosemaryentryd/owners.h"
+#include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/session.h"
 
 enum
@@ -157,8 +157,8 @@
       fprintf (stderr, "rosemaryentryd: %s\n", err.message);
       return 1;
     }
-  e->notices = notices_open (e, &err);
-  if (e->notices == NULL)
+  e->peers = peers_open (e, &err);
+  if (e->peers == NULL)
     {
       fprintf (stderr, "rosemaryentryd: %s\n", err.message);
       return 1;
--- /dev/null
+++ b/rosemaryentryd/peers.c
@@ -0,0 +1,279 @@
+#include "rosemaryentryd/peers.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "rosemaryentryd/lessons.h"
+#include "rosemaryentryd/peers_xdr.h"
+#include "rosemaryentryd/records.h"
+
+enum
+{
+  PEER_PROGRAM = 0x20524e45, /* from the range for private programs */
+  PEER_VERSION = 1,
+  PEER_JOB_PHASE = 1,
+  PEER_LESSONS = 2,
+  /* A call takes a few milliseconds; callers wait for the answer.  */
+  PHASE_TIMEOUT_MS = 150,
+  LESSONS_TIMEOUT_MS = 1000,
+  LOST_PAUSE_MS = 1000, /* until a daemon that did not answer is asked again */
+  PEERS_MAX = 256
+};
+
+/* The connection to one daemon.  */
+struct peer
+{
+  char daemon[RR_GRAPH_NAME_SIZE];
+  struct settings_peer address;
+  struct rpc_client *client;
+  bool lost; /* the last call was not answered */
+  struct rr_time lost_at;
+};
+
+struct peers
+{
+  struct entry *entry;
+  struct peer peers[PEERS_MAX];
+  size_t count;
+};
+
+struct phase_call
+{
+  struct peer *peer;
+  peers_phase_fn *done;
+  void *data;
+};
+
+static void
+answer_phase (struct peers *p, struct rpc_request *request, const char *args,
+              size_t length)
+{
+  struct peer_job asked = { .id = "" };
+  if (!xdr_decode ((xdrproc_t)xdr_peer_job, &asked, args, length))
+    {
+      log_event (LOG_LEVEL_WARN, "peer_call_invalid", "call=phase bytes=%zu",
+                 length);
+      rpc_request_reject (request);
+      return;
+    }
+  const struct job_record *j = records_job (p->entry->records, asked.id);
+  struct peer_phase answer = { .known = false };
+  if (j != NULL && j->accepted)
+    {
+      const struct shard_record *s
+          = records_shard (p->entry->records, j->shard);
+      answer.known
+          = s != NULL && strcmp (s->owner, p->entry->settings.name) == 0;
+      answer.phase = j->phase;
+      answer.revision = j->progress_revision;
+    }
+  char *bytes = NULL;
+  size_t n = 0;
+  if (!xdr_encode ((xdrproc_t)xdr_peer_phase, &answer, &bytes, &n))
+    {
+      log_event (LOG_LEVEL_ERROR, "peer_answer_not_encoded", "job=%s",
+                 asked.id);
+      rpc_request_reject (request);
+      return;
+    }
+  rpc_request_reply (request, bytes, n);
+  free (bytes);
+}
+
+static void
+take_lessons (struct peers *p, struct rpc_request *request, const char *args,
+              size_t length)
+{
+  static struct lesson_list list; /* 100 KB */
+  memset (&list, 0, sizeof list);
+  if (!xdr_decode ((xdrproc_t)xdr_lesson_list, &list, args, length))
+    {
+      log_event (LOG_LEVEL_WARN, "peer_call_invalid", "call=lessons bytes=%zu",
+                 length);
+      rpc_request_reject (request);
+      return;
+    }
+  lessons_take (p->entry->lessons, &list);
+  rpc_request_reply (request, "", 0);
+}
+
+static void
+on_call (void *data, struct rpc_request *request, uint32_t procedure,
+         const char *args, size_t length)
+{
+  struct peers *p = data;
+  switch (procedure)
+    {
+    case PEER_JOB_PHASE:
+      answer_phase (p, request, args, length);
+      return;
+    case PEER_LESSONS:
+      take_lessons (p, request, args, length);
+      return;
+    default:
+      log_event (LOG_LEVEL_WARN, "peer_call_invalid", "procedure=%u",
+                 (unsigned)procedure);
+      rpc_request_reject (request);
+    }
+}
+
+static void
+peer_answered (struct peer *c, enum rpc_call_state state)
+{
+  bool lost = state != RPC_CALL_ANSWERED;
+  if (lost != c->lost)
+    log_event (lost ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+               lost ? "peer_unreached" : "peer_reached", "peer=%s", c->daemon);
+  c->lost = lost;
+  if (lost)
+    c->lost_at = entry_now ();
+}
+
+static void
+on_taken (void *data, enum rpc_call_state state, const char *result,
+          size_t length)
+{
+  (void)result;
+  (void)length;
+  peer_answered (data, state);
+}
+
+static void
+on_phase (void *data, enum rpc_call_state state, const char *result,
+          size_t length)
+{
+  struct phase_call *call = data;
+  struct peer_phase phase = { .known = false };
+  peer_answered (call->peer, state);
+  bool read
+      = state == RPC_CALL_ANSWERED
+        && xdr_decode ((xdrproc_t)xdr_peer_phase, &phase, result, length);
+  if (state == RPC_CALL_ANSWERED && !read)
+    log_event (LOG_LEVEL_WARN, "peer_answer_invalid", "peer=%s bytes=%zu",
+               call->peer->daemon, length);
+  call->done (call->data, read ? &phase : NULL);
+  free (call);
+}
+
+static struct peer *
+peer_named (struct peers *p, const char *daemon)
+{
+  for (size_t i = 0; i < p->count; i++)
+    if (strcmp (p->peers[i].daemon, daemon) == 0)
+      return &p->peers[i];
+  return NULL;
+}
+
+/* The daemon D has registered.  Its address is kept when the registration
+   ends, since a daemon that is cut off from the store can be called all the
+   same.  */
+void
+peers_daemon_seen (struct peers *p, const struct daemon_record *d)
+{
+  struct peer *c = peer_named (p, d->name);
+  if (c == NULL && p->count < PEERS_MAX)
+    {
+      c = &p->peers[p->count++];
+      snprintf (c->daemon, sizeof c->daemon, "%s", d->name);
+    }
+  if (c == NULL
+      || (c->address.port == d->peer.port
+          && strcmp (c->address.address, d->peer.address) == 0))
+    return;
+  if (c->client != NULL)
+    rpc_client_close (c->client);
+  c->client = NULL;
+  c->address = d->peer;
+}
+
+/* Returns the open connection to DAEMON, or null when its address is not known
+   or it has not answered lately.  */
+static struct peer *
+peer_for (struct peers *p, const char *daemon)
+{
+  struct peer *c = peer_named (p, daemon);
+  if (c == NULL || c->address.port == 0
+      || (c->lost && rr_time_diff (entry_now (), c->lost_at) < LOST_PAUSE_MS))
+    return NULL;
+  if (c->client == NULL)
+    c->client = rpc_client_open (p->entry->loop, c->address.address,
+                                 c->address.port, PEER_PROGRAM, PEER_VERSION);
+  return c->client == NULL ? NULL : c;
+}
+
+/* Sends OBJECT, which PROC encodes, to C; false when it can't be encoded, and
+   then DONE is not called.  */
+static bool
+call_peer (struct peer *c, uint32_t procedure, xdrproc_t proc, void *object,
+           uint64_t timeout_ms, rpc_done_fn *done, void *data)
+{
+  char *bytes = NULL;
+  size_t length = 0;
+  if (!xdr_encode (proc, object, &bytes, &length))
+    {
+      log_event (LOG_LEVEL_ERROR, "peer_call_not_encoded", "procedure=%u",
+                 (unsigned)procedure);
+      return false;
+    }
+  rpc_client_call (c->client, procedure, bytes, length, timeout_ms, done,
+                   data);
+  free (bytes);
+  return true;
+}
+
+/* Asks DAEMON for the phase of JOB.  DONE is called once, maybe at once.  */
+void
+peers_ask_phase (struct peers *p, const char *daemon, const char *job,
+                 peers_phase_fn *done, void *data)
+{
+  struct peer *c = peer_for (p, daemon);
+  struct phase_call *call = c == NULL ? NULL : calloc (1, sizeof *call);
+  if (call == NULL)
+    {
+      done (data, NULL);
+      return;
+    }
+  *call = (struct phase_call){ .peer = c, .done = done, .data = data };
+  struct peer_job asked;
+  snprintf (asked.id, sizeof asked.id, "%s", job);
+  if (!call_peer (c, PEER_JOB_PHASE, (xdrproc_t)xdr_peer_job, &asked,
+                  PHASE_TIMEOUT_MS, on_phase, call))
+    {
+      free (call);
+      done (data, NULL);
+    }
+}
+
+/* Passes LIST on to DAEMON.  */
+void
+peers_send_lessons (struct peers *p, const char *daemon,
+                    const struct lesson_list *list)
+{
+  struct peer *c = peer_for (p, daemon);
+  if (c != NULL)
+    call_peer (c, PEER_LESSONS, (xdrproc_t)xdr_lesson_list, (void *)list,
+               LESSONS_TIMEOUT_MS, on_taken, c);
+}
+
+/* Begins to listen for other daemons; null with ERR when the address can't be
+   bound.  */
+struct peers *
+peers_open (struct entry *e, struct rr_error *err)
+{
+  struct peers *p = calloc (1, sizeof *p);
+  assert (p != NULL);
+  p->entry = e;
+  const struct settings_peer *at = &e->settings.peer;
+  if (at->port != 0
+      && rpc_server_open (e->loop, at->address, at->port, PEER_PROGRAM,
+                          PEER_VERSION, on_call, p, err)
+             == NULL)
+    {
+      free (p);
+      return NULL;
+    }
+  return p;
+}
--- a/rosemaryentryd/notices_xdr.c
+++ b/rosemaryentryd/peers_xdr.c
@@ -1,27 +1,25 @@
-#include "rosemaryentryd/notices_xdr.h"
+#include "rosemaryentryd/peers_xdr.h"
 
-static bool_t
-xdr_notice (XDR *x, struct notice *n)
+/* Encodes or decodes the name of a job.  */
+bool_t
+xdr_peer_job (XDR *x, struct peer_job *j)
 {
-  char *job = n->job;
-  int phase = (int)n->phase;
-  if (!xdr_string (x, &job, sizeof n->job - 1) || !xdr_int (x, &phase)
-      || !xdr_int64_t (x, &n->revision) || phase < RR_PHASE_QUEUED
-      || phase > RR_PHASE_CANCELLED)
-    return FALSE;
-  n->phase = (enum rr_job_phase)phase;
-  return TRUE;
+  char *id = j->id;
+  return xdr_string (x, &id, sizeof j->id - 1);
 }
 
-/* Encodes or decodes the ends of jobs.  */
+/* Encodes or decodes the phase of a job.  */
 bool_t
-xdr_notice_list (XDR *x, struct notice_list *l)
+xdr_peer_phase (XDR *x, struct peer_phase *p)
 {
-  if (!xdr_u_int (x, &l->count) || l->count > NOTICES_MAX)
+  bool_t known = p->known;
+  int phase = (int)p->phase;
+  if (!xdr_bool (x, &known) || !xdr_int (x, &phase)
+      || !xdr_int64_t (x, &p->revision) || phase < RR_PHASE_QUEUED
+      || phase > RR_PHASE_CANCELLED)
     return FALSE;
-  for (unsigned int i = 0; i < l->count; i++)
-    if (!xdr_notice (x, &l->entries[i]))
-      return FALSE;
+  p->known = known;
+  p->phase = (enum rr_job_phase)phase;
   return TRUE;
 }
 
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -10,14 +10,15 @@
 #include "common/log.h"
 #include "rosemaryentryd/choice.h"
 #include "rosemaryentryd/mirror.h"
-#include "rosemaryentryd/notices.h"
 #include "rosemaryentryd/owners.h"
+#include "rosemaryentryd/peers.h"
 
 enum
 {
-  /* Callers see the end of a job this much later at most, unless they ask its
-     owner or the daemon that accepted it, which is told.  */
-  PROGRESS_PAUSE_MS = 400
+  /* The owner of a job's shard is asked for its phase; what is read here
+     serves while it does not answer, and for takeovers, which read the rest.
+   */
+  PROGRESS_PAUSE_MS = 800
 };
 
 struct records
@@ -173,18 +174,11 @@
   return j;
 }
 
-static bool
-phase_final (enum rr_job_phase phase)
-{
-  return phase == RR_PHASE_COMPLETED || phase == RR_PHASE_FAILED
-         || phase == RR_PHASE_CANCELLED;
-}
-
 /* Drops what only a job in progress needs.  */
 static void
 job_record_trim (struct job_record *j)
 {
-  if (!phase_final (records_job_phase (j)))
+  if (!rr_job_phase_final (records_job_phase (j)))
     return;
   j->finished = entry_now ();
   free (j->graph_text);
@@ -234,7 +228,6 @@
     choice_job_seen (s, g);
   snprintf (j->queue, sizeof j->queue, "%s", g->queue);
   snprintf (j->shard, sizeof j->shard, "%s", g->shard);
-  snprintf (j->acceptor, sizeof j->acceptor, "%s", g->acceptor);
   j->accepted = true;
   j->accepted_ms = g->accepted_ms;
   j->job_revision = revision;
@@ -405,7 +398,7 @@
   if (peer[0] != '\0' && !settings_parse_peer (peer, &d->peer))
     log_event (LOG_LEVEL_WARN, "peer_address_unusable", "peer=%s address=%s",
                name, peer);
-  notices_daemon_seen (r->entry->notices, d);
+  peers_daemon_seen (r->entry->peers, d);
   json_object_put (o);
 }
 
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -285,9 +285,7 @@
 void
 shard_job_seen (struct shard *s, const struct job_record *j, bool inherited)
 {
-  enum rr_job_phase phase = records_job_phase (j);
-  if (j->graph_text == NULL || phase == RR_PHASE_COMPLETED
-      || phase == RR_PHASE_FAILED || phase == RR_PHASE_CANCELLED)
+  if (j->graph_text == NULL || rr_job_phase_final (records_job_phase (j)))
     return;
   struct rr_error err = { 0 };
   struct rr_graph *g
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -80,45 +80,6 @@
                          entry_wall_ms () - j->accepted_ms);
 }
 
-static bool
-phase_over (enum rr_job_phase phase)
-{
-  return phase == RR_PHASE_COMPLETED || phase == RR_PHASE_FAILED;
-}
-
-/* Tells the daemons that accepted them which jobs have ended.  */
-static void
-tell_acceptors (struct shard *s, int64_t revision)
-{
-  const struct job_record *ended[COMMIT_JOBS_MAX];
-  size_t n = 0;
-  for (size_t i = 0; i < s->commit_count; i++)
-    {
-      const struct job_record *j
-          = records_job (s->entry->records, s->commit[i].record);
-      if (j != NULL && phase_over (j->phase)
-          && strcmp (j->acceptor, s->entry->settings.name) != 0)
-        ended[n++] = j;
-    }
-  for (size_t i = 0; i < n; i++)
-    {
-      struct notice list[COMMIT_JOBS_MAX];
-      size_t count = 0;
-      const char *acceptor = ended[i] == NULL ? "" : ended[i]->acceptor;
-      for (size_t k = i; k < n && acceptor[0] != '\0'; k++)
-        if (ended[k] != NULL && strcmp (ended[k]->acceptor, acceptor) == 0)
-          {
-            struct notice *t = &list[count++];
-            snprintf (t->job, sizeof t->job, "%s", ended[k]->id);
-            t->phase = ended[k]->phase;
-            t->revision = revision;
-            ended[k] = NULL;
-          }
-      if (count > 0)
-        notices_send (s->entry->notices, acceptor, list, count);
-    }
-}
-
 static void
 commit_took_effect (struct shard *s, int64_t revision)
 {
@@ -128,7 +89,6 @@
       note_phase (s, c, revision);
       rr_dispatch_stored (s->dispatch, c->id, c->version);
     }
-  tell_acceptors (s, revision);
   for (size_t i = 0; i < s->link_count; i++)
     link_progress_stored (s->links[i]);
 }
--- a/rosemaryentryd/shard_lessons.c
+++ b/rosemaryentryd/shard_lessons.c
@@ -57,6 +57,6 @@
       if (daemon[0] == '\0' || was_told (told, n, daemon))
         continue;
       told[n++] = daemon;
-      notices_send_lessons (e->notices, daemon, &list);
+      peers_send_lessons (e->peers, daemon, &list);
     }
 }
--- a/rosemaryrail/graph.c
+++ b/rosemaryrail/graph.c
@@ -356,7 +356,6 @@
   put_text (o, "queue", g->queue);
   put_text (o, "service", g->service);
   put_text (o, "shard", g->shard);
-  put_text (o, "acceptor", g->acceptor);
   put_text (o, "spec", g->spec);
   put_int (o, "occurrences", g->scheduled ? g->occurrence_count : 0);
   put_int (o, "first_run", g->first_run_ms);
@@ -396,7 +395,6 @@
   take_text (o, "queue", g->queue);
   take_text (o, "service", g->service);
   take_text (o, "shard", g->shard);
-  take_text (o, "acceptor", g->acceptor);
   struct json_object *spec = NULL;
   if (json_object_object_get_ex (o, "spec", &spec))
     g->spec = strdup (json_object_get_string (spec));
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -16,6 +16,14 @@
   return phase_names[phase];
 }
 
+/* Tells whether a job in PHASE is over.  */
+bool
+rr_job_phase_final (enum rr_job_phase phase)
+{
+  return phase == RR_PHASE_COMPLETED || phase == RR_PHASE_FAILED
+         || phase == RR_PHASE_CANCELLED;
+}
+
 /* Returns the stored form of P, a JSON text that the caller frees.  */
 char *
 rr_progress_encode (const struct rr_progress *p)
--- a/tests/entry/notice.sh
+++ b/tests/entry/ask_owner.sh
@@ -1,7 +1,6 @@
 #!/bin/bash
 # Guards against callers who wait for a job that has ended, since the daemon they
-# ask has not read it from the store yet: the owner tells the daemon that
-# accepted the job.
+# ask has not read it from the store yet: that daemon asks the owner.
 . "$(dirname "$0")/lib.sh"
 deploy 2 2
 : >"$work/none"
@@ -19,6 +18,6 @@
 completed() { case $(request GET "$1" $id) in *completed*) true ;; *) false ;; esac; }
 wait_for "the end at the owner" 8 completed $owner
 echo "the owner shows the end"
-wait_for "the end at the acceptor" 1 completed $other
-echo "so does the daemon that accepted it, without the store"
+wait_for "the end at the other daemon" 1 completed $other
+echo "so does the other daemon, without the store"
 verify "$work/none"
