--- a/include/rosemaryrail/graph.h
+++ b/include/rosemaryrail/graph.h
@@ -55,7 +55,7 @@
   char queue[RR_GRAPH_NAME_SIZE];
   char service[RR_GRAPH_NAME_SIZE]; /* of the queue when it was accepted */
   char shard[RR_GRAPH_NAME_SIZE];
-  char *spec;                        /* passed to every task */
+  char *spec; /* passed to every task */
   struct rr_graph_step *steps;
   size_t step_count;
   int32_t occurrence_count; /* at least 1 */
