--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -89,6 +89,7 @@
   bool active;
   bool sending;
   bool unknown; /* an attempt without an answer may take effect */
+  char job[RR_GRAPH_NAME_SIZE];
   size_t tasks;
   struct divided_record giver;
   struct divided_record taker;
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -74,9 +74,10 @@
       return;
     }
   log_event (r->state == STORE_OK ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
-             "tasks_transferred", "job=%s from=%s to=%s tasks=%zu state=%s",
-             v->giver.id, s->record->name, v->taker.id, v->tasks,
-             store_state_name (r->state));
+             "tasks_transferred",
+             "job=%s shard=%s to=%s tasks=%zu state=%s revision=%lld", v->job,
+             s->record->name, v->taker.id, v->tasks,
+             store_state_name (r->state), (long long)v->giver.revision);
   switch (r->state)
     {
     case STORE_OK:
@@ -177,6 +178,7 @@
   if (to != NULL)
     {
       v->active = true;
+      snprintf (v->job, sizeof v->job, "%s", from->id);
       v->tasks = n < room ? n : room;
       v->giver.revision = j->job_revision;
       rr_graph_divide (from, true);
--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -29,7 +29,7 @@
   for (size_t i = 0; i < s->transfer_count; i++)
     {
       const struct transfer_entry *t = &s->transfer[i];
-      log_event (LOG_LEVEL_INFO, "job_transferred", "job=%s from=%s to=%s",
+      log_event (LOG_LEVEL_INFO, "job_transferred", "job=%s shard=%s to=%s",
                  t->id, s->record->name, t->target);
       shard_job_moved (s, t->id);
     }
