dispatch: nothing is chosen for a worker that can't be sent anything

A worker that has not answered its last look gets no lease, so a start for it is never sent; the dispatcher took it as usable for as long as its last report was fresh, lost the start at once and chose it again every 3 ms. Run numbers reached 24 within 60 ms, above the 16 of an owner's range. The script silent_start gave the start to the silent worker before.

--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -55,6 +55,7 @@
 dispatch_worker_usable (const struct dispatch_worker *w, struct rr_time now)
 {
   return w->listed && !w->info.draining && w->recorded && w->reported
+         && !w->silent
          && rr_time_diff (now, w->last_report) <= REPORT_AGE_MAX_MS
          && !rr_time_before (now, w->full_until)
          && !rr_time_before (now, w->avoid_until);
