entry: begun jobs pass to another shard too, with their progress

A start sent just before its worker was cut off counts as begun, and a begun job could not leave its shard: it waited there without a worker. A job that certainly runs nowhere, with all of its progress stored, goes now; its record carries the progress, written again with the same revision, and the least number of its next runs.

--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -39,9 +39,12 @@
   /* A job without room goes to another shard after this long: several rounds
      of ends, and soon enough for the shortest objectives, about a second.  */
   TRANSFER_WAIT_MS = 300,
-  TRANSFERS_MAX = 3, /* of one job, since loads are known late */
-  /* Each job takes two conditions and a write; the owner key a condition.  */
-  TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 3,
+  /* The same for one that has begun: it has had room here before.  */
+  TRANSFER_BEGUN_WAIT_MS = 1000,
+  TRANSFERS_MAX = 5, /* of one job, since loads are known late */
+  /* Each job takes two conditions and two writes; the owner key a
+     condition.  */
+  TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 4,
   /* A lasting task without room goes to another shard after this long: whole
      jobs go first, and callers notice an absence after 6 s.  */
   DIVIDE_WAIT_MS = 800,
@@ -71,8 +74,10 @@
 {
   char id[RR_GRAPH_NAME_SIZE];
   char target[RR_GRAPH_NAME_SIZE];
-  int64_t revision; /* of the job before */
-  char *text;       /* the job as it will be stored */
+  int64_t revision;          /* of the job before */
+  int64_t progress_revision; /* before; 0: it has none */
+  char *text;                /* the job as it will be stored */
+  char *progress;            /* its progress; null: none */
 };
 
 /* A record of a job whose share changes.  */
@@ -123,6 +128,7 @@
   struct rr_time load_sent;
   struct rr_time taught; /* when lessons were last passed on */
   bool load_writing;
+  bool load_counted; /* others have added jobs to what was last told */
   int64_t last_demand;
   int64_t last_largest;
   bool stopping; /* starts nothing more */
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -244,11 +244,12 @@
 void rr_dispatch_job_cancel (struct rr_dispatch *d, const char *id,
                              struct rr_time now);
 
-/* Jobs of which nothing was ordered can pass to another shard: held while the
-   change is stored, and dropped once it is.  */
-size_t rr_dispatch_unstarted (const struct rr_dispatch *d, const char **ids,
-                              size_t max, int64_t waited_ms,
+/* Jobs that run nowhere can pass to another shard: held while the change is
+   stored, and dropped once it is.  */
+size_t rr_dispatch_idle_jobs (const struct rr_dispatch *d, const char **ids,
+                              size_t max, int64_t new_ms, int64_t begun_ms,
                               struct rr_time now);
+uint32_t rr_dispatch_run_base (const struct rr_dispatch *d, const char *id);
 void rr_dispatch_job_hold (struct rr_dispatch *d, const char *id, bool held);
 bool rr_dispatch_job_drop (struct rr_dispatch *d, const char *id);
 
--- a/include/rosemaryrail/graph.h
+++ b/include/rosemaryrail/graph.h
@@ -47,8 +47,8 @@
 };
 
 /* A submitted job: steps that depend on each other, run once or at set
-   times.  After it was accepted, its shard may change while nothing of it has
-   started; a job of one lasting step may be divided among shards later.  */
+   times.  After it was accepted, its shard may change while nothing of it
+   runs; a job of one lasting step may be divided among shards.  */
 struct rr_graph
 {
   char id[RR_GRAPH_NAME_SIZE];
@@ -63,6 +63,8 @@
   int64_t first_run_ms;     /* since 1970 */
   int64_t interval_ms;
   int64_t accepted_ms; /* since 1970 */
+  char *progress;      /* when its shard last changed; null: none */
+  uint32_t run_base;   /* least number of runs in SHARD; 0: any */
   bool divided;        /* SHARE has the tasks of SHARD; else all are there */
   struct rr_graph_share *share; /* in no order */
   size_t share_count;
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -234,6 +234,8 @@
   free (j->graph_text);
   j->graph_text = strdup (text);
   snprintf (j->job, sizeof j->job, "%s", g->id);
+  if (g->progress != NULL)
+    records_progress_set (r, id, g->progress, revision);
   const struct job_record *whole = records_job (r, g->id);
   j->cancelled = j->cancelled || (whole != NULL && whole->cancelled);
   rr_graph_free (g);
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -304,7 +304,10 @@
       rr_graph_free (g);
     }
   else
-    rr_dispatch_job_add (s->dispatch, g, p, inherited, entry_now ());
+    {
+      rr_dispatch_job_add (s->dispatch, g, p, inherited, entry_now ());
+      s->load_counted = true;
+    }
   rr_progress_free (p);
   shard_wake (s);
 }
--- a/rosemaryentryd/shard_roster.c
+++ b/rosemaryentryd/shard_roster.c
@@ -170,7 +170,8 @@
   int64_t largest = load.largest_milli - s->last_largest;
   if ((change < 0 ? -change : change) * 20 < load.cores_milli
       && (largest < 0 ? -largest : largest) < LOAD_LARGEST_MILLI
-      && s->load_sent.ms != 0 && load.cores_milli == s->record->capacity_milli)
+      && !s->load_counted && s->load_sent.ms != 0
+      && load.cores_milli == s->record->capacity_milli)
     return;
   char key[KEY_SIZE];
   char value[128];
@@ -183,6 +184,7 @@
   struct store_condition cond = { s->owner_key, s->token };
   struct store_write w = { .key = key, .value = value };
   s->load_writing = true;
+  s->load_counted = false;
   s->load_sent = now;
   s->last_demand = demand;
   s->last_largest = load.largest_milli;
--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -6,9 +6,9 @@
 
 #include "rosemaryentryd/choice.h"
 
-/* Jobs that wait for room in vain go to a shard that has it.  Only jobs of
-   which nothing was ever ordered may go, so that the next owner need not ask
-   anybody before it starts them.  */
+/* Jobs that wait for room in vain go to a shard that has it, with their
+   progress. Only jobs that certainly run nowhere may go, so that the next
+   owner need not ask anybody before it starts them.  */
 
 /* Forgets what was to be transferred; what stays may start here.  */
 void
@@ -18,6 +18,7 @@
     {
       rr_dispatch_job_hold (s->dispatch, s->transfer[i].id, false);
       free (s->transfer[i].text);
+      free (s->transfer[i].progress);
     }
   s->transfer_count = 0;
   s->transfer_unknown = false;
@@ -86,8 +87,9 @@
 {
   static char keys[2 * TRANSFER_JOBS_MAX][KEY_SIZE];
   struct store_condition conds[2 * TRANSFER_JOBS_MAX + 1];
-  struct store_write writes[TRANSFER_JOBS_MAX];
+  struct store_write writes[2 * TRANSFER_JOBS_MAX];
   size_t n = 0;
+  size_t written = 0;
   conds[n++] = (struct store_condition){ s->owner_key, s->token };
   for (size_t i = 0; i < s->transfer_count; i++)
     {
@@ -97,13 +99,17 @@
       snprintf (job, KEY_SIZE, "%s%s", KEY_JOB, t->id);
       snprintf (progress, KEY_SIZE, "%s%s", KEY_PROGRESS, t->id);
       conds[n++] = (struct store_condition){ job, t->revision };
-      conds[n++] = (struct store_condition){ progress, 0 };
-      writes[i] = (struct store_write){ .key = job, .value = t->text };
+      conds[n++] = (struct store_condition){ progress, t->progress_revision };
+      writes[written++] = (struct store_write){ .key = job, .value = t->text };
+      /* Written again, so that its revision is that of the job.  */
+      if (t->progress != NULL)
+        writes[written++]
+            = (struct store_write){ .key = progress, .value = t->progress };
     }
   struct store_txn txn = { .conditions = conds,
                            .condition_count = n,
                            .writes = writes,
-                           .write_count = s->transfer_count };
+                           .write_count = written };
   s->transferring = true;
   s->calls++;
   store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_transferred, s);
@@ -114,8 +120,7 @@
 transfer_add (struct shard *s, const char *id)
 {
   const struct job_record *j = records_job (s->entry->records, id);
-  if (j == NULL || j->graph_text == NULL || j->progress_revision != 0
-      || j->transfers >= TRANSFERS_MAX)
+  if (j == NULL || j->graph_text == NULL || j->transfers >= TRANSFERS_MAX)
     return;
   struct rr_error err = { 0 };
   struct rr_graph *g
@@ -131,6 +136,13 @@
       snprintf (t->target, sizeof t->target, "%s", target->name);
       snprintf (g->shard, sizeof g->shard, "%s", target->name);
       t->revision = j->job_revision;
+      t->progress_revision = j->progress_revision;
+      uint64_t version;
+      if (t->progress_revision != 0)
+        t->progress = rr_dispatch_progress (s->dispatch, id, &version);
+      free (g->progress);
+      g->progress = t->progress == NULL ? NULL : strdup (t->progress);
+      g->run_base = rr_dispatch_run_base (s->dispatch, id);
       t->text = rr_graph_encode (g);
       rr_dispatch_job_hold (s->dispatch, id, true);
     }
@@ -147,8 +159,9 @@
   if (s->transfer_count == 0)
     {
       const char *ids[TRANSFER_JOBS_MAX];
-      size_t n = rr_dispatch_unstarted (s->dispatch, ids, TRANSFER_JOBS_MAX,
-                                        TRANSFER_WAIT_MS, now);
+      size_t n = rr_dispatch_idle_jobs (s->dispatch, ids, TRANSFER_JOBS_MAX,
+                                        TRANSFER_WAIT_MS,
+                                        TRANSFER_BEGUN_WAIT_MS, now);
       for (size_t i = 0; i < n; i++)
         transfer_add (s, ids[i]);
     }
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -429,6 +429,12 @@
   rr_key_index_put (d->job_ids, g->id, h);
   if (progress != NULL)
     restore (d, j, progress);
+  for (uint32_t i = 0; i < j->task_count; i++)
+    {
+      j->tasks[i].given_run = g->run_base;
+      if (j->tasks[i].next_run < g->run_base)
+        j->tasks[i].next_run = g->run_base;
+    }
   dispatch_share_tasks (j, g);
   if (inherited && d->inheriting)
     mark_uncertain (d, j);
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -1,38 +1,60 @@
 #include "dispatch_private.h"
 
-/* What another shard may take over: whole jobs of which nothing was ever
-   ordered here, and single tasks of jobs that can be divided, while they
-   certainly run nowhere.  */
+/* What another shard may take over: whole jobs, and single tasks of jobs that
+   can be divided, while they certainly run nowhere.  */
 
+/* Tells whether J certainly runs nowhere and all that is known of it is
+   stored.  */
 static bool
-never_ordered (const struct dispatch_job *j)
+job_idle (const struct dispatch_job *j)
 {
-  if (j->cancelled || j->held || j->phase != RR_PHASE_QUEUED || j->version != 0
-      || j->run_count != 0)
+  if (j->cancelled || j->held || rr_job_phase_final (j->phase)
+      || j->version != j->stored_version || j->run_count != 0)
     return false;
   for (size_t i = 0; i < j->task_count; i++)
-    if (j->tasks[i].state != TASK_WAITING || j->tasks[i].next_run != 1)
+    if (j->tasks[i].state != TASK_WAITING && j->tasks[i].state != TASK_DONE)
       return false;
   return true;
 }
 
-/* Writes the ids of at most MAX jobs that have waited WAITED_MS or longer for
-   room and of which no task was ever ordered to a worker.  Returns their
-   number.  */
+/* Writes the ids of at most MAX jobs that certainly run nowhere and have
+   waited for room: NEW_MS or longer those of which nothing was ever ordered,
+   BEGUN_MS or longer the others, but for lasting ones, whose tasks go singly.
+   Returns their number.  */
 size_t
-rr_dispatch_unstarted (const struct rr_dispatch *d, const char **ids,
-                       size_t max, int64_t waited_ms, struct rr_time now)
+rr_dispatch_idle_jobs (const struct rr_dispatch *d, const char **ids,
+                       size_t max, int64_t new_ms, int64_t begun_ms,
+                       struct rr_time now)
 {
   size_t n = 0;
   struct rr_handle h = { 0 };
   const struct dispatch_job *j;
   while (n < max && (j = rr_table_next (d->jobs, &h)) != NULL)
-    if (rr_time_diff (now, dispatch_occurrence_begin (d, j, 0)) >= waited_ms
-        && never_ordered (j))
-      ids[n++] = j->graph->id;
+    {
+      bool begun = j->version != 0;
+      struct rr_time since = dispatch_occurrence_begin (d, j, 0);
+      if (begun && rr_time_before (since, j->busy_at))
+        since = j->busy_at;
+      if ((!begun || !rr_graph_divisible (j->graph))
+          && rr_time_diff (now, since) >= (begun ? begun_ms : new_ms)
+          && job_idle (j))
+        ids[n++] = j->graph->id;
+    }
   return n;
 }
 
+/* Returns the least number that a next run of job ID can have anywhere.  */
+uint32_t
+rr_dispatch_run_base (const struct rr_dispatch *d, const char *id)
+{
+  const struct dispatch_job *j = dispatch_job_find (d, id);
+  uint32_t base = 1;
+  for (size_t i = 0; j != NULL && i < j->task_count; i++)
+    if (j->tasks[i].next_run > base)
+      base = j->tasks[i].next_run;
+  return base;
+}
+
 /* Starts nothing of job ID while HELD.  */
 void
 rr_dispatch_job_hold (struct rr_dispatch *d, const char *id, bool held)
--- a/rosemaryrail/graph.c
+++ b/rosemaryrail/graph.c
@@ -30,6 +30,7 @@
   free (g->steps);
   free (g->spec);
   free (g->share);
+  free (g->progress);
   free (g);
 }
 
@@ -365,6 +366,8 @@
   for (size_t i = 0; i < g->step_count; i++)
     json_object_array_add (steps, encode_step (&g->steps[i]));
   json_object_object_add (o, "steps", steps);
+  put_text (o, "progress", g->progress);
+  put_int (o, "run_base", g->run_base);
   if (g->divided)
     json_object_object_add (o, "share", encode_share (g));
   char *text
@@ -407,6 +410,10 @@
   for (size_t i = 0; i < g->step_count; i++)
     decode_step (json_object_array_get_idx (steps, i), &g->steps[i]);
   decode_share (o, g);
+  struct json_object *progress = NULL;
+  if (json_object_object_get_ex (o, "progress", &progress))
+    g->progress = strdup (json_object_get_string (progress));
+  g->run_base = (uint32_t)take_int (o, "run_base");
   json_object_put (o);
   if (!rr_graph_check (g, err))
     {
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -27,7 +27,7 @@
      store                             all progress becomes durable
      confirm on|off                    whether ownership is confirmed
      takeover W...                     a new owner, with this record of workers
-     unstarted MS                      jobs that another shard may take over
+     idle NEW_MS BEGUN_MS              jobs that another shard may take over
      hold JOB | release JOB | leave JOB
                                        a job on its way to another shard
      waiting MS                        tasks that another shard may take over
@@ -506,13 +506,13 @@
 }
 
 static void
-print_unstarted (int64_t waited_ms)
+print_idle (int64_t new_ms, int64_t begun_ms)
 {
   const char *ids[JOBS_MAX];
-  size_t n = rr_dispatch_unstarted (d, ids, JOBS_MAX, waited_ms, now);
-  printf ("unstarted:");
+  size_t n = rr_dispatch_idle_jobs (d, ids, JOBS_MAX, new_ms, begun_ms, now);
+  printf ("idle:");
   for (size_t i = 0; i < n; i++)
-    printf (" %s", ids[i]);
+    printf (" %s:%u", ids[i], (unsigned)rr_dispatch_run_base (d, ids[i]));
   printf ("\n");
 }
 
@@ -580,8 +580,8 @@
 static bool
 transfer_command (char **word, size_t words)
 {
-  if (strcmp (word[0], "unstarted") == 0)
-    print_unstarted (strtol (word[1], NULL, 10));
+  if (strcmp (word[0], "idle") == 0)
+    print_idle (strtol (word[1], NULL, 10), strtol (word[2], NULL, 10));
   else if (strcmp (word[0], "hold") == 0 || strcmp (word[0], "release") == 0)
     rr_dispatch_job_hold (d, word[1], word[0][0] == 'h');
   else if (strcmp (word[0], "waiting") == 0)
