--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -131,6 +131,7 @@
   if (target != NULL)
     {
       struct transfer_entry *t = &s->transfer[s->transfer_count++];
+      memset (t, 0, sizeof *t);
       choice_job_seen (target, g);
       snprintf (t->id, sizeof t->id, "%s", id);
       snprintf (t->target, sizeof t->target, "%s", target->name);
--- a/tests/entry/shard_transfer.sh
+++ b/tests/entry/shard_transfer.sh
@@ -25,9 +25,15 @@
 done
 echo "submitted ${#ids[@]}"
 completed() { case $(request GET 1 "$1") in *completed*) true ;; *) false ;; esac; }
-for id in "${ids[@]}"; do
-  wait_for "job $id" 20 completed "$id"
+wait_all() {
+  for id in "${ids[@]}"; do wait_for "job $id" 20 completed "$id"; done
+  echo "all jobs completed"
+}
+wait_all
+# New jobs that pass on after begun ones must not get the progress of those.
+for i in $(seq 25 40); do
+  submit "$i" "{\"spec\":\"work=300\",\"steps\":[{$step,\"estimateMs\":300}]}"
 done
-echo "all jobs completed"
+wait_all
 verify "$work/none"
 echo "verified"
