entry: a planned stop answers what it has read

The daemon now ends once no request has come for 0.4 s and a round of the loop has looked at what arrived, and leaves without reading again.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -25,7 +25,9 @@
   http_handler_fn *handler;
   void *data;
   size_t in_progress;
+  size_t handled; /* requests so far */
   bool listening;
+  bool draining;
 };
 
 /* h2o hands the handler a pointer to this struct; SERVER follows HANDLER.  */
@@ -104,6 +106,7 @@
     x->query = copy_bytes (req->path.base + path_len + 1,
                            req->path.len - path_len - 1);
   s->in_progress++;
+  s->handled++;
   s->handler (s->data, x);
   return 0;
 }
@@ -201,6 +204,21 @@
   h2o_context_request_shutdown (&s->context);
 }
 
+/* Ends each connection with its next answer, so that its caller goes
+   elsewhere; new connections are still served.  */
+void
+http_server_drain (struct http_server *s)
+{
+  s->draining = true;
+}
+
+/* Returns the number of requests handed to the handler so far.  */
+size_t
+http_server_handled (const struct http_server *s)
+{
+  return s->handled;
+}
+
 /* Returns the port that S listens on, chosen by the kernel when the server
    was opened with port 0.  */
 uint16_t
@@ -325,6 +343,7 @@
     { 404, "Not Found" },
     { 405, "Method Not Allowed" },
     { 409, "Conflict" },
+    { 410, "Gone" },
     { 413, "Content Too Large" },
     { 429, "Too Many Requests" },
     { 500, "Internal Server Error" },
@@ -347,6 +366,8 @@
   h2o_req_t *req = x->req;
   if (req != NULL)
     {
+      if (x->server->draining)
+        req->http1_is_persistent = 0;
       req->res.status = status;
       req->res.reason = reason_phrase (status);
       req->res.content_length = length;
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -36,6 +36,8 @@
 void http_server_stop_accepting (struct http_server *s);
 void http_server_shutdown (struct http_server *s);
 uint16_t http_server_port (const struct http_server *s);
+void http_server_drain (struct http_server *s);
+size_t http_server_handled (const struct http_server *s);
 size_t http_server_in_progress (const struct http_server *s);
 
 const char *http_exchange_method (const struct http_exchange *x);
--- a/include/rosemaryentryd/front.h
+++ b/include/rosemaryentryd/front.h
@@ -8,7 +8,8 @@
 struct front;
 
 struct front *front_open (struct entry *e, struct rr_error *err);
-void front_shutdown (struct front *f);
+void front_drain (struct front *f);
+size_t front_handled (const struct front *f);
 size_t front_in_progress (const struct front *f);
 
 #endif
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -450,11 +450,18 @@
   return f->checks == NULL ? NULL : f;
 }
 
-/* Lets each connection end with the request in progress on it.  */
+/* Ends each connection with its next answer.  */
 void
-front_shutdown (struct front *f)
+front_drain (struct front *f)
 {
-  http_server_shutdown (f->callers);
+  http_server_drain (f->callers);
+}
+
+/* Returns the number of callers' requests so far.  */
+size_t
+front_handled (const struct front *f)
+{
+  return http_server_handled (f->callers);
 }
 
 /* Returns the number of callers' requests without an answer.  */
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -22,6 +22,9 @@
   DRAIN_MS = 2300,
   /* The shards are handed over this long after SIGTERM at the latest.  */
   HANDOVER_MS = 600,
+  /* A request may be on its way; the daemon ends once none has come for this
+     long.  */
+  QUIET_MS = 400,
   EXIT_MARGIN_MS = 700 /* before the kill */
 };
 
@@ -41,7 +44,9 @@
   uv_timer_t timer;
   struct rr_time began;
   bool handed_over;
-  bool draining;
+  size_t handled;       /* requests of callers so far */
+  struct rr_time quiet; /* since when there has been none */
+  bool ending;          /* the last round looked at what has arrived */
   const char *path;
 };
 
@@ -59,17 +64,29 @@
       owners_lease_lost (e->owners);
       session_close (e->session);
     }
-  if (!s->handed_over || age < DRAIN_MS)
-    return;
-  if (!s->draining)
-    front_shutdown (e->front);
-  s->draining = true;
   if (front_in_progress (e->front) > 0
-      && age < e->settings.shutdown_ms - EXIT_MARGIN_MS)
-    return;
+      || front_handled (e->front) != s->handled)
+    s->quiet = entry_now ();
+  s->handled = front_handled (e->front);
+  bool quiet = rr_time_diff (entry_now (), s->quiet) >= QUIET_MS;
+  bool last = age >= e->settings.shutdown_ms - EXIT_MARGIN_MS;
+  if (!s->handed_over || age < DRAIN_MS || (!quiet && !last))
+    {
+      s->ending = false;
+      return;
+    }
+  /* After a pause of the process, requests that came meanwhile are read only
+     in the round of the loop that follows.  */
+  if (!s->ending && !last)
+    {
+      s->ending = true;
+      return;
+    }
   log_event (LOG_LEVEL_INFO, "stopped", "ms=%lld in_progress=%zu",
              (long long)age, front_in_progress (e->front));
-  uv_stop (e->loop);
+  /* uv_stop would read requests once more, which nobody would answer.  */
+  log_flush ();
+  exit (0);
 }
 
 static void
@@ -81,6 +98,8 @@
   s->entry->stopping = true;
   s->began = entry_now ();
   log_event (LOG_LEVEL_INFO, "stopping", "signal=%d", number);
+  s->quiet = s->began;
+  front_drain (s->entry->front);
   owners_release (s->entry->owners);
   uv_timer_start (&s->timer, on_stop_tick, 0, SHUTDOWN_TICK_MS);
 }
