entry: labels of all steps count for a shard, and data in a lost shard does not bind

Cause: found by reading. A job whose steps need different labels fitted no shard, since one worker had to have all of them, and went to any shard; a job whose data is in a shard without workers could not leave it. test_choice.c failed in two of its three cases before.

--- a/rosemaryentryd/choice.c
+++ b/rosemaryentryd/choice.c
@@ -40,14 +40,16 @@
   return "";
 }
 
-static bool
-has_labels (const struct platform_worker *w, const struct rr_graph *g)
+/* Tells which of G's first 64 steps W may run by its labels, as bits.  */
+static uint64_t
+steps_for (const struct platform_worker *w, const struct rr_graph *g)
 {
-  for (size_t i = 0; i < g->step_count; i++)
-    if (g->steps[i].required_label[0] != '\0'
-        && !has_label (w, g->steps[i].required_label))
-      return false;
-  return true;
+  uint64_t steps = 0;
+  for (size_t i = 0; i < g->step_count && i < 64; i++)
+    if (g->steps[i].required_label[0] == '\0'
+        || has_label (w, g->steps[i].required_label))
+      steps |= UINT64_C (1) << i;
+  return steps;
 }
 
 static struct shard_fit
@@ -57,6 +59,7 @@
   struct shard_fit fit = { 0 };
   const char *rack = first_rack (g);
   fit.has_rack = rack[0] == '\0';
+  uint64_t steps = 0; /* that some worker may run */
   struct rr_handle h = { 0 };
   const struct platform_worker *w;
   while ((w = records_worker_next (e->records, &h)) != NULL)
@@ -66,8 +69,10 @@
         continue;
       fit.capacity_milli += w->info.cores_milli;
       fit.has_rack = fit.has_rack || has_label (w, rack);
-      fit.has_label = fit.has_label || has_labels (w, g);
+      steps |= steps_for (w, g);
     }
+  size_t n = g->step_count < 64 ? g->step_count : 64;
+  fit.has_label = steps == UINT64_MAX >> (64 - n);
   return fit;
 }
 
@@ -152,7 +157,8 @@
 }
 
 /* Returns the shard with the most room for G, which waits in FROM; null when
-   none has clearly more than FROM, and enough for G's first step.  */
+   none has clearly more than FROM, and enough for G's first step.  A job
+   leaves the shard of its data only when that has no workers.  */
 struct shard_record *
 choice_transfer (struct entry *e, const struct shard_record *from,
                  const struct rr_graph *g)
@@ -167,7 +173,8 @@
       if (s == from || s->owner_revision == 0 || room_of (s, g) < least)
         continue;
       struct shard_fit fit = fit_of (e, s, g);
-      if (fit.capacity_milli == 0 || !fit.has_label || !fit.has_rack)
+      if (fit.capacity_milli == 0 || !fit.has_label
+          || (!fit.has_rack && from->capacity_milli > 0))
         continue;
       best = s;
       least = room_of (s, g) + 1;
@@ -192,7 +199,8 @@
           || (best != NULL && room_of (s, g) <= room_of (best, g)))
         continue;
       struct shard_fit fit = fit_of (e, s, g);
-      if (fit.capacity_milli > 0 && fit.has_label && fit.has_rack)
+      if (fit.capacity_milli > 0 && fit.has_label
+          && (fit.has_rack || from->capacity_milli == 0))
         best = s;
     }
   /* Half of the room, since loads are known late and others give too.  */
