--- a/rosemaryentryd/choice.c
+++ b/rosemaryentryd/choice.c
@@ -40,16 +40,17 @@
   return "";
 }
 
-/* Tells which of G's first 64 steps W may run by its labels, as bits.  */
+/* Returns the labels that G's first 64 steps need and W lacks, as bits by
+   step.  */
 static uint64_t
-steps_for (const struct platform_worker *w, const struct rr_graph *g)
+labels_missing (const struct platform_worker *w, const struct rr_graph *g)
 {
-  uint64_t steps = 0;
+  uint64_t missing = 0;
   for (size_t i = 0; i < g->step_count && i < 64; i++)
-    if (g->steps[i].required_label[0] == '\0'
-        || has_label (w, g->steps[i].required_label))
-      steps |= UINT64_C (1) << i;
-  return steps;
+    if (g->steps[i].required_label[0] != '\0'
+        && !has_label (w, g->steps[i].required_label))
+      missing |= UINT64_C (1) << i;
+  return missing;
 }
 
 static struct shard_fit
@@ -59,7 +60,7 @@
   struct shard_fit fit = { 0 };
   const char *rack = first_rack (g);
   fit.has_rack = rack[0] == '\0';
-  uint64_t steps = 0; /* that some worker may run */
+  uint64_t missing = UINT64_MAX; /* at every worker so far */
   struct rr_handle h = { 0 };
   const struct platform_worker *w;
   while ((w = records_worker_next (e->records, &h)) != NULL)
@@ -69,10 +70,9 @@
         continue;
       fit.capacity_milli += w->info.cores_milli;
       fit.has_rack = fit.has_rack || has_label (w, rack);
-      steps |= steps_for (w, g);
+      missing &= labels_missing (w, g);
     }
-  size_t n = g->step_count < 64 ? g->step_count : 64;
-  fit.has_label = steps == UINT64_MAX >> (64 - n);
+  fit.has_label = missing == 0;
   return fit;
 }
 
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -155,6 +155,8 @@
     {
       rr_graph_divide (g, false);
       g->share_count = 0;
+      free (g->progress);
+      g->progress = NULL;
       snprintf (g->shard, sizeof g->shard, "%s", target->name);
     }
   return g;
