entry: statistics, source and destination in place of private names

Read as a newcomer would: lessons, heir, giver and taker are now statistics, successor, source and destination. No change of behaviour: dispatcher scripts give the same output.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -16,7 +16,7 @@
 struct front;
 struct entry_metrics;
 struct peers;
-struct lessons;
+struct peer_statistics;
 
 /* What the parts of an entry daemon share.  */
 struct entry
@@ -36,7 +36,7 @@
   struct front *front;
   struct entry_metrics *metrics;
   struct peers *peers;
-  struct lessons *lessons;
+  struct peer_statistics *peer_statistics;
   bool stopping;
 };
 
--- a/include/rosemaryentryd/owners.h
+++ b/include/rosemaryentryd/owners.h
@@ -6,7 +6,7 @@
 /* Which shards this daemon owns; takes over those without an owner.  */
 struct owners;
 struct shard;
-struct lesson_list;
+struct statistics_list;
 
 struct owners *owners_open (struct entry *e);
 void owners_mirrors_opened (struct owners *o);
@@ -17,8 +17,10 @@
 void owners_worker_seen (struct owners *o, const struct platform_worker *w);
 void owners_worker_gone (struct owners *o, const struct platform_worker *w);
 void owners_queues_changed (struct owners *o);
-void owners_lessons_heard (struct owners *o, const struct lesson_list *list);
-const char *owners_heir (const struct owners *o, const struct shard_record *s);
+void owners_statistics_heard (struct owners *o,
+                              const struct statistics_list *list);
+const char *owners_successor (const struct owners *o,
+                              const struct shard_record *s);
 void owners_lease_lost (struct owners *o);
 void owners_shard_lost (struct owners *o, struct shard *s, const char *why);
 void owners_release (struct owners *o);
--- a/include/rosemaryentryd/peers.h
+++ b/include/rosemaryentryd/peers.h
@@ -6,7 +6,7 @@
 
 enum
 {
-  LESSONS_MAX = RR_CLASSES_MAX /* images in one call */
+  STATISTICS_MAX = RR_CLASSES_MAX /* images in one call */
 };
 
 /* The phase of a job as its owner has stored it.  */
@@ -18,10 +18,10 @@
 };
 
 /* What the owner of SHARD has learned of servers and fillers.  */
-struct lesson_list
+struct statistics_list
 {
   char shard[RR_GRAPH_NAME_SIZE];
-  struct rr_dispatch_lesson entries[LESSONS_MAX];
+  struct rr_dispatch_statistics entries[STATISTICS_MAX];
   size_t count;
 };
 
@@ -39,7 +39,7 @@
 void peers_daemon_seen (struct peers *p, const struct daemon_record *d);
 void peers_ask_phase (struct peers *p, const char *daemon, const char *job,
                       peers_phase_fn *done, void *data);
-void peers_send_lessons (struct peers *p, const char *daemon,
-                         const struct lesson_list *list);
+void peers_send_statistics (struct peers *p, const char *daemon,
+                            const struct statistics_list *list);
 
 #endif
--- a/include/rosemaryentryd/peers_xdr.h
+++ b/include/rosemaryentryd/peers_xdr.h
@@ -11,6 +11,6 @@
 
 bool_t xdr_peer_job (XDR *x, struct peer_job *j);
 bool_t xdr_peer_phase (XDR *x, struct peer_phase *p);
-bool_t xdr_lesson_list (XDR *x, struct lesson_list *l);
+bool_t xdr_statistics_list (XDR *x, struct statistics_list *l);
 
 #endif
--- a/include/rosemaryentryd/shard.h
+++ b/include/rosemaryentryd/shard.h
@@ -9,7 +9,7 @@
    rises with each owner, fences orders to workers and is the condition of
    every write.  */
 struct shard;
-struct lesson_list;
+struct statistics_list;
 
 struct shard *shard_open (struct entry *e, struct shard_record *record,
                           int64_t token, bool inherited);
@@ -23,7 +23,8 @@
 void shard_worker_seen (struct shard *s, const struct platform_worker *w);
 void shard_worker_gone (struct shard *s, const struct platform_worker *w);
 void shard_queues_changed (struct shard *s);
-void shard_lessons_heard (struct shard *s, const struct lesson_list *list);
+void shard_statistics_heard (struct shard *s,
+                             const struct statistics_list *list);
 void shard_stop_starting (struct shard *s);
 bool shard_stored (struct shard *s);
 
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -49,9 +49,9 @@
      jobs go first, and callers notice an absence after 6 s.  */
   DIVIDE_WAIT_MS = 800,
   DIVIDE_TASKS_MAX = 32, /* of a job at a time */
-  /* Between lessons for other owners.  Effects change within seconds; a lesson
-     of 18 filler images and 10 server images has 13 KB.  */
-  LESSONS_MS = 2000,
+  /* Between statistics for other owners.  Effects change within seconds; those
+     of 18 filler images and 10 server images have 13 KB.  */
+  STATISTICS_MS = 2000,
   /* Between removals of old jobs from the store.  */
   FORGET_MS = 3000,
   /* A finished job is kept this much longer than callers were promised, for
@@ -96,8 +96,8 @@
   bool unknown; /* an attempt without an answer may take effect */
   char job[RR_GRAPH_NAME_SIZE];
   size_t tasks;
-  struct divided_record giver;
-  struct divided_record taker;
+  struct divided_record source;
+  struct divided_record destination;
 };
 
 struct shard
@@ -126,7 +126,7 @@
   char *roster;    /* last one stored */
   char *roster_sent;
   struct rr_time load_sent;
-  struct rr_time taught; /* when lessons were last passed on */
+  struct rr_time statistics_sent; /* to other owners */
   bool load_writing;
   bool load_counted; /* others have added jobs to what was last told */
   int64_t last_demand;
@@ -158,7 +158,7 @@
                       char out[RR_GRAPH_NAME_SIZE]);
 void shard_divide_jobs (struct shard *s, struct rr_time now);
 void shard_divide_clear (struct shard *s);
-void shard_teach (struct shard *s, struct rr_time now);
+void shard_send_statistics (struct shard *s, struct rr_time now);
 void shard_transfer_jobs (struct shard *s, struct rr_time now);
 void shard_transfer_clear (struct shard *s);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -285,18 +285,18 @@
 
 /* What one dispatcher has learned of the servers of one image: how much
    fillers disturb them, and their tail without.  */
-struct rr_dispatch_lesson
+struct rr_dispatch_statistics
 {
-  struct rr_interference_export statistics;
+  struct rr_interference_export moments;
   double base_ms;
 };
 
-bool rr_dispatch_lesson_get (const struct rr_dispatch *d, int image,
-                             uint64_t origin, struct rr_time now,
-                             struct rr_dispatch_lesson *out);
-bool rr_dispatch_lesson_take (struct rr_dispatch *d,
-                              const struct rr_dispatch_lesson *in,
-                              struct rr_time now);
+bool rr_dispatch_statistics_get (const struct rr_dispatch *d, int image,
+                                 uint64_t origin, struct rr_time now,
+                                 struct rr_dispatch_statistics *out);
+bool rr_dispatch_statistics_merge (struct rr_dispatch *d,
+                                   const struct rr_dispatch_statistics *in,
+                                   struct rr_time now);
 
 void rr_dispatch_load_get (const struct rr_dispatch *d,
                            struct rr_dispatch_load *load, struct rr_time now);
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -8,9 +8,9 @@
 #include "common/upstream.h"
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/front.h"
-#include "rosemaryentryd/lessons.h"
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/owners.h"
+#include "rosemaryentryd/peer_statistics.h"
 #include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/session.h"
 
@@ -182,7 +182,7 @@
       fprintf (stderr, "rosemaryentryd: %s\n", err.message);
       return 1;
     }
-  e->lessons = lessons_open (e);
+  e->peer_statistics = peer_statistics_open (e);
   e->owners = owners_open (e);
   records_open (e);
   e->session = session_open (e);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -136,11 +136,11 @@
 
 /* Passes what the owner of another shard has learned to our shards.  */
 void
-owners_lessons_heard (struct owners *o, const struct lesson_list *list)
+owners_statistics_heard (struct owners *o, const struct statistics_list *list)
 {
   for (size_t i = 0; i < SHARDS_MAX; i++)
     if (o->shards[i] != NULL)
-      shard_lessons_heard (o->shards[i], list);
+      shard_statistics_heard (o->shards[i], list);
 }
 
 /* Sets how long news of the store is gathered, by whether we act on it.  */
@@ -311,7 +311,7 @@
 /* Returns the daemon that suits best as the next owner of S, apart from this
    one; empty when there is no other.  */
 const char *
-owners_heir (const struct owners *o, const struct shard_record *s)
+owners_successor (const struct owners *o, const struct shard_record *s)
 {
   const char *best = "";
   uint64_t least = UINT64_MAX;
--- /dev/null
+++ b/rosemaryentryd/peer_statistics.c
@@ -0,0 +1,75 @@
+#include "rosemaryentryd/peer_statistics.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rosemaryentryd/owners.h"
+
+enum
+{
+  STATISTICS_SHARDS_MAX = 16 /* whose statistics are kept: the last heard */
+};
+
+struct kept_statistics
+{
+  struct statistics_list list;
+  struct rr_time heard;
+};
+
+struct peer_statistics
+{
+  struct entry *entry;
+  struct kept_statistics *kept[STATISTICS_SHARDS_MAX];
+};
+
+/* Returns the index for the statistics of SHARD: its own, a free one, or that
+   of the shard that was heard longest ago.  */
+static size_t
+index_for (const struct peer_statistics *l, const char *shard)
+{
+  size_t oldest = 0;
+  for (size_t i = 0; i < STATISTICS_SHARDS_MAX; i++)
+    {
+      if (l->kept[i] == NULL || strcmp (l->kept[i]->list.shard, shard) == 0)
+        return i;
+      if (rr_time_before (l->kept[i]->heard, l->kept[oldest]->heard))
+        oldest = i;
+    }
+  return oldest;
+}
+
+/* Keeps LIST and passes it to the shards that this daemon owns.  */
+void
+peer_statistics_take (struct peer_statistics *l,
+                      const struct statistics_list *list)
+{
+  size_t i = index_for (l, list->shard);
+  if (l->kept[i] == NULL)
+    l->kept[i] = calloc (1, sizeof *l->kept[i]);
+  assert (l->kept[i] != NULL);
+  l->kept[i]->list = *list;
+  l->kept[i]->heard = entry_now ();
+  owners_statistics_heard (l->entry->owners, list);
+}
+
+/* Passes everything that is kept to D, the dispatcher of a shard that this
+   daemon begins to own.  */
+void
+peer_statistics_merge (const struct peer_statistics *l, struct rr_dispatch *d)
+{
+  for (size_t i = 0; i < STATISTICS_SHARDS_MAX; i++)
+    for (size_t k = 0; l->kept[i] != NULL && k < l->kept[i]->list.count; k++)
+      rr_dispatch_statistics_merge (d, &l->kept[i]->list.entries[k],
+                                    l->kept[i]->heard);
+}
+
+/* Returns an empty collection.  */
+struct peer_statistics *
+peer_statistics_open (struct entry *e)
+{
+  struct peer_statistics *l = calloc (1, sizeof *l);
+  assert (l != NULL);
+  l->entry = e;
+  return l;
+}
--- a/rosemaryentryd/peers.c
+++ b/rosemaryentryd/peers.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "common/log.h"
-#include "rosemaryentryd/lessons.h"
+#include "rosemaryentryd/peer_statistics.h"
 #include "rosemaryentryd/peers_xdr.h"
 #include "rosemaryentryd/records.h"
 
@@ -15,10 +15,10 @@
   PEER_PROGRAM = 0x20524e45, /* from the range for private programs */
   PEER_VERSION = 1,
   PEER_JOB_PHASE = 1,
-  PEER_LESSONS = 2,
+  PEER_STATISTICS = 2,
   /* A call takes a few milliseconds; callers wait for the answer.  */
   PHASE_TIMEOUT_MS = 150,
-  LESSONS_TIMEOUT_MS = 1000,
+  STATISTICS_TIMEOUT_MS = 1000,
   LOST_PAUSE_MS = 1000, /* until a daemon that did not answer is asked again */
   PEERS_MAX = 256
 };
@@ -84,19 +84,19 @@
 }
 
 static void
-take_lessons (struct peers *p, struct rpc_request *request, const char *args,
-              size_t length)
+take_statistics (struct peers *p, struct rpc_request *request,
+                 const char *args, size_t length)
 {
-  static struct lesson_list list; /* 100 KB */
+  static struct statistics_list list; /* 100 KB */
   memset (&list, 0, sizeof list);
-  if (!xdr_decode ((xdrproc_t)xdr_lesson_list, &list, args, length))
+  if (!xdr_decode ((xdrproc_t)xdr_statistics_list, &list, args, length))
     {
-      log_event (LOG_LEVEL_WARN, "peer_call_invalid", "call=lessons bytes=%zu",
-                 length);
+      log_event (LOG_LEVEL_WARN, "peer_call_invalid",
+                 "call=statistics bytes=%zu", length);
       rpc_request_reject (request);
       return;
     }
-  lessons_take (p->entry->lessons, &list);
+  peer_statistics_take (p->entry->peer_statistics, &list);
   rpc_request_reply (request, "", 0);
 }
 
@@ -110,8 +110,8 @@
     case PEER_JOB_PHASE:
       answer_phase (p, request, args, length);
       return;
-    case PEER_LESSONS:
-      take_lessons (p, request, args, length);
+    case PEER_STATISTICS:
+      take_statistics (p, request, args, length);
       return;
     default:
       log_event (LOG_LEVEL_WARN, "peer_call_invalid", "procedure=%u",
@@ -249,13 +249,13 @@
 
 /* Passes LIST on to DAEMON.  */
 void
-peers_send_lessons (struct peers *p, const char *daemon,
-                    const struct lesson_list *list)
+peers_send_statistics (struct peers *p, const char *daemon,
+                       const struct statistics_list *list)
 {
   struct peer *c = peer_for (p, daemon);
   if (c != NULL)
-    call_peer (c, PEER_LESSONS, (xdrproc_t)xdr_lesson_list, (void *)list,
-               LESSONS_TIMEOUT_MS, on_taken, c);
+    call_peer (c, PEER_STATISTICS, (xdrproc_t)xdr_statistics_list,
+               (void *)list, STATISTICS_TIMEOUT_MS, on_taken, c);
 }
 
 /* Begins to listen for other daemons; null with ERR when the address can't be
--- a/rosemaryentryd/peers_xdr.c
+++ b/rosemaryentryd/peers_xdr.c
@@ -30,9 +30,9 @@
 }
 
 static bool_t
-xdr_lesson (XDR *x, struct rr_dispatch_lesson *l)
+xdr_statistics (XDR *x, struct rr_dispatch_statistics *l)
 {
-  struct rr_interference_export *s = &l->statistics;
+  struct rr_interference_export *s = &l->moments;
   if (!xdr_uint64_t (x, &s->origin) || !xdr_uint64_t (x, &s->service)
       || !xdr_int64_t (x, &s->at.ms) || !xdr_double (x, &l->base_ms)
       || !xdr_int (x, &s->classes) || s->classes < 0
@@ -49,16 +49,16 @@
 
 /* Encodes or decodes what an owner has learned.  */
 bool_t
-xdr_lesson_list (XDR *x, struct lesson_list *l)
+xdr_statistics_list (XDR *x, struct statistics_list *l)
 {
   char *shard = l->shard;
   unsigned int count = (unsigned int)l->count;
   if (!xdr_string (x, &shard, sizeof l->shard - 1) || !xdr_u_int (x, &count)
-      || count > LESSONS_MAX)
+      || count > STATISTICS_MAX)
     return FALSE;
   l->count = count;
   for (unsigned int i = 0; i < count; i++)
-    if (!xdr_lesson (x, &l->entries[i]))
+    if (!xdr_statistics (x, &l->entries[i]))
       return FALSE;
   return TRUE;
 }
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -5,9 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "rosemaryentryd/lessons.h"
 #include "rosemaryentryd/mirror.h"
 #include "rosemaryentryd/owners.h"
+#include "rosemaryentryd/peer_statistics.h"
 #include "rosemaryentryd/session.h"
 
 const char *
@@ -232,7 +232,7 @@
   shard_forget_jobs (s, now);
   shard_transfer_jobs (s, now);
   shard_divide_jobs (s, now);
-  shard_teach (s, now);
+  shard_send_statistics (s, now);
   plan (s);
 }
 
@@ -410,7 +410,7 @@
           .note = on_note,
           .data = s };
   s->dispatch = rr_dispatch_new (&o);
-  lessons_recall (e->lessons, s->dispatch);
+  peer_statistics_merge (e->peer_statistics, s->dispatch);
   open_timers (s);
   shard_queues_changed (s);
   if (inherited)
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -9,7 +9,7 @@
 /* Tasks of a lasting job that wait for room go to a shard that has it.  The
    job then has a record in each shard that runs some of its tasks: its own,
    and one called JOB.SHARD for each other shard.  Tasks pass between the job's
-   own record and the others, in one transaction under the giver's owner
+   own record and the others, in one transaction under the source shard's owner
    key.  */
 
 /* Writes to OUT the id of the record with this shard's tasks of JOB.  */
@@ -41,12 +41,12 @@
   if (!v->active)
     return;
   struct rr_graph *g
-      = decode_record (records_job (s->entry->records, v->giver.id));
+      = decode_record (records_job (s->entry->records, v->source.id));
   if (g != NULL)
     rr_dispatch_job_share (s->dispatch, g);
   rr_graph_free (g);
-  free (v->giver.text);
-  free (v->taker.text);
+  free (v->source.text);
+  free (v->destination.text);
   memset (v, 0, sizeof *v);
 }
 
@@ -76,15 +76,15 @@
   log_event (r->state == STORE_OK ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
              "tasks_transferred",
              "job=%s shard=%s to=%s tasks=%zu state=%s revision=%lld", v->job,
-             s->record->name, v->taker.id, v->tasks,
-             store_state_name (r->state), (long long)v->giver.revision);
+             s->record->name, v->destination.id, v->tasks,
+             store_state_name (r->state), (long long)v->source.revision);
   switch (r->state)
     {
     case STORE_OK:
-      records_job_set (s->entry->records, v->giver.id, v->giver.text,
-                       r->revision);
-      records_job_set (s->entry->records, v->taker.id, v->taker.text,
+      records_job_set (s->entry->records, v->source.id, v->source.text,
                        r->revision);
+      records_job_set (s->entry->records, v->destination.id,
+                       v->destination.text, r->revision);
       shard_divide_clear (s);
       return;
     case STORE_CONFLICT:
@@ -116,13 +116,14 @@
 {
   struct division *v = &s->division;
   char keys[2][KEY_SIZE];
-  snprintf (keys[0], KEY_SIZE, "%s%s", KEY_JOB, v->giver.id);
-  snprintf (keys[1], KEY_SIZE, "%s%s", KEY_JOB, v->taker.id);
+  snprintf (keys[0], KEY_SIZE, "%s%s", KEY_JOB, v->source.id);
+  snprintf (keys[1], KEY_SIZE, "%s%s", KEY_JOB, v->destination.id);
   struct store_condition conds[] = { { s->owner_key, s->token },
-                                     { keys[0], v->giver.revision },
-                                     { keys[1], v->taker.revision } };
-  struct store_write writes[] = { { .key = keys[0], .value = v->giver.text },
-                                  { .key = keys[1], .value = v->taker.text } };
+                                     { keys[0], v->source.revision },
+                                     { keys[1], v->destination.revision } };
+  struct store_write writes[]
+      = { { .key = keys[0], .value = v->source.text },
+          { .key = keys[1], .value = v->destination.text } };
   struct store_txn txn = { .conditions = conds,
                            .condition_count = 3,
                            .writes = writes,
@@ -136,21 +137,23 @@
    shard TARGET.  Returns its graph, which the caller frees, or null when
    nothing is known of it.  */
 static struct rr_graph *
-find_taker (struct shard *s, const struct rr_graph *from,
-            const struct shard_record *target, struct divided_record *taker)
+find_destination (struct shard *s, const struct rr_graph *from,
+                  const struct shard_record *target,
+                  struct divided_record *destination)
 {
   const struct job_record *main = records_job (s->entry->records, from->id);
   if (main == NULL)
     return NULL;
   bool back = strcmp (main->shard, s->record->name) != 0;
   if (back)
-    snprintf (taker->id, sizeof taker->id, "%s", from->id);
+    snprintf (destination->id, sizeof destination->id, "%s", from->id);
   else
-    snprintf (taker->id, sizeof taker->id, "%.31s.%.31s", from->id,
+    snprintf (destination->id, sizeof destination->id, "%.31s.%.31s", from->id,
               target->name);
-  const struct job_record *j = records_job (s->entry->records, taker->id);
+  const struct job_record *j
+      = records_job (s->entry->records, destination->id);
   struct rr_graph *g = decode_record (j == NULL ? main : j);
-  taker->revision = j == NULL ? 0 : j->job_revision;
+  destination->revision = j == NULL ? 0 : j->job_revision;
   if (g != NULL && j == NULL)
     {
       rr_graph_divide (g, false);
@@ -167,8 +170,8 @@
 divide (struct shard *s, const struct rr_waiting_task *tasks, size_t n)
 {
   struct division *v = &s->division;
-  shard_record_id (s, tasks[0].job, v->giver.id);
-  const struct job_record *j = records_job (s->entry->records, v->giver.id);
+  shard_record_id (s, tasks[0].job, v->source.id);
+  const struct job_record *j = records_job (s->entry->records, v->source.id);
   struct rr_graph *from = decode_record (j);
   if (from == NULL)
     return;
@@ -176,13 +179,14 @@
   struct shard_record *target
       = choice_task_transfer (s->entry, s->record, from, &room);
   struct rr_graph *to
-      = target == NULL ? NULL : find_taker (s, from, target, &v->taker);
+      = target == NULL ? NULL
+                       : find_destination (s, from, target, &v->destination);
   if (to != NULL)
     {
       v->active = true;
       snprintf (v->job, sizeof v->job, "%s", from->id);
       v->tasks = n < room ? n : room;
-      v->giver.revision = j->job_revision;
+      v->source.revision = j->job_revision;
       rr_graph_divide (from, true);
       for (size_t i = 0; i < v->tasks; i++)
         {
@@ -191,8 +195,8 @@
           rr_dispatch_task_withhold (s->dispatch, from->id, tasks[i].number);
         }
       target->firm_milli += (int64_t)v->tasks * from->steps[0].cores_milli;
-      v->giver.text = rr_graph_encode (from);
-      v->taker.text = rr_graph_encode (to);
+      v->source.text = rr_graph_encode (from);
+      v->destination.text = rr_graph_encode (to);
     }
   rr_graph_free (from);
   rr_graph_free (to);
--- a/rosemaryentryd/shard_lessons.c
+++ b/rosemaryentryd/shard_statistics.c
@@ -3,21 +3,21 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "rosemaryentryd/lessons.h"
 #include "rosemaryentryd/owners.h"
+#include "rosemaryentryd/peer_statistics.h"
 
 /* What the shard has learned of servers and fillers goes to the owners of the
    other shards, and to the daemon that would take the shard over.  */
 
 /* The owner of another shard, or a former one, has learned LIST.  */
 void
-shard_lessons_heard (struct shard *s, const struct lesson_list *list)
+shard_statistics_heard (struct shard *s, const struct statistics_list *list)
 {
   if (strcmp (list->shard, s->record->name) == 0)
     return;
   struct rr_time now = entry_now ();
   for (size_t i = 0; i < list->count; i++)
-    rr_dispatch_lesson_take (s->dispatch, &list->entries[i], now);
+    rr_dispatch_statistics_merge (s->dispatch, &list->entries[i], now);
 }
 
 static bool
@@ -31,32 +31,32 @@
 
 /* Passes on what was learned.  */
 void
-shard_teach (struct shard *s, struct rr_time now)
+shard_send_statistics (struct shard *s, struct rr_time now)
 {
-  if (rr_time_diff (now, s->taught) < LESSONS_MS)
+  if (rr_time_diff (now, s->statistics_sent) < STATISTICS_MS)
     return;
-  s->taught = now;
-  static struct lesson_list list; /* 100 KB */
+  s->statistics_sent = now;
+  static struct statistics_list list; /* 100 KB */
   list.count = 0;
   snprintf (list.shard, sizeof list.shard, "%s", s->record->name);
   for (int i = 1; i < RR_CLASSES_MAX; i++)
-    if (rr_dispatch_lesson_get (s->dispatch, i, (uint64_t)s->token, now,
-                                &list.entries[list.count]))
+    if (rr_dispatch_statistics_get (s->dispatch, i, (uint64_t)s->token, now,
+                                    &list.entries[list.count]))
       list.count++;
   if (list.count == 0)
     return;
   struct entry *e = s->entry;
   const char *told[SHARDS_MAX + 1] = { e->settings.name };
   size_t n = 1;
-  owners_lessons_heard (e->owners, &list);
+  owners_statistics_heard (e->owners, &list);
   for (size_t i = 0; i <= records_shard_count (e->records); i++)
     {
       const char *daemon = i < records_shard_count (e->records)
                                ? records_shard_at (e->records, i)->owner
-                               : owners_heir (e->owners, s->record);
+                               : owners_successor (e->owners, s->record);
       if (daemon[0] == '\0' || was_told (told, n, daemon))
         continue;
       told[n++] = daemon;
-      peers_send_lessons (e->peers, daemon, &list);
+      peers_send_statistics (e->peers, daemon, &list);
     }
 }
--- a/rosemaryrail/dispatch_share.c
+++ b/rosemaryrail/dispatch_share.c
@@ -27,8 +27,8 @@
      its progress.  */
   MOVE_BELOW_PERCENT = 30,
   MOVE_AFTER_MS = 1200,
-  HALF_LIFE_MS = 10000, /* of what was learned: effects change in seconds */
-  LESSON_AGE_MAX_MS = 10000, /* of what other owners have learned */
+  HALF_LIFE_MS = 10000,    /* of what was learned: effects change in seconds */
+  PEER_AGE_MAX_MS = 10000, /* of what other owners have learned */
   /* Requests that a tail of half a second stands for in the model's weights.
    */
   TAIL_REQUESTS = 30
@@ -63,7 +63,7 @@
 {
   rr_policy_init (&d->policy);
   d->policy.interference_half_life_ms = HALF_LIFE_MS;
-  d->policy.interference_peer_max_age_ms = LESSON_AGE_MAX_MS;
+  d->policy.interference_peer_max_age_ms = PEER_AGE_MAX_MS;
   d->policy.interference_prior_mean = 0.4;
   d->policy.interference_prior_sd = 1.0;
   d->policy.interference_noise_sd = 0.15;
@@ -86,28 +86,28 @@
    number from 1 to RR_CLASSES_MAX - 1; false when that is nothing.  ORIGIN
    names the dispatcher.  */
 bool
-rr_dispatch_lesson_get (const struct rr_dispatch *d, int image,
-                        uint64_t origin, struct rr_time now,
-                        struct rr_dispatch_lesson *out)
+rr_dispatch_statistics_get (const struct rr_dispatch *d, int image,
+                            uint64_t origin, struct rr_time now,
+                            struct rr_dispatch_statistics *out)
 {
   out->base_ms = d->base_ms[image];
   return image < rr_interference_class_count (d->model, RR_KIND_SERVICE)
          && rr_interference_export (d->model, image, origin, now,
-                                    &out->statistics);
+                                    &out->moments);
 }
 
 /* Takes in what the dispatcher of another shard has learned.  False when IN is
    malformed or older than what that one has said before.  */
 bool
-rr_dispatch_lesson_take (struct rr_dispatch *d,
-                         const struct rr_dispatch_lesson *in,
-                         struct rr_time now)
+rr_dispatch_statistics_merge (struct rr_dispatch *d,
+                              const struct rr_dispatch_statistics *in,
+                              struct rr_time now)
 {
   if (!isfinite (in->base_ms) || in->base_ms <= 0
-      || !rr_interference_merge (d->model, &in->statistics, now))
+      || !rr_interference_merge (d->model, &in->moments, now))
     return false;
   int image = rr_interference_class_by_hash (d->model, RR_KIND_SERVICE,
-                                             in->statistics.service);
+                                             in->moments.service);
   if (d->base_ms[image] == 0 || in->base_ms < d->base_ms[image])
     d->base_ms[image] = in->base_ms;
   return true;
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -93,8 +93,8 @@
 static struct rr_order orders[1024];
 static size_t order_count;
 static int takeovers;
-static struct rr_dispatch_lesson lessons[RR_CLASSES_MAX];
-static size_t lesson_count;
+static struct rr_dispatch_statistics statistics[RR_CLASSES_MAX];
+static size_t statistics_count;
 static char no_word[] = ""; /* in place of missing words */
 
 static struct fake_worker *
@@ -555,19 +555,20 @@
 
 /* Carries out a command about what is learned; false when WORD is none.  */
 static bool
-lesson_command (const char *word)
+statistics_command (const char *word)
 {
   if (strcmp (word, "learned") == 0)
     {
-      lesson_count = 0;
+      statistics_count = 0;
       for (int i = 1; i < RR_CLASSES_MAX; i++)
-        if (rr_dispatch_lesson_get (d, i, 7, now, &lessons[lesson_count]))
-          lesson_count++;
-      printf ("%zu images\n", lesson_count);
+        if (rr_dispatch_statistics_get (d, i, 7, now,
+                                        &statistics[statistics_count]))
+          statistics_count++;
+      printf ("%zu images\n", statistics_count);
     }
   else if (strcmp (word, "recall") == 0)
-    for (size_t i = 0; i < lesson_count; i++)
-      printf ("%s\n", rr_dispatch_lesson_take (d, &lessons[i], now)
+    for (size_t i = 0; i < statistics_count; i++)
+      printf ("%s\n", rr_dispatch_statistics_merge (d, &statistics[i], now)
                           ? "taken"
                           : "refused");
   else
@@ -676,7 +677,7 @@
     now.ms += strtol (word[1], NULL, 10);
   else if (strcmp (c, "plan") == 0)
     plan ();
-  else if (!lesson_command (c) && !transfer_command (word, words))
+  else if (!statistics_command (c) && !transfer_command (word, words))
     worker_command (word, worker_named (word[1]));
 }
 
