dispatch, choice: one place for a task's state, handles, labels and who may take work

Read again: the count of waiting tasks was kept by hand in nine places beside the state, handles were compared by hand in six, and labels looked up in two copies; the dispatcher and choice.c now call dispatch_task_set, rr_handle_equal and rr_worker_has_label. The two choices for passing work on shared their conditions by copy: may_pass. No change of behaviour: dispatcher scripts and test_choice give the same output.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -37,6 +37,9 @@
   int64_t born_ms; /* start of this incarnation, since 1970 */
 };
 
+bool rr_worker_has_label (const struct rr_worker_info *info,
+                          const char *label);
+
 /* Names one run of one task.  */
 struct rr_run_name
 {
--- a/include/rosemaryrail/table.h
+++ b/include/rosemaryrail/table.h
@@ -14,6 +14,8 @@
   uint32_t generation;
 };
 
+bool rr_handle_equal (struct rr_handle a, struct rr_handle b);
+
 /* A handle as one number, for messages and callbacks.  */
 uint64_t rr_handle_pack (struct rr_handle h);
 struct rr_handle rr_handle_unpack (uint64_t token);
--- a/rosemaryentryd/choice.c
+++ b/rosemaryentryd/choice.c
@@ -22,15 +22,6 @@
   bool has_label;
 };
 
-static bool
-has_label (const struct platform_worker *w, const char *label)
-{
-  for (size_t i = 0; i < w->info.label_count; i++)
-    if (strcmp (w->info.labels[i], label) == 0)
-      return true;
-  return false;
-}
-
 static const char *
 first_rack (const struct rr_graph *g)
 {
@@ -48,7 +39,7 @@
   uint64_t missing = 0;
   for (size_t i = 0; i < g->step_count && i < 64; i++)
     if (g->steps[i].required_label[0] != '\0'
-        && !has_label (w, g->steps[i].required_label))
+        && !rr_worker_has_label (&w->info, g->steps[i].required_label))
       missing |= UINT64_C (1) << i;
   return missing;
 }
@@ -69,7 +60,7 @@
           || strcmp (records_shard_of_worker (e->records, w), s->name) != 0)
         continue;
       fit.capacity_milli += w->info.cores_milli;
-      fit.has_rack = fit.has_rack || has_label (w, rack);
+      fit.has_rack = fit.has_rack || rr_worker_has_label (&w->info, rack);
       missing &= labels_missing (w, g);
     }
   fit.has_label = missing == 0;
@@ -104,6 +95,13 @@
     s->firm_milli += first_demand (g);
 }
 
+/* Returns what of S competes with G for cores.  */
+static int64_t
+competing_milli (const struct shard_record *s, const struct rr_graph *g)
+{
+  return is_filling (g) ? s->demand_milli : s->firm_milli;
+}
+
 /* Returns the weight of shard S in the choice for G: the cores that nothing
    competes for, 0 where G can't run.  */
 static int64_t
@@ -113,8 +111,7 @@
   struct shard_fit fit = fit_of (e, s, g);
   if (fit.capacity_milli == 0 || !fit.has_label)
     return 0;
-  int64_t room = fit.capacity_milli
-                 - (is_filling (g) ? s->demand_milli : s->firm_milli);
+  int64_t room = fit.capacity_milli - competing_milli (s, g);
   int64_t least = fit.capacity_milli / FULL_SHARE;
   if (room < least)
     room = least;
@@ -152,13 +149,24 @@
 static int64_t
 room_of (const struct shard_record *s, const struct rr_graph *g)
 {
-  return s->capacity_milli
-         - (is_filling (g) ? s->demand_milli : s->firm_milli);
+  return s->capacity_milli - competing_milli (s, g);
+}
+
+/* Tells whether work of G that waits in FROM may go to S.  It leaves the shard
+   of its data only when that has no workers.  */
+static bool
+may_pass (struct entry *e, const struct shard_record *from,
+          const struct shard_record *s, const struct rr_graph *g)
+{
+  if (s == from || s->owner_revision == 0)
+    return false;
+  struct shard_fit fit = fit_of (e, s, g);
+  return fit.capacity_milli > 0 && fit.has_label
+         && (fit.has_rack || from->capacity_milli == 0);
 }
 
 /* Returns the shard with the most room for G, which waits in FROM; null when
-   none has clearly more than FROM, and enough for G's first step.  A job
-   leaves the shard of its data only when that has no workers.  */
+   none has clearly more than FROM, and enough for G's first step.  */
 struct shard_record *
 choice_transfer (struct entry *e, const struct shard_record *from,
                  const struct rr_graph *g)
@@ -170,11 +178,7 @@
   for (size_t i = 0; i < records_shard_count (e->records); i++)
     {
       struct shard_record *s = records_shard_at (e->records, i);
-      if (s == from || s->owner_revision == 0 || room_of (s, g) < least)
-        continue;
-      struct shard_fit fit = fit_of (e, s, g);
-      if (fit.capacity_milli == 0 || !fit.has_label
-          || (!fit.has_rack && from->capacity_milli > 0))
+      if (room_of (s, g) < least || !may_pass (e, from, s, g))
         continue;
       best = s;
       least = room_of (s, g) + 1;
@@ -194,13 +198,9 @@
   for (size_t i = 0; i < records_shard_count (e->records); i++)
     {
       struct shard_record *s = records_shard_at (e->records, i);
-      if (s == from || s->owner_revision == 0 || s->largest_milli < cores
-          || room_of (s, g) < 2 * cores
-          || (best != NULL && room_of (s, g) <= room_of (best, g)))
-        continue;
-      struct shard_fit fit = fit_of (e, s, g);
-      if (fit.capacity_milli > 0 && fit.has_label
-          && (fit.has_rack || from->capacity_milli == 0))
+      if (s->largest_milli >= cores && room_of (s, g) >= 2 * cores
+          && (best == NULL || room_of (s, g) > room_of (best, g))
+          && may_pass (e, from, s, g))
         best = s;
     }
   /* Half of the room, since loads are known late and others give too.  */
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -165,30 +165,21 @@
   j->version++;
 }
 
-static void
-task_set_waiting (struct dispatch_job *j, uint32_t number)
-{
-  struct rr_run_name name;
-  dispatch_task_name (j, number, &name);
-  if (j->tasks[number].state != TASK_WAITING)
-    dispatch_step_of (j, &name)->waiting++;
-  j->tasks[number].state = TASK_WAITING;
-}
-
-static void
-task_set_done (struct dispatch_job *j, uint32_t number)
+/* Sets the state of task NUMBER and counts it in its step and job.  */
+void
+dispatch_task_set (struct dispatch_job *j, uint32_t number,
+                   enum task_state state)
 {
   struct dispatch_task *t = &j->tasks[number];
-  if (t->state == TASK_DONE)
+  if (t->state == state)
     return;
   struct rr_run_name name;
   dispatch_task_name (j, number, &name);
   struct dispatch_step *s = dispatch_step_of (j, &name);
-  if (t->state == TASK_WAITING)
-    s->waiting--;
-  t->state = TASK_DONE;
-  s->done++;
-  j->done_count++;
+  s->waiting += (state == TASK_WAITING) - (t->state == TASK_WAITING);
+  s->done += state == TASK_DONE;
+  j->done_count += state == TASK_DONE;
+  t->state = state;
 }
 
 /* A done member ends the whole run of its gang well.  */
@@ -201,7 +192,7 @@
     {
       uint32_t number;
       if (dispatch_task_number (j, &member, &number))
-        task_set_done (j, number);
+        dispatch_task_set (j, number, TASK_DONE);
     }
 }
 
@@ -273,7 +264,7 @@
     return;
   if (end->kind == RR_END_DONE && !s->long_running)
     {
-      task_set_done (j, number);
+      dispatch_task_set (j, number, TASK_DONE);
       if (s->gang)
         gang_set_done (j, &end->name);
       dispatch_job_settle (d, j);
@@ -282,7 +273,7 @@
   /* While workers of a former owner are unheard, a later run of the task may
      be going on at one of them.  */
   if (t->state != TASK_UNCERTAIN && !old)
-    task_set_waiting (j, number);
+    dispatch_task_set (j, number, TASK_WAITING);
   t->not_before = now;
   if (end->kind != RR_END_FAILED)
     return;
@@ -316,7 +307,7 @@
   if (t->next_run <= t->current_run)
     t->next_run = t->current_run + 1;
   t->not_before = now;
-  task_set_waiting (j, number);
+  dispatch_task_set (j, number, TASK_WAITING);
   job_changed (j);
 }
 
@@ -358,7 +349,7 @@
   t->failures = row->failures;
   memcpy (t->checkpoint, row->checkpoint, sizeof t->checkpoint);
   if (row->done)
-    task_set_done (j, row->number);
+    dispatch_task_set (j, row->number, TASK_DONE);
 }
 
 static void
@@ -379,10 +370,7 @@
       struct dispatch_task *t = &j->tasks[i];
       if (t->state != TASK_WAITING)
         continue;
-      struct rr_run_name name;
-      dispatch_task_name (j, i, &name);
-      dispatch_step_of (j, &name)->waiting--;
-      t->state = TASK_UNCERTAIN;
+      dispatch_task_set (j, i, TASK_UNCERTAIN);
       uint32_t first = d->first_run + t->given_run;
       if (t->next_run < first)
         t->next_run = first;
--- a/rosemaryrail/dispatch_health.c
+++ b/rosemaryrail/dispatch_health.c
@@ -24,8 +24,7 @@
     w->failed_in_row = 0;
   if (kind != RR_END_FAILED)
     return;
-  bool same = w->failed_in_row > 0 && w->failed_job.index == job.index
-              && w->failed_job.generation == job.generation;
+  bool same = w->failed_in_row > 0 && rr_handle_equal (w->failed_job, job);
   if (same && w->failed_in_row >= FAILURES_IN_ROW_MAX - 1)
     return;
   w->failed_job = job;
--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -29,8 +29,7 @@
   for (size_t i = 0; i < s->permit_count; i++)
     {
       const struct dispatch_permit *p = &s->permits[i];
-      if (p->worker.index == w->handle.index
-          && p->worker.generation == w->handle.generation
+      if (rr_handle_equal (p->worker, w->handle)
           && p->born_ms == w->info.born_ms
           && rr_time_before (needed, p->expires))
         return p->ticket;
@@ -45,8 +44,7 @@
 {
   struct dispatch_step *s = dispatch_step_of (j, name);
   for (size_t i = 0; i < s->permit_count; i++)
-    if (s->permits[i].worker.index == w->handle.index
-        && s->permits[i].worker.generation == w->handle.generation)
+    if (rr_handle_equal (s->permits[i].worker, w->handle))
       {
         s->permits[i] = s->permits[--s->permit_count];
         return;
@@ -112,8 +110,7 @@
     return;
   struct dispatch_permit *p = NULL;
   for (size_t i = 0; i < s->permit_count; i++)
-    if (s->permits[i].worker.index == h.index
-        && s->permits[i].worker.generation == h.generation)
+    if (rr_handle_equal (s->permits[i].worker, h))
       p = &s->permits[i];
   if (p == NULL)
     {
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -61,15 +61,6 @@
          && !rr_time_before (now, w->avoid_until);
 }
 
-static bool
-worker_has_label (const struct dispatch_worker *w, const char *label)
-{
-  for (size_t i = 0; i < w->info.label_count; i++)
-    if (strcmp (w->info.labels[i], label) == 0)
-      return true;
-  return false;
-}
-
 static int32_t
 count_step_runs (const struct dispatch_worker *w, const struct dispatch_job *j,
                  const struct rr_run_name *name)
@@ -78,8 +69,7 @@
   for (size_t i = 0; i < w->run_count; i++)
     {
       const struct dispatch_run *r = &w->runs[i];
-      if (r->job.index == j->handle.index
-          && r->job.generation == j->handle.generation
+      if (rr_handle_equal (r->job, j->handle)
           && r->name.occurrence == name->occurrence
           && r->name.step == name->step)
         n++;
@@ -107,9 +97,10 @@
   if (!dispatch_worker_usable (w, now)
       || strcmp (w->info.service, m->service) != 0)
     return false;
-  if (s->required_label[0] != '\0' && !worker_has_label (w, s->required_label))
+  if (s->required_label[0] != '\0'
+      && !rr_worker_has_label (&w->info, s->required_label))
     return false;
-  if (m->rack != NULL && !worker_has_label (w, m->rack))
+  if (m->rack != NULL && !rr_worker_has_label (&w->info, m->rack))
     return false;
   if (m->needs_permits
       && dispatch_permit_ticket (m->job, m->name, w, now) == NULL)
@@ -204,8 +195,7 @@
       int64_t score = worker_score (d, w, m->step, probe.image, m->any_speed);
       if (score < 0)
         continue;
-      if (w->handle.index == bad_worker.index
-          && w->handle.generation == bad_worker.generation)
+      if (rr_handle_equal (w->handle, bad_worker))
         score -= INT64_C (2) * SCORE_BASE;
       if (best == NULL || score > best_score)
         {
@@ -223,10 +213,9 @@
 {
   struct dispatch_task *t = &j->tasks[number];
   const struct rr_graph_step *s = &j->graph->steps[name->step];
-  t->state = TASK_PLACED;
+  dispatch_task_set (j, number, TASK_PLACED);
   t->current_run = name->run;
   t->worker = w->handle;
-  dispatch_step_of (j, name)->waiting--;
   dispatch_run_add (d, w, j, name, now);
   w->free_memory_mb -= s->memory_mb;
   w->free_accelerators -= s->accelerators;
@@ -242,11 +231,9 @@
 unreserve (struct rr_dispatch *d, struct dispatch_job *j, uint32_t number,
            const struct rr_run_name *name)
 {
-  struct dispatch_task *t = &j->tasks[number];
-  struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
+  struct dispatch_worker *w = dispatch_worker_get (d, j->tasks[number].worker);
   dispatch_run_remove (d, w, dispatch_run_find (w, name));
-  t->state = TASK_WAITING;
-  dispatch_step_of (j, name)->waiting++;
+  dispatch_task_set (j, number, TASK_WAITING);
   dispatch_worker_measure (w);
 }
 
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -74,10 +74,7 @@
     for (uint32_t i = 0; i < j->task_count; i++)
       if (j->tasks[i].state == TASK_UNCERTAIN)
         {
-          struct rr_run_name name;
-          dispatch_task_name (j, i, &name);
-          dispatch_step_of (j, &name)->waiting++;
-          j->tasks[i].state = TASK_WAITING;
+          dispatch_task_set (j, i, TASK_WAITING);
           tasks++;
         }
   dispatch_note (d, "inheritance_settled", "unheard=%zu tasks=%zu",
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -107,8 +107,7 @@
       dispatch_task_name (j, i, &other);
       if (j->tasks[i].state != TASK_UNCERTAIN || !follows[other.step])
         continue;
-      j->tasks[i].state = TASK_WAITING;
-      dispatch_step_of (j, &other)->waiting++;
+      dispatch_task_set (j, i, TASK_WAITING);
     }
   free (follows);
 }
@@ -119,9 +118,7 @@
        const struct rr_run_status *status, struct rr_time now)
 {
   struct dispatch_task *t = &j->tasks[number];
-  if (t->state == TASK_WAITING)
-    dispatch_step_of (j, &status->name)->waiting--;
-  t->state = TASK_PLACED;
+  dispatch_task_set (j, number, TASK_PLACED);
   t->current_run = status->name.run;
   if (t->next_run <= status->name.run)
     t->next_run = status->name.run + 1;
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -96,15 +96,9 @@
       if (t->next_run < t->given_run)
         t->next_run = t->given_run;
       if (share != NULL && t->state == TASK_AWAY)
-        {
-          t->state = TASK_WAITING;
-          j->steps[0].waiting++;
-        }
+        dispatch_task_set (j, i, TASK_WAITING);
       else if (share == NULL && t->state == TASK_WAITING)
-        {
-          t->state = TASK_AWAY;
-          j->steps[0].waiting--;
-        }
+        dispatch_task_set (j, i, TASK_AWAY);
     }
 }
 
@@ -160,8 +154,6 @@
                            uint32_t number)
 {
   struct dispatch_job *j = dispatch_job_find (d, id);
-  if (j == NULL || j->tasks[number].state != TASK_WAITING)
-    return;
-  j->tasks[number].state = TASK_AWAY;
-  j->steps[0].waiting--;
+  if (j != NULL && j->tasks[number].state == TASK_WAITING)
+    dispatch_task_set (j, number, TASK_AWAY);
 }
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -26,6 +26,16 @@
   return rr_table_get (d->workers, h);
 }
 
+/* Tells whether the worker of INFO has LABEL.  */
+bool
+rr_worker_has_label (const struct rr_worker_info *info, const char *label)
+{
+  for (size_t i = 0; i < info->label_count; i++)
+    if (strcmp (info->labels[i], label) == 0)
+      return true;
+  return false;
+}
+
 static struct dispatch_worker *
 worker_find (const struct rr_dispatch *d, const char *id)
 {
--- a/rosemaryrail/table.c
+++ b/rosemaryrail/table.c
@@ -23,6 +23,13 @@
   char **chunks; /* rows never move, so pointers to them stay valid */
 };
 
+/* Tells whether A and B are the address of the same row.  */
+bool
+rr_handle_equal (struct rr_handle a, struct rr_handle b)
+{
+  return a.index == b.index && a.generation == b.generation;
+}
+
 /* Returns H as one number, which is never 0 for an issued handle.  */
 uint64_t
 rr_handle_pack (struct rr_handle h)
