--- a/common/json.c
+++ b/common/json.c
@@ -106,6 +106,13 @@
   return v == NULL ? fallback : json_object_get_string (v);
 }
 
+/* Returns the array member NAME of O, owned by O, or null.  */
+struct json_object *
+json_list_or_null (struct json_object *o, const char *name)
+{
+  return member (o, name, json_type_array);
+}
+
 /* Adds the integer member NAME to O.  */
 void
 json_add_int (struct json_object *o, const char *name, int64_t value)
--- a/include/common/json.h
+++ b/include/common/json.h
@@ -19,6 +19,8 @@
                      int64_t fallback);
 const char *json_string_or (struct json_object *o, const char *name,
                             const char *fallback);
+struct json_object *json_list_or_null (struct json_object *o,
+                                       const char *name);
 void json_add_int (struct json_object *o, const char *name, int64_t value);
 void json_add_string (struct json_object *o, const char *name,
                       const char *value);
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -46,7 +46,6 @@
   int64_t progress_revision; /* 0: none */
   int64_t told_revision;     /* of the phase that the owner told; 0: none */
   int64_t job_revision;
-  int64_t cancel_revision;
   int32_t transfers;       /* changes of its shard that were seen here */
   int64_t accepted_ms;     /* since 1970 */
   struct rr_time finished; /* when its end was seen here */
@@ -81,6 +80,8 @@
 struct job_record *records_job_next (struct records *r,
                                      struct rr_handle *cursor);
 void records_job_forget (struct records *r, struct rr_handle h);
+void records_share_id (const char *job, const char *shard,
+                       char out[RR_GRAPH_NAME_SIZE]);
 void records_job_set (struct records *r, const char *id, const char *text,
                       int64_t revision);
 void records_progress_set (struct records *r, const char *id, const char *text,
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -146,7 +146,8 @@
 void shard_lose (struct shard *s, const char *why);
 void shard_wake (struct shard *s);
 struct link *shard_link (const struct shard *s, const char *worker_id);
-bool shard_owner_changed (const struct shard *s, const struct store_result *r);
+bool shard_write_ended (struct shard *s, const struct store_result *r,
+                        const char *why);
 
 void shard_commit (struct shard *s);
 void shard_commit_soon (struct shard *s, uint64_t ms);
--- a/rosemaryentryd/peers.c
+++ b/rosemaryentryd/peers.c
@@ -47,18 +47,28 @@
   void *data;
 };
 
+/* Reads the arguments of CALL; false when they can't be read, and REQUEST is
+   rejected then.  */
+static bool
+read_arguments (struct rpc_request *request, const char *call, xdrproc_t proc,
+                void *object, const char *args, size_t length)
+{
+  if (xdr_decode (proc, object, args, length))
+    return true;
+  log_event (LOG_LEVEL_WARN, "peer_call_invalid", "call=%s bytes=%zu", call,
+             length);
+  rpc_request_reject (request);
+  return false;
+}
+
 static void
 answer_phase (struct peers *p, struct rpc_request *request, const char *args,
               size_t length)
 {
   struct peer_job asked = { .id = "" };
-  if (!xdr_decode ((xdrproc_t)xdr_peer_job, &asked, args, length))
-    {
-      log_event (LOG_LEVEL_WARN, "peer_call_invalid", "call=phase bytes=%zu",
-                 length);
-      rpc_request_reject (request);
-      return;
-    }
+  if (!read_arguments (request, "phase", (xdrproc_t)xdr_peer_job, &asked, args,
+                       length))
+    return;
   const struct job_record *j = records_job (p->entry->records, asked.id);
   struct peer_phase answer = { .known = false };
   if (j != NULL && j->accepted)
@@ -89,13 +99,9 @@
 {
   static struct statistics_list list; /* 100 KB */
   memset (&list, 0, sizeof list);
-  if (!xdr_decode ((xdrproc_t)xdr_statistics_list, &list, args, length))
-    {
-      log_event (LOG_LEVEL_WARN, "peer_call_invalid",
-                 "call=statistics bytes=%zu", length);
-      rpc_request_reject (request);
-      return;
-    }
+  if (!read_arguments (request, "statistics", (xdrproc_t)xdr_statistics_list,
+                       &list, args, length))
+    return;
   peer_statistics_take (p->entry->peer_statistics, &list);
   rpc_request_reply (request, "", 0);
 }
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -296,15 +296,18 @@
     records_progress_set (r, id, item->value, item->revision);
 }
 
-/* Cancels the share that SHARD has of the job ID, if any.  */
+/* Writes to OUT the id of the record with the tasks of JOB that run in SHARD,
+   which is not the job's own shard.  */
+void
+records_share_id (const char *job, const char *shard,
+                  char out[RR_GRAPH_NAME_SIZE])
+{
+  snprintf (out, RR_GRAPH_NAME_SIZE, "%.31s.%.31s", job, shard);
+}
+
 static void
-cancel_share (struct records *r, const char *id, const char *shard)
+cancel_record (struct records *r, struct job_record *j)
 {
-  char share[RR_GRAPH_NAME_SIZE];
-  snprintf (share, sizeof share, "%.31s.%.31s", id, shard);
-  struct job_record *j = records_job (r, share);
-  if (j == NULL)
-    return;
   j->cancelled = true;
   job_record_trim (j);
   owners_job_cancelled (r->entry->owners, j);
@@ -315,13 +318,15 @@
 {
   if (item->removed)
     return;
-  struct job_record *j = job_record_for (r, id);
-  j->cancelled = true;
-  j->cancel_revision = item->revision;
-  job_record_trim (j);
-  owners_job_cancelled (r->entry->owners, j);
+  cancel_record (r, job_record_for (r, id));
   for (size_t i = 0; i < r->shard_count; i++)
-    cancel_share (r, id, r->shards[i].name);
+    {
+      char share[RR_GRAPH_NAME_SIZE];
+      records_share_id (id, r->shards[i].name, share);
+      struct job_record *j = records_job (r, share);
+      if (j != NULL)
+        cancel_record (r, j);
+    }
 }
 
 static void
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -63,11 +63,8 @@
 static void
 take_zones (struct json_object *o, struct entry_settings *s)
 {
-  struct json_object *zones = NULL;
-  json_object_object_get_ex (o, "zones", &zones);
-  size_t n = json_object_is_type (zones, json_type_array)
-                 ? json_object_array_length (zones)
-                 : 0;
+  struct json_object *zones = json_list_or_null (o, "zones");
+  size_t n = zones == NULL ? 0 : json_object_array_length (zones);
   for (size_t i = 0; i < n && s->zone_count < ENTRY_ZONES_MAX; i++)
     snprintf (s->zones[s->zone_count++], RR_GRAPH_NAME_SIZE, "%s",
               json_object_get_string (json_object_array_get_idx (zones, i)));
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -25,9 +25,8 @@
     uv_timer_start (&s->commit_timer, on_commit_timer, ms, 0);
 }
 
-/* Tells whether the answer R to a failed write shows another owner.  */
-bool
-shard_owner_changed (const struct shard *s, const struct store_result *r)
+static bool
+owner_changed (const struct shard *s, const struct store_result *r)
 {
   for (size_t i = 0; i < r->item_count; i++)
     if (strcmp (r->items[i].key, s->owner_key) == 0)
@@ -35,6 +34,27 @@
   return true;
 }
 
+/* Takes in that a write under the owner key has ended with R.  False when the
+   shard is closed, or is lost now since R shows another owner; WHY is for the
+   log.  The caller must not use S then.  */
+bool
+shard_write_ended (struct shard *s, const struct store_result *r,
+                   const char *why)
+{
+  s->calls--;
+  if (s->closed)
+    {
+      shard_release (s);
+      return false;
+    }
+  if (r->state == STORE_CONFLICT && owner_changed (s, r))
+    {
+      shard_lose (s, why);
+      return false;
+    }
+  return true;
+}
+
 /* A condition on a job's progress failed although we own the shard: an earlier
    write of ours took effect without an answer.  Takes its revision.  */
 static void
@@ -106,14 +126,9 @@
 on_committed (void *data, const struct store_result *r)
 {
   struct shard *s = data;
-  s->calls--;
   s->committing = false;
-  if (s->closed)
-    {
-      shard_commit_clear (s);
-      shard_release (s);
-      return;
-    }
+  if (!shard_write_ended (s, r, "commit-rejected"))
+    return;
   if (r->state == STORE_OK)
     {
       commit_took_effect (s, r->revision);
@@ -121,12 +136,6 @@
       shard_wake (s);
       return;
     }
-  if (r->state == STORE_CONFLICT && shard_owner_changed (s, r))
-    {
-      shard_commit_clear (s);
-      shard_lose (s, "commit-rejected");
-      return;
-    }
   if (r->state == STORE_CONFLICT)
     adopt_revisions (s, r);
   else
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -21,7 +21,7 @@
   if (j == NULL || strcmp (j->shard, s->record->name) == 0)
     snprintf (out, RR_GRAPH_NAME_SIZE, "%s", job);
   else
-    snprintf (out, RR_GRAPH_NAME_SIZE, "%.31s.%.31s", job, s->record->name);
+    records_share_id (job, s->record->name, out);
 }
 
 static struct rr_graph *
@@ -66,13 +66,9 @@
 {
   struct shard *s = data;
   struct division *v = &s->division;
-  s->calls--;
   v->sending = false;
-  if (s->closed)
-    {
-      shard_release (s);
-      return;
-    }
+  if (!shard_write_ended (s, r, "division-rejected"))
+    return;
   log_event (r->state == STORE_OK ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
              "tasks_transferred",
              "job=%s shard=%s to=%s tasks=%zu state=%s revision=%lld", v->job,
@@ -88,11 +84,6 @@
       shard_divide_clear (s);
       return;
     case STORE_CONFLICT:
-      if (shard_owner_changed (s, r))
-        {
-          shard_lose (s, "division-rejected");
-          return;
-        }
       take_current (s, r);
       shard_divide_clear (s);
       return;
@@ -148,8 +139,7 @@
   if (back)
     snprintf (destination->id, sizeof destination->id, "%s", from->id);
   else
-    snprintf (destination->id, sizeof destination->id, "%.31s.%.31s", from->id,
-              target->name);
+    records_share_id (from->id, target->name, destination->id);
   const struct job_record *j
       = records_job (s->entry->records, destination->id);
   struct rr_graph *g = decode_record (j == NULL ? main : j);
@@ -157,7 +147,6 @@
   if (g != NULL && j == NULL)
     {
       rr_graph_divide (g, false);
-      g->share_count = 0;
       free (g->progress);
       g->progress = NULL;
       snprintf (g->shard, sizeof g->shard, "%s", target->name);
--- a/rosemaryentryd/shard_roster.c
+++ b/rosemaryentryd/shard_roster.c
@@ -34,10 +34,9 @@
   struct rr_error err = { 0 };
   struct json_object *o
       = text == NULL ? NULL : json_parse (text, strlen (text), &err);
-  struct json_object *list = NULL;
+  struct json_object *list = json_list_or_null (o, "workers");
   *ordinal = json_int_or (o, "ordinal", 0);
-  if (o == NULL || !json_object_object_get_ex (o, "workers", &list)
-      || !json_object_is_type (list, json_type_array))
+  if (list == NULL)
     list = json_object_new_array ();
   else
     json_object_get (list);
@@ -100,19 +99,8 @@
 on_roster_written (void *data, const struct store_result *r)
 {
   struct shard *s = data;
-  s->calls--;
   s->roster_writing = false;
-  if (s->closed)
-    {
-      shard_release (s);
-      return;
-    }
-  if (r->state == STORE_CONFLICT && shard_owner_changed (s, r))
-    {
-      shard_lose (s, "roster-rejected");
-      return;
-    }
-  if (r->state != STORE_OK)
+  if (!shard_write_ended (s, r, "roster-rejected") || r->state != STORE_OK)
     return;
   free (s->roster);
   s->roster = s->roster_sent;
--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -41,22 +41,16 @@
 on_transferred (void *data, const struct store_result *r)
 {
   struct shard *s = data;
-  s->calls--;
   s->transferring = false;
-  if (s->closed)
-    {
-      shard_release (s);
-      return;
-    }
+  if (!shard_write_ended (s, r, "transfer-rejected"))
+    return;
   switch (r->state)
     {
     case STORE_OK:
       transfer_settled (s);
       return;
     case STORE_CONFLICT:
-      if (shard_owner_changed (s, r))
-        shard_lose (s, "transfer-rejected");
-      else if (s->transfer_unknown)
+      if (s->transfer_unknown)
         /* Nobody else changes these keys while we own the shard: the earlier
            attempt took effect.  */
         transfer_settled (s);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -539,7 +539,6 @@
       struct rr_graph *g
           = rr_graph_decode (jobs[i].graph, strlen (jobs[i].graph), &err);
       rr_graph_divide (g, false);
-      g->share_count = 0;
       for (size_t k = 2; k < words; k++)
         {
           char *run = NULL;
