dispatch: a start that was not sent has no lease

The dispatcher now knows which starts have left the daemon. A command asks before it is sent whether it is still wanted; one that is not is withdrawn, which is certain. A start that waits for 1 s is withdrawn and its worker left alone for 0.5 s. When a connection is replaced, commands that waited are withdrawn and unanswered starts are stopped before they run elsewhere; they stayed without an answer for good before. A silent worker whose listed ends are not stored stays in the membership record, so that a new owner reads them.

Tests queued_start, queued_stop and unstored_end fail with the old logic. Ruled out for the first: the worker's clock, and answers out of order.

--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -272,6 +272,7 @@
   if (c != NULL && !worker_connection_same_address (c, w))
     {
       drop_connection (s, w->info.id);
+      rr_dispatch_commands_abandoned (s->dispatch, h, entry_now ());
       c = NULL;
     }
   if (c == NULL && s->connection_count < WORKER_CONNECTIONS_MAX)
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -234,13 +234,18 @@
 send_command (struct worker_connection *c, struct queued_command *q)
 {
   int64_t lease_end = 0;
-  if (q->command.kind == RR_COMMAND_START)
-    lease_end = rr_dispatch_worker_lease (c->owner.dispatch, c->worker,
-                                          c->owner.valid_until (c->owner.data),
-                                          entry_now ());
+  bool wanted = rr_dispatch_command_begin (c->owner.dispatch, c->worker,
+                                           q->command.kind, &q->command.name);
+  if (wanted && q->command.kind == RR_COMMAND_START)
+    {
+      lease_end = rr_dispatch_worker_lease (
+          c->owner.dispatch, c->worker, c->owner.valid_until (c->owner.data),
+          entry_now ());
+      wanted = lease_end > 0;
+    }
   c->calls++;
   c->commands_in_flight++;
-  if (q->command.kind == RR_COMMAND_START && lease_end == 0)
+  if (!wanted)
     {
       on_command_done (q, RR_OUTCOME_NOT_SENT, 0);
       return;
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -227,7 +227,7 @@
   dispatch_task_set (j, number, TASK_PLACED);
   t->current_run = name->run;
   t->worker = w->handle;
-  dispatch_run_add (d, w, j, name, now);
+  dispatch_run_add (d, w, j, name, now)->queued = true;
   w->free_memory_mb -= s->memory_mb;
   w->free_accelerators -= s->accelerators;
   if (s->best_effort)
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -85,6 +85,7 @@
   struct rr_handle job; /* null: the job is not known */
   uint32_t number;      /* of the task in its job */
   enum run_phase phase;
+  bool queued;   /* its start has not left this daemon yet */
   bool reported; /* by the worker's present incarnation */
   bool stop_wanted;
   bool stop_in_flight;
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -18,7 +18,12 @@
   /* Time that a worker needs to end its tasks once a lease has expired.  */
   KILL_MARGIN_MS = 100,
   /* Delay before an unanswered stop is sent again.  */
-  STOP_RETRY_MS = 400
+  STOP_RETRY_MS = 400,
+  /* A start that could not be sent for this long is withdrawn, so that its
+     task can start on another worker.  */
+  START_QUEUE_MAX_MS = 1000,
+  /* Until a worker is tried again whose starts could not be sent.  */
+  CONGESTED_RETRY_MS = 500
 };
 
 struct dispatch_worker *
@@ -84,9 +89,10 @@
 }
 
 /* Returns true when the worker ID must stay in the membership record, because
-   tasks may be started on it or may still run there.  An unresponsive worker
-   without runs leaves the record, so that a later owner need not wait for it;
-   no task starts on it until it is recorded again.  */
+   tasks may be started on it or may still run there, or because it lists ends
+   that are not stored yet.  An unresponsive worker with neither leaves the
+   record, so that a later owner need not wait for it; no task starts on it
+   until it is recorded again.  */
 bool
 rr_dispatch_worker_needed (struct rr_dispatch *d, const char *id,
                            struct rr_time now)
@@ -94,7 +100,8 @@
   struct dispatch_worker *w = worker_find (d, id);
   bool fresh = w != NULL && w->reported
                && rr_time_diff (now, w->last_report) <= UNRESPONSIVE_MS;
-  if (w != NULL && (w->run_count > 0 || (w->registered && fresh)))
+  if (w != NULL
+      && (w->run_count > 0 || w->end_count > 0 || (w->registered && fresh)))
     return true;
   if (w != NULL && w->reported)
     w->recorded = false;
@@ -197,14 +204,6 @@
   dispatch_run_remove (d, w, r);
 }
 
-static void
-requeue_all_runs (struct rr_dispatch *d, struct dispatch_worker *w,
-                  const char *reason, struct rr_time now)
-{
-  while (w->run_count > 0)
-    dispatch_run_requeue (d, w, &w->runs[w->run_count - 1], reason, now);
-}
-
 /* Gives up the runs of W's former incarnation.  The start of a run that was
    never reported may have reached the new incarnation, so such a run stays
    until the new one has reported.  */
@@ -215,7 +214,7 @@
   for (size_t i = w->run_count; i-- > 0;)
     {
       struct dispatch_run *r = &w->runs[i];
-      if (!r->reported)
+      if (!r->reported && !r->queued)
         {
           r->phase = RUN_UNRESOLVED;
           r->stop_confirmed = false;
@@ -411,24 +410,109 @@
     w->unresponsive = true;
 }
 
+/* Withdraws starts that have waited too long to be sent.  The worker can't
+   have received them, and is not to blame.  */
+static void
+withdraw_queued_starts (struct rr_dispatch *d, struct dispatch_worker *w,
+                        struct rr_time now)
+{
+  for (size_t i = w->run_count; i-- > 0;)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      if (!r->queued || rr_time_diff (now, r->started) < START_QUEUE_MAX_MS)
+        continue;
+      w->full_until = rr_time_add (now, CONGESTED_RETRY_MS);
+      dispatch_run_requeue (d, w, r, "not-sent", now);
+    }
+}
+
+/* Gives up the runs whose starts were sent to W.  */
+static void
+requeue_sent_runs (struct rr_dispatch *d, struct dispatch_worker *w,
+                   const char *reason, struct rr_time now)
+{
+  for (size_t i = w->run_count; i-- > 0;)
+    if (!w->runs[i].queued)
+      dispatch_run_requeue (d, w, &w->runs[i], reason, now);
+}
+
+static size_t
+sent_run_count (const struct dispatch_worker *w)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    n += w->runs[i].queued ? 0 : 1;
+  return n;
+}
+
 /* Gives up W's runs once every lease granted to it must have expired, even on
    its slowest possible clock, at a time when this owner certainly held the
-   shard.  */
+   shard.  A run whose start was not sent has no lease yet: the worker's last
+   lease says nothing about it.  */
 void
 dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
                  struct rr_time confirmed, struct rr_time now)
 {
-  if (w->run_count == 0 || (!w->has_clock && w->lease_clock_ms == 0))
+  withdraw_queued_starts (d, w, now);
+  size_t sent = sent_run_count (w);
+  if (sent == 0 || (!w->has_clock && w->lease_clock_ms == 0))
     return;
   double elapsed
       = (double)(rr_time_diff (confirmed, w->clock_received) - KILL_MARGIN_MS);
   if ((double)w->clock_ms + elapsed * CLOCK_RATE_MIN
       <= (double)w->lease_clock_ms)
     return;
-  dispatch_log_decision (
-      d, "vm_lease_expired", "vm=%s runs=%zu silent_ms=%lld", w->info.id,
-      w->run_count, (long long)rr_time_diff (now, w->clock_received));
-  requeue_all_runs (d, w, "lease-expired", now);
+  dispatch_log_decision (d, "vm_lease_expired",
+                         "vm=%s runs=%zu silent_ms=%lld", w->info.id, sent,
+                         (long long)rr_time_diff (now, w->clock_received));
+  requeue_sent_runs (d, w, "lease-expired", now);
+}
+
+/* Returns whether the command KIND to worker H, which has waited to be sent,
+   still has to be, and records that it is sent now.  Its run may have ended,
+   or its start may have been withdrawn; a start that is to be stopped again is
+   not sent at all.  */
+bool
+rr_dispatch_command_begin (struct rr_dispatch *d, struct rr_handle h,
+                           enum rr_command_kind kind,
+                           const struct rr_run_name *name)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
+  if (r == NULL)
+    return false;
+  if (kind != RR_COMMAND_START)
+    return !r->queued;
+  if (!r->queued || r->stop_wanted)
+    return false;
+  r->queued = false;
+  return true;
+}
+
+/* The connection to worker H was closed and another is opened: commands that
+   were queued are not sent, and those in flight get no answer.  */
+void
+rr_dispatch_commands_abandoned (struct rr_dispatch *d, struct rr_handle h,
+                                struct rr_time now)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  for (size_t i = w == NULL ? 0 : w->run_count; i-- > 0;)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      r->stop_in_flight = false;
+      if (r->throttle_in_flight)
+        r->speed_percent = -1;
+      r->throttle_in_flight = false;
+      if (r->phase != RUN_STARTING)
+        continue;
+      if (r->queued)
+        dispatch_run_requeue (d, w, r, "not-sent", now);
+      else
+        {
+          r->phase = RUN_UNRESOLVED;
+          dispatch_run_stop (r, "start-unanswered");
+        }
+    }
 }
 
 /* Returns the name of KIND in logs.  */
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -29,9 +29,15 @@
      measure ID STEP.TASK N   sets the measurement in its worker's reports:
                               tail latency in ms, or used cores
      mute W | unmute W        loses the answers of W
+     queue_commands W         commands to W wait in the daemon
+     send_commands W          sends the commands that wait
+     reconnect W              replaces the connection to W; commands that wait
+                              are dropped
      block W | unblock W      loses commands and polls to W; unblock delivers
                               the starts that were not stopped
      poll [W]                 polls one worker or all
+     needed                   prints the workers that must stay in the
+                              membership record
      store                    stores all progress
      confirm on|off           whether ownership of the shard is confirmed
      takeover W...            replaces the owner by a new one, with these
@@ -75,6 +81,9 @@
   bool registered;
   bool muted;
   bool blocked;
+  bool queueing;
+  struct rr_command queue[64]; /* names and kinds of commands that wait */
+  size_t queue_count;
   int64_t started_ms;
   int64_t lease_end; /* on its own clock, which equals the script's */
   int64_t ends;
@@ -223,11 +232,22 @@
     run_end (w, r, RR_END_STOPPED);
 }
 
+static const char *const kinds[] = { "start", "stop", "throttle" };
+
 static void
 command_execute (const struct rr_command *command)
 {
-  static const char *const kinds[] = { "start", "stop", "throttle" };
   struct fake_worker *w = worker_named (command->worker_id);
+  if (!rr_dispatch_command_begin (d, w->handle, command->kind, &command->name))
+    {
+      printf ("%s %s %d.%d run %u on %s withdrawn\n", kinds[command->kind],
+              command->name.job, command->name.step, command->name.task,
+              command->name.run, command->worker_id);
+      rr_dispatch_command_answered (d, w->handle, command->kind,
+                                    &command->name, RR_OUTCOME_NOT_SENT, 0,
+                                    now);
+      return;
+    }
   printf ("%s %s %d.%d run %u on %s", kinds[command->kind], command->name.job,
           command->name.step, command->name.task, command->name.run,
           command->worker_id);
@@ -267,7 +287,26 @@
   command_count = 0;
   rr_dispatch_plan (d, confirmed, rr_time_add (confirmed, LEASE_MAX_MS), now);
   for (size_t i = 0; i < command_count; i++)
-    command_execute (&commands[i]);
+    {
+      struct fake_worker *w = worker_named (commands[i].worker_id);
+      if (w->queueing)
+        {
+          w->queue[w->queue_count] = commands[i];
+          w->queue[w->queue_count].worker_id = w->id;
+          w->queue[w->queue_count++].permit_token = "";
+        }
+      else
+        command_execute (&commands[i]);
+    }
+}
+
+static void
+queue_send (struct fake_worker *w)
+{
+  w->queueing = false;
+  for (size_t i = 0; i < w->queue_count; i++)
+    command_execute (&w->queue[i]);
+  w->queue_count = 0;
 }
 
 static void
@@ -637,6 +676,16 @@
     }
   else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
     w->muted = word[0][0] == 'm';
+  else if (strcmp (word[0], "queue_commands") == 0)
+    w->queueing = true;
+  else if (strcmp (word[0], "send_commands") == 0)
+    queue_send (w);
+  else if (strcmp (word[0], "reconnect") == 0)
+    {
+      w->queueing = false;
+      w->queue_count = 0;
+      rr_dispatch_commands_abandoned (d, w->handle, now);
+    }
   else
     {
       w->blocked = strcmp (word[0], "block") == 0;
@@ -680,6 +729,14 @@
         = strtol (word[3], NULL, 10);
   else if (strcmp (c, "poll") == 0)
     poll_workers (words > 1 ? word[1] : NULL);
+  else if (strcmp (c, "needed") == 0)
+    {
+      printf ("needed:");
+      for (size_t i = 0; i < worker_count; i++)
+        if (rr_dispatch_worker_needed (d, workers[i].id, now))
+          printf (" %s", workers[i].id);
+      printf ("\n");
+    }
   else if (strcmp (c, "store") == 0)
     store ();
   else if (strcmp (c, "permit") == 0)
