dispatch: long-running tasks of many workers come back together

Long-running tasks come after short ones in a round, and capacity was held for one of them at a time.

All that have waited for 2 s are now placed first, longest waiting first, and capacity is held for each on a worker of its own, on up to a quarter of the workers.

Ruled out: uncertain tasks of a takeover (one owner all the time), the published free capacity (33 divisions of one or two tasks went through).

--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -451,9 +451,12 @@
         continue;
       if (needs_permits)
         dispatch_permit_request (d, j, &name, now);
-      if (s->long_running && d->holding_capacity
+      if (s->long_running && d->holds_left > 0
           && d->free_cores_milli >= s->cores_milli * CAPACITY_HOLD_FACTOR)
-        hold_capacity (d, j, &name, now);
+        {
+          d->holds_left--;
+          hold_capacity (d, j, &name, now);
+        }
       return;
     }
 }
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -19,24 +19,34 @@
          && j->phase != RR_PHASE_COMPLETED;
 }
 
-/* Places the long-running job that has waited longest, or holds capacity for
-   it.  */
+/* Places the long-running jobs that have waited for a long time, before all
+   others, and holds capacity for those that find none.  READY is in the order
+   of placement; sets the number of jobs that are left to place.  After many
+   workers have left, short tasks would otherwise keep taking what becomes free
+   for as long as they come.  */
 static void
-place_longest_waiting (struct rr_dispatch *d,
-                       const struct dispatch_ready_job *ready, size_t n,
-                       struct rr_time now)
+place_long_waiting (struct rr_dispatch *d, struct dispatch_ready_job *ready,
+                    size_t *n, struct rr_time now)
 {
-  const struct dispatch_ready_job *longest = NULL;
-  for (size_t i = 0; i < n; i++)
+  size_t waiting = 0;
+  struct dispatch_ready_job *longest = calloc (*n + 1, sizeof *longest);
+  assert (longest != NULL);
+  size_t rest = 0;
+  for (size_t i = 0; i < *n; i++)
     if (ready[i].group == READY_LONG_RUNNING
-        && ready[i].waited_ms > CAPACITY_HOLD_AFTER_MS
-        && (longest == NULL || ready[i].waited_ms > longest->waited_ms))
-      longest = &ready[i];
-  if (longest == NULL)
-    return;
-  d->holding_capacity = true;
-  dispatch_place_job (d, longest->job, now);
-  d->holding_capacity = false;
+        && ready[i].waited_ms > CAPACITY_HOLD_AFTER_MS)
+      longest[waiting++] = ready[i];
+    else
+      ready[rest++] = ready[i];
+  *n = rest;
+  qsort (longest, waiting, sizeof *longest, dispatch_ready_job_compare_waited);
+  size_t workers = rr_table_count (d->workers);
+  d->holds_left
+      = 1 + workers * CAPACITY_HOLD_WORKERS_MAX_PERCENT / (size_t)100;
+  for (size_t i = 0; i < waiting; i++)
+    dispatch_place_job (d, longest[i].job, now);
+  d->holds_left = 0;
+  free (longest);
 }
 
 static void
@@ -53,7 +63,7 @@
         && dispatch_ready_job_init (d, j, &ready[n], now))
       n++;
   qsort (ready, n, sizeof *ready, dispatch_ready_job_compare);
-  place_longest_waiting (d, ready, n, now);
+  place_long_waiting (d, ready, &n, now);
   for (size_t i = 0; i < n; i++)
     dispatch_place_job (d, ready[i].job, now);
   free (ready);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -177,7 +177,7 @@
   uint32_t former_run;      /* lowest run number of the last owner */
   int64_t free_cores_milli; /* of usable workers, at the start of a round */
   struct rr_time audited;
-  bool holding_capacity;   /* while placing the job that waits longest */
+  size_t holds_left;       /* workers on which capacity may still be held */
   struct rr_policy policy; /* of the interference model */
   struct rr_interference *model;
   double base_ms[RR_CLASSES_MAX]; /* lowest tail latency seen, by image */
@@ -215,10 +215,12 @@
 
 enum
 {
-  /* When the long-running task that has waited longest has waited for more
-     than this, capacity is held for it on one worker: otherwise short tasks
-     would keep taking the free capacity bit by bit.  */
+  /* A long-running task that has waited for more than this is placed before
+     short ones, and capacity is held for it on one worker: otherwise short
+     tasks would keep taking the free capacity bit by bit.  */
   CAPACITY_HOLD_AFTER_MS = 2000,
+  /* Share of the workers, besides one, on which capacity is held at a time. */
+  CAPACITY_HOLD_WORKERS_MAX_PERCENT = 25,
   /* No capacity is held unless the free cores of all workers are at least this
      many times what the task needs.  */
   CAPACITY_HOLD_FACTOR = 2
@@ -234,6 +236,7 @@
                               struct dispatch_ready_job *t,
                               struct rr_time now);
 int dispatch_ready_job_compare (const void *a, const void *b);
+int dispatch_ready_job_compare_waited (const void *a, const void *b);
 
 void dispatch_worker_measure (struct dispatch_worker *w);
 bool dispatch_worker_usable (const struct dispatch_worker *w,
--- a/rosemaryrail/dispatch_ready.c
+++ b/rosemaryrail/dispatch_ready.c
@@ -120,3 +120,15 @@
     return diff < 0 ? -1 : 1;
   return strcmp (x->job->graph->id, y->job->graph->id);
 }
+
+/* Compares two ready jobs by how long their tasks have waited, longest
+   first.  */
+int
+dispatch_ready_job_compare_waited (const void *a, const void *b)
+{
+  const struct dispatch_ready_job *x = a;
+  const struct dispatch_ready_job *y = b;
+  if (x->waited_ms != y->waited_ms)
+    return x->waited_ms > y->waited_ms ? -1 : 1;
+  return strcmp (x->job->graph->id, y->job->graph->id);
+}
