entryd: followers no longer watch the progress of jobs

Cause: each daemon watched and decoded every job's progress, which only the owner of the shard and its next owner need. A profile of 147 daemons on the large deployment (386 samples, 8 s) has 25% of their processor time in rr_progress_decode alone, and 31% in on_watch.

Progress is now stored under rail-progress/SHARD/ID; a new owner reads its shard's prefix after the claim. Callers' state comes from the owner, or from the store while no owner answers, in place of a copy that could be 0.8 s old; a daemon that has claimed a shard but not read it asks the store too. Owners publish how many jobs of each queue have started nothing, with the revision up to which they counted; jobs accepted later are added. The progress of an ended job is stored without rows. The layout has a format, and a daemon does not take over shards of another one.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -27,7 +27,6 @@
   struct upstream *permits; /* permit service; null: none */
   struct rr_queues *queues; /* applied configuration; null before the first */
   struct store_cache *records_cache;
-  struct store_cache *progress_cache;
   struct store_cache *workers_cache;
   struct store_cache *config_cache;
   struct records *records;
--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -12,21 +12,25 @@
 /* Keys of this project in the store.  */
 #define KEY_ROOT "rail/"
 #define KEY_JOB KEY_ROOT "job/"
-/* Outside KEY_ROOT, so that it has a watch of its own: progress changes most
-   often and can be read with the longest delay.  */
+/* Followed by SHARD/ID.  Outside KEY_ROOT, so that no daemon watches it:
+   progress changes most often, and only a new owner reads it.  */
 #define KEY_PROGRESS "rail-progress/"
 #define KEY_CANCEL KEY_ROOT "cancel/"
 #define KEY_OWNER KEY_ROOT "owner/"
 #define KEY_MEMBERSHIP KEY_ROOT "workers/"
 #define KEY_LOAD KEY_ROOT "load/"
 #define KEY_DAEMON KEY_ROOT "daemon/"
-/* The number of shards; written once, when the deployment first starts.  */
+/* The number of shards and the format of the other keys; written once, when
+   the deployment first starts.  */
 #define KEY_PARTITIONING KEY_ROOT "layout"
 
 enum
 {
-  KEY_SIZE = 128,
-  SHARDS_MAX = 64
+  KEY_SIZE = 192,
+  SHARDS_MAX = 64,
+  /* Version of the keys and of the values under them.  1 had the progress of
+     all shards under one prefix.  */
+  KEY_FORMAT = 2
 };
 
 /* A job as stored, or the part of a divided job that runs in one shard; the id
@@ -52,6 +56,13 @@
   struct rr_time finished; /* when this daemon read its end */
 };
 
+/* Jobs of one queue and one shard that have started no task.  */
+struct queue_pending
+{
+  char queue[RR_JOB_NAME_SIZE];
+  size_t jobs;
+};
+
 /* The owner of a shard and the load that the owner last published.  */
 struct shard_record
 {
@@ -66,6 +77,9 @@
   int64_t demand_milli;
   int64_t non_best_effort_cores_milli; /* demand without best-effort tasks */
   int64_t largest_free_cores_milli;    /* most free cores on one worker */
+  struct queue_pending *pending;       /* queues without any are left out */
+  size_t pending_count;
+  int64_t pending_revision; /* jobs of later revisions are not in PENDING */
 };
 
 struct daemon_record
@@ -76,6 +90,8 @@
   struct settings_peer peer; /* address for other daemons; port 0: none */
 };
 
+struct json_object;
+
 struct records *records_open (struct entry *e);
 struct job_record *records_job (struct records *r, const char *id);
 struct job_record *records_job_next (struct records *r,
@@ -90,7 +106,13 @@
 void records_set_owner_phase (struct records *r, const char *id,
                               enum rr_job_phase phase, int64_t revision);
 enum rr_job_phase records_job_phase (const struct job_record *j);
+void records_progress_key (const char *shard, const char *id,
+                           char out[KEY_SIZE]);
+void records_progress_item (struct records *r, const struct store_item *item);
 size_t records_pending (struct records *r, const char *queue);
+struct json_object *records_pending_encode (struct records *r,
+                                            const char *shard,
+                                            int64_t revision);
 struct shard_record *records_shard (struct records *r, const char *name);
 struct shard_record *records_shard_at (struct records *r, size_t i);
 size_t records_shard_count (const struct records *r);
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -47,9 +47,9 @@
   /* The same for a started job: it has had capacity here before.  */
   TRANSFER_STARTED_WAIT_MS = 1000,
   TRANSFERS_MAX = 5, /* of one job, since published loads are out of date */
-  /* Each job needs two conditions and two writes, and the owner key a
-     condition.  */
-  TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 4,
+  /* Each job needs two conditions, two writes and a removal, and the owner key
+     a condition.  */
+  TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 5,
   /* A long-running task that waits for free capacity is transferred to another
      shard after this long: later than whole jobs, which go first, and well
      before callers notice a missing task, after 6 s.  */
@@ -139,7 +139,8 @@
   bool load_stale; /* other daemons added new jobs to the published load */
   int64_t published_demand;
   int64_t published_largest;
-  bool stopping; /* starts no more tasks */
+  char *published_pending; /* JSON; null: not published yet */
+  bool stopping;           /* starts no more tasks */
   bool closed;
   size_t calls_in_flight;
   struct rr_time last_forget; /* when old jobs were last removed */
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "platform/documents.h"
 #include "rosemaryentryd/metrics.h"
+#include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/records.h"
 #include "rosemaryentryd/shard_selection.h"
@@ -48,7 +49,9 @@
   char id[RR_JOB_NAME_SIZE];
   char key[KEY_SIZE];
   char queue[RR_JOB_NAME_SIZE];
-  char *text;   /* job graph to write */
+  char record[RR_JOB_NAME_SIZE]; /* whose phase is being read */
+  size_t next_part;              /* shard of the next part to read */
+  char *text;                    /* job graph to write */
   bool unknown; /* a write may have taken effect or may do so later */
   struct rr_time arrived;
   struct rr_time deadline;
@@ -201,30 +204,84 @@
     request_finish_phase (q);
 }
 
+static void request_read_phase (struct request *q, const struct job_record *j);
+
+/* The phase of the record that was read is known as well as it can be.  A
+   divided job that looks queued is active if one of its parts is.  */
+static void
+request_phase_read (struct request *q)
+{
+  struct records *records = q->front->entry->records;
+  const struct job_record *j = records_job (records, q->id);
+  size_t shards = records_shard_count (records);
+  while (j != NULL && records_job_phase (j) == RR_PHASE_QUEUED
+         && q->next_part < shards)
+    {
+      char id[RR_JOB_NAME_SIZE];
+      records_part_id (q->id, records_shard_at (records, q->next_part++)->name,
+                       id);
+      const struct job_record *part = records_job (records, id);
+      if (part == NULL || !part->accepted)
+        continue;
+      request_read_phase (q, part);
+      return;
+    }
+  request_finish_phase (q);
+}
+
+static void
+on_stored_phase (void *data, const struct store_result *r)
+{
+  struct request *q = data;
+  for (size_t i = 0; r->state == STORE_OK && i < r->item_count; i++)
+    records_progress_item (q->front->entry->records, &r->items[i]);
+  if (r->state != STORE_OK && r->state != STORE_MISSING)
+    log_event (LOG_LEVEL_WARN, "phase_not_read", "job=%s record=%s state=%s",
+               q->id, q->record, store_state_name (r->state));
+  request_phase_read (q);
+}
+
+/* Reads the phase from the store, while no owner answers.  */
+static void
+request_read_stored_phase (struct request *q, const struct job_record *j)
+{
+  char key[KEY_SIZE];
+  records_progress_key (j->shard, j->id, key);
+  store_get (q->front->entry->store, key, STORE_CALL_TIMEOUT_MS,
+             on_stored_phase, q);
+}
+
 static void
 on_owner_phase (void *data, const struct peer_phase *p)
 {
   struct request *q = data;
+  struct records *records = q->front->entry->records;
+  const struct job_record *j = records_job (records, q->record);
   if (p != NULL && p->known)
-    records_set_owner_phase (q->front->entry->records, q->id, p->phase,
-                             p->revision);
-  request_finish_phase (q);
+    records_set_owner_phase (records, q->record, p->phase, p->revision);
+  else if (j != NULL)
+    {
+      request_read_stored_phase (q, j);
+      return;
+    }
+  request_phase_read (q);
 }
 
-/* Responds with the state of the known job J.  Queries the owner of its shard
-   first if there is another daemon that owns it and the state is not final:
-   the owner is the first to know a new state.  */
+/* Reads the phase of the record J, a job or a part of one.  The owner of its
+   shard is the first to know it, and the only one that follows it.  */
 static void
-request_respond_phase (struct request *q, const struct job_record *j)
+request_read_phase (struct request *q, const struct job_record *j)
 {
   struct entry *e = q->front->entry;
   const struct shard_record *s = records_shard (e->records, j->shard);
-  bool owned_here = s != NULL && strcmp (s->owner, e->settings.name) == 0;
-  if (s == NULL || s->owner[0] == '\0' || owned_here
+  snprintf (q->record, sizeof q->record, "%s", j->id);
+  if (s == NULL || owners_serves (e->owners, s)
       || rr_job_phase_final (records_job_phase (j)))
-    request_finish_phase (q);
+    request_phase_read (q);
+  else if (s->owner[0] == '\0' || strcmp (s->owner, e->settings.name) == 0)
+    request_read_stored_phase (q, j);
   else
-    peers_query_phase (e->peers, s->owner, q->id, on_owner_phase, q);
+    peers_query_phase (e->peers, s->owner, q->record, on_owner_phase, q);
 }
 
 static void
@@ -252,7 +309,7 @@
       return;
     case REQUEST_STATE:
       if (known)
-        request_respond_phase (q, j);
+        request_read_phase (q, j);
       else
         store_get (e->store, q->key, STORE_CALL_TIMEOUT_MS, on_job_key_read,
                    q);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "common/log.h"
+#include "rosemaryentryd/progress_reader.h"
 #include "rosemaryentryd/session.h"
 #include "rosemaryentryd/shard.h"
 #include "rosemaryentryd/store_cache.h"
@@ -38,11 +39,12 @@
   OWNER_BATCH_MS = 10 /* changes of the store, while it owns a shard */
 };
 
-/* A claim in flight, for its callback.  */
+/* A claim of a shard, for the callbacks of its calls.  */
 struct claim
 {
   struct owners *owners;
   struct shard_record *record;
+  int64_t reading_token; /* owner key's revision when the read began */
 };
 
 struct owners
@@ -53,6 +55,9 @@
   /* By number: the token of the ownership that was last lost.  */
   int64_t lost_fencing_token[SHARDS_MAX];
   bool claiming[SHARDS_MAX];
+  /* By number: the token of the ownership for which the progress was read.  */
+  int64_t progress_token[SHARDS_MAX];
+  struct progress_reader *reading[SHARDS_MAX]; /* null: not being read */
   struct claim claims[SHARDS_MAX];
   struct rr_time opened;
   bool writing_partitioning;
@@ -75,6 +80,14 @@
   return n;
 }
 
+/* Returns whether this daemon serves the shard S: it owns it and has read its
+   jobs' progress.  */
+bool
+owners_serves (const struct owners *o, const struct shard_record *s)
+{
+  return o->shards[shard_number (o, s)] != NULL;
+}
+
 static struct shard *
 shard_named (const struct owners *o, const char *name)
 {
@@ -198,9 +211,42 @@
       drop_shard (o, i, "lease-lost");
 }
 
-/* Starts to serve shard I if this daemon owns it and both caches have
-   everything that was written before the claim.  The timer calls it again
-   until then.  */
+static void serve_shard (struct owners *o, size_t i);
+
+static void
+on_progress_read (void *data, bool complete)
+{
+  struct claim *c = data;
+  struct owners *o = c->owners;
+  size_t i = shard_number (o, c->record);
+  o->reading[i] = NULL;
+  /* After a failure the timer reads again.  */
+  if (!complete)
+    return;
+  o->progress_token[i] = c->reading_token;
+  serve_shard (o, i);
+}
+
+/* Returns whether the progress of shard I was read since this daemon claimed
+   it; starts to read it if necessary.  */
+static bool
+progress_is_read (struct owners *o, size_t i)
+{
+  struct shard_record *s = records_shard_at (o->entry->records, i);
+  if (o->progress_token[i] == s->owner_revision)
+    return true;
+  if (o->reading[i] != NULL)
+    return false;
+  struct claim *c = &o->claims[i];
+  c->owners = o;
+  c->record = s;
+  c->reading_token = s->owner_revision;
+  o->reading[i] = progress_read (o->entry, s->name, on_progress_read, c);
+  return false;
+}
+
+/* Starts to serve shard I if this daemon owns it and has read everything that
+   was written before the claim.  The timer calls it again until then.  */
 static void
 serve_shard (struct owners *o, size_t i)
 {
@@ -214,11 +260,8 @@
   /* During a full read the cached membership record may be out of date.  */
   if (store_cache_revision (o->entry->records_cache) < s->owner_revision)
     return;
-  if (store_cache_revision (o->entry->progress_cache) < s->owner_revision)
-    {
-      store_cache_catch_up (o->entry->progress_cache);
-      return;
-    }
+  if (!progress_is_read (o, i))
+    return;
   store_cache_catch_up (o->entry->workers_cache);
   o->shards[i] = shard_open (o->entry, s, s->owner_revision,
                              s->stored_membership != NULL);
@@ -260,7 +303,8 @@
                            .value = o->entry->settings.name,
                            .lease = session_lease (o->entry->session) };
   o->claiming[i] = true;
-  o->claims[i] = (struct claim){ .owners = o, .record = s };
+  o->claims[i].owners = o;
+  o->claims[i].record = s;
   store_put_if (o->entry->store, &cond, &w, STORE_TIMEOUT_MS, on_claimed,
                 &o->claims[i]);
 }
@@ -280,10 +324,11 @@
 {
   size_t n = records_daemon_count (o->entry->records) / DAEMONS_PER_SHARD;
   char value[64];
-  snprintf (value, sizeof value, "{\"shards\":%zu}",
+  snprintf (value, sizeof value, "{\"shards\":%zu,\"format\":%d}",
             n < 1            ? 1
             : n > SHARDS_MAX ? (size_t)SHARDS_MAX
-                             : n);
+                             : n,
+            KEY_FORMAT);
   struct store_condition cond = { .key = KEY_PARTITIONING, .revision = 0 };
   struct store_write w = { .key = KEY_PARTITIONING, .value = value };
   o->writing_partitioning = true;
--- a/rosemaryentryd/peers.c
+++ b/rosemaryentryd/peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/peer_statistics.h"
 #include "rosemaryentryd/peers_xdr.h"
 #include "rosemaryentryd/records.h"
@@ -77,8 +78,7 @@
     {
       const struct shard_record *s
           = records_shard (p->entry->records, j->shard);
-      reply.known
-          = s != NULL && strcmp (s->owner, p->entry->settings.name) == 0;
+      reply.known = s != NULL && owners_serves (p->entry->owners, s);
       reply.phase = j->phase;
       reply.revision = j->progress_revision;
     }
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -13,14 +13,6 @@
 #include "rosemaryentryd/shard_selection.h"
 #include "rosemaryentryd/store_cache.h"
 
-enum
-{
-  /* Progress is read in long batches, since queries for a job's phase go to
-     the owner of its shard.  The cached progress is used while the owner does
-     not respond, and by takeovers, which first read the remaining changes.  */
-  PROGRESS_BATCH_INTERVAL_MS = 800
-};
-
 struct records
 {
   struct entry *entry;
@@ -70,21 +62,57 @@
   return j->phase;
 }
 
-/* Returns the number of jobs of QUEUE that have started no task.  */
+static bool
+is_pending (const struct job_record *j)
+{
+  return j->accepted && strcmp (j->id, j->job) == 0
+         && records_job_phase (j) == RR_PHASE_QUEUED;
+}
+
+static size_t
+published_pending (const struct shard_record *s, const char *queue)
+{
+  for (size_t i = 0; i < s->pending_count; i++)
+    if (strcmp (s->pending[i].queue, queue) == 0)
+      return s->pending[i].jobs;
+  return 0;
+}
+
+/* Returns the number of jobs of QUEUE that have started no task: those that
+   the owners of the shards have published, and the jobs accepted since.  */
 size_t
 records_pending (struct records *r, const char *queue)
 {
   size_t n = 0;
+  for (size_t i = 0; i < r->shard_count; i++)
+    n += published_pending (&r->shards[i], queue);
   struct rr_handle h = { 0 };
   struct job_record *j;
   while ((j = records_job_next (r, &h)) != NULL)
-    if (j->accepted && strcmp (j->id, j->job) == 0
-        && records_job_phase (j) == RR_PHASE_QUEUED
-        && strcmp (j->queue, queue) == 0)
-      n++;
+    {
+      const struct shard_record *s = records_shard (r, j->shard);
+      if (is_pending (j) && strcmp (j->queue, queue) == 0
+          && (s == NULL || j->job_revision > s->pending_revision))
+        n++;
+    }
   return n;
 }
 
+/* Returns the jobs of SHARD that have started no task, counted by queue, among
+   those accepted up to REVISION.  The caller releases the object.  */
+struct json_object *
+records_pending_encode (struct records *r, const char *shard, int64_t revision)
+{
+  struct json_object *o = json_object_new_object ();
+  struct rr_handle h = { 0 };
+  struct job_record *j;
+  while ((j = records_job_next (r, &h)) != NULL)
+    if (j->job_revision <= revision && is_pending (j)
+        && strcmp (j->shard, shard) == 0)
+      json_add_int (o, j->queue, json_int_or (o, j->queue, 0) + 1);
+  return o;
+}
+
 /* Returns the shard called NAME or null.  */
 struct shard_record *
 records_shard (struct records *r, const char *name)
@@ -244,6 +272,17 @@
   owners_job_update (r->entry->owners, j);
 }
 
+/* A divided job is active once a part of it, J with PHASE, is.  */
+static void
+activate_whole_job (struct records *r, const struct job_record *j,
+                    enum rr_job_phase phase)
+{
+  struct job_record *whole = records_job (r, j->job);
+  if (whole != NULL && whole->phase == RR_PHASE_QUEUED
+      && phase == RR_PHASE_ACTIVE)
+    whole->phase = RR_PHASE_ACTIVE;
+}
+
 /* Stores TEXT, the progress of job ID as of REVISION, unless an equal or later
    revision is known.  */
 void
@@ -264,10 +303,7 @@
     }
   if (revision >= j->owner_phase_revision)
     j->phase = p->phase;
-  struct job_record *whole = records_job (r, j->job);
-  if (whole != NULL && whole->phase == RR_PHASE_QUEUED
-      && p->phase == RR_PHASE_ACTIVE)
-    whole->phase = RR_PHASE_ACTIVE;
+  activate_whole_job (r, j, p->phase);
   j->has_progress = true;
   j->progress_revision = revision;
   free (j->progress_text);
@@ -289,14 +325,23 @@
     return;
   j->owner_phase_revision = revision;
   j->phase = phase;
+  activate_whole_job (r, j, phase);
 }
 
-static void
-on_progress_item (struct records *r, const char *id,
-                  const struct store_item *item)
+/* Writes to OUT the key of the progress of the record ID in SHARD.  */
+void
+records_progress_key (const char *shard, const char *id, char out[KEY_SIZE])
 {
-  if (!item->removed)
-    records_progress_set (r, id, item->value, item->revision);
+  snprintf (out, KEY_SIZE, "%s%s/%s", KEY_PROGRESS, shard, id);
+}
+
+/* Stores the progress ITEM as it was read from the store.  */
+void
+records_progress_item (struct records *r, const struct store_item *item)
+{
+  const char *id = strrchr (item->key, '/');
+  if (!item->removed && id != NULL && strlen (id + 1) < RR_JOB_NAME_SIZE)
+    records_progress_set (r, id + 1, item->value, item->revision);
 }
 
 /* Writes to OUT the id of the record for the part of JOB that runs in SHARD,
@@ -350,6 +395,29 @@
   owners_shard_owner_update (r->entry->owners, s);
 }
 
+/* Takes over the pending jobs that the owner of S has published in O.  */
+static void
+pending_decode (struct shard_record *s, struct json_object *o)
+{
+  struct json_object *queues = NULL;
+  free (s->pending);
+  s->pending = NULL;
+  s->pending_count = 0;
+  s->pending_revision = json_int_or (o, "revision", 0);
+  if (!json_object_object_get_ex (o, "pending", &queues)
+      || !json_object_is_type (queues, json_type_object))
+    return;
+  size_t n = (size_t)json_object_object_length (queues);
+  s->pending = calloc (n + 1, sizeof *s->pending);
+  assert (s->pending != NULL);
+  json_object_object_foreach (queues, queue, jobs)
+  {
+    struct queue_pending *p = &s->pending[s->pending_count++];
+    snprintf (p->queue, sizeof p->queue, "%s", queue);
+    p->jobs = (size_t)json_object_get_int64 (jobs);
+  }
+}
+
 static void
 on_load_item (struct records *r, const char *name,
               const struct store_item *item)
@@ -366,6 +434,7 @@
   s->demand_milli = json_int_or (o, "demand", 0);
   s->non_best_effort_cores_milli = json_int_or (o, "firm", 0);
   s->largest_free_cores_milli = json_int_or (o, "largest", 0);
+  pending_decode (s, o);
   json_object_put (o);
 }
 
@@ -426,9 +495,18 @@
       = item->removed ? NULL
                       : json_parse (item->value, item->value_length, &err);
   int64_t n = json_int_or (o, "shards", 0);
+  int64_t format = json_int_or (o, "format", 1);
   json_object_put (o);
-  if (r->shard_count > 0 || n < 1 || n > SHARDS_MAX)
+  if (r->shard_count > 0 || item->removed)
     return;
+  if (format != KEY_FORMAT || n < 1 || n > SHARDS_MAX)
+    {
+      log_event (LOG_LEVEL_ERROR, "layout_unusable",
+                 "shards=%lld format=%lld expected_format=%d revision=%lld",
+                 (long long)n, (long long)format, KEY_FORMAT,
+                 (long long)item->revision);
+      return;
+    }
   r->shard_count = (size_t)n;
   for (size_t i = 0; i < r->shard_count; i++)
     {
@@ -448,12 +526,12 @@
   {
     const char *prefix;
     void (*handle) (struct records *, const char *, const struct store_item *);
-  } handlers[] = {
-    { KEY_JOB, on_job_item },       { KEY_PROGRESS, on_progress_item },
-    { KEY_CANCEL, on_cancel_item }, { KEY_OWNER, on_owner_item },
-    { KEY_LOAD, on_load_item },     { KEY_MEMBERSHIP, on_membership_item },
-    { KEY_DAEMON, on_daemon_item }
-  };
+  } handlers[] = { { KEY_JOB, on_job_item },
+                   { KEY_CANCEL, on_cancel_item },
+                   { KEY_OWNER, on_owner_item },
+                   { KEY_LOAD, on_load_item },
+                   { KEY_MEMBERSHIP, on_membership_item },
+                   { KEY_DAEMON, on_daemon_item } };
   if (strcmp (item->key, KEY_PARTITIONING) == 0)
     on_partitioning_item (r, item);
   for (size_t i = 0; i < sizeof handlers / sizeof handlers[0]; i++)
@@ -543,13 +621,10 @@
   r->worker_index = rr_key_index_new ();
   e->records = r;
   e->records_cache = store_cache_open (e, KEY_ROOT, on_project_item, r);
-  e->progress_cache = store_cache_open (e, KEY_PROGRESS, on_project_item, r);
   e->workers_cache
       = store_cache_open (e, PLATFORM_WORKERS_PREFIX, on_worker_item, r);
   e->config_cache
       = store_cache_open (e, PLATFORM_CONFIG_KEY, on_config_item, r);
-  store_cache_set_batch_interval (e->progress_cache,
-                                  PROGRESS_BATCH_INTERVAL_MS);
   owners_caches_opened (e->owners);
   return r;
 }
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -33,6 +33,7 @@
   rr_dispatch_free (s->dispatch);
   free (s->membership_record);
   free (s->membership_record_sent);
+  free (s->published_pending);
   free (s->commands);
   shard_commit_clear (s);
   free (s);
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -72,7 +72,7 @@
       if (j == NULL)
         continue;
       char key[KEY_SIZE];
-      snprintf (key, sizeof key, "%s%s", KEY_PROGRESS, j->id);
+      records_progress_key (s->record->name, j->id, key);
       for (size_t k = 0; k < r->item_count; k++)
         if (strcmp (r->items[k].key, key) == 0
             && r->items[k].revision > j->progress_revision)
@@ -178,7 +178,7 @@
       struct commit_entry *c = &s->commit[i];
       snprintf (c->id, sizeof c->id, "%s", ids[i]);
       shard_record_id (s, ids[i], c->record);
-      snprintf (keys[i], KEY_SIZE, "%s%s", KEY_PROGRESS, c->record);
+      records_progress_key (s->record->name, c->record, keys[i]);
       c->text = rr_dispatch_progress_encode (s->dispatch, ids[i], &c->version);
       struct job_record *j = records_job (s->entry->records, c->record);
       conds[i + 1]
--- a/rosemaryentryd/shard_forget.c
+++ b/rosemaryentryd/shard_forget.c
@@ -34,7 +34,6 @@
   if (s->forgetting || rr_time_diff (now, s->last_forget) < FORGET_INTERVAL_MS)
     return;
   s->last_forget = now;
-  static const char *const prefixes[] = { KEY_JOB, KEY_PROGRESS, KEY_CANCEL };
   static char keys[3 * FORGET_JOBS_MAX][KEY_SIZE];
   const char *removals[3 * FORGET_JOBS_MAX];
   size_t n = 0;
@@ -42,11 +41,13 @@
   const struct job_record *j;
   while (n < sizeof removals / sizeof removals[0]
          && (j = records_job_next (s->entry->records, &h)) != NULL)
-    for (size_t i = 0; i < 3 && retention_expired (s, j, now); i++)
+    if (retention_expired (s, j, now))
       {
-        snprintf (keys[n], KEY_SIZE, "%s%s", prefixes[i], j->id);
-        removals[n] = keys[n];
-        n++;
+        snprintf (keys[n], KEY_SIZE, "%s%s", KEY_JOB, j->id);
+        records_progress_key (s->record->name, j->id, keys[n + 1]);
+        snprintf (keys[n + 2], KEY_SIZE, "%s%s", KEY_CANCEL, j->id);
+        for (size_t end = n + 3; n < end; n++)
+          removals[n] = keys[n];
       }
   if (n == 0)
     return;
--- a/rosemaryentryd/shard_publish.c
+++ b/rosemaryentryd/shard_publish.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "rosemaryentryd/store_cache.h"
+
 /* Publishes the shard's state to the other daemons through the store: the
    membership record, which lists the workers that the owner may use, and the
    load.  */
@@ -159,25 +161,37 @@
     return;
   struct rr_dispatch_load load;
   rr_dispatch_load_get (s->dispatch, &load, now);
+  struct records *records = s->entry->records;
+  int64_t revision = store_cache_revision (s->entry->records_cache);
+  struct json_object *pending
+      = records_pending_encode (records, s->record->name, revision);
+  bool pending_changed
+      = s->published_pending == NULL
+        || strcmp (s->published_pending, json_text (pending)) != 0;
   int64_t demand = load.used_milli + load.queued_core_ms;
   int64_t change = demand - s->published_demand;
   int64_t largest = load.largest_free_cores_milli - s->published_largest;
   if ((change < 0 ? -change : change) * 20 < load.cores_milli
       && (largest < 0 ? -largest : largest) < LOAD_LARGEST_CHANGE_MILLI
-      && !s->load_stale && s->load_sent.ms != 0
+      && !s->load_stale && !pending_changed && s->load_sent.ms != 0
       && load.cores_milli == s->record->capacity_milli)
-    return;
+    {
+      json_object_put (pending);
+      return;
+    }
   char key[KEY_SIZE];
-  char value[128];
   snprintf (key, sizeof key, "%s%s", KEY_LOAD, s->record->name);
-  snprintf (
-      value, sizeof value,
-      "{\"capacity\":%lld,\"demand\":%lld,\"firm\":%lld,\"largest\":%lld}",
-      (long long)load.cores_milli, (long long)demand,
-      (long long)load.non_best_effort_cores_milli,
-      (long long)load.largest_free_cores_milli);
+  free (s->published_pending);
+  s->published_pending = strdup (json_text (pending));
+  struct json_object *value = json_object_new_object ();
+  json_add_int (value, "capacity", load.cores_milli);
+  json_add_int (value, "demand", demand);
+  json_add_int (value, "firm", load.non_best_effort_cores_milli);
+  json_add_int (value, "largest", load.largest_free_cores_milli);
+  json_add_int (value, "revision", revision);
+  json_object_object_add (value, "pending", pending);
   struct store_condition cond = { s->owner_key, s->fencing_token };
-  struct store_write w = { .key = key, .value = value };
+  struct store_write w = { .key = key, .value = json_text (value) };
   s->load_writing = true;
   s->load_stale = false;
   s->load_sent = now;
@@ -186,4 +200,5 @@
   s->calls_in_flight++;
   store_put_if (s->entry->store, &cond, &w, COMMIT_TIMEOUT_MS, on_load_written,
                 s);
+  json_object_put (value);
 }
--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -81,31 +81,39 @@
 static void
 transfer_send (struct shard *s)
 {
-  static char keys[2 * TRANSFER_JOBS_MAX][KEY_SIZE];
+  static char keys[3 * TRANSFER_JOBS_MAX][KEY_SIZE];
   struct store_condition conds[2 * TRANSFER_JOBS_MAX + 1];
   struct store_write writes[2 * TRANSFER_JOBS_MAX];
+  const char *removals[TRANSFER_JOBS_MAX];
   size_t n = 0;
   size_t written = 0;
+  size_t removed = 0;
   conds[n++] = (struct store_condition){ s->owner_key, s->fencing_token };
   for (size_t i = 0; i < s->transfer_count; i++)
     {
       const struct transfer_entry *t = &s->transfer[i];
-      char *job = keys[2 * i];
-      char *progress = keys[2 * i + 1];
+      char *job = keys[3 * i];
+      char *progress = keys[3 * i + 1];
+      char *target_progress = keys[3 * i + 2];
       snprintf (job, KEY_SIZE, "%s%s", KEY_JOB, t->id);
-      snprintf (progress, KEY_SIZE, "%s%s", KEY_PROGRESS, t->id);
+      records_progress_key (s->record->name, t->id, progress);
+      records_progress_key (t->target, t->id, target_progress);
       conds[n++] = (struct store_condition){ job, t->revision };
       conds[n++] = (struct store_condition){ progress, t->progress_revision };
       writes[written++] = (struct store_write){ .key = job, .value = t->text };
-      /* Written again, so that its revision equals the job's.  */
-      if (t->progress != NULL)
-        writes[written++]
-            = (struct store_write){ .key = progress, .value = t->progress };
+      if (t->progress == NULL)
+        continue;
+      /* Its revision equals the job's.  */
+      writes[written++] = (struct store_write){ .key = target_progress,
+                                                .value = t->progress };
+      removals[removed++] = progress;
     }
   struct store_txn txn = { .conditions = conds,
                            .condition_count = n,
                            .writes = writes,
-                           .write_count = written };
+                           .write_count = written,
+                           .removals = removals,
+                           .removal_count = removed };
   s->transferring = true;
   s->calls_in_flight++;
   store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_transferred, s);
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -32,7 +32,10 @@
   json_object_object_add (o, "phase",
                           json_object_new_string (phase_names[p->phase]));
   struct json_object *rows = json_object_new_array ();
-  for (size_t i = 0; i < p->row_count; i++)
+  /* No task of a job that has ended starts again, so its rows are not
+     needed.  */
+  size_t count = rr_job_phase_final (p->phase) ? 0 : p->row_count;
+  for (size_t i = 0; i < count; i++)
     {
       const struct rr_progress_row *r = &p->rows[i];
       struct json_object *row = json_object_new_array ();
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -103,7 +103,7 @@
   wait_for "the store" 20 curl -s -m 1 "http://$address:$store_port/-/kv-range?prefix=x"
   wait_for "the relay" 20 curl -s -m 1 "http://$address:$((25100 + 1))/-/kv-range?prefix=x"
   store_put op/config '{"version":1,"routes":[{"name":"q","host":"desk.example","prefix":"/q/","service":"desk","priority":0,"maxAttempts":4,"slackFactor":2,"targetRuntimeMs":500,"timeoutMs":3000}],"services":[{"name":"desk"}],"limits":{}}'
-  [ -z "${layout:-}" ] || store_put rail/layout "{\"shards\":$layout}"
+  [ -z "${layout:-}" ] || store_put rail/layout "{\"shards\":$layout,\"format\":${format:-2}}"
   local i
   for i in $(seq "$2"); do start_worker "$i"; done
   for i in $(seq "$1"); do start_daemon "$i"; done
