entryd: shards follow processors, links and workers

The number of shards is now the lowest at which each shard's workers fit on an owner of its own, by half of its processor and half of its link, and at least one for ten daemons as before; the sites so far keep theirs. The first daemons wait for the workers to register before they set it (3 s at most). Owners are chosen by the same capacity.

--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -87,6 +87,7 @@
   char name[RR_JOB_NAME_SIZE];
   char zone[RR_JOB_NAME_SIZE];
   int64_t cpu_milli;         /* CPU share, thousandths of a core */
+  int64_t link_kbit;         /* of its network link, a second */
   struct settings_peer peer; /* address for other daemons; port 0: none */
 };
 
@@ -117,6 +118,7 @@
 struct shard_record *records_shard_at (struct records *r, size_t i);
 size_t records_shard_count (const struct records *r);
 size_t records_daemon_count (const struct records *r);
+size_t records_worker_count (const struct records *r);
 const struct daemon_record *records_daemon_next (const struct records *r,
                                                  struct rr_handle *cursor);
 const struct platform_worker *records_worker_next (const struct records *r,
--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -12,7 +12,8 @@
 enum
 {
   ENTRY_ZONES_MAX = 32,
-  CPU_DEFAULT_MILLI = 100 /* of a core; default of "cpu_share" */
+  CPU_DEFAULT_MILLI = 100,    /* of a core; default of "cpu_share" */
+  LINK_DEFAULT_KBIT = 1000000 /* a second; default of "link_mbps" */
 };
 
 /* Settings of an entry daemon.  Times are in milliseconds.  */
@@ -33,6 +34,7 @@
   int64_t shutdown_ms;  /* from SIGTERM until the platform sends SIGKILL */
   int64_t retention_ms; /* how long ended jobs are kept */
   int64_t cpu_milli;    /* CPU share, thousandths of a core */
+  int64_t link_kbit;    /* of the VM's network link, a second */
   double remote_factor; /* slowdown of a task outside the rack of its data */
 };
 
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -4,12 +4,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "common/log.h"
 #include "rosemaryentryd/progress_reader.h"
 #include "rosemaryentryd/session.h"
 #include "rosemaryentryd/shard.h"
+#include "rosemaryentryd/shard_assignment.h"
 #include "rosemaryentryd/store_cache.h"
 
 enum
@@ -23,11 +23,11 @@
   /* The number of shards follows from the daemons that are registered this
      long after the start.  Machines start within 0.3 s of each other.  */
   PARTITIONING_SETTLE_MS = 700,
-  /* Daemons for each shard.  Few shards give a better placement, since a shard
-     can't use free capacity of another; an owner of 115 workers uses about
-     0.09 of a core.  */
-  DAEMONS_PER_SHARD = 10,
-  CORE_MILLI_MAX = 1000000, /* scales shards per fraction of a core */
+  /* ... and from the workers, once their number has not changed for the first
+     time, or the second has passed without any.  The workers' entries are read
+     every 1.5 s.  */
+  WORKERS_SETTLE_MS = 1600,
+  WORKERS_WAIT_MAX_MS = 3000,
   /* Changes of the store are batched for this long while the daemon owns no
      shard.  */
   FOLLOWER_BATCH_MS = 400,
@@ -60,6 +60,8 @@
   struct progress_reader *reading[SHARDS_MAX]; /* null: not being read */
   struct claim claims[SHARDS_MAX];
   struct rr_time opened;
+  size_t worker_count; /* until the number of shards is set */
+  struct rr_time workers_changed;
   bool writing_partitioning;
   bool releasing;
 };
@@ -318,16 +320,38 @@
              store_state_name (r->state), (long long)r->revision);
 }
 
+/* Returns the number of shards that suits the registered daemons and
+   workers.  */
+static size_t
+partition_count (const struct owners *o)
+{
+  const struct records *r = o->entry->records;
+  int64_t *capacities
+      = calloc (records_daemon_count (r) + 1, sizeof *capacities);
+  assert (capacities != NULL);
+  size_t daemons = 0;
+  struct rr_handle h = { 0 };
+  const struct daemon_record *d;
+  while ((d = records_daemon_next (r, &h)) != NULL)
+    capacities[daemons++]
+        = shard_assignment_capacity (d->cpu_milli, d->link_kbit);
+  size_t n = shard_assignment_count (capacities, daemons,
+                                     records_worker_count (r), SHARDS_MAX);
+  free (capacities);
+  return n;
+}
+
 /* Writes the number of shards, once when the deployment first starts.  */
 static void
 write_partitioning (struct owners *o)
 {
-  size_t n = records_daemon_count (o->entry->records) / DAEMONS_PER_SHARD;
   char value[64];
-  snprintf (value, sizeof value, "{\"shards\":%zu,\"format\":%d}",
-            n < 1            ? 1
-            : n > SHARDS_MAX ? (size_t)SHARDS_MAX
-                             : n,
+  size_t n = partition_count (o);
+  log_event (LOG_LEVEL_INFO, "layout_chosen",
+             "shards=%zu daemons=%zu workers=%zu", n,
+             records_daemon_count (o->entry->records),
+             records_worker_count (o->entry->records));
+  snprintf (value, sizeof value, "{\"shards\":%zu,\"format\":%d}", n,
             KEY_FORMAT);
   struct store_condition cond = { .key = KEY_PARTITIONING, .revision = 0 };
   struct store_write w = { .key = KEY_PARTITIONING, .value = value };
@@ -336,6 +360,22 @@
                 on_partitioning_written, o);
 }
 
+/* Returns whether the workers have registered, as far as can be told: their
+   number is stable, or none have for a long time.  */
+static bool
+workers_settled (struct owners *o, struct rr_time now)
+{
+  size_t n = records_worker_count (o->entry->records);
+  if (n != o->worker_count)
+    {
+      o->worker_count = n;
+      o->workers_changed = now;
+    }
+  int64_t stable = rr_time_diff (now, o->workers_changed);
+  return n > 0 ? stable >= WORKERS_SETTLE_MS
+               : rr_time_diff (now, o->opened) >= WORKERS_WAIT_MAX_MS;
+}
+
 static size_t
 shards_owned_by (const struct owners *o, const char *daemon)
 {
@@ -346,19 +386,16 @@
   return n;
 }
 
-/* Returns the cost of the daemon NAME as the owner of one more shard; the
-   lowest is best.  Compares the number of shards that it would then own per
-   fraction of a core that it has, and a hash spreads equals.  */
+/* Returns the cost of the daemon NAME as the owner of S as well.  */
 static uint64_t
 ownership_cost (const struct owners *o, const struct shard_record *s,
-                const char *name, int64_t cpu_milli)
+                const char *name, int64_t cpu_milli, int64_t link_kbit)
 {
-  char text[2 * RR_JOB_NAME_SIZE + 2];
-  int n = snprintf (text, sizeof text, "%s/%s", s->name, name);
-  uint64_t hash = XXH64 (text, (size_t)n, 0) >> 32;
-  uint64_t shards = shards_owned_by (o, name) + 1;
-  uint64_t cpu = cpu_milli > 0 ? (uint64_t)cpu_milli : 1;
-  return (shards * CORE_MILLI_MAX / cpu) << 32 | hash;
+  struct shard_candidate c = { .name = name,
+                               .cpu_milli = cpu_milli,
+                               .link_kbit = link_kbit,
+                               .shards = shards_owned_by (o, name) };
+  return shard_assignment_cost (s->name, &c);
 }
 
 /* Returns the other daemon with the lowest cost as the next owner of S; empty
@@ -372,7 +409,8 @@
   const struct daemon_record *d;
   while ((d = records_daemon_next (o->entry->records, &h)) != NULL)
     {
-      uint64_t cost = ownership_cost (o, s, d->name, d->cpu_milli);
+      uint64_t cost
+          = ownership_cost (o, s, d->name, d->cpu_milli, d->link_kbit);
       if (strcmp (d->name, o->entry->settings.name) == 0 || cost >= lowest)
         continue;
       best = d->name;
@@ -386,13 +424,15 @@
 claim_rank (const struct owners *o, const struct shard_record *s)
 {
   const struct entry_settings *self = &o->entry->settings;
-  uint64_t own_cost = ownership_cost (o, s, self->name, self->cpu_milli);
+  uint64_t own_cost
+      = ownership_cost (o, s, self->name, self->cpu_milli, self->link_kbit);
   size_t lower = 0;
   struct rr_handle h = { 0 };
   const struct daemon_record *d;
   while ((d = records_daemon_next (o->entry->records, &h)) != NULL)
     if (strcmp (d->name, self->name) != 0
-        && ownership_cost (o, s, d->name, d->cpu_milli) < own_cost)
+        && ownership_cost (o, s, d->name, d->cpu_milli, d->link_kbit)
+               < own_cost)
       lower++;
   return lower;
 }
@@ -409,6 +449,7 @@
              > SESSION_TTL_MS)
     return;
   if (records_shard_count (o->entry->records) == 0 && !o->writing_partitioning
+      && workers_settled (o, now)
       && rr_time_diff (now, o->opened) > PARTITIONING_SETTLE_MS)
     write_partitioning (o);
   for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -176,6 +176,13 @@
   return rr_table_count (r->daemons);
 }
 
+/* Returns the number of registered workers.  */
+size_t
+records_worker_count (const struct records *r)
+{
+  return rr_table_count (r->workers);
+}
+
 const struct daemon_record *
 records_daemon_next (const struct records *r, struct rr_handle *cursor)
 {
@@ -477,6 +484,7 @@
   struct json_object *o = json_parse (item->value, item->value_length, &err);
   snprintf (d->zone, sizeof d->zone, "%s", json_string_or (o, "zone", ""));
   d->cpu_milli = json_int_or (o, "cpu", CPU_DEFAULT_MILLI);
+  d->link_kbit = json_int_or (o, "link", LINK_DEFAULT_KBIT);
   d->peer.port = 0;
   const char *peer = json_string_or (o, "peer", "");
   if (peer[0] != '\0' && !settings_parse_peer (peer, &d->peer))
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -76,8 +76,9 @@
   const struct entry_settings *self = &s->entry->settings;
   char value[4 * RR_JOB_NAME_SIZE];
   snprintf (key, sizeof key, "%s%s", KEY_DAEMON, self->name);
-  int n = snprintf (value, sizeof value, "{\"zone\":\"%s\",\"cpu\":%lld",
-                    self->zone, (long long)self->cpu_milli);
+  int n = snprintf (value, sizeof value,
+                    "{\"zone\":\"%s\",\"cpu\":%lld,\"link\":%lld", self->zone,
+                    (long long)self->cpu_milli, (long long)self->link_kbit);
   if (self->peer.port != 0)
     n += snprintf (value + n, sizeof value - (size_t)n, ",\"peer\":\"%s:%u\"",
                    self->peer.address, self->peer.port);
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -111,6 +111,8 @@
       s->retention_ms = read_scaled_number_or (o, "retention_s", 1000, 120000);
       s->cpu_milli
           = read_scaled_number_or (o, "cpu_share", 1000, CPU_DEFAULT_MILLI);
+      s->link_kbit
+          = read_scaled_number_or (o, "link_mbps", 1000, LINK_DEFAULT_KBIT);
       s->remote_factor
           = (double)read_scaled_number_or (o, "remote_factor", 1000, 3000)
             / 1000;
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -75,7 +75,7 @@
  "front": "$address:$((25500 + $1))", "ready": "$address:$((25600 + $1))",
  "metrics": "$address:$((25700 + $1))", "peer": "$address:$((25800 + $1))",
  "store": "$address:$((25100 + $1))", "lease_max_ms": 10000,
- "cpu_share": 0.1, "shutdown_s": 6,
+ "cpu_share": 0.1, "link_mbps": 1000, "shutdown_s": 6,
  "retention_s": 120, "remote_factor": 3}
 SETTINGS
   "$build/rosemaryentryd/rosemaryentryd" "$file" >>"$work/d$1.log" 2>&1 &
