entryd: commands in flight are bounded by what the link carries

The bytes of commands queued and in flight are bounded by what the link carries in 150 ms, less while commands take long. Starts beyond that stay in the dispatcher, in its order; stops never wait.

Tests command_window, dispatch/slow_link, shard_assignment.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include "platform/store.h"
+#include "rosemaryentryd/command_window.h"
 #include "rosemaryentryd/settings.h"
 #include "rosemaryrail/clock.h"
 #include "rosemaryrail/queues.h"
@@ -36,6 +37,7 @@
   struct entry_metrics *metrics;
   struct peers *peers;
   struct peer_statistics *peer_statistics;
+  struct command_window command_window; /* of commands to workers */
   bool stopping;
 };
 
--- a/include/rosemaryentryd/owners.h
+++ b/include/rosemaryentryd/owners.h
@@ -10,6 +10,7 @@
 
 struct owners *owners_open (struct entry *e);
 void owners_caches_opened (struct owners *o);
+void owners_partitioned (struct owners *o);
 void owners_job_update (struct owners *o, struct job_record *j);
 void owners_job_remove (struct owners *o, const struct job_record *j);
 void owners_job_cancel (struct owners *o, struct job_record *j);
--- a/include/rosemaryentryd/worker_connection.h
+++ b/include/rosemaryentryd/worker_connection.h
@@ -15,6 +15,7 @@
   void *data;
   struct rr_dispatch *dispatch;
   int64_t fencing_token;
+  struct command_window *window;
   /* Returns the time until which the owner may act on the shard.  */
   struct rr_time (*valid_until) (void *data);
   /* The worker has reported, could not be reached, or answered a command.  */
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -288,7 +288,8 @@
                                 const struct rr_job_graph *g);
 
 void rr_dispatch_plan (struct rr_dispatch *d, struct rr_time confirmed,
-                       struct rr_time valid_until, struct rr_time now);
+                       struct rr_time valid_until, int64_t start_bytes_max,
+                       struct rr_time now);
 
 /* Jobs with progress to store.  URGENT is set when callers wait for it.
    Returns the number of ids written to IDS, at most MAX.  */
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -186,6 +186,7 @@
       fprintf (stderr, "rosemaryentryd: %s\n", err.message);
       return 1;
     }
+  command_window_init (&e->command_window, e->settings.link_kbit);
   e->peer_statistics = peer_statistics_open (e);
   e->owners = owners_open (e);
   records_open (e);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -24,16 +24,15 @@
      long after the start.  Machines start within 0.3 s of each other.  */
   PARTITIONING_SETTLE_MS = 700,
   /* ... and from the workers, once their number has not changed for the first
-     time, or the second has passed without any.  The workers' entries are read
-     every 1.5 s.  */
-  WORKERS_SETTLE_MS = 1600,
-  WORKERS_WAIT_MAX_MS = 3000,
+     time, or the second has passed without any.  */
+  WORKERS_SETTLE_MS = 1200,
+  WORKERS_WAIT_MAX_MS = 4000,
   /* Changes of the store are batched for this long while the daemon owns no
      shard.  */
   FOLLOWER_BATCH_MS = 400,
   /* The same for the workers' entries, which heartbeats change all the time.
-     An owner has to see within 2 s that a worker drains; other daemons use the
-     entries only to select a shard.  */
+     An owner has to see within 2 s that a worker drains, and the first daemons
+     count the workers; others use the entries only to select a shard.  */
   OWNER_WORKERS_BATCH_MS = 400,
   FOLLOWER_WORKERS_BATCH_MS = 1500,
   OWNER_BATCH_MS = 10 /* changes of the store, while it owns a shard */
@@ -170,9 +169,10 @@
   bool owner = owners_shard_count (o) > 0;
   store_cache_set_batch_interval (o->entry->records_cache,
                                   owner ? OWNER_BATCH_MS : FOLLOWER_BATCH_MS);
-  store_cache_set_batch_interval (o->entry->workers_cache,
-                                  owner ? OWNER_WORKERS_BATCH_MS
-                                        : FOLLOWER_WORKERS_BATCH_MS);
+  bool starting = records_shard_count (o->entry->records) == 0;
+  store_cache_set_batch_interval (
+      o->entry->workers_cache,
+      owner || starting ? OWNER_WORKERS_BATCH_MS : FOLLOWER_WORKERS_BATCH_MS);
 }
 
 /* The caches of the store are open; the daemon owns no shard yet.  */
@@ -182,6 +182,13 @@
   set_batch_intervals (o);
 }
 
+/* The number of shards is known.  */
+void
+owners_partitioned (struct owners *o)
+{
+  set_batch_intervals (o);
+}
+
 static void
 drop_shard (struct owners *o, size_t i, const char *why)
 {
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -524,6 +524,8 @@
     }
   log_event (LOG_LEVEL_INFO, "layout", "shards=%lld revision=%lld",
              (long long)n, (long long)item->revision);
+  if (r->entry->workers_cache != NULL)
+    owners_partitioned (r->entry->owners);
 }
 
 static void
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -198,7 +198,8 @@
   struct rr_time now = entry_now ();
   struct rr_time until = s->stopping ? rr_time_from_ms (INT64_MIN / 2)
                                      : ownership_valid_until (s);
-  rr_dispatch_plan (s->dispatch, ownership_confirmed_at (s), until, now);
+  rr_dispatch_plan (s->dispatch, ownership_confirmed_at (s), until,
+                    command_window_room (&s->entry->command_window), now);
   send_commands (s);
   const char *ids[1];
   bool urgent;
@@ -282,6 +283,7 @@
           = { .data = s,
               .dispatch = s->dispatch,
               .fencing_token = s->fencing_token,
+              .window = &s->entry->command_window,
               .valid_until = ownership_valid_until,
               .changed = on_worker_changed,
               .fenced = on_fenced };
--- a/rosemaryentryd/shard_assignment.c
+++ b/rosemaryentryd/shard_assignment.c
@@ -15,7 +15,7 @@
   /* An owner's cost for each worker that runs short tasks: thousandths of a
      core, and kilobits a second in each direction, for polls and starts.  */
   WORKER_CPU_MILLI = 1,
-  WORKER_LINK_KBIT = 20,
+  WORKER_LINK_KBIT = 40,
   /* What an owner may use of its processor and link for that.  */
   OWNER_MAX_PERCENT = 50,
   COST_SCALE = 1000000 /* of shards per worker that can be carried */
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -22,7 +22,9 @@
   POLL_DELAY_MS = 10, /* batches ends that happen together */
   COMMAND_TIMEOUT_MS = 600,
   /* Each command in flight uses a connection of its own, which has a cost.  */
-  COMMANDS_IN_FLIGHT_MAX = 4
+  COMMANDS_IN_FLIGHT_MAX = 4,
+  /* A command without its spec: headers and the other fields.  */
+  COMMAND_BYTES = 500
 };
 
 /* A command with copies of what it points to.  */
@@ -33,6 +35,8 @@
   char checkpoint[RR_CHECKPOINT_SIZE];
   char permit_token[RR_PERMIT_TOKEN_SIZE];
   struct worker_connection *connection;
+  struct rr_time queued;
+  int64_t bytes; /* counted in the command window */
   struct queued_command *next;
 };
 
@@ -199,6 +203,14 @@
   poll_worker (c);
 }
 
+static void
+queued_command_free (struct queued_command *q)
+{
+  command_window_remove (q->connection->owner.window, q->bytes);
+  free (q->spec);
+  free (q);
+}
+
 static void send_commands (struct worker_connection *c);
 
 static void
@@ -208,6 +220,9 @@
   struct worker_connection *c = q->connection;
   c->calls--;
   c->commands_in_flight--;
+  if (outcome != RR_OUTCOME_UNKNOWN && outcome != RR_OUTCOME_NOT_SENT)
+    command_window_answered (
+        c->owner.window, rr_time_diff (entry_now (), q->queued), entry_now ());
   if (!c->closed && outcome == RR_OUTCOME_FENCED)
     c->owner.fenced (c->owner.data);
   else if (!c->closed)
@@ -225,8 +240,7 @@
       c->owner.changed (c->owner.data);
       send_commands (c);
     }
-  free (q->spec);
-  free (q);
+  queued_command_free (q);
   worker_connection_free_if_unused (c);
 }
 
@@ -279,8 +293,11 @@
   q->command = *command;
   q->command.worker_id = c->id;
   q->connection = c;
+  q->queued = entry_now ();
   if (command->spec != NULL)
     q->spec = strdup (command->spec);
+  q->bytes = COMMAND_BYTES + (q->spec == NULL ? 0 : (int64_t)strlen (q->spec));
+  command_window_add (c->owner.window, q->bytes);
   q->command.spec = q->spec;
   if (command->checkpoint != NULL)
     snprintf (q->checkpoint, sizeof q->checkpoint, "%s", command->checkpoint);
@@ -329,8 +346,7 @@
     {
       struct queued_command *q = c->queue_head;
       c->queue_head = q->next;
-      free (q->spec);
-      free (q);
+      queued_command_free (q);
     }
   c->queue_tail = &c->queue_head;
   worker_connection_free_if_unused (c);
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -27,6 +27,8 @@
      even where latency-critical tasks hardly tolerate it, and is throttled as
      far as they need.  */
   BEST_EFFORT_WAIT_MAX_MS = 2500,
+  /* Bytes of a start command besides the spec.  */
+  START_BYTES = 500,
   SPEED_SCORE = 1000,     /* per percent of a best-effort task's speed */
   SCORE_BASE = 1000000000 /* keeps the other tasks' scores positive */
 };
@@ -264,6 +266,7 @@
                                 .checkpoint = t->checkpoint,
                                 .permit_token = token == NULL ? "" : token,
                                 .reason = "in-turn" };
+  d->start_bytes_left -= START_BYTES + (int64_t)strlen (j->graph->spec);
   d->o.send_command (d->o.data, &command);
 }
 
@@ -440,7 +443,8 @@
         dispatch_permit_request (d, j, &name, now);
       return;
     }
-  for (name.task = 0; name.task < s->task_count; name.task++)
+  for (name.task = 0; name.task < s->task_count && d->start_bytes_left > 0;
+       name.task++)
     {
       uint32_t number;
       dispatch_task_number (j, &name, &number);
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -43,7 +43,7 @@
   size_t workers = rr_table_count (d->workers);
   d->holds_left
       = 1 + workers * CAPACITY_HOLD_WORKERS_MAX_PERCENT / (size_t)100;
-  for (size_t i = 0; i < waiting; i++)
+  for (size_t i = 0; i < waiting && d->start_bytes_left > 0; i++)
     dispatch_place_job (d, longest[i].job, now);
   d->holds_left = 0;
   free (longest);
@@ -64,7 +64,7 @@
       n++;
   qsort (ready, n, sizeof *ready, dispatch_ready_job_compare);
   place_long_waiting (d, ready, &n, now);
-  for (size_t i = 0; i < n; i++)
+  for (size_t i = 0; i < n && d->start_bytes_left > 0; i++)
     dispatch_place_job (d, ready[i].job, now);
   free (ready);
 }
@@ -164,10 +164,12 @@
 /* Decides what to start, stop and throttle now.  CONFIRMED is the last time at
    which this owner certainly held the shard: the expiry of a lease after that
    is not conclusive, since another owner may have renewed it.  Nothing starts
-   when less than START_LEASE_MIN_MS is left until VALID_UNTIL.  */
+   when less than START_LEASE_MIN_MS is left until VALID_UNTIL, and no more
+   than START_BYTES_MAX, which is what can be sent at once.  */
 void
 rr_dispatch_plan (struct rr_dispatch *d, struct rr_time confirmed,
-                  struct rr_time valid_until, struct rr_time now)
+                  struct rr_time valid_until, int64_t start_bytes_max,
+                  struct rr_time now)
 {
   struct rr_handle h = { 0 };
   struct dispatch_worker *w;
@@ -184,6 +186,7 @@
   settle_inheritance (d, confirmed);
   audit_placed_tasks (d, now);
   dispatch_interference_refresh (d, now);
+  d->start_bytes_left = start_bytes_max;
   if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS)
     place_jobs (d, now);
   h = (struct rr_handle){ 0 };
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -177,8 +177,9 @@
   uint32_t former_run;      /* lowest run number of the last owner */
   int64_t free_cores_milli; /* of usable workers, at the start of a round */
   struct rr_time audited;
-  size_t holds_left;       /* workers on which capacity may still be held */
-  struct rr_policy policy; /* of the interference model */
+  int64_t start_bytes_left; /* that may be sent in this round */
+  size_t holds_left;        /* workers on which capacity may still be held */
+  struct rr_policy policy;  /* of the interference model */
   struct rr_interference *model;
   double base_ms[RR_CLASSES_MAX]; /* lowest tail latency seen, by image */
   struct rr_time model_refreshed;
