entryd: connections by id, membership and shard of a worker without rebuilding

Cause: in a profile of the large deployment's daemons 8% of the processor time went into the membership record, built as JSON with nested searches ten times a second, and each selection of a shard hashed the rack names of all workers once for every shard.

The dispatcher lists the workers that must stay on record, and the record is built only when their ids change; connections are found by id in an index; a worker's shard is computed once.

--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -123,7 +123,8 @@
                                                  struct rr_handle *cursor);
 const struct platform_worker *records_worker_next (const struct records *r,
                                                    struct rr_handle *cursor);
-const char *records_shard_of_worker (const struct records *r,
-                                     const struct platform_worker *w);
+const struct shard_record *
+records_shard_of_worker (const struct records *r,
+                         const struct platform_worker *w);
 
 #endif
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -115,8 +115,8 @@
   char owner_key[KEY_SIZE];
   int64_t fencing_token;
   struct rr_dispatch *dispatch;
-  struct worker_connection *connections[WORKER_CONNECTIONS_MAX];
-  size_t connection_count;
+  struct rr_table *connections;          /* of struct worker_connection * */
+  struct rr_key_index *connection_index; /* by worker id */
   uv_timer_t tick;
   uv_timer_t plan_timer;
   uv_timer_t commit_timer;
@@ -130,9 +130,11 @@
   bool transfer_unknown; /* an attempt without answer may take effect */
   struct division division;
   bool membership_writing;
-  int64_t ordinal;         /* number of earlier owners of the shard */
-  char *membership_record; /* as last stored */
+  int64_t ordinal;          /* number of earlier owners of the shard */
+  char *membership_record;  /* as last stored */
+  uint64_t membership_hash; /* of its worker ids */
   char *membership_record_sent;
+  uint64_t membership_hash_sent;
   struct rr_time load_sent;
   struct rr_time statistics_sent; /* to other owners */
   bool load_writing;
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -216,8 +216,8 @@
 bool rr_dispatch_worker_droppable (const struct rr_dispatch *d,
                                    struct rr_handle h, struct rr_time now);
 void rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h);
-bool rr_dispatch_worker_needed (struct rr_dispatch *d, const char *id,
-                                struct rr_time now);
+size_t rr_dispatch_needed_workers (struct rr_dispatch *d, const char **ids,
+                                   size_t max, struct rr_time now);
 
 int64_t rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
                                   struct rr_time valid_until,
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -125,7 +125,9 @@
 static struct shard *
 shard_of_worker (const struct owners *o, const struct platform_worker *w)
 {
-  return shard_named (o, records_shard_of_worker (o->entry->records, w));
+  const struct shard_record *s
+      = records_shard_of_worker (o->entry->records, w);
+  return s == NULL ? NULL : o->shards[shard_number (o, s)];
 }
 
 void
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -13,6 +13,13 @@
 #include "rosemaryentryd/shard_selection.h"
 #include "rosemaryentryd/store_cache.h"
 
+/* A registered worker.  */
+struct worker_record
+{
+  struct platform_worker worker; /* first: pointers to it are converted */
+  const struct shard_record *shard;
+};
+
 struct records
 {
   struct entry *entry;
@@ -157,16 +164,19 @@
   return found ? sum : XXH64 (rack, strlen (rack), 0);
 }
 
-/* Returns the name of the shard that worker W belongs to, or "" while the
+/* Returns the shard that the registered worker W belongs to; null while the
    number of shards is unknown.  All workers of a rack belong to one shard.  */
-const char *
+const struct shard_record *
 records_shard_of_worker (const struct records *r,
                          const struct platform_worker *w)
 {
+  /* Selections compare all workers with all shards, so the hash is computed
+     once a worker.  */
+  struct worker_record *record = (struct worker_record *)w;
   const char *rack = w->info.rack[0] != '\0' ? w->info.rack : w->info.id;
-  if (r->shard_count == 0)
-    return "";
-  return r->shards[rack_hash (rack) % r->shard_count].name;
+  if (r->shard_count > 0 && record->shard == NULL)
+    record->shard = &r->shards[rack_hash (rack) % r->shard_count];
+  return record->shard;
 }
 
 /* Returns the number of registered daemons.  */
@@ -560,7 +570,7 @@
 {
   struct records *r = data;
   struct rr_handle h = rr_key_index_get (r->worker_index, item->key);
-  struct platform_worker *known = rr_table_get (r->workers, h);
+  struct worker_record *known = rr_table_get (r->workers, h);
   struct platform_worker w;
   struct rr_error err = { 0 };
   bool usable = !item->removed
@@ -573,7 +583,7 @@
     {
       if (known == NULL)
         return;
-      owners_worker_unlist (r->entry->owners, known);
+      owners_worker_unlist (r->entry->owners, &known->worker);
       rr_key_index_remove (r->worker_index, item->key);
       rr_table_remove (r->workers, h);
       return;
@@ -583,8 +593,9 @@
       known = rr_table_insert (r->workers, &h);
       rr_key_index_put (r->worker_index, item->key, h);
     }
-  *known = w;
-  owners_worker_update (r->entry->owners, known);
+  known->worker = w;
+  known->shard = NULL; /* its rack may have changed */
+  owners_worker_update (r->entry->owners, &known->worker);
 }
 
 static void
@@ -627,7 +638,7 @@
   r->job_index = rr_key_index_new ();
   r->daemons = rr_table_new (sizeof (struct daemon_record));
   r->daemon_index = rr_key_index_new ();
-  r->workers = rr_table_new (sizeof (struct platform_worker));
+  r->workers = rr_table_new (sizeof (struct worker_record));
   r->worker_index = rr_key_index_new ();
   e->records = r;
   e->records_cache = store_cache_open (e, KEY_ROOT, on_project_item, r);
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -31,6 +31,8 @@
   shard_transfer_clear (s);
   shard_divide_clear (s);
   rr_dispatch_free (s->dispatch);
+  rr_table_free (s->connections);
+  rr_key_index_free (s->connection_index);
   free (s->membership_record);
   free (s->membership_record_sent);
   free (s->published_pending);
@@ -53,9 +55,14 @@
 shard_close (struct shard *s)
 {
   s->closed = true;
-  for (size_t i = 0; i < s->connection_count; i++)
-    worker_connection_close (s->connections[i]);
-  s->connection_count = 0;
+  struct rr_handle h = { 0 };
+  struct worker_connection **c;
+  while ((c = rr_table_next (s->connections, &h)) != NULL)
+    worker_connection_close (*c);
+  rr_table_free (s->connections);
+  rr_key_index_free (s->connection_index);
+  s->connections = rr_table_new (sizeof *c);
+  s->connection_index = rr_key_index_new ();
   uv_close ((uv_handle_t *)&s->tick, on_timer_closed);
   uv_close ((uv_handle_t *)&s->plan_timer, on_timer_closed);
   uv_close ((uv_handle_t *)&s->commit_timer, on_timer_closed);
@@ -153,24 +160,32 @@
 struct worker_connection *
 shard_worker_connection (const struct shard *s, const char *worker_id)
 {
-  for (size_t i = 0; i < s->connection_count; i++)
-    if (strcmp (worker_connection_worker_id (s->connections[i]), worker_id)
-        == 0)
-      return s->connections[i];
-  return NULL;
+  struct worker_connection **c = rr_table_get (
+      s->connections, rr_key_index_get (s->connection_index, worker_id));
+  return c == NULL ? NULL : *c;
+}
+
+static void
+add_connection (struct shard *s, struct worker_connection *connection)
+{
+  struct rr_handle h;
+  struct worker_connection **c = rr_table_insert (s->connections, &h);
+  *c = connection;
+  rr_key_index_put (s->connection_index,
+                    worker_connection_worker_id (connection), h);
 }
 
 static void
 drop_connection (struct shard *s, const char *worker_id)
 {
-  for (size_t i = 0; i < s->connection_count; i++)
-    if (strcmp (worker_connection_worker_id (s->connections[i]), worker_id)
-        == 0)
-      {
-        worker_connection_close (s->connections[i]);
-        s->connections[i] = s->connections[--s->connection_count];
-        return;
-      }
+  struct rr_handle h = rr_key_index_get (s->connection_index, worker_id);
+  struct worker_connection **c = rr_table_get (s->connections, h);
+  if (c == NULL)
+    return;
+  struct worker_connection *connection = *c;
+  rr_key_index_remove (s->connection_index, worker_id);
+  rr_table_remove (s->connections, h);
+  worker_connection_close (connection);
 }
 
 /* Sends the commands of the planning round.  */
@@ -225,14 +240,15 @@
 static void
 drop_idle_workers (struct shard *s, struct rr_time now)
 {
-  for (size_t i = s->connection_count; i-- > 0;)
+  struct rr_handle h = { 0 };
+  struct worker_connection **c;
+  while ((c = rr_table_next (s->connections, &h)) != NULL)
     {
-      struct rr_handle h = worker_connection_worker (s->connections[i]);
-      if (!rr_dispatch_worker_droppable (s->dispatch, h, now))
+      struct rr_handle worker = worker_connection_worker (*c);
+      if (!rr_dispatch_worker_droppable (s->dispatch, worker, now))
         continue;
-      worker_connection_close (s->connections[i]);
-      s->connections[i] = s->connections[--s->connection_count];
-      rr_dispatch_worker_drop (s->dispatch, h);
+      drop_connection (s, worker_connection_worker_id (*c));
+      rr_dispatch_worker_drop (s->dispatch, worker);
     }
 }
 
@@ -277,7 +293,7 @@
       rr_dispatch_commands_abandoned (s->dispatch, h, entry_now ());
       c = NULL;
     }
-  if (c == NULL && s->connection_count < WORKER_CONNECTIONS_MAX)
+  if (c == NULL && rr_table_count (s->connections) < WORKER_CONNECTIONS_MAX)
     {
       struct worker_connection_owner owner
           = { .data = s,
@@ -287,8 +303,8 @@
               .valid_until = ownership_valid_until,
               .changed = on_worker_changed,
               .fenced = on_fenced };
-      s->connections[s->connection_count++]
-          = worker_connection_open (s->entry->loop, &owner, w, h);
+      add_connection (s,
+                      worker_connection_open (s->entry->loop, &owner, w, h));
     }
   shard_schedule_planning (s);
 }
@@ -420,6 +436,8 @@
   s->entry = e;
   s->record = record;
   s->fencing_token = fencing_token;
+  s->connections = rr_table_new (sizeof (struct worker_connection *));
+  s->connection_index = rr_key_index_new ();
   snprintf (s->owner_key, sizeof s->owner_key, "%s%s", KEY_OWNER,
             record->name);
   struct rr_dispatch_options o
@@ -451,11 +469,12 @@
   struct rr_handle hw = { 0 };
   const struct platform_worker *w;
   while ((w = records_worker_next (e->records, &hw)) != NULL)
-    if (strcmp (records_shard_of_worker (e->records, w), record->name) == 0)
+    if (records_shard_of_worker (e->records, w) == record)
       shard_worker_update (s, w);
   log_event (LOG_LEVEL_INFO, "shard_owned",
              "shard=%s token=%lld inherited=%s jobs=%zu workers=%zu",
              record->name, (long long)fencing_token,
-             inherited ? "true" : "false", jobs, s->connection_count);
+             inherited ? "true" : "false", jobs,
+             rr_table_count (s->connections));
   return s;
 }
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -115,8 +115,10 @@
       record_progress (s, c, revision);
       rr_dispatch_progress_stored (s->dispatch, c->id, c->version);
     }
-  for (size_t i = 0; i < s->connection_count; i++)
-    worker_connection_progress_stored (s->connections[i]);
+  struct rr_handle h = { 0 };
+  struct worker_connection **c;
+  while ((c = rr_table_next (s->connections, &h)) != NULL)
+    worker_connection_progress_stored (*c);
 }
 
 /* Frees the entries of the write in flight.  */
--- a/rosemaryentryd/shard_publish.c
+++ b/rosemaryentryd/shard_publish.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "rosemaryentryd/store_cache.h"
 
@@ -11,24 +12,6 @@
    membership record, which lists the workers that the owner may use, and the
    load.  */
 
-static bool
-list_has (struct json_object *list, const char *id)
-{
-  for (size_t i = 0; i < json_object_array_length (list); i++)
-    if (strcmp (json_object_get_string (json_object_array_get_idx (list, i)),
-                id)
-        == 0)
-      return true;
-  return false;
-}
-
-static void
-list_add (struct json_object *list, const char *id)
-{
-  if (!list_has (list, id))
-    json_object_array_add (list, json_object_new_string (id));
-}
-
 /* Parses a stored membership record.  Returns the list of worker ids, which
    the caller releases, and sets ORDINAL to that of the owner that wrote it.
    TEXT is null when no record is stored.  */
@@ -50,35 +33,13 @@
   return list;
 }
 
-/* Returns the membership record: the workers that may receive tasks or may run
-   some.  These are the workers in use, and those of former owners that have
-   not responded yet.  */
+/* Returns the membership record with the COUNT workers IDS.  */
 static char *
-membership_text (struct shard *s)
+membership_text (const struct shard *s, const char *const *ids, size_t count)
 {
   struct json_object *list = json_object_new_array ();
-  struct rr_time now = entry_now ();
-  struct rr_handle h = { 0 };
-  const struct platform_worker *w;
-  while ((w = records_worker_next (s->entry->records, &h)) != NULL)
-    if (shard_worker_connection (s, w->info.id) != NULL
-        && rr_dispatch_worker_needed (s->dispatch, w->info.id, now))
-      list_add (list, w->info.id);
-  for (size_t i = 0; i < s->connection_count; i++)
-    if (rr_dispatch_worker_needed (
-            s->dispatch, worker_connection_worker_id (s->connections[i]), now))
-      list_add (list, worker_connection_worker_id (s->connections[i]));
-  int64_t ordinal;
-  struct json_object *before
-      = shard_membership_parse (s->record->stored_membership, &ordinal);
-  for (size_t i = 0; i < json_object_array_length (before); i++)
-    {
-      const char *id
-          = json_object_get_string (json_object_array_get_idx (before, i));
-      if (rr_dispatch_worker_needed (s->dispatch, id, now))
-        list_add (list, id);
-    }
-  json_object_put (before);
+  for (size_t i = 0; i < count; i++)
+    json_object_array_add (list, json_object_new_string (ids[i]));
   struct json_object *record = json_object_new_object ();
   json_add_int (record, "ordinal", s->ordinal);
   json_object_object_add (record, "workers", list);
@@ -87,6 +48,15 @@
   return text;
 }
 
+static uint64_t
+ids_hash (const char *const *ids, size_t count)
+{
+  uint64_t hash = count;
+  for (size_t i = 0; i < count; i++)
+    hash = XXH64 (ids[i], strlen (ids[i]), hash);
+  return hash;
+}
+
 /* Tells the dispatcher which workers are in the stored record, since only
    those may receive tasks.  */
 static void
@@ -103,6 +73,12 @@
   json_object_put (list);
 }
 
+enum
+{
+  /* Workers of this owner, and of former owners that have not responded.  */
+  MEMBERSHIP_MAX = 2 * WORKER_CONNECTIONS_MAX
+};
+
 static void
 on_membership_written (void *data, const struct store_result *r)
 {
@@ -112,24 +88,28 @@
     return;
   free (s->membership_record);
   s->membership_record = s->membership_record_sent;
+  s->membership_hash = s->membership_hash_sent;
   s->membership_record_sent = NULL;
   membership_mark_recorded (s);
   shard_schedule_planning (s);
 }
 
-/* Writes the membership record if it has changed, so that a later owner polls
-   all these workers before it concludes that a task is not running.  */
+/* Writes the membership record if it has changed: the workers that may receive
+   tasks or may run some.  A later owner polls all of them before it concludes
+   that a task is not running.  */
 void
 shard_write_membership (struct shard *s)
 {
   if (s->membership_writing)
     return;
-  char *text = membership_text (s);
-  if (s->membership_record != NULL && strcmp (text, s->membership_record) == 0)
-    {
-      free (text);
-      return;
-    }
+  const char *ids[MEMBERSHIP_MAX];
+  size_t count = rr_dispatch_needed_workers (s->dispatch, ids, MEMBERSHIP_MAX,
+                                             entry_now ());
+  uint64_t hash = ids_hash (ids, count);
+  if (s->membership_record != NULL && hash == s->membership_hash)
+    return;
+  char *text = membership_text (s, ids, count);
+  s->membership_hash_sent = hash;
   char key[KEY_SIZE];
   snprintf (key, sizeof key, "%s%s", KEY_MEMBERSHIP, s->record->name);
   struct store_condition cond = { s->owner_key, s->fencing_token };
--- a/rosemaryentryd/shard_selection.c
+++ b/rosemaryentryd/shard_selection.c
@@ -61,7 +61,7 @@
   while ((w = records_worker_next (e->records, &h)) != NULL)
     {
       if (w->info.draining || strcmp (w->info.service, g->service) != 0
-          || strcmp (records_shard_of_worker (e->records, w), s->name) != 0)
+          || records_shard_of_worker (e->records, w) != s)
         continue;
       fit.capacity_milli += w->info.cores_milli;
       fit.has_rack = fit.has_rack || rr_worker_has_label (&w->info, rack);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -88,27 +88,41 @@
       }
 }
 
-/* Returns true when the worker ID must stay in the membership record, because
-   tasks may be started on it or may still run there, or because it lists ends
-   that are not stored yet.  An unresponsive worker with neither leaves the
-   record, so that a later owner need not wait for it; no task starts on it
-   until it is recorded again.  */
-bool
-rr_dispatch_worker_needed (struct rr_dispatch *d, const char *id,
-                           struct rr_time now)
+static bool
+worker_needed (const struct dispatch_worker *w, struct rr_time now)
 {
-  struct dispatch_worker *w = worker_find (d, id);
-  bool fresh = w != NULL && w->reported
-               && rr_time_diff (now, w->last_report) <= UNRESPONSIVE_MS;
-  if (w != NULL
-      && (w->run_count > 0 || w->end_count > 0 || (w->registered && fresh)))
-    return true;
-  if (w != NULL && w->reported)
-    w->recorded = false;
-  for (size_t i = 0; i < d->inherited_count; i++)
-    if (strcmp (d->inherited[i], id) == 0)
-      return true;
-  return false;
+  bool fresh
+      = w->reported && rr_time_diff (now, w->last_report) <= UNRESPONSIVE_MS;
+  return w->run_count > 0 || w->end_count > 0 || (w->registered && fresh);
+}
+
+/* Writes to IDS the ids of at most MAX workers that must stay in the
+   membership record, because tasks may be started on them or may still run
+   there, or because they list ends that are not stored yet.  An unresponsive
+   worker with neither leaves the record, so that a later owner need not wait
+   for it; no task starts on it until it is recorded again.  Returns the
+   number.  The ids are valid until a worker is added, dropped or polled.  */
+size_t
+rr_dispatch_needed_workers (struct rr_dispatch *d, const char **ids,
+                            size_t max, struct rr_time now)
+{
+  size_t n = 0;
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while (n < max && (w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      if (worker_needed (w, now))
+        ids[n++] = w->info.id;
+      else if (w->reported)
+        w->recorded = false;
+    }
+  for (size_t i = 0; n < max && i < d->inherited_count; i++)
+    {
+      w = worker_find (d, d->inherited[i]);
+      if (w == NULL || !worker_needed (w, now))
+        ids[n++] = d->inherited[i];
+    }
+  return n;
 }
 
 /* Returns the run of W with the task and run number of NAME, or null.  */
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -734,10 +734,11 @@
     poll_workers (words > 1 ? word[1] : NULL);
   else if (strcmp (c, "needed") == 0)
     {
+      const char *ids[2 * WORKERS_MAX];
+      size_t n = rr_dispatch_needed_workers (d, ids, 2 * WORKERS_MAX, now);
       printf ("needed:");
-      for (size_t i = 0; i < worker_count; i++)
-        if (rr_dispatch_worker_needed (d, workers[i].id, now))
-          printf (" %s", workers[i].id);
+      for (size_t i = 0; i < n; i++)
+        printf (" %s", ids[i]);
       printf ("\n");
     }
   else if (strcmp (c, "store") == 0)
--- a/tests/entry/test_shard_selection.c
+++ b/tests/entry/test_shard_selection.c
@@ -25,12 +25,12 @@
   return cursor->index < WORKERS ? &workers[cursor->index++] : NULL;
 }
 
-const char *
+const struct shard_record *
 records_shard_of_worker (const struct records *r,
                          const struct platform_worker *w)
 {
   (void)r;
-  return shards[(w - workers) % SHARDS].name;
+  return &shards[(w - workers) % SHARDS];
 }
 
 struct shard_record *
