entryd: late answers of slow workers are used

Cause: a poll without an answer after 1.2 s was cancelled and the worker polled without a lease until one was answered in time.

A poll now waits as long as a lease lasts, beside later ones on other connections; its answer counts whenever it comes. The latest lease end that ownership allows counts from the answer, since the clock may have been read just before it.

--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -13,6 +13,11 @@
   POLL_WAIT_MS = 600,     /* longest time between two status reports */
   POLL_TIMEOUT_MS = 1200, /* the wait and an answer over a slow network */
   PROBE_TIMEOUT_MS = 600, /* for a poll that returns at once */
+  /* An answer that comes later is still used, for as long as a lease: it says
+     what runs on a slow worker, and which runs have ended.  Meanwhile the
+     worker is polled on other connections.  */
+  POLL_ANSWER_MAX_MS = 4500,
+  POLLS_IN_FLIGHT_MAX = 3,
   POLL_RETRY_MIN_MS = 50,
   POLL_RETRY_MAX_MS = 400,
   /* A poll returns at once while the worker has ends that are not stored yet,
@@ -49,10 +54,13 @@
   char address[RR_JOB_NAME_SIZE];
   uint16_t port;
   struct rr_handle worker;
-  uv_timer_t timer;
-  bool polling;
-  bool awaiting_store; /* the next poll waits until ends are stored */
-  bool unresponsive;   /* the last poll had no valid answer */
+  uv_timer_t timer; /* the next poll, or the timeout of the last one */
+  bool polling;     /* the last poll may still be answered in time */
+  bool renewing;    /* the last poll renews leases */
+  uint64_t poll_number;
+  size_t polls_in_flight; /* late ones included */
+  bool awaiting_store;    /* the next poll waits until ends are stored */
+  bool unresponsive;      /* the last poll had no valid answer */
   uint64_t retry_ms;
   size_t commands_in_flight;
   struct queued_command *queue_head;
@@ -61,7 +69,15 @@
   bool closed;
 };
 
+/* A poll in flight.  */
+struct poll
+{
+  struct worker_connection *connection;
+  uint64_t number;
+};
+
 static void poll_worker (struct worker_connection *c);
+static void schedule_poll (struct worker_connection *c, uint64_t ms);
 
 const char *
 worker_connection_worker_id (const struct worker_connection *c)
@@ -98,13 +114,22 @@
     uv_close ((uv_handle_t *)&c->timer, on_timer_closed);
 }
 
+static void on_poll_unanswered (struct worker_connection *c,
+                                enum rr_command_outcome outcome);
+
 static void
 on_timer (uv_timer_t *timer)
 {
   struct worker_connection *c = timer->data;
   c->awaiting_store = false;
-  if (!c->closed && !c->polling)
+  if (c->closed)
+    return;
+  if (c->polling)
+    on_poll_unanswered (c, RR_OUTCOME_UNKNOWN);
+  else if (c->polls_in_flight < POLLS_IN_FLIGHT_MAX || !c->unresponsive)
     poll_worker (c);
+  else
+    schedule_poll (c, c->retry_ms);
 }
 
 static void
@@ -135,37 +160,58 @@
     c->retry_ms *= 2;
 }
 
+/* The last poll was not answered in time, or not at all.  */
+static void
+on_poll_unanswered (struct worker_connection *c,
+                    enum rr_command_outcome outcome)
+{
+  c->polling = false;
+  rr_dispatch_worker_unreachable (c->owner.dispatch, c->worker);
+  on_worker_unresponsive (c, outcome);
+  c->owner.changed (c->owner.data);
+}
+
+/* Applies a report, which may have come late.  */
+static void
+on_report (struct worker_connection *c, const struct rr_worker_report *report)
+{
+  on_worker_responded (c);
+  rr_dispatch_report_apply (c->owner.dispatch, c->worker, report,
+                            entry_now ());
+  /* A probe that is waited for renews no lease.  An answered poll that does
+     is waited for, and its answer schedules the next one.  */
+  if (!c->polling || !c->renewing)
+    {
+      c->polling = false;
+      c->awaiting_store = rr_dispatch_worker_has_unstored_ends (
+          c->owner.dispatch, c->worker);
+      schedule_poll (c, c->awaiting_store ? STORE_WAIT_MAX_MS : POLL_DELAY_MS);
+    }
+  c->owner.changed (c->owner.data);
+}
+
 static void
 on_poll_done (void *data, enum rr_command_outcome outcome,
               const struct rr_worker_report *report)
 {
-  struct worker_connection *c = data;
+  struct poll *poll = data;
+  struct worker_connection *c = poll->connection;
+  bool in_time = c->polling && poll->number == c->poll_number;
+  free (poll);
   c->calls--;
-  c->polling = false;
+  c->polls_in_flight--;
   if (c->closed)
+    worker_connection_free_if_unused (c);
+  else if (outcome == RR_OUTCOME_FENCED)
+    c->owner.fenced (c->owner.data);
+  else if (report != NULL)
     {
-      worker_connection_free_if_unused (c);
-      return;
-    }
-  if (outcome == RR_OUTCOME_FENCED)
-    {
-      c->owner.fenced (c->owner.data);
-      return;
-    }
-  if (report == NULL)
-    {
-      rr_dispatch_worker_unreachable (c->owner.dispatch, c->worker);
-      on_worker_unresponsive (c, outcome);
-      c->owner.changed (c->owner.data);
-      return;
+      if (in_time)
+        c->polling = false;
+      on_report (c, report);
     }
-  on_worker_responded (c);
-  rr_dispatch_report_apply (c->owner.dispatch, c->worker, report,
-                            entry_now ());
-  c->awaiting_store
-      = rr_dispatch_worker_has_unstored_ends (c->owner.dispatch, c->worker);
-  schedule_poll (c, c->awaiting_store ? STORE_WAIT_MAX_MS : POLL_DELAY_MS);
-  c->owner.changed (c->owner.data);
+  else if (in_time)
+    on_poll_unanswered (c, outcome);
 }
 
 static void
@@ -176,7 +222,7 @@
     .id = c->id,
     .token = c->owner.fencing_token,
     .observed = rr_dispatch_worker_stored_end (c->owner.dispatch, c->worker),
-    .timeout_ms = POLL_TIMEOUT_MS,
+    .timeout_ms = POLL_ANSWER_MAX_MS,
   };
   k.lease_end = rr_dispatch_worker_lease (
       c->owner.dispatch, c->worker, c->owner.valid_until (c->owner.data), now);
@@ -184,11 +230,16 @@
      unresponsive.  */
   if (k.lease_end > 0)
     k.wait_ms = POLL_WAIT_MS;
-  else
-    k.timeout_ms = PROBE_TIMEOUT_MS;
+  struct poll *poll = calloc (1, sizeof *poll);
+  assert (poll != NULL);
+  poll->connection = c;
+  poll->number = ++c->poll_number;
   c->polling = true;
+  c->renewing = k.lease_end > 0;
   c->calls++;
-  platform_worker_poll (c->upstream, &k, entry_now, on_poll_done, c);
+  c->polls_in_flight++;
+  schedule_poll (c, k.lease_end > 0 ? POLL_TIMEOUT_MS : PROBE_TIMEOUT_MS);
+  platform_worker_poll (c->upstream, &k, entry_now, on_poll_done, poll);
 }
 
 /* Progress was stored.  Polls the worker if all ends that it listed are
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -365,16 +365,21 @@
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   if (w == NULL || !w->has_clock || w->unresponsive)
     return 0;
-  int64_t ahead = d->o.lease_ms;
   int64_t valid = rr_time_diff (valid_until, now);
-  if (valid < ahead)
-    ahead = valid;
-  if (ahead <= 0)
+  if (valid <= 0)
     return 0;
   int64_t end
       = w->clock_ms
         + (int64_t)((double)rr_time_diff (now, w->clock_sent) * CLOCK_RATE_MIN)
-        + ahead;
+        + d->o.lease_ms;
+  /* The clock was read between the poll and its answer, which may have come
+     late, so the latest end counts from the answer.  */
+  int64_t last = w->clock_ms
+                 + (int64_t)((double)rr_time_diff (now, w->clock_received)
+                             * CLOCK_RATE_MIN)
+                 + valid;
+  if (last < end)
+    end = last;
   if (end > w->lease_clock_ms)
     w->lease_clock_ms = end;
   return end;
