entryd: only owners and their successors follow the workers' entries

Owners, and the two daemons that would claim a shard first, follow the entries; others read them every 10 s, as of a few seconds ago, for the selection of shards. A daemon that claims a shard reads them before it serves it, so that it starts nothing on a worker that drains. An entry in which only the fields of a heartbeat changed is not decoded again.

--- a/include/platform/documents.h
+++ b/include/platform/documents.h
@@ -45,6 +45,10 @@
 bool platform_worker_decode (const char *key, const char *text, size_t length,
                              struct platform_worker *w, struct rr_error *err);
 
+/* Returns a digest of TEXT, the registration of a worker, that changes with
+   more than a heartbeat.  */
+uint64_t platform_worker_digest (const char *text, size_t length);
+
 /* Bodies of responses to callers, in JSON.  */
 const char *platform_state_response (enum rr_job_phase phase);
 void platform_pending_response (size_t pending, char *out, size_t size);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -83,7 +83,8 @@
 void store_get (struct store *s, const char *key, uint64_t timeout_ms,
                 store_done_fn *done, void *data);
 void store_range (struct store *s, const char *prefix, const char *after,
-                  uint64_t timeout_ms, store_done_fn *done, void *data);
+                  bool may_be_stale, uint64_t timeout_ms, store_done_fn *done,
+                  void *data);
 void store_watch (struct store *s, const char *prefix, int64_t after,
                   uint64_t wait_ms, uint64_t timeout_ms, store_done_fn *done,
                   void *data);
--- a/include/rosemaryentryd/store_cache.h
+++ b/include/rosemaryentryd/store_cache.h
@@ -19,6 +19,8 @@
 struct rr_time store_cache_confirmed_at (const struct store_cache *c);
 int64_t store_cache_revision (const struct store_cache *c);
 void store_cache_catch_up (struct store_cache *c);
+void store_cache_set_read_interval (struct store_cache *c,
+                                    uint64_t interval_ms);
 void store_cache_set_batch_interval (struct store_cache *c,
                                      uint64_t batch_interval_ms);
 
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -35,7 +35,13 @@
      count the workers; others use the entries only to select a shard.  */
   OWNER_WORKERS_BATCH_MS = 400,
   FOLLOWER_WORKERS_BATCH_MS = 1500,
-  OWNER_BATCH_MS = 10 /* changes of the store, while it owns a shard */
+  OWNER_BATCH_MS = 10, /* changes of the store, while it owns a shard */
+  /* The daemons that would claim a shard first follow the workers' entries
+     like an owner.  Others read them at this interval, since heartbeats change
+     each entry every 1.5 s.  */
+  STANDBY_RANKS = 2,
+  WORKERS_READ_INTERVAL_MS = 10000,
+  STANDBY_CHECK_INTERVAL_MS = 3000
 };
 
 /* A claim of a shard, for the callbacks of its calls.  */
@@ -61,6 +67,8 @@
   struct rr_time opened;
   size_t worker_count; /* until the number of shards is set */
   struct rr_time workers_changed;
+  bool follows_workers;
+  struct rr_time standby_checked;
   bool writing_partitioning;
   bool releasing;
 };
@@ -223,6 +231,7 @@
 }
 
 static void serve_shard (struct owners *o, size_t i);
+static void set_following (struct owners *o, bool follow);
 
 static void
 on_progress_read (void *data, bool complete)
@@ -273,7 +282,14 @@
     return;
   if (!progress_is_read (o, i))
     return;
-  store_cache_catch_up (o->entry->workers_cache);
+  /* A new owner must not start tasks on a worker that drains meanwhile.  */
+  set_following (o, true);
+  if (!store_cache_synced (o->entry->workers_cache)
+      || store_cache_revision (o->entry->workers_cache) < s->owner_revision)
+    {
+      store_cache_catch_up (o->entry->workers_cache);
+      return;
+    }
   o->shards[i] = shard_open (o->entry, s, s->owner_revision,
                              s->stored_membership != NULL);
   set_batch_intervals (o);
@@ -446,11 +462,49 @@
   return lower;
 }
 
+/* Returns whether this daemon owns a shard, is claiming one or would be among
+   the first to claim one.  */
+static bool
+is_standby (const struct owners *o)
+{
+  for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
+    {
+      const struct shard_record *s = records_shard_at (o->entry->records, i);
+      if (o->shards[i] != NULL || o->claiming[i]
+          || strcmp (s->owner, o->entry->settings.name) == 0
+          || claim_rank (o, s) < STANDBY_RANKS)
+        return true;
+    }
+  return records_shard_count (o->entry->records) == 0;
+}
+
+static void
+set_following (struct owners *o, bool follow)
+{
+  if (o->follows_workers == follow)
+    return;
+  o->follows_workers = follow;
+  log_event (LOG_LEVEL_INFO, "workers_followed", "follow=%s",
+             follow ? "true" : "false");
+  store_cache_set_read_interval (o->entry->workers_cache,
+                                 follow ? 0 : WORKERS_READ_INTERVAL_MS);
+}
+
+static void
+check_standby (struct owners *o, struct rr_time now)
+{
+  if (rr_time_diff (now, o->standby_checked) < STANDBY_CHECK_INTERVAL_MS)
+    return;
+  o->standby_checked = now;
+  set_following (o, is_standby (o));
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
   struct owners *o = timer->data;
   struct rr_time now = entry_now ();
+  check_standby (o, now);
   if (o->releasing || !store_cache_synced (o->entry->records_cache)
       || session_lease (o->entry->session) == 0
       || rr_time_diff (now, o->opened) < SETTLE_MS
@@ -483,6 +537,7 @@
   assert (o != NULL);
   o->entry = e;
   o->opened = entry_now ();
+  o->follows_workers = true;
   uv_timer_init (e->loop, &o->timer);
   o->timer.data = o;
   uv_timer_start (&o->timer, on_tick, TICK_MS, TICK_MS);
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -18,6 +18,7 @@
 {
   struct platform_worker worker; /* first: pointers to it are converted */
   const struct shard_record *shard;
+  uint64_t digest; /* of its registration, without what heartbeats change */
 };
 
 struct records
@@ -573,6 +574,11 @@
   struct worker_record *known = rr_table_get (r->workers, h);
   struct platform_worker w;
   struct rr_error err = { 0 };
+  uint64_t digest = 0;
+  if (!item->removed)
+    digest = platform_worker_digest (item->value, item->value_length);
+  if (known != NULL && !item->removed && digest == known->digest)
+    return;
   bool usable = !item->removed
                 && platform_worker_decode (item->key, item->value,
                                            item->value_length, &w, &err);
@@ -594,6 +600,7 @@
       rr_key_index_put (r->worker_index, item->key, h);
     }
   known->worker = w;
+  known->digest = digest;
   known->shard = NULL; /* its rack may have changed */
   owners_worker_update (r->entry->owners, &known->worker);
 }
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -35,6 +35,8 @@
   struct rr_key_index *index;
   uv_timer_t timer;
   uint64_t batch_interval_ms; /* between watches, to batch changes */
+  uint64_t read_interval_ms;  /* between full reads; 0: watches instead */
+  bool read_wanted; /* a full read as soon as no call is waited for */
   uint64_t retry_ms;
   int64_t revision;           /* all changes up to it are applied */
   int64_t full_read_revision; /* of the store when the full read began */
@@ -49,6 +51,8 @@
 };
 
 static void page_read (struct store_cache *c);
+static void full_read_start (struct store_cache *c);
+static void follow (struct store_cache *c);
 static void watch_start (struct store_cache *c);
 
 /* Returns whether a full read has completed.  */
@@ -88,6 +92,8 @@
   struct store_cache *c = timer->data;
   if (c->full_read)
     page_read (c);
+  else if (c->read_interval_ms > 0)
+    full_read_start (c);
   else
     watch_start (c);
 }
@@ -193,18 +199,19 @@
   remove_missing_rows (c);
   c->full_read = false;
   c->revision = c->full_read_revision;
-  c->synced = true;
-  log_event (LOG_LEVEL_INFO, "store_read", "prefix=%s keys=%zu revision=%lld",
-             c->prefix, rr_table_count (c->rows), (long long)c->revision);
-  watch_start (c);
+  c->synced = !c->read_wanted;
+  log_event (c->read_interval_ms > 0 ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
+             "store_read", "prefix=%s keys=%zu revision=%lld", c->prefix,
+             rr_table_count (c->rows), (long long)c->revision);
+  follow (c);
 }
 
 static void
 page_read (struct store_cache *c)
 {
   c->request_sent = entry_now ();
-  store_range (c->entry->store, c->prefix, c->after, RANGE_TIMEOUT_MS,
-               on_page_read, c);
+  store_range (c->entry->store, c->prefix, c->after, c->read_interval_ms > 0,
+               RANGE_TIMEOUT_MS, on_page_read, c);
 }
 
 static void
@@ -253,6 +260,9 @@
 on_watch (void *data, const struct store_result *r)
 {
   struct store_cache *c = data;
+  /* A full read that began meanwhile has everything, and goes on by itself. */
+  if (c->full_read)
+    return;
   if (r->state == STORE_COMPACTED)
     {
       log_event (LOG_LEVEL_WARN, "store_history_lost",
@@ -268,7 +278,9 @@
   response_received (c);
   c->confirmed_at = c->request_sent;
   changes_apply (c, r);
-  if (c->batch_interval_ms > 0)
+  if (c->read_interval_ms > 0)
+    follow (c);
+  else if (c->batch_interval_ms > 0)
     uv_timer_start (&c->timer, on_timer, c->batch_interval_ms, 0);
   else
     watch_start (c);
@@ -282,6 +294,46 @@
                WATCH_TIMEOUT_MS, on_watch, c);
 }
 
+/* Waits for the next change, or for the time of the next full read.  */
+static void
+follow (struct store_cache *c)
+{
+  if (c->read_wanted)
+    {
+      c->read_wanted = false;
+      full_read_start (c);
+    }
+  else if (c->read_interval_ms == 0)
+    watch_start (c);
+  else
+    {
+      /* Spreads the reads of daemons that started together.  */
+      uint64_t half = c->read_interval_ms / 2;
+      uv_timer_start (&c->timer, on_timer, half + (uint64_t)rand () % half, 0);
+    }
+}
+
+/* Reads all keys about every INTERVAL_MS, possibly a few seconds old, in place
+   of following each change; 0: follows changes again, after a read that is up
+   to date.  */
+void
+store_cache_set_read_interval (struct store_cache *c, uint64_t interval_ms)
+{
+  bool follows_again = c->read_interval_ms > 0 && interval_ms == 0;
+  c->read_interval_ms = interval_ms;
+  if (!follows_again)
+    return;
+  c->synced = false;
+  /* A read in progress may be out of date.  */
+  if (c->full_read && !uv_is_active ((uv_handle_t *)&c->timer))
+    c->read_wanted = true;
+  else
+    {
+      uv_timer_stop (&c->timer);
+      full_read_start (c);
+    }
+}
+
 /* Starts to cache the keys under PREFIX and to call ON_ITEM for every change.
  */
 struct store_cache *
--- a/tests/entry/test_documents.c
+++ b/tests/entry/test_documents.c
@@ -128,6 +128,35 @@
 
 /* Guards against a request that is routed to the queue of a shorter prefix or
    of another host.  */
+static uint64_t
+digest (const char *text)
+{
+  return platform_worker_digest (text, strlen (text));
+}
+
+/* Guards against registrations that are decoded again at every heartbeat, and
+   against a change that is taken for a heartbeat.  */
+START_TEST (test_worker_digests)
+{
+  const char *base = "{\"state\":\"ready\",\"slots\":8,\"clockMs\":4821,"
+                     "\"sequence\":4}";
+  ck_assert (digest (base)
+             == digest ("{\"state\":\"ready\",\"slots\":8,\"clockMs\":99,"
+                        "\"sequence\":50012}"));
+  ck_assert (digest (base)
+             != digest ("{\"state\":\"draining\",\"slots\":8,"
+                        "\"clockMs\":4821,\"sequence\":4}"));
+  ck_assert (digest (base)
+             != digest ("{\"state\":\"ready\",\"slots\":9,"
+                        "\"clockMs\":4821,\"sequence\":4}"));
+  ck_assert (digest (base)
+             != digest ("{\"state\":\"ready\",\"slots\":8,"
+                        "\"clockMs\":4821,\"sequence\":4,\"born\":7}"));
+  ck_assert (digest ("{\"sequence\":") == digest ("{\"sequence\":12"));
+  ck_assert (digest ("") != digest ("{"));
+}
+END_TEST
+
 START_TEST (test_routes)
 {
   static const char text[]
@@ -194,6 +223,7 @@
   tcase_add_test (tc, test_job_fields);
   tcase_add_test (tc, test_bad_jobs);
   tcase_add_test (tc, test_worker_entries);
+  tcase_add_test (tc, test_worker_digests);
   tcase_add_test (tc, test_routes);
   tcase_add_test (tc, test_settings);
   suite_add_tcase (s, tc);
