--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "rosemaryentryd/partitioning.h"
 #include "rosemaryentryd/progress_reader.h"
 #include "rosemaryentryd/session.h"
 #include "rosemaryentryd/shard.h"
@@ -20,13 +21,6 @@
   CLAIM_RANK_STEP_MS = 60,
   /* A daemon that has just started first waits for the others to register.  */
   SETTLE_MS = 300,
-  /* The number of shards follows from the daemons that are registered this
-     long after the start.  Machines start within 0.3 s of each other.  */
-  PARTITIONING_SETTLE_MS = 700,
-  /* ... and from the workers, once their number has not changed for the first
-     time, or the second has passed without any.  */
-  WORKERS_SETTLE_MS = 1200,
-  WORKERS_WAIT_MAX_MS = 4000,
   /* Changes of the store are batched for this long while the daemon owns no
      shard.  */
   FOLLOWER_BATCH_MS = 400,
@@ -65,11 +59,9 @@
   struct progress_reader *reading[SHARDS_MAX]; /* null: not being read */
   struct claim claims[SHARDS_MAX];
   struct rr_time opened;
-  size_t worker_count; /* until the number of shards is set */
-  struct rr_time workers_changed;
+  struct partitioning partitioning;
   bool follows_workers;
   struct rr_time standby_checked;
-  bool writing_partitioning;
   bool releasing;
 };
 
@@ -336,71 +328,6 @@
                 &o->claims[i]);
 }
 
-static void
-on_partitioning_written (void *data, const struct store_result *r)
-{
-  struct owners *o = data;
-  o->writing_partitioning = false;
-  log_event (LOG_LEVEL_INFO, "layout_written", "state=%s revision=%lld",
-             store_state_name (r->state), (long long)r->revision);
-}
-
-/* Returns the number of shards that suits the registered daemons and
-   workers.  */
-static size_t
-partition_count (const struct owners *o)
-{
-  const struct records *r = o->entry->records;
-  int64_t *capacities
-      = calloc (records_daemon_count (r) + 1, sizeof *capacities);
-  assert (capacities != NULL);
-  size_t daemons = 0;
-  struct rr_handle h = { 0 };
-  const struct daemon_record *d;
-  while ((d = records_daemon_next (r, &h)) != NULL)
-    capacities[daemons++]
-        = shard_assignment_capacity (d->cpu_milli, d->link_kbit);
-  size_t n = shard_assignment_count (capacities, daemons,
-                                     records_worker_count (r), SHARDS_MAX);
-  free (capacities);
-  return n;
-}
-
-/* Writes the number of shards, once when the deployment first starts.  */
-static void
-write_partitioning (struct owners *o)
-{
-  char value[64];
-  size_t n = partition_count (o);
-  log_event (LOG_LEVEL_INFO, "layout_chosen",
-             "shards=%zu daemons=%zu workers=%zu", n,
-             records_daemon_count (o->entry->records),
-             records_worker_count (o->entry->records));
-  snprintf (value, sizeof value, "{\"shards\":%zu,\"format\":%d}", n,
-            KEY_FORMAT);
-  struct store_condition cond = { .key = KEY_PARTITIONING, .revision = 0 };
-  struct store_write w = { .key = KEY_PARTITIONING, .value = value };
-  o->writing_partitioning = true;
-  store_put_if (o->entry->store, &cond, &w, STORE_TIMEOUT_MS,
-                on_partitioning_written, o);
-}
-
-/* Returns whether the workers have registered, as far as can be told: their
-   number is stable, or none have for a long time.  */
-static bool
-workers_settled (struct owners *o, struct rr_time now)
-{
-  size_t n = records_worker_count (o->entry->records);
-  if (n != o->worker_count)
-    {
-      o->worker_count = n;
-      o->workers_changed = now;
-    }
-  int64_t stable = rr_time_diff (now, o->workers_changed);
-  return n > 0 ? stable >= WORKERS_SETTLE_MS
-               : rr_time_diff (now, o->opened) >= WORKERS_WAIT_MAX_MS;
-}
-
 static size_t
 shards_owned_by (const struct owners *o, const char *daemon)
 {
@@ -511,10 +438,8 @@
       || rr_time_diff (now, session_confirmed_at (o->entry->session))
              > SESSION_TTL_MS)
     return;
-  if (records_shard_count (o->entry->records) == 0 && !o->writing_partitioning
-      && workers_settled (o, now)
-      && rr_time_diff (now, o->opened) > PARTITIONING_SETTLE_MS)
-    write_partitioning (o);
+  if (records_shard_count (o->entry->records) == 0)
+    partitioning_update (&o->partitioning, o->entry, now);
   for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
     {
       struct shard_record *s = records_shard_at (o->entry->records, i);
@@ -537,6 +462,7 @@
   assert (o != NULL);
   o->entry = e;
   o->opened = entry_now ();
+  o->partitioning.opened = o->opened;
   o->follows_workers = true;
   uv_timer_init (e->loop, &o->timer);
   o->timer.data = o;
