--- a/common/upstream.c
+++ b/common/upstream.c
@@ -38,6 +38,7 @@
   struct upstream *u;
   h2o_http1client_t *client; /* null once h2o has freed it */
   uv_timer_t deadline;
+  uint64_t silence_max_ms; /* 0: DEADLINE is for the whole call */
   http_done_fn *done;
   void *data;
   bool sent;
@@ -127,10 +128,20 @@
   call_finish (c, "timeout");
 }
 
+/* Part of the response has arrived.  A large one over a slow link takes longer
+   than an upstream may be silent.  */
+static void
+restart_timeout (struct upstream_call *c)
+{
+  if (c->silence_max_ms > 0 && !c->ended)
+    uv_timer_start (&c->deadline, on_deadline, c->silence_max_ms, 0);
+}
+
 static int
 on_body (h2o_http1client_t *client, const char *error)
 {
   struct upstream_call *c = client->data;
+  restart_timeout (c);
   if (error != NULL && error != h2o_http1client_error_is_eos)
     {
       c->client = NULL;
@@ -222,6 +233,7 @@
       call_finish (c, error);
       return NULL;
     }
+  restart_timeout (c);
   c->status = status;
   if (!copy_headers (c, headers, n))
     {
@@ -324,6 +336,7 @@
   c->done = done;
   c->data = data;
   c->response_body_max = call->answer_max_bytes;
+  c->silence_max_ms = call->restart_timeout ? call->timeout_ms : 0;
   u->calls++;
   build_request (c, call);
   uv_timer_init (u->loop, &c->deadline);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -32,6 +32,8 @@
   size_t answer_max_bytes; /* a larger response body fails the call */
   bool idempotent; /* if false, the call gets a new connection, since libcurl
                       may resend a request by itself on a reused one */
+  bool restart_timeout; /* the timeout starts again whenever part of the
+                           response arrives; only upstream_send */
 };
 
 /* The result of a call, valid only during the callback.  */
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -8,7 +8,8 @@
 
 /* Client of the platform's key-value store: transactions on expected
    revisions, watches and leases.  Each function makes one call and never
-   retries.  */
+   retries.  The timeout of a read starts again with each part of the response
+   that arrives.  */
 struct store;
 
 enum
--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -51,7 +51,6 @@
   STORE_RESPONSE_AGE_MAX_MS = 2500
 };
 
-uint64_t entry_page_timeout_ms (int64_t link_kbit);
 struct rr_time entry_now (void);
 int64_t entry_wall_ms (void);
 struct rr_time entry_store_last_response (const struct entry *e);
--- a/rosemaryentryd/entry.c
+++ b/rosemaryentryd/entry.c
@@ -23,27 +23,6 @@
   return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
-enum
-{
-  /* For a page over an idle, fast link.  */
-  PAGE_TIMEOUT_MIN_MS = 2000,
-  /* The store's largest page, 1 MB of values in base64, in kilobits.  */
-  PAGE_MAX_KBIT = 11200,
-  /* Other calls and other pages share the link.  */
-  PAGE_LINK_SHARE_DIVISOR = 2
-};
-
-/* Returns how long a page of a range may take over a link of LINK_KBIT a
-   second.  With a shorter timeout a daemon behind a slow link would never
-   finish its first read.  */
-uint64_t
-entry_page_timeout_ms (int64_t link_kbit)
-{
-  int64_t kbit = link_kbit > 0 ? link_kbit : 1;
-  return PAGE_TIMEOUT_MIN_MS
-         + (uint64_t)(PAGE_LINK_SHARE_DIVISOR * PAGE_MAX_KBIT * 1000LL / kbit);
-}
-
 /* Returns when the last answered watch of the records of E was sent to the
    store.  */
 struct rr_time
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -19,6 +19,9 @@
   /* Daemons claim a free shard in the order of their rank, this far apart.
      That is longer than a claim takes, so that usually only one is made.  */
   CLAIM_RANK_STEP_MS = 60,
+  /* A daemon that has a shard leaves the next one to others for this long, so
+     that the first one up after a loss of power doesn't claim all.  */
+  CLAIM_HELD_STEP_MS = 400,
   /* A daemon that has just started first waits for the others to register.  */
   SETTLE_MS = 300,
   /* Changes of the store are batched for this long while the daemon owns no
@@ -417,6 +420,16 @@
                                  follow ? 0 : WORKERS_READ_INTERVAL_MS);
 }
 
+/* Returns the number of shards that this daemon owns or claims.  */
+static size_t
+shards_held (const struct owners *o)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < records_shard_count (o->entry->records); i++)
+    n += o->shards[i] != NULL || o->claiming[i] ? 1 : 0;
+  return n;
+}
+
 static void
 check_standby (struct owners *o, struct rr_time now)
 {
@@ -448,7 +461,8 @@
       serve_shard (o, i);
       if (s->owner_revision != 0 || o->claiming[i])
         continue;
-      int64_t wait = (int64_t)(claim_rank (o, s) * CLAIM_RANK_STEP_MS);
+      int64_t wait = (int64_t)(claim_rank (o, s) * CLAIM_RANK_STEP_MS
+                               + shards_held (o) * CLAIM_HELD_STEP_MS);
       if (rr_time_diff (now, s->ownerless_since) >= wait)
         claim_shard (o, i);
     }
--- a/rosemaryentryd/progress_reader.c
+++ b/rosemaryentryd/progress_reader.c
@@ -51,8 +51,7 @@
 static void
 page_read (struct progress_reader *p)
 {
-  store_range (p->entry->store, p->prefix, p->after, false,
-               entry_page_timeout_ms (p->entry->settings.link_kbit),
+  store_range (p->entry->store, p->prefix, p->after, false, STORE_TIMEOUT_MS,
                on_page_read, p);
 }
 
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -13,6 +13,7 @@
   WATCH_WAIT_MS = 1000,
   /* A watch that gets no response for this long is on a dead connection.  */
   WATCH_TIMEOUT_MS = 1800,
+  RANGE_TIMEOUT_MS = 2000,
   RETRY_MIN_MS = 40,
   RETRY_MAX_MS = 320
 };
@@ -210,8 +211,7 @@
 {
   c->request_sent = entry_now ();
   store_range (c->entry->store, c->prefix, c->after, c->read_interval_ms > 0,
-               entry_page_timeout_ms (c->entry->settings.link_kbit),
-               on_page_read, c);
+               RANGE_TIMEOUT_MS, on_page_read, c);
 }
 
 static void
