dispatch: say why a long-running task waits; no command after ownership ended

Starts were checked against the owner's permission when they are sent, stops and throttles were not: a process suspended between the decision and the send would have acted on an ownership that had run out.

--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -299,8 +299,12 @@
 send_command (struct worker_connection *c, struct queued_command *q)
 {
   int64_t lease_end = 0;
-  bool wanted = rr_dispatch_command_begin (c->owner.dispatch, c->worker,
-                                           q->command.kind, &q->command.name);
+  /* The command may have waited, or the process may have been suspended, since
+     the decision: what counts is whether this daemon may act now.  */
+  bool wanted
+      = rr_time_before (entry_now (), c->owner.valid_until (c->owner.data))
+        && rr_dispatch_command_begin (c->owner.dispatch, c->worker,
+                                      q->command.kind, &q->command.name);
   if (wanted && q->command.kind == RR_COMMAND_START)
     {
       lease_end = rr_dispatch_worker_lease (
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -139,6 +139,7 @@
 {
   if (rr_time_diff (now, d->audited) < AUDIT_MS)
     return;
+  dispatch_log_waiting (d, rr_time_diff (now, d->audited), now);
   d->audited = now;
   struct rr_handle h = { 0 };
   struct dispatch_job *j;
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -326,6 +326,8 @@
 void dispatch_interference_throttle (struct rr_dispatch *d,
                                      struct dispatch_worker *w,
                                      struct rr_time now);
+void dispatch_log_waiting (struct rr_dispatch *d, int64_t interval_ms,
+                           struct rr_time now);
 void dispatch_health_end (struct rr_dispatch *d, struct dispatch_worker *w,
                           struct rr_handle job, enum rr_end_kind kind,
                           struct rr_time now);
