entryd: ended jobs are kept as summaries

Queries, repeated submissions and the removal after the retention work from it, and daemons answer for such a job without asking its owner.

--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -45,6 +45,7 @@
   char *graph_text;
   bool accepted; /* the job graph was read, not only progress or a cancel */
   bool cancelled;
+  bool summarized; /* the store has only a summary of it */
   bool has_progress;
   enum rr_job_phase phase;
   char *progress_text;
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -65,7 +65,10 @@
      repeated submissions that are still in flight.  */
   FORGET_MARGIN_MS = 60000,
   /* Each job has three keys; the owner key needs a condition.  */
-  FORGET_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 3
+  FORGET_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 3,
+  /* Interval between writes of summaries of ended jobs.  */
+  SUMMARY_INTERVAL_MS = 1000,
+  SUMMARY_JOBS_MAX = STORE_TXN_ENTRIES_MAX - 1
 };
 
 /* The progress of one job in the write in flight.  */
@@ -147,6 +150,8 @@
   size_t calls_in_flight;
   struct rr_time last_forget; /* when old jobs were last removed */
   bool forgetting;
+  struct rr_time last_summary;
+  bool summarizing;
   size_t timers_open;
   struct rr_command *commands; /* of the current planning round */
   size_t command_count;
@@ -176,5 +181,6 @@
 void shard_transfer_jobs (struct shard *s, struct rr_time now);
 void shard_transfer_clear (struct shard *s);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
+void shard_summarize_jobs (struct shard *s, struct rr_time now);
 
 #endif
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/shard_selection.h"
+#include "rosemaryrail/job_summary.h"
 
 /* Returns the record of job ID or null.  */
 struct job_record *
@@ -226,8 +227,30 @@
   records_job_set (r, id, item->value, item->revision);
 }
 
-/* Stores TEXT, the job graph of job ID as of REVISION, unless an equal or
-   later revision is known.  */
+/* Stores the summary S of an ended job as of REVISION.  */
+static void
+job_record_summarize (struct records *r, struct job_record *j,
+                      const struct rr_job_summary *s, int64_t revision)
+{
+  bool known_end = rr_job_phase_final (records_job_phase (j));
+  snprintf (j->queue, sizeof j->queue, "%s", s->queue);
+  snprintf (j->shard, sizeof j->shard, "%s", s->shard);
+  j->accepted = true;
+  j->accepted_ms = s->accepted_ms;
+  j->summarized = true;
+  j->job_revision = revision;
+  if (s->phase == RR_PHASE_CANCELLED)
+    j->cancelled = true;
+  else
+    j->phase = s->phase;
+  if (known_end)
+    return;
+  job_record_finish_if_final (j);
+  owners_job_update (r->entry->owners, j);
+}
+
+/* Stores TEXT, the job graph or the summary of job ID as of REVISION, unless
+   an equal or later revision is known.  */
 void
 records_job_set (struct records *r, const char *id, const char *text,
                  int64_t revision)
@@ -235,6 +258,12 @@
   struct job_record *j = job_record_get_or_create (r, id);
   if (revision <= j->job_revision)
     return;
+  struct rr_job_summary summary;
+  if (rr_job_summary_decode (text, strlen (text), &summary))
+    {
+      job_record_summarize (r, j, &summary, revision);
+      return;
+    }
   struct rr_error err = { 0 };
   struct rr_job_graph *g = rr_job_graph_decode (text, strlen (text), &err);
   if (g == NULL)
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -261,6 +261,7 @@
   shard_write_membership (s);
   shard_write_load (s, now);
   shard_forget_jobs (s, now);
+  shard_summarize_jobs (s, now);
   shard_transfer_jobs (s, now);
   shard_divide_jobs (s, now);
   shard_send_statistics (s, now);
