--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -61,7 +61,7 @@
     worker_connection_close (*c);
   rr_table_free (s->connections);
   rr_key_index_free (s->connection_index);
-  s->connections = rr_table_new (sizeof *c);
+  s->connections = rr_table_new (sizeof (struct worker_connection *));
   s->connection_index = rr_key_index_new ();
   uv_close ((uv_handle_t *)&s->tick, on_timer_closed);
   uv_close ((uv_handle_t *)&s->plan_timer, on_timer_closed);
--- a/rosemaryentryd/shard_assignment.c
+++ b/rosemaryentryd/shard_assignment.c
@@ -25,8 +25,10 @@
 int64_t
 shard_assignment_capacity (int64_t cpu_milli, int64_t link_kbit)
 {
-  int64_t by_cpu = cpu_milli * OWNER_MAX_PERCENT / (100 * WORKER_CPU_MILLI);
-  int64_t by_link = link_kbit * OWNER_MAX_PERCENT / (100 * WORKER_LINK_KBIT);
+  int64_t by_cpu
+      = cpu_milli * OWNER_MAX_PERCENT / (INT64_C (100) * WORKER_CPU_MILLI);
+  int64_t by_link
+      = link_kbit * OWNER_MAX_PERCENT / (INT64_C (100) * WORKER_LINK_KBIT);
   int64_t least = by_cpu < by_link ? by_cpu : by_link;
   return least > 0 ? least : 1;
 }
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -58,6 +58,7 @@
 enum
 {
   WORKERS_MAX = 16,
+  NEEDED_MAX = 32,
   RUNS_MAX = 256,
   JOBS_MAX = 64,
   RUNS_PER_OWNER = 16,
@@ -133,10 +134,12 @@
 {
   (void)data;
   static const char *const shown[]
-      = { "run_lost",           "run_adopted",  "run_unexpected",
-          "vm_lease_expired",   "job_failed",   "job_done",
-          "vm_avoided",         "vm_restarted", "fillers_cut",
-          "inheritance_settled", "long_running_waits" };
+      = { "run_lost",          "run_adopted",
+          "run_unexpected",    "vm_lease_expired",
+          "job_failed",        "job_done",
+          "vm_avoided",        "vm_restarted",
+          "fillers_cut",       "inheritance_settled",
+          "long_running_waits" };
   for (size_t i = 0; i < sizeof shown / sizeof shown[0]; i++)
     if (strcmp (shown[i], event) == 0)
       printf ("%s %s\n", event, text);
@@ -734,8 +737,8 @@
     poll_workers (words > 1 ? word[1] : NULL);
   else if (strcmp (c, "needed") == 0)
     {
-      const char *ids[2 * WORKERS_MAX];
-      size_t n = rr_dispatch_needed_workers (d, ids, 2 * WORKERS_MAX, now);
+      const char *ids[NEEDED_MAX];
+      size_t n = rr_dispatch_needed_workers (d, ids, NEEDED_MAX, now);
       printf ("needed:");
       for (size_t i = 0; i < n; i++)
         printf (" %s", ids[i]);
