decoders: a malformed row is an error, not the end of the process

Both are now refused as invalid, with the reason; worker ids in the membership record and labels of workers that are not strings are left out.

--- a/rosemaryentryd/shard_publish.c
+++ b/rosemaryentryd/shard_publish.c
@@ -21,12 +21,16 @@
   struct rr_error err = { 0 };
   struct json_object *o
       = text == NULL ? NULL : json_parse (text, strlen (text), &err);
-  struct json_object *list = json_list_or_null (o, "workers");
+  struct json_object *stored = json_list_or_null (o, "workers");
+  struct json_object *list = json_object_new_array ();
   *ordinal = json_int_or (o, "ordinal", 0);
-  if (list == NULL)
-    list = json_object_new_array ();
-  else
-    json_object_get (list);
+  for (size_t i = 0; stored != NULL && i < json_object_array_length (stored);
+       i++)
+    {
+      struct json_object *id = json_object_array_get_idx (stored, i);
+      if (json_object_is_type (id, json_type_string))
+        json_object_array_add (list, json_object_get (id));
+    }
   if (text != NULL && o == NULL)
     log_event (LOG_LEVEL_ERROR, "roster_unreadable", "%s", err.message);
   json_object_put (o);
--- a/rosemaryrail/job_graph.c
+++ b/rosemaryrail/job_graph.c
@@ -328,23 +328,27 @@
   return list;
 }
 
-static void
+/* Returns false when a row of the share is invalid.  */
+static bool
 decode_share (struct json_object *o, struct rr_job_graph *g)
 {
   struct json_object *list = NULL;
   if (!json_object_object_get_ex (o, "share", &list)
       || !json_object_is_type (list, json_type_array))
-    return;
+    return true;
   rr_job_graph_divide (g, false);
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
       struct json_object *row = json_object_array_get_idx (list, i);
+      if (!json_object_is_type (row, json_type_array))
+        return false;
       rr_job_graph_share_add (
           g,
           (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 0)),
           (uint32_t)json_object_get_int64 (
               json_object_array_get_idx (row, 1)));
     }
+  return true;
 }
 
 /* Returns the stored form of G, which the caller frees.  */
@@ -409,13 +413,15 @@
   g->accepted_ms = get_int (o, "accepted");
   for (size_t i = 0; i < g->step_count; i++)
     decode_step (json_object_array_get_idx (steps, i), &g->steps[i]);
-  decode_share (o, g);
+  bool valid_share = decode_share (o, g);
   struct json_object *progress = NULL;
   if (json_object_object_get_ex (o, "progress", &progress))
     g->progress = strdup (json_object_get_string (progress));
   g->run_base = (uint32_t)get_int (o, "run_base");
   json_object_put (o);
-  if (!rr_job_graph_check (g, err))
+  if (!valid_share)
+    rr_error_set (err, RR_ERROR_INVALID, "the stored share can't be read");
+  if (!valid_share || !rr_job_graph_check (g, err))
     {
       rr_job_graph_free (g);
       return NULL;
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -57,9 +57,12 @@
   return text;
 }
 
-static void
+static bool
 decode_row (struct json_object *row, struct rr_progress_row *r)
 {
+  /* The library ends the process when this is not an array.  */
+  if (!json_object_is_type (row, json_type_array))
+    return false;
   r->number
       = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 0));
   r->run
@@ -73,6 +76,7 @@
   if (c != NULL)
     snprintf (r->checkpoint, sizeof r->checkpoint, "%s",
               json_object_get_string (c));
+  return true;
 }
 
 static bool
@@ -114,10 +118,16 @@
   p->row_count = json_object_array_length (rows);
   p->rows = calloc (p->row_count + 1, sizeof *p->rows);
   assert (p->rows != NULL);
+  bool valid = true;
   for (size_t i = 0; i < p->row_count; i++)
-    decode_row (json_object_array_get_idx (rows, i), &p->rows[i]);
+    valid = decode_row (json_object_array_get_idx (rows, i), &p->rows[i])
+            && valid;
   json_object_put (o);
-  return p;
+  if (valid)
+    return p;
+  rr_progress_free (p);
+  rr_error_set (err, RR_ERROR_INVALID, "a row of stored progress is invalid");
+  return NULL;
 }
 
 /* Frees P, which may be null.  */
