entryd: a new owner waits as long as leases can hold, not longer

Two or three workers of each shard had gone, and 378 to 1,816 tasks waited 7.84 s from the takeover for their leases.

A former owner whose lease in the store expired had confirmed its ownership 1.5 s before that at the latest, so its tasks' leases end 5.64 s after its key went, not 7.14 s after the takeover; one that released its shard had given leases of 5.2 s at most. The wait counts from the moment when the key was seen to be gone: 6.34 s. Adopted runs are taken to hold the same bound.

Tests inheritance and dispatch/slow_answers. Ruled out: reading the progress (170 ms), workers that answer late (all others had answered within 0.3 s).

--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -4,6 +4,7 @@
 #include "common/json.h"
 #include "common/log.h"
 #include "platform/permits.h"
+#include "rosemaryentryd/inheritance.h"
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/shard.h"
@@ -23,17 +24,6 @@
   /* The load is published when the largest free capacity of a worker changes
      by this much.  */
   LOAD_LARGEST_CHANGE_MILLI = 1500,
-  /* Leases of the tasks on workers.  They outlast the detection of a dead
-     owner and the takeover, and are otherwise as short as possible, since the
-     tasks of an unresponsive worker can't restart before they expire.  */
-  TASK_LEASE_MS = 4500,
-  /* An owner that can't confirm its ownership continues for this long, which
-     outlasts most outages of the store.  A new owner waits as long for workers
-     that have not responded.  */
-  OWNERSHIP_GRACE_MS = 7000,
-  /* Added to the leases of a former owner, for clocks that run 2% slow and
-     for commands in flight.  */
-  INHERIT_MARGIN_MS = 700,
   /* The permit service answers the calls of one daemon one after the other,
      so a call also waits for those before it.  */
   PERMITS_TIMEOUT_MS = 2500,
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -18,7 +18,10 @@
 
 enum
 {
-  RR_WORKER_LABELS = 8
+  RR_WORKER_LABELS = 8,
+  /* A lease may end this much later than its length after it was granted,
+     since the worker's clock is known only as of its last report.  */
+  RR_LEASE_EXCESS_MAX_MS = 700
 };
 
 /* A worker as described by its registration.  */
--- /dev/null
+++ b/rosemaryentryd/inheritance.c
@@ -0,0 +1,38 @@
+#include "rosemaryentryd/inheritance.h"
+
+#include "rosemaryrail/dispatch.h"
+
+enum
+{
+  /* Workers' clocks may run 2% slow.  */
+  CLOCK_SLOW_PERCENT = 102,
+  /* For commands in flight, and for the end of a task whose lease expires.  */
+  INHERIT_MARGIN_MS = 700
+};
+
+/* Returns how long an owner continues after it has last confirmed its
+   ownership.  No lease of a task ends later.  Workers give leases of at most
+   LEASE_MAX_MS.  */
+int64_t
+inheritance_ownership_ms (int64_t lease_max_ms)
+{
+  return lease_max_ms < OWNERSHIP_GRACE_MS ? lease_max_ms : OWNERSHIP_GRACE_MS;
+}
+
+/* Returns when the leases that former owners gave have certainly expired, if
+   their owner key was seen to be gone at OWNERLESS_SINCE.  An owner whose
+   lease in the store expired had confirmed its ownership for the last time at
+   least SESSION_TTL_MS earlier; one that gave up its lease had stopped to
+   renew those of its tasks.  */
+struct rr_time
+inheritance_leases_until (struct rr_time ownerless_since, int64_t lease_max_ms)
+{
+  int64_t expired
+      = inheritance_ownership_ms (lease_max_ms) * CLOCK_SLOW_PERCENT / 100
+        - SESSION_TTL_MS;
+  int64_t released = ((int64_t)TASK_LEASE_MS + RR_LEASE_EXCESS_MAX_MS)
+                     * CLOCK_SLOW_PERCENT / 100;
+  return rr_time_add (ownerless_since,
+                      (expired > released ? expired : released)
+                          + INHERIT_MARGIN_MS);
+}
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "rosemaryentryd/inheritance.h"
 #include "rosemaryentryd/partitioning.h"
 #include "rosemaryentryd/progress_reader.h"
 #include "rosemaryentryd/session.h"
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "rosemaryentryd/inheritance.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/records.h"
 
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -88,21 +88,15 @@
                                                     : records_read;
 }
 
-/* Returns how long an owner continues after the last confirmation.  */
-static int64_t
-ownership_ms (const struct shard *s)
-{
-  int64_t max = s->entry->settings.lease_max_ms;
-  return max < OWNERSHIP_GRACE_MS ? max : OWNERSHIP_GRACE_MS;
-}
-
 /* Returns the time until which this daemon may act as the owner.  No lease of
    a task ends later.  */
 static struct rr_time
 ownership_valid_until (void *data)
 {
   const struct shard *s = data;
-  return rr_time_add (ownership_confirmed_at (s), ownership_ms (s));
+  return rr_time_add (
+      ownership_confirmed_at (s),
+      inheritance_ownership_ms (s->entry->settings.lease_max_ms));
 }
 
 /* Collects a command of the dispatcher until the planning round is over.  */
@@ -406,9 +400,10 @@
         json_object_get_string (json_object_array_get_idx (list, i)));
   json_object_put (list);
   s->ordinal = former + 1;
-  int64_t leases = ownership_ms (s) * 102 / 100;
   rr_dispatch_inherit_until (
-      s->dispatch, rr_time_add (entry_now (), leases + INHERIT_MARGIN_MS),
+      s->dispatch,
+      inheritance_leases_until (s->record->ownerless_since,
+                                s->entry->settings.lease_max_ms),
       (uint32_t)(former * RUNS_PER_OWNER_MAX + 1),
       (uint32_t)(s->ordinal * RUNS_PER_OWNER_MAX + 1));
 }
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -128,7 +128,7 @@
   t->worker = w->handle;
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
-  dispatch_lease_assume (w, d->o.lease_ms);
+  dispatch_lease_assume (w, d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS);
   if (j->phase == RR_PHASE_QUEUED)
     {
       j->phase = RR_PHASE_ACTIVE;
@@ -168,7 +168,7 @@
                          status->name.task, status->name.run, w->info.id);
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
-  dispatch_lease_assume (w, d->o.lease_ms);
+  dispatch_lease_assume (w, d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS);
   dispatch_run_stop (r, "not-ours");
   return r;
 }
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -374,10 +374,11 @@
         + d->o.lease_ms;
   /* The clock was read between the poll and its answer, which may have come
      late, so the latest end counts from the answer.  */
+  int64_t longest = d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS;
   int64_t last = w->clock_ms
                  + (int64_t)((double)rr_time_diff (now, w->clock_received)
                              * CLOCK_RATE_MIN)
-                 + valid;
+                 + (valid < longest ? valid : longest);
   if (last < end)
     end = last;
   if (end > w->lease_clock_ms)
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -29,6 +29,8 @@
      measure ID STEP.TASK N   sets the measurement in its worker's reports:
                               tail latency in ms, or used cores
      mute W | unmute W        loses the answers of W
+     slow_answers W MS        the answers of W take MS
+     lease W                  prints how far the next lease of W reaches
      queue_commands W         commands to W wait in the daemon
      send_commands W          sends the commands that wait
      reconnect W              replaces the connection to W; commands that wait
@@ -84,6 +86,7 @@
   bool muted;
   bool blocked;
   bool queueing;
+  int64_t answer_ms;           /* between a poll and its answer */
   struct rr_command queue[64]; /* names and kinds of commands that wait */
   size_t queue_count;
   int64_t started_ms;
@@ -343,7 +346,7 @@
   static struct rr_run_end ended[RUNS_MAX];
   struct rr_worker_report r = { .started_ms = w->started_ms,
                                 .clock_ms = now.ms,
-                                .sent = now,
+                                .sent = rr_time_add (now, -w->answer_ms),
                                 .received = now,
                                 .running = running,
                                 .ended = ended };
@@ -682,6 +685,14 @@
     }
   else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
     w->muted = word[0][0] == 'm';
+  else if (strcmp (word[0], "slow_answers") == 0)
+    w->answer_ms = strtol (word[2], NULL, 10);
+  else if (strcmp (word[0], "lease") == 0)
+    printf ("%lld ms\n",
+            (long long)(rr_dispatch_worker_lease (
+                            d, w->handle,
+                            rr_time_add (confirmed, LEASE_MAX_MS), now)
+                        - now.ms));
   else if (strcmp (word[0], "queue_commands") == 0)
     w->queueing = true;
   else if (strcmp (word[0], "send_commands") == 0)
