entryd: inherited leases count from the own claim

ownerless_since is the last removal that this daemon saw. After lost history a short-lived owner between that and the own claim would go unseen, and its leases end later. When a daemon sees its own claim, the keys of all former owners are gone.

--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -72,7 +72,8 @@
   int64_t owner_revision;
   int64_t owner_lease; /* identifies the incarnation of the owner */
   struct rr_time ownerless_since;
-  char *stored_membership; /* JSON list of worker ids; null: none */
+  struct rr_time owner_seen; /* when this daemon saw the present owner's key */
+  char *stored_membership;   /* JSON list of worker ids; null: none */
   int64_t membership_revision;
   int64_t capacity_milli;
   int64_t demand_milli;
--- a/rosemaryentryd/records_items.c
+++ b/rosemaryentryd/records_items.c
@@ -20,6 +20,8 @@
   struct shard_record *s = records_shard (r, name);
   if (s == NULL)
     return;
+  if (!item->removed && item->revision != s->owner_revision)
+    s->owner_seen = entry_now ();
   s->owner_revision = item->removed ? 0 : item->revision;
   s->owner_lease = item->lease;
   s->owner[0] = '\0';
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -402,7 +402,7 @@
   s->ordinal = former + 1;
   rr_dispatch_inherit_until (
       s->dispatch,
-      inheritance_leases_until (s->record->ownerless_since,
+      inheritance_leases_until (s->record->owner_seen,
                                 s->entry->settings.lease_max_ms),
       (uint32_t)(former * RUNS_PER_OWNER_MAX + 1),
       (uint32_t)(s->ordinal * RUNS_PER_OWNER_MAX + 1));
