--- a/rosemaryentryd/inheritance.c
+++ b/rosemaryentryd/inheritance.c
@@ -20,19 +20,18 @@
 }
 
 /* Returns when the leases that former owners gave have certainly expired, if
-   their owner key was seen to be gone at OWNERLESS_SINCE.  An owner whose
-   lease in the store expired had confirmed its ownership for the last time at
-   least SESSION_TTL_MS earlier; one that gave up its lease had stopped to
-   renew those of its tasks.  */
+   this daemon saw its own claim at CLAIM_SEEN: by then the keys of all former
+   owners were gone.  An owner whose lease in the store expired had confirmed
+   its ownership for the last time at least SESSION_TTL_MS earlier; one that
+   gave up its lease had stopped to renew those of its tasks.  */
 struct rr_time
-inheritance_leases_until (struct rr_time ownerless_since, int64_t lease_max_ms)
+inheritance_leases_until (struct rr_time claim_seen, int64_t lease_max_ms)
 {
   int64_t expired
       = inheritance_ownership_ms (lease_max_ms) * CLOCK_SLOW_PERCENT / 100
         - SESSION_TTL_MS;
   int64_t released = ((int64_t)TASK_LEASE_MS + RR_LEASE_EXCESS_MAX_MS)
                      * CLOCK_SLOW_PERCENT / 100;
-  return rr_time_add (ownerless_since,
-                      (expired > released ? expired : released)
-                          + INHERIT_MARGIN_MS);
+  return rr_time_add (claim_seen, (expired > released ? expired : released)
+                                      + INHERIT_MARGIN_MS);
 }
