--- a/tests/common/test_upstream.c
+++ b/tests/common/test_upstream.c
@@ -1,5 +1,5 @@
-#include <check.h>
-#include <stdlib.h>
+#include "../check_suite.h"
+
 #include <string.h>
 #include <uv.h>
 
@@ -138,19 +138,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("upstream");
-  TCase *tc = tcase_create ("timeouts");
-  tcase_add_test (tc, slow_response);
-  tcase_add_test (tc, deadline);
-  tcase_add_test (tc, silence);
-  tcase_add_test (tc, no_response);
-  suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+SUITE ("upstream", slow_response, deadline, silence, no_response)
--- a/tests/entry/ask_owner.sh
+++ b/tests/entry/ask_owner.sh
@@ -5,11 +5,7 @@
 . "$(dirname "$0")/lib.sh"
 deploy 2 2
 : >"$work/none"
-owned() { grep -q event=shard_owned "$work"/d?.log; }
-wait_for "an owner" 8 owned
-owner=1
-grep -q event=shard_owned "$work/d2.log" && owner=2
-other=$((3 - owner))
+find_owner
 id=00000000000000aa
 answer=$(request POST $other $id \
   '{"spec":"work=4000","steps":[{"count":2,"cpu":1000,"memMb":100,"estimateMs":4000}]}')
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -110,6 +110,14 @@
   for i in $(seq "$1"); do wait_for "daemon $i" 30 ready "$i"; done
 }
 
+# find_owner: sets $owner and $other to the numbers of the two daemons.
+find_owner() {
+  wait_for "an owner" 8 grep -q event=shard_owned "$work/d1.log" "$work/d2.log"
+  owner=1
+  grep -q event=shard_owned "$work/d2.log" && owner=2
+  other=$((3 - owner))
+}
+
 # request METHOD DAEMON ID [BODY]: sends a caller's request to a daemon and
 # prints the response body and the status.
 request() {
--- a/tests/entry/test_command_window.c
+++ b/tests/entry/test_command_window.c
@@ -1,5 +1,4 @@
-#include <check.h>
-#include <stdlib.h>
+#include "../check_suite.h"
 
 #include "rosemaryentryd/command_window.h"
 
@@ -75,19 +74,5 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("command window");
-  TCase *tc = tcase_create ("core");
-  tcase_add_test (tc, burst_over_a_slow_link);
-  tcase_add_test (tc, squeezed_link);
-  tcase_add_test (tc, few_slow_workers);
-  tcase_add_test (tc, stops_beyond_the_window);
-  suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+SUITE ("command window", burst_over_a_slow_link, squeezed_link,
+       few_slow_workers, stops_beyond_the_window)
--- a/tests/entry/test_inheritance.c
+++ b/tests/entry/test_inheritance.c
@@ -1,5 +1,4 @@
-#include <check.h>
-#include <stdlib.h>
+#include "../check_suite.h"
 
 #include "rosemaryentryd/inheritance.h"
 #include "rosemaryrail/dispatch.h"
@@ -37,17 +36,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("inheritance");
-  TCase *tc = tcase_create ("core");
-  tcase_add_test (tc, owner_that_was_cut_off);
-  tcase_add_test (tc, owner_that_released);
-  suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+SUITE ("inheritance", owner_that_was_cut_off, owner_that_released)
--- a/tests/entry/test_shard_assignment.c
+++ b/tests/entry/test_shard_assignment.c
@@ -1,5 +1,4 @@
-#include <check.h>
-#include <stdlib.h>
+#include "../check_suite.h"
 
 #include "rosemaryentryd/shard_assignment.h"
 
@@ -91,20 +90,6 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("shard assignment");
-  TCase *tc = tcase_create ("core");
-  tcase_add_test (tc, slow_links_get_more_shards);
-  tcase_add_test (tc, small_sites_have_one_shard);
-  tcase_add_test (tc, large_sites_use_their_large_vms);
-  tcase_add_test (tc, the_link_counts);
-  tcase_add_test (tc, limits);
-  suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+SUITE ("shard assignment", slow_links_get_more_shards,
+       small_sites_have_one_shard, large_sites_use_their_large_vms,
+       the_link_counts, limits)
--- a/tests/state/test_job_summary.c
+++ b/tests/state/test_job_summary.c
@@ -1,4 +1,5 @@
-#include <check.h>
+#include "../check_suite.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -68,18 +69,4 @@
 }
 END_TEST
 
-int
-main (void)
-{
-  Suite *suite = suite_create ("job summary");
-  TCase *tc = tcase_create ("core");
-  tcase_add_test (tc, round_trip);
-  tcase_add_test (tc, job_graphs);
-  tcase_add_test (tc, invalid_texts);
-  suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-}
+SUITE ("job summary", round_trip, job_graphs, invalid_texts)
