--- /dev/null
+++ b/rosemaryrail/dispatch_leases.c
@@ -0,0 +1,116 @@
+#include "dispatch_private.h"
+
+/* Leases of the runs on workers, and when they have certainly expired.  */
+
+/* Lower bound of a worker's clock rate relative to this daemon's.  */
+#define CLOCK_RATE_MIN 0.98
+
+enum
+{
+  /* Time that a worker needs to end its tasks once a lease has expired.  */
+  KILL_MARGIN_MS = 100,
+  /* A start that could not be sent for this long is withdrawn, so that its
+     task can start on another worker.  */
+  START_QUEUE_MAX_MS = 1000,
+  /* Until a worker is tried again whose starts could not be sent.  */
+  CONGESTED_RETRY_MS = 500
+};
+
+/* Assumes that W's tasks hold a lease of AHEAD_MS: the longest that another
+   owner, or a command on the clock of a former incarnation, can have
+   granted.  */
+void
+dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms)
+{
+  if (w->lease_clock_ms < w->clock_ms + ahead_ms)
+    w->lease_clock_ms = w->clock_ms + ahead_ms;
+}
+
+/* Returns the lease end for the next command to worker H, on the worker's
+   clock, or 0 when that clock is not known or no lease may be granted.  The
+   shard owner may act until VALID_UNTIL, so no lease ends later.  */
+int64_t
+rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
+                          struct rr_time valid_until, struct rr_time now)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w == NULL || !w->has_clock || w->unresponsive)
+    return 0;
+  int64_t valid = rr_time_diff (valid_until, now);
+  if (valid <= 0)
+    return 0;
+  int64_t end
+      = w->clock_ms
+        + (int64_t)((double)rr_time_diff (now, w->clock_sent) * CLOCK_RATE_MIN)
+        + d->o.lease_ms;
+  /* The clock was read between the poll and its answer, which may have come
+     late, so the latest end counts from the answer.  */
+  int64_t longest = d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS;
+  int64_t last = w->clock_ms
+                 + (int64_t)((double)rr_time_diff (now, w->clock_received)
+                             * CLOCK_RATE_MIN)
+                 + (valid < longest ? valid : longest);
+  if (last < end)
+    end = last;
+  if (end > w->lease_clock_ms)
+    w->lease_clock_ms = end;
+  return end;
+}
+
+/* Withdraws starts that have waited too long to be sent.  The worker can't
+   have received them, and is not to blame.  */
+static void
+withdraw_queued_starts (struct rr_dispatch *d, struct dispatch_worker *w,
+                        struct rr_time now)
+{
+  for (size_t i = w->run_count; i-- > 0;)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      if (!r->queued || rr_time_diff (now, r->started) < START_QUEUE_MAX_MS)
+        continue;
+      w->full_until = rr_time_add (now, CONGESTED_RETRY_MS);
+      dispatch_run_requeue (d, w, r, "not-sent", now);
+    }
+}
+
+/* Gives up the runs whose starts were sent to W.  */
+static void
+requeue_sent_runs (struct rr_dispatch *d, struct dispatch_worker *w,
+                   const char *reason, struct rr_time now)
+{
+  for (size_t i = w->run_count; i-- > 0;)
+    if (!w->runs[i].queued)
+      dispatch_run_requeue (d, w, &w->runs[i], reason, now);
+}
+
+static size_t
+sent_run_count (const struct dispatch_worker *w)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    n += w->runs[i].queued ? 0 : 1;
+  return n;
+}
+
+/* Gives up W's runs once every lease granted to it must have expired, even on
+   its slowest possible clock, at a time when this owner certainly held the
+   shard.  A run whose start was not sent has no lease yet: the worker's last
+   lease says nothing about it.  */
+void
+dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
+                 struct rr_time confirmed, struct rr_time now)
+{
+  withdraw_queued_starts (d, w, now);
+  size_t sent = sent_run_count (w);
+  if (sent == 0 || (!w->has_clock && w->lease_clock_ms == 0))
+    return;
+  double elapsed
+      = (double)(rr_time_diff (confirmed, w->clock_received) - KILL_MARGIN_MS);
+  if ((double)w->clock_ms + elapsed * CLOCK_RATE_MIN
+      <= (double)w->lease_clock_ms)
+    return;
+  dispatch_log_decision (d, "vm_lease_expired",
+                         "vm=%s runs=%zu silent_ms=%lld", w->info.id, sent,
+                         (long long)rr_time_diff (now, w->clock_received));
+  requeue_sent_runs (d, w, "lease-expired", now);
+}
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -5,25 +5,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Lower bound of a worker's clock rate relative to this daemon's.  */
-#define CLOCK_RATE_MIN 0.98
-
 enum
 {
   UNRESPONSIVE_MS = 2500, /* without a report: several polls have failed */
   /* A worker is kept for this long after its registration is removed, since a
      registration that passes to another writer is removed and written
      again.  */
-  UNREGISTERED_KEEP_MS = 500,
-  /* Time that a worker needs to end its tasks once a lease has expired.  */
-  KILL_MARGIN_MS = 100,
-  /* Delay before an unanswered stop is sent again.  */
-  STOP_RETRY_MS = 400,
-  /* A start that could not be sent for this long is withdrawn, so that its
-     task can start on another worker.  */
-  START_QUEUE_MAX_MS = 1000,
-  /* Until a worker is tried again whose starts could not be sent.  */
-  CONGESTED_RETRY_MS = 500
+  UNREGISTERED_KEEP_MS = 500
 };
 
 struct dispatch_worker *
@@ -239,16 +227,6 @@
     }
 }
 
-/* Assumes that W's tasks hold a lease of AHEAD_MS: the longest that another
-   owner, or a command on the clock of a former incarnation, can have
-   granted.  */
-void
-dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms)
-{
-  if (w->lease_clock_ms < w->clock_ms + ahead_ms)
-    w->lease_clock_ms = w->clock_ms + ahead_ms;
-}
-
 /* Resets W for a new incarnation, which has none of the former one's
    state.  */
 void
@@ -355,37 +333,6 @@
   rr_table_remove (d->workers, h);
 }
 
-/* Returns the lease end for the next command to worker H, on the worker's
-   clock, or 0 when that clock is not known or no lease may be granted.  The
-   shard owner may act until VALID_UNTIL, so no lease ends later.  */
-int64_t
-rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
-                          struct rr_time valid_until, struct rr_time now)
-{
-  struct dispatch_worker *w = dispatch_worker_get (d, h);
-  if (w == NULL || !w->has_clock || w->unresponsive)
-    return 0;
-  int64_t valid = rr_time_diff (valid_until, now);
-  if (valid <= 0)
-    return 0;
-  int64_t end
-      = w->clock_ms
-        + (int64_t)((double)rr_time_diff (now, w->clock_sent) * CLOCK_RATE_MIN)
-        + d->o.lease_ms;
-  /* The clock was read between the poll and its answer, which may have come
-     late, so the latest end counts from the answer.  */
-  int64_t longest = d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS;
-  int64_t last = w->clock_ms
-                 + (int64_t)((double)rr_time_diff (now, w->clock_received)
-                             * CLOCK_RATE_MIN)
-                 + (valid < longest ? valid : longest);
-  if (last < end)
-    end = last;
-  if (end > w->lease_clock_ms)
-    w->lease_clock_ms = end;
-  return end;
-}
-
 /* Returns the highest number of an end that worker H may discard.  */
 int64_t
 rr_dispatch_worker_stored_end (struct rr_dispatch *d, struct rr_handle h)
@@ -429,205 +376,3 @@
   if (w != NULL)
     w->unresponsive = true;
 }
-
-/* Withdraws starts that have waited too long to be sent.  The worker can't
-   have received them, and is not to blame.  */
-static void
-withdraw_queued_starts (struct rr_dispatch *d, struct dispatch_worker *w,
-                        struct rr_time now)
-{
-  for (size_t i = w->run_count; i-- > 0;)
-    {
-      struct dispatch_run *r = &w->runs[i];
-      if (!r->queued || rr_time_diff (now, r->started) < START_QUEUE_MAX_MS)
-        continue;
-      w->full_until = rr_time_add (now, CONGESTED_RETRY_MS);
-      dispatch_run_requeue (d, w, r, "not-sent", now);
-    }
-}
-
-/* Gives up the runs whose starts were sent to W.  */
-static void
-requeue_sent_runs (struct rr_dispatch *d, struct dispatch_worker *w,
-                   const char *reason, struct rr_time now)
-{
-  for (size_t i = w->run_count; i-- > 0;)
-    if (!w->runs[i].queued)
-      dispatch_run_requeue (d, w, &w->runs[i], reason, now);
-}
-
-static size_t
-sent_run_count (const struct dispatch_worker *w)
-{
-  size_t n = 0;
-  for (size_t i = 0; i < w->run_count; i++)
-    n += w->runs[i].queued ? 0 : 1;
-  return n;
-}
-
-/* Gives up W's runs once every lease granted to it must have expired, even on
-   its slowest possible clock, at a time when this owner certainly held the
-   shard.  A run whose start was not sent has no lease yet: the worker's last
-   lease says nothing about it.  */
-void
-dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
-                 struct rr_time confirmed, struct rr_time now)
-{
-  withdraw_queued_starts (d, w, now);
-  size_t sent = sent_run_count (w);
-  if (sent == 0 || (!w->has_clock && w->lease_clock_ms == 0))
-    return;
-  double elapsed
-      = (double)(rr_time_diff (confirmed, w->clock_received) - KILL_MARGIN_MS);
-  if ((double)w->clock_ms + elapsed * CLOCK_RATE_MIN
-      <= (double)w->lease_clock_ms)
-    return;
-  dispatch_log_decision (d, "vm_lease_expired",
-                         "vm=%s runs=%zu silent_ms=%lld", w->info.id, sent,
-                         (long long)rr_time_diff (now, w->clock_received));
-  requeue_sent_runs (d, w, "lease-expired", now);
-}
-
-/* Returns whether the command KIND to worker H, which has waited to be sent,
-   still has to be, and records that it is sent now.  Its run may have ended,
-   or its start may have been withdrawn; a start that is to be stopped again is
-   not sent at all.  */
-bool
-rr_dispatch_command_begin (struct rr_dispatch *d, struct rr_handle h,
-                           enum rr_command_kind kind,
-                           const struct rr_run_name *name)
-{
-  struct dispatch_worker *w = dispatch_worker_get (d, h);
-  struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
-  if (r == NULL)
-    return false;
-  if (kind != RR_COMMAND_START)
-    return !r->queued;
-  if (!r->queued || r->stop_wanted)
-    return false;
-  r->queued = false;
-  return true;
-}
-
-/* The connection to worker H was closed and another is opened: commands that
-   were queued are not sent, and those in flight get no answer.  */
-void
-rr_dispatch_commands_abandoned (struct rr_dispatch *d, struct rr_handle h,
-                                struct rr_time now)
-{
-  struct dispatch_worker *w = dispatch_worker_get (d, h);
-  for (size_t i = w == NULL ? 0 : w->run_count; i-- > 0;)
-    {
-      struct dispatch_run *r = &w->runs[i];
-      r->stop_in_flight = false;
-      if (r->throttle_in_flight)
-        r->speed_percent = -1;
-      r->throttle_in_flight = false;
-      if (r->phase != RUN_STARTING)
-        continue;
-      if (r->queued)
-        dispatch_run_requeue (d, w, r, "not-sent", now);
-      else
-        {
-          r->phase = RUN_UNRESOLVED;
-          dispatch_run_stop (r, "start-unanswered");
-        }
-    }
-}
-
-/* Returns the name of KIND in logs.  */
-const char *
-rr_command_kind_name (enum rr_command_kind kind)
-{
-  static const char *const names[] = { "start", "stop", "pace" };
-  return names[kind];
-}
-
-/* Returns the name of OUTCOME in logs.  */
-const char *
-rr_command_outcome_name (enum rr_command_outcome outcome)
-{
-  static const char *const names[]
-      = { "accepted", "fenced",    "stale-run", "too-late",
-          "no-room",  "no-permit", "unhealthy", "wrong-instance",
-          "invalid",  "not-sent",  "unknown" };
-  return names[outcome];
-}
-
-static void
-start_refused (struct rr_dispatch *d, struct dispatch_worker *w,
-               struct dispatch_run *r, enum rr_command_outcome outcome,
-               struct rr_time now)
-{
-  enum
-  {
-    FULL_RETRY_MS = 250,       /* until a full worker is tried again */
-    UNHEALTHY_RETRY_MS = 1000, /* until an unhealthy worker is tried again */
-    INVALID_RETRY_MS = 2000 /* until a task that was refused is tried again */
-  };
-  if (outcome == RR_OUTCOME_NO_CAPACITY)
-    w->full_until = rr_time_add (now, FULL_RETRY_MS);
-  if (outcome == RR_OUTCOME_UNHEALTHY || outcome == RR_OUTCOME_WRONG_INSTANCE)
-    w->avoid_until = rr_time_add (now, UNHEALTHY_RETRY_MS);
-  struct dispatch_job *j = dispatch_job_get (d, r->job);
-  uint32_t number = r->number;
-  if (j != NULL && outcome == RR_OUTCOME_NO_PERMIT)
-    dispatch_permit_drop (j, &r->name, w);
-  dispatch_run_requeue (d, w, r, rr_command_outcome_name (outcome), now);
-  if (j != NULL && outcome == RR_OUTCOME_INVALID)
-    j->tasks[number].not_before = rr_time_add (now, INVALID_RETRY_MS);
-}
-
-/* Processes worker H's answer to a command.  CLOCK_MS is 0 when the answer has
-   no time.  */
-void
-rr_dispatch_command_answered (struct rr_dispatch *d, struct rr_handle h,
-                              enum rr_command_kind kind,
-                              const struct rr_run_name *name,
-                              enum rr_command_outcome outcome,
-                              int64_t clock_ms, struct rr_time now)
-{
-  struct dispatch_worker *w = dispatch_worker_get (d, h);
-  struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
-  if (r == NULL)
-    return;
-  switch (kind)
-    {
-    case RR_COMMAND_THROTTLE:
-      r->throttle_in_flight = false;
-      if (outcome != RR_OUTCOME_ACCEPTED)
-        r->speed_percent = -1;
-      return;
-    case RR_COMMAND_STOP:
-      r->stop_in_flight = false;
-      r->stop_at = rr_time_add (now, STOP_RETRY_MS);
-      if (outcome != RR_OUTCOME_ACCEPTED)
-        return;
-      r->stop_confirmed = true;
-      r->settled_clock = clock_ms;
-      return;
-    case RR_COMMAND_START:
-      break;
-    }
-  if (r->phase != RUN_STARTING)
-    return;
-  if (outcome == RR_OUTCOME_ACCEPTED)
-    {
-      r->phase = RUN_RUNNING;
-      r->settled_clock = clock_ms;
-      r->progressed = now;
-      struct dispatch_job *j = dispatch_job_get (d, r->job);
-      if (j != NULL && j->phase == RR_PHASE_QUEUED)
-        {
-          j->phase = RR_PHASE_ACTIVE;
-          j->version++;
-        }
-    }
-  else if (outcome == RR_OUTCOME_UNKNOWN)
-    {
-      r->phase = RUN_UNRESOLVED;
-      dispatch_run_stop (r, "start-unanswered");
-    }
-  else
-    start_refused (d, w, r, outcome, now);
-}
