dispatch: short tasks go before waiting long-running ones for 4.5 s

Only the one that has waited longest goes first after 2 s, as before; all after 4.5 s, with capacity held on one worker and one in fifty.

--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -19,31 +19,56 @@
          && j->phase != RR_PHASE_COMPLETED;
 }
 
+/* Moves to LONGEST the long-running jobs of READY that are placed before all
+   others, and returns their number: those that have waited for
+   LONG_RUNNING_FIRST_AFTER_MS, and the one that has waited longest if that is
+   more than CAPACITY_HOLD_AFTER_MS.  Sets N to the number that is left.  */
+static size_t
+take_long_waiting (struct dispatch_ready_job *ready, size_t *n,
+                   struct dispatch_ready_job *longest)
+{
+  int64_t longest_ms = CAPACITY_HOLD_AFTER_MS;
+  for (size_t i = 0; i < *n; i++)
+    if (ready[i].group == READY_LONG_RUNNING
+        && ready[i].waited_ms > longest_ms)
+      longest_ms = ready[i].waited_ms;
+  size_t taken = 0;
+  size_t rest = 0;
+  bool found = false;
+  for (size_t i = 0; i < *n; i++)
+    {
+      bool is_longest = !found && ready[i].waited_ms == longest_ms
+                        && longest_ms > CAPACITY_HOLD_AFTER_MS;
+      if (ready[i].group == READY_LONG_RUNNING
+          && (is_longest || ready[i].waited_ms > LONG_RUNNING_FIRST_AFTER_MS))
+        {
+          found = found || is_longest;
+          longest[taken++] = ready[i];
+        }
+      else
+        ready[rest++] = ready[i];
+    }
+  *n = rest;
+  qsort (longest, taken, sizeof *longest, dispatch_ready_job_compare_waited);
+  return taken;
+}
+
 /* Places the long-running jobs that have waited for a long time, before all
    others, and holds capacity for those that find none.  READY is in the order
-   of placement; sets the number of jobs that are left to place.  After many
-   workers have left, short tasks would otherwise keep taking what becomes free
-   for as long as they come.  */
+   of placement; sets N to the number of jobs that are left to place.  After
+   many workers have left, short tasks would otherwise keep taking what becomes
+   free for as long as they come.  */
 static void
 place_long_waiting (struct rr_dispatch *d, struct dispatch_ready_job *ready,
                     size_t *n, struct rr_time now)
 {
-  size_t waiting = 0;
   struct dispatch_ready_job *longest = calloc (*n + 1, sizeof *longest);
   assert (longest != NULL);
-  size_t rest = 0;
-  for (size_t i = 0; i < *n; i++)
-    if (ready[i].group == READY_LONG_RUNNING
-        && ready[i].waited_ms > CAPACITY_HOLD_AFTER_MS)
-      longest[waiting++] = ready[i];
-    else
-      ready[rest++] = ready[i];
-  *n = rest;
-  qsort (longest, waiting, sizeof *longest, dispatch_ready_job_compare_waited);
+  size_t taken = take_long_waiting (ready, n, longest);
   size_t workers = rr_table_count (d->workers);
   d->holds_left
       = 1 + workers * CAPACITY_HOLD_WORKERS_MAX_PERCENT / (size_t)100;
-  for (size_t i = 0; i < waiting && d->start_bytes_left > 0; i++)
+  for (size_t i = 0; i < taken && d->start_bytes_left > 0; i++)
     dispatch_place_job (d, longest[i].job, now);
   d->holds_left = 0;
   free (longest);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -216,12 +216,16 @@
 
 enum
 {
-  /* A long-running task that has waited for more than this is placed before
-     short ones, and capacity is held for it on one worker: otherwise short
-     tasks would keep taking the free capacity bit by bit.  */
+  /* When the long-running task that has waited longest has waited for more
+     than this, it is placed before short ones, and capacity is held for it on
+     one worker: otherwise short tasks would keep taking the free capacity bit
+     by bit.  */
   CAPACITY_HOLD_AFTER_MS = 2000,
+  /* The same for all long-running tasks after this long, each on a worker of
+     its own.  Short tasks have users who wait, so they go first until then. */
+  LONG_RUNNING_FIRST_AFTER_MS = 4500,
   /* Share of the workers, besides one, on which capacity is held at a time. */
-  CAPACITY_HOLD_WORKERS_MAX_PERCENT = 25,
+  CAPACITY_HOLD_WORKERS_MAX_PERCENT = 2,
   /* No capacity is held unless the free cores of all workers are at least this
      many times what the task needs.  */
   CAPACITY_HOLD_FACTOR = 2
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -54,6 +54,7 @@
      export                   saves the dispatcher's estimates
      import                   merges the saved estimates
      start_bytes N            bounds the starts of later rounds
+     progress                 all runs report some progress
      wait MS                  advances the clock
      plan                     runs a planning round  */
 
@@ -763,6 +764,12 @@
     confirming = strcmp (word[1], "on") == 0;
   else if (strcmp (c, "takeover") == 0)
     takeover (word, words);
+  else if (strcmp (c, "progress") == 0)
+    {
+      for (size_t i = 0; i < worker_count; i++)
+        for (size_t k = 0; k < workers[i].run_count; k++)
+          workers[i].runs[k].status.percent ^= 1;
+    }
   else if (strcmp (c, "start_bytes") == 0)
     start_bytes_max = strtoll (word[1], NULL, 10);
   else if (strcmp (c, "wait") == 0)
