dispatch: tasks come back after a division that was not made

The store refused the write, and the share was set again from a job that had never been divided, which changed nothing: the tasks stayed withheld for good, with 61 suitable workers (event long_running_waits of their siblings).

Test failed_division: the task starts on the new worker; before it did not.

--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -81,14 +81,21 @@
   return true;
 }
 
-/* Sets which tasks of J this shard may start, from the share in G.  A task
-   that is placed here stays here.  */
+/* Sets which tasks of J this shard may start, from the share in G: all if G is
+   not divided.  A task that is placed here stays here.  */
 void
 dispatch_job_set_share (struct dispatch_job *j, const struct rr_job_graph *g)
 {
-  for (uint32_t i = 0; g->divided && i < j->task_count; i++)
+  for (uint32_t i = 0; i < j->task_count; i++)
     {
       struct dispatch_task *t = &j->tasks[i];
+      if (!g->divided)
+        {
+          /* It was withheld for a division that was not made.  */
+          if (t->state == TASK_REMOTE)
+            dispatch_task_set (j, i, TASK_WAITING);
+          continue;
+        }
       const struct rr_job_graph_share *share = rr_job_graph_share_find (g, i);
       if (share != NULL && share->first_run > t->first_run)
         t->first_run = share->first_run;
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -49,6 +49,8 @@
      release JOB | drop JOB   keeps the held job here, or drops it
      waiting MS               prints the tasks that another shard may take
      withhold JOB N           starts to move task N to another shard
+     restore JOB              sets the tasks of the job that are here from the
+                              stored job, after a division that failed
      share JOB N:RUN...       sets the tasks of the job that are here, with
                               the lowest numbers of their next runs
      export                   saves the dispatcher's estimates
@@ -615,6 +617,20 @@
     }
 }
 
+static void
+job_restore_share (const char *id)
+{
+  for (size_t i = 0; i < job_count; i++)
+    if (strcmp (jobs[i].id, id) == 0)
+      {
+        struct rr_error err = { 0 };
+        struct rr_job_graph *g = rr_job_graph_decode (
+            jobs[i].graph, strlen (jobs[i].graph), &err);
+        rr_dispatch_job_set_share (d, g);
+        rr_job_graph_free (g);
+      }
+}
+
 /* Runs a script command about the estimates.  Returns false when WORD is
    none.  */
 static bool
@@ -653,6 +669,8 @@
   else if (strcmp (word[0], "withhold") == 0)
     rr_dispatch_task_withhold (d, word[1],
                                (uint32_t)strtoul (word[2], NULL, 10));
+  else if (strcmp (word[0], "restore") == 0)
+    job_restore_share (word[1]);
   else if (strcmp (word[0], "share") == 0)
     job_share (word, words);
   else if (strcmp (word[0], "drop") == 0)
