entryd: log the age of the workers' registrations, and what watches omit

- A result of a watch says whether it may lack changes: it has about as many as an answer can hold, or ends at a revision below one that the store had shown before.
- The cache logs store_view_behind and store_view_complete.
- A start says as of when the registrations are known; a metric says so for the daemon. order_waited names commands that waited for over 0.4 s.

No decision is changed.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -47,8 +47,9 @@
   enum store_state state;
   struct store_item *items;
   size_t item_count;
-  bool truncated;   /* of a range: more keys follow */
-  int64_t revision; /* of the write, otherwise the current one */
+  bool truncated;   /* more keys follow; of a watch: more changes may */
+  int64_t revision; /* of the write, otherwise the current one; of a truncated
+                       watch: of the last change that it contains */
   int64_t lease;
   int64_t ttl_ms;
   const char *reason; /* why there was no response */
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -213,6 +213,8 @@
 struct rr_handle rr_dispatch_worker_set (struct rr_dispatch *d,
                                          const struct rr_worker_info *info,
                                          struct rr_time now);
+void rr_dispatch_registrations_set_time (struct rr_dispatch *d,
+                                         struct rr_time at);
 void rr_dispatch_worker_unregister (struct rr_dispatch *d, const char *id,
                                     struct rr_time now);
 void rr_dispatch_worker_mark_recorded (struct rr_dispatch *d, const char *id);
--- a/rosemaryentryd/metrics.c
+++ b/rosemaryentryd/metrics.c
@@ -9,6 +9,7 @@
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/records.h"
+#include "rosemaryentryd/store_cache.h"
 #include "rosemaryrail/counter.h"
 #include "rosemaryrail/histogram.h"
 
@@ -26,6 +27,7 @@
   int store_calls; /* series of a gauge, like JOBS and SHARDS */
   int jobs;
   int shards;
+  int registration_age;
   struct rr_histogram_set *latencies;
   struct http_server *server; /* null: not exposed */
 };
@@ -80,6 +82,9 @@
   rr_gauge_set (m->counters, m->jobs, (int64_t)count_jobs (m));
   rr_gauge_set (m->counters, m->shards,
                 (int64_t)owners_shard_count (m->entry->owners));
+  rr_gauge_set (m->counters, m->registration_age,
+                rr_time_diff (entry_now (), store_cache_complete_at (
+                                                m->entry->workers_cache)));
   char *counters = rr_counters_expose (m->counters);
   char *latencies = rr_histogram_set_expose (
       m->latencies, "rosemaryrail_stage_duration_seconds",
@@ -116,6 +121,9 @@
                            "Jobs known, finished included.");
   m->shards = declare_gauge (m, "rosemaryrail_shards_owned",
                              "Shards that this daemon owns.");
+  m->registration_age
+      = declare_gauge (m, "rosemaryrail_registration_age_ms",
+                       "Age of what is known of the workers' registrations.");
   if (e->settings.metrics.port == 0)
     return m;
   struct http_server_limits limits
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -207,6 +207,8 @@
   struct rr_time now = entry_now ();
   struct rr_time until = s->stopping ? rr_time_from_ms (INT64_MIN / 2)
                                      : ownership_valid_until (s);
+  rr_dispatch_registrations_set_time (
+      s->dispatch, store_cache_complete_at (s->entry->workers_cache));
   rr_dispatch_plan (s->dispatch, ownership_confirmed_at (s), until,
                     command_window_room (&s->entry->command_window), now);
   send_commands (s);
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -15,7 +15,9 @@
   WATCH_TIMEOUT_MS = 1800,
   RANGE_TIMEOUT_MS = 2000,
   RETRY_MIN_MS = 40,
-  RETRY_MAX_MS = 320
+  RETRY_MAX_MS = 320,
+  /* A cache that lacks changes for longer is reported in the log.  */
+  BEHIND_REPORT_MS = 1000
 };
 
 struct store_cache_row
@@ -46,8 +48,12 @@
   bool synced;
   bool catching_up;
   bool unresponsive; /* the last call got no usable response */
+  bool behind;       /* reported as behind */
   struct rr_time request_sent;
   struct rr_time confirmed_at;
+  struct rr_time complete_at; /* all changes made by then are applied */
+  struct rr_time full_read_sent;
+  struct rr_time catch_up_sent;
 };
 
 static void page_read (struct store_cache *c);
@@ -70,6 +76,14 @@
   return c->confirmed_at;
 }
 
+/* Returns the time by which all changes that the cache contains for certain
+   had been made: it lacks none of those made before.  */
+struct rr_time
+store_cache_complete_at (const struct store_cache *c)
+{
+  return c->complete_at;
+}
+
 /* Returns the revision up to which all changes are applied.  */
 int64_t
 store_cache_revision (const struct store_cache *c)
@@ -124,6 +138,26 @@
   c->retry_ms = RETRY_MIN_MS;
 }
 
+/* The cache contains all changes that the store had made at AT, unless the
+   response R was truncated.  Logs when it falls behind and when it no longer
+   is.  */
+static void
+note_completeness (struct store_cache *c, const struct store_result *r,
+                   struct rr_time at)
+{
+  int64_t age_ms = rr_time_diff (entry_now (), c->complete_at);
+  if (!r->truncated && rr_time_before (c->complete_at, at))
+    c->complete_at = at;
+  bool behind = r->truncated && age_ms > BEHIND_REPORT_MS;
+  if (behind == c->behind || (r->truncated && !behind))
+    return;
+  c->behind = behind;
+  log_event (behind ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+             behind ? "store_view_behind" : "store_view_complete",
+             "prefix=%s changes=%zu revision=%lld age_ms=%lld", c->prefix,
+             r->item_count, (long long)r->revision, (long long)age_ms);
+}
+
 static void
 item_apply (struct store_cache *c, const struct store_item *item)
 {
@@ -199,6 +233,8 @@
   remove_missing_rows (c);
   c->full_read = false;
   c->revision = c->full_read_revision;
+  if (c->read_interval_ms == 0)
+    note_completeness (c, r, c->full_read_sent);
   c->synced = !c->read_wanted;
   log_event (c->read_interval_ms > 0 ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
              "store_read", "prefix=%s keys=%zu revision=%lld", c->prefix,
@@ -218,6 +254,7 @@
 full_read_start (struct store_cache *c)
 {
   c->full_read = true;
+  c->full_read_sent = entry_now ();
   c->sweep++;
   c->after[0] = '\0';
   page_read (c);
@@ -240,8 +277,10 @@
 {
   struct store_cache *c = data;
   c->catching_up = false;
-  if (r->state == STORE_OK && !c->full_read)
-    changes_apply (c, r);
+  if (r->state != STORE_OK || c->full_read)
+    return;
+  changes_apply (c, r);
+  note_completeness (c, r, c->catch_up_sent);
 }
 
 /* Requests the changes so far without waiting for the batch interval or for
@@ -252,6 +291,7 @@
   if (c->catching_up || c->full_read)
     return;
   c->catching_up = true;
+  c->catch_up_sent = entry_now ();
   store_watch (c->entry->store, c->prefix, c->revision, 1, WATCH_TIMEOUT_MS,
                on_caught_up, c);
 }
@@ -278,6 +318,7 @@
   response_received (c);
   c->confirmed_at = c->request_sent;
   changes_apply (c, r);
+  note_completeness (c, r, c->request_sent);
   if (c->read_interval_ms > 0)
     follow (c);
   else if (c->batch_interval_ms > 0)
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -29,7 +29,8 @@
   /* Each command in flight uses a connection of its own, which has a cost.  */
   COMMANDS_IN_FLIGHT_MAX = 4,
   /* A command without its spec: headers and the other fields.  */
-  COMMAND_BYTES = 500
+  COMMAND_BYTES = 500,
+  COMMAND_WAIT_REPORT_MS = 400 /* a longer wait in the queue is logged */
 };
 
 /* A command with copies of what it points to.  */
@@ -312,6 +313,15 @@
           entry_now ());
       wanted = lease_end > 0;
     }
+  int64_t waited_ms = rr_time_diff (entry_now (), q->queued);
+  if (waited_ms > COMMAND_WAIT_REPORT_MS)
+    log_event (LOG_LEVEL_INFO, "order_waited",
+               "vm=%s kind=%s job=%s task=%d.%d.%d run=%u waited_ms=%lld "
+               "sent=%s",
+               c->id, rr_command_kind_name (q->command.kind),
+               q->command.name.job, q->command.name.occurrence,
+               q->command.name.step, q->command.name.task, q->command.name.run,
+               (long long)waited_ms, wanted ? "true" : "false");
   c->calls++;
   c->commands_in_flight++;
   if (!wanted)
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -316,11 +316,13 @@
   reserve_worker (d, w, j, number, name, now);
   dispatch_log_decision (d, "start",
                          "job=%s task=%d.%d.%d run=%u vm=%s free_cores=%lld "
-                         "fillers=%lld report_age_ms=%lld",
+                         "fillers=%lld report_age_ms=%lld "
+                         "registration_age_ms=%lld",
                          name->job, name->occurrence, name->step, name->task,
                          name->run, w->info.id, (long long)w->free_cores_milli,
                          (long long)w->best_effort_cores_milli,
-                         (long long)rr_time_diff (now, w->last_report));
+                         (long long)rr_time_diff (now, w->last_report),
+                         (long long)rr_time_diff (now, d->registrations_at));
   command_start (d, j, number, name, now);
   return true;
 }
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -285,6 +285,14 @@
   return w->handle;
 }
 
+/* Records that the registrations of all workers are known as of AT: no change
+   made before is missing.  */
+void
+rr_dispatch_registrations_set_time (struct rr_dispatch *d, struct rr_time at)
+{
+  d->registrations_at = at;
+}
+
 /* Records that the worker ID is no longer registered.  Its tasks may go
    on.  */
 void
