store_cache: follow a truncated answer to a watch at once

Cause: an answer to a watch holds at most 500 changes. The cache took each answer for all changes so far: it waited for its batch interval (0.4 s for owners, 1.5 s for others) before it asked for the rest, and recorded that it was complete. Where heartbeats change more entries than that, the view falls behind for as long as the daemon runs.

A truncated answer is now followed by the next watch at once, and confirms nothing. That also holds for jobs and owners: an owner took the time of its last answer as proof that it still owned the shard.

--- a/include/rosemaryentryd/store_cache.h
+++ b/include/rosemaryentryd/store_cache.h
@@ -16,7 +16,7 @@
                                       store_cache_item_fn *on_item,
                                       void *data);
 bool store_cache_synced (const struct store_cache *c);
-struct rr_time store_cache_confirmed_at (const struct store_cache *c);
+struct rr_time store_cache_answered_at (const struct store_cache *c);
 struct rr_time store_cache_complete_at (const struct store_cache *c);
 int64_t store_cache_revision (const struct store_cache *c);
 void store_cache_catch_up (struct store_cache *c);
--- a/rosemaryentryd/entry.c
+++ b/rosemaryentryd/entry.c
@@ -28,5 +28,5 @@
 struct rr_time
 entry_store_last_response (const struct entry *e)
 {
-  return store_cache_confirmed_at (e->records_cache);
+  return store_cache_answered_at (e->records_cache);
 }
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -83,7 +83,7 @@
 {
   struct rr_time lease_alive = session_confirmed_at (s->entry->session);
   struct rr_time records_read
-      = store_cache_confirmed_at (s->entry->records_cache);
+      = store_cache_complete_at (s->entry->records_cache);
   return rr_time_before (lease_alive, records_read) ? lease_alive
                                                     : records_read;
 }
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -50,7 +50,7 @@
   bool unresponsive; /* the last call got no usable response */
   bool behind;       /* reported as behind */
   struct rr_time request_sent;
-  struct rr_time confirmed_at;
+  struct rr_time answered_at;
   struct rr_time complete_at; /* all changes made by then are applied */
   struct rr_time full_read_sent;
   struct rr_time catch_up_sent;
@@ -68,12 +68,12 @@
   return c->synced;
 }
 
-/* Returns when the last answered watch was sent: the cache contains every
-   change that the store had made by then.  */
+/* Returns when the last answered watch was sent.  The cache may still lack
+   changes that the store had made by then.  */
 struct rr_time
-store_cache_confirmed_at (const struct store_cache *c)
+store_cache_answered_at (const struct store_cache *c)
 {
-  return c->confirmed_at;
+  return c->answered_at;
 }
 
 /* Returns the time by which all changes that the cache contains for certain
@@ -133,7 +133,7 @@
     log_event (LOG_LEVEL_INFO, "store_watch_regained",
                "prefix=%s revision=%lld silent_ms=%lld", c->prefix,
                (long long)c->revision,
-               (long long)rr_time_diff (entry_now (), c->confirmed_at));
+               (long long)rr_time_diff (entry_now (), c->answered_at));
   c->unresponsive = false;
   c->retry_ms = RETRY_MIN_MS;
 }
@@ -281,6 +281,8 @@
     return;
   changes_apply (c, r);
   note_completeness (c, r, c->catch_up_sent);
+  if (r->truncated)
+    store_cache_catch_up (c);
 }
 
 /* Requests the changes so far without waiting for the batch interval or for
@@ -316,12 +318,12 @@
       return;
     }
   response_received (c);
-  c->confirmed_at = c->request_sent;
+  c->answered_at = c->request_sent;
   changes_apply (c, r);
   note_completeness (c, r, c->request_sent);
   if (c->read_interval_ms > 0)
     follow (c);
-  else if (c->batch_interval_ms > 0)
+  else if (c->batch_interval_ms > 0 && !r->truncated)
     uv_timer_start (&c->timer, on_timer, c->batch_interval_ms, 0);
   else
     watch_start (c);
