--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -16,7 +16,8 @@
   RANGE_TIMEOUT_MS = 2000,
   RETRY_MIN_MS = 40,
   RETRY_MAX_MS = 320,
-  /* A cache that lacks changes for longer is reported in the log.  */
+  /* A cache that gets truncated responses for longer is reported in the
+     log.  */
   BEHIND_REPORT_MS = 1000
 };
 
@@ -51,7 +52,9 @@
   bool behind;       /* reported as behind */
   struct rr_time request_sent;
   struct rr_time answered_at;
-  struct rr_time complete_at; /* all changes made by then are applied */
+  struct rr_time complete_at;     /* all changes made by then are applied */
+  struct rr_time truncated_since; /* the first of several in a row */
+  bool truncated;                 /* the last response */
   struct rr_time full_read_sent;
   struct rr_time catch_up_sent;
 };
@@ -145,10 +148,15 @@
 note_completeness (struct store_cache *c, const struct store_result *r,
                    struct rr_time at)
 {
-  int64_t age_ms = rr_time_diff (entry_now (), c->complete_at);
+  struct rr_time now = entry_now ();
+  int64_t age_ms = rr_time_diff (now, c->complete_at);
+  if (r->truncated && !c->truncated)
+    c->truncated_since = now;
+  c->truncated = r->truncated;
   if (!r->truncated && rr_time_before (c->complete_at, at))
     c->complete_at = at;
-  bool behind = r->truncated && age_ms > BEHIND_REPORT_MS;
+  bool behind = r->truncated
+                && rr_time_diff (now, c->truncated_since) > BEHIND_REPORT_MS;
   if (behind == c->behind || (r->truncated && !behind))
     return;
   c->behind = behind;
