dispatch: start nothing while the workers' registrations are out of date

What an owner knows of the registrations may now be older than the last response of the store by at most the time in which a draining worker may still get tasks (new setting drain_ms, from the users' bounds), less 0.6 s for the delivery. Beyond that nothing starts, also nothing that was decided before. While the store responds to nothing, no worker can have told it that it drains, so starts go on as far as ownership lasts. After a pause of the process its knowledge counts as of before the pause. So that deployments of a few workers don't run into the limit, a watch of the workers waits for 0.4 s instead of 1 s.

Test: dispatch stale registrations; before, c and d start on w1.

--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -31,6 +31,7 @@
   struct settings_peer peer;    /* calls from other daemons; port 0: none */
   char log_level[16];
   int64_t lease_max_ms; /* longest lease that workers grant */
+  int64_t drain_ms;     /* until a draining worker gets no more tasks */
   int64_t shutdown_ms;  /* from SIGTERM until the platform sends SIGKILL */
   int64_t retention_ms; /* how long ended jobs are kept */
   int64_t cpu_milli;    /* CPU share, thousandths of a core */
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -13,8 +13,10 @@
 enum
 {
   TICK_MS = 100,
-  PLAN_DELAY_MS = 3,    /* batches events that arrive together */
-  COMMIT_DELAY_MS = 60, /* batches progress that no caller waits for */
+  PAUSE_MS = 1000, /* between planning rounds: the process stood still */
+  START_DELIVERY_MS = 600, /* until a start that is sent has arrived */
+  PLAN_DELAY_MS = 3,       /* batches events that arrive together */
+  COMMIT_DELAY_MS = 60,    /* batches progress that no caller waits for */
   COMMIT_RETRY_MS = 100,
   COMMIT_TIMEOUT_MS = 900,
   /* Each job needs a condition and a write, and the owner key a
@@ -110,6 +112,8 @@
   struct rr_dispatch *dispatch;
   struct rr_table *connections;          /* of struct worker_connection * */
   struct rr_key_index *connection_index; /* by worker id */
+  struct rr_time planned;                /* the last round */
+  struct rr_time resumed; /* when the process last went on after a pause */
   uv_timer_t tick;
   uv_timer_t plan_timer;
   uv_timer_t commit_timer;
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -171,8 +171,11 @@
 /* Settings and callbacks of a dispatcher.  */
 struct rr_dispatch_options
 {
-  int64_t lease_ms;       /* of running tasks, renewed by each poll */
-  int64_t lease_max_ms;   /* maximum time from grant to expiry */
+  int64_t lease_ms;     /* of running tasks, renewed by each poll */
+  int64_t lease_max_ms; /* maximum time from grant to expiry */
+  /* No task starts while the workers' registrations are older than this,
+     compared with the store's last response.  */
+  int64_t registration_age_max_ms;
   double remote_factor;   /* slowdown on a rack without the data */
   int64_t wall_offset_ms; /* wall clock minus the clock of rr_time */
   void (*send_command) (void *data, const struct rr_command *command);
@@ -214,7 +217,8 @@
                                          const struct rr_worker_info *info,
                                          struct rr_time now);
 void rr_dispatch_registrations_set_time (struct rr_dispatch *d,
-                                         struct rr_time at);
+                                         struct rr_time at,
+                                         struct rr_time store_responded);
 void rr_dispatch_worker_unregister (struct rr_dispatch *d, const char *id,
                                     struct rr_time now);
 void rr_dispatch_worker_mark_recorded (struct rr_dispatch *d, const char *id);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -32,6 +32,7 @@
      An owner has to see within 2 s that a worker drains, and the first daemons
      count the workers; others use the entries only to select a shard.  */
   OWNER_WORKERS_BATCH_MS = 400,
+  WORKERS_WATCH_WAIT_MS = 400, /* on a deployment of a few workers */
   FOLLOWER_WORKERS_BATCH_MS = 1500,
   OWNER_BATCH_MS = 10, /* changes of the store, while it owns a shard */
   /* The daemons that would claim a shard first follow the workers' entries
@@ -185,6 +186,7 @@
 void
 owners_caches_opened (struct owners *o)
 {
+  store_cache_set_watch_wait (o->entry->workers_cache, WORKERS_WATCH_WAIT_MS);
   set_batch_intervals (o);
 }
 
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -107,6 +107,7 @@
       snprintf (s->log_level, sizeof s->log_level, "%s",
                 json_string_or (o, "log_level", "info"));
       s->lease_max_ms = read_scaled_number_or (o, "lease_max_ms", 1, 10000);
+      s->drain_ms = read_scaled_number_or (o, "drain_ms", 1, 2000);
       s->shutdown_ms = read_scaled_number_or (o, "shutdown_s", 1000, 6000);
       s->retention_ms = read_scaled_number_or (o, "retention_s", 1000, 120000);
       s->cpu_milli
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -201,6 +201,19 @@
   s->command_count = 0;
 }
 
+/* Returns the last time at which the store may have told others what this
+   daemon does not know: when it last responded, or when this process went on
+   after a pause.  */
+static struct rr_time
+store_last_heard (struct shard *s, struct rr_time now)
+{
+  if (rr_time_diff (now, s->planned) > PAUSE_MS)
+    s->resumed = now;
+  s->planned = now;
+  struct rr_time responded = session_confirmed_at (s->entry->session);
+  return rr_time_before (responded, s->resumed) ? s->resumed : responded;
+}
+
 static void
 shard_plan (struct shard *s)
 {
@@ -208,7 +221,8 @@
   struct rr_time until = s->stopping ? rr_time_from_ms (INT64_MIN / 2)
                                      : ownership_valid_until (s);
   rr_dispatch_registrations_set_time (
-      s->dispatch, store_cache_complete_at (s->entry->workers_cache));
+      s->dispatch, store_cache_complete_at (s->entry->workers_cache),
+      store_last_heard (s, now));
   rr_dispatch_plan (s->dispatch, ownership_confirmed_at (s), until,
                     command_window_room (&s->entry->command_window), now);
   send_commands (s);
@@ -433,6 +447,7 @@
   assert (s != NULL);
   s->entry = e;
   s->record = record;
+  s->planned = entry_now ();
   s->fencing_token = fencing_token;
   s->connections = rr_table_new (sizeof (struct worker_connection *));
   s->connection_index = rr_key_index_new ();
@@ -443,6 +458,10 @@
                           ? TASK_LEASE_MS
                           : e->settings.lease_max_ms,
           .lease_max_ms = e->settings.lease_max_ms,
+          .registration_age_max_ms
+          = e->settings.drain_ms > 2 * START_DELIVERY_MS
+                ? e->settings.drain_ms - START_DELIVERY_MS
+                : START_DELIVERY_MS,
           .remote_factor = e->settings.remote_factor,
           .wall_offset_ms = entry_wall_ms () - entry_now ().ms,
           .send_command = on_command,
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -10,7 +10,7 @@
 
 enum
 {
-  WATCH_WAIT_MS = 1000,
+  WATCH_WAIT_MS = 1000, /* by default */
   /* A watch that gets no response for this long is on a dead connection.  */
   WATCH_TIMEOUT_MS = 1800,
   RANGE_TIMEOUT_MS = 2000,
@@ -38,6 +38,7 @@
   struct rr_key_index *index;
   uv_timer_t timer;
   uint64_t batch_interval_ms; /* between watches, to batch changes */
+  uint64_t watch_wait_ms;     /* for the next change */
   uint64_t read_interval_ms;  /* between full reads; 0: watches instead */
   bool read_wanted; /* a full read as soon as no call is waited for */
   uint64_t retry_ms;
@@ -341,7 +342,7 @@
 watch_start (struct store_cache *c)
 {
   c->request_sent = entry_now ();
-  store_watch (c->entry->store, c->prefix, c->revision, WATCH_WAIT_MS,
+  store_watch (c->entry->store, c->prefix, c->revision, c->watch_wait_ms,
                WATCH_TIMEOUT_MS, on_watch, c);
 }
 
@@ -385,6 +386,15 @@
     }
 }
 
+/* Sets how long a watch waits for a change, in milliseconds, at most
+   WATCH_WAIT_MS.  While there is none, it is known only after a wait that no
+   change is missing.  */
+void
+store_cache_set_watch_wait (struct store_cache *c, uint64_t wait_ms)
+{
+  c->watch_wait_ms = wait_ms;
+}
+
 /* Starts to cache the keys under PREFIX and to call ON_ITEM for every change.
  */
 struct store_cache *
@@ -400,6 +410,7 @@
   c->rows = rr_table_new (sizeof (struct store_cache_row));
   c->index = rr_key_index_new ();
   c->retry_ms = RETRY_MIN_MS;
+  c->watch_wait_ms = WATCH_WAIT_MS;
   uv_timer_init (e->loop, &c->timer);
   c->timer.data = c;
   full_read_start (c);
--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -31,7 +31,8 @@
 /* Returns whether the command KIND to worker H, which has waited to be sent,
    still has to be, and records that it is sent now.  Its run may have ended,
    or its start may have been withdrawn; a start that is to be stopped again is
-   not sent at all, nor one whose worker drains or is gone by now.  */
+   not sent at all, nor one whose worker drains or is gone by now, or may do so
+   as far as this daemon knows.  */
 bool
 rr_dispatch_command_begin (struct rr_dispatch *d, struct rr_handle h,
                            enum rr_command_kind kind,
@@ -43,7 +44,8 @@
     return false;
   if (kind != RR_COMMAND_START)
     return !r->queued;
-  if (!r->queued || r->stop_wanted || !w->registered || w->info.draining)
+  if (!r->queued || r->stop_wanted || !w->registered || w->info.draining
+      || d->registrations_stale)
     return false;
   r->queued = false;
   return true;
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -189,9 +189,10 @@
 
 /* Decides what to start, stop and throttle now.  CONFIRMED is the last time at
    which this owner certainly held the shard: the expiry of a lease after that
-   is not conclusive, since another owner may have renewed it.  Nothing starts
-   when less than START_LEASE_MIN_MS is left until VALID_UNTIL, and no more
-   than START_BYTES_MAX, which is what can be sent at once.  */
+   is not conclusive, since another owner may have renewed it.  Nothing
+   starts while the workers' registrations are stale, nor when less than
+   START_LEASE_MIN_MS is left until VALID_UNTIL, and no more than
+   START_BYTES_MAX, which is what can be sent at once.  */
 void
 rr_dispatch_plan (struct rr_dispatch *d, struct rr_time confirmed,
                   struct rr_time valid_until, int64_t start_bytes_max,
@@ -213,7 +214,8 @@
   audit_placed_tasks (d, now);
   dispatch_interference_refresh (d, now);
   d->start_bytes_left = start_bytes_max;
-  if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS)
+  if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS
+      && !d->registrations_stale)
     place_jobs (d, now);
   h = (struct rr_handle){ 0 };
   while ((w = rr_table_next (d->workers, &h)) != NULL)
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -178,6 +178,7 @@
   int64_t free_cores_milli; /* of usable workers, at the start of a round */
   struct rr_time audited;
   struct rr_time registrations_at; /* registrations are known as of then */
+  bool registrations_stale;        /* too old to start tasks */
   int64_t start_bytes_left; /* that may be sent in this round */
   size_t holds_left;        /* workers on which capacity may still be held */
   struct rr_policy policy;  /* of the interference model */
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -286,11 +286,22 @@
 }
 
 /* Records that the registrations of all workers are known as of AT: no change
-   made before is missing.  */
+   made before is missing.  The store, in which they are, last responded to a
+   call of STORE_RESPONDED.  While it responds to nothing, no worker can have
+   told it since that it drains, so only the difference counts.  */
 void
-rr_dispatch_registrations_set_time (struct rr_dispatch *d, struct rr_time at)
+rr_dispatch_registrations_set_time (struct rr_dispatch *d, struct rr_time at,
+                                    struct rr_time store_responded)
 {
   d->registrations_at = at;
+  int64_t age_ms = rr_time_diff (store_responded, at);
+  bool stale = age_ms > d->o.registration_age_max_ms;
+  if (stale != d->registrations_stale)
+    dispatch_log_decision (d, stale ? "starts_suspended" : "starts_resumed",
+                           "registration_age_ms=%lld max=%lld",
+                           (long long)age_ms,
+                           (long long)d->o.registration_age_max_ms);
+  d->registrations_stale = stale;
 }
 
 /* Records that the worker ID is no longer registered.  Its tasks may go
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -42,6 +42,8 @@
                               membership record
      store                    stores all progress
      confirm on|off           whether ownership of the shard is confirmed
+     registrations on|off     whether the workers' registrations are known as
+                              of the last planning round
      takeover W...            replaces the owner by a new one, with these
                               workers in the membership record
      idle NEW_MS STARTED_MS   prints the jobs that another shard may take
@@ -68,7 +70,8 @@
   JOBS_MAX = 64,
   RUNS_PER_OWNER = 16,
   LEASE_MS = 4500,
-  LEASE_MAX_MS = 10000
+  LEASE_MAX_MS = 10000,
+  REGISTRATION_AGE_MAX_MS = 1400
 };
 
 struct fake_run
@@ -115,6 +118,8 @@
 static struct rr_time now = { 1000000 };
 static struct rr_time confirmed = { 1000000 };
 static bool confirming = true;
+static struct rr_time registrations_at = { 1000000 };
+static bool registrations_current = true;
 static int64_t start_bytes_max = INT64_MAX / 2;
 static struct rr_queue_policy queues[8];
 static size_t queue_count;
@@ -172,12 +177,14 @@
 static struct rr_dispatch *
 dispatcher_new (void)
 {
-  struct rr_dispatch_options o = { .lease_ms = LEASE_MS,
-                                   .lease_max_ms = LEASE_MAX_MS,
-                                   .remote_factor = 3,
-                                   .send_command = on_command,
-                                   .request_permits = on_permit_request,
-                                   .log_decision = log_decision };
+  struct rr_dispatch_options o
+      = { .lease_ms = LEASE_MS,
+          .lease_max_ms = LEASE_MAX_MS,
+          .registration_age_max_ms = REGISTRATION_AGE_MAX_MS,
+          .remote_factor = 3,
+          .send_command = on_command,
+          .request_permits = on_permit_request,
+          .log_decision = log_decision };
   struct rr_dispatch *fresh = rr_dispatch_new (&o);
   for (size_t i = 0; i < queue_count; i++)
     rr_dispatch_queue_set (fresh, &queues[i]);
@@ -295,6 +302,9 @@
 {
   if (confirming)
     confirmed = now;
+  if (registrations_current)
+    registrations_at = now;
+  rr_dispatch_registrations_set_time (d, registrations_at, now);
   command_count = 0;
   rr_dispatch_plan (d, confirmed, rr_time_add (confirmed, LEASE_MAX_MS),
                     start_bytes_max, now);
@@ -780,6 +790,8 @@
     permits_grant (word, words);
   else if (strcmp (c, "confirm") == 0)
     confirming = strcmp (word[1], "on") == 0;
+  else if (strcmp (c, "registrations") == 0)
+    registrations_current = strcmp (word[1], "on") == 0;
   else if (strcmp (c, "takeover") == 0)
     takeover (word, words);
   else if (strcmp (c, "progress") == 0)
