--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -87,6 +87,7 @@
   enum run_phase phase;
   bool queued;   /* its start has not left this daemon yet */
   bool reported; /* by the worker's present incarnation */
+  bool survived; /* ... some time after its start */
   bool stop_wanted;
   bool stop_in_flight;
   bool stop_confirmed;    /* acknowledged at SETTLED_CLOCK */
@@ -337,6 +338,10 @@
 void dispatch_health_end (struct rr_dispatch *d, struct dispatch_worker *w,
                           struct rr_handle job, enum rr_end_kind kind,
                           struct rr_time now);
+void dispatch_crash_run_reported (struct dispatch_run *r, struct rr_time now);
+void dispatch_crash_worker_lost (struct rr_dispatch *d,
+                                 const struct dispatch_worker *w,
+                                 const char *reason, struct rr_time now);
 void dispatch_health_check (struct rr_dispatch *d, struct dispatch_worker *w,
                             struct rr_time now);
 
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -128,6 +128,7 @@
   t->worker = w->handle;
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
+  r->survived = true;
   dispatch_lease_assume (w, d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS);
   if (j->phase == RR_PHASE_QUEUED)
     {
@@ -188,6 +189,7 @@
     }
   r->missing = -1;
   r->reported = true;
+  dispatch_crash_run_reported (r, now);
   if (status->percent != r->percent)
     {
       r->percent = status->percent;
