dispatch: give up a task under which three workers in a row have crashed

Cause: a run that was lost with its worker returned its task to the waiting tasks, and nothing counted how often. Only ends that a worker reports as failed were limited.

A run that its worker had not reported as running some time after the start now counts as a crash when the worker is gone from the list or has restarted. After three in a row the task is given up. The count is part of the stored progress, so that it outlives the owner; it starts anew when a run survives.

Suspected tasks are therefore kept apart until they have survived, and from the second crash on nothing else starts beside the task.

Ruled out: giving up after two crashes. Counting each lost worker: one that is only out of reach is still listed.

Tests: dispatch deadly_task, deadly_task_of_owners and deadly_task_restart, red before; lost_but_not_deadly.

--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -26,6 +26,7 @@
   /* Bit I: the end of run RUN - I has been processed.  */
   uint64_t recorded_ends;
   uint32_t failures;
+  uint32_t crashes; /* of workers in a row, soon after they started it */
   bool done;
   char checkpoint[RR_CHECKPOINT_SIZE];
 };
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -258,6 +258,8 @@
   if (end->checkpoint[0] != '\0')
     snprintf (t->checkpoint, sizeof t->checkpoint, "%s", end->checkpoint);
   job_mark_changed (j);
+  if (end->kind == RR_END_DONE || end->kind == RR_END_FAILED)
+    dispatch_crash_clear (j, t);
   if (t->state == TASK_DONE)
     return;
   /* The end of an older run that was given up as lost, while a newer run is in
@@ -293,7 +295,16 @@
   dispatch_log_decision (
       d, "job_failed", "job=%s task=%d.%d.%d failures=%u max=%d", j->graph->id,
       end->name.occurrence, end->name.step, end->name.task, t->failures, max);
+  dispatch_job_fail (d, j);
+}
+
+/* Ends J as failed: no more of its tasks start, and running ones are
+   stopped.  */
+void
+dispatch_job_fail (struct rr_dispatch *d, struct dispatch_job *j)
+{
   j->phase = RR_PHASE_FAILED;
+  job_mark_changed (j);
   dispatch_job_stop_runs (d, j, "job-failed");
 }
 
@@ -351,6 +362,7 @@
   t->recorded_ends = row->recorded_ends;
   t->next_run = row->run + 1;
   t->failures = row->failures;
+  t->crashes = row->crashes;
   memcpy (t->checkpoint, row->checkpoint, sizeof t->checkpoint);
   if (row->done)
     dispatch_task_set (j, row->number, TASK_DONE);
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -42,6 +42,8 @@
   w->free_accelerators = w->info.accelerators;
   w->best_effort_cores_milli = 0;
   w->serving_cores_milli = 0;
+  w->has_suspect = false;
+  w->has_trial = false;
   for (size_t i = 0; i < w->run_count; i++)
     {
       const struct dispatch_run *r = &w->runs[i];
@@ -53,6 +55,8 @@
         w->free_cores_milli -= r->cores_milli;
       if (r->tail_target_ms > 0)
         w->serving_cores_milli += r->cores_milli;
+      w->has_suspect = w->has_suspect || (r->suspected && !r->survived);
+      w->has_trial = w->has_trial || (r->on_trial && !r->survived);
     }
 }
 
@@ -93,6 +97,8 @@
   const char *rack; /* required rack; null: any */
   bool needs_permits;
   bool any_speed; /* also where a best-effort task runs slowly */
+  bool suspected; /* not beside another task that may crash its worker */
+  bool on_trial;  /* where the fewest tasks run */
 };
 
 static bool
@@ -103,6 +109,8 @@
   if (!dispatch_worker_usable (w, now)
       || strcmp (w->info.service, c->service) != 0)
     return false;
+  if (w->has_trial || (c->suspected && w->has_suspect))
+    return false;
   if (s->required_label[0] != '\0'
       && !rr_worker_has_label (&w->info, s->required_label))
     return false;
@@ -177,13 +185,17 @@
          + unused_cores_milli (w) / 100;
 }
 
-/* Returns the score of worker W, which is allowed, for a task of step S.  */
+/* Returns the score of worker W, which is allowed, for a task of the step of
+   C.  */
 static int64_t
 worker_score (const struct rr_dispatch *d, const struct dispatch_worker *w,
-              const struct rr_job_graph_step *s, int image, bool any_speed)
+              const struct constraints *c, int image)
 {
+  const struct rr_job_graph_step *s = c->step;
+  if (c->on_trial)
+    return SCORE_BASE - (int64_t)w->run_count;
   if (s->best_effort)
-    return best_effort_score (d, w, s, image, any_speed);
+    return best_effort_score (d, w, s, image, c->any_speed);
   if (s->tail_target_ms > 0)
     return latency_critical_score (w, image) + SCORE_BASE;
   return unused_cores_milli (w) + SCORE_BASE;
@@ -205,7 +217,7 @@
     {
       if (!worker_allowed (w, c, now) || !worker_fits (w, c->step))
         continue;
-      int64_t score = worker_score (d, w, c->step, probe.image, c->any_speed);
+      int64_t score = worker_score (d, w, c, probe.image);
       if (score < 0)
         continue;
       if (rr_handle_equal (w->handle, failed_worker))
@@ -229,7 +241,12 @@
   dispatch_task_set (j, number, TASK_PLACED);
   t->current_run = name->run;
   t->worker = w->handle;
-  dispatch_run_add (d, w, j, name, now)->queued = true;
+  struct dispatch_run *r = dispatch_run_add (d, w, j, name, now);
+  r->queued = true;
+  r->suspected = dispatch_crash_suspected (t);
+  r->on_trial = dispatch_crash_on_trial (t);
+  w->has_suspect = w->has_suspect || r->suspected;
+  w->has_trial = w->has_trial || r->on_trial;
   w->free_memory_mb -= s->memory_mb;
   w->free_accelerators -= s->accelerators;
   if (s->best_effort)
@@ -286,7 +303,9 @@
           .name = name,
           .service = q->service[0] != '\0' ? q->service : j->graph->service,
           .rack = gang_rack,
-          .needs_permits = q->needs_permits };
+          .needs_permits = q->needs_permits,
+          .suspected = dispatch_crash_suspected (&j->tasks[number]),
+          .on_trial = dispatch_crash_on_trial (&j->tasks[number]) };
   struct rr_handle failed_worker = j->tasks[number].failed_worker;
   c.any_speed
       = s->best_effort && j->run_count == 0
@@ -451,12 +470,16 @@
       uint32_t number;
       dispatch_task_number (j, &name, &number);
       struct dispatch_task *t = &j->tasks[number];
-      if (t->state != TASK_WAITING || rr_time_before (now, t->not_before))
+      if (t->state != TASK_WAITING || rr_time_before (now, t->not_before)
+          || dispatch_crash_given_up (t))
         continue;
       if (place_single (d, j, &name, number, now))
         continue;
       if (needs_permits)
         dispatch_permit_request (d, j, &name, now);
+      /* The others of the step may run beside what this one may not.  */
+      if (dispatch_crash_suspected (t))
+        continue;
       if (s->long_running && d->holds_left > 0
           && d->free_cores_milli >= s->cores_milli * CAPACITY_HOLD_FACTOR)
         {
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -25,6 +25,7 @@
      reported in any order when several workers were unreachable.  */
   uint64_t recorded_ends;
   uint32_t failures;
+  uint32_t crashes;               /* of workers in a row, soon after a start */
   struct rr_handle worker;        /* while placed */
   struct rr_handle failed_worker; /* where its last run failed; avoided */
   struct rr_time not_before;      /* of the next start */
@@ -88,6 +89,9 @@
   bool queued;   /* its start has not left this daemon yet */
   bool reported; /* by the worker's present incarnation */
   bool survived; /* ... some time after its start */
+  bool crash_counted;
+  bool suspected; /* its task is suspected to crash workers */
+  bool on_trial;  /* ... and nothing else starts beside it until it survives */
   bool stop_wanted;
   bool stop_in_flight;
   bool stop_confirmed;    /* acknowledged at SETTLED_CLOCK */
@@ -158,6 +162,8 @@
   int64_t free_accelerators;
   int64_t best_effort_cores_milli;
   int64_t serving_cores_milli;
+  bool has_suspect; /* runs that are suspected and have not survived yet */
+  bool has_trial;
 };
 
 struct rr_dispatch
@@ -280,6 +286,7 @@
                             uint32_t number, struct rr_time now);
 void dispatch_job_stop_runs (struct rr_dispatch *d, struct dispatch_job *j,
                              const char *reason);
+void dispatch_job_fail (struct rr_dispatch *d, struct dispatch_job *j);
 void dispatch_job_set_share (struct dispatch_job *j,
                              const struct rr_job_graph *g);
 void dispatch_job_release (struct dispatch_job *j);
@@ -338,10 +345,15 @@
 void dispatch_health_end (struct rr_dispatch *d, struct dispatch_worker *w,
                           struct rr_handle job, enum rr_end_kind kind,
                           struct rr_time now);
-void dispatch_crash_run_reported (struct dispatch_run *r, struct rr_time now);
+bool dispatch_crash_suspected (const struct dispatch_task *t);
+bool dispatch_crash_on_trial (const struct dispatch_task *t);
+bool dispatch_crash_given_up (const struct dispatch_task *t);
+void dispatch_crash_clear (struct dispatch_job *j, struct dispatch_task *t);
+void dispatch_crash_run_reported (struct rr_dispatch *d,
+                                  struct dispatch_run *r, struct rr_time now);
 void dispatch_crash_worker_lost (struct rr_dispatch *d,
-                                 const struct dispatch_worker *w,
-                                 const char *reason, struct rr_time now);
+                                 struct dispatch_worker *w, bool restarted,
+                                 const char *reason);
 void dispatch_health_check (struct rr_dispatch *d, struct dispatch_worker *w,
                             struct rr_time now);
 
--- a/rosemaryrail/dispatch_progress.c
+++ b/rosemaryrail/dispatch_progress.c
@@ -60,13 +60,14 @@
 add_row (const struct dispatch_job *j, uint32_t number, struct rr_progress *p)
 {
   const struct dispatch_task *t = &j->tasks[number];
-  if (t->ended_run == 0 && t->state != TASK_DONE)
+  if (t->ended_run == 0 && t->state != TASK_DONE && t->crashes == 0)
     return;
   struct rr_progress_row *r = &p->rows[p->row_count++];
   r->number = number;
   r->run = t->ended_run;
   r->recorded_ends = t->recorded_ends;
   r->failures = t->failures;
+  r->crashes = t->crashes;
   r->done = t->state == TASK_DONE;
   if (!r->done)
     memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -189,7 +189,7 @@
     }
   r->missing = -1;
   r->reported = true;
-  dispatch_crash_run_reported (r, now);
+  dispatch_crash_run_reported (d, r, now);
   if (status->percent != r->percent)
     {
       r->percent = status->percent;
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -144,7 +144,9 @@
           struct rr_time since = t->not_before;
           if (rr_time_before (since, j->accepted))
             since = j->accepted;
-          if (t->state == TASK_WAITING
+          /* The count of crashes stays with this shard, and so does the
+             task.  */
+          if (t->state == TASK_WAITING && !dispatch_crash_suspected (t)
               && rr_time_diff (now, since) >= waited_ms)
             tasks[n++]
                 = (struct rr_waiting_task){ j->graph->id, i, t->next_run };
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -245,7 +245,7 @@
   w->end_count = 0;
   w->failed_in_row = 0;
   w->best_effort_percent = 100;
-  dispatch_crash_worker_lost (d, w, "vm-restarted", now);
+  dispatch_crash_worker_lost (d, w, true, "vm-restarted");
   requeue_former_runs (d, w, now);
   /* Assume the longest lease for the runs that are kept, so that they expire
      when the new incarnation never reports.  */
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -145,12 +145,12 @@
 {
   (void)data;
   static const char *const shown[]
-      = { "run_lost",          "run_adopted",
-          "run_unexpected",    "vm_lease_expired",
-          "job_failed",        "job_done",
-          "vm_avoided",        "vm_restarted",
-          "fillers_cut",       "inheritance_settled",
-          "long_running_waits" };
+      = { "run_lost",           "run_adopted",
+          "run_unexpected",     "vm_lease_expired",
+          "job_failed",         "job_done",
+          "vm_avoided",         "vm_restarted",
+          "fillers_cut",        "inheritance_settled",
+          "long_running_waits", "crash_suspected" };
   for (size_t i = 0; i < sizeof shown / sizeof shown[0]; i++)
     if (strcmp (shown[i], event) == 0)
       printf ("%s %s\n", event, text);
