store_cache: a shorter batch interval counts at once

Seen by callers: after a takeover on the small sites, tasks wait for up to a second until starts are resumed.

The timer is now set to the shorter interval at once.

Test: entry new owner interval; before, no call follows.

--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -38,6 +38,7 @@
   struct rr_key_index *index;
   uv_timer_t timer;
   uint64_t batch_interval_ms; /* between watches, to batch changes */
+  bool batching;              /* the timer runs for that interval */
   uint64_t watch_wait_ms;     /* for the next change */
   uint64_t read_interval_ms;  /* between full reads; 0: watches instead */
   bool read_wanted; /* a full read as soon as no call is waited for */
@@ -95,19 +96,11 @@
   return c->revision;
 }
 
-/* Sets the interval between watches, in milliseconds.  A longer one makes
-   fewer calls and delivers changes later.  */
-void
-store_cache_set_batch_interval (struct store_cache *c,
-                                uint64_t batch_interval_ms)
-{
-  c->batch_interval_ms = batch_interval_ms;
-}
-
 static void
 on_timer (uv_timer_t *timer)
 {
   struct store_cache *c = timer->data;
+  c->batching = false;
   if (c->full_read)
     page_read (c);
   else if (c->read_interval_ms > 0)
@@ -116,6 +109,17 @@
     watch_start (c);
 }
 
+/* Sets the interval between watches, in milliseconds.  A longer one makes
+   fewer calls and delivers changes later.  A shorter one counts at once.  */
+void
+store_cache_set_batch_interval (struct store_cache *c,
+                                uint64_t batch_interval_ms)
+{
+  if (c->batching && batch_interval_ms < c->batch_interval_ms)
+    uv_timer_start (&c->timer, on_timer, batch_interval_ms, 0);
+  c->batch_interval_ms = batch_interval_ms;
+}
+
 static void
 retry_later (struct store_cache *c, const struct store_result *r)
 {
@@ -262,6 +266,7 @@
 static void
 full_read_start (struct store_cache *c)
 {
+  c->batching = false;
   c->full_read = true;
   c->full_read_sent = entry_now ();
   c->sweep++;
@@ -333,7 +338,10 @@
   if (c->read_interval_ms > 0)
     follow (c);
   else if (c->batch_interval_ms > 0 && !r->truncated)
-    uv_timer_start (&c->timer, on_timer, c->batch_interval_ms, 0);
+    {
+      c->batching = true;
+      uv_timer_start (&c->timer, on_timer, c->batch_interval_ms, 0);
+    }
   else
     watch_start (c);
 }
--- a/tests/entry/cache_script.c
+++ b/tests/entry/cache_script.c
@@ -15,13 +15,14 @@
                                  answers the oldest call of a watch with
                                  changes up to REVISION
      catch_up                    requests the changes so far
-     state                       prints what the cache knows  */
+     batch MS                    sets the batch interval, and runs the loop
+   once state                       prints what the cache knows  */
 
 enum
 {
   CALLS_MAX = 8,
   ITEMS_MAX = 1000,
-  /* No watch follows a batch interval within the script.  */
+  /* No watch follows this batch interval within the script.  */
   BATCH_INTERVAL_MS = 3600000
 };
 
@@ -134,6 +135,11 @@
     answer ((size_t)first, second, strcmp (flag, "truncated") == 0);
   else if (strcmp (name, "catch_up") == 0)
     store_cache_catch_up (c);
+  else if (strcmp (name, "batch") == 0)
+    {
+      store_cache_set_batch_interval (c, (uint64_t)first);
+      uv_run (uv_default_loop (), UV_RUN_NOWAIT);
+    }
   else if (strcmp (name, "state") == 0)
     printf ("revision=%" PRId64 " changes=%zu complete=%" PRId64
             " ms ago, answered=%" PRId64 " ms ago, calls=%zu\n",
