--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -437,6 +437,15 @@
   uv_timer_start (&s->tick, on_tick, 0, TICK_MS);
 }
 
+/* Returns how old the knowledge of the workers may be when a task starts, so
+   that none arrives at a worker that has drained for DRAIN_MS.  */
+static int64_t
+registration_age_max_ms (int64_t drain_ms)
+{
+  int64_t age_ms = drain_ms - START_DELIVERY_MS;
+  return age_ms > START_DELIVERY_MS ? age_ms : START_DELIVERY_MS;
+}
+
 /* Starts to serve the shard RECORD, which this daemon owns since the revision
    FENCING_TOKEN.  INHERITED: the shard had an owner before.  */
 struct shard *
@@ -459,9 +468,7 @@
                           : e->settings.lease_max_ms,
           .lease_max_ms = e->settings.lease_max_ms,
           .registration_age_max_ms
-          = e->settings.drain_ms > 2 * START_DELIVERY_MS
-                ? e->settings.drain_ms - START_DELIVERY_MS
-                : START_DELIVERY_MS,
+          = registration_age_max_ms (e->settings.drain_ms),
           .remote_factor = e->settings.remote_factor,
           .wall_offset_ms = entry_wall_ms () - entry_now ().ms,
           .send_command = on_command,
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -186,9 +186,9 @@
   struct rr_time audited;
   struct rr_time registrations_at; /* registrations are known as of then */
   bool registrations_stale;        /* too old to start tasks */
-  int64_t start_bytes_left; /* that may be sent in this round */
-  size_t holds_left;        /* workers on which capacity may still be held */
-  struct rr_policy policy;  /* of the interference model */
+  int64_t start_bytes_left;        /* that may be sent in this round */
+  size_t holds_left;       /* workers on which capacity may still be held */
+  struct rr_policy policy; /* of the interference model */
   struct rr_interference *model;
   double base_ms[RR_CLASSES_MAX]; /* lowest tail latency seen, by image */
   struct rr_time model_refreshed;
