dispatch: a job's attempts are known without its queue

Seen by callers: a job is shown as failed although none of its tasks has failed as often as its queue allows (LOST).

Cause: an owner that does not know a job's queue allowed a single attempt. That is so for each job of a queue that the configuration has dropped, once its shard has a new owner, and for all jobs as long as a new owner has not read the configuration.

What the queue says of attempts is now stored with the job when it is accepted, as its service is.

Test: dispatch unknown queue; before, "job_failed ... failures=2 max=1".

--- a/include/rosemaryrail/job_graph.h
+++ b/include/rosemaryrail/job_graph.h
@@ -56,6 +56,7 @@
   char id[RR_JOB_NAME_SIZE];
   char queue[RR_JOB_NAME_SIZE];
   char service[RR_JOB_NAME_SIZE]; /* of the queue, on acceptance */
+  int32_t attempts_max;           /* likewise; 0: not known */
   char shard[RR_JOB_NAME_SIZE];
   char *spec; /* passed to every task */
   struct rr_job_graph_step *steps;
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -10,7 +10,10 @@
 {
   /* Delay before a failed task starts again; doubles with each failure.  */
   FAILURE_BACKOFF_MS = 50,
-  FAILURE_BACKOFF_DOUBLINGS = 5
+  FAILURE_BACKOFF_DOUBLINGS = 5,
+  /* Attempts of a task if neither its queue is known nor what the queue said
+     when the job was accepted.  */
+  ATTEMPTS_UNKNOWN_MAX = 1
 };
 
 /* Passes a log line about a decision to the shard owner.  */
@@ -95,18 +98,37 @@
   d->queues[d->queue_count++] = *p;
 }
 
+static const struct rr_queue_policy *
+queue_find (const struct rr_dispatch *d, const char *queue)
+{
+  for (size_t i = 0; i < d->queue_count; i++)
+    if (strcmp (d->queues[i].queue, queue) == 0)
+      return &d->queues[i];
+  return NULL;
+}
+
 /* Returns the policy of J's queue.  A removed queue keeps its last policy; an
-   unknown queue gets the lowest priority and a single attempt.  */
+   unknown queue gets the lowest priority.  */
 const struct rr_queue_policy *
 dispatch_queue_policy (const struct rr_dispatch *d,
                        const struct dispatch_job *j)
 {
   static const struct rr_queue_policy unknown
-      = { .priority = 100, .attempts_max = 1, .slack_factor = 1.0 };
-  for (size_t i = 0; i < d->queue_count; i++)
-    if (strcmp (d->queues[i].queue, j->graph->queue) == 0)
-      return &d->queues[i];
-  return &unknown;
+      = { .priority = 100, .slack_factor = 1.0 };
+  const struct rr_queue_policy *q = queue_find (d, j->graph->queue);
+  return q == NULL ? &unknown : q;
+}
+
+/* Returns how many attempts each task of J has: what its queue says, or said
+   when J was accepted.  */
+static int32_t
+attempts_max (const struct rr_dispatch *d, const struct dispatch_job *j)
+{
+  const struct rr_queue_policy *q = queue_find (d, j->graph->queue);
+  if (q != NULL)
+    return q->attempts_max;
+  return j->graph->attempts_max > 0 ? j->graph->attempts_max
+                                    : ATTEMPTS_UNKNOWN_MAX;
 }
 
 struct dispatch_job *
@@ -289,7 +311,7 @@
   for (uint32_t i = 1; i < t->failures && i < FAILURE_BACKOFF_DOUBLINGS; i++)
     backoff *= 2;
   t->not_before = rr_time_add (now, backoff);
-  int32_t max = dispatch_queue_policy (d, j)->attempts_max;
+  int32_t max = attempts_max (d, j);
   if (s->long_running || (int32_t)failure_count (j, number) < max)
     return;
   dispatch_log_decision (
--- a/rosemaryrail/job_graph.c
+++ b/rosemaryrail/job_graph.c
@@ -359,6 +359,7 @@
   put_text (o, "id", g->id);
   put_text (o, "queue", g->queue);
   put_text (o, "service", g->service);
+  put_int (o, "attempts", g->attempts_max);
   put_text (o, "shard", g->shard);
   put_text (o, "spec", g->spec);
   put_int (o, "occurrences", g->scheduled ? g->occurrence_count : 0);
@@ -401,6 +402,7 @@
   get_text (o, "id", g->id);
   get_text (o, "queue", g->queue);
   get_text (o, "service", g->service);
+  g->attempts_max = (int32_t)get_int (o, "attempts");
   get_text (o, "shard", g->shard);
   struct json_object *spec = NULL;
   if (json_object_object_get_ex (o, "spec", &spec))
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -47,6 +47,7 @@
      takeover W...            replaces the owner by a new one, with these
                               workers in the membership record
      idle NEW_MS STARTED_MS   prints the jobs that another shard may take
+     forget_queues            later owners don't know the queues
      hold JOB                 starts to move the job to another shard
      release JOB | drop JOB   keeps the held job here, or drops it
      waiting MS               prints the tasks that another shard may take
@@ -434,6 +435,9 @@
   snprintf (g->id, sizeof g->id, "%s", word[1]);
   snprintf (g->queue, sizeof g->queue, "%s", word[2]);
   snprintf (g->service, sizeof g->service, "desk");
+  for (size_t i = 0; i < queue_count; i++)
+    if (strcmp (queues[i].queue, g->queue) == 0)
+      g->attempts_max = queues[i].attempts_max;
   g->spec = strdup ("spec");
   g->accepted_ms = now.ms;
   for (size_t i = 0; i < g->step_count; i++)
@@ -757,6 +761,8 @@
       q->target_runtime_ms = 500;
       rr_dispatch_queue_set (d, q);
     }
+  else if (strcmp (c, "forget_queues") == 0)
+    queue_count = 0;
   else if (strcmp (c, "worker") == 0)
     worker_add (word);
   else if (strcmp (c, "job") == 0)
