owners: claim and serve shards only with the configuration read

Cause: a daemon that had just started claimed a shard as soon as it had read the jobs, and served it when it had read workers and progress. Until then each queue was unknown: one attempt a task, the lowest priority, no permits.

Of what an owner decides on, jobs, workers and progress were waited for; the configuration was the one that was missing.

Test: entry late config; before, the shard is claimed and served without config_applied.

--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -276,7 +276,8 @@
       || o->shards[i] != NULL || o->releasing)
     return;
   /* During a full read the cached membership record may be out of date.  */
-  if (store_cache_revision (o->entry->records_cache) < s->owner_revision)
+  if (store_cache_revision (o->entry->records_cache) < s->owner_revision
+      || !store_cache_synced (o->entry->config_cache))
     return;
   if (!progress_is_read (o, i))
     return;
@@ -448,7 +449,9 @@
   struct owners *o = timer->data;
   struct rr_time now = entry_now ();
   check_standby (o, now);
+  /* Without the configuration an owner would not know the queues' policies. */
   if (o->releasing || !store_cache_synced (o->entry->records_cache)
+      || !store_cache_synced (o->entry->config_cache)
       || session_lease (o->entry->session) == 0
       || rr_time_diff (now, o->opened) < SETTLE_MS
       || rr_time_diff (now, session_confirmed_at (o->entry->session))
--- a/standins/rr-kv.c
+++ b/standins/rr-kv.c
@@ -50,6 +50,12 @@
   int64_t until_us;
 };
 
+struct late_read
+{
+  LIST_ENTRY (late_read) link;
+  struct http_exchange *exchange;
+};
+
 struct watch
 {
   LIST_ENTRY (watch) link;
@@ -70,8 +76,11 @@
 static struct lease_list leases;
 LIST_HEAD (watch_list, watch);
 static struct watch_list watches;
+LIST_HEAD (late_read_list, late_read);
+static struct late_read_list late_reads;
 static enum mode mode;
 static int watch_items; /* in an answer to a watch, unless of one revision */
+static int64_t config_from_us; /* reads of the configuration wait until then */
 
 static struct item *
 item_find (const char *key)
@@ -293,6 +302,35 @@
   respond (x, 200, o);
 }
 
+/* Serves a read of a range, or keeps it while reads of the configuration
+   wait.  */
+static void
+on_range_call (struct http_exchange *x)
+{
+  char prefix[TEXT_MAX];
+  query_text (x, "prefix", prefix);
+  if (strcmp (prefix, "op/config") != 0 || tool_now_us () >= config_from_us)
+    {
+      on_range (x);
+      return;
+    }
+  struct late_read *r = tool_alloc (sizeof *r);
+  r->exchange = x;
+  LIST_INSERT_HEAD (&late_reads, r, link);
+}
+
+static void
+serve_late_reads (int64_t now)
+{
+  while (now >= config_from_us && !LIST_EMPTY (&late_reads))
+    {
+      struct late_read *r = LIST_FIRST (&late_reads);
+      LIST_REMOVE (r, link);
+      on_range (r->exchange);
+      free (r);
+    }
+}
+
 static void
 on_get (struct http_exchange *x)
 {
@@ -474,6 +512,9 @@
   else
     {
       const char *name = json_string_or (body, "mode", "ok");
+      config_from_us
+          = tool_now_us ()
+            + json_int_or (body, "config_delay_ms", 0) * INT64_C (1000);
       mode = strcmp (name, "busy") == 0     ? MODE_BUSY
              : strcmp (name, "silent") == 0 ? MODE_SILENT
                                             : MODE_OK;
@@ -494,7 +535,7 @@
   else if (strcmp (path, "/-/kv-key") == 0)
     on_get (x);
   else if (strcmp (path, "/-/kv-range") == 0)
-    on_range (x);
+    on_range_call (x);
   else if (strcmp (path, "/-/kv-watch") == 0)
     on_watch (x);
   else if (strcmp (path, "/-/kv-txn") == 0)
@@ -540,6 +581,7 @@
       l = next;
     }
   expire_workers (now);
+  serve_late_reads (now);
   struct watch *w = LIST_FIRST (&watches);
   while (w != NULL)
     {
