store_cache: a truncated answer says as of when the view is complete

Seen by callers: with 3,000 workers next to nothing is served.

Cause, likely: starts are suspended while no answer of the workers' watch is complete, and an answer with 400 changes or more counts as incomplete.

How far a view is behind can be told from the store's revisions: responses to other calls show which revision the store had, and when. What the view contains is complete as of the last time at which the store had not passed the view's revision. Owners get such a response every 10 to 25 ms.

Test: entry always truncated; before, the view stays complete as of its first read.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -5,6 +5,7 @@
 
 #include "platform/store.h"
 #include "rosemaryentryd/command_window.h"
+#include "rosemaryentryd/revision_times.h"
 #include "rosemaryentryd/settings.h"
 #include "rosemaryrail/clock.h"
 #include "rosemaryrail/queues.h"
@@ -38,6 +39,7 @@
   struct peers *peers;
   struct peer_statistics *peer_statistics;
   struct command_window command_window; /* of commands to workers */
+  struct revision_times revision_times; /* of the store */
   bool stopping;
 };
 
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -146,9 +146,9 @@
   c->retry_ms = RETRY_MIN_MS;
 }
 
-/* The cache contains all changes that the store had made at AT, unless the
-   response R was truncated.  Logs when it falls behind and when it no longer
-   is.  */
+/* Records as of when the cache, to which R is applied, lacks no change: since
+   the call of AT, or if R is truncated, since the store had no later revision.
+   Logs when the cache falls behind and when it no longer is.  */
 static void
 note_completeness (struct store_cache *c, const struct store_result *r,
                    struct rr_time at)
@@ -158,7 +158,11 @@
   if (r->truncated && !c->truncated)
     c->truncated_since = now;
   c->truncated = r->truncated;
-  if (!r->truncated && rr_time_before (c->complete_at, at))
+  struct revision_times *times = &c->entry->revision_times;
+  if (!r->truncated)
+    revision_times_add (times, r->revision, at);
+  bool known = !r->truncated || revision_times_find (times, c->revision, &at);
+  if (known && rr_time_before (c->complete_at, at))
     c->complete_at = at;
   bool behind = r->truncated
                 && rr_time_diff (now, c->truncated_since) > BEHIND_REPORT_MS;
--- a/tests/entry/cache_script.c
+++ b/tests/entry/cache_script.c
@@ -14,6 +14,7 @@
      changes ITEMS REVISION [truncated]
                                  answers the oldest call of a watch with
                                  changes up to REVISION
+     store REVISION              another call now shows the store's revision
      catch_up                    requests the changes so far
      batch MS                    sets the batch interval, and runs the loop
    once state                       prints what the cache knows  */
@@ -35,6 +36,7 @@
 static struct rr_time now = { 1000000 };
 static struct call calls[CALLS_MAX];
 static size_t call_count;
+static struct entry script_entry;
 
 struct rr_time
 entry_now (void)
@@ -133,6 +135,8 @@
     answer ((size_t)first, second, false);
   else if (strcmp (name, "changes") == 0)
     answer ((size_t)first, second, strcmp (flag, "truncated") == 0);
+  else if (strcmp (name, "store") == 0)
+    revision_times_add (&script_entry.revision_times, first, now);
   else if (strcmp (name, "catch_up") == 0)
     store_cache_catch_up (c);
   else if (strcmp (name, "batch") == 0)
@@ -156,9 +160,10 @@
 int
 main (void)
 {
-  struct entry e = { .loop = uv_default_loop () };
+  script_entry.loop = uv_default_loop ();
   size_t changes = 0;
-  struct store_cache *c = store_cache_open (&e, "servers/", on_item, &changes);
+  struct store_cache *c
+      = store_cache_open (&script_entry, "servers/", on_item, &changes);
   store_cache_set_batch_interval (c, BATCH_INTERVAL_MS);
   char line[256];
   while (fgets (line, sizeof line, stdin) != NULL)
