tests: last requests keeps its time, however long the first query takes

The daemon ends 2.3 s after SIGTERM; the test suspended it 0.5 s, one query and 1.3 s after, so a query of over half a second makes it ask a daemon that has ended.

The suspension now comes 1.8 s after SIGTERM whatever the query takes, as it did for quick queries.

--- a/tests/entry/last_requests.sh
+++ b/tests/entry/last_requests.sh
@@ -10,9 +10,12 @@
     | grep -i -e '^HTTP' -e '^connection' || echo "no response"
 }
 kill -TERM "${pid[d1]}"
+# The daemon ends 2.3 s after SIGTERM, however long the first query takes.
+sleep 1.8 &
+shortly_before_the_end=$!
 sleep 0.5
 query
-sleep 1.3
+wait $shortly_before_the_end
 kill -STOP "${pid[d1]}"
 query >"$work/response" &
 request_pid=$!
