--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -221,7 +221,7 @@
   while ((w = rr_table_next (d->workers, &h)) != NULL)
     {
       command_stops (d, w, now);
-      dispatch_interference_throttle (d, w, now);
+      dispatch_throttle (d, w, now);
     }
 }
 
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -113,7 +113,7 @@
   int image;                 /* class in the interference model */
   double load; /* of a latency-critical task: utilisation without best-effort
                   tasks, smoothed */
-  struct rr_time slowed_since; /* speed_target below RELOCATE_BELOW_PERCENT */
+  struct rr_time slowed_since; /* speed_target too low to stay here */
   int32_t speed_target;        /* wanted speed, in percent of full speed */
   int32_t speed_percent; /* speed of the last throttle command; -1: unknown */
   bool throttle_in_flight;
@@ -337,9 +337,8 @@
 void dispatch_interference_update (struct rr_dispatch *d,
                                    struct dispatch_worker *w,
                                    struct rr_time now);
-void dispatch_interference_throttle (struct rr_dispatch *d,
-                                     struct dispatch_worker *w,
-                                     struct rr_time now);
+void dispatch_throttle (struct rr_dispatch *d, struct dispatch_worker *w,
+                        struct rr_time now);
 void dispatch_log_waiting (struct rr_dispatch *d, int64_t interval_ms,
                            struct rr_time now);
 void dispatch_health_end (struct rr_dispatch *d, struct dispatch_worker *w,
--- /dev/null
+++ b/rosemaryrail/dispatch_throttle.c
@@ -0,0 +1,78 @@
+#include "dispatch_private.h"
+
+/* Commands that set the speeds of best-effort tasks.  */
+
+enum
+{
+  SPEED_CHANGE_MIN_PERCENT = 10,
+  /* A best-effort task that saves checkpoints and is held below this speed for
+     this long moves to another worker.  */
+  RELOCATE_BELOW_PERCENT = 30,
+  RELOCATE_AFTER_MS = 1200
+};
+
+static void
+command_throttle (struct rr_dispatch *d, struct dispatch_worker *w,
+                  struct dispatch_run *r)
+{
+  int32_t change = r->speed_target - r->speed_percent;
+  bool small = change < SPEED_CHANGE_MIN_PERCENT
+               && change > -SPEED_CHANGE_MIN_PERCENT;
+  bool end = r->speed_target == 0 || r->speed_target == 100;
+  if (change == 0 || (small && !end))
+    return;
+  r->throttle_in_flight = true;
+  r->speed_percent = r->speed_target;
+  struct rr_command command = { .kind = RR_COMMAND_THROTTLE,
+                                .worker = w->handle,
+                                .worker_id = w->info.id,
+                                .name = r->name,
+                                .percent = r->speed_percent,
+                                .reason = "tail" };
+  d->o.send_command (d->o.data, &command);
+}
+
+static bool
+run_is_checkpointing (const struct rr_dispatch *d,
+                      const struct dispatch_run *r)
+{
+  const struct dispatch_job *j = dispatch_job_get (d, r->job);
+  return j != NULL && j->graph->steps[r->name.step].checkpointing;
+}
+
+static bool
+faster_worker_exists (struct rr_dispatch *d,
+                      const struct dispatch_worker *from,
+                      const struct dispatch_run *r)
+{
+  struct rr_handle h = { 0 };
+  const struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (w != from && w->registered && !w->info.draining
+        && w->free_memory_mb >= r->memory_mb
+        && dispatch_interference_speed (d, w, r->image, r->cores_milli) > 80)
+      return true;
+  return false;
+}
+
+/* Sends throttle commands for W's best-effort tasks, and stops those that are
+   held too slow while another worker could run them faster.  */
+void
+dispatch_throttle (struct rr_dispatch *d, struct dispatch_worker *w,
+                   struct rr_time now)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct dispatch_run *r = &w->runs[i];
+      if (!r->best_effort || r->phase != RUN_RUNNING || r->stop_wanted)
+        continue;
+      if (!r->throttle_in_flight)
+        command_throttle (d, w, r);
+      if (r->speed_target >= RELOCATE_BELOW_PERCENT || r->slowed_since.ms == 0)
+        r->slowed_since = now;
+      else if (rr_time_diff (now, r->slowed_since) > RELOCATE_AFTER_MS
+               && run_is_checkpointing (d, r)
+               && faster_worker_exists (d, w, r))
+        dispatch_run_stop (r, "slowed");
+    }
+}
