dispatch: log speeds of best-effort runs, and those that stand still

The logs did not show which speed an owner had sent and what it believed, which run was current when another ended, nor that a run stood still, so they could not tell the four hypotheses apart. Nothing else changes.

--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -117,6 +117,7 @@
   int32_t speed_target;        /* wanted speed, in percent of full speed */
   int32_t speed_percent; /* speed of the last throttle command; -1: unknown */
   bool throttle_in_flight;
+  bool standstill_logged; /* since PERCENT changed last */
 };
 
 /* An end that the worker may discard once VERSION of JOB is stored.  */
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -68,9 +68,11 @@
     {
       dispatch_log_decision (
           d, "run_ended",
-          "job=%s task=%d.%d.%d run=%u vm=%s how=%s clock=%lld", end->name.job,
-          end->name.occurrence, end->name.step, end->name.task, end->name.run,
-          w->info.id, end_names[end->kind], (long long)w->clock_ms);
+          "job=%s task=%d.%d.%d run=%u vm=%s how=%s clock=%lld current=%u",
+          end->name.job, end->name.occurrence, end->name.step, end->name.task,
+          end->name.run, w->info.id, end_names[end->kind],
+          (long long)w->clock_ms,
+          t->state == TASK_PLACED ? t->current_run : 0U);
       dispatch_task_end (d, j, number, end, w->handle, now);
       dispatch_health_end (d, w, j->handle, end->kind, now);
     }
--- a/rosemaryrail/dispatch_throttle.c
+++ b/rosemaryrail/dispatch_throttle.c
@@ -8,7 +8,9 @@
   /* A best-effort task that saves checkpoints and is held below this speed for
      this long moves to another worker.  */
   RELOCATE_BELOW_PERCENT = 30,
-  RELOCATE_AFTER_MS = 1200
+  RELOCATE_AFTER_MS = 1200,
+  /* A best-effort task without progress for this long is logged.  */
+  STANDSTILL_MS = 4000
 };
 
 static void
@@ -21,6 +23,11 @@
   bool end = r->speed_target == 0 || r->speed_target == 100;
   if (change == 0 || (small && !end))
     return;
+  dispatch_log_decision (
+      d, "throttle",
+      "job=%s task=%d.%d.%d run=%u vm=%s percent=%d before=%d limit=%d",
+      r->name.job, r->name.occurrence, r->name.step, r->name.task, r->name.run,
+      w->info.id, r->speed_target, r->speed_percent, w->best_effort_percent);
   r->throttle_in_flight = true;
   r->speed_percent = r->speed_target;
   struct rr_command command = { .kind = RR_COMMAND_THROTTLE,
@@ -32,6 +39,28 @@
   d->o.send_command (d->o.data, &command);
 }
 
+/* Logs R once when it has made no progress for STANDSTILL_MS although it is
+   not paused.  */
+static void
+log_standstill (struct rr_dispatch *d, const struct dispatch_worker *w,
+                struct dispatch_run *r, struct rr_time now)
+{
+  int64_t still_ms = rr_time_diff (now, r->progressed);
+  if (still_ms < STANDSTILL_MS)
+    r->standstill_logged = false;
+  if (still_ms < STANDSTILL_MS || r->standstill_logged || r->speed_target == 0)
+    return;
+  r->standstill_logged = true;
+  dispatch_log_decision (
+      d, "run_standstill",
+      "job=%s task=%d.%d.%d run=%u vm=%s still_ms=%lld percent=%d "
+      "used=%lld cores=%lld speed=%d target=%d free_cores=%lld",
+      r->name.job, r->name.occurrence, r->name.step, r->name.task, r->name.run,
+      w->info.id, (long long)still_ms, r->percent, (long long)r->measurement,
+      (long long)r->cores_milli, r->speed_percent, r->speed_target,
+      (long long)w->free_cores_milli);
+}
+
 static bool
 run_is_checkpointing (const struct rr_dispatch *d,
                       const struct dispatch_run *r)
@@ -68,6 +97,7 @@
         continue;
       if (!r->throttle_in_flight)
         command_throttle (d, w, r);
+      log_standstill (d, w, r, now);
       if (r->speed_target >= RELOCATE_BELOW_PERCENT || r->slowed_since.ms == 0)
         r->slowed_since = now;
       else if (rr_time_diff (now, r->slowed_since) > RELOCATE_AFTER_MS
