--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -28,6 +28,8 @@
      end ID STEP.TASK HOW     ends the task's run on its worker
      measure ID STEP.TASK N   sets the measurement in its worker's reports:
                               tail latency in ms, or used cores
+     speeds                   prints the speeds of best-effort runs that a
+                              worker does not run at full speed
      mute W | unmute W        loses the answers of W
      slow_answers W MS        the answers of W take MS
      lease W                  prints how far the next lease of W reaches
@@ -59,7 +61,8 @@
      export                   saves the dispatcher's estimates
      import                   merges the saved estimates
      start_bytes N            bounds the starts of later rounds
-     progress                 all runs report some progress
+     progress                 all runs that are not paused report some
+                              progress
      wait MS                  advances the clock
      plan                     runs a planning round  */
 
@@ -82,6 +85,7 @@
   bool ended;
   bool delayed; /* command delayed on its way to a blocked worker */
   bool sealed;
+  int32_t speed; /* in percent */
 };
 
 struct fake_worker
@@ -223,7 +227,8 @@
 {
   assert (w->run_count < RUNS_MAX);
   struct fake_run *r = &w->runs[w->run_count++];
-  *r = (struct fake_run){ .status = { .name = *name, .percent = 100 } };
+  *r = (struct fake_run){ .status = { .name = *name, .percent = 100 },
+                          .speed = 100 };
   return r;
 }
 
@@ -251,6 +256,28 @@
     run_end (w, r, RR_END_STOPPED);
 }
 
+static void
+throttle (struct fake_worker *w, const struct rr_command *command)
+{
+  struct fake_run *r = run_find (w, &command->name);
+  if (r != NULL && !r->ended && !r->delayed)
+    r->speed = command->percent;
+}
+
+static void
+print_speeds (void)
+{
+  for (size_t i = 0; i < worker_count; i++)
+    for (size_t k = 0; k < workers[i].run_count; k++)
+      {
+        const struct fake_run *r = &workers[i].runs[k];
+        const struct rr_run_name *n = &r->status.name;
+        if (!r->ended && r->speed != 100)
+          printf ("%s %d.%d run %u on %s at %d%%\n", n->job, n->step, n->task,
+                  n->run, workers[i].id, r->speed);
+      }
+}
+
 static const char *const kinds[] = { "start", "stop", "throttle" };
 
 static void
@@ -292,6 +319,8 @@
     start (w, &command->name);
   else if (command->kind == RR_COMMAND_STOP)
     stop (w, &command->name);
+  else
+    throttle (w, command);
   struct rr_run_name name = command->name;
   rr_dispatch_command_answered (
       d, w->handle, command->kind, &name,
@@ -779,6 +808,8 @@
   else if (strcmp (c, "measure") == 0)
     run_named (word[1], word[2], &w)->status.measurement
         = strtol (word[3], NULL, 10);
+  else if (strcmp (c, "speeds") == 0)
+    print_speeds ();
   else if (strcmp (c, "poll") == 0)
     poll_workers (words > 1 ? word[1] : NULL);
   else if (strcmp (c, "needed") == 0)
@@ -804,7 +835,8 @@
     {
       for (size_t i = 0; i < worker_count; i++)
         for (size_t k = 0; k < workers[i].run_count; k++)
-          workers[i].runs[k].status.percent ^= 1;
+          if (workers[i].runs[k].speed > 0)
+            workers[i].runs[k].status.percent ^= 1;
     }
   else if (strcmp (c, "start_bytes") == 0)
     start_bytes_max = strtoll (word[1], NULL, 10);
