dispatch: an adopted best-effort run has an unknown speed

Callers saw a job that never ended, or ended late, after its owner had been replaced: one of its best-effort tasks stood still, beside free capacity.

Cause: a worker keeps the speed that was set for a run, also when the owner is replaced. dispatch_run_add sets the speed of every run to 100, which is right for a start, but not for a run that is adopted: the former owner may have slowed it down or paused it. The new owner wants full speed, believes that the run has it, and sends nothing. Best-effort runs are left out of the check for stalled runs, so nothing else notices; only a later change of the target frees the run.

The speed of an adopted best-effort run is unknown, so the first planning round sends the one that is wanted. Other runs are never throttled, and keep the check for stalled runs. It also applies to a run that comes back under the same owner after it was given up.

--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -72,6 +72,11 @@
   struct rr_time accepted;
 };
 
+enum
+{
+  SPEED_UNKNOWN = -1 /* of a run, as its worker has it */
+};
+
 enum run_phase
 {
   RUN_STARTING,   /* start sent, no answer yet */
@@ -115,7 +120,7 @@
                   tasks, smoothed */
   struct rr_time slowed_since; /* speed_target too low to stay here */
   int32_t speed_target;        /* wanted speed, in percent of full speed */
-  int32_t speed_percent; /* speed of the last throttle command; -1: unknown */
+  int32_t speed_percent;       /* speed at the worker, or SPEED_UNKNOWN */
   bool throttle_in_flight;
   bool standstill_logged; /* since PERCENT changed last */
 };
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -131,6 +131,9 @@
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
   r->survived = true;
+  /* The worker keeps the speed that a former owner has set.  */
+  if (r->best_effort)
+    r->speed_percent = SPEED_UNKNOWN;
   dispatch_lease_assume (w, d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS);
   if (j->phase == RR_PHASE_QUEUED)
     {
--- a/rosemaryrail/dispatch_throttle.c
+++ b/rosemaryrail/dispatch_throttle.c
@@ -21,7 +21,8 @@
   bool small = change < SPEED_CHANGE_MIN_PERCENT
                && change > -SPEED_CHANGE_MIN_PERCENT;
   bool end = r->speed_target == 0 || r->speed_target == 100;
-  if (change == 0 || (small && !end))
+  bool known = r->speed_percent != SPEED_UNKNOWN;
+  if (known && (change == 0 || (small && !end)))
     return;
   dispatch_log_decision (
       d, "throttle",
