--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -8,9 +8,6 @@
 
 enum
 {
-  /* Delay before a failed task starts again; doubles with each failure.  */
-  FAILURE_BACKOFF_MS = 50,
-  FAILURE_BACKOFF_DOUBLINGS = 5,
   /* Attempts of a task if neither its queue is known nor what the queue said
      when the job was accepted.  */
   ATTEMPTS_UNKNOWN_MAX = 1
@@ -121,8 +118,9 @@
 
 /* Returns how many attempts each task of J has: what its queue says, or said
    when J was accepted.  */
-static int32_t
-attempts_max (const struct rr_dispatch *d, const struct dispatch_job *j)
+int32_t
+dispatch_attempts_max (const struct rr_dispatch *d,
+                       const struct dispatch_job *j)
 {
   const struct rr_queue_policy *q = queue_find (d, j->graph->queue);
   if (q != NULL)
@@ -183,12 +181,6 @@
                    + (size_t)name->step];
 }
 
-static void
-job_mark_changed (struct dispatch_job *j)
-{
-  j->version++;
-}
-
 /* Sets the state of task NUMBER and updates the counts of its step and
    job.  */
 void
@@ -207,147 +199,16 @@
   t->state = state;
 }
 
-/* A gang whose run is completed by one member is done as a whole.  */
-static void
-gang_set_done (struct dispatch_job *j, const struct rr_run_name *name)
-{
-  struct rr_run_name member = *name;
-  for (member.task = 0; member.task < j->graph->steps[name->step].task_count;
-       member.task++)
-    {
-      uint32_t number;
-      if (dispatch_task_number (j, &member, &number))
-        dispatch_task_set (j, number, TASK_DONE);
-    }
-}
-
-static uint32_t
-failure_count (const struct dispatch_job *j, uint32_t number)
-{
-  struct rr_run_name name;
-  dispatch_task_name (j, number, &name);
-  const struct rr_job_graph_step *s = &j->graph->steps[name.step];
-  if (!s->gang)
-    return j->tasks[number].failures;
-  uint32_t sum = 0;
-  uint32_t first = number - (uint32_t)name.task;
-  for (int32_t i = 0; i < s->task_count; i++)
-    sum += j->tasks[first + (uint32_t)i].failures;
-  return sum;
-}
-
-/* Advances T's highest ended run to RUN.  */
-static void
-ended_run_advance (struct dispatch_task *t, uint32_t run)
-{
-  if (run <= t->ended_run)
-    return;
-  uint32_t ahead = run - t->ended_run;
-  t->recorded_ends = ahead >= 64 ? 0 : t->recorded_ends << ahead;
-  t->ended_run = run;
-}
-
-static void
-end_record (struct dispatch_task *t, uint32_t run)
-{
-  ended_run_advance (t, run);
-  if (t->ended_run - run < 64)
-    t->recorded_ends |= UINT64_C (1) << (t->ended_run - run);
-}
-
-/* Returns true when the end of RUN has been processed, or is too old to be
-   tracked.  */
-bool
-dispatch_run_end_recorded (const struct dispatch_task *t, uint32_t run)
-{
-  if (run > t->ended_run)
-    return false;
-  uint32_t age = t->ended_run - run;
-  return age >= 64 || (t->recorded_ends >> age & 1) != 0;
-}
-
-/* Processes END, the first report of how a run of task NUMBER ended.  */
-void
-dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
-                   uint32_t number, const struct rr_run_end *end,
-                   struct rr_handle worker, struct rr_time now)
-{
-  struct dispatch_task *t = &j->tasks[number];
-  const struct rr_job_graph_step *s = &j->graph->steps[end->name.step];
-  end_record (t, end->name.run);
-  if (t->next_run <= end->name.run)
-    t->next_run = end->name.run + 1;
-  if (end->checkpoint[0] != '\0')
-    snprintf (t->checkpoint, sizeof t->checkpoint, "%s", end->checkpoint);
-  job_mark_changed (j);
-  if (end->kind == RR_END_DONE || end->kind == RR_END_FAILED)
-    dispatch_crash_clear (j, t);
-  if (t->state == TASK_DONE)
-    return;
-  /* The end of an older run that was given up as lost, while a newer run is in
-     progress: only a failure counts.  */
-  bool old = t->state == TASK_REMOTE
-             || (t->state == TASK_PLACED && t->current_run != end->name.run);
-  if (old && end->kind != RR_END_FAILED)
-    return;
-  if (end->kind == RR_END_DONE && !s->long_running)
-    {
-      dispatch_task_set (j, number, TASK_DONE);
-      if (s->gang)
-        gang_set_done (j, &end->name);
-      dispatch_job_settle (d, j);
-      return;
-    }
-  /* While workers of a former owner have not responded, a later run of the
-     task may be in progress on one of them.  */
-  if (t->state != TASK_UNCERTAIN && !old)
-    dispatch_task_set (j, number, TASK_WAITING);
-  t->not_before = now;
-  if (end->kind != RR_END_FAILED)
-    return;
-  t->failures++;
-  t->failed_worker = worker;
-  int64_t backoff = FAILURE_BACKOFF_MS;
-  for (uint32_t i = 1; i < t->failures && i < FAILURE_BACKOFF_DOUBLINGS; i++)
-    backoff *= 2;
-  t->not_before = rr_time_add (now, backoff);
-  int32_t max = attempts_max (d, j);
-  if (s->long_running || (int32_t)failure_count (j, number) < max)
-    return;
-  dispatch_log_decision (
-      d, "job_failed", "job=%s task=%d.%d.%d failures=%u max=%d", j->graph->id,
-      end->name.occurrence, end->name.step, end->name.task, t->failures, max);
-  dispatch_job_fail (d, j);
-}
-
 /* Ends J as failed: no more of its tasks start, and running ones are
    stopped.  */
 void
 dispatch_job_fail (struct rr_dispatch *d, struct dispatch_job *j)
 {
   j->phase = RR_PHASE_FAILED;
-  job_mark_changed (j);
+  j->version++;
   dispatch_job_stop_runs (d, j, "job-failed");
 }
 
-/* Returns task NUMBER to the waiting tasks when its run has certainly ended,
-   or never started, and nothing else is known of it.  */
-void
-dispatch_task_requeue (struct rr_dispatch *d, struct dispatch_job *j,
-                       uint32_t number, struct rr_time now)
-{
-  (void)d;
-  struct dispatch_task *t = &j->tasks[number];
-  if (t->state != TASK_PLACED)
-    return;
-  ended_run_advance (t, t->current_run);
-  if (t->next_run <= t->current_run)
-    t->next_run = t->current_run + 1;
-  t->not_before = now;
-  dispatch_task_set (j, number, TASK_WAITING);
-  job_mark_changed (j);
-}
-
 /* Requests a stop of every run of J.  */
 void
 dispatch_job_stop_runs (struct rr_dispatch *d, struct dispatch_job *j,
@@ -369,7 +230,7 @@
       || j->phase == RR_PHASE_COMPLETED)
     return;
   j->phase = RR_PHASE_COMPLETED;
-  job_mark_changed (j);
+  j->version++;
   dispatch_log_decision (d, "job_done", "job=%s tasks=%zu", j->graph->id,
                          j->task_count);
 }
--- /dev/null
+++ b/rosemaryrail/dispatch_ends.c
@@ -0,0 +1,144 @@
+#include "dispatch_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* What the ends of runs mean for their tasks.  */
+
+enum
+{
+  /* Delay before a failed task starts again; doubles with each failure.  */
+  FAILURE_BACKOFF_MS = 50,
+  FAILURE_BACKOFF_DOUBLINGS = 5
+};
+
+/* A gang whose run is completed by one member is done as a whole.  */
+static void
+gang_set_done (struct dispatch_job *j, const struct rr_run_name *name)
+{
+  struct rr_run_name member = *name;
+  for (member.task = 0; member.task < j->graph->steps[name->step].task_count;
+       member.task++)
+    {
+      uint32_t number;
+      if (dispatch_task_number (j, &member, &number))
+        dispatch_task_set (j, number, TASK_DONE);
+    }
+}
+
+static uint32_t
+failure_count (const struct dispatch_job *j, uint32_t number)
+{
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  const struct rr_job_graph_step *s = &j->graph->steps[name.step];
+  if (!s->gang)
+    return j->tasks[number].failures;
+  uint32_t sum = 0;
+  uint32_t first = number - (uint32_t)name.task;
+  for (int32_t i = 0; i < s->task_count; i++)
+    sum += j->tasks[first + (uint32_t)i].failures;
+  return sum;
+}
+
+/* Advances T's highest ended run to RUN.  */
+static void
+ended_run_advance (struct dispatch_task *t, uint32_t run)
+{
+  if (run <= t->ended_run)
+    return;
+  uint32_t ahead = run - t->ended_run;
+  t->recorded_ends = ahead >= 64 ? 0 : t->recorded_ends << ahead;
+  t->ended_run = run;
+}
+
+static void
+end_record (struct dispatch_task *t, uint32_t run)
+{
+  ended_run_advance (t, run);
+  if (t->ended_run - run < 64)
+    t->recorded_ends |= UINT64_C (1) << (t->ended_run - run);
+}
+
+/* Returns true when the end of RUN has been processed, or is too old to be
+   tracked.  */
+bool
+dispatch_run_end_recorded (const struct dispatch_task *t, uint32_t run)
+{
+  if (run > t->ended_run)
+    return false;
+  uint32_t age = t->ended_run - run;
+  return age >= 64 || (t->recorded_ends >> age & 1) != 0;
+}
+
+/* Processes END, the first report of how a run of task NUMBER ended.  */
+void
+dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
+                   uint32_t number, const struct rr_run_end *end,
+                   struct rr_handle worker, struct rr_time now)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  const struct rr_job_graph_step *s = &j->graph->steps[end->name.step];
+  end_record (t, end->name.run);
+  if (t->next_run <= end->name.run)
+    t->next_run = end->name.run + 1;
+  if (end->checkpoint[0] != '\0')
+    snprintf (t->checkpoint, sizeof t->checkpoint, "%s", end->checkpoint);
+  j->version++;
+  if (end->kind == RR_END_DONE || end->kind == RR_END_FAILED)
+    dispatch_crash_clear (j, t);
+  if (t->state == TASK_DONE)
+    return;
+  /* The end of an older run that was given up as lost, while a newer run is in
+     progress: only a failure counts.  */
+  bool old = t->state == TASK_REMOTE
+             || (t->state == TASK_PLACED && t->current_run != end->name.run);
+  if (old && end->kind != RR_END_FAILED)
+    return;
+  if (end->kind == RR_END_DONE && !s->long_running)
+    {
+      dispatch_task_set (j, number, TASK_DONE);
+      if (s->gang)
+        gang_set_done (j, &end->name);
+      dispatch_job_settle (d, j);
+      return;
+    }
+  /* While workers of a former owner have not responded, a later run of the
+     task may be in progress on one of them.  */
+  if (t->state != TASK_UNCERTAIN && !old)
+    dispatch_task_set (j, number, TASK_WAITING);
+  t->not_before = now;
+  if (end->kind != RR_END_FAILED)
+    return;
+  t->failures++;
+  t->failed_worker = worker;
+  int64_t backoff = FAILURE_BACKOFF_MS;
+  for (uint32_t i = 1; i < t->failures && i < FAILURE_BACKOFF_DOUBLINGS; i++)
+    backoff *= 2;
+  t->not_before = rr_time_add (now, backoff);
+  int32_t max = dispatch_attempts_max (d, j);
+  if (s->long_running || (int32_t)failure_count (j, number) < max)
+    return;
+  dispatch_log_decision (
+      d, "job_failed", "job=%s task=%d.%d.%d failures=%u max=%d", j->graph->id,
+      end->name.occurrence, end->name.step, end->name.task, t->failures, max);
+  dispatch_job_fail (d, j);
+}
+
+/* Returns task NUMBER to the waiting tasks when its run has certainly ended,
+   or never started, and nothing else is known of it.  */
+void
+dispatch_task_requeue (struct rr_dispatch *d, struct dispatch_job *j,
+                       uint32_t number, struct rr_time now)
+{
+  (void)d;
+  struct dispatch_task *t = &j->tasks[number];
+  if (t->state != TASK_PLACED)
+    return;
+  ended_run_advance (t, t->current_run);
+  if (t->next_run <= t->current_run)
+    t->next_run = t->current_run + 1;
+  t->not_before = now;
+  dispatch_task_set (j, number, TASK_WAITING);
+  j->version++;
+}
