dispatch: a task is done once one of its runs is

Cause: a worker is out of reach for longer than its leases, and its runs are given up and replaced. A run that had ended as done before its lease expired is reported when the worker is back, but only a failure of a run that had been given up counted. The owner took note of the end, forgot it, and the step waited for the replacement; had that been lost too, a third run would have started.

Before, the next step did not start, and the replacement went on and was adopted by the next owner. Now the step starts at once and the replacement is stopped.

An end as done settles the task whichever run it is of, as it already did while the task was uncertain after a takeover; later runs are stopped with reason=done-before, and their ends don't count. Long-running tasks are left out, since they start again however they end.

Ruled out: that the older run may have been killed at the end of its lease. The worker reports that as lapsed, not as done.

--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -71,6 +71,26 @@
   return age >= 64 || (t->recorded_ends >> age & 1) != 0;
 }
 
+/* Requests a stop of the runs that have replaced NAME, or its gang, since its
+   work is done.  */
+static void
+stop_later_runs (struct rr_dispatch *d, const struct dispatch_job *j,
+                 const struct rr_run_name *name)
+{
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    for (size_t i = 0; i < w->run_count; i++)
+      {
+        struct dispatch_run *r = &w->runs[i];
+        if (dispatch_job_get (d, r->job) == j
+            && r->name.occurrence == name->occurrence
+            && r->name.step == name->step && r->name.run > name->run
+            && j->tasks[r->number].state == TASK_DONE)
+          dispatch_run_stop (r, "done-before");
+      }
+}
+
 /* Processes END, the first report of how a run of task NUMBER ended.  */
 void
 dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
@@ -90,19 +110,21 @@
   if (t->state == TASK_DONE)
     return;
   /* The end of an older run that was given up as lost, while a newer run is in
-     progress: only a failure counts.  */
+     progress.  */
   bool old = t->state == TASK_REMOTE
              || (t->state == TASK_PLACED && t->current_run != end->name.run);
-  if (old && end->kind != RR_END_FAILED)
-    return;
   if (end->kind == RR_END_DONE && !s->long_running)
     {
       dispatch_task_set (j, number, TASK_DONE);
       if (s->gang)
         gang_set_done (j, &end->name);
+      if (old)
+        stop_later_runs (d, j, &end->name);
       dispatch_job_settle (d, j);
       return;
     }
+  if (old && end->kind != RR_END_FAILED)
+    return;
   /* While workers of a former owner have not responded, a later run of the
      task may be in progress on one of them.  */
   if (t->state != TASK_UNCERTAIN && !old)
