dispatch: send a speed again while an older throttle may be carried out

Callers saw the same as after a takeover, without one: a best-effort run that stands still, or runs too slowly, while its owner believes that it runs at the wanted speed.

Cause: a throttle that gets no answer may still be carried out seconds later, after newer ones. The owner sent the speed again at once and took the answer as final.

Evidence: dispatch late_throttle. A throttle to 0% is not answered, the run is sent back to 100%, and then the first one takes effect: before, the run stayed at 0%; now the speed is sent again within the interval.

The speed is sent again after 1 s and then at doubling intervals up to 16 s, as far as the answer to any throttle of the run was missing. A throttle that was refused or not sent is repeated after 0.4 s; before, each planning round repeated it.

--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -63,8 +63,7 @@
       struct dispatch_run *r = &w->runs[i];
       r->stop_in_flight = false;
       if (r->throttle_in_flight)
-        r->speed_percent = SPEED_UNKNOWN;
-      r->throttle_in_flight = false;
+        dispatch_throttle_answered (r, RR_OUTCOME_UNKNOWN, now);
       if (r->phase != RUN_STARTING)
         continue;
       if (r->queued)
@@ -117,9 +116,7 @@
   switch (kind)
     {
     case RR_COMMAND_THROTTLE:
-      r->throttle_in_flight = false;
-      if (outcome != RR_OUTCOME_ACCEPTED)
-        r->speed_percent = SPEED_UNKNOWN;
+      dispatch_throttle_answered (r, outcome, now);
       return;
     case RR_COMMAND_STOP:
       r->stop_in_flight = false;
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -122,7 +122,10 @@
   int32_t speed_target;        /* wanted speed, in percent of full speed */
   int32_t speed_percent;       /* speed at the worker, or SPEED_UNKNOWN */
   bool throttle_in_flight;
-  bool standstill_logged; /* since PERCENT changed last */
+  struct rr_time throttle_at;     /* earliest time of the next throttle */
+  int64_t speed_repeat_ms;        /* interval until the speed is sent again */
+  struct rr_time speed_repeat_at; /* if the interval is not 0 */
+  bool standstill_logged;         /* since PERCENT changed last */
 };
 
 /* An end that the worker may discard once VERSION of JOB is stored.  */
@@ -345,6 +348,9 @@
 void dispatch_interference_update (struct rr_dispatch *d,
                                    struct dispatch_worker *w,
                                    struct rr_time now);
+void dispatch_throttle_answered (struct dispatch_run *r,
+                                 enum rr_command_outcome outcome,
+                                 struct rr_time now);
 void dispatch_throttle (struct rr_dispatch *d, struct dispatch_worker *w,
                         struct rr_time now);
 void dispatch_log_waiting (struct rr_dispatch *d, int64_t interval_ms,
--- a/rosemaryrail/dispatch_throttle.c
+++ b/rosemaryrail/dispatch_throttle.c
@@ -9,14 +9,51 @@
      this long moves to another worker.  */
   RELOCATE_BELOW_PERCENT = 30,
   RELOCATE_AFTER_MS = 1200,
+  THROTTLE_RETRY_MS = 400, /* after one that was not accepted */
+  /* A throttle without an answer may still be carried out, after later ones.
+     The speed is therefore sent again after the first interval, and then after
+     intervals that double up to the last.  */
+  SPEED_REPEAT_MIN_MS = 1000,
+  SPEED_REPEAT_MAX_MS = 16000,
   /* A best-effort task without progress for this long is logged.  */
   STANDSTILL_MS = 4000
 };
 
+/* Marks the speed of R as unknown when it is time to send it again.  */
+static void
+repeat_speed (struct dispatch_run *r, struct rr_time now)
+{
+  if (r->speed_repeat_ms == 0 || rr_time_before (now, r->speed_repeat_at))
+    return;
+  r->speed_percent = SPEED_UNKNOWN;
+  r->speed_repeat_ms *= 2;
+  if (r->speed_repeat_ms > SPEED_REPEAT_MAX_MS)
+    r->speed_repeat_ms = 0;
+}
+
+/* Records the answer to the last throttle of R.  */
+void
+dispatch_throttle_answered (struct dispatch_run *r,
+                            enum rr_command_outcome outcome,
+                            struct rr_time now)
+{
+  r->throttle_in_flight = false;
+  if (outcome == RR_OUTCOME_UNKNOWN)
+    r->speed_repeat_ms = SPEED_REPEAT_MIN_MS;
+  r->speed_repeat_at = rr_time_add (now, r->speed_repeat_ms);
+  if (outcome == RR_OUTCOME_ACCEPTED)
+    return;
+  r->speed_percent = SPEED_UNKNOWN;
+  r->throttle_at = rr_time_add (now, THROTTLE_RETRY_MS);
+}
+
 static void
 command_throttle (struct rr_dispatch *d, struct dispatch_worker *w,
-                  struct dispatch_run *r)
+                  struct dispatch_run *r, struct rr_time now)
 {
+  if (r->throttle_in_flight || rr_time_before (now, r->throttle_at))
+    return;
+  repeat_speed (r, now);
   int32_t change = r->speed_target - r->speed_percent;
   bool small = change < SPEED_CHANGE_MIN_PERCENT
                && change > -SPEED_CHANGE_MIN_PERCENT;
@@ -96,8 +133,7 @@
       struct dispatch_run *r = &w->runs[i];
       if (!r->best_effort || r->phase != RUN_RUNNING || r->stop_wanted)
         continue;
-      if (!r->throttle_in_flight)
-        command_throttle (d, w, r);
+      command_throttle (d, w, r, now);
       log_standstill (d, w, r, now);
       if (r->speed_target >= RELOCATE_BELOW_PERCENT || r->slowed_since.ms == 0)
         r->slowed_since = now;
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -30,6 +30,8 @@
                               tail latency in ms, or used cores
      speeds                   prints the speeds of best-effort runs that a
                               worker does not run at full speed
+     delay W | undelay W      throttles to W get no answer
+     deliver W                carries these throttles out
      mute W | unmute W        loses the answers of W
      slow_answers W MS        the answers of W take MS
      lease W                  prints how far the next lease of W reaches
@@ -85,7 +87,8 @@
   bool ended;
   bool delayed; /* command delayed on its way to a blocked worker */
   bool sealed;
-  int32_t speed; /* in percent */
+  int32_t speed;      /* in percent */
+  int32_t late_speed; /* of a throttle on its way; -1: none */
 };
 
 struct fake_worker
@@ -96,6 +99,7 @@
   bool registered;
   bool muted;
   bool blocked;
+  bool delaying;
   bool queueing;
   int64_t answer_ms;           /* between a poll and its answer */
   struct rr_command queue[64]; /* names and kinds of commands that wait */
@@ -228,7 +232,8 @@
   assert (w->run_count < RUNS_MAX);
   struct fake_run *r = &w->runs[w->run_count++];
   *r = (struct fake_run){ .status = { .name = *name, .percent = 100 },
-                          .speed = 100 };
+                          .speed = 100,
+                          .late_speed = -1 };
   return r;
 }
 
@@ -260,7 +265,11 @@
 throttle (struct fake_worker *w, const struct rr_command *command)
 {
   struct fake_run *r = run_find (w, &command->name);
-  if (r != NULL && !r->ended && !r->delayed)
+  if (r == NULL || r->ended || r->delayed)
+    return;
+  if (w->delaying)
+    r->late_speed = command->percent;
+  else
     r->speed = command->percent;
 }
 
@@ -278,6 +287,18 @@
       }
 }
 
+static void
+late_throttles_deliver (struct fake_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct fake_run *r = &w->runs[i];
+      if (r->late_speed >= 0)
+        r->speed = r->late_speed;
+      r->late_speed = -1;
+    }
+}
+
 static const char *const kinds[] = { "start", "stop", "throttle" };
 
 static void
@@ -303,7 +324,9 @@
     printf (" at %d%%", command->percent);
   if (command->kind == RR_COMMAND_STOP)
     printf (" (%s)", command->reason);
-  printf ("%s\n", w->blocked ? ": no answer" : "");
+  bool answered
+      = !w->blocked && (!w->delaying || command->kind != RR_COMMAND_THROTTLE);
+  printf ("%s\n", answered ? "" : ": no answer");
   int64_t lease
       = command->kind == RR_COMMAND_START ? rr_dispatch_worker_lease (
             d, w->handle, rr_time_add (confirmed, LEASE_MAX_MS), now)
@@ -324,7 +347,7 @@
   struct rr_run_name name = command->name;
   rr_dispatch_command_answered (
       d, w->handle, command->kind, &name,
-      w->blocked ? RR_OUTCOME_UNKNOWN : RR_OUTCOME_ACCEPTED, now.ms, now);
+      answered ? RR_OUTCOME_ACCEPTED : RR_OUTCOME_UNKNOWN, now.ms, now);
 }
 
 static void
@@ -749,6 +772,12 @@
     w->muted = word[0][0] == 'm';
   else if (strcmp (word[0], "slow_answers") == 0)
     w->answer_ms = strtol (word[2], NULL, 10);
+  else if (strcmp (word[0], "delay") == 0)
+    w->delaying = true;
+  else if (strcmp (word[0], "undelay") == 0)
+    w->delaying = false;
+  else if (strcmp (word[0], "deliver") == 0)
+    late_throttles_deliver (w);
   else if (strcmp (word[0], "lease") == 0)
     printf ("%lld ms\n",
             (long long)(rr_dispatch_worker_lease (
