dispatch: a silent worker is no standstill of its runs

run_standstill counted the time without reports too, so that a worker out of reach gave a line for each of its runs. Only the time up to the worker's last report counts now.

--- a/rosemaryrail/dispatch_throttle.c
+++ b/rosemaryrail/dispatch_throttle.c
@@ -77,13 +77,13 @@
   d->o.send_command (d->o.data, &command);
 }
 
-/* Logs R once when it has made no progress for STANDSTILL_MS although it is
-   not paused.  */
+/* Logs R once when W has reported no progress of it for STANDSTILL_MS although
+   it is not paused.  */
 static void
 log_standstill (struct rr_dispatch *d, const struct dispatch_worker *w,
-                struct dispatch_run *r, struct rr_time now)
+                struct dispatch_run *r)
 {
-  int64_t still_ms = rr_time_diff (now, r->progressed);
+  int64_t still_ms = rr_time_diff (w->last_report, r->progressed);
   if (still_ms < STANDSTILL_MS)
     r->standstill_logged = false;
   if (still_ms < STANDSTILL_MS || r->standstill_logged || r->speed_target == 0)
@@ -134,7 +134,7 @@
       if (!r->best_effort || r->phase != RUN_RUNNING || r->stop_wanted)
         continue;
       command_throttle (d, w, r, now);
-      log_standstill (d, w, r, now);
+      log_standstill (d, w, r);
       if (r->speed_target >= RELOCATE_BELOW_PERCENT || r->slowed_since.ms == 0)
         r->slowed_since = now;
       else if (rr_time_diff (now, r->slowed_since) > RELOCATE_AFTER_MS
