--- a/rosemaryrail/dispatch_throttle.c
+++ b/rosemaryrail/dispatch_throttle.c
@@ -81,12 +81,17 @@
    it is not paused.  */
 static void
 log_standstill (struct rr_dispatch *d, const struct dispatch_worker *w,
-                struct dispatch_run *r)
+                struct dispatch_run *r, struct rr_time now)
 {
+  if (r->speed_target == 0 || r->speed_percent <= 0)
+    r->progressed = now;
   int64_t still_ms = rr_time_diff (w->last_report, r->progressed);
   if (still_ms < STANDSTILL_MS)
-    r->standstill_logged = false;
-  if (still_ms < STANDSTILL_MS || r->standstill_logged || r->speed_target == 0)
+    {
+      r->standstill_logged = false;
+      return;
+    }
+  if (r->standstill_logged)
     return;
   r->standstill_logged = true;
   dispatch_log_decision (
@@ -134,7 +139,7 @@
       if (!r->best_effort || r->phase != RUN_RUNNING || r->stop_wanted)
         continue;
       command_throttle (d, w, r, now);
-      log_standstill (d, w, r);
+      log_standstill (d, w, r, now);
       if (r->speed_target >= RELOCATE_BELOW_PERCENT || r->slowed_since.ms == 0)
         r->slowed_since = now;
       else if (rr_time_diff (now, r->slowed_since) > RELOCATE_AFTER_MS
