dispatch: stop best-effort runs on a worker that runs none of them

Callers waited for best-effort tasks on a worker at fault, on which tasks stand still, for as long as the fault lasted.

Cause: the check for stalled runs left best-effort runs out, since they get only what other tasks leave, and so may rightly stand still.

Evidence: dispatch hung_best_effort. Two runs without progress and use on a worker with 8 free cores stayed there; now they are stopped after 2 s, 60 percent of their estimate and 1.8 s at least, as other runs are, and start on another worker.

A best-effort run counts as stalled when it is not paused, has made no progress, and no best-effort run of the worker gets processor time although half a core and more is not reserved.

--- a/rosemaryrail/dispatch_health.c
+++ b/rosemaryrail/dispatch_health.c
@@ -11,7 +11,10 @@
      percentage of its estimate.  */
   STALL_MIN_MS = 1800,
   STALL_ESTIMATE_PERCENT = 60,
-  STALLED_AVOID_MS = 4000
+  STALLED_AVOID_MS = 4000,
+  /* Best-effort tasks may get no processor time on a worker with fewer cores
+     than this that are not reserved.  */
+  BEST_EFFORT_FREE_CORES_MIN_MILLI = 500
 };
 
 /* Records the end of a run of JOB on W.  */
@@ -37,16 +40,31 @@
                          w->info.id, FAILING_AVOID_MS);
 }
 
+/* Returns whether W gives none of its best-effort tasks processor time
+   although other tasks leave some.  */
 static bool
-run_stalled (const struct dispatch_run *r, struct rr_time now)
+best_effort_starved (const struct dispatch_worker *w)
 {
-  if (r->phase != RUN_RUNNING || r->stop_wanted || r->speed_percent != 100)
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].best_effort && w->runs[i].measurement > 0)
+      return false;
+  return w->free_cores_milli >= BEST_EFFORT_FREE_CORES_MIN_MILLI;
+}
+
+static bool
+run_stalled (const struct dispatch_worker *w, const struct dispatch_run *r,
+             struct rr_time now)
+{
+  if (r->phase != RUN_RUNNING || r->stop_wanted
+      || (r->long_running && r->percent >= 100))
     return false;
   int64_t stalled_ms = rr_time_diff (now, r->progressed);
-  if (r->best_effort || (r->long_running && r->percent >= 100))
+  if (stalled_ms <= STALL_MIN_MS
+      || stalled_ms * 100 <= r->estimate_ms * STALL_ESTIMATE_PERCENT)
     return false;
-  return stalled_ms > STALL_MIN_MS
-         && stalled_ms * 100 > r->estimate_ms * STALL_ESTIMATE_PERCENT;
+  if (r->best_effort)
+    return r->speed_percent > 0 && best_effort_starved (w);
+  return r->speed_percent == 100;
 }
 
 /* Stops stalled runs of W, so that their tasks start elsewhere.  */
@@ -57,7 +75,7 @@
   for (size_t i = 0; i < w->run_count; i++)
     {
       struct dispatch_run *r = &w->runs[i];
-      if (!run_stalled (r, now))
+      if (!run_stalled (w, r, now))
         continue;
       dispatch_run_stop (r, "stalled");
       w->avoid_until = rr_time_add (now, STALLED_AVOID_MS);
