dispatch: what follows an older run's end waits until the end is stored

Cause: a new owner takes a run of the last owner that still runs as proof that nothing which depends on it has started. Since an owner starts the dependents when an older run has ended as done, while the replacement may still be at work. If that owner is replaced before the progress is stored and before the stop takes effect, the next one adopts the replacement, hears the older end again, and starts a dependent that runs on a worker which it has not heard.

--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -119,7 +119,10 @@
       if (s->gang)
         gang_set_done (j, &end->name);
       if (old)
-        stop_later_runs (d, j, &end->name);
+        {
+          dispatch_step_of (j, &end->name)->settled_version = j->version;
+          stop_later_runs (d, j, &end->name);
+        }
       dispatch_job_settle (d, j);
       return;
     }
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -45,7 +45,9 @@
 struct dispatch_step
 {
   int32_t done;
-  int32_t waiting;                 /* tasks not started, ready or not */
+  int32_t waiting; /* tasks not started, ready or not */
+  /* Dependents start once this version of the job is stored.  */
+  uint64_t settled_version;
   struct dispatch_permit *permits; /* of a queue with needs_permits */
   size_t permit_count;
   size_t permit_cursor; /* first worker of the next request */
--- a/rosemaryrail/dispatch_ready.c
+++ b/rosemaryrail/dispatch_ready.c
@@ -4,7 +4,8 @@
 
 /* The order in which ready jobs are placed.  */
 
-/* Returns true when all predecessors of STEP are done.  */
+/* Returns true when all predecessors of STEP are done, and stored as done
+   where a run that a later owner may adopt is still on its worker.  */
 bool
 dispatch_step_ready (const struct dispatch_job *j, int32_t occurrence,
                      size_t step)
@@ -13,8 +14,12 @@
   const struct dispatch_step *states
       = &j->steps[(size_t)occurrence * j->graph->step_count];
   for (size_t i = 0; i < s->after_count; i++)
-    if (states[s->after[i]].done < j->graph->steps[s->after[i]].task_count)
-      return false;
+    {
+      const struct dispatch_step *before = &states[s->after[i]];
+      if (before->done < j->graph->steps[s->after[i]].task_count
+          || before->settled_version > j->stored_version)
+        return false;
+    }
   return true;
 }
 
