dispatch: stop the later runs of a gang whichever member's end is heard

Work was done a second time: a gang had been given up and replaced, its owner was replaced too, and the older end as done came from a member whose later run the new owner had not heard of. The whole gang was set to done, but the later runs that had been adopted went on.

Cause: whether later runs are stopped was decided by the state of the one task whose end was reported, although such an end stands for all members.

Before, a 1.0 started while run 2 of a 0.0 worked on, and no stop was sent; now the stop is sent and 1.0 starts after the store.

--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -72,9 +72,9 @@
 }
 
 /* Requests a stop of the runs that have replaced NAME, or its gang, since its
-   work is done.  */
+   work is done.  Dependents wait until that is stored.  */
 static void
-stop_later_runs (struct rr_dispatch *d, const struct dispatch_job *j,
+stop_later_runs (struct rr_dispatch *d, struct dispatch_job *j,
                  const struct rr_run_name *name)
 {
   struct rr_handle h = { 0 };
@@ -83,11 +83,13 @@
     for (size_t i = 0; i < w->run_count; i++)
       {
         struct dispatch_run *r = &w->runs[i];
-        if (dispatch_job_get (d, r->job) == j
-            && r->name.occurrence == name->occurrence
-            && r->name.step == name->step && r->name.run > name->run
-            && j->tasks[r->number].state == TASK_DONE)
-          dispatch_run_stop (r, "done-before");
+        if (dispatch_job_get (d, r->job) != j
+            || r->name.occurrence != name->occurrence
+            || r->name.step != name->step || r->name.run <= name->run
+            || j->tasks[r->number].state != TASK_DONE)
+          continue;
+        dispatch_run_stop (r, "done-before");
+        dispatch_step_of (j, name)->settled_version = j->version;
       }
 }
 
@@ -118,11 +120,8 @@
       dispatch_task_set (j, number, TASK_DONE);
       if (s->gang)
         gang_set_done (j, &end->name);
-      if (old)
-        {
-          dispatch_step_of (j, &end->name)->settled_version = j->version;
-          stop_later_runs (d, j, &end->name);
-        }
+      if (old || s->gang)
+        stop_later_runs (d, j, &end->name);
       dispatch_job_settle (d, j);
       return;
     }
