dispatch: an end as done counts however many runs there have been since

Work was done again although it had ended as done: a worker had been out of reach while four owners took over, each with higher run numbers.

Cause: of the last 64 runs of a task it is known whose ends have been processed; an older end was taken as processed.

Before, run 66 went on after run 1 was reported as done; now it is stopped and the next step starts. It takes four takeovers within one outage, so it is rare.

Processing an end as done again would be harmless, so it counts as long as the task is not done. An end of a job that this owner does not have is logged (run_end_unknown): the other shard that the job has moved to doesn't hear of it, and starts the task again. That is open.

--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -59,12 +59,20 @@
   uint32_t number = 0;
   if (j == NULL || !dispatch_task_number (j, &end->name, &number))
     {
+      dispatch_log_decision (
+          d, "run_end_unknown", "job=%s task=%d.%d.%d run=%u vm=%s how=%s",
+          end->name.job, end->name.occurrence, end->name.step, end->name.task,
+          end->name.run, w->info.id, end_names[end->kind]);
       end_queue (w, end->number, NULL);
       return;
     }
   const struct dispatch_task *t = &j->tasks[number];
   bool current = t->state == TASK_PLACED && t->current_run == end->name.run;
-  if (current || !dispatch_run_end_recorded (t, end->name.run))
+  /* Which runs have ended is not known for ever, but whether the task is
+     done.  */
+  bool settles = end->kind == RR_END_DONE && t->state != TASK_DONE
+                 && !j->graph->steps[end->name.step].long_running;
+  if (current || settles || !dispatch_run_end_recorded (t, end->name.run))
     {
       dispatch_log_decision (
           d, "run_ended",
