dispatch: time without reports is no standstill of best-effort runs

All best-effort runs of a worker could be stopped at once, and the worker avoided for 4 s, after it had been silent: frozen, or slow to answer.

Other runs are judged as before.

The planning round, not the function that logs, now leaves out the time in which a run is paused.

--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -254,6 +254,19 @@
          && rr_time_before (r->sent, w->clock_sent);
 }
 
+/* Leaves the time without reports of W out of what its best-effort runs have
+   stood still: the worker may not have run either.  */
+static void
+skip_silence (struct dispatch_worker *w, struct rr_time now)
+{
+  int64_t silent_ms = rr_time_diff (now, w->last_report);
+  if (!w->reported || silent_ms <= REPORT_AGE_MAX_MS)
+    return;
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].best_effort)
+      w->runs[i].progressed = now;
+}
+
 /* Processes a status report of worker H.  */
 void
 rr_dispatch_report_apply (struct rr_dispatch *d, struct rr_handle h,
@@ -274,6 +287,7 @@
   w->clock_ms = r->clock_ms;
   w->clock_sent = r->sent;
   w->clock_received = r->received;
+  skip_silence (w, now);
   w->last_report = now;
   w->unresponsive = false;
   if (rr_time_diff (r->received, r->sent) > SLOW_REPORT_MS)
--- a/rosemaryrail/dispatch_throttle.c
+++ b/rosemaryrail/dispatch_throttle.c
@@ -81,10 +81,8 @@
    it is not paused.  */
 static void
 log_standstill (struct rr_dispatch *d, const struct dispatch_worker *w,
-                struct dispatch_run *r, struct rr_time now)
+                struct dispatch_run *r)
 {
-  if (r->speed_target == 0 || r->speed_percent <= 0)
-    r->progressed = now;
   int64_t still_ms = rr_time_diff (w->last_report, r->progressed);
   if (still_ms < STANDSTILL_MS)
     {
@@ -139,7 +137,10 @@
       if (!r->best_effort || r->phase != RUN_RUNNING || r->stop_wanted)
         continue;
       command_throttle (d, w, r, now);
-      log_standstill (d, w, r, now);
+      /* The time in which a run is paused is no standstill.  */
+      if (r->speed_target == 0 || r->speed_percent <= 0)
+        r->progressed = now;
+      log_standstill (d, w, r);
       if (r->speed_target >= RELOCATE_BELOW_PERCENT || r->slowed_since.ms == 0)
         r->slowed_since = now;
       else if (rr_time_diff (now, r->slowed_since) > RELOCATE_AFTER_MS
