dispatch: a best-effort gang with a paused member has not stalled

A best-effort gang lost the work of a run, and a worker was avoided for 4 s, because its owner itself had paused one of its members.

Cause: members of a gang work only together, so the check for stalled best-effort runs takes the ones that wait for the paused one as stalled.

--- a/rosemaryrail/dispatch_health.c
+++ b/rosemaryrail/dispatch_health.c
@@ -52,8 +52,15 @@
 }
 
 static bool
-run_stalled (const struct dispatch_worker *w, const struct dispatch_run *r,
-             struct rr_time now)
+run_is_gang_member (const struct rr_dispatch *d, const struct dispatch_run *r)
+{
+  const struct dispatch_job *j = dispatch_job_get (d, r->job);
+  return j != NULL && j->graph->steps[r->name.step].gang;
+}
+
+static bool
+run_stalled (const struct rr_dispatch *d, const struct dispatch_worker *w,
+             const struct dispatch_run *r, struct rr_time now)
 {
   if (r->phase != RUN_RUNNING || r->stop_wanted
       || (r->long_running && r->percent >= 100))
@@ -62,8 +69,10 @@
   if (stalled_ms <= STALL_MIN_MS
       || stalled_ms * 100 <= r->estimate_ms * STALL_ESTIMATE_PERCENT)
     return false;
+  /* A gang stands still while one of its members is paused.  */
   if (r->best_effort)
-    return r->speed_percent > 0 && best_effort_starved (w);
+    return r->speed_percent > 0 && !run_is_gang_member (d, r)
+           && best_effort_starved (w);
   return r->speed_percent == 100;
 }
 
@@ -75,7 +84,7 @@
   for (size_t i = 0; i < w->run_count; i++)
     {
       struct dispatch_run *r = &w->runs[i];
-      if (!run_stalled (w, r, now))
+      if (!run_stalled (d, w, r, now))
         continue;
       dispatch_run_stop (r, "stalled");
       w->avoid_until = rr_time_add (now, STALLED_AVOID_MS);
