workers: an adopted task's speed is the one that its worker states

Callers saw a batch task that stayed slow, down to relief.throttle_floor of its speed, beside free capacity, after another daemon had taken its worker over.

Cause: a worker keeps the speed that relief has set for a task, also when the ledger's owner is replaced. worker_add_task set the speed of every task to 100, which is right for one that this daemon starts, but not for one that a worker's report shows. Relief raises the speed only of tasks that it believes to be below 100, so it never sent one; on an overloaded worker it cut the speed from 100 in place of the actual one, which raised it.

The report of a worker states the speed of each running task (`percent`), and the daemon takes it over, except from a report that was requested before its last throttle ended, which may be older than that throttle. A speed that no report states is unknown until the worker has confirmed one that the daemon sets; relief leaves such a task alone, and one whose throttle is in progress. The time for which a task is throttled (throttled_since) begins when the daemon learns of it, since the default, the start of the clock, would let it move at once. The answer to a throttle of an earlier controller epoch says nothing about the task's entry of a later one.

--- a/include/rosemaryraild/worker_api.h
+++ b/include/rosemaryraild/worker_api.h
@@ -16,7 +16,8 @@
 enum
 {
   WORKER_CHECKPOINT_SIZE = 129,
-  WORKER_COLOCATED_MAX = 16
+  WORKER_COLOCATED_MAX = 16,
+  WORKER_SPEED_UNKNOWN = -1
 };
 
 enum worker_call_state
@@ -49,6 +50,8 @@
   char checkpoint[WORKER_CHECKPOINT_SIZE];
   int64_t sequence; /* ended attempts: order of the ends on this worker */
   int64_t granted_until_ms;
+  int speed_percent; /* or WORKER_SPEED_UNKNOWN: older workers don't state it
+                      */
 };
 
 /* Resource usage of one attempt in a past window.  */
--- a/include/rosemaryraild/workers_internal.h
+++ b/include/rosemaryraild/workers_internal.h
@@ -57,8 +57,12 @@
   bool indexed; /* the placement index counts `placement` */
   struct rr_placement_task placement;
   unsigned evictions;
-  int speed_percent; /* 100: not throttled */
-  struct rr_time throttled_since;
+  int speed_percent; /* at the worker, or WORKER_SPEED_UNKNOWN; 100: not
+                        throttled */
+  bool speed_call_pending;
+  struct rr_time speed_call_ended;
+  struct rr_time throttled_since; /* if throttled: since when, as far as this
+                                     daemon knows */
   bool evicting;
   struct rr_time started;
   double peak_memory_mb;
@@ -166,6 +170,14 @@
                              const struct worker_status_report *a);
 void decisions_drain_leaving (struct worker *w);
 
+/* workers_speed.c */
+void task_speed_reported (const struct worker *w, struct hosted_task *t,
+                          int speed_percent);
+void task_speed_send (struct worker *w, struct hosted_task *t,
+                      int speed_percent);
+bool task_speed_is_known (const struct hosted_task *t);
+void worker_send_unknown_speeds (struct worker *w);
+
 /* workers_tasks.c */
 void workers_handle_rpc (struct workers *ws, struct message_rpc_request *q);
 void worker_apply_report (struct worker *w,
--- a/rosemaryraild/worker_api.c
+++ b/rosemaryraild/worker_api.c
@@ -50,6 +50,9 @@
   copy_text (t->checkpoint, sizeof t->checkpoint, o, "checkpoint");
   t->sequence = json_int_or (o, "sequence", 0);
   t->granted_until_ms = json_int_or (o, "granted_until_ms", 0);
+  int64_t percent = json_int_or (o, "percent", 0);
+  t->speed_percent
+      = percent >= 1 && percent <= 100 ? (int)percent : WORKER_SPEED_UNKNOWN;
   int64_t cores = json_int_or (o, "cores_milli", -1);
   t->sized = cores >= 0;
   if (t->sized)
--- a/rosemaryraild/workers.c
+++ b/rosemaryraild/workers.c
@@ -84,7 +84,7 @@
   snprintf (t->task, sizeof t->task, "%s", task);
   t->attempt = attempt;
   t->instance = -1;
-  t->speed_percent = 100;
+  t->speed_percent = WORKER_SPEED_UNKNOWN;
   t->started = daemon_now ();
   return t;
 }
--- a/rosemaryraild/workers_relief.c
+++ b/rosemaryraild/workers_relief.c
@@ -14,13 +14,12 @@
   CONCURRENT_MOVES_MAX = 4
 };
 
-/* A call that throttles, checkpoints or stops a task.  */
+/* A call that checkpoints or stops a task.  */
 struct relief_call
 {
   struct worker *w;
   char task[RR_TASK_ID_SIZE];
   uint32_t attempt;
-  int speed_percent;
   struct worker_attempt to;
 };
 
@@ -46,20 +45,6 @@
   return c;
 }
 
-static void
-on_throttled (void *data, const struct worker_reply *r)
-{
-  struct relief_call *c = data;
-  struct hosted_task *t = worker_find_task (c->w, c->task, c->attempt);
-  if (t != NULL && r->state == WORKER_OK)
-    {
-      if (t->speed_percent == 100)
-        t->throttled_since = daemon_now ();
-      t->speed_percent = c->speed_percent;
-    }
-  relief_call_free (c);
-}
-
 static void
 on_stopped (void *data, const struct worker_reply *r)
 {
@@ -98,25 +83,24 @@
 {
   struct daemon *d = w->ws->d;
   uint64_t timeout_ms = (uint64_t)d->settings.worker_timeout_ms;
-  struct relief_call *c = relief_call_new (w, t);
+  struct relief_call *c;
   switch (out->action)
     {
     case RR_RELIEF_NONE:
-      relief_call_free (c);
       return;
     case RR_RELIEF_THROTTLE:
     case RR_RELIEF_UNTHROTTLE:
-      c->speed_percent = out->percent;
-      worker_throttle (d->http, &w->endpoint, &c->to, out->percent, timeout_ms,
-                       on_throttled, c);
+      task_speed_send (w, t, out->percent);
       break;
     case RR_RELIEF_MOVE:
       t->evicting = true;
+      c = relief_call_new (w, t);
       worker_checkpoint (d->http, &w->endpoint, &c->to, timeout_ms,
                          on_checkpointed, c);
       break;
     case RR_RELIEF_STOP:
       t->evicting = true;
+      c = relief_call_new (w, t);
       worker_stop (d->http, &w->endpoint, &c->to, timeout_ms, on_stopped, c);
       break;
     }
@@ -182,7 +166,7 @@
   for (size_t i = 0; i < w->hosted_task_count; i++)
     {
       const struct hosted_task *t = &w->hosted[i];
-      if (!t->running || t->evicting || !t->indexed
+      if (!t->running || t->evicting || !t->indexed || !task_speed_is_known (t)
           || strcmp (t->kind, "batch") != 0)
         continue;
       hosted[n] = i;
@@ -272,6 +256,7 @@
   int64_t end_ms = 0;
   update_task_usage (w, a);
   update_observed_usage (w, a);
+  worker_send_unknown_speeds (w);
   for (size_t i = 0; i < a->service_count; i++)
     {
       const struct worker_service_usage *u = &a->services[i];
--- a/rosemaryraild/workers_tasks.c
+++ b/rosemaryraild/workers_tasks.c
@@ -98,6 +98,7 @@
       snprintf (h->task_class, sizeof h->task_class, "%s", t->task_class);
       snprintf (h->team, sizeof h->team, "%s", t->team);
       h->evictions = t->evictions;
+      h->speed_percent = 100;
       decisions_add_task (w, h);
       out.worker = w->name;
       out.incarnation = w->incarnation;
@@ -393,6 +394,7 @@
   if (t->running)
     {
       h->running = true;
+      task_speed_reported (w, h, t->speed_percent);
       if (t->sized)
         h->need = t->declared;
       route_add_instance (w, h);
--- a/standins/worker_task.c
+++ b/standins/worker_task.c
@@ -188,7 +188,7 @@
             t->label_class, t->team, t->need.cores_milli, t->need.memory_mb,
             t->need.accelerators, t->granted_until_ms);
   if (running)
-    json_add_int (o, "until_ms", t->until_ms);
+    tool_add (o, "percent:i until_ms:i", t->percent, t->until_ms);
   else
     tool_add (o, "result:s ended_ms:i sequence:i", t->result, t->ended_ms,
               t->sequence);
