workers: a throttle without an answer leaves the speed unknown

Callers saw a batch task that stayed slow beside free capacity although its owner had not changed; the daemon's log had no word of it.

Cause: on_throttled ignored every answer but WORKER_OK, and logged none. A throttle whose answer is lost may have been carried out, so the daemon went on believing the speed from before. With a worker that doesn't state speeds, nothing corrected that; relief raises only speeds that it believes to be below 100.

After an unknown outcome the speed is unknown. The next report states it, or the daemon sends the last target again until the worker confirms it. After a refusal, or a call that was not sent, the belief stays as it was. Each of them is logged (event=speed_not_confirmed).

--- a/include/rosemaryraild/workers_internal.h
+++ b/include/rosemaryraild/workers_internal.h
@@ -59,6 +59,7 @@
   unsigned evictions;
   int speed_percent; /* at the worker, or WORKER_SPEED_UNKNOWN; 100: not
                         throttled */
+  int speed_target;  /* sent last, or to send while the speed is unknown */
   bool speed_call_pending;
   struct rr_time speed_call_ended;
   struct rr_time throttled_since; /* if throttled: since when, as far as this
--- a/rosemaryraild/workers.c
+++ b/rosemaryraild/workers.c
@@ -85,6 +85,7 @@
   t->attempt = attempt;
   t->instance = -1;
   t->speed_percent = WORKER_SPEED_UNKNOWN;
+  t->speed_target = 100;
   t->started = daemon_now ();
   return t;
 }
--- a/rosemaryraild/workers_speed.c
+++ b/rosemaryraild/workers_speed.c
@@ -56,7 +56,16 @@
       t->speed_call_ended = daemon_now ();
       if (r->state == WORKER_OK)
         speed_set (t, c->speed_percent);
+      else if (r->state == WORKER_UNKNOWN)
+        t->speed_percent = WORKER_SPEED_UNKNOWN;
     }
+  if (r->state != WORKER_OK)
+    log_event (LOG_LEVEL_WARN, "speed_not_confirmed",
+               "worker=%s task=%s attempt=%u percent=%d outcome=%s "
+               "reason=\"%s\"",
+               w->name, c->task, c->to.attempt, c->speed_percent,
+               r->state == WORKER_UNKNOWN ? "unknown" : "not-carried-out",
+               r->reason);
   w->other_calls--;
   free (c);
 }
@@ -71,6 +80,7 @@
   c->w = w;
   w->other_calls++;
   t->speed_call_pending = true;
+  t->speed_target = speed_percent;
   snprintf (c->task, sizeof c->task, "%s", t->task);
   c->speed_percent = speed_percent;
   c->to = (struct worker_attempt){ .epoch = rr_ledger_epoch (w->ledger),
@@ -88,7 +98,8 @@
   return t->speed_percent != WORKER_SPEED_UNKNOWN && !t->speed_call_pending;
 }
 
-/* Sets the batch tasks of W whose speed is unknown to full speed.  */
+/* Sends W the last target of each batch task whose speed is unknown; full
+   speed if there has been none.  */
 void
 worker_send_unknown_speeds (struct worker *w)
 {
@@ -100,8 +111,8 @@
           || strcmp (t->kind, "batch") != 0)
         continue;
       log_event (LOG_LEVEL_INFO, "speed_unknown",
-                 "worker=%s task=%s attempt=%u percent=100", w->name, t->task,
-                 t->attempt);
-      task_speed_send (w, t, 100);
+                 "worker=%s task=%s attempt=%u percent=%d", w->name, t->task,
+                 t->attempt, t->speed_target);
+      task_speed_send (w, t, t->speed_target);
     }
 }
--- a/tests/daemon/test_speeds.c
+++ b/tests/daemon/test_speeds.c
@@ -239,6 +239,27 @@
 }
 END_TEST
 
+/* Guards against a task that stays throttled because the answer to the
+   throttle was lost: the daemon took the task to run at full speed still.  */
+START_TEST (throttle_answer_lost)
+{
+  worker_side.reports_speed = false;
+  worker_side.speed_percent = 100;
+  claim ();
+  get_reports (2);
+  ck_assert_int_eq (worker_side.throttle_calls, 1);
+  worker_side.latency_us = OVERLOADED_US;
+  worker_side.answers_lost = 1;
+  get_reports (2);
+  ck_assert_int_eq (worker_side.speed_percent, 50);
+  get_reports (1);
+  ck_assert_int_eq (worker_side.speed_percent, 50);
+  worker_side.latency_us = BASE_US;
+  get_reports (60);
+  ck_assert_int_eq (worker_side.speed_percent, 100);
+}
+END_TEST
+
 SUITE ("speeds", throttled_at_takeover,
        throttled_at_takeover_of_overloaded_worker, speed_not_reported,
-       speed_not_confirmed)
+       speed_not_confirmed, throttle_answer_lost)
