workers: an adopted task's evictions are those that its start named

Callers saw a batch task evicted again after another daemon had taken its worker over, although it had been evicted as often as relief.task_evictions_max allows.

Cause: the daemon that reserves a task knows its evictions from the shard owner. A daemon that adopts the task took the default, 0, since the worker states only what a start told it, and the start did not name them.

The test first_eviction_after_takeover, which passes before and after, shows that the task is moved when it has not been evicted yet.

A start names the evictions, the worker keeps them and states them with the task, as it does for the team and the sizes. A worker from before states none; its adopted tasks count as never evicted, as before, within the budgets of their job and team.

--- a/include/rosemaryraild/worker_api.h
+++ b/include/rosemaryraild/worker_api.h
@@ -48,7 +48,8 @@
   struct rr_resources declared;
   char result[32];
   char checkpoint[WORKER_CHECKPOINT_SIZE];
-  int64_t sequence; /* ended attempts: order of the ends on this worker */
+  int64_t sequence;   /* ended attempts: order of the ends on this worker */
+  unsigned evictions; /* of earlier attempts; older workers state none */
   int64_t granted_until_ms;
   int speed_percent; /* or WORKER_SPEED_UNKNOWN: older workers don't state it
                       */
--- a/include/standins/worker.h
+++ b/include/standins/worker.h
@@ -70,6 +70,7 @@
   /* Echoed to the controller, which may have changed since the start.  */
   char *label_class;
   char *team;
+  int64_t evictions; /* of the task's earlier attempts */
   int64_t granted_until_ms;
   struct capacity need;
   double work_ms;
--- a/rosemaryraild/worker_api.c
+++ b/rosemaryraild/worker_api.c
@@ -1,6 +1,7 @@
 #include "rosemaryraild/worker_api.h"
 
 #include <assert.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -49,6 +50,9 @@
   copy_text (t->result, sizeof t->result, o, "result");
   copy_text (t->checkpoint, sizeof t->checkpoint, o, "checkpoint");
   t->sequence = json_int_or (o, "sequence", 0);
+  int64_t evictions = json_int_or (o, "evictions", 0);
+  if (evictions > 0)
+    t->evictions = evictions < INT_MAX ? (unsigned)evictions : INT_MAX;
   t->granted_until_ms = json_int_or (o, "granted_until_ms", 0);
   int64_t percent = json_int_or (o, "percent", 0);
   t->speed_percent
@@ -355,6 +359,7 @@
   json_add_int (o, "cores_milli", t->cores_milli);
   json_add_int (o, "memory_mb", t->memory_mb);
   json_add_int (o, "accelerators", t->accelerators);
+  json_add_int (o, "evictions", t->evictions);
   json_add_int (o, "work_ms", (int64_t)t->work_ms);
   json_add_string (o, "checkpoint", t->checkpoint);
   send_call (c, to, CALL_PLAIN, "/v1/tasks/start", o, timeout_ms, done, data);
--- a/rosemaryraild/workers_tasks.c
+++ b/rosemaryraild/workers_tasks.c
@@ -394,6 +394,8 @@
   if (t->running)
     {
       h->running = true;
+      if (t->evictions > h->evictions)
+        h->evictions = t->evictions;
       task_speed_reported (w, h, t->speed_percent);
       if (t->sized)
         h->need = t->declared;
--- a/standins/worker_task.c
+++ b/standins/worker_task.c
@@ -183,10 +183,10 @@
                      t->attempt, running ? "running" : "ended", t->checkpoint);
   tool_add (o,
             "kind:s service:s class:s team:s cores_milli:i memory_mb:i "
-            "accelerators:i granted_until_ms:i",
+            "accelerators:i evictions:i granted_until_ms:i",
             t->service ? "service" : "batch", t->service ? t->class : "",
             t->label_class, t->team, t->need.cores_milli, t->need.memory_mb,
-            t->need.accelerators, t->granted_until_ms);
+            t->need.accelerators, t->evictions, t->granted_until_ms);
   if (running)
     tool_add (o, "percent:i until_ms:i", t->percent, t->until_ms);
   else
@@ -329,6 +329,7 @@
   t->service = strcmp (json_string_or (o, "kind", "batch"), "service") == 0;
   t->label_class = strdup (json_string_or (o, "class", ""));
   t->team = strdup (json_string_or (o, "team", ""));
+  t->evictions = json_int_or (o, "evictions", 0);
   t->granted_until_ms = json_int_or (o, "granted_until_ms", 0);
   t->class = strdup (t->service ? json_string_or (o, "service", "")
                                 : json_string_or (o, "class", ""));
--- a/tests/daemon/test_speeds.c
+++ b/tests/daemon/test_speeds.c
@@ -22,6 +22,8 @@
   int answers_lost;   /* throttle calls still to be left without an answer,
                          although they are carried out */
   int throttle_calls;
+  int evictions; /* of the task, before its start here */
+  int checkpoint_calls;
   bool has_task;
   int64_t latency_us;
 } worker_side;
@@ -57,12 +59,13 @@
               worker_side.speed_percent);
   if (worker_side.has_task)
     {
-      snprintf (task, sizeof task,
-                "{\"task\":\"batch:a.0\",\"attempt\":1,\"state\":\"running\","
-                "\"kind\":\"batch\",\"service\":\"\",\"class\":\"scan\","
-                "\"team\":\"batch\",\"cores_milli\":8000,\"memory_mb\":100,"
-                "\"accelerators\":0,\"granted_until_ms\":%lld%s}",
-                end_ms + LEASE_MS, speed);
+      snprintf (
+          task, sizeof task,
+          "{\"task\":\"batch:a.0\",\"attempt\":1,\"state\":\"running\","
+          "\"kind\":\"batch\",\"service\":\"\",\"class\":\"scan\","
+          "\"team\":\"batch\",\"cores_milli\":8000,\"memory_mb\":100,"
+          "\"accelerators\":0,\"evictions\":%d,\"granted_until_ms\":%lld%s}",
+          worker_side.evictions, end_ms + LEASE_MS, speed);
       snprintf (usage, sizeof usage,
                 "{\"task\":\"batch:a.0\",\"attempt\":1,\"class\":\"scan\","
                 "\"window_start_ms\":%lld,\"window_end_ms\":%lld,"
@@ -105,7 +108,9 @@
   struct http_result r = { .state = HTTP_CALL_ANSWERED, .status = 200 };
   if (strstr (call->url, "/v1/report") != NULL)
     print_report (body, sizeof body);
-  else
+  else if (strstr (call->url, "/v1/tasks/checkpoint") != NULL)
+    worker_side.checkpoint_calls++;
+  else if (strstr (call->url, "/v1/tasks/stop") == NULL)
     {
       ck_assert_ptr_nonnull (strstr (call->url, "/v1/tasks/throttle"));
       if (!serve_throttle (call))
@@ -159,6 +164,7 @@
   d.rng = gsl_rng_alloc (gsl_rng_mt19937);
   d.workers = &ws;
   ws.d = &d;
+  metrics_open (&d.metrics);
   decisions_open (&ws);
   w.ws = &ws;
   w.incarnation = 1;
@@ -260,6 +266,46 @@
 }
 END_TEST
 
+/* Returns how often the daemon began to move a task, which had been evicted
+   EVICTIONS times before, off a worker that stays overloaded.  */
+static int
+count_moves (int evictions)
+{
+  worker_side.reports_speed = true;
+  worker_side.speed_percent = 100;
+  worker_side.evictions = evictions;
+  claim ();
+  struct rr_placement_worker elsewhere = { .id = w.id + 1,
+                                           .rack = 1,
+                                           .total = { .cores_milli = 16000,
+                                                      .memory_mb = 64000,
+                                                      .slots = 8,
+                                                      .connections = 64 },
+                                           .leased = true };
+  rr_placement_worker_add (ws.decisions->placement, &elsewhere);
+  worker_side.latency_us = OVERLOADED_US;
+  for (int i = 0; i < 60; i++)
+    {
+      get_reports (1);
+      rr_interference_refresh (ws.decisions->interference, now);
+    }
+  return worker_side.checkpoint_calls;
+}
+
+/* Guards against a new owner that takes a task for one that was never evicted,
+   and evicts it more often than relief.task_evictions_max allows.  */
+START_TEST (evictions_at_takeover) { ck_assert_int_eq (count_moves (1), 0); }
+END_TEST
+
+/* Guards against an evictions_at_takeover that passes because nothing would be
+   moved in any case.  */
+START_TEST (first_eviction_after_takeover)
+{
+  ck_assert_int_eq (count_moves (0), 1);
+}
+END_TEST
+
 SUITE ("speeds", throttled_at_takeover,
        throttled_at_takeover_of_overloaded_worker, speed_not_reported,
-       speed_not_confirmed, throttle_answer_lost)
+       speed_not_confirmed, throttle_answer_lost, evictions_at_takeover,
+       first_eviction_after_takeover)
