standins: speeds, tail latencies and processor time in rr-taskworker

POST /-/pace now sets the speed of a run, which is 100 percent at its start. The fifth entry of a row of "running" is the tail latency of a task whose spec has "tail=", and the processor time in use of others ("cpu=" times the speed). SIGUSR2 switches between "tail=" and "peak=". "again=" is the work of runs after the first.

Specs without the new words behave as before, except that the token is now also taken from /-/pace.

--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -4,40 +4,21 @@
 #include <time.h>
 
 #include "common/http_client.h"
+#include "standins/taskworker.h"
 #include "standins/tool.h"
 
 /* Stand-in of a worker on the users' platform: runs tasks under a lease,
-   registers itself in rr-kv, and logs every start and end.  What a task does
-   stands in its spec: "work=MS" and "fail=PERCENT".  */
+   registers itself in rr-kv, and logs every start, change of speed and end.
+   What a task does stands in its spec: "work=MS" ("again=MS" for runs after
+   the first), "fail=PERCENT" and "cpu=" in thousandths of a core, or "tail=MS"
+   for a latency-critical task, which has the tail latency "peak=MS" between
+   one SIGUSR2 and the next.  */
 
 enum
 {
   TICK_MS = 10,
   HEARTBEAT_MS = 400,
-  DRAIN_MS = 60000, /* in the entry of a draining worker, which never leaves */
-  TEXT_MAX = 128,
-  STOP_MS = 30
-};
-
-struct run
-{
-  LIST_ENTRY (run) link;
-  char task[TEXT_MAX];
-  int64_t run;
-  int64_t end_us;
-  int64_t begin_us;
-  bool fails;
-  bool stopping;
-};
-
-struct end
-{
-  int64_t number;
-  char task[TEXT_MAX];
-  int64_t run;
-  const char *how;
-  int64_t at_us;
-  bool noted;
+  DRAIN_MS = 60000 /* in the entry of a draining worker, which never leaves */
 };
 
 struct hold
@@ -48,31 +29,15 @@
   int64_t until_us;
 };
 
-/* The highest run that was stopped or has ended here, by task.  */
-struct seal
-{
-  char task[TEXT_MAX];
-  int64_t run;
-};
-
 static const char *id;
 static const char *zone;
 static int port;
 static int listed_port;
 static int cores_milli;
 static int store_port;
-static FILE *log_file;
 static struct http_client *client;
-LIST_HEAD (run_list, run);
-static struct run_list runs;
 LIST_HEAD (hold_list, hold);
 static struct hold_list holds;
-static struct end *ends;
-static size_t end_count;
-static int64_t last_end;
-static struct seal *seals;
-static size_t seal_count;
-static int64_t token;
 static int64_t lease_end_us;
 static int64_t lapsed_us; /* when the lease was last found expired */
 static int64_t started_ms;
@@ -95,97 +60,20 @@
   return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
-static void
-log_run (const char *event, const char *task, int64_t run, const char *how)
-{
-  fprintf (log_file,
-           "{\"t\":%lld,\"vm\":\"%s\",\"event\":\"%s\",\"task\":\"%s\","
-           "\"run\":%lld,\"how\":\"%s\"}\n",
-           (long long)wall_ms (), id, event, task, (long long)run, how);
-  fflush (log_file);
-}
-
 static void
 hold_answer (struct hold *h)
 {
   struct json_object *o = json_object_new_object ();
   json_add_int (o, "clockMs", clock_ms ());
   json_add_int (o, "born", started_ms);
-  struct json_object *running = json_object_new_array ();
-  for (const struct run *r = LIST_FIRST (&runs); r != NULL;
-       r = LIST_NEXT (r, link))
-    {
-      struct json_object *row = json_object_new_array ();
-      int64_t percent = (tool_now_us () - r->begin_us) * 100
-                        / (r->end_us - r->begin_us + 1);
-      json_object_array_add (row, json_object_new_string (r->task));
-      json_object_array_add (row, json_object_new_int64 (r->run));
-      json_object_array_add (row, json_object_new_string (""));
-      json_object_array_add (row, json_object_new_int64 (percent));
-      json_object_array_add (row, json_object_new_int64 (0));
-      json_object_array_add (running, row);
-    }
-  struct json_object *finished = json_object_new_array ();
-  for (size_t i = 0; i < end_count; i++)
-    {
-      if (ends[i].number <= h->observed)
-        continue;
-      struct json_object *row = json_object_new_array ();
-      json_object_array_add (row, json_object_new_int64 (ends[i].number));
-      json_object_array_add (row, json_object_new_string (ends[i].task));
-      json_object_array_add (row, json_object_new_int64 (ends[i].run));
-      json_object_array_add (row, json_object_new_string (ends[i].how));
-      json_object_array_add (row, json_object_new_string (""));
-      json_object_array_add (finished, row);
-    }
-  json_object_object_add (o, "running", running);
-  json_object_object_add (o, "finished", finished);
+  json_object_object_add (o, "running", taskruns_running ());
+  json_object_object_add (o, "finished", taskruns_finished (h->observed));
   http_exchange_respond_json (h->exchange, 200, json_text (o));
   json_object_put (o);
   LIST_REMOVE (h, link);
   free (h);
 }
 
-static struct seal *
-seal_of (const char *task)
-{
-  for (size_t i = 0; i < seal_count; i++)
-    if (strcmp (seals[i].task, task) == 0)
-      return &seals[i];
-  struct seal *grown = realloc (seals, (seal_count + 1) * sizeof *seals);
-  if (grown == NULL)
-    abort ();
-  seals = grown;
-  struct seal *s = &seals[seal_count++];
-  memset (s, 0, sizeof *s);
-  snprintf (s->task, sizeof s->task, "%s", task);
-  return s;
-}
-
-static void
-run_end (struct run *r, const char *how)
-{
-  struct end *grown = realloc (ends, (end_count + 1) * sizeof *ends);
-  if (grown == NULL)
-    abort ();
-  ends = grown;
-  struct end *e = &ends[end_count++];
-  memset (e, 0, sizeof *e);
-  e->number = ++last_end;
-  snprintf (e->task, sizeof e->task, "%s", r->task);
-  e->run = r->run;
-  e->how = how;
-  e->at_us = tool_now_us ();
-  struct seal *s = seal_of (r->task);
-  if (s->run < r->run)
-    s->run = r->run;
-  log_run ("end", r->task, r->run, how);
-  LIST_REMOVE (r, link);
-  free (r);
-  while (!LIST_EMPTY (&holds))
-    hold_answer (LIST_FIRST (&holds));
-}
-
 static void
 extend_lease (int64_t deadline)
 {
@@ -217,22 +105,6 @@
   http_exchange_respond_json (x, 200, json);
 }
 
-static struct run *
-run_find (const char *task)
-{
-  struct run *r = LIST_FIRST (&runs);
-  while (r != NULL && strcmp (r->task, task) != 0)
-    r = LIST_NEXT (r, link);
-  return r;
-}
-
-static long
-spec_value (const char *spec, const char *name)
-{
-  const char *p = strstr (spec, name);
-  return p == NULL ? 0 : strtol (p + strlen (name), NULL, 10);
-}
-
 static void
 on_start (struct http_exchange *x, struct json_object *body)
 {
@@ -240,13 +112,13 @@
   const char *spec = json_string_or (body, "spec", "");
   int64_t run = json_int_or (body, "run", 0);
   int64_t deadline = json_int_or (body, "deadlineMs", 0);
-  struct run *present = run_find (task);
-  if (present != NULL && present->run == run)
+  int64_t present = taskrun_present (task);
+  if (present != 0 && present == run)
     {
       respond_clock (x);
       return;
     }
-  if (present != NULL || run <= seal_of (task)->run)
+  if (present != 0 || taskrun_is_sealed (task, run))
     {
       respond_reason (x, "old");
       return;
@@ -257,62 +129,23 @@
       return;
     }
   extend_lease (deadline);
-  struct run *r = tool_alloc (sizeof *r);
-  memset (r, 0, sizeof *r);
-  snprintf (r->task, sizeof r->task, "%s", task);
-  r->run = run;
-  r->begin_us = tool_now_us ();
-  r->end_us = r->begin_us + spec_value (spec, "work=") * 1000;
-  r->fails = rand () % 100 < spec_value (spec, "fail=");
-  LIST_INSERT_HEAD (&runs, r, link);
-  log_run ("start", task, run, "");
-  respond_clock (x);
-}
-
-static void
-on_stop (struct http_exchange *x, struct json_object *body)
-{
-  const char *task = json_string_or (body, "task", "");
-  int64_t run = json_int_or (body, "run", 0);
-  struct run *r = run_find (task);
-  struct seal *s = seal_of (task);
-  if (s->run < run)
-    s->run = run;
-  if (r != NULL && r->run == run)
-    {
-      r->stopping = true;
-      r->end_us = tool_now_us () + STOP_MS * INT64_C (1000);
-    }
+  taskrun_start (task, run, spec);
   respond_clock (x);
 }
 
-/* Logs the ends that the caller has taken note of: those that it no longer
-   wants listed, unless the lease expired in between.  */
 static void
-note_ends (int64_t observed)
+on_hold (struct http_exchange *x, struct json_object *body)
 {
   if (tool_now_us () > lease_end_us)
     lapsed_us = tool_now_us ();
-  for (size_t i = 0; i < end_count; i++)
-    if (!ends[i].noted && ends[i].number <= observed)
-      {
-        ends[i].noted = true;
-        if (ends[i].at_us > lapsed_us)
-          log_run ("noted", ends[i].task, ends[i].run, ends[i].how);
-      }
-}
-
-static void
-on_hold (struct http_exchange *x, struct json_object *body)
-{
-  note_ends (json_int_or (body, "observed", 0));
+  taskruns_note_ends (json_int_or (body, "observed", 0), lapsed_us);
   struct hold *h = tool_alloc (sizeof *h);
   h->exchange = x;
   h->observed = json_int_or (body, "observed", 0);
   h->until_us = tool_now_us () + json_int_or (body, "waitMs", 0) * 1000;
   extend_lease (json_int_or (body, "deadlineMs", 0));
   LIST_INSERT_HEAD (&holds, h, link);
-  if (h->until_us <= tool_now_us () || last_end > h->observed)
+  if (h->until_us <= tool_now_us () || taskruns_last_end () > h->observed)
     hold_answer (h);
 }
 
@@ -324,26 +157,22 @@
   struct json_object *body = tool_body_json (x);
   if (body == NULL)
     return;
-  int64_t given = json_int_or (body, "fencingToken", 0);
-  if (given < token)
+  const char *task = json_string_or (body, "task", "");
+  int64_t run = json_int_or (body, "run", 0);
+  if (!taskruns_fence (json_int_or (body, "fencingToken", 0)))
     respond_reason (x, "fence");
   else if (strcmp (path, "/-/hold") == 0)
-    {
-      token = given;
-      on_hold (x, body);
-    }
+    on_hold (x, body);
   else if (strcmp (path, "/-/run-start") == 0)
+    on_start (x, body);
+  else
     {
-      token = given;
-      on_start (x, body);
-    }
-  else if (strcmp (path, "/-/run-stop") == 0)
-    {
-      token = given;
-      on_stop (x, body);
+      if (strcmp (path, "/-/run-stop") == 0)
+        taskrun_stop (task, run);
+      else if (strcmp (path, "/-/pace") == 0)
+        taskrun_pace (task, run, json_int_or (body, "percent", 100));
+      respond_clock (x);
     }
-  else
-    respond_clock (x);
   json_object_put (body);
 }
 
@@ -355,21 +184,12 @@
   bool lapsed = now > lease_end_us;
   if (lapsed)
     lapsed_us = now;
-  struct run *r = LIST_FIRST (&runs);
-  while (r != NULL)
-    {
-      struct run *next = LIST_NEXT (r, link);
-      if (lapsed)
-        run_end (r, "lapsed");
-      else if (r->end_us <= now)
-        run_end (r, r->stopping ? "stopped" : r->fails ? "failed" : "done");
-      r = next;
-    }
+  bool ended = taskruns_advance (lapsed);
   struct hold *h = LIST_FIRST (&holds);
   while (h != NULL)
     {
       struct hold *next = LIST_NEXT (h, link);
-      if (h->until_us <= now)
+      if (ended || h->until_us <= now)
         hold_answer (h);
       h = next;
     }
@@ -383,6 +203,14 @@
   draining = true;
 }
 
+static void
+on_peak_signal (uv_signal_t *signal, int number)
+{
+  (void)signal;
+  (void)number;
+  taskruns_toggle_peak ();
+}
+
 /* DATA is not null for an entry that said that the worker drains.  The next
    heartbeat repeats an entry that was lost.  */
 static void
@@ -391,7 +219,7 @@
   if (data == NULL || draining_logged || r->state != HTTP_CALL_ANSWERED)
     return;
   draining_logged = true;
-  log_run ("draining", "", 0, "");
+  taskruns_log ("draining", "", 0, "");
 }
 
 static void
@@ -418,7 +246,7 @@
   json_object_array_add (labels, json_object_new_string (zone));
   json_object_object_add (entry, "labels", labels);
   struct json_object *body = json_object_new_object ();
-  char key[TEXT_MAX];
+  char key[TASKWORKER_TEXT_MAX];
   snprintf (key, sizeof key, "servers/%s", id);
   json_add_string (body, "key", key);
   json_add_string (body, "value", json_text (entry));
@@ -456,7 +284,7 @@
           TEXT_FLAG ("id", "id of the worker", "w1"),
           TEXT_FLAG ("zone", "availability zone", "z1"),
           INT_FLAG ("cores", "capacity in thousandths of a core", 8000),
-          TEXT_FLAG ("log", "file for starts and ends", "/dev/stdout") };
+          TEXT_FLAG ("log", "file for what runs do", "/dev/stdout") };
   uv_loop_t *loop = uv_default_loop ();
   struct rr_error err = { 0 };
   int code;
@@ -470,20 +298,24 @@
   id = flags[3].text;
   zone = flags[4].text;
   cores_milli = flags[5].number;
-  log_file = fopen (flags[6].text, "a");
+  FILE *log = fopen (flags[6].text, "a");
   client = http_client_open (loop, &err);
-  if (log_file == NULL || client == NULL
+  if (log == NULL || client == NULL
       || tool_listen (loop, port, on_request, NULL, &err) == NULL)
     return tool_fail ("rr-taskworker", &err);
+  taskruns_init (id, log);
   started_ms = wall_ms ();
   born_us = tool_now_us ();
   srand ((unsigned)started_ms);
-  log_run ("born", "", 0, "");
+  taskruns_log ("born", "", 0, "");
   uv_timer_t tick;
   uv_timer_t heartbeat;
   uv_signal_t drain;
   uv_signal_init (loop, &drain);
   uv_signal_start (&drain, on_drain_signal, SIGUSR1);
+  uv_signal_t peak;
+  uv_signal_init (loop, &peak);
+  uv_signal_start (&peak, on_peak_signal, SIGUSR2);
   repeat (loop, &tick, on_tick, TICK_MS);
   repeat (loop, &heartbeat, on_heartbeat, HEARTBEAT_MS);
   uv_run (loop, UV_RUN_DEFAULT);
