--- /dev/null
+++ b/tests/dispatch/fake_worker.c
@@ -0,0 +1,357 @@
+#include "fake_worker.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Workers that carry out commands at once, unless a script says otherwise.  */
+
+struct fake_worker fake_workers[WORKERS_MAX];
+size_t fake_worker_count;
+
+/* Returns the worker ID, or ends the script.  */
+struct fake_worker *
+fake_worker_find (const char *id)
+{
+  for (size_t i = 0; i < fake_worker_count; i++)
+    if (strcmp (fake_workers[i].id, id) == 0)
+      return &fake_workers[i];
+  fprintf (stderr, "no worker %s\n", id);
+  exit (1);
+}
+
+static bool
+same_run (const struct rr_run_name *a, const struct rr_run_name *b)
+{
+  return strcmp (a->job, b->job) == 0 && a->step == b->step
+         && a->task == b->task && a->occurrence == b->occurrence
+         && a->run == b->run;
+}
+
+static struct fake_run *
+run_find (struct fake_worker *w, const struct rr_run_name *name)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    if (same_run (&w->runs[i].status.name, name))
+      return &w->runs[i];
+  return NULL;
+}
+
+/* Ends R on W as KIND.  */
+void
+fake_run_end (struct fake_worker *w, struct fake_run *r, enum rr_end_kind kind)
+{
+  r->ended = true;
+  r->end = (struct rr_run_end){ .number = ++w->ends,
+                                .name = r->status.name,
+                                .kind = kind };
+}
+
+static struct fake_run *
+run_new (struct fake_worker *w, const struct rr_run_name *name)
+{
+  assert (w->run_count < RUNS_MAX);
+  struct fake_run *r = &w->runs[w->run_count++];
+  *r = (struct fake_run){ .status = { .name = *name, .percent = 100 },
+                          .speed = 100,
+                          .late_speed = -1 };
+  return r;
+}
+
+static void
+start (struct fake_worker *w, const struct rr_run_name *name)
+{
+  struct fake_run *r = run_find (w, name);
+  if (r == NULL)
+    run_new (w, name);
+  else if (!r->sealed)
+    r->delayed = false;
+}
+
+static void
+stop (struct fake_worker *w, const struct rr_run_name *name)
+{
+  struct fake_run *r = run_find (w, name);
+  if (r == NULL)
+    r = run_new (w, name);
+  if (r->ended)
+    return;
+  if (r->delayed || r->sealed)
+    r->sealed = true;
+  else
+    fake_run_end (w, r, RR_END_STOPPED);
+}
+
+static void
+throttle (struct fake_worker *w, const struct rr_command *command)
+{
+  struct fake_run *r = run_find (w, &command->name);
+  if (r == NULL || r->ended || r->delayed)
+    return;
+  if (w->delaying)
+    r->late_speed = command->percent;
+  else
+    r->speed = command->percent;
+}
+
+/* Prints the speeds of runs that are not at full speed.  */
+void
+fake_workers_print_speeds (void)
+{
+  for (size_t i = 0; i < fake_worker_count; i++)
+    for (size_t k = 0; k < fake_workers[i].run_count; k++)
+      {
+        const struct fake_run *r = &fake_workers[i].runs[k];
+        const struct rr_run_name *n = &r->status.name;
+        if (!r->ended && r->speed != 100)
+          printf ("%s %d.%d run %u on %s at %d%%\n", n->job, n->step, n->task,
+                  n->run, fake_workers[i].id, r->speed);
+      }
+}
+
+static void
+late_throttles_deliver (struct fake_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct fake_run *r = &w->runs[i];
+      if (r->late_speed >= 0)
+        r->speed = r->late_speed;
+      r->late_speed = -1;
+    }
+}
+
+static const char *const kinds[] = { "start", "stop", "throttle" };
+
+/* Lets the worker of COMMAND carry it out and answer it.  */
+void
+fake_worker_execute (const struct rr_command *command)
+{
+  struct fake_worker *w = fake_worker_find (command->worker_id);
+  if (!rr_dispatch_command_begin (script.dispatch, w->handle, command->kind,
+                                  &command->name))
+    {
+      printf ("%s %s %d.%d run %u on %s withdrawn\n", kinds[command->kind],
+              command->name.job, command->name.step, command->name.task,
+              command->name.run, command->worker_id);
+      rr_dispatch_command_answered (script.dispatch, w->handle, command->kind,
+                                    &command->name, RR_OUTCOME_NOT_SENT, 0,
+                                    script.now);
+      return;
+    }
+  printf ("%s %s %d.%d run %u on %s", kinds[command->kind], command->name.job,
+          command->name.step, command->name.task, command->name.run,
+          command->worker_id);
+  if (command->kind == RR_COMMAND_START && command->permit_token[0] != '\0')
+    printf (" with %s", command->permit_token);
+  if (command->kind == RR_COMMAND_THROTTLE)
+    printf (" at %d%%", command->percent);
+  if (command->kind == RR_COMMAND_STOP)
+    printf (" (%s)", command->reason);
+  bool answered
+      = !w->blocked && (!w->delaying || command->kind != RR_COMMAND_THROTTLE);
+  printf ("%s\n", answered ? "" : ": no answer");
+  int64_t lease
+      = command->kind == RR_COMMAND_START ? rr_dispatch_worker_lease (
+            script.dispatch, w->handle,
+            rr_time_add (script.confirmed, LEASE_MAX_MS), script.now)
+                                          : 0;
+  if (lease > w->lease_end)
+    w->lease_end = lease;
+  if (w->blocked)
+    {
+      if (command->kind == RR_COMMAND_START)
+        run_new (w, &command->name)->delayed = true;
+    }
+  else if (command->kind == RR_COMMAND_START)
+    start (w, &command->name);
+  else if (command->kind == RR_COMMAND_STOP)
+    stop (w, &command->name);
+  else
+    throttle (w, command);
+  struct rr_run_name name = command->name;
+  rr_dispatch_command_answered (
+      script.dispatch, w->handle, command->kind, &name,
+      answered ? RR_OUTCOME_ACCEPTED : RR_OUTCOME_UNKNOWN, script.now.ms,
+      script.now);
+}
+
+static void
+queue_send (struct fake_worker *w)
+{
+  w->queueing = false;
+  for (size_t i = 0; i < w->queue_count; i++)
+    fake_worker_execute (&w->queue[i]);
+  w->queue_count = 0;
+}
+
+static void
+expire (struct fake_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    if (!w->runs[i].ended && !w->runs[i].delayed
+        && w->lease_end <= script.now.ms)
+      fake_run_end (w, &w->runs[i], RR_END_LEASE_EXPIRED);
+}
+
+static void
+worker_poll (struct fake_worker *w)
+{
+  int64_t observed
+      = rr_dispatch_worker_stored_end (script.dispatch, w->handle);
+  int64_t lease = rr_dispatch_worker_lease (
+      script.dispatch, w->handle, rr_time_add (script.confirmed, LEASE_MAX_MS),
+      script.now);
+  expire (w);
+  if (w->blocked || w->muted)
+    {
+      if (w->muted && lease > w->lease_end)
+        w->lease_end = lease;
+      rr_dispatch_worker_unreachable (script.dispatch, w->handle);
+      return;
+    }
+  if (lease > w->lease_end)
+    w->lease_end = lease;
+  static struct rr_run_status running[RUNS_MAX];
+  static struct rr_run_end ended[RUNS_MAX];
+  struct rr_worker_report r
+      = { .started_ms = w->started_ms,
+          .clock_ms = script.now.ms,
+          .sent = rr_time_add (script.now, -w->answer_ms),
+          .received = script.now,
+          .running = running,
+          .ended = ended };
+  for (size_t i = 0; i < w->run_count; i++)
+    if (w->runs[i].ended && w->runs[i].end.number > observed)
+      ended[r.ended_count++] = w->runs[i].end;
+    else if (!w->runs[i].ended && !w->runs[i].delayed && !w->runs[i].sealed)
+      running[r.running_count++] = w->runs[i].status;
+  rr_dispatch_report_apply (script.dispatch, w->handle, &r, script.now);
+}
+
+/* Polls the worker ID, or all if that is null.  */
+void
+fake_workers_poll (const char *id)
+{
+  for (size_t i = 0; i < fake_worker_count; i++)
+    if (id == NULL || strcmp (fake_workers[i].id, id) == 0)
+      worker_poll (&fake_workers[i]);
+}
+
+/* Registers W, or updates its registration.  */
+void
+fake_worker_register (struct fake_worker *w)
+{
+  w->registered = true;
+  w->handle = rr_dispatch_worker_set (script.dispatch, &w->info, script.now);
+  rr_dispatch_worker_mark_recorded (script.dispatch, w->id);
+}
+
+/* Adds the worker of a script line.  */
+void
+fake_worker_add (char **word)
+{
+  struct fake_worker *w = &fake_workers[fake_worker_count++];
+  snprintf (w->id, sizeof w->id, "%s", word[1]);
+  w->started_ms = script.now.ms;
+  snprintf (w->info.id, sizeof w->info.id, "%s", word[1]);
+  snprintf (w->info.service, sizeof w->info.service, "desk");
+  snprintf (w->info.rack, sizeof w->info.rack, "%s", word[2]);
+  snprintf (w->info.labels[0], RR_JOB_NAME_SIZE, "%s", word[2]);
+  w->info.label_count = 1;
+  w->info.cores_milli = strtol (word[3], NULL, 10);
+  w->info.memory_mb = strtol (word[4], NULL, 10);
+  w->info.started_ms = w->started_ms;
+  fake_worker_register (w);
+}
+
+/* Returns the run of a task that is in progress and sets WHERE to its worker,
+   or ends the script.  */
+struct fake_run *
+fake_run_find (char *job, char *task_name, struct fake_worker **where)
+{
+  char *dot = NULL;
+  long step = strtol (task_name, &dot, 10);
+  long task = strtol (dot + 1, NULL, 10);
+  for (size_t i = 0; i < fake_worker_count; i++)
+    for (size_t k = fake_workers[i].run_count; k-- > 0;)
+      {
+        struct fake_run *r = &fake_workers[i].runs[k];
+        if (!r->ended && !r->delayed && strcmp (r->status.name.job, job) == 0
+            && r->status.name.step == step && r->status.name.task == task)
+          {
+            *where = &fake_workers[i];
+            return r;
+          }
+      }
+  fprintf (stderr, "%s %s does not run\n", job, task_name);
+  exit (1);
+}
+
+static void
+worker_restart (struct fake_worker *w)
+{
+  w->run_count = 0;
+  w->ends = 0;
+  w->lease_end = 0;
+  w->started_ms = script.now.ms;
+}
+
+/* Runs a script command about worker W.  */
+void
+fake_worker_command (char **word, struct fake_worker *w)
+{
+  if (strcmp (word[0], "drain") == 0)
+    {
+      w->info.draining = true;
+      w->info.remaining_ms = 2000;
+      fake_worker_register (w);
+    }
+  else if (strcmp (word[0], "unregister") == 0)
+    {
+      w->registered = false;
+      rr_dispatch_worker_unregister (script.dispatch, w->id, script.now);
+    }
+  else if (strcmp (word[0], "restart") == 0)
+    worker_restart (w);
+  else if (strcmp (word[0], "reregister") == 0)
+    {
+      worker_restart (w);
+      w->info.started_ms = w->started_ms;
+      fake_worker_register (w);
+    }
+  else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
+    w->muted = word[0][0] == 'm';
+  else if (strcmp (word[0], "slow_answers") == 0)
+    w->answer_ms = strtol (word[2], NULL, 10);
+  else if (strcmp (word[0], "delay") == 0)
+    w->delaying = true;
+  else if (strcmp (word[0], "undelay") == 0)
+    w->delaying = false;
+  else if (strcmp (word[0], "deliver") == 0)
+    late_throttles_deliver (w);
+  else if (strcmp (word[0], "lease") == 0)
+    printf ("%lld ms\n",
+            (long long)(rr_dispatch_worker_lease (
+                            script.dispatch, w->handle,
+                            rr_time_add (script.confirmed, LEASE_MAX_MS),
+                            script.now)
+                        - script.now.ms));
+  else if (strcmp (word[0], "queue_commands") == 0)
+    w->queueing = true;
+  else if (strcmp (word[0], "send_commands") == 0)
+    queue_send (w);
+  else if (strcmp (word[0], "reconnect") == 0)
+    {
+      w->queueing = false;
+      w->queue_count = 0;
+      rr_dispatch_commands_abandoned (script.dispatch, w->handle, script.now);
+    }
+  else
+    {
+      w->blocked = strcmp (word[0], "block") == 0;
+      for (size_t i = 0; i < w->run_count && !w->blocked; i++)
+        w->runs[i].delayed = w->runs[i].delayed && w->runs[i].sealed;
+    }
+}
--- /dev/null
+++ b/tests/dispatch/fake_worker.h
@@ -0,0 +1,69 @@
+#ifndef TESTS_DISPATCH_FAKE_WORKER_H
+#define TESTS_DISPATCH_FAKE_WORKER_H
+
+#include "rosemaryrail/dispatch.h"
+
+enum
+{
+  WORKERS_MAX = 16,
+  RUNS_MAX = 256,
+  LEASE_MS = 4500,
+  LEASE_MAX_MS = 10000
+};
+
+struct fake_run
+{
+  struct rr_run_status status;
+  struct rr_run_end end;
+  bool ended;
+  bool delayed; /* command delayed on its way to a blocked worker */
+  bool sealed;
+  int32_t speed;      /* in percent */
+  int32_t late_speed; /* of a throttle on its way; -1: none */
+};
+
+struct fake_worker
+{
+  char id[16];
+  struct rr_worker_info info;
+  struct rr_handle handle;
+  bool registered;
+  bool muted;
+  bool blocked;
+  bool delaying;
+  bool queueing;
+  int64_t answer_ms;           /* between a poll and its answer */
+  struct rr_command queue[64]; /* names and kinds of commands that wait */
+  size_t queue_count;
+  int64_t started_ms;
+  int64_t lease_end; /* on its own clock, which equals the script's */
+  int64_t ends;
+  struct fake_run runs[RUNS_MAX];
+  size_t run_count;
+};
+
+/* The dispatcher that the script drives, and its clock.  */
+struct script
+{
+  struct rr_dispatch *dispatch;
+  struct rr_time now;
+  struct rr_time confirmed; /* when the owner last certainly held the shard */
+};
+
+extern struct script script;
+extern struct fake_worker fake_workers[WORKERS_MAX];
+extern size_t fake_worker_count;
+
+struct fake_worker *fake_worker_find (const char *id);
+void fake_worker_add (char **word);
+void fake_worker_register (struct fake_worker *w);
+void fake_worker_execute (const struct rr_command *command);
+void fake_worker_command (char **word, struct fake_worker *w);
+void fake_workers_poll (const char *id);
+void fake_workers_print_speeds (void);
+struct fake_run *fake_run_find (char *job, char *task_name,
+                                struct fake_worker **where);
+void fake_run_end (struct fake_worker *w, struct fake_run *r,
+                   enum rr_end_kind kind);
+
+#endif
