tests: a late end replaces the checkpoint of a later run (red)

A run that was given up ends late, with the checkpoint that it had; the run that replaced it has got further. Until its next report the task has the older checkpoint, and if its worker crashes in between, run 3 starts from 0001 in place of 0005.

The fake workers keep checkpoints now and print those that a start resumes from.

--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -28,6 +28,7 @@
      end ID STEP.TASK HOW     ends the task's run on its worker
      measure ID STEP.TASK N   sets the measurement in its worker's reports:
                               tail latency in ms, or used cores
+     save ID STEP.TASK TEXT   sets the checkpoint in its worker's reports
      speeds                   prints the speeds of best-effort runs that a
                               worker does not run at full speed
      delay W | undelay W      throttles to W get no answer
@@ -171,6 +172,7 @@
         {
           w->queue[w->queue_count] = commands[i];
           w->queue[w->queue_count].worker_id = w->id;
+          w->queue[w->queue_count].checkpoint = "";
           w->queue[w->queue_count++].permit_token = "";
         }
       else
@@ -480,6 +482,12 @@
   else if (strcmp (c, "measure") == 0)
     fake_run_find (word[1], word[2], &w)->status.measurement
         = strtol (word[3], NULL, 10);
+  else if (strcmp (c, "save") == 0)
+    {
+      struct fake_run *r = fake_run_find (word[1], word[2], &w);
+      snprintf (r->status.checkpoint, sizeof r->status.checkpoint, "%s",
+                word[3]);
+    }
   else if (strcmp (c, "speeds") == 0)
     fake_workers_print_speeds ();
   else if (strcmp (c, "poll") == 0)
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -46,6 +46,7 @@
   r->end = (struct rr_run_end){ .number = ++w->ends,
                                 .name = r->status.name,
                                 .kind = kind };
+  memcpy (r->end.checkpoint, r->status.checkpoint, sizeof r->end.checkpoint);
 }
 
 static struct fake_run *
@@ -145,6 +146,8 @@
           command->worker_id);
   if (command->kind == RR_COMMAND_START && command->permit_token[0] != '\0')
     printf (" with %s", command->permit_token);
+  if (command->kind == RR_COMMAND_START && command->checkpoint[0] != '\0')
+    printf (" from %s", command->checkpoint);
   if (command->kind == RR_COMMAND_THROTTLE)
     printf (" at %d%%", command->percent);
   if (command->kind == RR_COMMAND_STOP)
