--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -68,8 +68,8 @@
     }
   const struct dispatch_task *t = &j->tasks[number];
   bool current = t->state == TASK_PLACED && t->current_run == end->name.run;
-  /* Which runs have ended is not known for ever, but whether the task is
-     done.  */
+  /* Ends are tracked for a number of runs only, so an older one may not have
+     been processed.  */
   bool settles = end->kind == RR_END_DONE && t->state != TASK_DONE
                  && !j->graph->steps[end->name.step].long_running;
   if (current || settles || !dispatch_run_end_recorded (t, end->name.run))
