dispatch: log which workers a new owner waits for, and silent workers at a release

What concerns the takeover moves into a file of its own; dispatch_expire and the new lines share one computation of the expiry.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -259,6 +259,9 @@
                               const struct rr_permit *permits, size_t count,
                               int64_t valid_ms, struct rr_time now);
 
+void rr_dispatch_log_silent_workers (struct rr_dispatch *d,
+                                     struct rr_time now);
+
 /* Takes ownership of G.  PROGRESS is null for a new job.  INHERITED means that
    a former owner may have started tasks.  */
 void rr_dispatch_job_add (struct rr_dispatch *d, struct rr_job_graph *g,
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -390,6 +390,7 @@
 shard_stop_starting (struct shard *s)
 {
   s->stopping = true;
+  rr_dispatch_log_silent_workers (s->dispatch, entry_now ());
 }
 
 /* Returns whether all progress is stored.  */
--- a/rosemaryrail/dispatch_leases.c
+++ b/rosemaryrail/dispatch_leases.c
@@ -92,6 +92,16 @@
   return n;
 }
 
+/* Returns when every lease granted to W must have expired and its tasks have
+   ended, even on its slowest possible clock.  */
+struct rr_time
+dispatch_lease_expiry (const struct dispatch_worker *w)
+{
+  double ahead
+      = (double)(w->lease_clock_ms - w->clock_ms) / CLOCK_RATE_MIN + 1;
+  return rr_time_add (w->clock_received, (int64_t)ahead + KILL_MARGIN_MS);
+}
+
 /* Gives up W's runs once every lease granted to it must have expired, even on
    its slowest possible clock, at a time when this owner certainly held the
    shard.  A run whose start was not sent has no lease yet: the worker's last
@@ -104,10 +114,7 @@
   size_t sent = sent_run_count (w);
   if (sent == 0 || (!w->has_clock && w->lease_clock_ms == 0))
     return;
-  double elapsed
-      = (double)(rr_time_diff (confirmed, w->clock_received) - KILL_MARGIN_MS);
-  if ((double)w->clock_ms + elapsed * CLOCK_RATE_MIN
-      <= (double)w->lease_clock_ms)
+  if (rr_time_before (confirmed, dispatch_lease_expiry (w)))
     return;
   dispatch_log_decision (d, "vm_lease_expired",
                          "vm=%s runs=%zu silent_ms=%lld", w->info.id, sent,
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -94,32 +94,6 @@
   free (ready);
 }
 
-/* Makes inherited tasks that were not reported as running startable, once
-   every inherited worker has reported or all leases of former owners have
-   expired.  */
-static void
-settle_inheritance (struct rr_dispatch *d, struct rr_time confirmed)
-{
-  if (!d->inheriting
-      || (d->inherited_count > 0
-          && rr_time_before (confirmed, d->inherited_until)))
-    return;
-  size_t tasks = 0;
-  struct rr_handle h = { 0 };
-  struct dispatch_job *j;
-  while ((j = rr_table_next (d->jobs, &h)) != NULL)
-    for (uint32_t i = 0; i < j->task_count; i++)
-      if (j->tasks[i].state == TASK_UNCERTAIN)
-        {
-          dispatch_task_set (j, i, TASK_WAITING);
-          tasks++;
-        }
-  dispatch_log_decision (d, "inheritance_settled", "unheard=%zu tasks=%zu",
-                         d->inherited_count, tasks);
-  d->inheriting = false;
-  d->inherited_count = 0;
-}
-
 /* Stops tasks on a worker that is about to leave, so that they move to
    others.  */
 static void
@@ -165,6 +139,7 @@
   if (rr_time_diff (now, d->audited) < AUDIT_MS)
     return;
   dispatch_log_waiting (d, rr_time_diff (now, d->audited), now);
+  dispatch_inheritance_log (d, now);
   d->audited = now;
   struct rr_handle h = { 0 };
   struct dispatch_job *j;
@@ -210,7 +185,7 @@
       if (dispatch_worker_usable (w, now))
         d->free_cores_milli += w->free_cores_milli;
     }
-  settle_inheritance (d, confirmed);
+  dispatch_inheritance_settle (d, confirmed);
   audit_placed_tasks (d, now);
   dispatch_interference_refresh (d, now);
   d->start_bytes_left = start_bytes_max;
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -283,6 +283,8 @@
                                        struct rr_handle h);
 struct dispatch_worker *dispatch_worker_get (const struct rr_dispatch *d,
                                              struct rr_handle h);
+struct dispatch_worker *dispatch_worker_find (const struct rr_dispatch *d,
+                                              const char *id);
 bool dispatch_task_number (const struct dispatch_job *j,
                            const struct rr_run_name *name, uint32_t *number);
 void dispatch_task_name (const struct dispatch_job *j, uint32_t number,
@@ -313,6 +315,10 @@
                                 struct rr_time now);
 void dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms);
 void dispatch_inherited_remove (struct rr_dispatch *d, const char *id);
+void dispatch_inheritance_settle (struct rr_dispatch *d,
+                                  struct rr_time confirmed);
+void dispatch_inheritance_log (struct rr_dispatch *d, struct rr_time now);
+struct rr_time dispatch_lease_expiry (const struct dispatch_worker *w);
 struct dispatch_run *dispatch_run_find (struct dispatch_worker *w,
                                         const struct rr_run_name *name);
 struct dispatch_run *dispatch_run_add (struct rr_dispatch *d,
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -30,52 +30,12 @@
   return false;
 }
 
-static struct dispatch_worker *
-worker_find (const struct rr_dispatch *d, const char *id)
+struct dispatch_worker *
+dispatch_worker_find (const struct rr_dispatch *d, const char *id)
 {
   return dispatch_worker_get (d, rr_key_index_get (d->worker_ids, id));
 }
 
-/* Adds the worker ID to those that a former owner may have used.  */
-void
-rr_dispatch_inherit_worker (struct rr_dispatch *d, const char *id)
-{
-  d->inherited = realloc (d->inherited,
-                          (d->inherited_count + 1) * sizeof *d->inherited);
-  assert (d->inherited != NULL);
-  snprintf (d->inherited[d->inherited_count++], sizeof *d->inherited, "%s",
-            id);
-}
-
-/* Starts the period in which tasks of inherited jobs may run unreported.  It
-   ends at UNTIL, when every lease of the former owner has expired, or earlier
-   once all inherited workers have reported.  Runs of inherited tasks are
-   numbered from FIRST_RUN on, since former owners may have used lower numbers.
-   The last owner used numbers from FORMER_RUN on.  */
-void
-rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until,
-                           uint32_t former_run, uint32_t first_run)
-{
-  d->former_run = former_run;
-  d->first_run = first_run;
-  d->inheriting = true;
-  d->inherited_until = until;
-}
-
-/* Removes the worker ID, which has reported, from the inherited workers.  */
-void
-dispatch_inherited_remove (struct rr_dispatch *d, const char *id)
-{
-  for (size_t i = 0; i < d->inherited_count; i++)
-    if (strcmp (d->inherited[i], id) == 0)
-      {
-        memmove (d->inherited[i], d->inherited[d->inherited_count - 1],
-                 sizeof *d->inherited);
-        d->inherited_count--;
-        return;
-      }
-}
-
 static bool
 worker_needed (const struct dispatch_worker *w, struct rr_time now)
 {
@@ -106,7 +66,7 @@
     }
   for (size_t i = 0; n < max && i < d->inherited_count; i++)
     {
-      w = worker_find (d, d->inherited[i]);
+      w = dispatch_worker_find (d, d->inherited[i]);
       if (w == NULL || !worker_needed (w, now))
         ids[n++] = d->inherited[i];
     }
@@ -262,7 +222,7 @@
 rr_dispatch_worker_set (struct rr_dispatch *d,
                         const struct rr_worker_info *info, struct rr_time now)
 {
-  struct dispatch_worker *w = worker_find (d, info->id);
+  struct dispatch_worker *w = dispatch_worker_find (d, info->id);
   if (w == NULL)
     {
       struct rr_handle h;
@@ -311,7 +271,7 @@
 rr_dispatch_worker_unregister (struct rr_dispatch *d, const char *id,
                                struct rr_time now)
 {
-  struct dispatch_worker *w = worker_find (d, id);
+  struct dispatch_worker *w = dispatch_worker_find (d, id);
   if (w == NULL || !w->registered)
     return;
   w->registered = false;
@@ -324,7 +284,7 @@
 void
 rr_dispatch_worker_mark_recorded (struct rr_dispatch *d, const char *id)
 {
-  struct dispatch_worker *w = worker_find (d, id);
+  struct dispatch_worker *w = dispatch_worker_find (d, id);
   if (w != NULL)
     w->recorded = true;
 }
