dispatch: a new owner waits for a silent worker from its silence on

Cause: when a worker's leases end was known to its owner only. The class: what an owner has found out with time is lost at a change of owners, and the successor assumes the worst case from its own start.

The membership record now says which workers are silent, and how long their leases may still hold. Daemons have no clock in common, so a reader counts what is left from the time when it saw the record, which is never before it was written. The owner that writes it grants these workers no lease before another record is stored, so the statement stays true until the next owner replaces it; a write without an answer may take effect later, so the record's own revision is a condition of each write. An owner that is told to stop records each worker that does not answer, and one that has not heard from an inherited worker passes on the time that it knows. A silence is recorded after 1.5 s.

--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -73,8 +73,9 @@
   int64_t owner_lease; /* identifies the incarnation of the owner */
   struct rr_time ownerless_since;
   struct rr_time owner_seen; /* when this daemon saw the present owner's key */
-  char *stored_membership;   /* JSON list of worker ids; null: none */
+  char *stored_membership;   /* the membership record; null: none */
   int64_t membership_revision;
+  struct rr_time membership_seen; /* when this daemon saw that revision */
   int64_t capacity_milli;
   int64_t demand_milli;
   int64_t non_best_effort_cores_milli; /* demand without best-effort tasks */
--- a/include/rosemaryentryd/shard.h
+++ b/include/rosemaryentryd/shard.h
@@ -27,6 +27,6 @@
 void shard_statistics_merge (struct shard *s,
                              const struct statistics_list *list);
 void shard_stop_starting (struct shard *s);
-bool shard_progress_stored (struct shard *s);
+bool shard_released (struct shard *s);
 
 #endif
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -126,12 +126,16 @@
   bool transferring;
   bool transfer_unknown; /* an attempt without answer may take effect */
   struct division division;
+  int64_t ordinal; /* number of earlier owners of the shard */
   bool membership_writing;
-  int64_t ordinal;          /* number of earlier owners of the shard */
-  char *membership_record;  /* as last stored */
-  uint64_t membership_hash; /* of its worker ids */
-  char *membership_record_sent;
+  bool membership_stored;      /* by this owner */
+  int64_t membership_revision; /* last known */
+  uint64_t membership_hash;    /* of the workers as last stored */
   uint64_t membership_hash_sent;
+  bool membership_sent_stopping; /* ... while this owner was stopping */
+  bool release_recorded;         /* such a record is stored */
+  struct rr_recorded_worker *membership_sent;
+  size_t membership_sent_count;
   struct rr_time load_sent;
   struct rr_time statistics_sent; /* to other owners */
   bool load_writing;
@@ -163,9 +167,9 @@
 void shard_commit (struct shard *s);
 void shard_schedule_commit (struct shard *s, uint64_t ms);
 void shard_commit_clear (struct shard *s);
-struct json_object *shard_membership_parse (const char *text,
-                                            int64_t *ordinal);
+void shard_inherit_workers (struct shard *s);
 void shard_write_membership (struct shard *s);
+bool shard_release_recorded (struct shard *s);
 void shard_write_load (struct shard *s, struct rr_time now);
 void shard_record_id (const struct shard *s, const char *job,
                       char out[RR_JOB_NAME_SIZE]);
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -168,6 +168,17 @@
   char permit_token[RR_PERMIT_TOKEN_SIZE];
 };
 
+/* A worker in the membership record of a shard: tasks may be started on it, or
+   may run there.  */
+struct rr_recorded_worker
+{
+  char id[RR_JOB_NAME_SIZE];
+  /* The owner that wrote the record grants it no lease before another record
+     is stored: all leases on it have expired at EXPIRY.  */
+  bool silent;
+  struct rr_time expiry;
+};
+
 /* Settings and callbacks of a dispatcher.  */
 struct rr_dispatch_options
 {
@@ -206,12 +217,15 @@
 void rr_dispatch_queue_set (struct rr_dispatch *d,
                             const struct rr_queue_policy *p);
 
-/* Workers that a former owner may have used.  Until all of them have reported
-   or UNTIL has passed, a task that is not reported as running may still
+/* Workers that a former owner may have used.  Until each of them has reported
+   or its leases have expired, a task that is not reported as running may still
    run.  */
-void rr_dispatch_inherit_worker (struct rr_dispatch *d, const char *id);
-void rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until,
-                                uint32_t former_run, uint32_t first_run);
+void rr_dispatch_inherit (struct rr_dispatch *d, struct rr_time until,
+                          uint32_t former_run, uint32_t first_run,
+                          struct rr_time now);
+void rr_dispatch_inherit_worker (struct rr_dispatch *d,
+                                 const struct rr_recorded_worker *worker);
+void rr_dispatch_release (struct rr_dispatch *d, struct rr_time now);
 
 struct rr_handle rr_dispatch_worker_set (struct rr_dispatch *d,
                                          const struct rr_worker_info *info,
@@ -221,11 +235,13 @@
                                          struct rr_time store_responded);
 void rr_dispatch_worker_unregister (struct rr_dispatch *d, const char *id,
                                     struct rr_time now);
-void rr_dispatch_worker_mark_recorded (struct rr_dispatch *d, const char *id);
+void rr_dispatch_worker_mark_recorded (struct rr_dispatch *d,
+                                       const struct rr_recorded_worker *r);
 bool rr_dispatch_worker_droppable (const struct rr_dispatch *d,
                                    struct rr_handle h, struct rr_time now);
 void rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h);
-size_t rr_dispatch_needed_workers (struct rr_dispatch *d, const char **ids,
+size_t rr_dispatch_needed_workers (struct rr_dispatch *d,
+                                   struct rr_recorded_worker *workers,
                                    size_t max, struct rr_time now);
 
 int64_t rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
@@ -240,6 +256,8 @@
                                struct rr_time now);
 void rr_dispatch_worker_unreachable (struct rr_dispatch *d,
                                      struct rr_handle h);
+bool rr_dispatch_worker_silence_recorded (const struct rr_dispatch *d,
+                                          struct rr_handle h);
 bool rr_dispatch_command_begin (struct rr_dispatch *d, struct rr_handle h,
                                 enum rr_command_kind kind,
                                 const struct rr_run_name *name);
@@ -259,9 +277,6 @@
                               const struct rr_permit *permits, size_t count,
                               int64_t valid_ms, struct rr_time now);
 
-void rr_dispatch_log_silent_workers (struct rr_dispatch *d,
-                                     struct rr_time now);
-
 /* Takes ownership of G.  PROGRESS is null for a new job.  INHERITED means that
    a former owner may have started tasks.  */
 void rr_dispatch_job_add (struct rr_dispatch *d, struct rr_job_graph *g,
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -491,7 +491,7 @@
 }
 
 /* Starts no more tasks and claims no more shards.  owners_released returns
-   whether all progress is stored.  */
+   whether other daemons can take over.  */
 void
 owners_release (struct owners *o)
 {
@@ -505,7 +505,7 @@
 owners_released (const struct owners *o)
 {
   for (size_t i = 0; i < SHARDS_MAX; i++)
-    if (o->shards[i] != NULL && !shard_progress_stored (o->shards[i]))
+    if (o->shards[i] != NULL && !shard_released (o->shards[i]))
       return false;
   return true;
 }
--- a/rosemaryentryd/records_items.c
+++ b/rosemaryentryd/records_items.c
@@ -82,8 +82,10 @@
   struct shard_record *s = records_shard (r, name);
   if (s == NULL || item->removed)
     return;
-  if (item->revision > s->membership_revision)
-    s->membership_revision = item->revision;
+  if (item->revision <= s->membership_revision)
+    return;
+  s->membership_revision = item->revision;
+  s->membership_seen = entry_now ();
   free (s->stored_membership);
   s->stored_membership = strdup (item->value);
 }
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -33,8 +33,7 @@
   rr_dispatch_free (s->dispatch);
   rr_table_free (s->connections);
   rr_key_index_free (s->connection_index);
-  free (s->membership_record);
-  free (s->membership_record_sent);
+  free (s->membership_sent);
   free (s->published_pending);
   free (s->commands);
   shard_commit_clear (s);
@@ -390,41 +389,20 @@
 shard_stop_starting (struct shard *s)
 {
   s->stopping = true;
-  rr_dispatch_log_silent_workers (s->dispatch, entry_now ());
+  rr_dispatch_release (s->dispatch, entry_now ());
 }
 
-/* Returns whether all progress is stored.  */
+/* Returns whether the next owner can take over: all progress is stored, and
+   the membership record.  */
 bool
-shard_progress_stored (struct shard *s)
+shard_released (struct shard *s)
 {
   const char *ids[1];
   bool urgent;
-  return !s->committing
+  return shard_release_recorded (s) && !s->committing
          && rr_dispatch_jobs_changed (s->dispatch, ids, 1, &urgent) == 0;
 }
 
-/* Tells the dispatcher which workers former owners may have used and until
-   when their leases may hold, and reserves run numbers for this owner.  */
-static void
-inherit_workers (struct shard *s)
-{
-  int64_t former = 0;
-  struct json_object *list
-      = shard_membership_parse (s->record->stored_membership, &former);
-  for (size_t i = 0; i < json_object_array_length (list); i++)
-    rr_dispatch_inherit_worker (
-        s->dispatch,
-        json_object_get_string (json_object_array_get_idx (list, i)));
-  json_object_put (list);
-  s->ordinal = former + 1;
-  rr_dispatch_inherit_until (
-      s->dispatch,
-      inheritance_leases_until (s->record->owner_seen,
-                                s->entry->settings.lease_max_ms),
-      (uint32_t)(former * RUNS_PER_OWNER_MAX + 1),
-      (uint32_t)(s->ordinal * RUNS_PER_OWNER_MAX + 1));
-}
-
 static void
 open_timers (struct shard *s)
 {
@@ -481,7 +459,7 @@
   open_timers (s);
   shard_queues_update (s);
   if (inherited)
-    inherit_workers (s);
+    shard_inherit_workers (s);
   struct rr_handle h = { 0 };
   const struct job_record *j;
   size_t jobs = 0;
--- /dev/null
+++ b/rosemaryentryd/shard_membership.c
@@ -0,0 +1,173 @@
+#include "rosemaryentryd/shard_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "rosemaryentryd/membership_record.h"
+
+/* The membership record of a shard: what an owner reads when it takes over,
+   and writes as long as it serves the shard.  */
+
+enum
+{
+  /* Workers of this owner, and of former owners that have not responded.  */
+  MEMBERSHIP_MAX = 2 * WORKER_CONNECTIONS_MAX
+};
+
+/* Returns a hash of the COUNT workers of a record.  What is left of a lease
+   changes with time, its end does not.  */
+static uint64_t
+workers_hash (const struct rr_recorded_worker *workers, size_t count)
+{
+  uint64_t hash = count;
+  for (size_t i = 0; i < count; i++)
+    {
+      hash = XXH64 (workers[i].id, strlen (workers[i].id), hash);
+      int64_t expiry_ms = workers[i].silent ? workers[i].expiry.ms : -1;
+      hash = XXH64 (&expiry_ms, sizeof expiry_ms, hash);
+    }
+  return hash;
+}
+
+/* Takes over the revision of the record from R, a write whose condition
+   failed: an earlier write without an answer took effect.  */
+static void
+adopt_revision (struct shard *s, const char *key, const struct store_result *r)
+{
+  for (size_t i = 0; i < r->item_count; i++)
+    if (strcmp (r->items[i].key, key) == 0
+        && r->items[i].revision > s->membership_revision)
+      s->membership_revision = r->items[i].revision;
+}
+
+static void
+membership_key (const struct shard *s, char out[KEY_SIZE])
+{
+  snprintf (out, KEY_SIZE, "%s%s", KEY_MEMBERSHIP, s->record->name);
+}
+
+static void
+on_membership_written (void *data, const struct store_result *r)
+{
+  struct shard *s = data;
+  s->membership_writing = false;
+  if (!shard_write_ended (s, r, "roster-rejected"))
+    return;
+  char key[KEY_SIZE];
+  membership_key (s, key);
+  if (r->state == STORE_CONFLICT)
+    adopt_revision (s, key, r);
+  if (r->state != STORE_OK)
+    {
+      log_event (LOG_LEVEL_WARN, "membership_not_stored",
+                 "shard=%s state=%s why=%s", s->record->name,
+                 store_state_name (r->state),
+                 r->reason == NULL ? "" : r->reason);
+      return;
+    }
+  s->membership_stored = true;
+  s->membership_revision = r->revision;
+  s->membership_hash = s->membership_hash_sent;
+  s->release_recorded = s->release_recorded || s->membership_sent_stopping;
+  for (size_t i = 0; i < s->membership_sent_count; i++)
+    rr_dispatch_worker_mark_recorded (s->dispatch, &s->membership_sent[i]);
+  shard_schedule_planning (s);
+}
+
+/* Sends the record with the COUNT workers of WORKERS.  */
+static void
+membership_send (struct shard *s, const struct rr_recorded_worker *workers,
+                 size_t count)
+{
+  free (s->membership_sent);
+  s->membership_sent = calloc (count + 1, sizeof *workers);
+  assert (s->membership_sent != NULL);
+  memcpy (s->membership_sent, workers, count * sizeof *workers);
+  s->membership_sent_count = count;
+  struct membership_record m = { .ordinal = s->ordinal,
+                                 .workers = s->membership_sent,
+                                 .worker_count = count };
+  char *text = membership_record_encode (&m, entry_now ());
+  char key[KEY_SIZE];
+  membership_key (s, key);
+  if (s->membership_revision < s->record->membership_revision)
+    s->membership_revision = s->record->membership_revision;
+  /* A write without an answer may still take effect; not after a later one,
+     which has the revision as its condition.  */
+  struct store_condition conditions[] = { { s->owner_key, s->fencing_token },
+                                          { key, s->membership_revision } };
+  struct store_write w = { .key = key, .value = text };
+  struct store_txn txn = { .conditions = conditions,
+                           .condition_count = 2,
+                           .writes = &w,
+                           .write_count = 1 };
+  s->membership_writing = true;
+  s->membership_sent_stopping = s->stopping;
+  s->calls_in_flight++;
+  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS,
+                on_membership_written, s);
+  free (text);
+}
+
+/* Writes the membership record if it has changed: the workers that may receive
+   tasks or may run some.  A later owner polls all of them before it concludes
+   that a task is not running, or waits for the leases of those that are
+   silent.  */
+void
+shard_write_membership (struct shard *s)
+{
+  if (s->membership_writing)
+    return;
+  static struct rr_recorded_worker workers[MEMBERSHIP_MAX];
+  size_t count = rr_dispatch_needed_workers (s->dispatch, workers,
+                                             MEMBERSHIP_MAX, entry_now ());
+  uint64_t hash = workers_hash (workers, count);
+  if (s->membership_stored && hash == s->membership_hash)
+    {
+      s->release_recorded = s->release_recorded || s->stopping;
+      return;
+    }
+  s->membership_hash_sent = hash;
+  membership_send (s, workers, count);
+}
+
+/* Returns whether a record of the time since this owner was told to stop is
+   stored, which has the workers that do not answer.  */
+bool
+shard_release_recorded (struct shard *s)
+{
+  if (!s->release_recorded)
+    shard_write_membership (s);
+  return s->release_recorded;
+}
+
+/* Tells the dispatcher which workers former owners may have used and until
+   when their leases may hold, and reserves run numbers for this owner.  */
+void
+shard_inherit_workers (struct shard *s)
+{
+  struct membership_record m;
+  struct rr_error err = { 0 };
+  bool valid = membership_record_decode (s->record->stored_membership,
+                                         s->record->membership_seen, &m, &err);
+  int64_t former = valid ? m.ordinal : 0;
+  s->ordinal = former + 1;
+  rr_dispatch_inherit (
+      s->dispatch,
+      inheritance_leases_until (s->record->owner_seen,
+                                s->entry->settings.lease_max_ms),
+      (uint32_t)(former * RUNS_PER_OWNER_MAX + 1),
+      (uint32_t)(s->ordinal * RUNS_PER_OWNER_MAX + 1), entry_now ());
+  if (!valid)
+    {
+      log_event (LOG_LEVEL_ERROR, "roster_unreadable", "shard=%s %s",
+                 s->record->name, err.message);
+      return;
+    }
+  for (size_t i = 0; i < m.worker_count; i++)
+    rr_dispatch_inherit_worker (s->dispatch, &m.workers[i]);
+  membership_record_clear (&m);
+}
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -25,6 +25,9 @@
      polls renew the leases.  */
   STORE_WAIT_MAX_MS = 400,
   POLL_DELAY_MS = 10, /* batches ends that happen together */
+  /* Between polls that may not renew leases, until the membership record says
+     that the worker is back.  */
+  RECORD_WAIT_MS = 100,
   COMMAND_TIMEOUT_MS = 600,
   /* Each command in flight uses a connection of its own, which has a cost.  */
   COMMANDS_IN_FLIGHT_MAX = 4,
@@ -172,6 +175,17 @@
   c->owner.changed (c->owner.data);
 }
 
+/* Returns how long after a report the next poll is sent, in ms.  */
+static uint64_t
+delay_until_next_poll (const struct worker_connection *c)
+{
+  if (c->awaiting_store)
+    return STORE_WAIT_MAX_MS;
+  return rr_dispatch_worker_silence_recorded (c->owner.dispatch, c->worker)
+             ? RECORD_WAIT_MS
+             : POLL_DELAY_MS;
+}
+
 /* Applies a report, which may have come late.  */
 static void
 on_report (struct worker_connection *c, const struct rr_worker_report *report)
@@ -186,7 +200,7 @@
       c->polling = false;
       c->awaiting_store = rr_dispatch_worker_has_unstored_ends (
           c->owner.dispatch, c->worker);
-      schedule_poll (c, c->awaiting_store ? STORE_WAIT_MAX_MS : POLL_DELAY_MS);
+      schedule_poll (c, delay_until_next_poll (c));
     }
   c->owner.changed (c->owner.data);
 }
--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -10,47 +10,60 @@
 
 enum
 {
-  WORKER_LINES_MAX = 8 /* in the log, for each audit */
+  WORKER_LINES_MAX = 8, /* in the log, for each audit */
+  WAIT_LOG_AFTER_MS = 500
 };
 
-/* Adds the worker ID to those that a former owner may have used.  */
-void
-rr_dispatch_inherit_worker (struct rr_dispatch *d, const char *id)
-{
-  d->inherited = realloc (d->inherited,
-                          (d->inherited_count + 1) * sizeof *d->inherited);
-  assert (d->inherited != NULL);
-  snprintf (d->inherited[d->inherited_count++], sizeof *d->inherited, "%s",
-            id);
-}
-
 /* Starts the period in which tasks of inherited jobs may run unreported.  It
    ends at UNTIL, when every lease of the former owner has expired, or earlier
-   once all inherited workers have reported.  Runs of inherited tasks are
-   numbered from FIRST_RUN on, since former owners may have used lower numbers.
-   The last owner used numbers from FORMER_RUN on.  */
+   once each inherited worker has reported or is known to have no lease.  Runs
+   of inherited tasks are numbered from FIRST_RUN on, since former owners may
+   have used lower numbers.  The last owner used numbers from FORMER_RUN on. */
 void
-rr_dispatch_inherit_until (struct rr_dispatch *d, struct rr_time until,
-                           uint32_t former_run, uint32_t first_run)
+rr_dispatch_inherit (struct rr_dispatch *d, struct rr_time until,
+                     uint32_t former_run, uint32_t first_run,
+                     struct rr_time now)
 {
   d->former_run = former_run;
   d->first_run = first_run;
   d->inheriting = true;
+  d->inherited_at = now;
   d->inherited_until = until;
 }
 
+/* Adds WORKER to those that a former owner may have used.  */
+void
+rr_dispatch_inherit_worker (struct rr_dispatch *d,
+                            const struct rr_recorded_worker *worker)
+{
+  d->inherited = realloc (d->inherited,
+                          (d->inherited_count + 1) * sizeof *d->inherited);
+  assert (d->inherited != NULL);
+  struct dispatch_inherited *i = &d->inherited[d->inherited_count++];
+  snprintf (i->id, sizeof i->id, "%s", worker->id);
+  i->silence_recorded = worker->silent;
+  bool known
+      = worker->silent && rr_time_before (worker->expiry, d->inherited_until);
+  i->expiry = known ? worker->expiry : d->inherited_until;
+}
+
+/* Returns the worker ID among those that have not reported, or null.  */
+const struct dispatch_inherited *
+dispatch_inherited_find (const struct rr_dispatch *d, const char *id)
+{
+  for (size_t i = 0; i < d->inherited_count; i++)
+    if (strcmp (d->inherited[i].id, id) == 0)
+      return &d->inherited[i];
+  return NULL;
+}
+
 /* Removes the worker ID, which has reported, from the inherited workers.  */
 void
 dispatch_inherited_remove (struct rr_dispatch *d, const char *id)
 {
-  for (size_t i = 0; i < d->inherited_count; i++)
-    if (strcmp (d->inherited[i], id) == 0)
-      {
-        memmove (d->inherited[i], d->inherited[d->inherited_count - 1],
-                 sizeof *d->inherited);
-        d->inherited_count--;
-        return;
-      }
+  const struct dispatch_inherited *found = dispatch_inherited_find (d, id);
+  if (found != NULL)
+    d->inherited[found - d->inherited] = d->inherited[--d->inherited_count];
 }
 
 static size_t
@@ -73,15 +86,36 @@
       dispatch_task_set (j, i, TASK_WAITING);
 }
 
-/* Makes inherited tasks that were not reported as running startable, once
-   every inherited worker has reported or all leases of former owners have
-   expired.  */
+/* Removes the inherited workers whose leases have expired at a time at which
+   this owner certainly held the shard.  Returns their number.  */
+static size_t
+inherited_expire (struct rr_dispatch *d, struct rr_time confirmed)
+{
+  size_t expired = 0;
+  for (size_t i = d->inherited_count; i-- > 0;)
+    {
+      const struct dispatch_inherited *worker = &d->inherited[i];
+      if (rr_time_before (confirmed, worker->expiry))
+        continue;
+      dispatch_log_decision (
+          d, "inherited_lease_expired", "vm=%s recorded=%d ago_ms=%lld",
+          worker->id, worker->silence_recorded ? 1 : 0,
+          (long long)rr_time_diff (confirmed, worker->expiry));
+      d->inherited[i] = d->inherited[--d->inherited_count];
+      expired++;
+    }
+  return expired;
+}
+
+/* Makes inherited tasks that were not reported as running startable, once each
+   inherited worker has reported or its leases have expired.  */
 void
 dispatch_inheritance_settle (struct rr_dispatch *d, struct rr_time confirmed)
 {
-  if (!d->inheriting
-      || (d->inherited_count > 0
-          && rr_time_before (confirmed, d->inherited_until)))
+  if (!d->inheriting)
+    return;
+  d->inherited_expired += inherited_expire (d, confirmed);
+  if (d->inherited_count > 0)
     return;
   size_t tasks = uncertain_count (d);
   struct rr_handle h = { 0 };
@@ -89,43 +123,23 @@
   while ((j = rr_table_next (d->jobs, &h)) != NULL)
     uncertain_release (j);
   dispatch_log_decision (d, "inheritance_settled", "unheard=%zu tasks=%zu",
-                         d->inherited_count, tasks);
+                         d->inherited_expired, tasks);
   d->inheriting = false;
-  d->inherited_count = 0;
 }
 
 /* Logs which workers inherited tasks wait for.  */
 void
 dispatch_inheritance_log (struct rr_dispatch *d, struct rr_time now)
 {
-  if (!d->inheriting || d->inherited_count == 0)
+  if (!d->inheriting || d->inherited_count == 0
+      || rr_time_diff (now, d->inherited_at) < WAIT_LOG_AFTER_MS)
     return;
   size_t tasks = uncertain_count (d);
   for (size_t i = 0; i < d->inherited_count && i < WORKER_LINES_MAX; i++)
     dispatch_log_decision (
-        d, "inheritance_waits", "vm=%s left_ms=%lld unheard=%zu tasks=%zu",
-        d->inherited[i], (long long)rr_time_diff (d->inherited_until, now),
-        d->inherited_count, tasks);
-}
-
-/* Logs the workers with runs that did not answer the last poll, and how long
-   their leases may still hold: the next owner has to wait for these.  */
-void
-rr_dispatch_log_silent_workers (struct rr_dispatch *d, struct rr_time now)
-{
-  size_t lines = 0;
-  struct rr_handle h = { 0 };
-  const struct dispatch_worker *w;
-  while (lines < WORKER_LINES_MAX && (w = rr_table_next (d->workers, &h)))
-    {
-      if (!w->unresponsive || w->run_count == 0)
-        continue;
-      lines++;
-      dispatch_log_decision (
-          d, "vm_silent", "vm=%s runs=%zu silent_ms=%lld lease_left_ms=%lld",
-          w->info.id, w->run_count,
-          (long long)rr_time_diff (now, w->last_report),
-          (long long)rr_time_diff (dispatch_lease_expiry (w), now));
-    }
-  dispatch_inheritance_log (d, now);
+        d, "inheritance_waits",
+        "vm=%s left_ms=%lld recorded=%d unheard=%zu tasks=%zu",
+        d->inherited[i].id,
+        (long long)rr_time_diff (d->inherited[i].expiry, now),
+        d->inherited[i].silence_recorded ? 1 : 0, d->inherited_count, tasks);
 }
--- a/rosemaryrail/dispatch_leases.c
+++ b/rosemaryrail/dispatch_leases.c
@@ -27,14 +27,16 @@
 }
 
 /* Returns the lease end for the next command to worker H, on the worker's
-   clock, or 0 when that clock is not known or no lease may be granted.  The
+   clock, or 0 when that clock is not known or no lease may be granted: it is
+   not while the next owner may conclude from the membership record that none
+   was.  The
    shard owner may act until VALID_UNTIL, so no lease ends later.  */
 int64_t
 rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
                           struct rr_time valid_until, struct rr_time now)
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
-  if (w == NULL || !w->has_clock || w->unresponsive)
+  if (w == NULL || !w->has_clock || w->unresponsive || w->silence_recorded)
     return 0;
   int64_t valid = rr_time_diff (valid_until, now);
   if (valid <= 0)
--- /dev/null
+++ b/rosemaryrail/dispatch_membership.c
@@ -0,0 +1,138 @@
+#include "dispatch_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* The membership record, which tells the next owner which workers may run
+   tasks of the shard and until when at most.  */
+
+enum
+{
+  UNRESPONSIVE_MS = 2500, /* without a report: several polls have failed */
+  /* A silence of this length is recorded.  It ends with a write before the
+     worker gets a lease again, so shorter ones are not.  */
+  SILENCE_RECORD_MS = 1500
+};
+
+static bool
+worker_needed (const struct dispatch_worker *w, struct rr_time now)
+{
+  bool fresh
+      = w->reported && rr_time_diff (now, w->last_report) <= UNRESPONSIVE_MS;
+  return w->run_count > 0 || w->end_count > 0 || (w->registered && fresh);
+}
+
+static bool
+silence_to_record (const struct rr_dispatch *d, struct rr_time since,
+                   struct rr_time now)
+{
+  return d->releasing || rr_time_diff (now, since) >= SILENCE_RECORD_MS;
+}
+
+static void
+record_worker (const struct rr_dispatch *d, struct dispatch_worker *w,
+               struct rr_recorded_worker *out, struct rr_time now)
+{
+  snprintf (out->id, sizeof out->id, "%s", w->info.id);
+  out->silent = w->reported && w->unresponsive
+                && silence_to_record (d, w->last_report, now);
+  out->expiry = dispatch_lease_expiry (w);
+  w->silence_recorded = w->silence_recorded || out->silent;
+}
+
+/* Records the worker I of former owners, which has not reported to this
+   one.  */
+static void
+record_inherited (struct rr_dispatch *d, struct dispatch_inherited *i,
+                  struct rr_recorded_worker *out, struct rr_time now)
+{
+  snprintf (out->id, sizeof out->id, "%s", i->id);
+  out->silent
+      = i->silence_recorded || silence_to_record (d, d->inherited_at, now);
+  out->expiry = i->expiry;
+  i->silence_recorded = out->silent;
+  struct dispatch_worker *w = dispatch_worker_find (d, i->id);
+  if (w != NULL)
+    w->silence_recorded = w->silence_recorded || out->silent;
+}
+
+/* Writes to WORKERS at most MAX workers that must stay in the membership
+   record, because tasks may be started on them or may still run there, or
+   because they list ends that are not stored yet.  An unresponsive worker with
+   neither leaves the record, so that a later owner need not wait for it; no
+   task starts on it until it is recorded again.  The caller stores the record
+   next: those that are silent get no lease from now on.  Returns the
+   number.  */
+size_t
+rr_dispatch_needed_workers (struct rr_dispatch *d,
+                            struct rr_recorded_worker *workers, size_t max,
+                            struct rr_time now)
+{
+  size_t n = 0;
+  struct rr_handle h = { 0 };
+  struct dispatch_worker *w;
+  while (n < max && (w = rr_table_next (d->workers, &h)) != NULL)
+    {
+      if (worker_needed (w, now))
+        record_worker (d, w, &workers[n++], now);
+      else if (w->reported)
+        w->recorded = false;
+    }
+  for (size_t i = 0; n < max && i < d->inherited_count; i++)
+    {
+      w = dispatch_worker_find (d, d->inherited[i].id);
+      if (w == NULL || !worker_needed (w, now))
+        record_inherited (d, &d->inherited[i], &workers[n++], now);
+    }
+  return n;
+}
+
+/* Takes note that the stored membership record has R, so that a later owner
+   polls this worker: tasks may be started on it, unless it is silent.  */
+void
+rr_dispatch_worker_mark_recorded (struct rr_dispatch *d,
+                                  const struct rr_recorded_worker *r)
+{
+  struct dispatch_worker *w = dispatch_worker_find (d, r->id);
+  if (w == NULL)
+    return;
+  w->recorded = true;
+  w->silence_recorded = r->silent;
+}
+
+/* Returns whether the membership record may say that worker H gets no lease:
+   it gets none until the record is stored without that.  */
+bool
+rr_dispatch_worker_silence_recorded (const struct rr_dispatch *d,
+                                     struct rr_handle h)
+{
+  const struct dispatch_worker *w = dispatch_worker_get (d, h);
+  return w != NULL && w->silence_recorded;
+}
+
+/* Another owner is to take over: from now on each silence is recorded, however
+   short, and logged.  */
+void
+rr_dispatch_release (struct rr_dispatch *d, struct rr_time now)
+{
+  enum
+  {
+    WORKER_LINES_MAX = 8
+  };
+  d->releasing = true;
+  size_t lines = 0;
+  struct rr_handle h = { 0 };
+  const struct dispatch_worker *w;
+  while (lines < WORKER_LINES_MAX && (w = rr_table_next (d->workers, &h)))
+    {
+      if (!w->unresponsive || w->run_count == 0)
+        continue;
+      lines++;
+      dispatch_log_decision (
+          d, "vm_silent", "vm=%s runs=%zu silent_ms=%lld lease_left_ms=%lld",
+          w->info.id, w->run_count,
+          (long long)rr_time_diff (now, w->last_report),
+          (long long)rr_time_diff (dispatch_lease_expiry (w), now));
+    }
+  dispatch_inheritance_log (d, now);
+}
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -138,6 +138,14 @@
   uint64_t version;
 };
 
+/* A worker that a former owner may have used, and that has not reported.  */
+struct dispatch_inherited
+{
+  char id[RR_JOB_NAME_SIZE];
+  bool silence_recorded; /* as of struct dispatch_worker */
+  struct rr_time expiry; /* of all leases of former owners */
+};
+
 struct dispatch_worker
 {
   struct rr_worker_info info;
@@ -145,7 +153,9 @@
   bool registered;
   bool recorded;     /* in the stored membership record */
   bool unresponsive; /* did not answer the last poll */
-  bool reported;     /* this incarnation has answered this owner */
+  /* The membership record may say that it gets no lease.  */
+  bool silence_recorded;
+  bool reported; /* this incarnation has answered this owner */
   struct rr_time unregistered_at;
   struct rr_time last_report;
   bool has_clock;
@@ -186,10 +196,13 @@
   struct rr_key_index *job_ids;
   struct rr_queue_policy *queues;
   size_t queue_count;
-  char (*inherited)[RR_JOB_NAME_SIZE]; /* workers not reported yet */
+  struct dispatch_inherited *inherited;
   size_t inherited_count;
-  struct rr_time inherited_until;
+  size_t inherited_expired; /* workers that have not reported in time */
+  struct rr_time inherited_at;
+  struct rr_time inherited_until; /* leases not on record expire */
   bool inheriting;
+  bool releasing;                  /* another owner is to take over */
   struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
   uint32_t first_run;       /* of inherited tasks: above former owners' runs */
   uint32_t former_run;      /* lowest run number of the last owner */
@@ -314,6 +327,8 @@
                                 struct dispatch_worker *w, int64_t started_ms,
                                 struct rr_time now);
 void dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms);
+const struct dispatch_inherited *
+dispatch_inherited_find (const struct rr_dispatch *d, const char *id);
 void dispatch_inherited_remove (struct rr_dispatch *d, const char *id);
 void dispatch_inheritance_settle (struct rr_dispatch *d,
                                   struct rr_time confirmed);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  UNRESPONSIVE_MS = 2500, /* without a report: several polls have failed */
   /* A worker is kept for this long after its registration is removed, since a
      registration that passes to another writer is removed and written
      again.  */
@@ -36,43 +35,6 @@
   return dispatch_worker_get (d, rr_key_index_get (d->worker_ids, id));
 }
 
-static bool
-worker_needed (const struct dispatch_worker *w, struct rr_time now)
-{
-  bool fresh
-      = w->reported && rr_time_diff (now, w->last_report) <= UNRESPONSIVE_MS;
-  return w->run_count > 0 || w->end_count > 0 || (w->registered && fresh);
-}
-
-/* Writes to IDS the ids of at most MAX workers that must stay in the
-   membership record, because tasks may be started on them or may still run
-   there, or because they list ends that are not stored yet.  An unresponsive
-   worker with neither leaves the record, so that a later owner need not wait
-   for it; no task starts on it until it is recorded again.  Returns the
-   number.  The ids are valid until a worker is added, dropped or polled.  */
-size_t
-rr_dispatch_needed_workers (struct rr_dispatch *d, const char **ids,
-                            size_t max, struct rr_time now)
-{
-  size_t n = 0;
-  struct rr_handle h = { 0 };
-  struct dispatch_worker *w;
-  while (n < max && (w = rr_table_next (d->workers, &h)) != NULL)
-    {
-      if (worker_needed (w, now))
-        ids[n++] = w->info.id;
-      else if (w->reported)
-        w->recorded = false;
-    }
-  for (size_t i = 0; n < max && i < d->inherited_count; i++)
-    {
-      w = dispatch_worker_find (d, d->inherited[i]);
-      if (w == NULL || !worker_needed (w, now))
-        ids[n++] = d->inherited[i];
-    }
-  return n;
-}
-
 /* Returns the run of W with the task and run number of NAME, or null.  */
 struct dispatch_run *
 dispatch_run_find (struct dispatch_worker *w, const struct rr_run_name *name)
@@ -231,6 +193,9 @@
       w->handle = h;
       w->info = *info;
       w->best_effort_percent = 100;
+      const struct dispatch_inherited *former
+          = dispatch_inherited_find (d, info->id);
+      w->silence_recorded = former != NULL && former->silence_recorded;
       rr_key_index_put (d->worker_ids, info->id, h);
     }
   if (info->started_ms > w->info.started_ms && w->info.started_ms != 0)
@@ -279,16 +244,6 @@
   dispatch_log_decision (d, "vm_unlisted", "vm=%s runs=%zu", id, w->run_count);
 }
 
-/* Records that the stored membership record has the worker ID, so that a later
-   owner polls it.  Tasks may be started on it from now on.  */
-void
-rr_dispatch_worker_mark_recorded (struct rr_dispatch *d, const char *id)
-{
-  struct dispatch_worker *w = dispatch_worker_find (d, id);
-  if (w != NULL)
-    w->recorded = true;
-}
-
 /* Returns true when worker H is unregistered, has no runs and can be
    removed.  */
 bool
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -45,12 +45,18 @@
      poll [W]                 polls one worker or all
      needed                   prints the workers that must stay in the
                               membership record
+     record                   stores the membership record and prints it, with
+                              the time that is left of the leases of silent
+                              workers
+     record_lost              the same, but the owner gets no answer
+     stop_owner               another owner is to take over
      store                    stores all progress
      confirm on|off           whether ownership of the shard is confirmed
      registrations on|off     whether the workers' registrations are known as
                               of the last planning round
      takeover W...            replaces the owner by a new one, with these
                               workers in the membership record
+     takeover_recorded        the same with the record that was stored last
      idle NEW_MS STARTED_MS   prints the jobs that another shard may take
      forget_queues            later owners don't know the queues
      hold JOB                 starts to move the job to another shard
@@ -97,6 +103,8 @@
 static struct rr_command commands[1024];
 static size_t command_count;
 static int takeovers;
+static struct rr_recorded_worker recorded[NEEDED_MAX];
+static size_t recorded_count;
 static struct rr_dispatch_statistics statistics[RR_CLASSES_MAX];
 static size_t statistics_count;
 static char empty_word[] = ""; /* stands for missing words */
@@ -291,27 +299,58 @@
   rr_progress_free (p);
 }
 
+/* Stores the membership record.  The owner gets an answer if ANSWERED.  */
+static void
+record (bool answered)
+{
+  recorded_count = rr_dispatch_needed_workers (script.dispatch, recorded,
+                                               NEEDED_MAX, script.now);
+  printf ("recorded:");
+  for (size_t i = 0; i < recorded_count; i++)
+    {
+      const struct rr_recorded_worker *r = &recorded[i];
+      printf (" %s", r->id);
+      if (r->silent)
+        printf (":%lld", (long long)rr_time_diff (r->expiry, script.now));
+      if (answered)
+        rr_dispatch_worker_mark_recorded (script.dispatch, r);
+    }
+  printf ("\n");
+}
+
+static bool
+recorded_as_silent (const struct rr_recorded_worker *workers, size_t count,
+                    const char *id)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (workers[i].id, id) == 0)
+      return workers[i].silent;
+  return false;
+}
+
 /* Replaces the dispatcher by that of a new owner, which has the stored
-   progress and the workers in the membership record.  */
+   progress and COUNT WORKERS in the membership record.  */
 static void
-takeover (char **word, size_t words)
+takeover (const struct rr_recorded_worker *workers, size_t count)
 {
   rr_dispatch_free (script.dispatch);
   script.dispatch = dispatcher_new ();
   script.confirmed = script.now;
   confirming = true;
-  for (size_t i = 1; i < words; i++)
-    rr_dispatch_inherit_worker (script.dispatch, word[i]);
-  rr_dispatch_inherit_until (script.dispatch,
-                             rr_time_add (script.now, LEASE_MAX_MS + 900),
-                             (uint32_t)(takeovers * RUNS_PER_OWNER + 1),
-                             (uint32_t)((takeovers + 1) * RUNS_PER_OWNER + 1));
+  rr_dispatch_inherit (
+      script.dispatch, rr_time_add (script.now, LEASE_MAX_MS + 900),
+      (uint32_t)(takeovers * RUNS_PER_OWNER + 1),
+      (uint32_t)((takeovers + 1) * RUNS_PER_OWNER + 1), script.now);
+  for (size_t i = 0; i < count; i++)
+    rr_dispatch_inherit_worker (script.dispatch, &workers[i]);
   takeovers++;
   for (size_t i = 0; i < job_count; i++)
     job_restore (&jobs[i]);
   for (size_t i = 0; i < fake_worker_count; i++)
     if (fake_workers[i].registered)
-      fake_worker_register (&fake_workers[i]);
+      fake_worker_register (
+          &fake_workers[i],
+          !recorded_as_silent (workers, count, fake_workers[i].id));
 }
 
 static void
@@ -447,6 +486,24 @@
   return true;
 }
 
+/* Runs a script command about the membership record and its next reader.
+   Returns false when WORD is none.  */
+static bool
+membership_command (const char *word)
+{
+  if (strcmp (word, "record") == 0)
+    record (true);
+  else if (strcmp (word, "record_lost") == 0)
+    record (false);
+  else if (strcmp (word, "stop_owner") == 0)
+    rr_dispatch_release (script.dispatch, script.now);
+  else if (strcmp (word, "takeover_recorded") == 0)
+    takeover (recorded, recorded_count);
+  else
+    return false;
+  return true;
+}
+
 static void
 script_command (char **word, size_t words)
 {
@@ -494,12 +551,12 @@
     fake_workers_poll (words > 1 ? word[1] : NULL);
   else if (strcmp (c, "needed") == 0)
     {
-      const char *ids[NEEDED_MAX];
-      size_t n = rr_dispatch_needed_workers (script.dispatch, ids, NEEDED_MAX,
-                                             script.now);
+      struct rr_recorded_worker needed[NEEDED_MAX];
+      size_t n = rr_dispatch_needed_workers (script.dispatch, needed,
+                                             NEEDED_MAX, script.now);
       printf ("needed:");
       for (size_t i = 0; i < n; i++)
-        printf (" %s", ids[i]);
+        printf (" %s", needed[i].id);
       printf ("\n");
     }
   else if (strcmp (c, "store") == 0)
@@ -511,7 +568,12 @@
   else if (strcmp (c, "registrations") == 0)
     registrations_current = strcmp (word[1], "on") == 0;
   else if (strcmp (c, "takeover") == 0)
-    takeover (word, words);
+    {
+      struct rr_recorded_worker workers[NEEDED_MAX] = { 0 };
+      for (size_t i = 1; i < words; i++)
+        snprintf (workers[i - 1].id, RR_JOB_NAME_SIZE, "%s", word[i]);
+      takeover (workers, words - 1);
+    }
   else if (strcmp (c, "progress") == 0)
     {
       for (size_t i = 0; i < fake_worker_count; i++)
@@ -525,7 +587,8 @@
     script.now.ms += strtol (word[1], NULL, 10);
   else if (strcmp (c, "plan") == 0)
     plan ();
-  else if (!statistics_command (c) && !transfer_command (word, words))
+  else if (!statistics_command (c) && !transfer_command (word, words)
+           && !membership_command (c))
     fake_worker_command (word, fake_worker_find (word[1]));
 }
 
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -242,13 +242,18 @@
       worker_poll (&fake_workers[i]);
 }
 
-/* Registers W, or updates its registration.  */
+/* Registers W, or updates its registration.  RECORDED: the membership record
+   has it, and not as silent.  */
 void
-fake_worker_register (struct fake_worker *w)
+fake_worker_register (struct fake_worker *w, bool recorded)
 {
   w->registered = true;
   w->handle = rr_dispatch_worker_set (script.dispatch, &w->info, script.now);
-  rr_dispatch_worker_mark_recorded (script.dispatch, w->id);
+  if (!recorded)
+    return;
+  struct rr_recorded_worker r = { 0 };
+  snprintf (r.id, sizeof r.id, "%s", w->id);
+  rr_dispatch_worker_mark_recorded (script.dispatch, &r);
 }
 
 /* Adds the worker of a script line.  */
@@ -266,7 +271,7 @@
   w->info.cores_milli = strtol (word[3], NULL, 10);
   w->info.memory_mb = strtol (word[4], NULL, 10);
   w->info.started_ms = w->started_ms;
-  fake_worker_register (w);
+  fake_worker_register (w, true);
 }
 
 /* Returns the run of a task that is in progress and sets WHERE to its worker,
@@ -309,7 +314,7 @@
     {
       w->info.draining = true;
       w->info.remaining_ms = 2000;
-      fake_worker_register (w);
+      fake_worker_register (w, true);
     }
   else if (strcmp (word[0], "unregister") == 0)
     {
@@ -322,7 +327,7 @@
     {
       worker_restart (w);
       w->info.started_ms = w->started_ms;
-      fake_worker_register (w);
+      fake_worker_register (w, true);
     }
   else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
     w->muted = word[0][0] == 'm';
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -56,7 +56,7 @@
 
 struct fake_worker *fake_worker_find (const char *id);
 void fake_worker_add (char **word);
-void fake_worker_register (struct fake_worker *w);
+void fake_worker_register (struct fake_worker *w, bool recorded);
 void fake_worker_execute (const struct rr_command *command);
 void fake_worker_command (char **word, struct fake_worker *w);
 void fake_workers_poll (const char *id);
