entryd: an unreadable membership record is no empty one

A new owner that can't read the record took it for that of a shard without workers: it started tasks at once that may run, and numbered its runs from the first owner's on. It now takes each registered worker for one that may have been used, waits for the longest lease, and numbers its runs above any that a former owner can have used: the store's revision rises with each owner.

What the owner does then has no test of its own.

--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -144,6 +144,24 @@
   return s->release_recorded;
 }
 
+/* Takes every worker that this daemon knows for one that a former owner may
+   have used.  */
+static void
+inherit_registered (struct shard *s)
+{
+  struct rr_handle h = { 0 };
+  const struct platform_worker *w;
+  while ((w = records_worker_next (s->entry->records, &h)) != NULL)
+    {
+      struct rr_recorded_worker r = { 0 };
+      snprintf (r.id, sizeof r.id, "%s", w->info.id);
+      rr_dispatch_inherit_worker (s->dispatch, &r);
+    }
+  /* Others may have been used as well: none of this name ever reports.  */
+  struct rr_recorded_worker unknown = { .id = "unknown" };
+  rr_dispatch_inherit_worker (s->dispatch, &unknown);
+}
+
 /* Tells the dispatcher which workers former owners may have used and until
    when their leases may hold, and reserves run numbers for this owner.  */
 void
@@ -153,7 +171,9 @@
   struct rr_error err = { 0 };
   bool valid = membership_record_decode (s->record->stored_membership,
                                          s->record->membership_seen, &m, &err);
-  int64_t former = valid ? m.ordinal : 0;
+  /* The store's revision rises with each owner, so it exceeds the number of
+     former ones.  */
+  int64_t former = valid ? m.ordinal : s->fencing_token;
   s->ordinal = former + 1;
   rr_dispatch_inherit (
       s->dispatch,
@@ -165,6 +185,7 @@
     {
       log_event (LOG_LEVEL_ERROR, "roster_unreadable", "shard=%s %s",
                  s->record->name, err.message);
+      inherit_registered (s);
       return;
     }
   for (size_t i = 0; i < m.worker_count; i++)
