dispatch: the checkpoint of an older run does not replace that of a later one

Work was done again: a worker was out of reach, its run was given up and replaced, the replacement saved checkpoints, and then the first worker came back and its end, as lapsed, brought the older checkpoint. If the worker of the replacement crashed before its next report, or the end of the replacement had been processed, the next run started from the older one.

Cause: a task kept the checkpoint that was heard last, and nothing told which run had saved it, neither in memory nor in the stored progress. Ends of several workers arrive in any order, and a new owner hears them all again.

Each checkpoint is now kept, stored and moved with the number of its run (checkpoint_run, a field at the end of the row). One of an older run, or an empty one, does not replace it. Run numbers of a task rise over owners and shards. A run that reports the checkpoint it was started from has not saved one of its own, so a later end of the run before still counts. A gang starts from the checkpoint of the latest run that any member has saved one in; before, it took the greatest text over all members, also across runs. Rows of an earlier version have no such field; they read as run 0, which any run replaces, as it was before.

Ruled out: to ignore the checkpoints of all ends that are not of the current run.

Not covered: after a takeover the checkpoint that an adopted run was started from is not known, so a report of it counts as the run's own.

--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -29,6 +29,7 @@
   uint32_t crashes; /* of workers in a row, soon after they started it */
   bool done;
   char checkpoint[RR_CHECKPOINT_SIZE];
+  uint32_t checkpoint_run; /* that saved it; 0: unknown */
 };
 
 /* The stored progress of a job.  */
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -247,6 +247,7 @@
   t->failures = row->failures;
   t->crashes = row->crashes;
   memcpy (t->checkpoint, row->checkpoint, sizeof t->checkpoint);
+  t->checkpoint_run = row->checkpoint_run;
   if (row->done)
     dispatch_task_set (j, row->number, TASK_DONE);
 }
--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -71,6 +71,18 @@
   return age >= 64 || (t->recorded_ends >> age & 1) != 0;
 }
 
+/* Keeps CHECKPOINT, which RUN of T has saved, unless it is empty or a later
+   run has saved one: that run started after it and may have done more.  */
+void
+dispatch_checkpoint_keep (struct dispatch_task *t, uint32_t run,
+                          const char *checkpoint)
+{
+  if (checkpoint[0] == '\0' || run < t->checkpoint_run)
+    return;
+  snprintf (t->checkpoint, sizeof t->checkpoint, "%s", checkpoint);
+  t->checkpoint_run = run;
+}
+
 /* Requests a stop of the runs that have replaced NAME, or its gang, since its
    work is done.  Dependents wait until that is stored.  */
 static void
@@ -104,8 +116,7 @@
   end_record (t, end->name.run);
   if (t->next_run <= end->name.run)
     t->next_run = end->name.run + 1;
-  if (end->checkpoint[0] != '\0')
-    snprintf (t->checkpoint, sizeof t->checkpoint, "%s", end->checkpoint);
+  dispatch_checkpoint_keep (t, end->name.run, end->checkpoint);
   j->version++;
   if (end->kind == RR_END_DONE || end->kind == RR_END_FAILED)
     dispatch_crash_clear (j, t);
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -274,6 +274,8 @@
   struct dispatch_task *t = &j->tasks[number];
   struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
   t->next_run = name->run + 1;
+  struct dispatch_run *r = dispatch_run_find (w, name);
+  memcpy (r->start_checkpoint, t->checkpoint, sizeof r->start_checkpoint);
   const char *token = dispatch_permit_token (j, name, w, now);
   struct rr_command command = { .kind = RR_COMMAND_START,
                                 .worker = t->worker,
@@ -386,15 +388,26 @@
   return false;
 }
 
+/* Returns whether the checkpoint of T is to be used rather than that of
+   OTHER, a member of the same gang.  */
+static bool
+checkpoint_is_later (const struct dispatch_task *t,
+                     const struct dispatch_task *other)
+{
+  if (t->checkpoint_run != other->checkpoint_run)
+    return t->checkpoint_run > other->checkpoint_run;
+  return strcmp (t->checkpoint, other->checkpoint) > 0;
+}
+
 /* Starts all members of a gang with one run number, or none of them.  A
-   checkpoint of any member is valid for all, so all start from the same
-   one.  */
+   checkpoint of any member is valid for all, so all start from the same one,
+   of the latest run that has saved one.  */
 static bool
 place_gang (struct rr_dispatch *d, struct dispatch_job *j,
             struct rr_run_name *name, struct rr_time now)
 {
   const struct rr_job_graph_step *s = &j->graph->steps[name->step];
-  const char *checkpoint = "";
+  const struct dispatch_task *latest = NULL;
   name->task = 0;
   uint32_t first;
   dispatch_task_number (j, name, &first);
@@ -405,18 +418,20 @@
         return false;
       if (t->next_run > name->run)
         name->run = t->next_run;
-      if (strcmp (t->checkpoint, checkpoint) > 0)
-        checkpoint = t->checkpoint;
+      if (latest == NULL || checkpoint_is_later (t, latest))
+        latest = t;
     }
   bool placed = s->same_rack && reserve_gang_in_one_rack (d, j, name, now);
   if (!placed && !reserve_gang (d, j, name, NULL, now))
     return false;
   char common[RR_CHECKPOINT_SIZE];
-  snprintf (common, sizeof common, "%s", checkpoint);
+  memcpy (common, latest->checkpoint, sizeof common);
+  uint32_t common_run = latest->checkpoint_run;
   for (name->task = 0; name->task < s->task_count; name->task++)
     {
       uint32_t number = first + (uint32_t)name->task;
       memcpy (j->tasks[number].checkpoint, common, sizeof common);
+      j->tasks[number].checkpoint_run = common_run;
       command_start (d, j, number, name, now);
     }
   dispatch_log_decision (
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -30,6 +30,7 @@
   struct rr_handle failed_worker; /* where its last run failed; avoided */
   struct rr_time not_before;      /* of the next start */
   char checkpoint[RR_CHECKPOINT_SIZE];
+  uint32_t checkpoint_run; /* that saved it; 0: unknown */
 };
 
 /* A worker's permit to run a step.  */
@@ -92,6 +93,9 @@
   struct rr_run_name name;
   struct rr_handle job; /* null: the job is not known */
   uint32_t number;      /* of the task in its job */
+  /* Reported as its checkpoint until it saves its own; empty: none, or
+     unknown.  */
+  char start_checkpoint[RR_CHECKPOINT_SIZE];
   enum run_phase phase;
   bool queued;   /* its start has not left this daemon yet */
   bool reported; /* by the worker's present incarnation */
@@ -292,6 +296,8 @@
 struct dispatch_step *dispatch_step_of (struct dispatch_job *j,
                                         const struct rr_run_name *name);
 bool dispatch_run_end_recorded (const struct dispatch_task *t, uint32_t run);
+void dispatch_checkpoint_keep (struct dispatch_task *t, uint32_t run,
+                               const char *checkpoint);
 void dispatch_task_set (struct dispatch_job *j, uint32_t number,
                         enum task_state state);
 void dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
--- a/rosemaryrail/dispatch_progress.c
+++ b/rosemaryrail/dispatch_progress.c
@@ -69,8 +69,10 @@
   r->failures = t->failures;
   r->crashes = t->crashes;
   r->done = t->state == TASK_DONE;
-  if (!r->done)
-    memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
+  if (r->done)
+    return;
+  memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
+  r->checkpoint_run = t->checkpoint_run;
 }
 
 /* Returns the progress of job ID in its stored form, and its VERSION for
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -50,11 +50,17 @@
 
 static void
 end_apply (struct rr_dispatch *d, struct dispatch_worker *w,
-           const struct rr_run_end *end, struct rr_time now)
+           const struct rr_run_end *reported, struct rr_time now)
 {
+  struct rr_run_end own = *reported;
+  const struct rr_run_end *end = &own;
   struct dispatch_run *r = dispatch_run_find (w, &end->name);
   if (r != NULL)
-    dispatch_run_remove (d, w, r);
+    {
+      if (strcmp (own.checkpoint, r->start_checkpoint) == 0)
+        own.checkpoint[0] = '\0';
+      dispatch_run_remove (d, w, r);
+    }
   struct dispatch_job *j = dispatch_job_find (d, end->name.job);
   uint32_t number = 0;
   if (j == NULL || !dispatch_task_number (j, &end->name, &number))
@@ -210,11 +216,11 @@
     }
   r->measurement = status->measurement;
   struct dispatch_job *j = dispatch_job_get (d, r->job);
-  if (j != NULL && status->checkpoint[0] != '\0'
-      && j->tasks[r->number].state == TASK_PLACED
-      && j->tasks[r->number].current_run == r->name.run)
-    snprintf (j->tasks[r->number].checkpoint,
-              sizeof j->tasks[r->number].checkpoint, "%s", status->checkpoint);
+  if (j != NULL && j->tasks[r->number].state == TASK_PLACED
+      && j->tasks[r->number].current_run == r->name.run
+      && strcmp (status->checkpoint, r->start_checkpoint) != 0)
+    dispatch_checkpoint_keep (&j->tasks[r->number], r->name.run,
+                              status->checkpoint);
 }
 
 /* Counts reports without a run, and gives up runs that a report of CLOCK_MS
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -46,9 +46,12 @@
       json_object_array_add (
           row, json_object_new_int64 ((int64_t)r->recorded_ends));
       if (r->checkpoint[0] != '\0' || r->crashes > 0)
-        json_object_array_add (row, json_object_new_string (r->checkpoint));
-      if (r->crashes > 0)
-        json_object_array_add (row, json_object_new_int64 (r->crashes));
+        {
+          json_object_array_add (row, json_object_new_string (r->checkpoint));
+          json_object_array_add (row, json_object_new_int64 (r->crashes));
+        }
+      if (r->checkpoint[0] != '\0')
+        json_object_array_add (row, json_object_new_int64 (r->checkpoint_run));
       json_object_array_add (rows, row);
     }
   json_object_object_add (o, "tasks", rows);
@@ -80,6 +83,9 @@
               json_object_get_string (c));
   r->crashes
       = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 6));
+  /* Missing in rows of earlier versions.  */
+  r->checkpoint_run
+      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 7));
   return true;
 }
 
--- a/tests/entry/test_mutations.c
+++ b/tests/entry/test_mutations.c
@@ -48,7 +48,8 @@
       "\"cores\":100,\"memory\":5,\"flags\":8,\"after\":[]}],\"run_base\":2,"
       "\"share\":[[0,1],[2,17]]}";
 static const char progress[]
-    = "{\"phase\":\"active\",\"tasks\":[[0,2,1,1,3],[1,1,0,0,1,\"c-00ff\"]]}";
+    = "{\"phase\":\"active\",\"tasks\":[[0,2,1,1,3],[1,1,0,0,1,\"c-00ff\"],"
+      "[2,3,0,0,1,\"c-00ff\",0,4]]}";
 static const char summary[]
     = "{\"ended\":\"failed\",\"id\":\"5c0e7a21d94b36f8\",\"queue\":\"q\","
       "\"shard\":\"s1\",\"accepted\":5}";
