common: a timeout reads what has arrived before it ends a call

A request was ended as unknown (for callers 504, and an end that may have to be found out) although its answer had arrived, when the process had stood still past the timeout: suspended, or starved beside other processes.

Cause: libuv runs due timers before it reads sockets, so after a standstill the timeout comes first. It was so in all three clients: upstream.c (h2o), which rosemaryentryd uses for the store, workers and forwarded requests, rpc_client.c, which also closed the connection and so ended the other calls on it, and http_client.c, where libcurl looks at its own timeout before it reads.

A timeout of a call that has been sent now lets the loop read once, and again as long as each pass reads part of the answer, 32 times at most; without an answer the call ends 1 ms later than before. A call that has not been sent ends at once, as not sent. common/call_timeout.c has this for the three clients. http_client.c no longer uses the timeouts of libcurl.

Evidence: test "answers after a standstill" (tests/common/test_standstill.c). The server in the same process answers and blocks the loop past the timeout, so nothing depends on the moment of a signal.

Ruled out: a restart of the timer with 0 ms, since libuv 1.44 runs it again in the same pass; to compare how late the timer fires, since a standstill may also end just at the timeout; to let calls that are not sent wait too, since they would be sent after their timeout and end as unknown.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -6,12 +6,17 @@
 #include <string.h>
 #include <strings.h>
 
+#include "common/call_timeout.h"
+
 enum
 {
   HEADERS_MAX_BYTES = 8192,
   CONNECTIONS_MAX = 1024
 };
 
+/* Longer than any call takes.  */
+static const long CONNECT_TIMEOUT_MS = 600000;
+
 struct http_client
 {
   uv_loop_t *loop;
@@ -22,7 +27,9 @@
 /* One call in progress.  */
 struct transfer
 {
+  struct http_client *client;
   CURL *easy;
+  struct call_timeout timeout;
   struct curl_slist *headers;
   http_done_fn *done;
   void *data;
@@ -88,9 +95,16 @@
   return CURL_PREREQFUNC_OK;
 }
 
+static void
+on_timeout_closed (void *data)
+{
+  free (data);
+}
+
 static void
 transfer_finish (struct http_client *c, struct transfer *t, CURLcode rc)
 {
+  call_timeout_stop (&t->timeout);
   long status = 0;
   curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
   struct http_result r = {
@@ -113,9 +127,27 @@
   curl_slist_free_all (t->headers);
   free (t->response_body);
   free (t->response_headers);
-  free (t);
+  call_timeout_close (&t->timeout, on_timeout_closed);
+}
+
+static bool
+awaits_response (void *data, uint64_t *received)
+{
+  const struct transfer *t = data;
+  *received = t->response_body_length + t->response_headers_length;
+  return t->request_started;
+}
+
+static void
+on_timeout (void *data)
+{
+  struct transfer *t = data;
+  transfer_finish (t->client, t, CURLE_OPERATION_TIMEDOUT);
 }
 
+static const struct call_timeout_type timeout_type
+    = { .awaits_answer = awaits_response, .expire = on_timeout };
+
 static void
 finish_completed_transfers (struct http_client *c)
 {
@@ -259,6 +291,7 @@
 {
   struct transfer *t = calloc (1, sizeof *t);
   assert (t != NULL);
+  t->client = c;
   t->done = done;
   t->data = data;
   t->response_body_max = call->answer_max_bytes;
@@ -273,8 +306,10 @@
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e, CURLOPT_PROXY, "");
   curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
-  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)call->timeout_ms);
+  /* TIMEOUT ends the call.  libcurl would look at its own timeout before it
+     reads what has arrived.  */
+  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, 0L);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, t);
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, on_header);
@@ -293,6 +328,8 @@
       curl_easy_setopt (e, CURLOPT_COPYPOSTFIELDS,
                         call->body == NULL ? "" : call->body);
     }
+  call_timeout_init (&t->timeout, c->loop, &timeout_type, t);
+  call_timeout_start (&t->timeout, call->timeout_ms);
   curl_multi_add_handle (c->multi, e);
 }
 
--- a/common/rpc_client.c
+++ b/common/rpc_client.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/call_timeout.h"
 #include "common/rpc_internal.h"
 #include "common/rpc_record.h"
 
@@ -23,7 +24,7 @@
 struct pending_call
 {
   struct pending_call *next;
-  uv_timer_t timer;
+  struct call_timeout timeout;
   struct rpc_client *client;
   uint32_t xid;
   uint32_t procedure;
@@ -60,9 +61,9 @@
 };
 
 static void
-on_timer_closed (uv_handle_t *h)
+on_timeout_closed (void *data)
 {
-  free (h->data);
+  free (data);
 }
 
 static void
@@ -73,10 +74,10 @@
   while (*p != call)
     p = &(*p)->next;
   *p = call->next;
-  uv_timer_stop (&call->timer);
+  call_timeout_stop (&call->timeout);
   call->done (call->data, state, result, length);
   free (call->args);
-  uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
+  call_timeout_close (&call->timeout, on_timeout_closed);
 }
 
 static void
@@ -230,10 +231,18 @@
                   on_connected);
 }
 
+static bool
+awaits_reply (void *data, uint64_t *received)
+{
+  const struct pending_call *call = data;
+  *received = call->client->input_count;
+  return call->sent;
+}
+
 static void
-on_timeout (uv_timer_t *timer)
+on_timeout (void *data)
 {
-  struct pending_call *call = timer->data;
+  struct pending_call *call = data;
   struct rpc_client *c = call->client;
   bool sent = call->sent;
   /* If the call was never sent, or nothing was received since then, the
@@ -246,6 +255,9 @@
     client_disconnect (c);
 }
 
+static const struct call_timeout_type timeout_type
+    = { .awaits_answer = awaits_reply, .expire = on_timeout };
+
 /* Creates a client for VERSION of PROGRAM at ADDRESS and PORT.  It connects on
    the first call and reconnects on the next call after a failure.  Returns
    null if ADDRESS is not an IPv4 address.  */
@@ -301,9 +313,8 @@
   call->length = length;
   call->done = done;
   call->data = data;
-  uv_timer_init (c->loop, &call->timer);
-  call->timer.data = call;
-  uv_timer_start (&call->timer, on_timeout, timeout_ms, 0);
+  call_timeout_init (&call->timeout, c->loop, &timeout_type, call);
+  call_timeout_start (&call->timeout, timeout_ms);
   call->next = c->calls;
   c->calls = call;
   if (c->state == CLIENT_IDLE)
--- a/common/upstream.c
+++ b/common/upstream.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "common/call_timeout.h"
+
 enum
 {
   POOL_CAPACITY = 4096,
@@ -37,7 +39,7 @@
 {
   struct upstream *u;
   h2o_http1client_t *client; /* null once h2o has freed it */
-  uv_timer_t deadline;
+  struct call_timeout deadline;
   uint64_t silence_max_ms; /* 0: DEADLINE is for the whole call */
   http_done_fn *done;
   void *data;
@@ -82,9 +84,9 @@
 }
 
 static void
-on_deadline_closed (uv_handle_t *h)
+on_deadline_closed (void *data)
 {
-  struct upstream_call *c = h->data;
+  struct upstream_call *c = data;
   struct upstream *u = c->u;
   free (c->request);
   free (c->headers);
@@ -113,28 +115,39 @@
       r.status = 0;
       r.reason = reason;
     }
-  uv_timer_stop (&c->deadline);
+  call_timeout_stop (&c->deadline);
   c->done (c->data, &r);
-  uv_close ((uv_handle_t *)&c->deadline, on_deadline_closed);
+  call_timeout_close (&c->deadline, on_deadline_closed);
+}
+
+static bool
+awaits_response (void *data, uint64_t *received)
+{
+  const struct upstream_call *c = data;
+  *received = c->response_body_length + (c->headers == NULL ? 0 : 1);
+  return c->sent;
 }
 
 static void
-on_deadline (uv_timer_t *timer)
+on_deadline (void *data)
 {
-  struct upstream_call *c = timer->data;
+  struct upstream_call *c = data;
   if (c->client != NULL)
     h2o_http1client_cancel (c->client);
   c->client = NULL;
   call_finish (c, "timeout");
 }
 
+static const struct call_timeout_type deadline_type
+    = { .awaits_answer = awaits_response, .expire = on_deadline };
+
 /* Part of the response has arrived.  A large one over a slow link takes longer
    than an upstream may be silent.  */
 static void
 restart_timeout (struct upstream_call *c)
 {
   if (c->silence_max_ms > 0 && !c->ended)
-    uv_timer_start (&c->deadline, on_deadline, c->silence_max_ms, 0);
+    call_timeout_start (&c->deadline, c->silence_max_ms);
 }
 
 static int
@@ -339,9 +352,8 @@
   c->silence_max_ms = call->restart_timeout ? call->timeout_ms : 0;
   u->calls++;
   build_request (c, call);
-  uv_timer_init (u->loop, &c->deadline);
-  c->deadline.data = c;
-  uv_timer_start (&c->deadline, on_deadline, call->timeout_ms, 0);
+  call_timeout_init (&c->deadline, u->loop, &deadline_type, c);
+  call_timeout_start (&c->deadline, call->timeout_ms);
   if (call->idempotent)
     h2o_http1client_connect_with_pool (&c->client, c, &u->context, &u->pool,
                                        on_connect);
