vm list: leave out odd entries, and follow the others

What users would see: another writer leaves one odd entry in the platform's VM list (nested 500 deep, a port or incarnation out of range, an unknown role, a number in place of a name). rosemaryraild refuses every later list and no longer notices VMs that come, leave or go.

Cause: vm_list_parse refused the whole list for the first invalid entry, and the parser's depth limit held for the whole text.

Fix: only the entry that names no VM is left out. If the text can't be read, each entry is parsed by itself, under a depth limit, and the unreadable ones are replaced by a number before the list is parsed again. One log line says how many entries were left out and why, and is repeated only when that changes.

An entry that is left out may have replaced the one of any VM. Absence from a list proves that a VM is gone, and its tasks start elsewhere at once; so absence from a list with odd entries only makes a VM suspect: no new work, and what runs there goes on. Taken as proof, coordination_membership_odd-entry prints "disappeared address=10.0.1.2 incarnation=5 yes" for a VM that still runs. For the same reason a list in which this daemon's own entry is odd is followed.

The platform's stand-in reads nested entries from its file, to serve them.

--- a/common/json.c
+++ b/common/json.c
@@ -7,13 +7,22 @@
    returns null and sets ERR to the reason and the byte offset.  */
 struct json_object *
 json_parse (const char *text, size_t length, struct rr_error *err)
+{
+  return json_parse_nested (text, length, JSON_TOKENER_DEFAULT_DEPTH, err);
+}
+
+/* Parses TEXT like json_parse, and rejects values nested as deeply as
+   DEPTH.  */
+struct json_object *
+json_parse_nested (const char *text, size_t length, int depth,
+                   struct rr_error *err)
 {
   if (length == 0 || length > INT_MAX)
     {
       rr_error_set (err, RR_ERROR_INVALID, "empty or oversized JSON text");
       return NULL;
     }
-  struct json_tokener *tok = json_tokener_new ();
+  struct json_tokener *tok = json_tokener_new_ex (depth);
   struct json_object *o = json_tokener_parse_ex (tok, text, (int)length);
   enum json_tokener_error rc = json_tokener_get_error (tok);
   size_t end = json_tokener_get_parse_end (tok);
--- a/include/common/json.h
+++ b/include/common/json.h
@@ -10,6 +10,8 @@
 
 struct json_object *json_parse (const char *text, size_t length,
                                 struct rr_error *err);
+struct json_object *json_parse_nested (const char *text, size_t length,
+                                       int depth, struct rr_error *err);
 const char *json_text (struct json_object *o);
 bool json_get_int (struct json_object *o, const char *name, int64_t *value,
                    struct rr_error *err);
--- a/include/rosemaryrail/membership.h
+++ b/include/rosemaryrail/membership.h
@@ -38,7 +38,9 @@
 enum rr_member_state
 {
   RR_MEMBER_LIVE,
-  RR_MEMBER_SUSPECT, /* a call failed; gets no new work until it responds */
+  RR_MEMBER_SUSPECT, /* a call failed, or the VM is absent from an incomplete
+                        VM list; gets no new work until it responds or is
+                        listed */
   RR_MEMBER_LEAVING,
   RR_MEMBER_GONE, /* disappeared from the VM list */
   RR_MEMBER_DEAD  /* a newer incarnation has its address */
@@ -114,14 +116,16 @@
 /* Updates from the sources of the view.  Each source may lag behind the
    others.  */
 
-/* Applies a complete VM list.  A VM that was in an earlier list and is absent
-   from this one is gone until a newer incarnation appears; a VM known only
-   from other sources is not.  Ignores an entry with an older incarnation than
-   the known one.  Ignores a list without this daemon if an earlier list had
-   it: such a list is incomplete.  */
+/* Applies a VM list.  A VM that was in an earlier list and is absent from this
+   one is gone until a newer incarnation appears; a VM known only from other
+   sources is not.  Ignores an entry with an older incarnation than the known
+   one.  Ignores a list without this daemon if an earlier list had it: such a
+   list is partial.  A list that is not COMPLETE had entries that name no VM.
+   Any absent VM may be the one, so it is suspect, not gone, until the next
+   list.  */
 void rr_membership_apply_vm_list (struct rr_membership *m, struct rr_time now,
                                   const struct rr_member_info *vms,
-                                  size_t count);
+                                  size_t count, bool complete);
 /* Adds VMs known to a peer, for a daemon that starts while the platform is
    unavailable.  Unlike the VM list this proves nothing about absent VMs.  */
 void rr_membership_add_from_peer (struct rr_membership *m, struct rr_time now,
--- a/include/rosemaryraild/peers_internal.h
+++ b/include/rosemaryraild/peers_internal.h
@@ -35,6 +35,8 @@
   size_t vm_count;
   char *vm_list_text;
   size_t vm_list_length;
+  size_t vm_list_left_out;        /* entries of it that name no VM */
+  struct rr_error vm_list_reason; /* of the first of these */
   bool vm_list_pending;
   struct rr_time vm_list_due;
   uint64_t sent_leaving_version;
--- a/rosemaryrail/membership.c
+++ b/rosemaryrail/membership.c
@@ -169,7 +169,7 @@
   b->config_generation = 0;
   b->shards = 0;
   memset (b->config_digest, 0, sizeof b->config_digest);
-  v->leaving = v->failed = v->gossip_expired = false;
+  v->leaving = v->failed = v->gossip_expired = v->maybe_gone = false;
   v->peer_drain = 0;
   update_drain (m, v, now, false);
   return true;
@@ -234,6 +234,7 @@
     m->unlisted--;
   v->member.listed = true;
   v->in_list = true;
+  v->maybe_gone = false;
   v->gossip_expired = false;
   v->listed_incarnation = info->incarnation;
   if (info->incarnation > 0
@@ -251,20 +252,23 @@
     mark_leaving (m, v, now, RR_SOURCE_VM_LIST);
 }
 
-/* Applies a complete VM list of COUNT entries.  A VM that was listed earlier
-   and is absent now is gone; one that was never listed is not, since the list
-   lags.  Ignores a list that no longer contains this daemon: an empty or
-   partial response of a recovering platform must not mark the whole fleet as
-   gone.  */
+/* Applies a VM list of COUNT entries.  A VM that was listed earlier and is
+   absent now is gone if the list is COMPLETE; one that was never listed is
+   not, since the list lags.  Of an incomplete list, one or more entries could
+   not be read: such an entry may be that of any absent VM, which therefore
+   only gets no new work.  Ignores a complete list that no longer contains this
+   daemon: an empty or partial response of a recovering platform must not mark
+   the whole fleet as gone.  */
 void
 rr_membership_apply_vm_list (struct rr_membership *m, struct rr_time now,
-                             const struct rr_member_info *vms, size_t count)
+                             const struct rr_member_info *vms, size_t count,
+                             bool complete)
 {
   bool has_self = false;
   for (size_t i = 0; i < count; i++)
     has_self = has_self
                || strcmp (vms[i].address, m->vms[0].member.info.address) == 0;
-  if (!has_self && m->vms[0].member.listed)
+  if (!has_self && m->vms[0].member.listed && complete)
     return;
   for (size_t i = 0; i < m->count; i++)
     m->vms[i].in_list = false;
@@ -278,7 +282,8 @@
       struct vm *v = &m->vms[i];
       if (v->in_list)
         continue;
-      if (v->member.listed
+      v->maybe_gone = v->member.listed && !complete;
+      if (v->member.listed && complete
           && (!v->gone_known || v->gone_through < v->listed_incarnation))
         {
           v->gone_known = true;
--- a/rosemaryrail/membership_internal.h
+++ b/rosemaryrail/membership_internal.h
@@ -13,6 +13,7 @@
   bool drained;        /* by this daemon's configuration */
   uint64_t peer_drain; /* generation of a peer's drain, or 0 */
   bool in_list;        /* LISTED_INCARNATION is in the last VM list */
+  bool maybe_gone;     /* absent from the last VM list, which is incomplete */
   bool gone_known;     /* incarnations up to GONE_THROUGH are gone */
   bool gossip_expired; /* no longer sent in heartbeats */
   uint64_t listed_incarnation;
--- a/rosemaryrail/membership_view.c
+++ b/rosemaryrail/membership_view.c
@@ -36,7 +36,7 @@
   else if (v->leaving || membership_is_drained (m, v))
     b->state = RR_MEMBER_LEAVING;
   else
-    b->state = v->failed ? RR_MEMBER_SUSPECT : RR_MEMBER_LIVE;
+    b->state = v->failed || v->maybe_gone ? RR_MEMBER_SUSPECT : RR_MEMBER_LIVE;
 }
 
 /* Returns the newest incarnation at ADDRESS, or null.  */
--- a/rosemaryraild/peers.c
+++ b/rosemaryraild/peers.c
@@ -74,23 +74,37 @@
   return v->has_heartbeat ? v->heartbeat.incarnation : 1;
 }
 
+/* Logs which entries of LIST were left out, unless the last list had as many
+   for the same reason.  */
+static void
+log_left_out (struct peers *p, const struct vm_list *list)
+{
+  if (list->left_out > 0
+      && (list->left_out != p->vm_list_left_out
+          || strcmp (list->reason.message, p->vm_list_reason.message) != 0))
+    log_event (LOG_LEVEL_WARN, "vm_list_entries_left_out",
+               "entries=%zu of=%zu first_reason=\"%s\"", list->left_out,
+               list->left_out + list->count, list->reason.message);
+  p->vm_list_left_out = list->left_out;
+  p->vm_list_reason = list->reason;
+}
+
 static void
 apply_vm_list (struct peers *p, const char *text, size_t length)
 {
   struct rr_error err = { 0 };
-  struct vm_list_entry *entries;
-  size_t count;
-  if (!vm_list_parse (text, length, &entries, &count, &err))
+  struct vm_list list;
+  if (!vm_list_parse (text, length, &list, &err))
     {
       log_event (LOG_LEVEL_WARN, "vm_list_refused", "reason=\"%s\"",
                  err.message);
       return;
     }
-  struct rr_member_info *infos = calloc (count + 1, sizeof *infos);
+  struct rr_member_info *infos = calloc (list.count + 1, sizeof *infos);
   assert (infos != NULL);
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < list.count; i++)
     {
-      const struct vm_list_entry *e = &entries[i];
+      const struct vm_list_entry *e = &list.entries[i];
       infos[i] = e->info;
       struct vm *v = peers_find_vm (p, e->info.name);
       if (v == NULL)
@@ -107,9 +121,11 @@
       snprintf (endpoint.address, sizeof endpoint.address, "%s", e->address);
       set_endpoint (p, v, &endpoint);
     }
-  rr_membership_apply_vm_list (p->membership, daemon_now (), infos, count);
+  rr_membership_apply_vm_list (p->membership, daemon_now (), infos, list.count,
+                               list.left_out == 0);
+  log_left_out (p, &list);
   free (infos);
-  free (entries);
+  vm_list_free (&list);
   char *copy = malloc (length + 1);
   assert (copy != NULL);
   memcpy (copy, text, length);
--- a/standins/rr-platform.c
+++ b/standins/rr-platform.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  VMS_POLL_MS = 50
+  VMS_POLL_MS = 50,
+  VM_LIST_DEPTH_MAX = 1000 /* deeper than the daemons read */
 };
 
 /* Every kind of call, counted separately in GET /stats.  */
@@ -292,7 +293,8 @@
   char *text = tool_read_file (platform.vms_path, &len, err);
   if (text == NULL)
     return NULL;
-  struct json_object *o = json_parse (text, len, err);
+  struct json_object *o
+      = json_parse_nested (text, len, VM_LIST_DEPTH_MAX, err);
   free (text);
   if (o == NULL)
     return NULL;
--- a/tests/coordination/script_membership.c
+++ b/tests/coordination/script_membership.c
@@ -210,7 +210,8 @@
     return;
   size_t count = parse_infos (l, infos);
   if (strcmp (l->command, "vm-list") == 0)
-    rr_membership_apply_vm_list (m, l->now, infos, count);
+    rr_membership_apply_vm_list (m, l->now, infos, count,
+                                 script_int (l, "left-out", 0) == 0);
   else if (strcmp (l->command, "add-from-peer") == 0)
     rr_membership_add_from_peer (m, l->now, infos, count);
   else if (strcmp (l->command, "heartbeat") == 0)
