platform: take no entry for a worker whose numbers no worker has

Cause: the decoder took any JSON number, clamped to 64 bits, and 0 for fields of another type.

Evidence: test_odd_worker_numbers failed for 10 of 10 values before ("accepted 1e30 as cpu", "accepted "16000" as cpu", ...).

--- a/common/json.c
+++ b/common/json.c
@@ -109,6 +109,28 @@
   return v == NULL ? fallback : json_object_get_int64 (v);
 }
 
+/* Returns the number NAME of O, rounded towards zero, or FALLBACK if the
+   member is missing or null.  If it has another type or isn't from MIN to MAX,
+   which doubles must represent exactly, returns FALLBACK and sets ERR.  */
+int64_t
+json_int_within (struct json_object *o, const char *name, int64_t fallback,
+                 int64_t min, int64_t max, struct rr_error *err)
+{
+  struct json_object *v = NULL;
+  if (!json_object_is_type (o, json_type_object)
+      || !json_object_object_get_ex (o, name, &v) || v == NULL)
+    return fallback;
+  double value = json_object_get_double (v);
+  if ((json_object_is_type (v, json_type_int)
+       || json_object_is_type (v, json_type_double))
+      && value >= (double)min && value <= (double)max)
+    return json_object_get_int64 (v);
+  rr_error_set (err, RR_ERROR_INVALID,
+                "field \"%s\" is not a number from %lld to %lld", name,
+                (long long)min, (long long)max);
+  return fallback;
+}
+
 /* Returns the string member NAME of O, owned by O, or FALLBACK if the member
    is missing or has another type.  */
 const char *
--- a/include/common/json.h
+++ b/include/common/json.h
@@ -19,6 +19,9 @@
                              struct rr_error *err);
 int64_t json_int_or (struct json_object *o, const char *name,
                      int64_t fallback);
+int64_t json_int_within (struct json_object *o, const char *name,
+                         int64_t fallback, int64_t min, int64_t max,
+                         struct rr_error *err);
 const char *json_string_or (struct json_object *o, const char *name,
                             const char *fallback);
 struct json_object *json_list_or_null (struct json_object *o,
--- a/include/platform/documents.h
+++ b/include/platform/documents.h
@@ -41,7 +41,8 @@
 };
 
 /* Decodes TEXT, the registration of a worker under KEY; false with
-   RR_ERROR_INVALID if it is malformed or the worker's state is unknown.  */
+   RR_ERROR_INVALID if it is malformed, the worker's state is unknown, or a
+   number is one that no worker has.  */
 bool platform_worker_decode (const char *key, const char *text, size_t length,
                              struct platform_worker *w, struct rr_error *err);
 
--- a/tests/entry/test_documents.c
+++ b/tests/entry/test_documents.c
@@ -126,8 +126,69 @@
 }
 END_TEST
 
-/* Guards against a request that is routed to the queue of a shorter prefix or
-   of another host.  */
+/* Writes the entry of a worker in which FIELD has VALUE to OUT.  */
+static void
+print_worker (char *out, size_t size, const char *field, const char *value)
+{
+  static const char *const members[][2]
+      = { { "remainingMs", "1500" },
+          { "born", "1773545490112" },
+          { "cpu", "16000" },
+          { "memMb", "32768" },
+          { "gpu", "2" },
+          { "address", "\"10.0.0.9:8080\"" } };
+  const char *v[sizeof members / sizeof members[0]];
+  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
+    v[i] = strcmp (members[i][0], field) == 0 ? value : members[i][1];
+  snprintf (out, size,
+            "{\"service\":\"desk\",\"zone\":\"z1\",\"state\":\"draining\","
+            "\"remainingMs\":%s,\"born\":%s,\"capacity\":{\"cpu\":%s,"
+            "\"memMb\":%s,\"gpu\":%s},\"address\":%s}",
+            v[0], v[1], v[2], v[3], v[4], v[5]);
+}
+
+/* Guards against an entry of another writer that is taken for a worker of
+   boundless, negative or unknown capacity.  */
+START_TEST (test_odd_worker_numbers)
+{
+  static const char *const fields[]
+      = { "cpu", "memMb", "gpu", "born", "remainingMs" };
+  static const char *const odd[] = { "1e30",      "-1e30",
+                                     "1e400",     "-9000000000000000000",
+                                     "NaN",       "99999999999999999999999",
+                                     "\"16000\"", "[16000]",
+                                     "true",      "9223372036854775807" };
+  char text[400];
+  struct platform_worker w;
+  struct rr_error err = { 0 };
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    {
+      print_worker (text, sizeof text, fields[i], odd[_i]);
+      memset (&err, 0, sizeof err);
+      ck_assert_msg (!platform_worker_decode ("servers/i-2", text,
+                                              strlen (text), &w, &err),
+                     "accepted %s as %s", odd[_i], fields[i]);
+      ck_assert_msg (strstr (err.message, fields[i]) != NULL,
+                     "the reason \"%s\" doesn't name %s", err.message,
+                     fields[i]);
+    }
+  print_worker (text, sizeof text, "cpu", "-16000");
+  ck_assert (
+      !platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  print_worker (text, sizeof text, "cpu", "null");
+  ck_assert (
+      !platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  print_worker (text, sizeof text, "address", "\"10.0.0.9:99999\"");
+  ck_assert (
+      !platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  /* A number with a fraction is one.  */
+  print_worker (text, sizeof text, "cpu", "16000.0");
+  ck_assert (
+      platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  ck_assert_int_eq (w.info.cores_milli, 16000);
+}
+END_TEST
+
 static uint64_t
 digest (const char *text)
 {
@@ -157,6 +218,8 @@
 }
 END_TEST
 
+/* Guards against a request that is routed to the queue of a shorter prefix or
+   of another host.  */
 START_TEST (test_routes)
 {
   static const char text[]
@@ -223,6 +286,7 @@
   tcase_add_test (tc, test_job_fields);
   tcase_add_test (tc, test_bad_jobs);
   tcase_add_test (tc, test_worker_entries);
+  tcase_add_loop_test (tc, test_odd_worker_numbers, 0, 10);
   tcase_add_test (tc, test_worker_digests);
   tcase_add_test (tc, test_routes);
   tcase_add_test (tc, test_settings);
