--- a/tests/entry/test_documents.c
+++ b/tests/entry/test_documents.c
@@ -84,6 +84,73 @@
 }
 END_TEST
 
+/* Guards against a submission with a number beyond all sense that is accepted
+   as a job of another size.  */
+START_TEST (test_odd_job_numbers)
+{
+  static const char *const steps[]
+      = { "\"cpu\":%s",        "\"memMb\":%s",        "\"gpu\":%s",
+          "\"estimateMs\":%s", "\"antiAffinity\":%s", "\"mayMiss\":%s",
+          "\"targetMs\":%s",   "\"count\":%s",        "\"after\":[%s]" };
+  static const char *const odd[] = { "1e30",  "-1e30",
+                                     "1e400", "-9000000000000000000",
+                                     "NaN",   "99999999999999999999999",
+                                     "\"1\"", "[1]",
+                                     "true",  "9223372036854775807" };
+  char field[80];
+  char text[300];
+  struct rr_error err;
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    {
+      char *mark = strstr (steps[i], "%s");
+      snprintf (field, sizeof field, "%.*s%s%s", (int)(mark - steps[i]),
+                steps[i], odd[_i], mark + 2);
+      snprintf (text, sizeof text,
+                "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1},"
+                "{%s%s}]}",
+                field, strstr (field, "count") == NULL ? ",\"count\":1" : "");
+      ck_assert_msg (decode_job (text, &err) == NULL, "accepted %s", field);
+      ck_assert_int_eq (err.code, RR_ERROR_INVALID);
+      snprintf (field, sizeof field, "%.*s", (int)strcspn (steps[i] + 1, "\""),
+                steps[i] + 1);
+      ck_assert_msg (strstr (err.message, field) != NULL,
+                     "the error \"%s\" doesn't name %s", err.message, field);
+    }
+  static const char *const schedule[]
+      = { "repeatCount", "firstRunMs", "intervalMs" };
+  for (size_t i = 0; i < sizeof schedule / sizeof schedule[0]; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"%s\":%s}",
+                schedule[i], odd[_i]);
+      ck_assert_msg (decode_job (text, &err) == NULL, "accepted %s as %s",
+                     odd[_i], schedule[i]);
+    }
+}
+END_TEST
+
+/* Guards against a count that is taken for a smaller one since it has more
+   than 32 bits, and against work whose sum overflows.  */
+START_TEST (test_large_job_numbers)
+{
+  struct rr_error err;
+  ck_assert_ptr_null (decode_job (
+      "{\"spec\":\"x\",\"steps\":[{\"count\":4294967297}]}", &err));
+  ck_assert_ptr_null (
+      decode_job ("{\"spec\":\"x\",\"steps\":[{\"count\":20000,"
+                  "\"cpu\":10000000,\"estimateMs\":30000000000}]}",
+                  &err));
+  ck_assert_ptr_nonnull (strstr (err.message, "work"));
+  struct rr_job_graph *g
+      = decode_job ("{\"spec\":\"x\",\"steps\":[{\"count\":20000,"
+                    "\"cpu\":64000,\"estimateMs\":86400000.5}]}",
+                    &err);
+  ck_assert_ptr_nonnull (g);
+  ck_assert_int_eq (rr_job_graph_core_ms (g), INT64_C (110592000000000));
+  rr_job_graph_free (g);
+}
+END_TEST
+
 /* Guards against malformed or foreign entries under the workers' prefix that
    are taken for workers.  */
 START_TEST (test_worker_entries)
@@ -285,6 +352,8 @@
   TCase *tc = tcase_create ("platform");
   tcase_add_test (tc, test_job_fields);
   tcase_add_test (tc, test_bad_jobs);
+  tcase_add_loop_test (tc, test_odd_job_numbers, 0, 10);
+  tcase_add_test (tc, test_large_job_numbers);
   tcase_add_test (tc, test_worker_entries);
   tcase_add_loop_test (tc, test_odd_worker_numbers, 0, 10);
   tcase_add_test (tc, test_worker_digests);
