--- a/common/json.c
+++ b/common/json.c
@@ -7,13 +7,22 @@
    returns null and sets ERR to the reason and the byte offset.  */
 struct json_object *
 json_parse (const char *text, size_t length, struct rr_error *err)
+{
+  return json_parse_nested (text, length, JSON_TOKENER_DEFAULT_DEPTH, err);
+}
+
+/* Parses TEXT like json_parse, and rejects values nested as deeply as
+   DEPTH.  */
+struct json_object *
+json_parse_nested (const char *text, size_t length, int depth,
+                   struct rr_error *err)
 {
   if (length == 0 || length > INT_MAX)
     {
       rr_error_set (err, RR_ERROR_INVALID, "empty or oversized JSON text");
       return NULL;
     }
-  struct json_tokener *tok = json_tokener_new ();
+  struct json_tokener *tok = json_tokener_new_ex (depth);
   struct json_object *o = json_tokener_parse_ex (tok, text, (int)length);
   enum json_tokener_error rc = json_tokener_get_error (tok);
   size_t end = json_tokener_get_parse_end (tok);
@@ -100,6 +109,28 @@
   return v == NULL ? fallback : json_object_get_int64 (v);
 }
 
+/* Returns the number NAME of O, rounded towards zero, or FALLBACK if the
+   member is missing or null.  If it has another type or isn't from MIN to MAX,
+   which doubles must represent exactly, returns FALLBACK and sets ERR.  */
+int64_t
+json_int_within (struct json_object *o, const char *name, int64_t fallback,
+                 int64_t min, int64_t max, struct rr_error *err)
+{
+  struct json_object *v = NULL;
+  if (!json_object_is_type (o, json_type_object)
+      || !json_object_object_get_ex (o, name, &v) || v == NULL)
+    return fallback;
+  double value = json_object_get_double (v);
+  if ((json_object_is_type (v, json_type_int)
+       || json_object_is_type (v, json_type_double))
+      && value >= (double)min && value <= (double)max)
+    return json_object_get_int64 (v);
+  rr_error_set (err, RR_ERROR_INVALID,
+                "field \"%s\" is not a number from %lld to %lld", name,
+                (long long)min, (long long)max);
+  return fallback;
+}
+
 /* Returns the string member NAME of O, owned by O, or FALLBACK if the member
    is missing or has another type.  */
 const char *
--- a/tests/entry/test_documents.c
+++ b/tests/entry/test_documents.c
@@ -84,6 +84,73 @@
 }
 END_TEST
 
+/* Guards against a submission with a number beyond all sense that is accepted
+   as a job of another size.  */
+START_TEST (test_odd_job_numbers)
+{
+  static const char *const steps[]
+      = { "\"cpu\":%s",        "\"memMb\":%s",        "\"gpu\":%s",
+          "\"estimateMs\":%s", "\"antiAffinity\":%s", "\"mayMiss\":%s",
+          "\"targetMs\":%s",   "\"count\":%s",        "\"after\":[%s]" };
+  static const char *const odd[] = { "1e30",  "-1e30",
+                                     "1e400", "-9000000000000000000",
+                                     "NaN",   "99999999999999999999999",
+                                     "\"1\"", "[1]",
+                                     "true",  "9223372036854775807" };
+  char field[80];
+  char text[300];
+  struct rr_error err;
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    {
+      char *mark = strstr (steps[i], "%s");
+      snprintf (field, sizeof field, "%.*s%s%s", (int)(mark - steps[i]),
+                steps[i], odd[_i], mark + 2);
+      snprintf (text, sizeof text,
+                "{\"spec\":\"x\",\"steps\":[{\"count\":1},{\"count\":1},"
+                "{%s%s}]}",
+                field, strstr (field, "count") == NULL ? ",\"count\":1" : "");
+      ck_assert_msg (decode_job (text, &err) == NULL, "accepted %s", field);
+      ck_assert_int_eq (err.code, RR_ERROR_INVALID);
+      snprintf (field, sizeof field, "%.*s", (int)strcspn (steps[i] + 1, "\""),
+                steps[i] + 1);
+      ck_assert_msg (strstr (err.message, field) != NULL,
+                     "the error \"%s\" doesn't name %s", err.message, field);
+    }
+  static const char *const schedule[]
+      = { "repeatCount", "firstRunMs", "intervalMs" };
+  for (size_t i = 0; i < sizeof schedule / sizeof schedule[0]; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"%s\":%s}",
+                schedule[i], odd[_i]);
+      ck_assert_msg (decode_job (text, &err) == NULL, "accepted %s as %s",
+                     odd[_i], schedule[i]);
+    }
+}
+END_TEST
+
+/* Guards against a count that is taken for a smaller one since it has more
+   than 32 bits, and against work whose sum overflows.  */
+START_TEST (test_large_job_numbers)
+{
+  struct rr_error err;
+  ck_assert_ptr_null (decode_job (
+      "{\"spec\":\"x\",\"steps\":[{\"count\":4294967297}]}", &err));
+  ck_assert_ptr_null (
+      decode_job ("{\"spec\":\"x\",\"steps\":[{\"count\":20000,"
+                  "\"cpu\":10000000,\"estimateMs\":30000000000}]}",
+                  &err));
+  ck_assert_ptr_nonnull (strstr (err.message, "work"));
+  struct rr_job_graph *g
+      = decode_job ("{\"spec\":\"x\",\"steps\":[{\"count\":20000,"
+                    "\"cpu\":64000,\"estimateMs\":86400000.5}]}",
+                    &err);
+  ck_assert_ptr_nonnull (g);
+  ck_assert_int_eq (rr_job_graph_core_ms (g), INT64_C (110592000000000));
+  rr_job_graph_free (g);
+}
+END_TEST
+
 /* Guards against malformed or foreign entries under the workers' prefix that
    are taken for workers.  */
 START_TEST (test_worker_entries)
@@ -126,8 +193,69 @@
 }
 END_TEST
 
-/* Guards against a request that is routed to the queue of a shorter prefix or
-   of another host.  */
+/* Writes the entry of a worker in which FIELD has VALUE to OUT.  */
+static void
+print_worker (char *out, size_t size, const char *field, const char *value)
+{
+  static const char *const members[][2]
+      = { { "remainingMs", "1500" },
+          { "born", "1773545490112" },
+          { "cpu", "16000" },
+          { "memMb", "32768" },
+          { "gpu", "2" },
+          { "address", "\"10.0.0.9:8080\"" } };
+  const char *v[sizeof members / sizeof members[0]];
+  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
+    v[i] = strcmp (members[i][0], field) == 0 ? value : members[i][1];
+  snprintf (out, size,
+            "{\"service\":\"desk\",\"zone\":\"z1\",\"state\":\"draining\","
+            "\"remainingMs\":%s,\"born\":%s,\"capacity\":{\"cpu\":%s,"
+            "\"memMb\":%s,\"gpu\":%s},\"address\":%s}",
+            v[0], v[1], v[2], v[3], v[4], v[5]);
+}
+
+/* Guards against an entry of another writer that is taken for a worker of
+   boundless, negative or unknown capacity.  */
+START_TEST (test_odd_worker_numbers)
+{
+  static const char *const fields[]
+      = { "cpu", "memMb", "gpu", "born", "remainingMs" };
+  static const char *const odd[] = { "1e30",      "-1e30",
+                                     "1e400",     "-9000000000000000000",
+                                     "NaN",       "99999999999999999999999",
+                                     "\"16000\"", "[16000]",
+                                     "true",      "9223372036854775807" };
+  char text[400];
+  struct platform_worker w;
+  struct rr_error err = { 0 };
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    {
+      print_worker (text, sizeof text, fields[i], odd[_i]);
+      memset (&err, 0, sizeof err);
+      ck_assert_msg (!platform_worker_decode ("servers/i-2", text,
+                                              strlen (text), &w, &err),
+                     "accepted %s as %s", odd[_i], fields[i]);
+      ck_assert_msg (strstr (err.message, fields[i]) != NULL,
+                     "the reason \"%s\" doesn't name %s", err.message,
+                     fields[i]);
+    }
+  print_worker (text, sizeof text, "cpu", "-16000");
+  ck_assert (
+      !platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  print_worker (text, sizeof text, "cpu", "null");
+  ck_assert (
+      !platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  print_worker (text, sizeof text, "address", "\"10.0.0.9:99999\"");
+  ck_assert (
+      !platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  /* A number with a fraction is one.  */
+  print_worker (text, sizeof text, "cpu", "16000.0");
+  ck_assert (
+      platform_worker_decode ("servers/i-2", text, strlen (text), &w, &err));
+  ck_assert_int_eq (w.info.cores_milli, 16000);
+}
+END_TEST
+
 static uint64_t
 digest (const char *text)
 {
@@ -157,6 +285,8 @@
 }
 END_TEST
 
+/* Guards against a request that is routed to the queue of a shorter prefix or
+   of another host.  */
 START_TEST (test_routes)
 {
   static const char text[]
@@ -222,7 +352,10 @@
   TCase *tc = tcase_create ("platform");
   tcase_add_test (tc, test_job_fields);
   tcase_add_test (tc, test_bad_jobs);
+  tcase_add_loop_test (tc, test_odd_job_numbers, 0, 10);
+  tcase_add_test (tc, test_large_job_numbers);
   tcase_add_test (tc, test_worker_entries);
+  tcase_add_loop_test (tc, test_odd_worker_numbers, 0, 10);
   tcase_add_test (tc, test_worker_digests);
   tcase_add_test (tc, test_routes);
   tcase_add_test (tc, test_settings);
