--- a/common/http_client.c
+++ b/common/http_client.c
@@ -11,12 +11,10 @@
 enum
 {
   HEADERS_MAX_BYTES = 8192,
-  CONNECTIONS_MAX = 1024
+  CONNECTIONS_MAX = 1024,
+  CONNECT_TIMEOUT_MS = 600000 /* longer than any call takes */
 };
 
-/* Longer than any call takes.  */
-static const long CONNECT_TIMEOUT_MS = 600000;
-
 struct http_client
 {
   uv_loop_t *loop;
@@ -309,7 +307,7 @@
   /* TIMEOUT ends the call.  libcurl would look at its own timeout before it
      reads what has arrived.  */
   curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, 0L);
-  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, t);
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, on_header);
