--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -407,10 +407,10 @@
             struct rr_run_name *name, struct rr_time now)
 {
   const struct rr_job_graph_step *s = &j->graph->steps[name->step];
-  const struct dispatch_task *latest = NULL;
   name->task = 0;
   uint32_t first;
   dispatch_task_number (j, name, &first);
+  const struct dispatch_task *latest = &j->tasks[first];
   for (int32_t i = 0; i < s->task_count; i++)
     {
       struct dispatch_task *t = &j->tasks[first + (uint32_t)i];
@@ -418,7 +418,7 @@
         return false;
       if (t->next_run > name->run)
         name->run = t->next_run;
-      if (latest == NULL || checkpoint_is_later (t, latest))
+      if (checkpoint_is_later (t, latest))
         latest = t;
     }
   bool placed = s->same_rack && reserve_gang_in_one_rack (d, j, name, now);
