records: log an odd entry of a worker once, not at each heartbeat

What users would see: an entry that names no worker, written again at each heartbeat of its writer, fills the log of each daemon that follows the workers: a line each 1.5 s and entry, and thousands of odd entries up to the limit of 600 lines a second, beyond which lines are dropped.

Cause: heartbeats were told from changes only for entries that name a worker.

Fix: a table of fixed size holds the digest of the last odd entry by a hash of its key. Entries that share a place are logged again, under the log's limit.

--- a/include/rosemaryentryd/records_private.h
+++ b/include/rosemaryentryd/records_private.h
@@ -11,6 +11,11 @@
   uint64_t digest; /* of its registration, without what heartbeats change */
 };
 
+enum
+{
+  UNUSABLE_DIGESTS = 4096
+};
+
 struct records
 {
   struct entry *entry;
@@ -20,6 +25,9 @@
   struct rr_key_index *daemon_index;
   struct rr_table *workers;
   struct rr_key_index *worker_index;
+  /* Digests of the last entries that name no worker, by a hash of their keys:
+     each is logged once.  */
+  uint64_t unusable_digests[UNUSABLE_DIGESTS];
   struct shard_record shards[SHARDS_MAX];
   size_t shard_count;
 };
--- a/rosemaryentryd/records_items.c
+++ b/rosemaryentryd/records_items.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "common/json.h"
 #include "common/log.h"
@@ -185,6 +186,21 @@
     }
 }
 
+/* Logs that the entry KEY names no worker, unless it has been logged with the
+   same DIGEST.  */
+static void
+log_unusable_entry (struct records *r, const char *key, uint64_t digest,
+                    const struct rr_error *err)
+{
+  uint64_t *logged
+      = &r->unusable_digests[XXH64 (key, strlen (key), 0) % UNUSABLE_DIGESTS];
+  if (*logged == digest)
+    return;
+  *logged = digest;
+  log_event (LOG_LEVEL_WARN, "vm_entry_unusable", "key=%s %s", key,
+             err->message);
+}
+
 static void
 on_worker_item (void *data, const struct store_item *item)
 {
@@ -202,8 +218,7 @@
                 && platform_worker_decode (item->key, item->value,
                                            item->value_length, &w, &err);
   if (!item->removed && !usable)
-    log_event (LOG_LEVEL_WARN, "vm_entry_unusable", "key=%s %s", item->key,
-               err.message);
+    log_unusable_entry (r, item->key, digest, &err);
   if (!usable)
     {
       if (known == NULL)
