dispatch: hold capacity for long-running tasks where short tasks end

Cause: capacity was held on the worker with the most free cores, also where everything else is long-running and nothing is released. Short tasks fill the other gaps, so the same worker was held in every round, and smaller long-running tasks were kept off it. Now it is held where short tasks are expected to release enough soonest, and nowhere if none can; several tasks may share a worker.

Ruled out: CAPACITY_HOLD_FACTOR forbids holding (holds were made in each round).

Test dispatch hold_where_short_tasks_end: the task had not started after 3.7 s ("start s3 0.2 run 1 on w5" in place of "start big 0.0 run 1 on w5"); now after 3.4 s.

--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -44,6 +44,7 @@
   w->serving_cores_milli = 0;
   w->has_suspect = false;
   w->has_trial = false;
+  w->held = false;
   for (size_t i = 0; i < w->run_count; i++)
     {
       const struct dispatch_run *r = &w->runs[i];
@@ -425,8 +426,9 @@
   return true;
 }
 
-/* Keeps other tasks off the allowed worker with the most free cores, for this
-   planning round, so that capacity for the task NAME accumulates there.  */
+/* Keeps other tasks off capacity for the task NAME, for this planning round,
+   on the allowed worker that is expected to have enough of it first.  What is
+   held for several tasks may be on one worker.  */
 static void
 hold_capacity (struct rr_dispatch *d, struct dispatch_job *j,
                const struct rr_run_name *name, struct rr_time now)
@@ -439,14 +441,25 @@
           .service = q->service[0] != '\0' ? q->service : j->graph->service,
           .needs_permits = q->needs_permits };
   struct dispatch_worker *best = NULL;
+  int64_t best_ms = -1;
   struct rr_handle h = { 0 };
   struct dispatch_worker *w;
   while ((w = rr_table_next (d->workers, &h)) != NULL)
-    if (worker_allowed (w, &c, now) && w->free_memory_mb >= c.step->memory_mb
-        && (best == NULL || w->free_cores_milli > best->free_cores_milli))
+    {
+      if ((d->holds_left == 0 && !w->held) || !worker_allowed (w, &c, now))
+        continue;
+      int64_t wait_ms = dispatch_hold_wait_ms (w, c.step, now);
+      if (wait_ms < 0 || (best != NULL && wait_ms >= best_ms))
+        continue;
       best = w;
-  if (best != NULL)
-    best->free_cores_milli = 0;
+      best_ms = wait_ms;
+    }
+  if (d->log_holds)
+    dispatch_hold_log (d, best, c.step, name, best_ms);
+  if (best == NULL)
+    return;
+  d->holds_left -= best->held ? 0 : 1;
+  dispatch_hold_add (best, c.step);
 }
 
 static void
@@ -480,12 +493,9 @@
       /* The others of the step may run beside what this one may not.  */
       if (dispatch_crash_suspected (t))
         continue;
-      if (s->long_running && d->holds_left > 0
+      if (s->long_running && d->holding
           && d->free_cores_milli >= s->cores_milli * CAPACITY_HOLD_FACTOR)
-        {
-          d->holds_left--;
-          hold_capacity (d, j, &name, now);
-        }
+        hold_capacity (d, j, &name, now);
       return;
     }
 }
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -68,9 +68,11 @@
   size_t workers = rr_table_count (d->workers);
   d->holds_left
       = 1 + workers * CAPACITY_HOLD_WORKERS_MAX_PERCENT / (size_t)100;
+  d->holding = true;
   for (size_t i = 0; i < taken && d->start_bytes_left > 0; i++)
     dispatch_place_job (d, longest[i].job, now);
-  d->holds_left = 0;
+  d->holding = false;
+  d->log_holds = false;
   free (longest);
 }
 
@@ -141,6 +143,7 @@
   dispatch_log_waiting (d, rr_time_diff (now, d->audited), now);
   dispatch_inheritance_log (d, now);
   d->audited = now;
+  d->log_holds = true;
   struct rr_handle h = { 0 };
   struct dispatch_job *j;
   while ((j = rr_table_next (d->jobs, &h)) != NULL)
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -175,6 +175,7 @@
   int64_t serving_cores_milli;
   bool has_suspect; /* runs that are suspected and have not survived yet */
   bool has_trial;
+  bool held; /* some of its capacity, for long-running tasks */
 };
 
 struct rr_dispatch
@@ -198,6 +199,8 @@
   struct rr_time registrations_at; /* registrations are known as of then */
   bool registrations_stale;        /* too old to start tasks */
   int64_t start_bytes_left;        /* that may be sent in this round */
+  bool holding;                    /* capacity for tasks that don't find any */
+  bool log_holds;                  /* in this round */
   size_t holds_left;       /* workers on which capacity may still be held */
   struct rr_policy policy; /* of the interference model */
   struct rr_interference *model;
@@ -241,8 +244,9 @@
      one worker: otherwise short tasks would keep taking the free capacity bit
      by bit.  */
   CAPACITY_HOLD_AFTER_MS = 2000,
-  /* The same for all long-running tasks after this long, each on a worker of
-     its own.  Short tasks have users who wait, so they go first until then. */
+  /* The same for all long-running tasks after this long; what is held for
+     several may be on one worker.  Short tasks have users who wait, so they go
+     first until then. */
   LONG_RUNNING_FIRST_AFTER_MS = 4500,
   /* Share of the workers, besides one, on which capacity is held at a time. */
   CAPACITY_HOLD_WORKERS_MAX_PERCENT = 2,
@@ -269,6 +273,15 @@
 void dispatch_place_job (struct rr_dispatch *d, struct dispatch_job *j,
                          struct rr_time now);
 
+int64_t dispatch_hold_wait_ms (const struct dispatch_worker *w,
+                               const struct rr_job_graph_step *s,
+                               struct rr_time now);
+void dispatch_hold_add (struct dispatch_worker *w,
+                        const struct rr_job_graph_step *s);
+void dispatch_hold_log (struct rr_dispatch *d, const struct dispatch_worker *w,
+                        const struct rr_job_graph_step *s,
+                        const struct rr_run_name *name, int64_t wait_ms);
+
 void dispatch_log_decision (struct rr_dispatch *d, const char *event,
                             const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
