--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -141,6 +141,21 @@
                                     script.now);
       return;
     }
+  int64_t lease
+      = command->kind == RR_COMMAND_START ? rr_dispatch_worker_lease (
+            script.dispatch, w->handle,
+            rr_time_add (script.confirmed, LEASE_MAX_MS), script.now)
+                                          : 0;
+  if (command->kind == RR_COMMAND_START && lease <= 0)
+    {
+      struct rr_run_name unsent = command->name;
+      printf ("start %s %d.%d run %u on %s: no lease\n", unsent.job,
+              unsent.step, unsent.task, unsent.run, w->id);
+      rr_dispatch_command_answered (script.dispatch, w->handle, command->kind,
+                                    &unsent, RR_OUTCOME_NOT_SENT, 0,
+                                    script.now);
+      return;
+    }
   printf ("%s %s %d.%d run %u on %s", kinds[command->kind], command->name.job,
           command->name.step, command->name.task, command->name.run,
           command->worker_id);
@@ -155,11 +170,6 @@
   bool answered
       = !w->blocked && (!w->delaying || command->kind != RR_COMMAND_THROTTLE);
   printf ("%s\n", answered ? "" : ": no answer");
-  int64_t lease
-      = command->kind == RR_COMMAND_START ? rr_dispatch_worker_lease (
-            script.dispatch, w->handle,
-            rr_time_add (script.confirmed, LEASE_MAX_MS), script.now)
-                                          : 0;
   if (lease > w->lease_end)
     w->lease_end = lease;
   if (w->blocked)
