entryd: a membership record counts as stored only while no other was sent

The write of a worker's silence had no answer, the worker came back, and the record without it was taken for unchanged, although the store may have the other. So the worker got no lease and its tasks ended, for as long as no other worker changed the record.

A record is now taken for stored from its answer until another is sent, or once this daemon reads from the store the one that it sent; the write has 2 s, more than the 1.2 s with which the store still renews a daemon's lease.

Also by the review: a new owner that can't read the record no longer adds the workers of all shards to it, since one entry that never reports is enough, and run numbers can't exceed 32 bits (neither shown by a test).

--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -128,12 +128,12 @@
   struct division division;
   int64_t ordinal; /* number of earlier owners of the shard */
   bool membership_writing;
-  bool membership_stored;      /* by this owner */
-  int64_t membership_revision; /* last known */
-  uint64_t membership_hash;    /* of the workers as last stored */
-  uint64_t membership_hash_sent;
+  bool membership_stored;        /* the record sent last is */
+  int64_t membership_revision;   /* last known */
+  uint64_t membership_hash;      /* of the workers that were sent last */
   bool membership_sent_stopping; /* ... while this owner was stopping */
   bool release_recorded;         /* such a record is stored */
+  char *membership_sent_text;
   struct rr_recorded_worker *membership_sent;
   size_t membership_sent_count;
   struct rr_time load_sent;
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -34,6 +34,7 @@
   rr_table_free (s->connections);
   rr_key_index_free (s->connection_index);
   free (s->membership_sent);
+  free (s->membership_sent_text);
   free (s->published_pending);
   free (s->commands);
   shard_commit_clear (s);
--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -14,7 +14,12 @@
 enum
 {
   /* Workers of this owner, and of former owners that have not responded.  */
-  MEMBERSHIP_MAX = 2 * WORKER_CONNECTIONS_MAX
+  MEMBERSHIP_MAX = 2 * WORKER_CONNECTIONS_MAX,
+  /* Longer than the store takes while it still renews a daemon's lease:
+     without an answer, workers that are back get no lease.  */
+  MEMBERSHIP_TIMEOUT_MS = 2000,
+  /* Of a shard, one after the other: run numbers have 32 bits.  */
+  OWNERS_MAX = UINT32_MAX / RUNS_PER_OWNER_MAX / 2
 };
 
 /* Returns a hash of the COUNT workers of a record.  What is left of a lease
@@ -49,6 +54,35 @@
   snprintf (out, KEY_SIZE, "%s%s", KEY_MEMBERSHIP, s->record->name);
 }
 
+/* The record that was sent last is stored as REVISION.  */
+static void
+membership_confirm (struct shard *s, int64_t revision)
+{
+  s->membership_stored = true;
+  s->membership_revision = revision;
+  s->release_recorded = s->release_recorded || s->membership_sent_stopping;
+  for (size_t i = 0; i < s->membership_sent_count; i++)
+    rr_dispatch_worker_mark_recorded (s->dispatch, &s->membership_sent[i]);
+  shard_schedule_planning (s);
+}
+
+/* Takes note of a record that was sent without an answer in time, once this
+   daemon has read it from the store.  */
+static void
+membership_check_stored (struct shard *s)
+{
+  const struct shard_record *record = s->record;
+  if (s->membership_stored || s->membership_sent_text == NULL
+      || record->membership_revision <= s->membership_revision
+      || record->stored_membership == NULL
+      || strcmp (record->stored_membership, s->membership_sent_text) != 0)
+    return;
+  log_event (LOG_LEVEL_INFO, "membership_write_found",
+             "shard=%s revision=%lld", record->name,
+             (long long)record->membership_revision);
+  membership_confirm (s, record->membership_revision);
+}
+
 static void
 on_membership_written (void *data, const struct store_result *r)
 {
@@ -68,13 +102,7 @@
                  r->reason == NULL ? "" : r->reason);
       return;
     }
-  s->membership_stored = true;
-  s->membership_revision = r->revision;
-  s->membership_hash = s->membership_hash_sent;
-  s->release_recorded = s->release_recorded || s->membership_sent_stopping;
-  for (size_t i = 0; i < s->membership_sent_count; i++)
-    rr_dispatch_worker_mark_recorded (s->dispatch, &s->membership_sent[i]);
-  shard_schedule_planning (s);
+  membership_confirm (s, r->revision);
 }
 
 /* Sends the record with the COUNT workers of WORKERS.  */
@@ -90,7 +118,8 @@
   struct membership_record m = { .ordinal = s->ordinal,
                                  .workers = s->membership_sent,
                                  .worker_count = count };
-  char *text = membership_record_encode (&m, entry_now ());
+  free (s->membership_sent_text);
+  s->membership_sent_text = membership_record_encode (&m, entry_now ());
   char key[KEY_SIZE];
   membership_key (s, key);
   if (s->membership_revision < s->record->membership_revision)
@@ -99,17 +128,17 @@
      which has the revision as its condition.  */
   struct store_condition conditions[] = { { s->owner_key, s->fencing_token },
                                           { key, s->membership_revision } };
-  struct store_write w = { .key = key, .value = text };
+  struct store_write w = { .key = key, .value = s->membership_sent_text };
   struct store_txn txn = { .conditions = conditions,
                            .condition_count = 2,
                            .writes = &w,
                            .write_count = 1 };
   s->membership_writing = true;
+  s->membership_stored = false;
   s->membership_sent_stopping = s->stopping;
   s->calls_in_flight++;
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS,
+  store_commit (s->entry->store, &txn, MEMBERSHIP_TIMEOUT_MS,
                 on_membership_written, s);
-  free (text);
 }
 
 /* Writes the membership record if it has changed: the workers that may receive
@@ -119,6 +148,7 @@
 void
 shard_write_membership (struct shard *s)
 {
+  membership_check_stored (s);
   if (s->membership_writing)
     return;
   static struct rr_recorded_worker workers[MEMBERSHIP_MAX];
@@ -130,7 +160,7 @@
       s->release_recorded = s->release_recorded || s->stopping;
       return;
     }
-  s->membership_hash_sent = hash;
+  s->membership_hash = hash;
   membership_send (s, workers, count);
 }
 
@@ -144,24 +174,6 @@
   return s->release_recorded;
 }
 
-/* Takes every worker that this daemon knows for one that a former owner may
-   have used.  */
-static void
-inherit_registered (struct shard *s)
-{
-  struct rr_handle h = { 0 };
-  const struct platform_worker *w;
-  while ((w = records_worker_next (s->entry->records, &h)) != NULL)
-    {
-      struct rr_recorded_worker r = { 0 };
-      snprintf (r.id, sizeof r.id, "%s", w->info.id);
-      rr_dispatch_inherit_worker (s->dispatch, &r);
-    }
-  /* Others may have been used as well: none of this name ever reports.  */
-  struct rr_recorded_worker unknown = { .id = "unknown" };
-  rr_dispatch_inherit_worker (s->dispatch, &unknown);
-}
-
 /* Tells the dispatcher which workers former owners may have used and until
    when their leases may hold, and reserves run numbers for this owner.  */
 void
@@ -174,6 +186,8 @@
   /* The store's revision rises with each owner, so it exceeds the number of
      former ones.  */
   int64_t former = valid ? m.ordinal : s->fencing_token;
+  if (former > OWNERS_MAX)
+    former = OWNERS_MAX;
   s->ordinal = former + 1;
   rr_dispatch_inherit (
       s->dispatch,
@@ -185,7 +199,9 @@
     {
       log_event (LOG_LEVEL_ERROR, "roster_unreadable", "shard=%s %s",
                  s->record->name, err.message);
-      inherit_registered (s);
+      /* Any worker may have been used.  None of this name ever reports.  */
+      const struct rr_recorded_worker any = { .id = "*" };
+      rr_dispatch_inherit_worker (s->dispatch, &any);
       return;
     }
   for (size_t i = 0; i < m.worker_count; i++)
