shard: one structure for the membership record that was sent

Names only: the seven fields of the record's write in a structure of their own, and rr_dispatch_record_workers for the function that prepares a record, since it also decides that silent workers get no lease from then on.

--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -103,6 +103,20 @@
   struct divided_record destination;
 };
 
+/* The membership record that this owner sent last.  */
+struct membership_write
+{
+  bool in_flight;
+  bool stored;         /* it certainly is, until another one is sent */
+  bool stopping;       /* it was sent while this owner was stopping */
+  bool release_stored; /* one that was is stored */
+  int64_t revision;    /* of the stored record, as last known */
+  uint64_t hash;       /* of WORKERS */
+  char *text;
+  struct rr_recorded_worker *workers;
+  size_t worker_count;
+};
+
 struct shard
 {
   struct entry *entry;
@@ -127,15 +141,7 @@
   bool transfer_unknown; /* an attempt without answer may take effect */
   struct division division;
   int64_t ordinal; /* number of earlier owners of the shard */
-  bool membership_writing;
-  bool membership_stored;        /* the record sent last is */
-  int64_t membership_revision;   /* last known */
-  uint64_t membership_hash;      /* of the workers that were sent last */
-  bool membership_sent_stopping; /* ... while this owner was stopping */
-  bool release_recorded;         /* such a record is stored */
-  char *membership_sent_text;
-  struct rr_recorded_worker *membership_sent;
-  size_t membership_sent_count;
+  struct membership_write membership;
   struct rr_time load_sent;
   struct rr_time statistics_sent; /* to other owners */
   bool load_writing;
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -240,7 +240,7 @@
 bool rr_dispatch_worker_droppable (const struct rr_dispatch *d,
                                    struct rr_handle h, struct rr_time now);
 void rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h);
-size_t rr_dispatch_needed_workers (struct rr_dispatch *d,
+size_t rr_dispatch_record_workers (struct rr_dispatch *d,
                                    struct rr_recorded_worker *workers,
                                    size_t max, struct rr_time now);
 
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -33,8 +33,8 @@
   rr_dispatch_free (s->dispatch);
   rr_table_free (s->connections);
   rr_key_index_free (s->connection_index);
-  free (s->membership_sent);
-  free (s->membership_sent_text);
+  free (s->membership.workers);
+  free (s->membership.text);
   free (s->published_pending);
   free (s->commands);
   shard_commit_clear (s);
--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -44,8 +44,8 @@
 {
   for (size_t i = 0; i < r->item_count; i++)
     if (strcmp (r->items[i].key, key) == 0
-        && r->items[i].revision > s->membership_revision)
-      s->membership_revision = r->items[i].revision;
+        && r->items[i].revision > s->membership.revision)
+      s->membership.revision = r->items[i].revision;
 }
 
 static void
@@ -58,11 +58,12 @@
 static void
 membership_confirm (struct shard *s, int64_t revision)
 {
-  s->membership_stored = true;
-  s->membership_revision = revision;
-  s->release_recorded = s->release_recorded || s->membership_sent_stopping;
-  for (size_t i = 0; i < s->membership_sent_count; i++)
-    rr_dispatch_worker_mark_recorded (s->dispatch, &s->membership_sent[i]);
+  s->membership.stored = true;
+  s->membership.revision = revision;
+  s->membership.release_stored
+      = s->membership.release_stored || s->membership.stopping;
+  for (size_t i = 0; i < s->membership.worker_count; i++)
+    rr_dispatch_worker_mark_recorded (s->dispatch, &s->membership.workers[i]);
   shard_schedule_planning (s);
 }
 
@@ -72,10 +73,10 @@
 membership_check_stored (struct shard *s)
 {
   const struct shard_record *record = s->record;
-  if (s->membership_stored || s->membership_sent_text == NULL
-      || record->membership_revision <= s->membership_revision
+  if (s->membership.stored || s->membership.text == NULL
+      || record->membership_revision <= s->membership.revision
       || record->stored_membership == NULL
-      || strcmp (record->stored_membership, s->membership_sent_text) != 0)
+      || strcmp (record->stored_membership, s->membership.text) != 0)
     return;
   log_event (LOG_LEVEL_INFO, "membership_write_found",
              "shard=%s revision=%lld", record->name,
@@ -87,7 +88,7 @@
 on_membership_written (void *data, const struct store_result *r)
 {
   struct shard *s = data;
-  s->membership_writing = false;
+  s->membership.in_flight = false;
   if (!shard_write_ended (s, r, "roster-rejected"))
     return;
   char key[KEY_SIZE];
@@ -110,32 +111,32 @@
 membership_send (struct shard *s, const struct rr_recorded_worker *workers,
                  size_t count)
 {
-  free (s->membership_sent);
-  s->membership_sent = calloc (count + 1, sizeof *workers);
-  assert (s->membership_sent != NULL);
-  memcpy (s->membership_sent, workers, count * sizeof *workers);
-  s->membership_sent_count = count;
+  free (s->membership.workers);
+  s->membership.workers = calloc (count + 1, sizeof *workers);
+  assert (s->membership.workers != NULL);
+  memcpy (s->membership.workers, workers, count * sizeof *workers);
+  s->membership.worker_count = count;
   struct membership_record m = { .ordinal = s->ordinal,
-                                 .workers = s->membership_sent,
+                                 .workers = s->membership.workers,
                                  .worker_count = count };
-  free (s->membership_sent_text);
-  s->membership_sent_text = membership_record_encode (&m, entry_now ());
+  free (s->membership.text);
+  s->membership.text = membership_record_encode (&m, entry_now ());
   char key[KEY_SIZE];
   membership_key (s, key);
-  if (s->membership_revision < s->record->membership_revision)
-    s->membership_revision = s->record->membership_revision;
+  if (s->membership.revision < s->record->membership_revision)
+    s->membership.revision = s->record->membership_revision;
   /* A write without an answer may still take effect; not after a later one,
      which has the revision as its condition.  */
   struct store_condition conditions[] = { { s->owner_key, s->fencing_token },
-                                          { key, s->membership_revision } };
-  struct store_write w = { .key = key, .value = s->membership_sent_text };
+                                          { key, s->membership.revision } };
+  struct store_write w = { .key = key, .value = s->membership.text };
   struct store_txn txn = { .conditions = conditions,
                            .condition_count = 2,
                            .writes = &w,
                            .write_count = 1 };
-  s->membership_writing = true;
-  s->membership_stored = false;
-  s->membership_sent_stopping = s->stopping;
+  s->membership.in_flight = true;
+  s->membership.stored = false;
+  s->membership.stopping = s->stopping;
   s->calls_in_flight++;
   store_commit (s->entry->store, &txn, MEMBERSHIP_TIMEOUT_MS,
                 on_membership_written, s);
@@ -149,18 +150,19 @@
 shard_write_membership (struct shard *s)
 {
   membership_check_stored (s);
-  if (s->membership_writing)
+  if (s->membership.in_flight)
     return;
   static struct rr_recorded_worker workers[MEMBERSHIP_MAX];
-  size_t count = rr_dispatch_needed_workers (s->dispatch, workers,
+  size_t count = rr_dispatch_record_workers (s->dispatch, workers,
                                              MEMBERSHIP_MAX, entry_now ());
   uint64_t hash = workers_hash (workers, count);
-  if (s->membership_stored && hash == s->membership_hash)
+  if (s->membership.stored && hash == s->membership.hash)
     {
-      s->release_recorded = s->release_recorded || s->stopping;
+      s->membership.release_stored
+          = s->membership.release_stored || s->stopping;
       return;
     }
-  s->membership_hash = hash;
+  s->membership.hash = hash;
   membership_send (s, workers, count);
 }
 
@@ -169,9 +171,9 @@
 bool
 shard_release_recorded (struct shard *s)
 {
-  if (!s->release_recorded)
+  if (!s->membership.release_stored)
     shard_write_membership (s);
-  return s->release_recorded;
+  return s->membership.release_stored;
 }
 
 /* Tells the dispatcher which workers former owners may have used and until
--- a/rosemaryrail/dispatch_leases.c
+++ b/rosemaryrail/dispatch_leases.c
@@ -27,10 +27,9 @@
 }
 
 /* Returns the lease end for the next command to worker H, on the worker's
-   clock, or 0 when that clock is not known or no lease may be granted: it is
-   not while the next owner may conclude from the membership record that none
-   was.  The
-   shard owner may act until VALID_UNTIL, so no lease ends later.  */
+   clock, or 0 when that clock is not known, the worker does not answer, or the
+   membership record may say that it gets no lease.  The shard owner may act
+   until VALID_UNTIL, so no lease ends later.  */
 int64_t
 rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
                           struct rr_time valid_until, struct rr_time now)
--- a/rosemaryrail/dispatch_membership.c
+++ b/rosemaryrail/dispatch_membership.c
@@ -8,9 +8,11 @@
 
 enum
 {
-  UNRESPONSIVE_MS = 2500, /* without a report: several polls have failed */
-  /* A silence of this length is recorded.  It ends with a write before the
-     worker gets a lease again, so shorter ones are not.  */
+  /* A worker without runs leaves the record this long after its last
+     report.  */
+  UNRESPONSIVE_MS = 2500,
+  /* The silence of a worker with runs is recorded after this long.  It gets no
+     lease before a second write withdraws that, so shorter ones are not.  */
   SILENCE_RECORD_MS = 1500
 };
 
@@ -64,7 +66,7 @@
    next: those that are silent get no lease from now on.  Returns the
    number.  */
 size_t
-rr_dispatch_needed_workers (struct rr_dispatch *d,
+rr_dispatch_record_workers (struct rr_dispatch *d,
                             struct rr_recorded_worker *workers, size_t max,
                             struct rr_time now)
 {
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -303,7 +303,7 @@
 static void
 record (bool answered)
 {
-  recorded_count = rr_dispatch_needed_workers (script.dispatch, recorded,
+  recorded_count = rr_dispatch_record_workers (script.dispatch, recorded,
                                                NEEDED_MAX, script.now);
   printf ("recorded:");
   for (size_t i = 0; i < recorded_count; i++)
@@ -552,7 +552,7 @@
   else if (strcmp (c, "needed") == 0)
     {
       struct rr_recorded_worker needed[NEEDED_MAX];
-      size_t n = rr_dispatch_needed_workers (script.dispatch, needed,
+      size_t n = rr_dispatch_record_workers (script.dispatch, needed,
                                              NEEDED_MAX, script.now);
       printf ("needed:");
       for (size_t i = 0; i < n; i++)
