--- a/tests/entry/test_documents.c
+++ b/tests/entry/test_documents.c
@@ -204,7 +204,7 @@
           { "memMb", "32768" },
           { "gpu", "2" },
           { "address", "\"10.0.0.9:8080\"" } };
-  const char *v[sizeof members / sizeof members[0]];
+  const char *v[sizeof members / sizeof members[0]] = { NULL };
   for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
     v[i] = strcmp (members[i][0], field) == 0 ? value : members[i][1];
   snprintf (out, size,
