--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -98,9 +98,7 @@
 change_add (const struct item *it, const char *value)
 {
   if (change_count % 1024 == 0)
-    changes = realloc (changes, (change_count + 1024) * sizeof *changes);
-  if (changes == NULL)
-    give_up ("no memory");
+    changes = grow (changes, (change_count + 1024) * sizeof *changes);
   struct change *c = &changes[change_count++];
   memset (c, 0, sizeof *c);
   memcpy (c->key, it->key, sizeof c->key);
@@ -117,9 +115,7 @@
   if (it == NULL)
     {
       if (item_count % 256 == 0)
-        items = realloc (items, (item_count + 256) * sizeof *items);
-      if (items == NULL)
-        give_up ("no memory");
+        items = grow (items, (item_count + 256) * sizeof *items);
       it = &items[item_count++];
       memset (it, 0, sizeof *it);
       snprintf (it->key, sizeof it->key, "%s", key);
@@ -139,8 +135,11 @@
   if (it == NULL)
     return;
   change_add (it, NULL);
-  free (it->value);
-  *it = items[--item_count];
+  char *value = it->value;
+  item_count--;
+  memmove (it, &items[item_count], sizeof *it);
+  items[item_count].value = NULL;
+  free (value);
 }
 
 void
@@ -274,9 +273,8 @@
       if (json_object_array_length (events) >= PAGE && c->revision != last)
         return last;
       last = c->revision;
-      json_object_array_add (
-          events,
-          item_json (c->key, c->value, c->revision, c->created, c->lease));
+      json_object_array_add (events, item_json (c->key, c->value, c->revision,
+                                                c->created, c->lease));
     }
   return revision;
 }
@@ -355,8 +353,7 @@
     }
   for (size_t i = 0; i < length_of (put); i++)
     {
-      int64_t id
-          = get_int (json_object_array_get_idx (put, i), "lease", 0);
+      int64_t id = get_int (json_object_array_get_idx (put, i), "lease", 0);
       leased = leased && (id == 0 || lease_find (id) != NULL);
     }
   struct json_object *r = json_object_new_object ();
@@ -373,8 +370,8 @@
                     get_int (p, "lease", 0));
         }
       for (size_t i = 0; i < length_of (removals); i++)
-        item_remove (json_object_get_string (
-            json_object_array_get_idx (removals, i)));
+        item_remove (
+            json_object_get_string (json_object_array_get_idx (removals, i)));
       json_object_object_add (r, "revision", json_object_new_int64 (revision));
       pthread_cond_broadcast (&changed);
     }
@@ -388,8 +385,7 @@
 static bool
 is_lost (const char *body)
 {
-  if (lose_key[0] == '\0' || now_ms () >= lose_until
-      || late_count == LATE_MAX)
+  if (lose_key[0] == '\0' || now_ms () >= lose_until || late_count == LATE_MAX)
     return false;
   struct json_object *o = json_tokener_parse (body);
   struct json_object *put = list_of (o, "put");
--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -4,16 +4,16 @@
 #include <string.h>
 
 /* Workers.  What a task does stands in its spec: "work=MS" at full speed,
-   "cpu=" in thousandths of a core, "lasts=1", and "fails=MS upto=N": runs up
-   to N fail after that time.  */
+   "cpu=" in thousandths of a core, "lasts=1", "fails=MS upto=N": runs up to N
+   fail after that time, and "saves=N": a checkpoint of N bytes each second. */
 
 enum
 {
   LISTED_MAX = 500, /* ends in an answer */
+  RACK = 2,         /* workers in a rack */
   STOP_MS = 50,
   CPU = 32000,
-  MEMORY_MB = 125000,
-  PERMIT_MS = 3000
+  MEMORY_MB = 125000
 };
 
 struct worker workers[WORKERS_MAX];
@@ -21,6 +21,7 @@
 struct run *runs;
 size_t run_count;
 bool tickets;
+int foreign_checkpoints;
 
 /* The highest run of a task that was stopped or has ended on a worker.  */
 struct seal
@@ -42,9 +43,7 @@
         && strcmp (seals[i].task, task) == 0)
       return &seals[i];
   if (seal_count % 1024 == 0)
-    seals = realloc (seals, (seal_count + 1024) * sizeof *seals);
-  if (seals == NULL)
-    give_up ("no memory");
+    seals = grow (seals, (seal_count + 1024) * sizeof *seals);
   struct seal *s = &seals[seal_count++];
   memset (s, 0, sizeof *s);
   s->worker = w->index;
@@ -124,9 +123,7 @@
 run_add (struct worker *w, const char *task, int64_t number, const char *spec)
 {
   if (run_count % 4096 == 0)
-    runs = realloc (runs, (run_count + 4096) * sizeof *runs);
-  if (runs == NULL)
-    give_up ("no memory");
+    runs = grow (runs, (run_count + 4096) * sizeof *runs);
   struct run *r = &runs[run_count++];
   memset (r, 0, sizeof *r);
   snprintf (r->task, sizeof r->task, "%s", task);
@@ -134,16 +131,75 @@
   r->worker = w->index;
   r->life = w->life;
   r->began = now_ms ();
-  r->work_ms
-      = spec_value (spec, "lasts=") != 0 ? INT64_MAX
-                                         : spec_value (spec, "work=");
+  r->work_ms = spec_value (spec, "lasts=") != 0 ? INT64_MAX
+                                                : spec_value (spec, "work=");
   r->cpu = spec_value (spec, "cpu=");
   r->token = w->token;
+  r->saves = (size_t)spec_value (spec, "saves=");
   if (number <= spec_value (spec, "upto="))
     r->fails_ms = spec_value (spec, "fails=");
   return r;
 }
 
+/* Writes the checkpoint number N of R, or nothing for number 0.  */
+static void
+checkpoint_text (const struct run *r, int64_t n, char *out, size_t size)
+{
+  int at = 0;
+  out[0] = '\0';
+  if (n == 0 || r->saves == 0)
+    return;
+  at = snprintf (out, size, "%016llx-%s-", (unsigned long long)n, r->task);
+  while (at > 0 && (size_t)at < r->saves && (size_t)at + 1 < size)
+    {
+      out[at] = (char)('a' + at % 26);
+      at++;
+    }
+  out[at] = '\0';
+}
+
+static int64_t
+checkpoint_number (const struct run *r)
+{
+  enum
+  {
+    CHECKPOINT_MS = 1000
+  };
+  return r->resumed
+         + ((r->ended == 0 ? now_ms () : r->ended) - r->began) / CHECKPOINT_MS;
+}
+
+/* Returns the number of CHECKPOINT if a run of TASK has saved it, else -1.  */
+static int64_t
+checkpoint_find (const char *task, const char *checkpoint)
+{
+  char text[512];
+  for (size_t i = 0; i < run_count; i++)
+    for (int64_t n = checkpoint_number (&runs[i]);
+         n > 0 && strcmp (runs[i].task, task) == 0; n--)
+      {
+        checkpoint_text (&runs[i], n, text, sizeof text);
+        if (strcmp (text, checkpoint) == 0)
+          return n;
+      }
+  return -1;
+}
+
+static void
+checkpoint_resume (struct run *r, const char *checkpoint)
+{
+  if (checkpoint[0] == '\0')
+    return;
+  int64_t n = checkpoint_find (r->task, checkpoint);
+  note ("run %lld of %s has %s checkpoint, of %zu bytes: %s",
+        (long long)r->number, r->task, n > 0 ? "the task's" : "a FOREIGN",
+        strlen (checkpoint), checkpoint);
+  if (n < 0)
+    foreign_checkpoints++;
+  else
+    r->resumed = n;
+}
+
 static void
 on_start (struct worker *w, struct json_object *o, struct answer *a)
 {
@@ -185,7 +241,8 @@
       answer_clock (w, a, 409, reason);
       return;
     }
-  run_add (w, task, number, spec);
+  struct run *r = run_add (w, task, number, spec);
+  checkpoint_resume (r, get_text (o, "checkpoint"));
   note ("%s: run %lld of %s starts (token %lld)", w->id, (long long)number,
         task, (long long)w->token);
   answer_clock (w, a, 200, "");
@@ -234,19 +291,28 @@
                         ? 99
                         : (now_ms () - r->began) * 100 / r->work_ms;
   json_object_array_add (row, json_object_new_string (r->task));
+  char saved[512];
+  checkpoint_text (r, checkpoint_number (r), saved, sizeof saved);
   json_object_array_add (row, json_object_new_int64 (r->number));
-  json_object_array_add (row, json_object_new_string (""));
+  json_object_array_add (row, json_object_new_string (saved));
   json_object_array_add (row, json_object_new_int64 (percent));
   json_object_array_add (row, json_object_new_int64 (r->cpu));
   json_object_array_add (rows, row);
 }
 
+/* An end in the list of a worker.  */
+struct listed
+{
+  int64_t number;
+  const struct run *run;
+};
+
 static int
-by_end (const void *a, const void *b)
+by_number (const void *a, const void *b)
 {
-  const struct run *x = *(const struct run *const *)a;
-  const struct run *y = *(const struct run *const *)b;
-  return (x->end_no > y->end_no) - (x->end_no < y->end_no);
+  const struct listed *x = a;
+  const struct listed *y = b;
+  return (x->number > y->number) - (x->number < y->number);
 }
 
 /* Returns the rows of the first LISTED_MAX ends that are not forgotten.  */
@@ -254,23 +320,26 @@
 ends_json (const struct worker *w)
 {
   struct json_object *rows = json_object_new_array ();
-  const struct run **found = calloc (run_count + 1, sizeof *found);
+  struct listed *found = calloc (run_count + 1, sizeof *found);
   if (found == NULL)
     give_up ("no memory");
   size_t n = 0;
   for (size_t i = 0; i < run_count; i++)
     if (runs[i].worker == w->index && runs[i].life == w->life
         && runs[i].end_no > 0 && !runs[i].forgotten)
-      found[n++] = &runs[i];
-  qsort (found, n, sizeof *found, by_end);
+      found[n++] = (struct listed){ runs[i].end_no, &runs[i] };
+  qsort (found, n, sizeof *found, by_number);
   for (size_t i = 0; i < n && i < LISTED_MAX; i++)
     {
+      const struct run *r = found[i].run;
       struct json_object *row = json_object_new_array ();
-      json_object_array_add (row, json_object_new_int64 (found[i]->end_no));
-      json_object_array_add (row, json_object_new_string (found[i]->task));
-      json_object_array_add (row, json_object_new_int64 (found[i]->number));
-      json_object_array_add (row, json_object_new_string (found[i]->how));
-      json_object_array_add (row, json_object_new_string (""));
+      char saved[512];
+      checkpoint_text (r, checkpoint_number (r), saved, sizeof saved);
+      json_object_array_add (row, json_object_new_int64 (r->end_no));
+      json_object_array_add (row, json_object_new_string (r->task));
+      json_object_array_add (row, json_object_new_int64 (r->number));
+      json_object_array_add (row, json_object_new_string (r->how));
+      json_object_array_add (row, json_object_new_string (saved));
       json_object_array_add (rows, row);
     }
   free (found);
@@ -351,7 +420,7 @@
             "\"gpu\":0},\"labels\":[\"a\",\"r%d-1\"],\"clockMs\":%lld,"
             "\"born\":%lld,\"sequence\":%lld}",
             address, w->server.port, w->index % 3 + 1, CPU, MEMORY_MB,
-            w->index % 3 + 1, (long long)clock_of (w), (long long)w->born,
+            w->index / RACK + 1, (long long)clock_of (w), (long long)w->born,
             (long long)++w->sequence);
   store_put (key, entry);
   w->beat_at = now_ms ();
@@ -423,7 +492,8 @@
         continue;
       if (w->up && now - w->beat_at >= BEAT_MS)
         beat (w);
-      if (!w->up && w->beat_at != 0 && now - w->beat_at >= 3 * BEAT_MS)
+      if (!w->up && w->beat_at != 0
+          && now - w->beat_at >= INT64_C (3) * BEAT_MS)
         {
           char key[TEXT + 16];
           snprintf (key, sizeof key, "servers/%s", w->id);
@@ -452,8 +522,7 @@
 {
   size_t n = 0;
   for (size_t i = 0; i < run_count; i++)
-    if (runs[i].ended == 0
-        && strncmp (runs[i].task, job, strlen (job)) == 0)
+    if (runs[i].ended == 0 && strncmp (runs[i].task, job, strlen (job)) == 0)
       n++;
   return n;
 }
@@ -479,8 +548,8 @@
       {
         const struct run *a = &runs[i];
         const struct run *b = &runs[k];
-        if (i == k || strcmp (a->task, b->task) != 0
-            || b->began < a->began || (b->began == a->began && k < i))
+        if (i == k || strcmp (a->task, b->task) != 0 || b->began < a->began
+            || (b->began == a->began && k < i))
           continue;
         bool together = b->began < end_or_now (a);
         bool after_done = a->ended != 0 && strcmp (a->how, "done") == 0
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
@@ -16,7 +17,9 @@
 {
   TICK_MS = 5,
   RESTART_MS = 500, /* until the platform starts a process again */
-  READY_MS = 20000
+  READY_MS = 20000,
+  LEAD_MS = 2000,   /* from then to the start of traffic */
+  LIMIT_MS = 115000 /* a case takes less */
 };
 
 pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -30,6 +33,7 @@
 
 static int64_t started_at;
 static volatile bool closing;
+static volatile sig_atomic_t ending; /* a signal has come */
 
 const char *const config_plain
     = "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"desk.example\","
@@ -73,8 +77,7 @@
 void
 sleep_ms (int64_t ms)
 {
-  struct timespec t
-      = { .tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000 };
+  struct timespec t = { .tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000 };
   while (nanosleep (&t, &t) != 0)
     continue;
 }
@@ -100,6 +103,21 @@
   _exit (2);
 }
 
+void *
+grow (void *list, size_t bytes)
+{
+  void *grown = realloc (list, bytes);
+  if (grown == NULL)
+    give_up ("no memory");
+  return grown;
+}
+
+static void
+on_end_signal (int number)
+{
+  ending = number;
+}
+
 static void *
 tick (void *data)
 {
@@ -107,6 +125,8 @@
   while (!closing)
     {
       pthread_mutex_lock (&lock);
+      if (ending != 0 || now_ms () - started_at > LIMIT_MS)
+        give_up (ending != 0 ? "it was told to end" : "it took too long");
       store_tick ();
       workers_tick ();
       daemons_tick ();
@@ -120,16 +140,16 @@
 void
 daemon_start (struct daemon_process *d)
 {
-  static char *const command[] = { "target/rosemaryentryd/rosemaryentryd",
-                                   NULL };
+  static char *const command[]
+      = { "target/rosemaryentryd/rosemaryentryd", NULL };
   char settings[256];
   char logs[256];
   char path[256];
-  const char *home = getenv ("PATH");
+  const char *programs = getenv ("PATH");
   snprintf (settings, sizeof settings, "ROSEMARYRAIL_SETTINGS=%s/%s.jsonc",
             folder, d->name);
   snprintf (logs, sizeof logs, "%s/%s.log", folder, d->name);
-  snprintf (path, sizeof path, "PATH=%s", home == NULL ? "" : home);
+  snprintf (path, sizeof path, "PATH=%s", programs == NULL ? "" : programs);
   char *environment[] = { settings, path, "LANG=C", NULL };
   d->restart_at = 0;
   d->stopped = false;
@@ -149,6 +169,8 @@
     }
   for (int i = 3; i < 4096; i++)
     close (i);
+  /* It ends with this process, whatever ends that.  */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
   execve (command[0], command, environment);
   _exit (127);
 }
@@ -210,7 +232,7 @@
   char latest[64] = "";
   for (int i = 0; i < daemon_count; i++)
     {
-      char path[256];
+      char path[1024];
       char line[2048];
       snprintf (path, sizeof path, "%s/%s.log", folder, daemons[i].name);
       FILE *f = fopen (path, "r");
@@ -231,7 +253,7 @@
 write_settings (int i)
 {
   struct daemon_process *d = &daemons[i];
-  char path[256];
+  char path[1024];
   snprintf (path, sizeof path, "%s/%s.jsonc", folder, d->name);
   FILE *f = fopen (path, "w");
   if (f == NULL)
@@ -298,6 +320,8 @@
   pthread_condattr_setclock (&steady, CLOCK_MONOTONIC);
   pthread_cond_init (&changed, &steady);
   started_at = now_ms ();
+  signal (SIGTERM, on_end_signal);
+  signal (SIGINT, on_end_signal);
   int p = (int)getpid ();
   snprintf (address, sizeof address, "127.%d.%d.%d", 64 + (p >> 16 & 63),
             p >> 8 & 255, p & 255);
@@ -320,6 +344,7 @@
         give_up ("the daemons are not ready");
       sleep_ms (100);
     }
+  sleep_ms (LEAD_MS);
   note ("%d daemons and %d workers are ready", daemon_total, worker_total);
 }
 
@@ -339,7 +364,7 @@
     return;
   for (int i = 0; i < daemon_count; i++)
     {
-      char path[256];
+      char path[1024];
       snprintf (path, sizeof path, "%s/%s.log", folder, daemons[i].name);
       unlink (path);
       snprintf (path, sizeof path, "%s/%s.jsonc", folder, daemons[i].name);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -34,6 +34,7 @@
 void sleep_ms (int64_t ms); /* without LOCK */
 void wait_ms (int64_t ms);  /* with LOCK, until a change or MS have passed */
 void give_up (const char *why) __attribute__ ((noreturn)); /* exit status 2 */
+void *grow (void *list, size_t bytes);
 
 /* A request that a stand-in received.  */
 struct request
@@ -113,6 +114,8 @@
   int64_t cpu;
   int64_t stop_at; /* 0: no stop */
   int64_t token;
+  size_t saves;    /* length of its checkpoints; 0: it has none */
+  int64_t resumed; /* number of the checkpoint that it began with */
 };
 
 struct worker
@@ -145,11 +148,12 @@
 void worker_return (struct worker *w);
 size_t runs_of (const char *job); /* at work now */
 int rule_twice (void);            /* violations */
+extern int foreign_checkpoints;   /* starts with one that no run has saved */
 
 struct daemon_process
 {
-  char name[TEXT];
-  char zone[TEXT];
+  char name[32];
+  char zone[32];
   int front;
   int ready;
   int metrics;
