--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review
 # shellcheck disable=SC2046
 gcc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -pthread \
-  $(pkg-config --cflags json-c) review/standin/*.c \
+  $(pkg-config --cflags json-c) review/*.c \
   -o target/review/standin $(pkg-config --libs json-c)
