entryd: a job with an empty spec no longer ends its owners

Cause: an empty text was left out of the stored job, the reader left the spec null where it was missing, and a start took its length. Ruled out: the worker's side and the caller's body (the job is accepted and stored whole).

Class: what is written and what is read back agree only for usual values.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -10,6 +10,7 @@
 #include "rosemaryrail/job_graph.h"
 #include "rosemaryrail/progress.h"
 #include "rosemaryrail/table.h"
+#include "rosemaryrail/text.h"
 
 /* The scheduler of one shard, with the workers and jobs that belong to it.  It
    performs no I/O: the shard owner passes in reports from workers and stored
@@ -109,7 +110,7 @@
   struct rr_handle worker;
   const char *worker_id;
   struct rr_run_name name;
-  const char *spec;         /* of a start */
+  struct rr_text *spec;     /* of a start */
   const char *checkpoint;   /* of a start; empty: none */
   const char *permit_token; /* of a start; empty: none needed */
   int32_t percent;          /* of a throttle: speed */
--- a/include/rosemaryrail/job_graph.h
+++ b/include/rosemaryrail/job_graph.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "rosemaryrail/error.h"
+#include "rosemaryrail/text.h"
 
 enum
 {
@@ -58,7 +59,7 @@
   char service[RR_JOB_NAME_SIZE]; /* of the queue, on acceptance */
   int32_t attempts_max;           /* likewise; 0: not known */
   char shard[RR_JOB_NAME_SIZE];
-  char *spec; /* passed to every task */
+  struct rr_text *spec; /* passed to every task */
   struct rr_job_graph_step *steps;
   size_t step_count;
   int32_t occurrence_count; /* at least 1 */
--- a/include/standins/taskworker.h
+++ b/include/standins/taskworker.h
@@ -18,7 +18,8 @@
 bool taskruns_fence (int64_t token);
 int64_t taskrun_present (const char *task);
 bool taskrun_is_sealed (const char *task, int64_t run);
-void taskrun_start (const char *task, int64_t run, const char *spec);
+void taskrun_start (const char *task, int64_t run, const char *spec,
+                    int length);
 void taskrun_stop (const char *task, int64_t run);
 void taskrun_pace (const char *task, int64_t run, int64_t percent);
 void taskruns_toggle_peak (void);
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -40,7 +40,6 @@
 struct queued_command
 {
   struct rr_command command;
-  char *spec;
   char checkpoint[RR_CHECKPOINT_SIZE];
   char permit_token[RR_PERMIT_TOKEN_SIZE];
   struct worker_connection *connection;
@@ -273,7 +272,7 @@
 queued_command_free (struct queued_command *q)
 {
   command_window_remove (q->connection->owner.window, q->bytes);
-  free (q->spec);
+  rr_text_unref (q->command.spec);
   free (q);
 }
 
@@ -373,11 +372,9 @@
   q->command.worker_id = c->id;
   q->connection = c;
   q->queued = entry_now ();
-  if (command->spec != NULL)
-    q->spec = strdup (command->spec);
-  q->bytes = COMMAND_BYTES + (q->spec == NULL ? 0 : (int64_t)strlen (q->spec));
+  rr_text_ref (q->command.spec);
+  q->bytes = COMMAND_BYTES + (int64_t)rr_text_length (q->command.spec);
   command_window_add (c->owner.window, q->bytes);
-  q->command.spec = q->spec;
   if (command->checkpoint != NULL)
     snprintf (q->checkpoint, sizeof q->checkpoint, "%s", command->checkpoint);
   q->command.checkpoint = q->checkpoint;
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -286,7 +286,8 @@
                                 .checkpoint = t->checkpoint,
                                 .permit_token = token == NULL ? "" : token,
                                 .reason = "in-turn" };
-  d->start_bytes_left -= START_BYTES + (int64_t)strlen (j->graph->spec);
+  d->start_bytes_left
+      -= START_BYTES + (int64_t)rr_text_length (j->graph->spec);
   d->o.send_command (d->o.data, &command);
 }
 
--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -110,6 +110,8 @@
 {
   const char *task = json_string_or (body, "task", "");
   const char *spec = json_string_or (body, "spec", "");
+  struct json_object *text = NULL;
+  json_object_object_get_ex (body, "spec", &text);
   int64_t run = json_int_or (body, "run", 0);
   int64_t deadline = json_int_or (body, "deadlineMs", 0);
   int64_t present = taskrun_present (task);
@@ -129,7 +131,7 @@
       return;
     }
   extend_lease (deadline);
-  taskrun_start (task, run, spec);
+  taskrun_start (task, run, spec, json_object_get_string_len (text));
   respond_clock (x);
 }
 
--- a/standins/taskworker_runs.c
+++ b/standins/taskworker_runs.c
@@ -141,9 +141,9 @@
   return p == NULL ? 0 : strtol (p + strlen (name), NULL, 10);
 }
 
-/* Starts RUN of TASK, which does what SPEC says.  */
+/* Starts RUN of TASK, which does what SPEC, of LENGTH bytes, says.  */
 void
-taskrun_start (const char *task, int64_t run, const char *spec)
+taskrun_start (const char *task, int64_t run, const char *spec, int length)
 {
   struct run *r = tool_alloc (sizeof *r);
   memset (r, 0, sizeof *r);
@@ -158,6 +158,9 @@
   r->percent = 100;
   r->fails = rand () % 100 < spec_value (spec, "fail=");
   LIST_INSERT_HEAD (&runs, r, link);
+  char size[16];
+  snprintf (size, sizeof size, "%d", length);
+  taskruns_log ("spec", task, run, size);
   taskruns_log ("start", task, run, "");
 }
 
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -24,6 +24,7 @@
                               with the flags after, long_running,
                               best_effort, checkpoint, gang, spread,
                               image=NAME, target=MS and estimate=MS
+     spec [TEXT]              sets the spec of the next jobs
      cancel ID                cancels the job
      end ID STEP.TASK HOW     ends the task's run on its worker
      measure ID STEP.TASK N   sets the measurement in its worker's reports:
@@ -107,6 +108,7 @@
 static size_t recorded_count;
 static struct rr_dispatch_statistics statistics[RR_CLASSES_MAX];
 static size_t statistics_count;
+static char spec[64] = "spec"; /* of the next jobs */
 static char empty_word[] = ""; /* stands for missing words */
 
 static void
@@ -221,7 +223,7 @@
   for (size_t i = 0; i < queue_count; i++)
     if (strcmp (queues[i].queue, g->queue) == 0)
       g->attempts_max = queues[i].attempts_max;
-  g->spec = strdup ("spec");
+  g->spec = rr_text_new (spec, strlen (spec));
   g->accepted_ms = script.now.ms;
   for (size_t i = 0; i < g->step_count; i++)
     {
@@ -527,6 +529,8 @@
     fake_worker_add (word);
   else if (strcmp (c, "job") == 0)
     job_add (word, words);
+  else if (strcmp (c, "spec") == 0)
+    snprintf (spec, sizeof spec, "%s", word[1]);
   else if (strcmp (c, "cancel") == 0)
     {
       for (size_t i = 0; i < job_count; i++)
--- a/tests/entry/test_documents.c
+++ b/tests/entry/test_documents.c
@@ -27,7 +27,7 @@
       "\"targetMs\":18,\"mayMiss\":1}]}",
       &err);
   ck_assert_ptr_nonnull (g);
-  ck_assert_str_eq (g->spec, "text");
+  ck_assert_str_eq (rr_text_bytes (g->spec), "text");
   ck_assert_int_eq (g->occurrence_count, 3);
   ck_assert_int_eq (g->interval_ms, 50);
   ck_assert_int_eq (g->steps[0].task_count, 4);
--- a/tests/state/test_job_summary.c
+++ b/tests/state/test_job_summary.c
@@ -37,7 +37,8 @@
 {
   struct rr_job_graph *g = rr_job_graph_new (1);
   snprintf (g->id, sizeof g->id, "5c0e7a21d94b36f8");
-  g->spec = strdup ("{\"ended\":\"completed\"}");
+  static const char spec[] = "{\"ended\":\"completed\"}";
+  g->spec = rr_text_new (spec, sizeof spec - 1);
   char *text = rr_job_graph_encode (g);
   ck_assert (!decode (text));
   free (text);
