dispatch: checkpoints and permit tokens of any length pass whole

Both are struct rr_text now; the rows of stored progress use the table of stored_fields, which reads rows of earlier versions. Commands retain their texts while they wait, in place of pointers into the dispatcher and copies in buffers.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -58,7 +58,7 @@
 struct rr_run_status
 {
   struct rr_run_name name;
-  char checkpoint[RR_CHECKPOINT_SIZE];
+  struct rr_text *checkpoint;
   int32_t percent;
   int64_t measurement; /* tail latency in ms if latency-critical, else cores
                           used, in thousandths */
@@ -80,7 +80,7 @@
   int64_t number; /* increases within an incarnation */
   struct rr_run_name name;
   enum rr_end_kind kind;
-  char checkpoint[RR_CHECKPOINT_SIZE];
+  struct rr_text *checkpoint;
 };
 
 /* A worker's status report, as of CLOCK_MS on its own clock.  */
@@ -103,17 +103,18 @@
   RR_COMMAND_THROTTLE
 };
 
-/* A command to a worker.  Valid during the callback.  */
+/* A command to a worker.  Valid during the callback, unless the receiver
+   retains it.  */
 struct rr_command
 {
   enum rr_command_kind kind;
   struct rr_handle worker;
   const char *worker_id;
   struct rr_run_name name;
-  struct rr_text *spec;     /* of a start */
-  const char *checkpoint;   /* of a start; empty: none */
-  const char *permit_token; /* of a start; empty: none needed */
-  int32_t percent;          /* of a throttle: speed */
+  struct rr_text *spec;         /* of a start */
+  struct rr_text *checkpoint;   /* of a start; empty: none */
+  struct rr_text *permit_token; /* of a start; empty: none needed */
+  int32_t percent;              /* of a throttle: speed */
   const char *reason;
 };
 
@@ -132,6 +133,8 @@
   RR_OUTCOME_UNKNOWN         /* may take effect, now or later */
 };
 
+void rr_command_retain (const struct rr_command *c);
+void rr_command_release (const struct rr_command *c);
 const char *rr_command_kind_name (enum rr_command_kind kind);
 const char *rr_command_outcome_name (enum rr_command_outcome outcome);
 
@@ -149,7 +152,6 @@
 
 enum
 {
-  RR_PERMIT_TOKEN_SIZE = 64,
   RR_PERMIT_WORKERS_MAX = 100 /* in one request */
 };
 
@@ -166,7 +168,7 @@
 struct rr_permit
 {
   char worker[RR_JOB_NAME_SIZE];
-  char permit_token[RR_PERMIT_TOKEN_SIZE];
+  struct rr_text *permit_token;
 };
 
 /* A worker in the membership record of a shard: tasks may be started on it, or
--- a/include/rosemaryrail/job_graph.h
+++ b/include/rosemaryrail/job_graph.h
@@ -11,7 +11,6 @@
 enum
 {
   RR_JOB_NAME_SIZE = 64,
-  RR_CHECKPOINT_SIZE = 64,
   RR_JOB_GRAPH_TASKS_MAX = 20000 /* of one job, in all occurrences */
 };
 
--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -28,7 +28,7 @@
   uint32_t failures;
   uint32_t crashes; /* of workers in a row, soon after they started it */
   bool done;
-  char checkpoint[RR_CHECKPOINT_SIZE];
+  struct rr_text *checkpoint;
   uint32_t checkpoint_run; /* that saved it; 0: unknown */
 };
 
--- a/include/rosemaryrail/stored_fields.h
+++ b/include/rosemaryrail/stored_fields.h
@@ -41,5 +41,6 @@
 bool rr_stored_row_read (struct json_object *row,
                          const struct rr_stored_field *fields, size_t count,
                          void *base, struct rr_error *err);
+char *rr_stored_finish (struct json_object *o);
 
 #endif
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -112,6 +112,7 @@
           = realloc (s->commands, s->command_capacity * sizeof *s->commands);
       assert (s->commands != NULL);
     }
+  rr_command_retain (command);
   s->commands[s->command_count++] = *command;
 }
 
@@ -198,6 +199,8 @@
             s->dispatch, s->commands[i].worker, s->commands[i].kind,
             &s->commands[i].name, RR_OUTCOME_NOT_SENT, 0, entry_now ());
     }
+  for (size_t i = 0; i < n; i++)
+    rr_command_release (&s->commands[i]);
   s->command_count = 0;
 }
 
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -36,12 +36,10 @@
   COMMAND_WAIT_REPORT_MS = 400 /* a longer wait in the queue is logged */
 };
 
-/* A command with copies of what it points to.  */
+/* A command, whose texts are retained.  */
 struct queued_command
 {
   struct rr_command command;
-  char checkpoint[RR_CHECKPOINT_SIZE];
-  char permit_token[RR_PERMIT_TOKEN_SIZE];
   struct worker_connection *connection;
   struct rr_time queued;
   int64_t bytes; /* counted in the command window */
@@ -272,7 +270,7 @@
 queued_command_free (struct queued_command *q)
 {
   command_window_remove (q->connection->owner.window, q->bytes);
-  rr_text_unref (q->command.spec);
+  rr_command_release (&q->command);
   free (q);
 }
 
@@ -372,16 +370,9 @@
   q->command.worker_id = c->id;
   q->connection = c;
   q->queued = entry_now ();
-  rr_text_ref (q->command.spec);
+  rr_command_retain (command);
   q->bytes = COMMAND_BYTES + (int64_t)rr_text_length (q->command.spec);
   command_window_add (c->owner.window, q->bytes);
-  if (command->checkpoint != NULL)
-    snprintf (q->checkpoint, sizeof q->checkpoint, "%s", command->checkpoint);
-  q->command.checkpoint = q->checkpoint;
-  if (command->permit_token != NULL)
-    snprintf (q->permit_token, sizeof q->permit_token, "%s",
-              command->permit_token);
-  q->command.permit_token = q->permit_token;
   *c->queue_tail = q;
   c->queue_tail = &q->next;
   send_commands (c);
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -48,6 +48,8 @@
 dispatch_job_release (struct dispatch_job *j)
 {
   dispatch_permits_free (j);
+  for (size_t i = 0; i < j->task_count; i++)
+    rr_text_unref (j->tasks[i].checkpoint);
   rr_job_graph_free (j->graph);
   free (j->tasks);
   free (j->steps);
@@ -66,10 +68,7 @@
   struct rr_handle hw = { 0 };
   struct dispatch_worker *w;
   while ((w = rr_table_next (d->workers, &hw)) != NULL)
-    {
-      free (w->runs);
-      free (w->ends);
-    }
+    dispatch_worker_release (w);
   rr_table_free (d->jobs);
   rr_key_index_free (d->job_ids);
   rr_table_free (d->workers);
@@ -246,7 +245,7 @@
   t->next_run = row->run + 1;
   t->failures = row->failures;
   t->crashes = row->crashes;
-  memcpy (t->checkpoint, row->checkpoint, sizeof t->checkpoint);
+  rr_text_assign (&t->checkpoint, row->checkpoint);
   t->checkpoint_run = row->checkpoint_run;
   if (row->done)
     dispatch_task_set (j, row->number, TASK_DONE);
--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -9,6 +9,24 @@
   STOP_RETRY_MS = 400
 };
 
+/* Takes references to the texts of C, which then outlive the callback.  */
+void
+rr_command_retain (const struct rr_command *c)
+{
+  rr_text_ref (c->spec);
+  rr_text_ref (c->checkpoint);
+  rr_text_ref (c->permit_token);
+}
+
+/* Drops the references that rr_command_retain has taken.  */
+void
+rr_command_release (const struct rr_command *c)
+{
+  rr_text_unref (c->spec);
+  rr_text_unref (c->checkpoint);
+  rr_text_unref (c->permit_token);
+}
+
 /* Returns the name of KIND in logs.  */
 const char *
 rr_command_kind_name (enum rr_command_kind kind)
--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -1,8 +1,5 @@
 #include "dispatch_private.h"
 
-#include <stdio.h>
-#include <string.h>
-
 /* What the ends of runs mean for their tasks.  */
 
 enum
@@ -75,11 +72,11 @@
    run has saved one: that run started after it and may have done more.  */
 void
 dispatch_checkpoint_keep (struct dispatch_task *t, uint32_t run,
-                          const char *checkpoint)
+                          struct rr_text *checkpoint)
 {
-  if (checkpoint[0] == '\0' || run < t->checkpoint_run)
+  if (rr_text_length (checkpoint) == 0 || run < t->checkpoint_run)
     return;
-  snprintf (t->checkpoint, sizeof t->checkpoint, "%s", checkpoint);
+  rr_text_assign (&t->checkpoint, checkpoint);
   t->checkpoint_run = run;
 }
 
--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -20,11 +20,11 @@
   TOKEN_MARGIN_MS = 150
 };
 
-/* Returns W's permit token for the step of NAME, or null when it has no valid
+/* Returns W's permit for the step of NAME, or null when it has no valid
    one.  */
-const char *
-dispatch_permit_token (struct dispatch_job *j, const struct rr_run_name *name,
-                       const struct dispatch_worker *w, struct rr_time now)
+const struct dispatch_permit *
+dispatch_permit_find (struct dispatch_job *j, const struct rr_run_name *name,
+                      const struct dispatch_worker *w, struct rr_time now)
 {
   const struct dispatch_step *s = dispatch_step_of (j, name);
   struct rr_time needed = rr_time_add (now, TOKEN_MARGIN_MS);
@@ -34,7 +34,7 @@
       if (rr_handle_equal (p->worker, w->handle)
           && p->started_ms == w->info.started_ms
           && rr_time_before (needed, p->expires))
-        return p->token;
+        return p;
     }
   return NULL;
 }
@@ -48,6 +48,7 @@
   for (size_t i = 0; i < s->permit_count; i++)
     if (rr_handle_equal (s->permits[i].worker, w->handle))
       {
+        rr_text_unref (s->permits[i].token);
         s->permits[i] = s->permits[--s->permit_count];
         return;
       }
@@ -59,7 +60,11 @@
 {
   size_t n = j->graph->step_count * (size_t)j->graph->occurrence_count;
   for (size_t i = 0; i < n; i++)
-    free (j->steps[i].permits);
+    {
+      for (size_t k = 0; k < j->steps[i].permit_count; k++)
+        rr_text_unref (j->steps[i].permits[k].token);
+      free (j->steps[i].permits);
+    }
 }
 
 /* Requests permits for the step of NAME.  Each request continues after the
@@ -87,7 +92,7 @@
           || !w->registered || w->info.draining || !w->reported
           || w->free_memory_mb < step->memory_mb
           || (!step->best_effort && w->free_cores_milli < step->cores_milli)
-          || dispatch_permit_token (j, name, w, now) != NULL)
+          || dispatch_permit_find (j, name, w, now) != NULL)
         continue;
       request.workers[request.worker_count++] = w->info.id;
       s->permit_cursor = position + 1;
@@ -123,11 +128,12 @@
           = realloc (s->permits, (s->permit_count + 1) * sizeof *s->permits);
       assert (s->permits != NULL);
       p = &s->permits[s->permit_count++];
+      p->token = NULL;
     }
-  *p = (struct dispatch_permit){ .worker = h,
-                                 .started_ms = w->info.started_ms,
-                                 .expires = expires };
-  snprintf (p->token, sizeof p->token, "%s", permit->permit_token);
+  p->worker = h;
+  p->started_ms = w->info.started_ms;
+  p->expires = expires;
+  rr_text_assign (&p->token, permit->permit_token);
 }
 
 void
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -118,7 +118,7 @@
   if (c->rack != NULL && !rr_worker_has_label (&w->info, c->rack))
     return false;
   if (c->needs_permits
-      && dispatch_permit_token (c->job, c->name, w, now) == NULL)
+      && dispatch_permit_find (c->job, c->name, w, now) == NULL)
     return false;
   return s->per_worker_max == 0
          || step_run_count (w, c->job, c->name) < s->per_worker_max;
@@ -276,16 +276,18 @@
   struct dispatch_worker *w = dispatch_worker_get (d, t->worker);
   t->next_run = name->run + 1;
   struct dispatch_run *r = dispatch_run_find (w, name);
-  memcpy (r->start_checkpoint, t->checkpoint, sizeof r->start_checkpoint);
-  const char *token = dispatch_permit_token (j, name, w, now);
-  struct rr_command command = { .kind = RR_COMMAND_START,
-                                .worker = t->worker,
-                                .worker_id = w->info.id,
-                                .name = *name,
-                                .spec = j->graph->spec,
-                                .checkpoint = t->checkpoint,
-                                .permit_token = token == NULL ? "" : token,
-                                .reason = "in-turn" };
+  rr_text_assign (&r->start_checkpoint, t->checkpoint);
+  const struct dispatch_permit *permit
+      = dispatch_permit_find (j, name, w, now);
+  struct rr_command command
+      = { .kind = RR_COMMAND_START,
+          .worker = t->worker,
+          .worker_id = w->info.id,
+          .name = *name,
+          .spec = j->graph->spec,
+          .checkpoint = t->checkpoint,
+          .permit_token = permit == NULL ? NULL : permit->token,
+          .reason = "in-turn" };
   d->start_bytes_left
       -= START_BYTES + (int64_t)rr_text_length (j->graph->spec);
   d->o.send_command (d->o.data, &command);
@@ -398,7 +400,7 @@
 {
   if (t->checkpoint_run != other->checkpoint_run)
     return t->checkpoint_run > other->checkpoint_run;
-  return strcmp (t->checkpoint, other->checkpoint) > 0;
+  return rr_text_compare (t->checkpoint, other->checkpoint) > 0;
 }
 
 /* Starts all members of a gang with one run number, or none of them.  A
@@ -426,16 +428,16 @@
   bool placed = s->same_rack && reserve_gang_in_one_rack (d, j, name, now);
   if (!placed && !reserve_gang (d, j, name, NULL, now))
     return false;
-  char common[RR_CHECKPOINT_SIZE];
-  memcpy (common, latest->checkpoint, sizeof common);
+  struct rr_text *common = rr_text_ref (latest->checkpoint);
   uint32_t common_run = latest->checkpoint_run;
   for (name->task = 0; name->task < s->task_count; name->task++)
     {
       uint32_t number = first + (uint32_t)name->task;
-      memcpy (j->tasks[number].checkpoint, common, sizeof common);
+      rr_text_assign (&j->tasks[number].checkpoint, common);
       j->tasks[number].checkpoint_run = common_run;
       command_start (d, j, number, name, now);
     }
+  rr_text_unref (common);
   dispatch_log_decision (
       d, "start_gang", "job=%s step=%d.%d run=%u members=%d", name->job,
       name->occurrence, name->step, name->run, s->task_count);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -29,7 +29,7 @@
   struct rr_handle worker;        /* while placed */
   struct rr_handle failed_worker; /* where its last run failed; avoided */
   struct rr_time not_before;      /* of the next start */
-  char checkpoint[RR_CHECKPOINT_SIZE];
+  struct rr_text *checkpoint;
   uint32_t checkpoint_run; /* that saved it; 0: unknown */
 };
 
@@ -38,7 +38,7 @@
 {
   struct rr_handle worker;
   int64_t started_ms; /* incarnation for which the permit is valid */
-  char token[RR_PERMIT_TOKEN_SIZE];
+  struct rr_text *token;
   struct rr_time expires;
 };
 
@@ -95,7 +95,7 @@
   uint32_t number;      /* of the task in its job */
   /* Reported as its checkpoint until it saves its own; empty: none, or
      unknown.  */
-  char start_checkpoint[RR_CHECKPOINT_SIZE];
+  struct rr_text *start_checkpoint;
   enum run_phase phase;
   bool queued;   /* its start has not left this daemon yet */
   bool reported; /* by the worker's present incarnation */
@@ -323,7 +323,7 @@
                                         const struct rr_run_name *name);
 bool dispatch_run_end_recorded (const struct dispatch_task *t, uint32_t run);
 void dispatch_checkpoint_keep (struct dispatch_task *t, uint32_t run,
-                               const char *checkpoint);
+                               struct rr_text *checkpoint);
 void dispatch_task_set (struct dispatch_job *j, uint32_t number,
                         enum task_state state);
 void dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
@@ -362,13 +362,13 @@
                                        struct rr_time now);
 void dispatch_run_remove (struct rr_dispatch *d, struct dispatch_worker *w,
                           struct dispatch_run *r);
+void dispatch_worker_release (struct dispatch_worker *w);
 void dispatch_run_stop (struct dispatch_run *r, const char *reason);
 void dispatch_expire (struct rr_dispatch *d, struct dispatch_worker *w,
                       struct rr_time confirmed, struct rr_time now);
-const char *dispatch_permit_token (struct dispatch_job *j,
-                                   const struct rr_run_name *name,
-                                   const struct dispatch_worker *w,
-                                   struct rr_time now);
+const struct dispatch_permit *
+dispatch_permit_find (struct dispatch_job *j, const struct rr_run_name *name,
+                      const struct dispatch_worker *w, struct rr_time now);
 void dispatch_permit_request (struct rr_dispatch *d, struct dispatch_job *j,
                               const struct rr_run_name *name,
                               struct rr_time now);
--- a/rosemaryrail/dispatch_progress.c
+++ b/rosemaryrail/dispatch_progress.c
@@ -71,7 +71,7 @@
   r->done = t->state == TASK_DONE;
   if (r->done)
     return;
-  memcpy (r->checkpoint, t->checkpoint, sizeof r->checkpoint);
+  r->checkpoint = t->checkpoint;
   r->checkpoint_run = t->checkpoint_run;
 }
 
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -57,8 +57,8 @@
   struct dispatch_run *r = dispatch_run_find (w, &end->name);
   if (r != NULL)
     {
-      if (strcmp (own.checkpoint, r->start_checkpoint) == 0)
-        own.checkpoint[0] = '\0';
+      if (rr_text_equal (own.checkpoint, r->start_checkpoint))
+        own.checkpoint = NULL;
       dispatch_run_remove (d, w, r);
     }
   struct dispatch_job *j = dispatch_job_find (d, end->name.job);
@@ -218,7 +218,7 @@
   struct dispatch_job *j = dispatch_job_get (d, r->job);
   if (j != NULL && j->tasks[r->number].state == TASK_PLACED
       && j->tasks[r->number].current_run == r->name.run
-      && strcmp (status->checkpoint, r->start_checkpoint) != 0)
+      && !rr_text_equal (status->checkpoint, r->start_checkpoint))
     dispatch_checkpoint_keep (&j->tasks[r->number], r->name.run,
                               status->checkpoint);
 }
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -94,9 +94,20 @@
   struct dispatch_job *j = dispatch_job_get (d, r->job);
   if (j != NULL)
     j->run_count--;
+  rr_text_unref (r->start_checkpoint);
   *r = w->runs[--w->run_count];
 }
 
+/* Frees the memory that W owns, but not its row in the table.  */
+void
+dispatch_worker_release (struct dispatch_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    rr_text_unref (w->runs[i].start_checkpoint);
+  free (w->runs);
+  free (w->ends);
+}
+
 /* Requests a stop of R, which also prevents a start that arrives later.  */
 void
 dispatch_run_stop (struct dispatch_run *r, const char *reason)
@@ -263,8 +274,7 @@
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   assert (w != NULL && w->run_count == 0);
   rr_key_index_remove (d->worker_ids, w->info.id);
-  free (w->runs);
-  free (w->ends);
+  dispatch_worker_release (w);
   rr_table_remove (d->workers, h);
 }
 
--- a/rosemaryrail/job_graph_codec.c
+++ b/rosemaryrail/job_graph_codec.c
@@ -168,11 +168,7 @@
   json_object_object_add (o, "steps", steps);
   if (g->divided)
     json_object_object_add (o, "share", encode_share (g));
-  char *text
-      = strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
-  assert (text != NULL);
-  json_object_put (o);
-  return text;
+  return rr_stored_finish (o);
 }
 
 static bool
--- a/rosemaryrail/job_summary.c
+++ b/rosemaryrail/job_summary.c
@@ -1,11 +1,11 @@
 #include "rosemaryrail/job_summary.h"
 
-#include <assert.h>
 #include <json-c/json.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "rosemaryrail/stored_fields.h"
+
 /* The first field of a summary, by which it is told from a job graph without
    parsing either.  */
 static const char first_field[] = "{\"ended\":";
@@ -22,11 +22,7 @@
   json_object_object_add (o, "shard", json_object_new_string (s->shard));
   json_object_object_add (o, "accepted",
                           json_object_new_int64 (s->accepted_ms));
-  char *text
-      = strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
-  assert (text != NULL);
-  json_object_put (o);
-  return text;
+  return rr_stored_finish (o);
 }
 
 static bool
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -2,10 +2,11 @@
 
 #include <assert.h>
 #include <json-c/json.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "rosemaryrail/stored_fields.h"
+
 static const char *const phase_names[]
     = { "queued", "active", "completed", "failed", "cancelled" };
 
@@ -24,6 +25,24 @@
          || phase == RR_PHASE_CANCELLED;
 }
 
+#define ROW(member) offsetof (struct rr_progress_row, member)
+
+static const struct rr_stored_field row_fields[] = {
+  { "number", RR_STORED_UINT32, ROW (number) },
+  { "run", RR_STORED_UINT32, ROW (run) },
+  { "failures", RR_STORED_UINT32, ROW (failures) },
+  { "done", RR_STORED_BOOL, ROW (done) },
+  { "recorded_ends", RR_STORED_UINT64, ROW (recorded_ends) },
+  { "checkpoint", RR_STORED_TEXT, ROW (checkpoint) },
+  { "crashes", RR_STORED_UINT32, ROW (crashes) },
+  { "checkpoint_run", RR_STORED_UINT32, ROW (checkpoint_run) },
+};
+
+enum
+{
+  ROW_FIELDS = sizeof row_fields / sizeof row_fields[0]
+};
+
 /* Returns the stored form of P, a JSON text that the caller frees.  */
 char *
 rr_progress_encode (const struct rr_progress *p)
@@ -36,64 +55,18 @@
      needed.  */
   size_t count = rr_job_phase_final (p->phase) ? 0 : p->row_count;
   for (size_t i = 0; i < count; i++)
-    {
-      const struct rr_progress_row *r = &p->rows[i];
-      struct json_object *row = json_object_new_array ();
-      json_object_array_add (row, json_object_new_int64 (r->number));
-      json_object_array_add (row, json_object_new_int64 (r->run));
-      json_object_array_add (row, json_object_new_int64 (r->failures));
-      json_object_array_add (row, json_object_new_int (r->done ? 1 : 0));
-      json_object_array_add (
-          row, json_object_new_int64 ((int64_t)r->recorded_ends));
-      if (r->checkpoint[0] != '\0' || r->crashes > 0)
-        {
-          json_object_array_add (row, json_object_new_string (r->checkpoint));
-          json_object_array_add (row, json_object_new_int64 (r->crashes));
-        }
-      if (r->checkpoint[0] != '\0')
-        json_object_array_add (row, json_object_new_int64 (r->checkpoint_run));
-      json_object_array_add (rows, row);
-    }
+    json_object_array_add (
+        rows, rr_stored_row_new (row_fields, ROW_FIELDS, &p->rows[i]));
   json_object_object_add (o, "tasks", rows);
-  char *text
-      = strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
-  assert (text != NULL);
-  json_object_put (o);
-  return text;
-}
-
-static bool
-decode_row (struct json_object *row, struct rr_progress_row *r)
-{
-  /* The library ends the process when this is not an array.  */
-  if (!json_object_is_type (row, json_type_array))
-    return false;
-  r->number
-      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 0));
-  r->run
-      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 1));
-  r->failures
-      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 2));
-  r->done = json_object_get_int (json_object_array_get_idx (row, 3)) != 0;
-  r->recorded_ends
-      = (uint64_t)json_object_get_int64 (json_object_array_get_idx (row, 4));
-  struct json_object *c = json_object_array_get_idx (row, 5);
-  if (c != NULL)
-    snprintf (r->checkpoint, sizeof r->checkpoint, "%s",
-              json_object_get_string (c));
-  r->crashes
-      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 6));
-  /* Missing in rows of earlier versions.  */
-  r->checkpoint_run
-      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (row, 7));
-  return true;
+  return rr_stored_finish (o);
 }
 
 static bool
 decode_phase (struct json_object *o, enum rr_job_phase *phase)
 {
   struct json_object *v = NULL;
-  if (!json_object_object_get_ex (o, "phase", &v))
+  if (!json_object_object_get_ex (o, "phase", &v)
+      || !json_object_is_type (v, json_type_string))
     return false;
   for (size_t i = 0; i < sizeof phase_names / sizeof phase_names[0]; i++)
     if (strcmp (phase_names[i], json_object_get_string (v)) == 0)
@@ -130,13 +103,13 @@
   assert (p->rows != NULL);
   bool valid = true;
   for (size_t i = 0; i < p->row_count; i++)
-    valid = decode_row (json_object_array_get_idx (rows, i), &p->rows[i])
-            && valid;
+    valid = valid
+            && rr_stored_row_read (json_object_array_get_idx (rows, i),
+                                   row_fields, ROW_FIELDS, &p->rows[i], err);
   json_object_put (o);
   if (valid)
     return p;
   rr_progress_free (p);
-  rr_error_set (err, RR_ERROR_INVALID, "a row of stored progress is invalid");
   return NULL;
 }
 
@@ -146,6 +119,8 @@
 {
   if (p == NULL)
     return;
+  for (size_t i = 0; i < p->row_count; i++)
+    rr_text_unref (p->rows[i].checkpoint);
   free (p->rows);
   free (p);
 }
--- a/rosemaryrail/stored_fields.c
+++ b/rosemaryrail/stored_fields.c
@@ -1,5 +1,6 @@
 #include "rosemaryrail/stored_fields.h"
 
+#include <assert.h>
 #include <json-c/json.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -176,3 +177,14 @@
                            fields[i].name);
   return true;
 }
+
+/* Returns O as text, which the caller frees, and releases O.  */
+char *
+rr_stored_finish (struct json_object *o)
+{
+  char *text
+      = strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
+  assert (text != NULL);
+  json_object_put (o);
+  return text;
+}
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -182,8 +182,8 @@
         {
           w->queue[w->queue_count] = commands[i];
           w->queue[w->queue_count].worker_id = w->id;
-          w->queue[w->queue_count].checkpoint = "";
-          w->queue[w->queue_count++].permit_token = "";
+          w->queue[w->queue_count].checkpoint = NULL;
+          w->queue[w->queue_count++].permit_token = NULL;
         }
       else
         fake_worker_execute (&commands[i]);
@@ -365,11 +365,14 @@
   for (size_t i = 4; i < words; i++)
     {
       snprintf (permits[i - 4].worker, RR_JOB_NAME_SIZE, "%s", word[i]);
-      snprintf (permits[i - 4].permit_token, RR_PERMIT_TOKEN_SIZE, "t-%s",
-                word[i]);
+      char token[RR_JOB_NAME_SIZE];
+      int n = snprintf (token, sizeof token, "t-%s", word[i]);
+      permits[i - 4].permit_token = rr_text_new (token, (size_t)n);
     }
   rr_dispatch_permits_set (script.dispatch, &name, permits, words - 4,
                            strtol (word[3], NULL, 10), script.now);
+  for (size_t i = 4; i < words; i++)
+    rr_text_unref (permits[i - 4].permit_token);
 }
 
 static void
@@ -546,8 +549,8 @@
   else if (strcmp (c, "save") == 0)
     {
       struct fake_run *r = fake_run_find (word[1], word[2], &w);
-      snprintf (r->status.checkpoint, sizeof r->status.checkpoint, "%s",
-                word[3]);
+      rr_text_unref (r->status.checkpoint);
+      r->status.checkpoint = rr_text_new (word[3], strlen (word[3]));
     }
   else if (strcmp (c, "speeds") == 0)
     fake_workers_print_speeds ();
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -46,7 +46,7 @@
   r->end = (struct rr_run_end){ .number = ++w->ends,
                                 .name = r->status.name,
                                 .kind = kind };
-  memcpy (r->end.checkpoint, r->status.checkpoint, sizeof r->end.checkpoint);
+  r->end.checkpoint = r->status.checkpoint;
 }
 
 static struct fake_run *
@@ -54,6 +54,7 @@
 {
   assert (w->run_count < RUNS_MAX);
   struct fake_run *r = &w->runs[w->run_count++];
+  rr_text_unref (r->status.checkpoint);
   *r = (struct fake_run){ .status = { .name = *name, .percent = 100 },
                           .speed = 100,
                           .late_speed = -1 };
@@ -159,10 +160,12 @@
   printf ("%s %s %d.%d run %u on %s", kinds[command->kind], command->name.job,
           command->name.step, command->name.task, command->name.run,
           command->worker_id);
-  if (command->kind == RR_COMMAND_START && command->permit_token[0] != '\0')
-    printf (" with %s", command->permit_token);
-  if (command->kind == RR_COMMAND_START && command->checkpoint[0] != '\0')
-    printf (" from %s", command->checkpoint);
+  if (command->kind == RR_COMMAND_START
+      && rr_text_length (command->permit_token) > 0)
+    printf (" with %s", rr_text_bytes (command->permit_token));
+  if (command->kind == RR_COMMAND_START
+      && rr_text_length (command->checkpoint) > 0)
+    printf (" from %s", rr_text_bytes (command->checkpoint));
   if (command->kind == RR_COMMAND_THROTTLE)
     printf (" at %d%%", command->percent);
   if (command->kind == RR_COMMAND_STOP)
--- a/tests/entry/test_stored_forms.c
+++ b/tests/entry/test_stored_forms.c
@@ -5,6 +5,7 @@
 #include "../check_suite.h"
 #include "platform/documents.h"
 #include "rosemaryrail/job_graph.h"
+#include "rosemaryrail/progress.h"
 
 /* Jobs as callers submit them are stored and read again whole, whatever the
    values of their fields are.  */
@@ -218,5 +219,74 @@
 }
 END_TEST
 
+/* Guards against a checkpoint that is cut or lost in the stored progress, so
+   that a start gets one that no run has saved, and against other members of a
+   row that are read back as something else.  */
+START_TEST (progress_rows)
+{
+  static char bytes[100000];
+  memset (bytes, 'c', sizeof bytes);
+  bytes[sizeof bytes / 2] = '\0';
+  static const size_t lengths[] = { 0, 1, 63, 64, 100, sizeof bytes };
+  for (size_t i = 0; i < sizeof lengths / sizeof lengths[0]; i++)
+    {
+      struct rr_error err = { 0 };
+      struct rr_progress_row *rows = calloc (3, sizeof *rows);
+      rows[0].checkpoint = rr_text_new (bytes, lengths[i]);
+      rows[1].number = rows[1].run = UINT32_MAX;
+      rows[1].recorded_ends = UINT64_MAX;
+      rows[1].failures = rows[1].crashes = UINT32_MAX;
+      rows[1].done = true;
+      rows[1].checkpoint = rr_text_new (bytes, lengths[i]);
+      rows[1].checkpoint_run = UINT32_MAX;
+      rows[2].crashes = 1;
+      struct rr_progress p
+          = { .phase = RR_PHASE_ACTIVE, .rows = rows, .row_count = 3 };
+      char *text = rr_progress_encode (&p);
+      struct rr_progress *copy
+          = rr_progress_decode (text, strlen (text), &err);
+      ck_assert_msg (copy != NULL, "%s", err.message);
+      ck_assert_uint_eq (copy->row_count, 3);
+      for (size_t k = 0; k < 3; k++)
+        {
+          struct rr_progress_row a = rows[k];
+          struct rr_progress_row b = copy->rows[k];
+          ck_assert (rr_text_equal (a.checkpoint, b.checkpoint));
+          a.checkpoint = b.checkpoint = NULL;
+          ck_assert_mem_eq (&a, &b, sizeof a);
+          rr_text_unref (rows[k].checkpoint);
+        }
+      free (rows);
+      free (text);
+      rr_progress_free (copy);
+    }
+}
+END_TEST
+
+/* Guards against progress of an earlier version, with shorter rows, that is
+   not read, and against a phase or a row of another type that ends the
+   process.  */
+START_TEST (other_progress)
+{
+  struct rr_error err = { 0 };
+  static const char earlier[]
+      = "{\"phase\":\"active\",\"tasks\":[[0,2,1,1,3],[1,1,0,0,1,\"c\"]]}";
+  struct rr_progress *p
+      = rr_progress_decode (earlier, sizeof earlier - 1, &err);
+  ck_assert_ptr_nonnull (p);
+  ck_assert (p->rows[0].done);
+  ck_assert_str_eq (rr_text_bytes (p->rows[1].checkpoint), "c");
+  rr_progress_free (p);
+  static const char *const odd[]
+      = { "{\"phase\":null,\"tasks\":[]}",
+          "{\"phase\":\"active\",\"tasks\":[null]}",
+          "{\"phase\":\"active\",\"tasks\":[[0,-1]]}",
+          "{\"phase\":\"active\",\"tasks\":[[0,1,0,0,1,7]]}" };
+  for (size_t i = 0; i < sizeof odd / sizeof odd[0]; i++)
+    ck_assert_msg (rr_progress_decode (odd[i], strlen (odd[i]), &err) == NULL,
+                   "%s", odd[i]);
+}
+END_TEST
+
 SUITE ("stored forms", specs_pass_whole, spec_limits, graphs_at_their_limits,
-       shares, odd_stored_graphs)
+       shares, odd_stored_graphs, progress_rows, other_progress)
