entryd: an owner uses only run numbers that are stored as its own

Cause: an owner had 16 numbers of each task, and nothing stopped it at the end of them. Ruled out: the leases (the first run had lapsed when the second started) and late starts (each start was carried out once, in time).

The membership record now has the blocks of numbers of its writer, and the dispatcher starts nothing with a number beyond the stored ones; the next owner begins after the last block. A block takes a write, so the revision of a claim is above all of them also when the record can't be read; with 64 bits that holds at any revision (before, the number of owners was cut off at 2^27). What another worker says of a run with the number of the present one no longer counts for it.

The fake worker of the scripts lists ends by their numbers, as workers do.

--- a/include/rosemaryentryd/membership_record.h
+++ b/include/rosemaryentryd/membership_record.h
@@ -3,10 +3,14 @@
 
 #include "rosemaryrail/dispatch.h"
 
-/* The stored record of the workers that may run tasks of a shard.  */
+/* The stored record of the workers that may run tasks of a shard, and of the
+   run numbers of its writer.  */
 struct membership_record
 {
-  int64_t ordinal; /* number of owners of the shard before its writer */
+  /* Blocks of run numbers: those of the writer, which former owners have not
+     used, and which no later owner uses.  */
+  int64_t first_block;
+  int64_t last_block;
   struct rr_recorded_worker *workers;
   size_t worker_count;
 };
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -29,8 +29,10 @@
   /* The permit service answers the calls of one daemon one after the other,
      so a call also waits for those before it.  */
   PERMITS_TIMEOUT_MS = 2500,
-  /* The most runs of one task that an owner starts without a stored end.  */
-  RUNS_PER_OWNER_MAX = 16,
+  /* Numbers of runs are reserved in blocks of this many, one with each stored
+     membership record at most: so there are never more blocks than revisions
+     of the store.  */
+  RUNS_PER_BLOCK = 16,
   WORKER_CONNECTIONS_MAX = 1024,
   /* A new job that waits for free capacity is transferred to another shard
      after this long.  Tasks have ended here several times by then, and it is
@@ -110,6 +112,7 @@
   bool stored;         /* it certainly is, until another one is sent */
   bool stopping;       /* it was sent while this owner was stopping */
   bool release_stored; /* one that was is stored */
+  int64_t last_block;  /* of run numbers, in it */
   int64_t revision;    /* of the stored record, as last known */
   uint64_t hash;       /* of WORKERS */
   char *text;
@@ -140,7 +143,8 @@
   bool transferring;
   bool transfer_unknown; /* an attempt without answer may take effect */
   struct division division;
-  int64_t ordinal; /* number of earlier owners of the shard */
+  int64_t first_block; /* of run numbers of this owner */
+  int64_t last_block;  /* its last one, which may not be stored yet */
   struct membership_write membership;
   struct rr_time load_sent;
   struct rr_time statistics_sent; /* to other owners */
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -51,7 +51,7 @@
   int32_t occurrence;
   int32_t step;
   int32_t task;
-  uint32_t run;
+  uint64_t run;
 };
 
 /* A run that a worker reports as running.  */
@@ -224,12 +224,17 @@
    or its leases have expired, a task that is not reported as running may still
    run.  */
 void rr_dispatch_inherit (struct rr_dispatch *d, struct rr_time until,
-                          uint32_t former_run, uint32_t first_run,
+                          uint64_t former_run, uint64_t first_run,
                           struct rr_time now);
 void rr_dispatch_inherit_worker (struct rr_dispatch *d,
                                  const struct rr_recorded_worker *worker);
 void rr_dispatch_release (struct rr_dispatch *d, struct rr_time now);
 
+/* Numbers of runs.  A start is not stored before it is sent, so an owner uses
+   only numbers that are stored as its own.  */
+void rr_dispatch_runs_reserve (struct rr_dispatch *d, uint64_t end);
+bool rr_dispatch_runs_low (const struct rr_dispatch *d);
+
 struct rr_handle rr_dispatch_worker_set (struct rr_dispatch *d,
                                          const struct rr_worker_info *info,
                                          struct rr_time now);
@@ -294,7 +299,7 @@
 size_t rr_dispatch_idle_jobs (const struct rr_dispatch *d, const char **ids,
                               size_t max, int64_t new_ms, int64_t started_ms,
                               struct rr_time now);
-uint32_t rr_dispatch_run_base (const struct rr_dispatch *d, const char *id);
+uint64_t rr_dispatch_run_base (const struct rr_dispatch *d, const char *id);
 void rr_dispatch_job_hold (struct rr_dispatch *d, const char *id, bool held);
 bool rr_dispatch_job_drop (struct rr_dispatch *d, const char *id);
 
@@ -304,7 +309,7 @@
 {
   const char *job;
   uint32_t number;
-  uint32_t next_run;
+  uint64_t next_run;
 };
 
 /* A waiting task can move to another shard: it is withheld while the change is
--- a/include/rosemaryrail/job_graph.h
+++ b/include/rosemaryrail/job_graph.h
@@ -44,7 +44,7 @@
 struct rr_job_graph_share
 {
   uint32_t task;
-  uint32_t first_run;
+  uint64_t first_run;
 };
 
 /* The job graph of a submitted job: a DAG of steps that runs once or at
@@ -67,7 +67,7 @@
   int64_t interval_ms;
   int64_t accepted_ms; /* since 1970 */
   char *progress;      /* at the last change of shard; null: none */
-  uint32_t run_base;   /* lowest run number in SHARD; 0: any */
+  uint64_t run_base;   /* lowest run number in SHARD; 0: any */
   bool divided;        /* only the tasks in SHARE belong to SHARD */
   struct rr_job_graph_share *share; /* unordered */
   size_t share_count;
@@ -79,7 +79,7 @@
 bool rr_job_graph_divisible (const struct rr_job_graph *g);
 void rr_job_graph_divide (struct rr_job_graph *g, bool all);
 void rr_job_graph_share_add (struct rr_job_graph *g, uint32_t task,
-                             uint32_t first_run);
+                             uint64_t first_run);
 bool rr_job_graph_share_remove (struct rr_job_graph *g, uint32_t task);
 const struct rr_job_graph_share *
 rr_job_graph_share_find (const struct rr_job_graph *g, uint32_t task);
--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -22,14 +22,14 @@
 struct rr_progress_row
 {
   uint32_t number;
-  uint32_t run; /* highest run known to have ended */
+  uint64_t run; /* highest run known to have ended */
   /* Bit I: the end of run RUN - I has been processed.  */
   uint64_t recorded_ends;
   uint32_t failures;
   uint32_t crashes; /* of workers in a row, soon after they started it */
   bool done;
   struct rr_text *checkpoint;
-  uint32_t checkpoint_run; /* that saved it; 0: unknown */
+  uint64_t checkpoint_run; /* that saved it; 0: unknown */
 };
 
 /* The stored progress of a job.  */
--- a/rosemaryentryd/membership_record.c
+++ b/rosemaryentryd/membership_record.c
@@ -13,6 +13,9 @@
   LEASE_LEFT_MAX_MS = 60000
 };
 
+/* Run numbers are whole numbers in JSON, exact up to 2^53.  */
+#define BLOCK_MAX (INT64_C (1) << 48)
+
 /* Returns M as JSON text, which the caller frees.  Daemons have no clock in
    common, so the record has the time that is left of each silent worker's
    leases as of NOW.  */
@@ -31,7 +34,8 @@
         json_add_int (silent, w->id, left_ms > 0 ? left_ms : 0);
     }
   struct json_object *o = json_object_new_object ();
-  json_add_int (o, "ordinal", m->ordinal);
+  json_add_int (o, "first", m->first_block);
+  json_add_int (o, "ordinal", m->last_block);
   json_object_object_add (o, "workers", list);
   json_object_object_add (o, "silent", silent);
   char *text = strdup (json_text (o));
@@ -72,16 +76,18 @@
     return false;
   struct json_object *list = json_list_or_null (o, "workers");
   struct json_object *silent = NULL;
-  int64_t ordinal = 0;
-  bool valid = json_get_int (o, "ordinal", &ordinal, err);
-  if (valid && (ordinal < 0 || list == NULL))
+  bool valid = json_get_int (o, "ordinal", &out->last_block, err);
+  /* Earlier versions have one block for each owner.  */
+  out->first_block = json_int_or (o, "first", out->last_block);
+  if (valid
+      && (out->first_block < 0 || out->first_block > out->last_block
+          || out->last_block > BLOCK_MAX || list == NULL))
     {
-      rr_error_set (err, RR_ERROR_INVALID, "no ordinal or list of workers");
+      rr_error_set (err, RR_ERROR_INVALID, "no blocks or list of workers");
       valid = false;
     }
   json_object_object_get_ex (o, "silent", &silent);
   size_t n = valid ? json_object_array_length (list) : 0;
-  out->ordinal = ordinal;
   out->workers = calloc (n + 1, sizeof *out->workers);
   assert (out->workers != NULL);
   for (size_t i = 0; i < n && valid; i++)
--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -17,17 +17,23 @@
   MEMBERSHIP_MAX = 2 * WORKER_CONNECTIONS_MAX,
   /* Longer than the store takes while it still renews a daemon's lease:
      without an answer, workers that are back get no lease.  */
-  MEMBERSHIP_TIMEOUT_MS = 2000,
-  /* Of a shard, one after the other: run numbers have 32 bits.  */
-  OWNERS_MAX = UINT32_MAX / RUNS_PER_OWNER_MAX / 2
+  MEMBERSHIP_TIMEOUT_MS = 2000
 };
 
-/* Returns a hash of the COUNT workers of a record.  What is left of a lease
-   changes with time, its end does not.  */
+/* Returns the lowest run number of BLOCK.  */
 static uint64_t
-workers_hash (const struct rr_recorded_worker *workers, size_t count)
+block_start (int64_t block)
 {
-  uint64_t hash = count;
+  return (uint64_t)block * RUNS_PER_BLOCK + 1;
+}
+
+/* Returns a hash of a record with the COUNT workers and LAST_BLOCK of run
+   numbers.  What is left of a lease changes with time, its end does not.  */
+static uint64_t
+record_hash (const struct rr_recorded_worker *workers, size_t count,
+             int64_t last_block)
+{
+  uint64_t hash = XXH64 (&last_block, sizeof last_block, count);
   for (size_t i = 0; i < count; i++)
     {
       hash = XXH64 (workers[i].id, strlen (workers[i].id), hash);
@@ -60,6 +66,8 @@
 {
   s->membership.stored = true;
   s->membership.revision = revision;
+  rr_dispatch_runs_reserve (s->dispatch,
+                            block_start (s->membership.last_block + 1));
   s->membership.release_stored
       = s->membership.release_stored || s->membership.stopping;
   for (size_t i = 0; i < s->membership.worker_count; i++)
@@ -116,7 +124,9 @@
   assert (s->membership.workers != NULL);
   memcpy (s->membership.workers, workers, count * sizeof *workers);
   s->membership.worker_count = count;
-  struct membership_record m = { .ordinal = s->ordinal,
+  s->membership.last_block = s->last_block;
+  struct membership_record m = { .first_block = s->first_block,
+                                 .last_block = s->last_block,
                                  .workers = s->membership.workers,
                                  .worker_count = count };
   free (s->membership.text);
@@ -142,10 +152,25 @@
                 on_membership_written, s);
 }
 
-/* Writes the membership record if it has changed: the workers that may receive
-   tasks or may run some.  A later owner polls all of them before it concludes
-   that a task is not running, or waits for the leases of those that are
-   silent.  */
+/* Reserves another block of run numbers if a task will soon need it.  The
+   blocks before are stored.  */
+static void
+reserve_runs (struct shard *s)
+{
+  if (!s->membership.stored || s->stopping
+      || !rr_dispatch_runs_low (s->dispatch))
+    return;
+  s->last_block++;
+  log_event (LOG_LEVEL_INFO, "run_numbers_reserved",
+             "shard=%s token=%lld block=%lld first=%lld", s->record->name,
+             (long long)s->fencing_token, (long long)s->last_block,
+             (long long)s->first_block);
+}
+
+/* Writes the membership record if it has changed: the run numbers of this
+   owner, and the workers that may receive tasks or may run some.  A later
+   owner polls all of them before it concludes that a task is not running, or
+   waits for the leases of those that are silent.  */
 void
 shard_write_membership (struct shard *s)
 {
@@ -155,7 +180,8 @@
   static struct rr_recorded_worker workers[MEMBERSHIP_MAX];
   size_t count = rr_dispatch_record_workers (s->dispatch, workers,
                                              MEMBERSHIP_MAX, entry_now ());
-  uint64_t hash = workers_hash (workers, count);
+  reserve_runs (s);
+  uint64_t hash = record_hash (workers, count, s->last_block);
   if (s->membership.stored && hash == s->membership.hash)
     {
       s->membership.release_stored
@@ -185,18 +211,15 @@
   struct rr_error err = { 0 };
   bool valid = membership_record_decode (s->record->stored_membership,
                                          s->record->membership_seen, &m, &err);
-  /* The store's revision rises with each owner, so it exceeds the number of
-     former ones.  */
-  int64_t former = valid ? m.ordinal : s->fencing_token;
-  if (former > OWNERS_MAX)
-    former = OWNERS_MAX;
-  s->ordinal = former + 1;
+  /* Each block took a revision of the store, so there are fewer than that.  */
+  s->first_block = (valid ? m.last_block : s->fencing_token) + 1;
+  s->last_block = s->first_block;
   rr_dispatch_inherit (
       s->dispatch,
       inheritance_leases_until (s->record->owner_seen,
                                 s->entry->settings.lease_max_ms),
-      (uint32_t)(former * RUNS_PER_OWNER_MAX + 1),
-      (uint32_t)(s->ordinal * RUNS_PER_OWNER_MAX + 1), entry_now ());
+      block_start (valid ? m.first_block : s->first_block),
+      block_start (s->first_block), entry_now ());
   if (!valid)
     {
       log_event (LOG_LEVEL_ERROR, "roster_unreadable", "shard=%s %s",
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -292,11 +292,12 @@
     {
       if (outcome != RR_OUTCOME_ACCEPTED)
         log_event (LOG_LEVEL_WARN, "order_failed",
-                   "vm=%s kind=%s job=%s task=%d.%d.%d run=%u outcome=%s",
+                   "vm=%s kind=%s job=%s task=%d.%d.%d run=%llu outcome=%s",
                    c->id, rr_command_kind_name (q->command.kind),
                    q->command.name.job, q->command.name.occurrence,
                    q->command.name.step, q->command.name.task,
-                   q->command.name.run, rr_command_outcome_name (outcome));
+                   (unsigned long long)q->command.name.run,
+                   rr_command_outcome_name (outcome));
       rr_dispatch_command_answered (c->owner.dispatch, c->worker,
                                     q->command.kind, &q->command.name, outcome,
                                     clock_ms, entry_now ());
@@ -327,12 +328,13 @@
   int64_t waited_ms = rr_time_diff (entry_now (), q->queued);
   if (waited_ms > COMMAND_WAIT_REPORT_MS)
     log_event (LOG_LEVEL_INFO, "order_waited",
-               "vm=%s kind=%s job=%s task=%d.%d.%d run=%u waited_ms=%lld "
+               "vm=%s kind=%s job=%s task=%d.%d.%d run=%llu waited_ms=%lld "
                "sent=%s",
                c->id, rr_command_kind_name (q->command.kind),
                q->command.name.job, q->command.name.occurrence,
-               q->command.name.step, q->command.name.task, q->command.name.run,
-               (long long)waited_ms, wanted ? "true" : "false");
+               q->command.name.step, q->command.name.task,
+               (unsigned long long)q->command.name.run, (long long)waited_ms,
+               wanted ? "true" : "false");
   c->calls++;
   c->commands_in_flight++;
   if (!wanted)
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -270,7 +270,7 @@
       if (t->state != TASK_WAITING)
         continue;
       dispatch_task_set (j, i, TASK_UNCERTAIN);
-      uint32_t first = d->first_run + t->first_run;
+      uint64_t first = d->first_run + t->first_run;
       if (t->next_run < first)
         t->next_run = first;
     }
--- a/rosemaryrail/dispatch_crash.c
+++ b/rosemaryrail/dispatch_crash.c
@@ -51,14 +51,17 @@
 
 /* The worker of R has reported that it is running.  */
 void
-dispatch_crash_run_reported (struct rr_dispatch *d, struct dispatch_run *r,
-                             struct rr_time now)
+dispatch_crash_run_reported (struct rr_dispatch *d,
+                             const struct dispatch_worker *w,
+                             struct dispatch_run *r, struct rr_time now)
 {
   if (r->survived || rr_time_diff (now, r->started) < SURVIVAL_MS)
     return;
   r->survived = true;
   struct dispatch_job *j = dispatch_job_get (d, r->job);
-  if (j != NULL && j->tasks[r->number].current_run == r->name.run)
+  if (j != NULL
+      && dispatch_task_placed_as (&j->tasks[r->number], r->name.run,
+                                  w->handle))
     dispatch_crash_clear (j, &j->tasks[r->number]);
 }
 
@@ -70,8 +73,9 @@
              const struct dispatch_worker *w, const char *reason)
 {
   struct dispatch_job *j = dispatch_job_get (d, r->job);
-  if (j == NULL || j->tasks[r->number].state != TASK_PLACED
-      || j->tasks[r->number].current_run != r->name.run)
+  if (j == NULL
+      || !dispatch_task_placed_as (&j->tasks[r->number], r->name.run,
+                                   w->handle))
     return;
   struct dispatch_task *t = &j->tasks[r->number];
   r->crash_counted = true;
@@ -79,9 +83,10 @@
   j->version++;
   dispatch_log_decision (
       d, "crash_suspected",
-      "job=%s task=%d.%d.%d run=%u vm=%s reason=%s crashes=%u max=%d",
-      r->name.job, r->name.occurrence, r->name.step, r->name.task, r->name.run,
-      w->info.id, reason, t->crashes, CRASHES_MAX);
+      "job=%s task=%d.%d.%d run=%llu vm=%s reason=%s crashes=%u max=%d",
+      r->name.job, r->name.occurrence, r->name.step, r->name.task,
+      (unsigned long long)r->name.run, w->info.id, reason, t->crashes,
+      CRASHES_MAX);
   if (!dispatch_crash_given_up (t))
     return;
   dispatch_log_decision (d, j->graph->divided ? "task_given_up" : "job_failed",
--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -40,17 +40,17 @@
 
 /* Advances T's highest ended run to RUN.  */
 static void
-ended_run_advance (struct dispatch_task *t, uint32_t run)
+ended_run_advance (struct dispatch_task *t, uint64_t run)
 {
   if (run <= t->ended_run)
     return;
-  uint32_t ahead = run - t->ended_run;
+  uint64_t ahead = run - t->ended_run;
   t->recorded_ends = ahead >= 64 ? 0 : t->recorded_ends << ahead;
   t->ended_run = run;
 }
 
 static void
-end_record (struct dispatch_task *t, uint32_t run)
+end_record (struct dispatch_task *t, uint64_t run)
 {
   ended_run_advance (t, run);
   if (t->ended_run - run < 64)
@@ -60,18 +60,18 @@
 /* Returns true when the end of RUN has been processed, or is too old to be
    tracked.  */
 bool
-dispatch_run_end_recorded (const struct dispatch_task *t, uint32_t run)
+dispatch_run_end_recorded (const struct dispatch_task *t, uint64_t run)
 {
   if (run > t->ended_run)
     return false;
-  uint32_t age = t->ended_run - run;
+  uint64_t age = t->ended_run - run;
   return age >= 64 || (t->recorded_ends >> age & 1) != 0;
 }
 
 /* Keeps CHECKPOINT, which RUN of T has saved, unless it is empty or a later
    run has saved one: that run started after it and may have done more.  */
 void
-dispatch_checkpoint_keep (struct dispatch_task *t, uint32_t run,
+dispatch_checkpoint_keep (struct dispatch_task *t, uint64_t run,
                           struct rr_text *checkpoint)
 {
   if (rr_text_length (checkpoint) == 0 || run < t->checkpoint_run)
@@ -122,7 +122,8 @@
   /* The end of an older run that was given up as lost, while a newer run is in
      progress.  */
   bool old = t->state == TASK_REMOTE
-             || (t->state == TASK_PLACED && t->current_run != end->name.run);
+             || (t->state == TASK_PLACED
+                 && !dispatch_task_placed_as (t, end->name.run, worker));
   if (end->kind == RR_END_DONE && !s->long_running)
     {
       dispatch_task_set (j, number, TASK_DONE);
--- a/rosemaryrail/dispatch_health.c
+++ b/rosemaryrail/dispatch_health.c
@@ -90,10 +90,10 @@
       w->avoid_until = rr_time_add (now, STALLED_AVOID_MS);
       dispatch_log_decision (
           d, "vm_avoided",
-          "vm=%s reason=stalled job=%s task=%d.%d.%d run=%u "
+          "vm=%s reason=stalled job=%s task=%d.%d.%d run=%llu "
           "percent=%d still_ms=%lld",
           w->info.id, r->name.job, r->name.occurrence, r->name.step,
-          r->name.task, r->name.run, r->percent,
+          r->name.task, (unsigned long long)r->name.run, r->percent,
           (long long)rr_time_diff (now, r->progressed));
     }
 }
--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -21,7 +21,7 @@
    have used lower numbers.  The last owner used numbers from FORMER_RUN on. */
 void
 rr_dispatch_inherit (struct rr_dispatch *d, struct rr_time until,
-                     uint32_t former_run, uint32_t first_run,
+                     uint64_t former_run, uint64_t first_run,
                      struct rr_time now)
 {
   d->former_run = former_run;
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -340,11 +340,12 @@
   name->run = j->tasks[number].next_run;
   reserve_worker (d, w, j, number, name, now);
   dispatch_log_decision (d, "start",
-                         "job=%s task=%d.%d.%d run=%u vm=%s free_cores=%lld "
+                         "job=%s task=%d.%d.%d run=%llu vm=%s free_cores=%lld "
                          "fillers=%lld report_age_ms=%lld "
                          "registration_age_ms=%lld",
                          name->job, name->occurrence, name->step, name->task,
-                         name->run, w->info.id, (long long)w->free_cores_milli,
+                         (unsigned long long)name->run, w->info.id,
+                         (long long)w->free_cores_milli,
                          (long long)w->best_effort_cores_milli,
                          (long long)rr_time_diff (now, w->last_report),
                          (long long)rr_time_diff (now, d->registrations_at));
@@ -425,11 +426,13 @@
       if (checkpoint_is_later (t, latest))
         latest = t;
     }
+  if (!dispatch_run_number_reserved (d, latest, name->run))
+    return false;
   bool placed = s->same_rack && reserve_gang_in_one_rack (d, j, name, now);
   if (!placed && !reserve_gang (d, j, name, NULL, now))
     return false;
   struct rr_text *common = rr_text_ref (latest->checkpoint);
-  uint32_t common_run = latest->checkpoint_run;
+  uint64_t common_run = latest->checkpoint_run;
   for (name->task = 0; name->task < s->task_count; name->task++)
     {
       uint32_t number = first + (uint32_t)name->task;
@@ -438,9 +441,10 @@
       command_start (d, j, number, name, now);
     }
   rr_text_unref (common);
-  dispatch_log_decision (
-      d, "start_gang", "job=%s step=%d.%d run=%u members=%d", name->job,
-      name->occurrence, name->step, name->run, s->task_count);
+  dispatch_log_decision (d, "start_gang",
+                         "job=%s step=%d.%d run=%llu members=%d", name->job,
+                         name->occurrence, name->step,
+                         (unsigned long long)name->run, s->task_count);
   return true;
 }
 
@@ -502,7 +506,8 @@
       dispatch_task_number (j, &name, &number);
       struct dispatch_task *t = &j->tasks[number];
       if (t->state != TASK_WAITING || rr_time_before (now, t->not_before)
-          || dispatch_crash_given_up (t))
+          || dispatch_crash_given_up (t)
+          || !dispatch_run_number_reserved (d, t, t->next_run))
         continue;
       if (place_single (d, j, &name, number, now))
         continue;
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -125,9 +125,9 @@
                                     .name = r->name,
                                     .reason = r->stop_reason };
       dispatch_log_decision (
-          d, "stop", "job=%s task=%d.%d.%d run=%u vm=%s reason=%s",
+          d, "stop", "job=%s task=%d.%d.%d run=%llu vm=%s reason=%s",
           r->name.job, r->name.occurrence, r->name.step, r->name.task,
-          r->name.run, w->info.id, r->stop_reason);
+          (unsigned long long)r->name.run, w->info.id, r->stop_reason);
       d->o.send_command (d->o.data, &command);
     }
 }
@@ -158,9 +158,10 @@
             = dispatch_worker_get (d, j->tasks[i].worker);
         if (w != NULL && dispatch_run_find (w, &name) != NULL)
           continue;
-        dispatch_log_decision (
-            d, "run_record_missing", "job=%s task=%d.%d.%d run=%u", name.job,
-            name.occurrence, name.step, name.task, name.run);
+        dispatch_log_decision (d, "run_record_missing",
+                               "job=%s task=%d.%d.%d run=%llu", name.job,
+                               name.occurrence, name.step, name.task,
+                               (unsigned long long)name.run);
         dispatch_task_requeue (d, j, i, now);
       }
 }
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -17,10 +17,10 @@
 struct dispatch_task
 {
   enum task_state state;
-  uint32_t current_run; /* while placed */
-  uint32_t next_run;
-  uint32_t first_run; /* lowest run number that this shard may use */
-  uint32_t ended_run; /* highest run known to have ended */
+  uint64_t current_run; /* while placed */
+  uint64_t next_run;
+  uint64_t first_run; /* lowest run number that this shard may use */
+  uint64_t ended_run; /* highest run known to have ended */
   /* Bit I: the end of run ENDED_RUN - I has been processed.  Ends can be
      reported in any order when several workers were unreachable.  */
   uint64_t recorded_ends;
@@ -30,7 +30,7 @@
   struct rr_handle failed_worker; /* where its last run failed; avoided */
   struct rr_time not_before;      /* of the next start */
   struct rr_text *checkpoint;
-  uint32_t checkpoint_run; /* that saved it; 0: unknown */
+  uint64_t checkpoint_run; /* that saved it; 0: unknown */
 };
 
 /* A worker's permit to run a step.  */
@@ -209,8 +209,10 @@
   bool inheriting;
   bool releasing;                  /* another owner is to take over */
   struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
-  uint32_t first_run;       /* of inherited tasks: above former owners' runs */
-  uint32_t former_run;      /* lowest run number of the last owner */
+  uint64_t first_run;       /* of inherited tasks: above former owners' runs */
+  uint64_t former_run;      /* lowest run number of the last owner */
+  uint64_t runs_end;        /* numbers below it are reserved */
+  bool runs_low;            /* a task will soon need others */
   int64_t free_cores_milli; /* of usable workers, at the start of a round */
   struct rr_time audited;
   struct rr_time registrations_at; /* registrations are known as of then */
@@ -321,8 +323,13 @@
                          struct rr_run_name *name);
 struct dispatch_step *dispatch_step_of (struct dispatch_job *j,
                                         const struct rr_run_name *name);
-bool dispatch_run_end_recorded (const struct dispatch_task *t, uint32_t run);
-void dispatch_checkpoint_keep (struct dispatch_task *t, uint32_t run,
+bool dispatch_run_number_reserved (struct rr_dispatch *d,
+                                   const struct dispatch_task *t,
+                                   uint64_t run);
+bool dispatch_task_placed_as (const struct dispatch_task *t, uint64_t run,
+                              struct rr_handle worker);
+bool dispatch_run_end_recorded (const struct dispatch_task *t, uint64_t run);
+void dispatch_checkpoint_keep (struct dispatch_task *t, uint64_t run,
                                struct rr_text *checkpoint);
 void dispatch_task_set (struct dispatch_job *j, uint32_t number,
                         enum task_state state);
@@ -405,6 +412,7 @@
 bool dispatch_crash_given_up (const struct dispatch_task *t);
 void dispatch_crash_clear (struct dispatch_job *j, struct dispatch_task *t);
 void dispatch_crash_run_reported (struct rr_dispatch *d,
+                                  const struct dispatch_worker *w,
                                   struct dispatch_run *r, struct rr_time now);
 void dispatch_crash_worker_lost (struct rr_dispatch *d,
                                  struct dispatch_worker *w, bool restarted,
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -66,14 +66,14 @@
   if (j == NULL || !dispatch_task_number (j, &end->name, &number))
     {
       dispatch_log_decision (
-          d, "run_end_unknown", "job=%s task=%d.%d.%d run=%u vm=%s how=%s",
+          d, "run_end_unknown", "job=%s task=%d.%d.%d run=%llu vm=%s how=%s",
           end->name.job, end->name.occurrence, end->name.step, end->name.task,
-          end->name.run, w->info.id, end_names[end->kind]);
+          (unsigned long long)end->name.run, w->info.id, end_names[end->kind]);
       end_queue (w, end->number, NULL);
       return;
     }
   const struct dispatch_task *t = &j->tasks[number];
-  bool current = t->state == TASK_PLACED && t->current_run == end->name.run;
+  bool current = dispatch_task_placed_as (t, end->name.run, w->handle);
   /* Ends are tracked for a number of runs only, so an older one may not have
      been processed.  */
   bool settles = end->kind == RR_END_DONE && t->state != TASK_DONE
@@ -82,11 +82,11 @@
     {
       dispatch_log_decision (
           d, "run_ended",
-          "job=%s task=%d.%d.%d run=%u vm=%s how=%s clock=%lld current=%u",
+          "job=%s task=%d.%d.%d run=%llu vm=%s how=%s clock=%lld current=%llu",
           end->name.job, end->name.occurrence, end->name.step, end->name.task,
-          end->name.run, w->info.id, end_names[end->kind],
+          (unsigned long long)end->name.run, w->info.id, end_names[end->kind],
           (long long)w->clock_ms,
-          t->state == TASK_PLACED ? t->current_run : 0U);
+          (unsigned long long)(t->state == TASK_PLACED ? t->current_run : 0));
       dispatch_task_end (d, j, number, end, w->handle, now);
       dispatch_health_end (d, w, j->handle, end->kind, now);
     }
@@ -155,10 +155,10 @@
       j->version++;
     }
   settle_dependents (d, j, &status->name);
-  dispatch_log_decision (d, "run_adopted", "job=%s task=%d.%d.%d run=%u vm=%s",
-                         status->name.job, status->name.occurrence,
-                         status->name.step, status->name.task,
-                         status->name.run, w->info.id);
+  dispatch_log_decision (
+      d, "run_adopted", "job=%s task=%d.%d.%d run=%llu vm=%s",
+      status->name.job, status->name.occurrence, status->name.step,
+      status->name.task, (unsigned long long)status->name.run, w->info.id);
 }
 
 /* Adopts a reported run that is not on record, or stops it when its task must
@@ -182,10 +182,10 @@
           return r;
         }
     }
-  dispatch_log_decision (d, "run_unexpected",
-                         "job=%s task=%d.%d.%d run=%u vm=%s", status->name.job,
-                         status->name.occurrence, status->name.step,
-                         status->name.task, status->name.run, w->info.id);
+  dispatch_log_decision (
+      d, "run_unexpected", "job=%s task=%d.%d.%d run=%llu vm=%s",
+      status->name.job, status->name.occurrence, status->name.step,
+      status->name.task, (unsigned long long)status->name.run, w->info.id);
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
   dispatch_lease_assume (w, d->o.lease_ms + RR_LEASE_EXCESS_MAX_MS);
@@ -208,7 +208,7 @@
     }
   r->missing = -1;
   r->reported = true;
-  dispatch_crash_run_reported (d, r, now);
+  dispatch_crash_run_reported (d, w, r, now);
   if (status->percent != r->percent)
     {
       r->percent = status->percent;
@@ -216,8 +216,8 @@
     }
   r->measurement = status->measurement;
   struct dispatch_job *j = dispatch_job_get (d, r->job);
-  if (j != NULL && j->tasks[r->number].state == TASK_PLACED
-      && j->tasks[r->number].current_run == r->name.run
+  if (j != NULL
+      && dispatch_task_placed_as (&j->tasks[r->number], r->name.run, w->handle)
       && !rr_text_equal (status->checkpoint, r->start_checkpoint))
     dispatch_checkpoint_keep (&j->tasks[r->number], r->name.run,
                               status->checkpoint);
--- a/rosemaryrail/dispatch_throttle.c
+++ b/rosemaryrail/dispatch_throttle.c
@@ -63,9 +63,10 @@
     return;
   dispatch_log_decision (
       d, "throttle",
-      "job=%s task=%d.%d.%d run=%u vm=%s percent=%d before=%d limit=%d",
-      r->name.job, r->name.occurrence, r->name.step, r->name.task, r->name.run,
-      w->info.id, r->speed_target, r->speed_percent, w->best_effort_percent);
+      "job=%s task=%d.%d.%d run=%llu vm=%s percent=%d before=%d limit=%d",
+      r->name.job, r->name.occurrence, r->name.step, r->name.task,
+      (unsigned long long)r->name.run, w->info.id, r->speed_target,
+      r->speed_percent, w->best_effort_percent);
   r->throttle_in_flight = true;
   r->speed_percent = r->speed_target;
   struct rr_command command = { .kind = RR_COMMAND_THROTTLE,
@@ -94,12 +95,12 @@
   r->standstill_logged = true;
   dispatch_log_decision (
       d, "run_standstill",
-      "job=%s task=%d.%d.%d run=%u vm=%s still_ms=%lld percent=%d "
+      "job=%s task=%d.%d.%d run=%llu vm=%s still_ms=%lld percent=%d "
       "used=%lld cores=%lld speed=%d target=%d free_cores=%lld",
-      r->name.job, r->name.occurrence, r->name.step, r->name.task, r->name.run,
-      w->info.id, (long long)still_ms, r->percent, (long long)r->measurement,
-      (long long)r->cores_milli, r->speed_percent, r->speed_target,
-      (long long)w->free_cores_milli);
+      r->name.job, r->name.occurrence, r->name.step, r->name.task,
+      (unsigned long long)r->name.run, w->info.id, (long long)still_ms,
+      r->percent, (long long)r->measurement, (long long)r->cores_milli,
+      r->speed_percent, r->speed_target, (long long)w->free_cores_milli);
 }
 
 static bool
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -43,11 +43,11 @@
 }
 
 /* Returns the lowest run number that is free for every task of job ID.  */
-uint32_t
+uint64_t
 rr_dispatch_run_base (const struct rr_dispatch *d, const char *id)
 {
   const struct dispatch_job *j = dispatch_job_find (d, id);
-  uint32_t base = 1;
+  uint64_t base = 1;
   for (size_t i = 0; j != NULL && i < j->task_count; i++)
     if (j->tasks[i].next_run > base)
       base = j->tasks[i].next_run;
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -126,14 +126,14 @@
                       struct rr_time now)
 {
   struct dispatch_job *j = dispatch_job_get (d, r->job);
-  dispatch_log_decision (d, "run_lost",
-                         "job=%s task=%d.%d.%d run=%u vm=%s reason=%s",
-                         r->name.job, r->name.occurrence, r->name.step,
-                         r->name.task, r->name.run, w->info.id, reason);
+  dispatch_log_decision (
+      d, "run_lost", "job=%s task=%d.%d.%d run=%llu vm=%s reason=%s",
+      r->name.job, r->name.occurrence, r->name.step, r->name.task,
+      (unsigned long long)r->name.run, w->info.id, reason);
   if (j != NULL)
     {
       struct dispatch_task *t = &j->tasks[r->number];
-      if (t->state == TASK_PLACED && t->current_run == r->name.run)
+      if (dispatch_task_placed_as (t, r->name.run, w->handle))
         dispatch_task_requeue (d, j, r->number, now);
     }
   dispatch_run_remove (d, w, r);
--- a/rosemaryrail/job_graph.c
+++ b/rosemaryrail/job_graph.c
@@ -55,7 +55,7 @@
 /* Adds TASK to the share of G, with the lowest number of its next run.  */
 void
 rr_job_graph_share_add (struct rr_job_graph *g, uint32_t task,
-                        uint32_t first_run)
+                        uint64_t first_run)
 {
   rr_job_graph_share_remove (g, task);
   g->share = realloc (g->share, (g->share_count + 1) * sizeof *g->share);
--- a/rosemaryrail/job_graph_codec.c
+++ b/rosemaryrail/job_graph_codec.c
@@ -24,7 +24,7 @@
   { "first_run", RR_STORED_INT64, GRAPH (first_run_ms) },
   { "interval", RR_STORED_INT64, GRAPH (interval_ms) },
   { "accepted", RR_STORED_INT64, GRAPH (accepted_ms) },
-  { "run_base", RR_STORED_UINT32, GRAPH (run_base) },
+  { "run_base", RR_STORED_COUNT, GRAPH (run_base) },
 };
 
 static const struct rr_stored_field step_fields[] = {
@@ -48,7 +48,7 @@
 
 static const struct rr_stored_field share_fields[]
     = { { "task", RR_STORED_UINT32, SHARE (task) },
-        { "first_run", RR_STORED_UINT32, SHARE (first_run) } };
+        { "first_run", RR_STORED_COUNT, SHARE (first_run) } };
 
 /* What is stored of a graph in another form than its members have.  */
 struct derived
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -29,13 +29,13 @@
 
 static const struct rr_stored_field row_fields[] = {
   { "number", RR_STORED_UINT32, ROW (number) },
-  { "run", RR_STORED_UINT32, ROW (run) },
+  { "run", RR_STORED_COUNT, ROW (run) },
   { "failures", RR_STORED_UINT32, ROW (failures) },
   { "done", RR_STORED_BOOL, ROW (done) },
-  { "recorded_ends", RR_STORED_UINT64, ROW (recorded_ends) },
+  { "recorded_ends", RR_STORED_BITS, ROW (recorded_ends) },
   { "checkpoint", RR_STORED_TEXT, ROW (checkpoint) },
   { "crashes", RR_STORED_UINT32, ROW (crashes) },
-  { "checkpoint_run", RR_STORED_UINT32, ROW (checkpoint_run) },
+  { "checkpoint_run", RR_STORED_COUNT, ROW (checkpoint_run) },
 };
 
 enum
--- a/rosemaryrail/stored_fields.c
+++ b/rosemaryrail/stored_fields.c
@@ -28,7 +28,8 @@
     case RR_STORED_UINT32:
       n = *(const uint32_t *)(const void *)member;
       break;
-    case RR_STORED_UINT64:
+    case RR_STORED_COUNT:
+    case RR_STORED_BITS:
       n = (int64_t) * (const uint64_t *)(const void *)member;
       break;
     case RR_STORED_NAME:
@@ -76,8 +77,10 @@
         return false;
       *(uint32_t *)member = (uint32_t)n;
       return true;
-    case RR_STORED_UINT64:
-      if (!int_read (v, INT64_MIN, INT64_MAX, &n))
+    case RR_STORED_COUNT:
+    case RR_STORED_BITS:
+      if (!int_read (v, f->kind == RR_STORED_COUNT ? 0 : INT64_MIN, INT64_MAX,
+                     &n))
         return false;
       *(uint64_t *)member = (uint64_t)n;
       return true;
--- a/standins/taskworker_runs.c
+++ b/standins/taskworker_runs.c
@@ -11,7 +11,8 @@
 
 enum
 {
-  STOP_MS = 30
+  STOP_MS = 30,
+  FAILURE_MS = 100 /* until a run that must fail does */
 };
 
 struct run
@@ -157,6 +158,11 @@
   r->peak_tail_ms = spec_value (spec, "peak=");
   r->percent = 100;
   r->fails = rand () % 100 < spec_value (spec, "fail=");
+  if (run <= spec_value (spec, "failures="))
+    {
+      r->fails = true;
+      r->work_us = FAILURE_MS * INT64_C (1000);
+    }
   LIST_INSERT_HEAD (&runs, r, link);
   char size[16];
   snprintf (size, sizeof size, "%d", length);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -52,6 +52,8 @@
      record_lost              the same, but the owner gets no answer
      stop_owner               another owner is to take over
      store                    stores all progress
+     reserve                  stores more run numbers for the owner if it needs
+                              them
      confirm on|off           whether ownership of the shard is confirmed
      registrations on|off     whether the workers' registrations are known as
                               of the last planning round
@@ -68,6 +70,8 @@
                               stored job, after a division that failed
      share JOB N:RUN...       sets the tasks of the job that are here, with
                               the lowest numbers of their next runs
+     base JOB N               later owners have the job from another shard,
+                              with run numbers from N on
      export                   saves the dispatcher's estimates
      import                   merges the saved estimates
      start_bytes N            bounds the starts of later rounds
@@ -80,7 +84,7 @@
 {
   NEEDED_MAX = 32,
   JOBS_MAX = 64,
-  RUNS_PER_OWNER = 16,
+  RUNS_PER_BLOCK = 16,
   REGISTRATION_AGE_MAX_MS = 1400
 };
 
@@ -103,7 +107,9 @@
 static size_t queue_count;
 static struct rr_command commands[1024];
 static size_t command_count;
-static int takeovers;
+/* Blocks of run numbers of the present owner.  */
+static uint64_t first_block;
+static uint64_t last_block;
 static struct rr_recorded_worker recorded[NEEDED_MAX];
 static size_t recorded_count;
 static struct rr_dispatch_statistics statistics[RR_CLASSES_MAX];
@@ -159,6 +165,7 @@
   struct rr_dispatch *fresh = rr_dispatch_new (&o);
   for (size_t i = 0; i < queue_count; i++)
     rr_dispatch_queue_set (fresh, &queues[i]);
+  rr_dispatch_runs_reserve (fresh, (last_block + 1) * RUNS_PER_BLOCK + 1);
   return fresh;
 }
 
@@ -335,17 +342,18 @@
 static void
 takeover (const struct rr_recorded_worker *workers, size_t count)
 {
+  uint64_t former_block = first_block;
+  first_block = last_block = last_block + 1;
   rr_dispatch_free (script.dispatch);
   script.dispatch = dispatcher_new ();
   script.confirmed = script.now;
   confirming = true;
-  rr_dispatch_inherit (
-      script.dispatch, rr_time_add (script.now, LEASE_MAX_MS + 900),
-      (uint32_t)(takeovers * RUNS_PER_OWNER + 1),
-      (uint32_t)((takeovers + 1) * RUNS_PER_OWNER + 1), script.now);
+  rr_dispatch_inherit (script.dispatch,
+                       rr_time_add (script.now, LEASE_MAX_MS + 900),
+                       former_block * RUNS_PER_BLOCK + 1,
+                       first_block * RUNS_PER_BLOCK + 1, script.now);
   for (size_t i = 0; i < count; i++)
     rr_dispatch_inherit_worker (script.dispatch, &workers[i]);
-  takeovers++;
   for (size_t i = 0; i < job_count; i++)
     job_restore (&jobs[i]);
   for (size_t i = 0; i < fake_worker_count; i++)
@@ -355,6 +363,20 @@
           !recorded_as_silent (workers, count, fake_workers[i].id));
 }
 
+/* Stores that the owner may use another block of run numbers, if it is short
+   of them.  */
+static void
+reserve (void)
+{
+  if (!rr_dispatch_runs_low (script.dispatch))
+    return;
+  last_block++;
+  rr_dispatch_runs_reserve (script.dispatch,
+                            (last_block + 1) * RUNS_PER_BLOCK + 1);
+  printf ("reserved runs up to %llu\n",
+          (unsigned long long)(last_block + 1) * RUNS_PER_BLOCK);
+}
+
 static void
 permits_grant (char **word, size_t words)
 {
@@ -426,6 +448,24 @@
     }
 }
 
+/* Stores that the shard may use run numbers from BASE on for the job, which
+   came from another one.  */
+static void
+job_set_base (const char *id, uint64_t base)
+{
+  for (size_t i = 0; i < job_count; i++)
+    if (strcmp (jobs[i].id, id) == 0)
+      {
+        struct rr_error err = { 0 };
+        struct rr_job_graph *g = rr_job_graph_decode (
+            jobs[i].graph, strlen (jobs[i].graph), &err);
+        g->run_base = base;
+        free (jobs[i].graph);
+        jobs[i].graph = rr_job_graph_encode (g);
+        rr_job_graph_free (g);
+      }
+}
+
 static void
 job_restore_share (const char *id)
 {
@@ -481,6 +521,8 @@
                                (uint32_t)strtoul (word[2], NULL, 10));
   else if (strcmp (word[0], "restore") == 0)
     job_restore_share (word[1]);
+  else if (strcmp (word[0], "base") == 0)
+    job_set_base (word[1], strtoull (word[2], NULL, 10));
   else if (strcmp (word[0], "share") == 0)
     job_share (word, words);
   else if (strcmp (word[0], "drop") == 0)
@@ -568,6 +610,8 @@
     }
   else if (strcmp (c, "store") == 0)
     store ();
+  else if (strcmp (c, "reserve") == 0)
+    reserve ();
   else if (strcmp (c, "permit") == 0)
     permits_grant (word, words);
   else if (strcmp (c, "confirm") == 0)
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -107,8 +107,9 @@
         const struct fake_run *r = &fake_workers[i].runs[k];
         const struct rr_run_name *n = &r->status.name;
         if (!r->ended && r->speed != 100)
-          printf ("%s %d.%d run %u on %s at %d%%\n", n->job, n->step, n->task,
-                  n->run, fake_workers[i].id, r->speed);
+          printf ("%s %d.%d run %llu on %s at %d%%\n", n->job, n->step,
+                  n->task, (unsigned long long)n->run, fake_workers[i].id,
+                  r->speed);
       }
 }
 
@@ -134,9 +135,9 @@
   if (!rr_dispatch_command_begin (script.dispatch, w->handle, command->kind,
                                   &command->name))
     {
-      printf ("%s %s %d.%d run %u on %s withdrawn\n", kinds[command->kind],
+      printf ("%s %s %d.%d run %llu on %s withdrawn\n", kinds[command->kind],
               command->name.job, command->name.step, command->name.task,
-              command->name.run, command->worker_id);
+              (unsigned long long)command->name.run, command->worker_id);
       rr_dispatch_command_answered (script.dispatch, w->handle, command->kind,
                                     &command->name, RR_OUTCOME_NOT_SENT, 0,
                                     script.now);
@@ -150,16 +151,16 @@
   if (command->kind == RR_COMMAND_START && lease <= 0)
     {
       struct rr_run_name unsent = command->name;
-      printf ("start %s %d.%d run %u on %s: no lease\n", unsent.job,
-              unsent.step, unsent.task, unsent.run, w->id);
+      printf ("start %s %d.%d run %llu on %s: no lease\n", unsent.job,
+              unsent.step, unsent.task, (unsigned long long)unsent.run, w->id);
       rr_dispatch_command_answered (script.dispatch, w->handle, command->kind,
                                     &unsent, RR_OUTCOME_NOT_SENT, 0,
                                     script.now);
       return;
     }
-  printf ("%s %s %d.%d run %u on %s", kinds[command->kind], command->name.job,
-          command->name.step, command->name.task, command->name.run,
-          command->worker_id);
+  printf ("%s %s %d.%d run %llu on %s", kinds[command->kind],
+          command->name.job, command->name.step, command->name.task,
+          (unsigned long long)command->name.run, command->worker_id);
   if (command->kind == RR_COMMAND_START
       && rr_text_length (command->permit_token) > 0)
     printf (" with %s", rr_text_bytes (command->permit_token));
@@ -211,6 +212,14 @@
       fake_run_end (w, &w->runs[i], RR_END_LEASE_EXPIRED);
 }
 
+static int
+compare_ends (const void *a, const void *b)
+{
+  int64_t x = ((const struct rr_run_end *)a)->number;
+  int64_t y = ((const struct rr_run_end *)b)->number;
+  return (x > y) - (x < y);
+}
+
 static void
 worker_poll (struct fake_worker *w)
 {
@@ -243,6 +252,7 @@
       ended[r.ended_count++] = w->runs[i].end;
     else if (!w->runs[i].ended && !w->runs[i].delayed && !w->runs[i].sealed)
       running[r.running_count++] = w->runs[i].status;
+  qsort (ended, r.ended_count, sizeof *ended, compare_ends);
   rr_dispatch_report_apply (script.dispatch, w->handle, &r, script.now);
 }
 
--- a/tests/entry/test_membership_record.c
+++ b/tests/entry/test_membership_record.c
@@ -43,11 +43,13 @@
   struct rr_recorded_worker workers[]
       = { worker ("w1", false, 0), worker ("w2", true, 503000),
           worker ("w3", true, 499000) };
-  struct membership_record written
-      = { .ordinal = 7, .workers = workers, .worker_count = 3 };
+  struct membership_record written = {
+    .first_block = 5, .last_block = 7, .workers = workers, .worker_count = 3
+  };
   char *text = membership_record_encode (&written, rr_time_from_ms (500000));
   struct membership_record read = decode (text);
-  ck_assert_int_eq (read.ordinal, 7);
+  ck_assert_int_eq (read.first_block, 5);
+  ck_assert_int_eq (read.last_block, 7);
   ck_assert_uint_eq (read.worker_count, 3);
   ck_assert_str_eq (read.workers[0].id, "w1");
   ck_assert (!read.workers[0].silent);
@@ -102,6 +104,9 @@
   assert_refused ("{\"ordinal\":2,\"workers\":{}}");
   assert_refused ("{\"ordinal\":2,\"workers\":[\"w1\",7]}");
   assert_refused ("{\"ordinal\":-1,\"workers\":[]}");
+  assert_refused ("{\"ordinal\":3,\"first\":4,\"workers\":[]}");
+  assert_refused ("{\"ordinal\":3,\"first\":-1,\"workers\":[]}");
+  assert_refused ("{\"ordinal\":9223372036854775807,\"workers\":[]}");
 }
 END_TEST
 
--- a/tests/entry/test_stored_forms.c
+++ b/tests/entry/test_stored_forms.c
@@ -34,9 +34,11 @@
   x.progress = y.progress = NULL;
   ck_assert_uint_eq (x.step_count, y.step_count);
   ck_assert_uint_eq (x.share_count, y.share_count);
-  ck_assert (x.share_count == 0
-             || memcmp (x.share, y.share, x.share_count * sizeof *x.share)
-                    == 0);
+  for (size_t i = 0; i < x.share_count; i++)
+    {
+      ck_assert_uint_eq (x.share[i].task, y.share[i].task);
+      ck_assert_uint_eq (x.share[i].first_run, y.share[i].first_run);
+    }
   x.share = y.share = NULL;
   for (size_t i = 0; i < x.step_count; i++)
     {
@@ -148,7 +150,7 @@
   g->interval_ms = INT64_MAX;
   g->accepted_ms = INT64_MIN;
   g->progress = strdup ("{\"phase\":\"queued\",\"tasks\":[]}");
-  g->run_base = UINT32_MAX;
+  g->run_base = INT64_MAX;
   struct rr_job_graph_step *s = &g->steps[1];
   s->cores_milli = s->memory_mb = s->accelerators = INT64_MAX;
   s->estimate_ms = s->tail_target_ms = INT64_MAX;
@@ -186,7 +188,7 @@
   rr_job_graph_free (copy);
   rr_job_graph_share_add (g, 0, 0);
   rr_job_graph_share_add (g, 1, 0);
-  rr_job_graph_share_add (g, 2, UINT32_MAX);
+  rr_job_graph_share_add (g, 2, INT64_MAX);
   copy = stored_and_read (g);
   assert_same_graph (g, copy);
   rr_job_graph_free (copy);
@@ -233,12 +235,13 @@
       struct rr_error err = { 0 };
       struct rr_progress_row *rows = calloc (3, sizeof *rows);
       rows[0].checkpoint = rr_text_new (bytes, lengths[i]);
-      rows[1].number = rows[1].run = UINT32_MAX;
+      rows[1].number = UINT32_MAX;
+      rows[1].run = INT64_MAX;
       rows[1].recorded_ends = UINT64_MAX;
       rows[1].failures = rows[1].crashes = UINT32_MAX;
       rows[1].done = true;
       rows[1].checkpoint = rr_text_new (bytes, lengths[i]);
-      rows[1].checkpoint_run = UINT32_MAX;
+      rows[1].checkpoint_run = INT64_MAX;
       rows[2].crashes = 1;
       struct rr_progress p
           = { .phase = RR_PHASE_ACTIVE, .rows = rows, .row_count = 3 };
