dispatch: the last owner's run numbers count from the shard's own lowest one

After a takeover, dependents of a task start at once if the last owner has started the run that still goes on: then it has started none of them. For a job from another shard numbers count from the highest used there, but were compared with the last owner's first number alone, so that a run of any owner passed for one of the last.

--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -116,7 +116,9 @@
 settle_dependents (struct rr_dispatch *d, struct dispatch_job *j,
                    const struct rr_run_name *name)
 {
-  if (!d->inheriting || name->run < d->former_run)
+  uint32_t number;
+  if (!d->inheriting || !dispatch_task_number (j, name, &number)
+      || name->run < d->former_run + j->tasks[number].first_run)
     return;
   bool *depends = dependents_of (j->graph, (size_t)name->step);
   uint32_t first = (uint32_t)((size_t)name->occurrence * j->occurrence_tasks);
