dispatch: a stop counts only in the life of the worker in which it was sent

A worker may come back under its id with a clock of its own.

The fake worker of the scripts can withhold answers, can restart with its clock, and forgets the ends that it was told are stored.

--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -60,6 +60,8 @@
   struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
   if (r == NULL)
     return false;
+  if (kind == RR_COMMAND_STOP)
+    r->stop_life = w->life;
   if (kind != RR_COMMAND_START)
     return !r->queued;
   if (!r->queued || r->stop_wanted || !w->registered || w->info.draining
@@ -139,7 +141,9 @@
     case RR_COMMAND_STOP:
       r->stop_in_flight = false;
       r->stop_at = rr_time_add (now, STOP_RETRY_MS);
-      if (outcome != RR_OUTCOME_ACCEPTED)
+      /* An incarnation that has ended since says nothing of the run in the
+         present one.  */
+      if (outcome != RR_OUTCOME_ACCEPTED || r->stop_life != w->life)
         return;
       r->stop_confirmed = true;
       r->settled_clock = clock_ms;
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -105,6 +105,7 @@
   bool on_trial;  /* ... and nothing else starts beside it until it survives */
   bool stop_wanted;
   bool stop_in_flight;
+  uint32_t stop_life;     /* of the worker, when the stop was sent */
   bool stop_confirmed;    /* acknowledged at SETTLED_CLOCK */
   struct rr_time stop_at; /* earliest time to resend the stop */
   const char *stop_reason;
@@ -167,6 +168,7 @@
   struct rr_time clock_sent;
   struct rr_time clock_received;
   int64_t lease_clock_ms; /* latest lease end granted, on the worker's clock */
+  uint32_t life;          /* how often it was seen to restart under its id */
   struct dispatch_run *runs;
   size_t run_count;
   size_t run_capacity;
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -170,6 +170,7 @@
       d, "vm_restarted", "vm=%s born=%lld before=%lld runs=%zu", w->info.id,
       (long long)started_ms, (long long)w->info.started_ms, w->run_count);
   w->info.started_ms = started_ms;
+  w->life++;
   w->reported = false;
   w->has_clock = false;
   w->lease_clock_ms = 0;
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -19,6 +19,7 @@
      unregister ID            removes the worker's registration
      restart ID               restarts the worker under the same id, which
                               shows in its reports only
+     restart_clock ID         the same, and its clock starts anew
      reregister ID            restarts it and updates its registration
      job ID QUEUE STEP...     submits a job; STEP is COUNTxCORES[,FLAG]...
                               with the flags after, long_running,
@@ -35,6 +36,8 @@
      delay W | undelay W      throttles to W get no answer
      deliver W                carries these throttles out
      mute W | unmute W        loses the answers of W
+     withhold_answers W       answers of W to commands come later
+     deliver_answers W        these answers come
      slow_answers W MS        the answers of W take MS
      lease W                  prints how far the next lease of W reaches
      queue_commands W         commands to W wait in the daemon
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -49,6 +49,24 @@
   r->end.checkpoint = r->status.checkpoint;
 }
 
+static int64_t
+clock_ms (const struct fake_worker *w)
+{
+  return script.now.ms - w->clock_start;
+}
+
+/* Delivers the answers of W that were withheld.  */
+static void
+answers_deliver (struct fake_worker *w)
+{
+  w->withholding = false;
+  for (size_t i = 0; i < w->answer_count; i++)
+    rr_dispatch_command_answered (
+        script.dispatch, w->handle, w->answers[i].kind, &w->answers[i].name,
+        RR_OUTCOME_ACCEPTED, w->answers[i].clock_ms, script.now);
+  w->answer_count = 0;
+}
+
 static struct fake_run *
 run_new (struct fake_worker *w, const struct rr_run_name *name)
 {
@@ -188,10 +206,14 @@
   else
     throttle (w, command);
   struct rr_run_name name = command->name;
-  rr_dispatch_command_answered (
-      script.dispatch, w->handle, command->kind, &name,
-      answered ? RR_OUTCOME_ACCEPTED : RR_OUTCOME_UNKNOWN, script.now.ms,
-      script.now);
+  if (w->withholding)
+    w->answers[w->answer_count++]
+        = (struct fake_answer){ command->kind, name, clock_ms (w) };
+  else
+    rr_dispatch_command_answered (
+        script.dispatch, w->handle, command->kind, &name,
+        answered ? RR_OUTCOME_ACCEPTED : RR_OUTCOME_UNKNOWN, clock_ms (w),
+        script.now);
 }
 
 static void
@@ -208,7 +230,7 @@
 {
   for (size_t i = 0; i < w->run_count; i++)
     if (!w->runs[i].ended && !w->runs[i].delayed
-        && w->lease_end <= script.now.ms)
+        && w->lease_end <= clock_ms (w))
       fake_run_end (w, &w->runs[i], RR_END_LEASE_EXPIRED);
 }
 
@@ -238,17 +260,19 @@
     }
   if (lease > w->lease_end)
     w->lease_end = lease;
+  if (observed > w->forgotten)
+    w->forgotten = observed;
   static struct rr_run_status running[RUNS_MAX];
   static struct rr_run_end ended[RUNS_MAX];
   struct rr_worker_report r
       = { .started_ms = w->started_ms,
-          .clock_ms = script.now.ms,
+          .clock_ms = clock_ms (w),
           .sent = rr_time_add (script.now, -w->answer_ms),
           .received = script.now,
           .running = running,
           .ended = ended };
   for (size_t i = 0; i < w->run_count; i++)
-    if (w->runs[i].ended && w->runs[i].end.number > observed)
+    if (w->runs[i].ended && w->runs[i].end.number > w->forgotten)
       ended[r.ended_count++] = w->runs[i].end;
     else if (!w->runs[i].ended && !w->runs[i].delayed && !w->runs[i].sealed)
       running[r.running_count++] = w->runs[i].status;
@@ -325,6 +349,7 @@
 {
   w->run_count = 0;
   w->ends = 0;
+  w->forgotten = 0;
   w->lease_end = 0;
   w->started_ms = script.now.ms;
 }
@@ -346,6 +371,15 @@
     }
   else if (strcmp (word[0], "restart") == 0)
     worker_restart (w);
+  else if (strcmp (word[0], "restart_clock") == 0)
+    {
+      worker_restart (w);
+      w->clock_start = script.now.ms;
+    }
+  else if (strcmp (word[0], "withhold_answers") == 0)
+    w->withholding = true;
+  else if (strcmp (word[0], "deliver_answers") == 0)
+    answers_deliver (w);
   else if (strcmp (word[0], "reregister") == 0)
     {
       worker_restart (w);
@@ -368,7 +402,7 @@
                             script.dispatch, w->handle,
                             rr_time_add (script.confirmed, LEASE_MAX_MS),
                             script.now)
-                        - script.now.ms));
+                        - clock_ms (w)));
   else if (strcmp (word[0], "queue_commands") == 0)
     w->queueing = true;
   else if (strcmp (word[0], "send_commands") == 0)
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -22,6 +22,14 @@
   int32_t late_speed; /* of a throttle on its way; -1: none */
 };
 
+/* An answer to a command that was withheld.  */
+struct fake_answer
+{
+  enum rr_command_kind kind;
+  struct rr_run_name name;
+  int64_t clock_ms;
+};
+
 struct fake_worker
 {
   char id[16];
@@ -35,9 +43,14 @@
   int64_t answer_ms;           /* between a poll and its answer */
   struct rr_command queue[64]; /* names and kinds of commands that wait */
   size_t queue_count;
+  bool withholding; /* answers to commands come later */
+  struct fake_answer answers[16];
+  size_t answer_count;
   int64_t started_ms;
-  int64_t lease_end; /* on its own clock, which equals the script's */
+  int64_t clock_start; /* on the script's clock, when its own showed 0 */
+  int64_t lease_end;   /* on its own clock */
   int64_t ends;
+  int64_t forgotten; /* ends up to this one are not listed any more */
   struct fake_run runs[RUNS_MAX];
   size_t run_count;
 };
