dispatch: tell a worker which ends are stored only while it answers

Numbers of ends are of one life of a worker, which may come back under its id. A worker that has not answered the last poll, or for 1.6 s, is told nothing.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -256,7 +256,7 @@
                                   struct rr_time valid_until,
                                   struct rr_time now);
 int64_t rr_dispatch_worker_stored_end (struct rr_dispatch *d,
-                                       struct rr_handle h);
+                                       struct rr_handle h, struct rr_time now);
 bool rr_dispatch_worker_has_unstored_ends (struct rr_dispatch *d,
                                            struct rr_handle h);
 void rr_dispatch_report_apply (struct rr_dispatch *d, struct rr_handle h,
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -233,7 +233,8 @@
   struct platform_worker_poll k = {
     .id = c->id,
     .token = c->owner.fencing_token,
-    .observed = rr_dispatch_worker_stored_end (c->owner.dispatch, c->worker),
+    .observed
+    = rr_dispatch_worker_stored_end (c->owner.dispatch, c->worker, now),
     .timeout_ms = POLL_ANSWER_MAX_MS,
   };
   k.lease_end = rr_dispatch_worker_lease (
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -279,13 +279,10 @@
   rr_table_remove (d->workers, h);
 }
 
-/* Returns the highest number of an end that worker H may discard.  */
-int64_t
-rr_dispatch_worker_stored_end (struct rr_dispatch *d, struct rr_handle h)
+/* Removes W's ends whose effect is stored from its queue.  */
+static void
+remove_stored_ends (struct rr_dispatch *d, struct dispatch_worker *w)
 {
-  struct dispatch_worker *w = dispatch_worker_get (d, h);
-  if (w == NULL)
-    return 0;
   size_t kept = 0;
   while (kept < w->end_count)
     {
@@ -299,7 +296,22 @@
   w->end_count -= kept;
   if (kept > 0)
     memmove (w->ends, w->ends + kept, w->end_count * sizeof *w->ends);
-  return w->observed;
+}
+
+/* Returns the highest number of an end that worker H may discard with the next
+   poll.  Returns 0 when it has not answered lately: it may have restarted
+   under its id, and have ends of its own with these numbers.  */
+int64_t
+rr_dispatch_worker_stored_end (struct rr_dispatch *d, struct rr_handle h,
+                               struct rr_time now)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  if (w == NULL)
+    return 0;
+  remove_stored_ends (d, w);
+  bool recent = !w->unresponsive
+                && rr_time_diff (now, w->last_report) <= REPORT_AGE_MAX_MS;
+  return recent ? w->observed : 0;
 }
 
 /* Returns true when worker H has reported ends that are not stored yet.  */
@@ -307,9 +319,11 @@
 rr_dispatch_worker_has_unstored_ends (struct rr_dispatch *d,
                                       struct rr_handle h)
 {
-  rr_dispatch_worker_stored_end (d, h);
   struct dispatch_worker *w = dispatch_worker_get (d, h);
-  return w != NULL && w->end_count > 0;
+  if (w == NULL)
+    return false;
+  remove_stored_ends (d, w);
+  return w->end_count > 0;
 }
 
 /* Records that worker H has not answered a poll.  It gets no lease until it
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -246,7 +246,7 @@
 worker_poll (struct fake_worker *w)
 {
   int64_t observed
-      = rr_dispatch_worker_stored_end (script.dispatch, w->handle);
+      = rr_dispatch_worker_stored_end (script.dispatch, w->handle, script.now);
   int64_t lease = rr_dispatch_worker_lease (
       script.dispatch, w->handle, rr_time_add (script.confirmed, LEASE_MAX_MS),
       script.now);
