entryd: a cancellation holds for a job that is stored later

Cause: a cancellation of a job that is not stored left nothing, and the write of a submission had only the job's key as its condition. Ruled out: the answer 410 as such, and the watch (a cancellation that is stored keeps a job from running that comes after it).

The cancellation is stored before it is answered, known job or not; a submission is stored only if there is none. The job key is read after that, so 410 is final: no order of the two writes leaves a job without its cancellation. Cancellations without a job go after retention_s + late_s (late_s is the margin that was a constant, 60 s), by the owner of the first shard. Looking up a key in a conflict is one function of the store's client now.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -81,6 +81,7 @@
   size_t removal_count;
 };
 
+int64_t store_result_revision (const struct store_result *r, const char *key);
 struct store *store_open (uv_loop_t *loop, const char *address, uint16_t port);
 void store_get (struct store *s, const char *key, uint64_t timeout_ms,
                 store_done_fn *done, void *data);
--- a/include/rosemaryentryd/front_private.h
+++ b/include/rosemaryentryd/front_private.h
@@ -29,7 +29,8 @@
     REQUEST_STATE
   } kind;
   char id[RR_JOB_NAME_SIZE];
-  char key[KEY_SIZE];
+  char job_key[KEY_SIZE];
+  char cancel_key[KEY_SIZE];
   char queue[RR_JOB_NAME_SIZE];
   char record[RR_JOB_NAME_SIZE]; /* whose phase is being read */
   size_t next_part;              /* shard of the next part to read */
@@ -41,6 +42,9 @@
 };
 
 void request_finish (struct request *q, int status, const char *json);
+void request_retry (struct request *q, const struct store_result *r);
+void request_store_job (struct request *q);
+void request_store_cancellation (struct request *q);
 void request_finish_phase (struct request *q);
 void request_read_phase (struct request *q, const struct job_record *j);
 
--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -33,7 +33,9 @@
   int64_t lease_max_ms; /* longest lease that workers grant */
   int64_t drain_ms;     /* until a draining worker gets no more tasks */
   int64_t shutdown_ms;  /* from SIGTERM until the platform sends SIGKILL */
-  int64_t retention_ms; /* how long ended jobs are kept */
+  int64_t retention_ms; /* how long callers can query ended jobs */
+  int64_t late_ms;      /* ... and how much longer they, and cancellations, are
+                           kept for requests and writes that come late */
   int64_t cpu_milli;    /* CPU share, thousandths of a core */
   int64_t link_kbit;    /* of the VM's network link, a second */
   double remote_factor; /* slowdown of a task outside the rack of its data */
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -55,9 +55,6 @@
   STATISTICS_INTERVAL_MS = 2000,
   /* Interval between removals of old jobs from the store.  */
   FORGET_INTERVAL_MS = 3000,
-  /* A finished job is kept this much longer than the configured retention, for
-     repeated submissions that are still in flight.  */
-  FORGET_MARGIN_MS = 60000,
   /* Each job has three keys; the owner key needs a condition.  */
   FORGET_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 3,
   /* Interval between writes of summaries of ended jobs.  */
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -95,7 +95,7 @@
    the deadline would pass, the store has refused calls for too long, or it
    rejected the call as invalid.  The error is outcome-unknown if any write may
    have taken effect.  */
-static void
+void
 request_retry (struct request *q, const struct store_result *r)
 {
   struct rr_time now = entry_now ();
@@ -114,39 +114,7 @@
   uv_timer_start (&q->retry_timer, on_retry_timer, RETRY_INTERVAL_MS, 0);
 }
 
-static void
-on_written (void *data, const struct store_result *r)
-{
-  struct request *q = data;
-  /* A conflict means that the job or its cancellation already exists, from an
-     earlier attempt of this daemon or of the caller.  A new job is added to
-     the records at once, because callers query it before the watch reports it.
-   */
-  if (r->state == STORE_OK && q->kind == REQUEST_SUBMIT)
-    records_job_set (q->front->entry->records, q->id, q->text, r->revision);
-  if (r->state == STORE_OK || r->state == STORE_CONFLICT)
-    request_finish (q, 200, "{}");
-  else
-    request_retry (q, r);
-}
-
-static void
-request_write_key (struct request *q, const char *value)
-{
-  struct store_condition cond = { .key = q->key, .revision = 0 };
-  struct store_write w = { .key = q->key, .value = value };
-  store_put_if (q->front->entry->store, &cond, &w, STORE_CALL_TIMEOUT_MS,
-                on_written, q);
-}
-
-static void
-request_write_cancellation (struct request *q)
-{
-  snprintf (q->key, sizeof q->key, "%s%s", KEY_CANCEL, q->id);
-  request_write_key (q, "{}");
-}
-
-/* Continues a request for a job that is not in the records, with the result of
+/* Continues a query for a job that is not in the records, with the result of
    reading the job's key from the store.  */
 static void
 on_job_key_read (void *data, const struct store_result *r)
@@ -156,8 +124,6 @@
     request_finish (q, 410, "no-such-job");
   else if (r->state != STORE_OK)
     request_retry (q, r);
-  else if (q->kind == REQUEST_CANCEL)
-    request_write_cancellation (q);
   else
     request_finish_phase (q);
 }
@@ -174,23 +140,20 @@
       if (known)
         request_finish (q, 200, "{}");
       else
-        request_write_key (q, q->text);
+        request_store_job (q);
       return;
     case REQUEST_CANCEL:
       if (known && j->cancelled)
         request_finish (q, 200, "{}");
-      else if (known)
-        request_write_cancellation (q);
       else
-        store_get (e->store, q->key, STORE_CALL_TIMEOUT_MS, on_job_key_read,
-                   q);
+        request_store_cancellation (q);
       return;
     case REQUEST_STATE:
       if (known)
         request_read_phase (q, j);
       else
-        store_get (e->store, q->key, STORE_CALL_TIMEOUT_MS, on_job_key_read,
-                   q);
+        store_get (e->store, q->job_key, STORE_CALL_TIMEOUT_MS,
+                   on_job_key_read, q);
       return;
     }
 }
@@ -219,7 +182,8 @@
   q->deadline = request_deadline (x, route);
   snprintf (q->id, sizeof q->id, "%s", id);
   snprintf (q->queue, sizeof q->queue, "%s", route->policy.queue);
-  snprintf (q->key, sizeof q->key, "%s%s", KEY_JOB, id);
+  snprintf (q->job_key, sizeof q->job_key, "%s%s", KEY_JOB, id);
+  snprintf (q->cancel_key, sizeof q->cancel_key, "%s%s", KEY_CANCEL, id);
   uv_timer_init (f->entry->loop, &q->retry_timer);
   q->retry_timer.data = q;
   return q;
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -108,8 +108,8 @@
   uv_timer_start (&s->timer, on_shutdown_tick, 0, SHUTDOWN_TICK_MS);
 }
 
-/* Applies the settings shutdown_s and retention_s from the file.  The others
-   need a restart.  */
+/* Applies the settings shutdown_s, retention_s and late_s from the file.  The
+   others need a restart.  */
 static void
 on_reload_signal (uv_signal_t *signal, int number)
 {
@@ -125,6 +125,7 @@
     }
   s->entry->settings.shutdown_ms = fresh.shutdown_ms;
   s->entry->settings.retention_ms = fresh.retention_ms;
+  s->entry->settings.late_ms = fresh.late_ms;
   log_event (LOG_LEVEL_INFO, "reloaded", "path=%s", s->path);
 }
 
--- a/rosemaryentryd/records.c
+++ b/rosemaryentryd/records.c
@@ -393,7 +393,14 @@
                      const struct store_item *item)
 {
   if (item->removed)
-    return;
+    {
+      struct rr_handle h = rr_key_index_get (r->job_index, id);
+      const struct job_record *j = rr_table_get (r->jobs, h);
+      /* A cancelled job stays cancelled.  */
+      if (j != NULL && !j->accepted)
+        records_job_remove (r, h);
+      return;
+    }
   job_record_cancel (r, job_record_get_or_create (r, id));
   for (size_t i = 0; i < r->shard_count; i++)
     {
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -110,6 +110,7 @@
       s->drain_ms = read_scaled_number_or (o, "drain_ms", 1, 2000);
       s->shutdown_ms = read_scaled_number_or (o, "shutdown_s", 1000, 6000);
       s->retention_ms = read_scaled_number_or (o, "retention_s", 1000, 120000);
+      s->late_ms = read_scaled_number_or (o, "late_s", 1000, 60000);
       s->cpu_milli
           = read_scaled_number_or (o, "cpu_share", 1000, CPU_DEFAULT_MILLI);
       s->link_kbit
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -31,10 +31,7 @@
 static bool
 owner_changed (const struct shard *s, const struct store_result *r)
 {
-  for (size_t i = 0; i < r->item_count; i++)
-    if (strcmp (r->items[i].key, s->owner_key) == 0)
-      return r->items[i].revision != s->fencing_token;
-  return true;
+  return store_result_revision (r, s->owner_key) != s->fencing_token;
 }
 
 /* Handles the end of a write that is conditional on the owner key.  Returns
--- a/rosemaryentryd/shard_forget.c
+++ b/rosemaryentryd/shard_forget.c
@@ -1,9 +1,11 @@
 #include "rosemaryentryd/shard_private.h"
 
 #include <stdio.h>
-#include <string.h>
 
-/* Removes jobs that ended long ago from the store.  */
+#include "rosemaryentryd/retention.h"
+
+/* Removes jobs that ended long ago from the store, and cancellations of jobs
+   that were never stored.  */
 
 static void
 on_forgotten (void *data, const struct store_result *r)
@@ -18,15 +20,6 @@
                s->record->name, store_state_name (r->state));
 }
 
-static bool
-retention_expired (const struct shard *s, const struct job_record *j,
-                   struct rr_time now)
-{
-  int64_t kept = s->entry->settings.retention_ms + FORGET_MARGIN_MS;
-  return j->finished.ms != 0 && strcmp (j->shard, s->record->name) == 0
-         && rr_time_diff (now, j->finished) > kept;
-}
-
 /* Removes some of the jobs whose retention is over.  */
 void
 shard_forget_jobs (struct shard *s, struct rr_time now)
@@ -36,21 +29,27 @@
   s->last_forget = now;
   static char keys[3 * FORGET_JOBS_MAX][KEY_SIZE];
   const char *removals[3 * FORGET_JOBS_MAX];
+  const struct entry_settings *e = &s->entry->settings;
   size_t n = 0;
+  size_t jobs = 0;
   struct rr_handle h = { 0 };
   const struct job_record *j;
-  while (n < sizeof removals / sizeof removals[0]
+  while (jobs < FORGET_JOBS_MAX
          && (j = records_job_next (s->entry->records, &h)) != NULL)
-    if (retention_expired (s, j, now))
+    if (retention_expired (s->entry->records, s->record, j,
+                           e->retention_ms + e->late_ms, now))
       {
-        snprintf (keys[n], KEY_SIZE, "%s%s", KEY_JOB, j->id);
-        records_progress_key (s->record->name, j->id, keys[n + 1]);
-        snprintf (keys[n + 2], KEY_SIZE, "%s%s", KEY_CANCEL, j->id);
-        for (size_t end = n + 3; n < end; n++)
-          removals[n] = keys[n];
+        jobs++;
+        snprintf (keys[n++], KEY_SIZE, "%s%s", KEY_CANCEL, j->id);
+        if (!j->accepted)
+          continue;
+        snprintf (keys[n++], KEY_SIZE, "%s%s", KEY_JOB, j->id);
+        records_progress_key (s->record->name, j->id, keys[n++]);
       }
   if (n == 0)
     return;
+  for (size_t i = 0; i < n; i++)
+    removals[i] = keys[i];
   struct store_condition cond = { s->owner_key, s->fencing_token };
   struct store_txn txn = { .conditions = &cond,
                            .condition_count = 1,
@@ -59,6 +58,6 @@
   s->forgetting = true;
   s->calls_in_flight++;
   log_event (LOG_LEVEL_INFO, "old_jobs_removed", "shard=%s jobs=%zu",
-             s->record->name, n / 3);
+             s->record->name, jobs);
   store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_forgotten, s);
 }
--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -48,10 +48,9 @@
 static void
 adopt_revision (struct shard *s, const char *key, const struct store_result *r)
 {
-  for (size_t i = 0; i < r->item_count; i++)
-    if (strcmp (r->items[i].key, key) == 0
-        && r->items[i].revision > s->membership.revision)
-      s->membership.revision = r->items[i].revision;
+  int64_t revision = store_result_revision (r, key);
+  if (revision > s->membership.revision)
+    s->membership.revision = revision;
 }
 
 static void
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -78,7 +78,8 @@
  "metrics": "$address:$((25700 + $1))", "peer": "$address:$((25800 + $1))",
  "store": "$address:$((25100 + $1))", "lease_max_ms": 10000, "drain_ms": 2000,
  "cpu_share": 0.1, "link_mbps": 1000, "shutdown_s": 6,
- "retention_s": 120, "remote_factor": 3}
+ "retention_s": ${retention_s:-120}, "late_s": ${late_s:-60},
+ "remote_factor": 3}
 SETTINGS
   "$build/rosemaryentryd/rosemaryentryd" "$file" >>"$work/d$1.log" 2>&1 &
   pid[d$1]=$!
