entryd: parts of a divided job are removed before the job

Four minutes after its end a job is removed with its cancellation by the owner of its shard, and its parts by the owners of theirs. A daemon that started in between took a part without the job for one that goes on, and its tasks would have run again (suspected by the review, by reading).

entry retention, parts_go_first: fails without the condition, which was tried.

--- a/tests/entry/test_retention.c
+++ b/tests/entry/test_retention.c
@@ -72,6 +72,23 @@
   return retention_expired (NULL, &shards[shard], j, KEPT_MS, now);
 }
 
+/* Guards against a part of a divided job that outlives the job's cancellation:
+   a daemon that starts then runs it again.  */
+START_TEST (parts_go_first)
+{
+  memset (jobs, 0, sizeof jobs);
+  const struct job_record *whole = set_job (0, "aa", "aa", "s0");
+  struct job_record *part = set_job (1, "aa.s1", "aa", "s1");
+  set_job (2, "bb", "bb", "s1");
+  ck_assert (!expired (whole, 0, late));
+  ck_assert (!expired (part, 0, late));
+  ck_assert (expired (part, 1, late));
+  memset (part, 0, sizeof *part);
+  ck_assert (expired (whole, 0, late));
+  ck_assert (!expired (whole, 1, late));
+}
+END_TEST
+
 /* Guards against a job that is removed while a submission of it may still be
    carried out.  */
 START_TEST (kept_for_late_writes)
@@ -96,4 +113,5 @@
 }
 END_TEST
 
-SUITE ("retention", kept_for_late_writes, cancellations_without_a_job)
+SUITE ("retention", parts_go_first, kept_for_late_writes,
+       cancellations_without_a_job)
