dispatch: a full list of ends says nothing about runs that it leaves out

Cause: a worker lists 500 ends at a time and the next ones once the first are stored. A run that was neither running nor listed in two reports was taken for lost.

Such a report doesn't count as one without the runs that it leaves out, and doesn't settle what a new owner inherits; a worker that answers so holds its tasks until its leases have expired.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -94,6 +94,7 @@
   size_t running_count;
   struct rr_run_end *ended;
   size_t ended_count;
+  bool ends_partial; /* there may be later ends */
 };
 
 enum rr_command_kind
--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -86,6 +86,20 @@
       dispatch_task_set (j, i, TASK_WAITING);
 }
 
+/* Returns when all leases on WORKER have expired: those of former owners, and
+   those that it got from this one if it has answered, but not with all of its
+   ends.  */
+static struct rr_time
+inherited_expiry (const struct rr_dispatch *d,
+                  const struct dispatch_inherited *worker)
+{
+  const struct dispatch_worker *w = dispatch_worker_find (d, worker->id);
+  if (w == NULL || !w->has_clock)
+    return worker->expiry;
+  struct rr_time own = dispatch_lease_expiry (w);
+  return rr_time_before (own, worker->expiry) ? worker->expiry : own;
+}
+
 /* Removes the inherited workers whose leases have expired at a time at which
    this owner certainly held the shard.  Returns their number.  */
 static size_t
@@ -95,12 +109,13 @@
   for (size_t i = d->inherited_count; i-- > 0;)
     {
       const struct dispatch_inherited *worker = &d->inherited[i];
-      if (rr_time_before (confirmed, worker->expiry))
+      struct rr_time expiry = inherited_expiry (d, worker);
+      if (rr_time_before (confirmed, expiry))
         continue;
-      dispatch_log_decision (
-          d, "inherited_lease_expired", "vm=%s recorded=%d ago_ms=%lld",
-          worker->id, worker->silence_recorded ? 1 : 0,
-          (long long)rr_time_diff (confirmed, worker->expiry));
+      dispatch_log_decision (d, "inherited_lease_expired",
+                             "vm=%s recorded=%d ago_ms=%lld", worker->id,
+                             worker->silence_recorded ? 1 : 0,
+                             (long long)rr_time_diff (confirmed, expiry));
       d->inherited[i] = d->inherited[--d->inherited_count];
       expired++;
     }
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -308,13 +308,15 @@
       }
   for (size_t i = 0; i < r->running_count; i++)
     status_apply (d, w, &r->running[i], now);
-  check_unreported_runs (d, w, r->clock_ms, now);
+  /* A run that is not listed may be among the ends that are left out.  */
+  if (!r->ends_partial)
+    check_unreported_runs (d, w, r->clock_ms, now);
   if (restarted)
     {
       dispatch_lease_assume (w, d->o.lease_max_ms);
       stop_unresolved_runs (w);
     }
-  if (!w->reported)
+  if (!w->reported && !r->ends_partial)
     {
       w->reported = true;
       dispatch_inherited_remove (d, w->info.id);
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -277,6 +277,11 @@
     else if (!w->runs[i].ended && !w->runs[i].delayed && !w->runs[i].sealed)
       running[r.running_count++] = w->runs[i].status;
   qsort (ended, r.ended_count, sizeof *ended, compare_ends);
+  if (w->listed_max > 0 && r.ended_count >= w->listed_max)
+    {
+      r.ended_count = w->listed_max;
+      r.ends_partial = true;
+    }
   rr_dispatch_report_apply (script.dispatch, w->handle, &r, script.now);
 }
 
@@ -376,6 +381,8 @@
       worker_restart (w);
       w->clock_start = script.now.ms;
     }
+  else if (strcmp (word[0], "list_ends") == 0)
+    w->listed_max = strtoul (word[2], NULL, 10);
   else if (strcmp (word[0], "withhold_answers") == 0)
     w->withholding = true;
   else if (strcmp (word[0], "deliver_answers") == 0)
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -43,7 +43,8 @@
   int64_t answer_ms;           /* between a poll and its answer */
   struct rr_command queue[64]; /* names and kinds of commands that wait */
   size_t queue_count;
-  bool withholding; /* answers to commands come later */
+  size_t listed_max; /* ends in a report; 0: all */
+  bool withholding;  /* answers to commands come later */
   struct fake_answer answers[16];
   size_t answer_count;
   int64_t started_ms;
