--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "rosemaryentryd/shard_selection.h"
+#include "rosemaryentryd/transfer_outcome.h"
 
 /* Transfers jobs that have waited too long for free capacity to a shard that
    has it, with their progress.  Only jobs that certainly run nowhere are
@@ -39,6 +40,16 @@
   shard_transfer_clear (s);
 }
 
+/* Returns whether R, a conflict, shows that an earlier attempt without an
+   answer has taken effect, for all jobs at once.  */
+static bool
+took_effect (const struct shard *s, const struct store_result *r)
+{
+  char key[KEY_SIZE];
+  snprintf (key, sizeof key, "%s%s", KEY_JOB, s->transfer[0].id);
+  return transfer_took_effect (r, key, s->record->name);
+}
+
 static void
 on_transferred (void *data, const struct store_result *r)
 {
@@ -52,9 +63,7 @@
       transfer_finish (s);
       return;
     case STORE_CONFLICT:
-      if (s->transfer_unknown)
-        /* No other daemon changes these keys while this one owns the shard, so
-           the earlier attempt took effect.  */
+      if (s->transfer_unknown && took_effect (s, r))
         transfer_finish (s);
       else
         {
