--- a/tests/entry/test_stored_forms.c
+++ b/tests/entry/test_stored_forms.c
@@ -58,7 +58,8 @@
 static void
 fill_name (char *out, char c)
 {
-  memset (out, c, RR_JOB_NAME_SIZE - 1);
+  for (size_t i = 0; i < RR_JOB_NAME_SIZE - 1; i++)
+    out[i] = c;
   out[RR_JOB_NAME_SIZE - 1] = '\0';
 }
 
