dispatch: a task does not wait for a rack that is gone

Cause: the wait for the rack had no bound and did not ask whether a worker is left there. There is none now without a registered worker of the rack that could hold the task, and it is at most 2 s for long-running tasks and for jobs with nothing running, which callers notice.

--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -27,6 +27,9 @@
      even where latency-critical tasks hardly tolerate it, and is throttled as
      far as they need.  */
   BEST_EFFORT_WAIT_MAX_MS = 2500,
+  /* The longest wait for a rack when callers notice: less than the 3 s after
+     which a job without running tasks counts as standing still.  */
+  RACK_WAIT_NOTICED_MS = 2000,
   /* Bytes of a start command besides the spec.  */
   START_BYTES = 500,
   SPEED_SCORE = 1000,     /* per percent of a best-effort task's speed */
@@ -293,9 +296,42 @@
   d->o.send_command (d->o.data, &command);
 }
 
-/* Returns the worker for the task NAME, or null.  On a rack without its data a
-   task takes longer by the remote factor, so it first waits for half the time
-   that it would lose there.  */
+/* Returns whether a task of S could run in its rack once others have ended
+   there.  */
+static bool
+rack_has_worker (const struct rr_dispatch *d,
+                 const struct rr_job_graph_step *s)
+{
+  struct rr_handle h = { 0 };
+  const struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (w->registered && !w->info.draining
+        && w->info.cores_milli >= s->cores_milli
+        && w->info.memory_mb >= s->memory_mb
+        && w->info.accelerators >= s->accelerators
+        && rr_worker_has_label (&w->info, s->rack))
+      return true;
+  return false;
+}
+
+/* Returns how long a task of J's step S waits for a worker in the rack of its
+   data.  On another rack it takes longer by the remote factor, so it waits for
+   half the time that it would lose there.  A long-running task loses none, and
+   callers notice a job that has nothing running.  */
+static int64_t
+rack_wait_ms (const struct rr_dispatch *d, const struct dispatch_job *j,
+              const struct rr_job_graph_step *s)
+{
+  if (!rack_has_worker (d, s))
+    return 0;
+  double lost_ms = (d->o.remote_factor - 1) * (double)s->estimate_ms;
+  bool noticed = s->long_running || j->run_count == 0;
+  return noticed && lost_ms / 2 > RACK_WAIT_NOTICED_MS
+             ? RACK_WAIT_NOTICED_MS
+             : (int64_t)(lost_ms / 2);
+}
+
+/* Returns the worker for the task NAME, or null.  */
 static struct dispatch_worker *
 find_worker (struct rr_dispatch *d, struct dispatch_job *j,
              const struct rr_run_name *name, uint32_t number,
@@ -323,8 +359,7 @@
   struct rr_time since = dispatch_occurrence_start (d, j, name->occurrence);
   if (rr_time_before (since, j->tasks[number].not_before))
     since = j->tasks[number].not_before;
-  double wait_ms = (d->o.remote_factor - 1) * (double)s->estimate_ms / 2;
-  if (w != NULL || (double)rr_time_diff (now, since) < wait_ms)
+  if (w != NULL || rr_time_diff (now, since) < rack_wait_ms (d, j, s))
     return w;
   c.rack = NULL;
   return select_worker (d, &c, failed_worker, now);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -24,7 +24,7 @@
      job ID QUEUE STEP...     submits a job; STEP is COUNTxCORES[,FLAG]...
                               with the flags after, long_running,
                               best_effort, checkpoint, gang, spread,
-                              image=NAME, target=MS and estimate=MS
+                              image=NAME, rack=NAME, target=MS and estimate=MS
      spec [TEXT]              sets the spec of the next jobs
      cancel ID                cancels the job
      end ID STEP.TASK HOW     ends the task's run on its worker
@@ -218,6 +218,8 @@
     s->per_worker_max = 1;
   if (strncmp (flag, "image=", 6) == 0)
     snprintf (s->image, sizeof s->image, "%s", flag + 6);
+  if (strncmp (flag, "rack=", 5) == 0)
+    snprintf (s->rack, sizeof s->rack, "%s", flag + 5);
   if (strncmp (flag, "target=", 7) == 0)
     s->tail_target_ms = strtol (flag + 7, NULL, 10);
   if (strncmp (flag, "estimate=", 9) == 0)
