--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -291,6 +291,13 @@
 void dispatch_worker_measure (struct dispatch_worker *w);
 bool dispatch_worker_usable (const struct dispatch_worker *w,
                              struct rr_time now);
+struct dispatch_worker *
+dispatch_worker_select (struct rr_dispatch *d, struct dispatch_job *j,
+                        const struct rr_run_name *name, uint32_t number,
+                        const char *gang_rack, struct rr_time now);
+void dispatch_hold_capacity (struct rr_dispatch *d, struct dispatch_job *j,
+                             const struct rr_run_name *name,
+                             struct rr_time now);
 void dispatch_place_job (struct rr_dispatch *d, struct dispatch_job *j,
                          struct rr_time now);
 
