dispatch: crashes count for runs that have started, and their worker is avoided

Causes: the worker that had crashed was the emptiest when it was back, so the task went there again; and a start without an answer counted as a crash, also one sent to a worker that had crashed before. Ruled out: counting workers in place of crashes; lives of one worker count one by one (dispatch deadly_task_restart).

dispatch crashing_worker (run 2 on w1) and starts_on_dead_workers (job_failed) failed on the commit before.

--- a/rosemaryrail/dispatch_crash.c
+++ b/rosemaryrail/dispatch_crash.c
@@ -80,6 +80,7 @@
   struct dispatch_task *t = &j->tasks[r->number];
   r->crash_counted = true;
   t->crashes++;
+  t->failed_worker = w->handle;
   j->version++;
   dispatch_log_decision (
       d, "crash_suspected",
@@ -98,8 +99,8 @@
 }
 
 /* The runs of W are lost with it for REASON.  Counts a crash for those that
-   may have caused it.  A worker that is still registered when its leases have
-   expired is only out of reach.  */
+   may have caused it: it is known that they have started.  A worker that is
+   still registered when its leases have expired is only out of reach.  */
 void
 dispatch_crash_worker_lost (struct rr_dispatch *d, struct dispatch_worker *w,
                             bool restarted, const char *reason)
@@ -109,7 +110,7 @@
   for (size_t i = 0; i < w->run_count; i++)
     {
       struct dispatch_run *r = &w->runs[i];
-      if (!r->queued && !r->survived && !r->crash_counted)
+      if (r->phase == RUN_RUNNING && !r->survived && !r->crash_counted)
         crash_count (d, r, w, reason);
     }
 }
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -27,7 +27,7 @@
   uint32_t failures;
   uint32_t crashes;               /* of workers in a row, soon after a start */
   struct rr_handle worker;        /* while placed */
-  struct rr_handle failed_worker; /* where its last run failed; avoided */
+  struct rr_handle failed_worker; /* of its last failure or crash; avoided */
   struct rr_time not_before;      /* of the next start */
   struct rr_text *checkpoint;
   uint64_t checkpoint_run; /* that saved it; 0: unknown */
