dispatch: a job keeps the need for permits when its queue is removed

Cause: the job stored the service and the attempts of its queue, not the need for permits, and a start that is refused for its permit was repeated at once. The need is stored with the job; where no permit is needed as far as is known, a start that is refused for one is tried again after 2 s.

--- a/include/rosemaryrail/job_graph.h
+++ b/include/rosemaryrail/job_graph.h
@@ -57,6 +57,7 @@
   char queue[RR_JOB_NAME_SIZE];
   char service[RR_JOB_NAME_SIZE]; /* of the queue, on acceptance */
   int32_t attempts_max;           /* likewise; 0: not known */
+  bool needs_permits;             /* likewise */
   char shard[RR_JOB_NAME_SIZE];
   struct rr_text *spec; /* passed to every task */
   struct rr_job_graph_step *steps;
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -224,6 +224,7 @@
   snprintf (g->queue, sizeof g->queue, "%s", route->policy.queue);
   snprintf (g->service, sizeof g->service, "%s", route->policy.service);
   g->attempts_max = route->policy.attempts_max;
+  g->needs_permits = route->policy.needs_permits;
   g->accepted_ms = entry_wall_ms ();
   const struct shard_record *s = shard_selection_for_job (e, g);
   if (s == NULL)
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -128,6 +128,16 @@
                                     : ATTEMPTS_UNKNOWN_MAX;
 }
 
+/* Returns whether a step of J runs only on workers with a permit: what its
+   queue says, or said when J was accepted.  */
+bool
+dispatch_needs_permits (const struct rr_dispatch *d,
+                        const struct dispatch_job *j)
+{
+  const struct rr_queue_policy *q = queue_find (d, j->graph->queue);
+  return q == NULL ? j->graph->needs_permits : q->needs_permits;
+}
+
 struct dispatch_job *
 dispatch_job_find (const struct rr_dispatch *d, const char *id)
 {
--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -116,7 +116,11 @@
   if (j != NULL && outcome == RR_OUTCOME_NO_PERMIT)
     dispatch_permit_drop (j, &r->name, w);
   dispatch_run_requeue (d, w, r, rr_command_outcome_name (outcome), now);
-  if (j != NULL && outcome == RR_OUTCOME_INVALID)
+  /* No permit is requested where none is needed, so the same start would only
+     be refused again.  */
+  bool permit_unexpected = j != NULL && outcome == RR_OUTCOME_NO_PERMIT
+                           && !dispatch_needs_permits (d, j);
+  if (permit_unexpected || (j != NULL && outcome == RR_OUTCOME_INVALID))
     j->tasks[number].not_before = rr_time_add (now, INVALID_RETRY_MS);
 }
 
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -201,7 +201,7 @@
   struct rr_run_name name
       = { .occurrence = occurrence, .step = (int32_t)step };
   snprintf (name.job, sizeof name.job, "%s", j->graph->id);
-  bool needs_permits = dispatch_queue_policy (d, j)->needs_permits;
+  bool needs_permits = dispatch_needs_permits (d, j);
   if (s->gang)
     {
       if (!place_gang (d, j, &name, now) && needs_permits)
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -316,6 +316,8 @@
 const struct rr_queue_policy *
 dispatch_queue_policy (const struct rr_dispatch *d,
                        const struct dispatch_job *j);
+bool dispatch_needs_permits (const struct rr_dispatch *d,
+                             const struct dispatch_job *j);
 int32_t dispatch_attempts_max (const struct rr_dispatch *d,
                                const struct dispatch_job *j);
 struct dispatch_job *dispatch_job_find (const struct rr_dispatch *d,
--- a/rosemaryrail/dispatch_select.c
+++ b/rosemaryrail/dispatch_select.c
@@ -280,7 +280,7 @@
           .name = name,
           .service = q->service[0] != '\0' ? q->service : j->graph->service,
           .rack = gang_rack,
-          .needs_permits = q->needs_permits,
+          .needs_permits = dispatch_needs_permits (d, j),
           .suspected = dispatch_crash_suspected (&j->tasks[number]),
           .on_trial = dispatch_crash_on_trial (&j->tasks[number]) };
   struct rr_handle failed_worker = j->tasks[number].failed_worker;
@@ -313,7 +313,7 @@
           .step = &j->graph->steps[name->step],
           .name = name,
           .service = q->service[0] != '\0' ? q->service : j->graph->service,
-          .needs_permits = q->needs_permits };
+          .needs_permits = dispatch_needs_permits (d, j) };
   struct dispatch_worker *best = NULL;
   int64_t best_ms = -1;
   struct rr_handle h = { 0 };
--- a/rosemaryrail/job_graph_codec.c
+++ b/rosemaryrail/job_graph_codec.c
@@ -19,6 +19,7 @@
   { "queue", RR_STORED_NAME, GRAPH (queue) },
   { "service", RR_STORED_NAME, GRAPH (service) },
   { "attempts", RR_STORED_INT32, GRAPH (attempts_max) },
+  { "permits", RR_STORED_BOOL, GRAPH (needs_permits) },
   { "shard", RR_STORED_NAME, GRAPH (shard) },
   { "spec", RR_STORED_TEXT, GRAPH (spec) },
   { "first_run", RR_STORED_INT64, GRAPH (first_run_ms) },
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -235,7 +235,10 @@
   snprintf (g->service, sizeof g->service, "desk");
   for (size_t i = 0; i < queue_count; i++)
     if (strcmp (queues[i].queue, g->queue) == 0)
-      g->attempts_max = queues[i].attempts_max;
+      {
+        g->attempts_max = queues[i].attempts_max;
+        g->needs_permits = queues[i].needs_permits;
+      }
   g->spec = rr_text_new (spec, strlen (spec));
   g->accepted_ms = script.now.ms;
   for (size_t i = 0; i < g->step_count; i++)
--- a/tests/entry/test_stored_forms.c
+++ b/tests/entry/test_stored_forms.c
@@ -145,6 +145,7 @@
   fill_name (g->service, 's');
   fill_name (g->shard, '"');
   g->attempts_max = INT32_MAX;
+  g->needs_permits = true;
   g->spec = rr_text_new ("\0\n", 2);
   g->scheduled = true;
   g->first_run_ms = INT64_MAX;
