dispatch: the time of a planning round is linear in the steps of a job

What callers saw: nothing yet; suspected by the review, by reading. A job of 13,000 steps, which a body of 256 KB can have, took 221 ms of processor time in each round here, every 100 ms; on a VM with a tenth of a core its owner would do nothing else, and lose its leases.

Cause: the number of a task was found by adding up the steps before its own, for each waiting step.

--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -53,6 +53,7 @@
   rr_job_graph_free (j->graph);
   free (j->tasks);
   free (j->steps);
+  free (j->step_first);
 }
 
 /* Frees D, which may be null.  No commands are sent.  */
@@ -161,9 +162,8 @@
       || name->step < 0 || (size_t)name->step >= g->step_count
       || name->task < 0 || name->task >= g->steps[name->step].task_count)
     return false;
-  *number = (uint32_t)((size_t)name->occurrence * j->occurrence_tasks
-                       + rr_job_graph_step_offset (g, (size_t)name->step)
-                       + (size_t)name->task);
+  *number = (uint32_t)((size_t)name->occurrence * j->occurrence_tasks)
+            + j->step_first[name->step] + (uint32_t)name->task;
   return true;
 }
 
@@ -175,12 +175,19 @@
   memset (name, 0, sizeof *name);
   snprintf (name->job, sizeof name->job, "%s", j->graph->id);
   name->occurrence = (int32_t)(number / j->occurrence_tasks);
-  size_t rest = number % j->occurrence_tasks;
+  uint32_t rest = (uint32_t)(number % j->occurrence_tasks);
   size_t step = 0;
-  while (rest >= (size_t)j->graph->steps[step].task_count)
-    rest -= (size_t)j->graph->steps[step++].task_count;
+  size_t end = j->graph->step_count;
+  while (end - step > 1)
+    {
+      size_t middle = step + (end - step) / 2;
+      if (j->step_first[middle] <= rest)
+        step = middle;
+      else
+        end = middle;
+    }
   name->step = (int32_t)step;
-  name->task = (int32_t)rest;
+  name->task = (int32_t)(rest - j->step_first[step]);
 }
 
 struct dispatch_step *
@@ -307,7 +314,10 @@
   j->tasks = calloc (j->task_count, sizeof *j->tasks);
   j->steps
       = calloc (g->step_count * (size_t)g->occurrence_count, sizeof *j->steps);
-  assert (j->tasks != NULL && j->steps != NULL);
+  j->step_first = calloc (g->step_count + 1, sizeof *j->step_first);
+  assert (j->tasks != NULL && j->steps != NULL && j->step_first != NULL);
+  for (size_t i = 0; i < g->step_count; i++)
+    j->step_first[i + 1] = j->step_first[i] + (uint32_t)g->steps[i].task_count;
   j->accepted = rr_time_from_ms (g->accepted_ms - d->o.wall_offset_ms);
   if (rr_time_before (now, j->accepted))
     j->accepted = now;
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -62,6 +62,7 @@
   struct rr_handle handle;
   struct dispatch_task *tasks; /* by occurrence, step and number */
   struct dispatch_step *steps; /* by occurrence and step */
+  uint32_t *step_first; /* number of each step's first task, and of the end */
   size_t occurrence_tasks;
   size_t task_count;
   size_t done_count;
--- a/rosemaryrail/dispatch_ready.c
+++ b/rosemaryrail/dispatch_ready.c
@@ -46,7 +46,7 @@
            struct rr_time now)
 {
   int64_t longest = 0;
-  size_t first = rr_job_graph_step_offset (j->graph, step);
+  size_t first = j->step_first[step];
   for (int32_t i = 0; i < j->graph->steps[step].task_count; i++)
     {
       const struct dispatch_task *t = &j->tasks[first + (size_t)i];
