--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fake_worker.h"
+#include "script_jobs.h"
 
 /* Runs a script of events against a dispatcher and prints its decisions.
    Workers are fakes that carry out commands at once by default.
@@ -87,28 +88,15 @@
 enum
 {
   NEEDED_MAX = 32,
-  JOBS_MAX = 64,
   RUNS_PER_BLOCK = 16,
   REGISTRATION_AGE_MAX_MS = 1400
 };
 
-struct fake_job
-{
-  char id[RR_JOB_NAME_SIZE];
-  char *graph;
-  char *progress; /* null: none stored */
-  bool cancelled;
-};
-
-static struct fake_job jobs[JOBS_MAX];
-static size_t job_count;
 struct script script = { .now = { 1000000 }, .confirmed = { 1000000 } };
 static bool confirming = true;
 static struct rr_time registrations_at = { 1000000 };
 static bool registrations_current = true;
 static int64_t start_bytes_max = INT64_MAX / 2;
-static struct rr_queue_policy queues[8];
-static size_t queue_count;
 static struct rr_command commands[1024];
 static size_t command_count;
 /* Blocks of run numbers of the present owner.  */
@@ -118,7 +106,6 @@
 static size_t recorded_count;
 static struct rr_dispatch_statistics statistics[RR_CLASSES_MAX];
 static size_t statistics_count;
-static char spec[64] = "spec"; /* of the next jobs */
 static char empty_word[] = ""; /* stands for missing words */
 
 static void
@@ -201,65 +188,6 @@
     }
 }
 
-static void
-step_flag (struct rr_job_graph_step *s, size_t number, char *flag)
-{
-  if (strcmp (flag, "after") == 0)
-    {
-      s->after = calloc (1, sizeof *s->after);
-      s->after[0] = (int32_t)number - 1;
-      s->after_count = 1;
-    }
-  s->long_running = s->long_running || strcmp (flag, "long_running") == 0;
-  s->best_effort = s->best_effort || strcmp (flag, "best_effort") == 0;
-  s->checkpointing = s->checkpointing || strcmp (flag, "checkpoint") == 0;
-  s->gang = s->gang || strcmp (flag, "gang") == 0;
-  if (strcmp (flag, "spread") == 0)
-    s->per_worker_max = 1;
-  if (strncmp (flag, "image=", 6) == 0)
-    snprintf (s->image, sizeof s->image, "%s", flag + 6);
-  if (strncmp (flag, "rack=", 5) == 0)
-    snprintf (s->rack, sizeof s->rack, "%s", flag + 5);
-  if (strncmp (flag, "target=", 7) == 0)
-    s->tail_target_ms = strtol (flag + 7, NULL, 10);
-  if (strncmp (flag, "estimate=", 9) == 0)
-    s->estimate_ms = strtol (flag + 9, NULL, 10);
-}
-
-static void
-job_add (char **word, size_t words)
-{
-  struct rr_job_graph *g = rr_job_graph_new (words - 3);
-  snprintf (g->id, sizeof g->id, "%s", word[1]);
-  snprintf (g->queue, sizeof g->queue, "%s", word[2]);
-  snprintf (g->service, sizeof g->service, "desk");
-  for (size_t i = 0; i < queue_count; i++)
-    if (strcmp (queues[i].queue, g->queue) == 0)
-      {
-        g->attempts_max = queues[i].attempts_max;
-        g->needs_permits = queues[i].needs_permits;
-      }
-  g->spec = rr_text_new (spec, strlen (spec));
-  g->accepted_ms = script.now.ms;
-  for (size_t i = 0; i < g->step_count; i++)
-    {
-      struct rr_job_graph_step *s = &g->steps[i];
-      char *rest = NULL;
-      char *part = strtok_r (word[i + 3], ",", &rest);
-      char *cores = NULL;
-      s->task_count = (int32_t)strtol (part, &cores, 10);
-      s->cores_milli = strtol (cores + 1, NULL, 10);
-      s->memory_mb = 100;
-      s->estimate_ms = 1000;
-      while ((part = strtok_r (NULL, ",", &rest)) != NULL)
-        step_flag (s, i, part);
-    }
-  struct fake_job *j = &jobs[job_count++];
-  snprintf (j->id, sizeof j->id, "%s", g->id);
-  j->graph = rr_job_graph_encode (g);
-  rr_dispatch_job_add (script.dispatch, g, NULL, false, script.now);
-}
-
 static void
 end (char **word)
 {
@@ -432,63 +360,6 @@
   printf ("\n");
 }
 
-static void
-job_share (char **word, size_t words)
-{
-  for (size_t i = 0; i < job_count; i++)
-    {
-      if (strcmp (jobs[i].id, word[1]) != 0)
-        continue;
-      struct rr_error err = { 0 };
-      struct rr_job_graph *g
-          = rr_job_graph_decode (jobs[i].graph, strlen (jobs[i].graph), &err);
-      rr_job_graph_divide (g, false);
-      for (size_t k = 2; k < words; k++)
-        {
-          char *run = NULL;
-          uint32_t task = (uint32_t)strtoul (word[k], &run, 10);
-          rr_job_graph_share_add (g, task,
-                                  (uint32_t)strtoul (run + 1, NULL, 10));
-        }
-      free (jobs[i].graph);
-      jobs[i].graph = rr_job_graph_encode (g);
-      rr_dispatch_job_set_share (script.dispatch, g);
-      rr_job_graph_free (g);
-    }
-}
-
-/* Stores that the shard may use run numbers from BASE on for the job, which
-   came from another one.  */
-static void
-job_set_base (const char *id, uint64_t base)
-{
-  for (size_t i = 0; i < job_count; i++)
-    if (strcmp (jobs[i].id, id) == 0)
-      {
-        struct rr_error err = { 0 };
-        struct rr_job_graph *g = rr_job_graph_decode (
-            jobs[i].graph, strlen (jobs[i].graph), &err);
-        g->run_base = base;
-        free (jobs[i].graph);
-        jobs[i].graph = rr_job_graph_encode (g);
-        rr_job_graph_free (g);
-      }
-}
-
-static void
-job_restore_share (const char *id)
-{
-  for (size_t i = 0; i < job_count; i++)
-    if (strcmp (jobs[i].id, id) == 0)
-      {
-        struct rr_error err = { 0 };
-        struct rr_job_graph *g = rr_job_graph_decode (
-            jobs[i].graph, strlen (jobs[i].graph), &err);
-        rr_dispatch_job_set_share (script.dispatch, g);
-        rr_job_graph_free (g);
-      }
-}
-
 /* Runs a script command about the estimates.  Returns false when WORD is
    none.  */
 static bool
@@ -584,7 +455,7 @@
   else if (strcmp (c, "job") == 0)
     job_add (word, words);
   else if (strcmp (c, "spec") == 0)
-    snprintf (spec, sizeof spec, "%s", word[1]);
+    snprintf (job_spec, sizeof job_spec, "%s", word[1]);
   else if (strcmp (c, "cancel") == 0)
     {
       for (size_t i = 0; i < job_count; i++)
