--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -10,7 +10,7 @@
 /* Stand-in of a worker on the users' platform: runs tasks under a lease,
    registers itself in rr-kv, and logs every start, change of speed and end.
    What a task does stands in its spec: "work=MS" ("again=MS" for runs after
-   the first), "fail=PERCENT", "failures=N" (runs up to N fail early) and
+   the first), "fail=PERCENT", "fails_off_peak" (runs fail early) and
    "cpu=" in thousandths of a core, or "tail=MS" for a latency-critical task,
    which has the tail latency "peak=MS" between one SIGUSR2 and the next.  */
 
--- a/standins/taskworker_runs.c
+++ b/standins/taskworker_runs.c
@@ -158,7 +158,7 @@
   r->peak_tail_ms = spec_value (spec, "peak=");
   r->percent = 100;
   r->fails = rand () % 100 < spec_value (spec, "fail=");
-  if (run <= spec_value (spec, "failures="))
+  if (!peak && strstr (spec, "fails_off_peak") != NULL)
     {
       r->fails = true;
       r->work_us = FAILURE_MS * INT64_C (1000);
