store_cache: a watch that was lost is resumed at once, on a new connection

A watch without an answer ended after 1.8 s; its successor waited again, on a pooled connection that could be dead as well, or for the whole wait at a store that had dropped the history.

Now the first watch after a lost one does not wait and opens a connection. A cache can also be set to read its keys beside a call that has no answer at the end of its wait, and in place of a watch after a lost one. Ruled out: a wait of 1 ms during the gap instead of a read, since the store answers no watch then.

--- a/common/upstream.c
+++ b/common/upstream.c
@@ -338,7 +338,8 @@
 
 /* Sends CALL, whose URL is only a path.  DONE runs exactly once, from the
    loop.  A call that is not idempotent gets a new connection, since the
-   upstream may close an idle one at the moment when the request is sent.  */
+   upstream may close an idle one at the moment when the request is sent, and
+   so does a call that asks for one.  */
 void
 upstream_send (struct upstream *u, const struct http_call *call,
                http_done_fn *done, void *data)
@@ -354,7 +355,7 @@
   build_request (c, call);
   call_timeout_init (&c->deadline, u->loop, &deadline_type, c);
   call_timeout_start (&c->deadline, call->timeout_ms);
-  if (call->idempotent)
+  if (call->idempotent && !call->new_connection)
     h2o_http1client_connect_with_pool (&c->client, c, &u->context, &u->pool,
                                        on_connect);
   else
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -32,6 +32,8 @@
   size_t answer_max_bytes; /* a larger response body fails the call */
   bool idempotent; /* if false, the call gets a new connection, since libcurl
                       may resend a request by itself on a reused one */
+  bool new_connection;  /* an idle one may be dead without a reset; only
+                           upstream_send */
   bool restart_timeout; /* the timeout starts again whenever part of the
                            response arrives; only upstream_send */
 };
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -81,16 +81,24 @@
   size_t removal_count;
 };
 
+/* How a read is sent.  */
+struct store_read
+{
+  uint64_t timeout_ms; /* starts again with each part of the response */
+  bool may_be_stale;   /* the result may be seconds old, for a lower price */
+  bool new_connection; /* the others may be dead without a reset */
+};
+
 int64_t store_result_revision (const struct store_result *r, const char *key);
 struct store *store_open (uv_loop_t *loop, const char *address, uint16_t port);
 void store_get (struct store *s, const char *key, uint64_t timeout_ms,
                 store_done_fn *done, void *data);
 void store_range (struct store *s, const char *prefix, const char *after,
-                  bool may_be_stale, uint64_t timeout_ms, store_done_fn *done,
+                  const struct store_read *how, store_done_fn *done,
                   void *data);
 void store_watch (struct store *s, const char *prefix, int64_t after,
-                  uint64_t wait_ms, uint64_t timeout_ms, store_done_fn *done,
-                  void *data);
+                  uint64_t wait_ms, const struct store_read *how,
+                  store_done_fn *done, void *data);
 void store_commit (struct store *s, const struct store_txn *txn,
                    uint64_t timeout_ms, store_done_fn *done, void *data);
 void store_put_if (struct store *s, const struct store_condition *condition,
--- a/include/rosemaryentryd/store_cache.h
+++ b/include/rosemaryentryd/store_cache.h
@@ -23,6 +23,7 @@
 void store_cache_set_read_interval (struct store_cache *c,
                                     uint64_t interval_ms);
 void store_cache_set_watch_wait (struct store_cache *c, uint64_t wait_ms);
+void store_cache_set_check (struct store_cache *c, uint64_t after_ms);
 void store_cache_set_batch_interval (struct store_cache *c,
                                      uint64_t batch_interval_ms);
 
--- a/rosemaryentryd/progress_reader.c
+++ b/rosemaryentryd/progress_reader.c
@@ -51,8 +51,8 @@
 static void
 page_read (struct progress_reader *p)
 {
-  store_range (p->entry->store, p->prefix, p->after, false, STORE_TIMEOUT_MS,
-               on_page_read, p);
+  struct store_read how = { .timeout_ms = STORE_TIMEOUT_MS };
+  store_range (p->entry->store, p->prefix, p->after, &how, on_page_read, p);
 }
 
 /* Reads the progress of all records of SHARD.  Calls DONE once, from the
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -11,11 +11,16 @@
 enum
 {
   WATCH_WAIT_MS = 1000, /* by default */
+  /* Of the first watch after a lost one.  It doesn't wait for changes: the
+     store may tell only at the end of the wait that it has dropped the history
+     that the watch needs.  */
+  RESUMED_WATCH_WAIT_MS = 1,
   /* A watch that gets no response for this long is on a dead connection.  */
   WATCH_TIMEOUT_MS = 1800,
   RANGE_TIMEOUT_MS = 2000,
   RETRY_MIN_MS = 40,
   RETRY_MAX_MS = 320,
+  CHECK_INTERVAL_MS = 500, /* between checks during one unanswered call */
   /* A cache that gets truncated responses for longer is reported in the
      log.  */
   BEHIND_REPORT_MS = 1000
@@ -40,8 +45,10 @@
   uint64_t batch_interval_ms; /* between watches, to batch changes */
   bool batching;              /* the timer runs for that interval */
   uint64_t watch_wait_ms;     /* for the next change */
-  uint64_t read_interval_ms;  /* between full reads; 0: watches instead */
-  bool read_wanted; /* a full read as soon as no call is waited for */
+  uv_timer_t check_timer;
+  uint64_t check_after_ms;   /* the end of a watch's wait; 0: no checks */
+  uint64_t read_interval_ms; /* between full reads; 0: watches instead */
+  bool read_wanted;          /* a full read as soon as no call is waited for */
   uint64_t retry_ms;
   int64_t revision;           /* all changes up to it are applied */
   int64_t full_read_revision; /* of the store when the full read began */
@@ -103,7 +110,8 @@
   c->batching = false;
   if (c->full_read)
     page_read (c);
-  else if (c->read_interval_ms > 0)
+  else if (c->read_interval_ms > 0
+           || (c->unresponsive && c->check_after_ms > 0))
     full_read_start (c);
   else
     watch_start (c);
@@ -120,9 +128,17 @@
   c->batch_interval_ms = batch_interval_ms;
 }
 
+/* A read beside an unanswered call.  */
+struct store_cache_check
+{
+  struct store_cache *cache;
+  struct rr_time sent;
+};
+
 static void
 retry_later (struct store_cache *c, const struct store_result *r)
 {
+  uv_timer_stop (&c->check_timer);
   if (!c->unresponsive)
     log_event (LOG_LEVEL_WARN, "store_watch_lost", "prefix=%s state=%s why=%s",
                c->prefix, store_state_name (r->state),
@@ -137,6 +153,7 @@
 static void
 response_received (struct store_cache *c)
 {
+  uv_timer_stop (&c->check_timer);
   if (c->unresponsive)
     log_event (LOG_LEVEL_INFO, "store_watch_regained",
                "prefix=%s revision=%lld silent_ms=%lld", c->prefix,
@@ -259,12 +276,55 @@
   follow (c);
 }
 
+static void
+on_checked (void *data, const struct store_result *r)
+{
+  struct store_cache_check *check = data;
+  struct store_cache *c = check->cache;
+  if (r->state == STORE_OK && !r->truncated)
+    {
+      for (size_t i = 0; i < r->item_count; i++)
+        item_apply (c, &r->items[i]);
+      note_completeness (c, r, check->sent);
+    }
+  free (check);
+}
+
+/* The present call has no answer yet, though its wait is over.  */
+static void
+on_check_timer (uv_timer_t *timer)
+{
+  struct store_cache *c = timer->data;
+  struct store_cache_check *check = calloc (1, sizeof *check);
+  assert (check != NULL);
+  *check = (struct store_cache_check){ .cache = c, .sent = entry_now () };
+  log_event (LOG_LEVEL_INFO, "store_view_checked",
+             "prefix=%s revision=%lld unanswered_ms=%lld", c->prefix,
+             (long long)c->revision,
+             (long long)rr_time_diff (check->sent, c->request_sent));
+  uv_timer_start (&c->check_timer, on_check_timer, CHECK_INTERVAL_MS, 0);
+  struct store_read how
+      = { .timeout_ms = RANGE_TIMEOUT_MS, .new_connection = true };
+  store_range (c->entry->store, c->prefix, "", &how, on_checked, check);
+}
+
+static void
+check_later (struct store_cache *c, uint64_t wait_ms)
+{
+  if (c->check_after_ms > 0)
+    uv_timer_start (&c->check_timer, on_check_timer,
+                    wait_ms + c->check_after_ms, 0);
+}
+
 static void
 page_read (struct store_cache *c)
 {
   c->request_sent = entry_now ();
-  store_range (c->entry->store, c->prefix, c->after, c->read_interval_ms > 0,
-               RANGE_TIMEOUT_MS, on_page_read, c);
+  struct store_read how = { .timeout_ms = RANGE_TIMEOUT_MS,
+                            .may_be_stale = c->read_interval_ms > 0,
+                            .new_connection = c->unresponsive };
+  check_later (c, 0);
+  store_range (c->entry->store, c->prefix, c->after, &how, on_page_read, c);
 }
 
 static void
@@ -312,8 +372,9 @@
     return;
   c->catching_up = true;
   c->catch_up_sent = entry_now ();
-  store_watch (c->entry->store, c->prefix, c->revision, 1, WATCH_TIMEOUT_MS,
-               on_caught_up, c);
+  struct store_read how = { .timeout_ms = WATCH_TIMEOUT_MS };
+  store_watch (c->entry->store, c->prefix, c->revision, 1, &how, on_caught_up,
+               c);
 }
 
 static void
@@ -354,8 +415,13 @@
 watch_start (struct store_cache *c)
 {
   c->request_sent = entry_now ();
-  store_watch (c->entry->store, c->prefix, c->revision, c->watch_wait_ms,
-               WATCH_TIMEOUT_MS, on_watch, c);
+  uint64_t wait_ms
+      = c->unresponsive ? RESUMED_WATCH_WAIT_MS : c->watch_wait_ms;
+  struct store_read how
+      = { .timeout_ms = WATCH_TIMEOUT_MS, .new_connection = c->unresponsive };
+  check_later (c, wait_ms);
+  store_watch (c->entry->store, c->prefix, c->revision, wait_ms, &how,
+               on_watch, c);
 }
 
 /* Waits for the next change, or for the time of the next full read.  */
@@ -407,6 +473,16 @@
   c->watch_wait_ms = wait_ms;
 }
 
+/* Reads all keys whenever a call has no answer AFTER_MS milliseconds after the
+   end of its wait, and after each failed one.  For a prefix of few keys, whose
+   changes must be known soon.  */
+void
+store_cache_set_check (struct store_cache *c, uint64_t after_ms)
+{
+  c->check_after_ms = after_ms;
+  check_later (c, c->full_read ? 0 : c->watch_wait_ms);
+}
+
 /* Starts to cache the keys under PREFIX and to call ON_ITEM for every change.
  */
 struct store_cache *
@@ -425,6 +501,8 @@
   c->watch_wait_ms = WATCH_WAIT_MS;
   uv_timer_init (e->loop, &c->timer);
   c->timer.data = c;
+  uv_timer_init (e->loop, &c->check_timer);
+  c->check_timer.data = c;
   full_read_start (c);
   return c;
 }
--- a/tests/entry/cache_script.c
+++ b/tests/entry/cache_script.c
@@ -17,7 +17,12 @@
      store REVISION              another call now shows the store's revision
      catch_up                    requests the changes so far
      batch MS                    sets the batch interval, and runs the loop
-   once state                       prints what the cache knows  */
+   once lost                        ends the oldest call without an answer
+     gone                        answers it: the history was dropped
+     check MS                    reads when a call has no answer MS after its
+                                 wait, and after a lost one
+     run MS                      runs the loop
+     state                       prints what the cache knows  */
 
 enum
 {
@@ -53,25 +58,24 @@
 
 void
 store_range (struct store *s, const char *prefix, const char *after,
-             bool may_be_stale, uint64_t timeout_ms, store_done_fn *done,
-             void *data)
+             const struct store_read *how, store_done_fn *done, void *data)
 {
   (void)s;
   (void)prefix;
-  (void)timeout_ms;
-  printf ("range after=\"%s\"%s\n", after, may_be_stale ? " stale" : "");
+  printf ("range after=\"%s\"%s%s\n", after, how->may_be_stale ? " stale" : "",
+          how->new_connection ? " new connection" : "");
   call_add (done, data);
 }
 
 void
 store_watch (struct store *s, const char *prefix, int64_t after,
-             uint64_t wait_ms, uint64_t timeout_ms, store_done_fn *done,
-             void *data)
+             uint64_t wait_ms, const struct store_read *how,
+             store_done_fn *done, void *data)
 {
   (void)s;
   (void)prefix;
-  (void)timeout_ms;
-  printf ("watch after=%" PRId64 " wait=%" PRIu64 "\n", after, wait_ms);
+  printf ("watch after=%" PRId64 " wait=%" PRIu64 "%s\n", after, wait_ms,
+          how->new_connection ? " new connection" : "");
   call_add (done, data);
 }
 
@@ -114,6 +118,30 @@
   c.done (c.data, &r);
 }
 
+/* Ends the oldest call in STATE, without a result.  */
+static void
+answer_without_items (enum store_state state)
+{
+  assert (call_count > 0);
+  struct call c = calls[0];
+  memmove (calls, calls + 1, --call_count * sizeof *calls);
+  struct store_result r = { .state = state };
+  c.done (c.data, &r);
+}
+
+static void
+run_loop (uint64_t ms)
+{
+  uv_loop_t *loop = uv_default_loop ();
+  uv_update_time (loop);
+  uint64_t until = uv_now (loop) + ms;
+  while (uv_now (loop) < until)
+    {
+      uv_run (loop, UV_RUN_NOWAIT);
+      uv_sleep (1);
+    }
+}
+
 static void
 on_item (void *data, const struct store_item *item)
 {
@@ -144,6 +172,14 @@
       store_cache_set_batch_interval (c, (uint64_t)first);
       uv_run (uv_default_loop (), UV_RUN_NOWAIT);
     }
+  else if (strcmp (name, "lost") == 0)
+    answer_without_items (STORE_UNKNOWN);
+  else if (strcmp (name, "gone") == 0)
+    answer_without_items (STORE_COMPACTED);
+  else if (strcmp (name, "check") == 0)
+    store_cache_set_check (c, (uint64_t)first);
+  else if (strcmp (name, "run") == 0)
+    run_loop ((uint64_t)first);
   else if (strcmp (name, "state") == 0)
     printf ("revision=%" PRId64 " changes=%zu complete=%" PRId64
             " ms ago, answered=%" PRId64 " ms ago, calls=%zu\n",
