entryd: a configuration that may be out of date denies no queue and accepts no job

Cause (hypothesis A): a daemon that heard nothing of the configuration took the one it had for the newest. The view of the configuration has its age now: the time since the store certainly had no newer one. Beyond config_apply_ms, the platform's bound, unknown queues, submissions and counts of pending jobs get 503, and the daemon is not ready. The log tells the age at each refusal and the source of each version; the age and the version are gauges. store-silent says silent_ms: "ms" was read as the time for which the request had been held.

Tests: entry config_outdated (before: "added queue, without the store: no such queue") and entry config_unanswered_watch (before: versions 2 and 3 not in force in time at either daemon, for as long as watches had no answer).

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -11,6 +11,7 @@
 #include "rosemaryrail/queues.h"
 
 struct store_cache;
+struct config_view;
 struct upstream;
 struct records;
 struct session;
@@ -28,6 +29,7 @@
   struct store *store;
   struct upstream *permits; /* permit service; null: none */
   struct rr_queues *queues; /* applied configuration; null before the first */
+  struct config_view *config;
   struct store_cache *records_cache;
   struct store_cache *workers_cache;
   struct store_cache *config_cache;
--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -12,6 +12,7 @@
 enum
 {
   ENTRY_ZONES_MAX = 32,
+  ENTRY_SEEDS_MAX = 8,
   CPU_DEFAULT_MILLI = 100,    /* of a core; default of "cpu_share" */
   LINK_DEFAULT_KBIT = 1000000 /* a second; default of "link_mbps" */
 };
@@ -38,6 +39,11 @@
                            kept for requests and writes that come late */
   int64_t cpu_milli;    /* CPU share, thousandths of a core */
   int64_t link_kbit;    /* of the VM's network link, a second */
+  int64_t config_apply_ms; /* until a change of the configuration must be in
+                              force */
+  struct settings_peer
+      seeds[ENTRY_SEEDS_MAX]; /* other daemons, perhaps gone */
+  size_t seed_count;
   double remote_factor; /* slowdown of a task outside the rack of its data */
 };
 
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -8,6 +8,7 @@
 #include "common/http_server.h"
 #include "common/log.h"
 #include "platform/documents.h"
+#include "rosemaryentryd/config_view.h"
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/records.h"
 #include "rosemaryentryd/shard_selection.h"
@@ -246,11 +247,26 @@
   request_attempt (q);
 }
 
+/* Responds with the number of jobs that wait in the queue of ROUTE, unless it
+   may be out of date.  */
 static void
 respond_pending (struct front *f, struct http_exchange *x,
                  const struct rr_route *route)
 {
   char json[64];
+  const struct entry *e = f->entry;
+  if (!store_responsive (e) || !config_view_current (e->config))
+    {
+      log_event (LOG_LEVEL_WARN, "request_refused",
+                 "queue=%s status=503 reason=count-outdated silent_ms=%lld "
+                 "config_age_ms=%lld",
+                 route->policy.queue,
+                 (long long)rr_time_diff (entry_now (),
+                                          entry_store_last_response (e)),
+                 (long long)config_view_age_ms (e->config));
+      respond_error (x, 503, "store-unavailable");
+      return;
+    }
   platform_pending_response (
       records_pending (f->entry->records, route->policy.queue), json,
       sizeof json);
@@ -286,14 +302,25 @@
   bool known = j != NULL && j->accepted;
   if (!store_responsive (f->entry) && !(known && !is_delete))
     {
-      log_event (LOG_LEVEL_WARN, "request_refused",
-                 "job=%s method=%s status=503 reason=store-silent ms=%lld", id,
-                 method,
-                 (long long)rr_time_diff (
-                     entry_now (), entry_store_last_response (f->entry)));
+      log_event (
+          LOG_LEVEL_WARN, "request_refused",
+          "job=%s method=%s status=503 reason=store-silent silent_ms=%lld", id,
+          method,
+          (long long)rr_time_diff (entry_now (),
+                                   entry_store_last_response (f->entry)));
       respond_error (x, 503, "store-unavailable");
       return;
     }
+  if (is_post && !config_view_current (f->entry->config))
+    {
+      log_event (LOG_LEVEL_WARN, "request_refused",
+                 "job=%s method=%s status=503 reason=config-outdated "
+                 "config=%lld config_age_ms=%lld",
+                 id, method, (long long)f->entry->queues->version,
+                 (long long)config_view_age_ms (f->entry->config));
+      respond_error (x, 503, "config-outdated");
+      return;
+    }
   if (is_post)
     {
       handle_submission (f, x, route, id);
@@ -304,6 +331,25 @@
   request_attempt (q);
 }
 
+/* Refuses a request for a queue that is not in the configuration.  Whether the
+   queue exists is not known while that may be out of date.  */
+static void
+refuse_unknown_queue (const struct entry *e, struct http_exchange *x,
+                      const char *path)
+{
+  bool current = config_view_current (e->config);
+  log_event (current ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request_refused",
+             "path=%s status=%d reason=%s config=%lld config_age_ms=%lld",
+             path, current ? 404 : 503,
+             current ? "no-such-queue" : "config-outdated",
+             (long long)config_view_version (e->config),
+             (long long)config_view_age_ms (e->config));
+  if (current)
+    respond_error (x, 404, "no-such-queue");
+  else
+    respond_error (x, 503, "config-outdated");
+}
+
 static void
 on_caller_request (void *data, struct http_exchange *x)
 {
@@ -320,10 +366,7 @@
       = rr_queues_find (queues, host == NULL ? "" : host, path);
   if (route == NULL)
     {
-      log_event (LOG_LEVEL_INFO, "request_refused",
-                 "path=%s status=404 config=%lld", path,
-                 (long long)queues->version);
-      respond_error (x, 404, "no-such-queue");
+      refuse_unknown_queue (f->entry, x, path);
       return;
     }
   handle_request (f, x, route, path + strlen (route->prefix));
@@ -335,8 +378,8 @@
   struct front *f = data;
   struct entry *e = f->entry;
   bool known_path = strcmp (http_exchange_path (x), PLATFORM_READY_PATH) == 0;
-  bool ready = e->queues != NULL && !e->stopping && store_responsive (e)
-               && records_shard_count (e->records) > 0;
+  bool ready = config_view_current (e->config) && !e->stopping
+               && store_responsive (e) && records_shard_count (e->records) > 0;
   respond_json (x, !known_path ? 404 : ready ? 200 : 503, "{}");
 }
 
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "common/upstream.h"
+#include "rosemaryentryd/config_view.h"
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/front.h"
 #include "rosemaryentryd/metrics.h"
@@ -190,7 +191,9 @@
   command_window_init (&e->command_window, e->settings.link_kbit);
   e->peer_statistics = peer_statistics_open (e);
   e->owners = owners_open (e);
+  e->config = config_view_open (e);
   records_open (e);
+  config_view_follow (e->config);
   e->session = session_open (e);
   e->front = front_open (e, &err);
   if (e->front == NULL)
--- a/rosemaryentryd/metrics.c
+++ b/rosemaryentryd/metrics.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/http_server.h"
+#include "rosemaryentryd/config_view.h"
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/records.h"
@@ -28,6 +29,8 @@
   int jobs;
   int shards;
   int registration_age;
+  int config_age;
+  int config_version;
   struct rr_histogram_set *latencies;
   struct http_server *server; /* null: not exposed */
 };
@@ -85,6 +88,10 @@
   rr_gauge_set (m->counters, m->registration_age,
                 rr_time_diff (entry_now (), store_cache_complete_at (
                                                 m->entry->workers_cache)));
+  rr_gauge_set (m->counters, m->config_age,
+                config_view_age_ms (m->entry->config));
+  rr_gauge_set (m->counters, m->config_version,
+                config_view_version (m->entry->config));
   char *counters = rr_counters_expose (m->counters);
   char *latencies = rr_histogram_set_expose (
       m->latencies, "rosemaryrail_stage_duration_seconds",
@@ -124,6 +131,11 @@
   m->registration_age
       = declare_gauge (m, "rosemaryrail_registration_age_ms",
                        "Age of what is known of the workers' registrations.");
+  m->config_age = declare_gauge (
+      m, "rosemaryrail_config_age_ms",
+      "Time since the configuration was certainly the newest.");
+  m->config_version = declare_gauge (m, "rosemaryrail_config_version",
+                                     "Version of the configuration.");
   if (e->settings.metrics.port == 0)
     return m;
   struct http_server_limits limits
--- a/rosemaryentryd/records_items.c
+++ b/rosemaryentryd/records_items.c
@@ -8,6 +8,7 @@
 
 #include "common/json.h"
 #include "common/log.h"
+#include "rosemaryentryd/config_view.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/store_cache.h"
@@ -245,28 +246,14 @@
 on_config_item (void *data, const struct store_item *item)
 {
   struct records *r = data;
-  struct entry *e = r->entry;
-  struct rr_error err = { 0 };
   if (item->removed || strcmp (item->key, PLATFORM_CONFIG_KEY) != 0)
     return;
-  struct rr_queues *q
-      = platform_config_decode (item->value, item->value_length, &err);
-  if (q == NULL || (e->queues != NULL && q->version <= e->queues->version))
-    {
-      log_event (LOG_LEVEL_WARN, "config_ignored", "revision=%lld %s",
-                 (long long)item->revision,
-                 q == NULL ? err.message : "its version is not newer");
-      rr_queues_free (q);
-      return;
-    }
-  log_event (LOG_LEVEL_INFO, "config_applied",
-             "version=%lld before=%lld routes=%zu revision=%lld",
-             (long long)q->version,
-             e->queues == NULL ? 0LL : (long long)e->queues->version,
-             q->route_count, (long long)item->revision);
-  rr_queues_free (e->queues);
-  e->queues = q;
-  owners_queues_update (e->owners);
+  struct config_document d = { .text = item->value,
+                               .length = item->value_length,
+                               .source = CONFIG_FROM_STORE,
+                               .origin = item->key,
+                               .revision = item->revision };
+  config_view_apply (r->entry->config, &d);
 }
 
 /* Creates the records and starts to fill them from the store.  The owners of E
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -75,6 +75,30 @@
   snprintf (s->zones[s->zone_count++], RR_JOB_NAME_SIZE, "%s", s->zone);
 }
 
+/* Reads the addresses of other daemons.  If their ports are for other callers,
+   "seed_port" has the one on which all daemons serve each other.  */
+static void
+read_seeds (struct json_object *o, struct entry_settings *s)
+{
+  struct json_object *seeds = json_list_or_null (o, "seeds");
+  size_t n = seeds == NULL ? 0 : json_object_array_length (seeds);
+  for (size_t i = 0; i < n && s->seed_count < ENTRY_SEEDS_MAX; i++)
+    {
+      const char *text
+          = json_object_get_string (json_object_array_get_idx (seeds, i));
+      struct settings_peer *seed = &s->seeds[s->seed_count];
+      if (text == NULL || !settings_parse_peer (text, seed))
+        {
+          log_event (LOG_LEVEL_WARN, "seed_ignored",
+                     "seed=%s expected=ADDRESS:PORT",
+                     text == NULL ? "" : text);
+          continue;
+        }
+      seed->port = (uint16_t)json_int_or (o, "seed_port", seed->port);
+      s->seed_count++;
+    }
+}
+
 /* Reads settings, JSON with comments; false with RR_ERROR_INVALID if one that
    has no default is missing or invalid.  */
 bool
@@ -111,6 +135,9 @@
       s->shutdown_ms = read_scaled_number_or (o, "shutdown_s", 1000, 6000);
       s->retention_ms = read_scaled_number_or (o, "retention_s", 1000, 120000);
       s->late_ms = read_scaled_number_or (o, "late_s", 1000, 60000);
+      s->config_apply_ms
+          = read_scaled_number_or (o, "config_apply_ms", 1, 2000);
+      read_seeds (o, s);
       s->cpu_milli
           = read_scaled_number_or (o, "cpu_share", 1000, CPU_DEFAULT_MILLI);
       s->link_kbit
--- a/standins/rr-kv.c
+++ b/standins/rr-kv.c
@@ -79,6 +79,7 @@
 LIST_HEAD (late_read_list, late_read);
 static struct late_read_list late_reads;
 static enum mode mode;
+static bool watches_unanswered; /* other calls are answered */
 static int watch_items; /* in an answer to a watch, unless of one revision */
 static int64_t config_from_us; /* reads of the configuration wait until then */
 
@@ -203,6 +204,8 @@
 static bool
 watch_answer (struct watch *w, bool force)
 {
+  if (watches_unanswered)
+    return false;
   struct json_object *events = json_object_new_array ();
   int64_t complete = watch_collect (w, events);
   if (json_object_array_length (events) == 0 && !force)
@@ -506,6 +509,7 @@
   else if (strcmp (what, "compact") == 0)
     {
       compacted = revision;
+      watches_unanswered = false;
       while (!LIST_EMPTY (&watches))
         watch_answer (LIST_FIRST (&watches), true);
     }
@@ -515,6 +519,7 @@
       config_from_us
           = tool_now_us ()
             + json_int_or (body, "config_delay_ms", 0) * INT64_C (1000);
+      watches_unanswered = json_int_or (body, "watches_unanswered", 0) != 0;
       mode = strcmp (name, "busy") == 0     ? MODE_BUSY
              : strcmp (name, "silent") == 0 ? MODE_SILENT
                                             : MODE_OK;
