peers: a daemon that the store does not tell gets the configuration from others

A daemon whose configuration was last known to be the newest 65 percent of config_apply_ms ago asks others, one after the other, for their version, its age and, if it is newer, its text. A version never goes back, whoever tells it. A daemon that starts knows no others while it does not reach the store, so the settings name some (seeds; the role serves "control", for which the platform hands them out). A daemon of an earlier version rejects the call, which does not count as being out of reach.

--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -12,6 +12,7 @@
 
 struct store_cache;
 struct config_view;
+struct config_poll;
 struct upstream;
 struct records;
 struct session;
@@ -30,6 +31,7 @@
   struct upstream *permits; /* permit service; null: none */
   struct rr_queues *queues; /* applied configuration; null before the first */
   struct config_view *config;
+  struct config_poll *config_poll;
   struct store_cache *records_cache;
   struct store_cache *workers_cache;
   struct store_cache *config_cache;
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "common/upstream.h"
+#include "rosemaryentryd/config_poll.h"
 #include "rosemaryentryd/config_view.h"
 #include "rosemaryentryd/entry.h"
 #include "rosemaryentryd/front.h"
@@ -194,6 +195,7 @@
   e->config = config_view_open (e);
   records_open (e);
   config_view_follow (e->config);
+  e->config_poll = config_poll_open (e);
   e->session = session_open (e);
   e->front = front_open (e, &err);
   if (e->front == NULL)
