--- a/include/rosemaryentryd/peers_xdr.h
+++ b/include/rosemaryentryd/peers_xdr.h
@@ -13,6 +13,7 @@
 /* Each function encodes or decodes, depending on the mode of X.  */
 bool_t xdr_peer_job (XDR *x, struct peer_job *j);
 bool_t xdr_peer_phase (XDR *x, struct peer_phase *p);
+bool_t xdr_peer_config (XDR *x, struct peer_config *c);
 bool_t xdr_statistics_list (XDR *x, struct statistics_list *l);
 
 #endif
--- a/rosemaryentryd/peers.c
+++ b/rosemaryentryd/peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "rosemaryentryd/config_view.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/peer_statistics.h"
 #include "rosemaryentryd/peers_xdr.h"
@@ -17,9 +18,11 @@
   PEER_VERSION = 1,
   PEER_JOB_PHASE = 1,
   PEER_STATISTICS = 2,
+  PEER_CONFIG = 3,
   /* A call takes a few milliseconds.  HTTP callers wait for the reply.  */
   PHASE_TIMEOUT_MS = 150,
   STATISTICS_TIMEOUT_MS = 1000,
+  CONFIG_TIMEOUT_MS = 1000, /* for 1 MB over a slow link */
   /* Time until a daemon that did not answer is called again.  */
   UNREACHABLE_RETRY_MS = 1000,
   PEERS_MAX = 256
@@ -50,6 +53,14 @@
   void *data;
 };
 
+/* A query for the configuration in flight.  */
+struct config_call
+{
+  struct peer *peer;
+  peers_config_done_fn *done;
+  void *data;
+};
+
 /* Decodes the arguments of CALL into OBJECT.  Returns false when they are
    invalid, after rejecting REQUEST.  */
 static bool
@@ -95,6 +106,36 @@
   free (bytes);
 }
 
+static void
+reply_config (struct peers *p, struct rpc_request *request, const char *args,
+              size_t length)
+{
+  struct peer_config query = { .text = NULL };
+  if (!read_arguments (request, "config", (xdrproc_t)xdr_peer_config, &query,
+                       args, length))
+    return;
+  const struct config_view *v = p->entry->config;
+  static char empty[] = "";
+  const char *text = config_view_text (v);
+  bool newer = config_view_version (v) > query.version;
+  struct peer_config reply = { .known = text != NULL,
+                               .version = config_view_version (v),
+                               .age_ms = config_view_age_ms (v),
+                               .text = newer ? (char *)text : empty };
+  xdr_free ((xdrproc_t)xdr_peer_config, (char *)&query);
+  char *bytes = NULL;
+  size_t n = 0;
+  if (!xdr_encode ((xdrproc_t)xdr_peer_config, &reply, &bytes, &n))
+    {
+      log_event (LOG_LEVEL_ERROR, "peer_answer_not_encoded",
+                 "call=config version=%lld", (long long)reply.version);
+      rpc_request_reject (request);
+      return;
+    }
+  rpc_request_reply (request, bytes, n);
+  free (bytes);
+}
+
 static void
 receive_statistics (struct peers *p, struct rpc_request *request,
                     const char *args, size_t length)
@@ -121,6 +162,9 @@
     case PEER_STATISTICS:
       receive_statistics (p, request, args, length);
       return;
+    case PEER_CONFIG:
+      reply_config (p, request, args, length);
+      return;
     default:
       log_event (LOG_LEVEL_WARN, "peer_call_invalid", "procedure=%u",
                  (unsigned)procedure);
@@ -167,6 +211,28 @@
   free (call);
 }
 
+static void
+on_config (void *data, enum rpc_call_state state, const char *result,
+           size_t length)
+{
+  struct config_call *call = data;
+  struct peer_config c = { .text = NULL };
+  /* A daemon of an earlier version rejects the call, and answers others.  */
+  if (state != RPC_CALL_REJECTED)
+    peer_update_reachability (call->peer, state);
+  bool decoded
+      = state == RPC_CALL_ANSWERED
+        && xdr_decode ((xdrproc_t)xdr_peer_config, &c, result, length);
+  if (state == RPC_CALL_ANSWERED && !decoded)
+    log_event (LOG_LEVEL_WARN, "peer_answer_invalid", "peer=%s bytes=%zu",
+               call->peer->daemon, length);
+  c.daemon = call->peer->daemon;
+  call->done (call->data, decoded ? &c : NULL);
+  if (decoded)
+    xdr_free ((xdrproc_t)xdr_peer_config, (char *)&c);
+  free (call);
+}
+
 static struct peer *
 peer_find (struct peers *p, const char *daemon)
 {
@@ -198,12 +264,11 @@
   c->address = d->peer;
 }
 
-/* Returns the connection to DAEMON, opened if necessary; null when its address
-   is not known or a call has just failed.  */
+/* Returns C with an open connection; null when its address is not known or a
+   call has just failed.  */
 static struct peer *
-peer_connect (struct peers *p, const char *daemon)
+peer_connect (struct peers *p, struct peer *c)
 {
-  struct peer *c = peer_find (p, daemon);
   if (c == NULL || c->address.port == 0
       || (c->unreachable
           && rr_time_diff (entry_now (), c->last_failure)
@@ -241,7 +306,7 @@
 peers_query_phase (struct peers *p, const char *daemon, const char *job,
                    peers_phase_done_fn *done, void *data)
 {
-  struct peer *c = peer_connect (p, daemon);
+  struct peer *c = peer_connect (p, peer_find (p, daemon));
   struct phase_call *call = c == NULL ? NULL : calloc (1, sizeof *call);
   if (call == NULL)
     {
@@ -259,17 +324,68 @@
     }
 }
 
+/* Returns the number of daemons whose addresses are known.  */
+size_t
+peers_count (const struct peers *p)
+{
+  return p->count;
+}
+
+/* Queries a daemon for its configuration, if that is newer than VERSION, and
+   its age.  NUMBER selects the daemon, modulo their count, which must not be
+   0. Calls DONE once, possibly before it returns.  */
+void
+peers_query_config (struct peers *p, size_t number, int64_t version,
+                    peers_config_done_fn *done, void *data)
+{
+  struct peer *c = &p->peers[number % p->count];
+  const struct settings_peer *self = &p->entry->settings.peer;
+  bool is_self = c->address.port == self->port
+                 && strcmp (c->address.address, self->address) == 0;
+  c = is_self ? NULL : peer_connect (p, c);
+  struct config_call *call = c == NULL ? NULL : calloc (1, sizeof *call);
+  if (call == NULL)
+    {
+      done (data, NULL);
+      return;
+    }
+  *call = (struct config_call){ .peer = c, .done = done, .data = data };
+  static char empty[] = "";
+  struct peer_config query
+      = { .known = true, .version = version, .age_ms = -1, .text = empty };
+  if (!call_peer (c, PEER_CONFIG, (xdrproc_t)xdr_peer_config, &query,
+                  CONFIG_TIMEOUT_MS, on_config, call))
+    {
+      free (call);
+      done (data, NULL);
+    }
+}
+
 /* Sends the estimates LIST to DAEMON.  */
 void
 peers_send_statistics (struct peers *p, const char *daemon,
                        const struct statistics_list *list)
 {
-  struct peer *c = peer_connect (p, daemon);
+  struct peer *c = peer_connect (p, peer_find (p, daemon));
   if (c != NULL)
     call_peer (c, PEER_STATISTICS, (xdrproc_t)xdr_statistics_list,
                (void *)list, STATISTICS_TIMEOUT_MS, on_statistics_sent, c);
 }
 
+/* Adds the daemons that the settings name.  They are known before the store
+   has been read, and may be gone.  */
+static void
+add_seeds (struct peers *p)
+{
+  const struct entry_settings *s = &p->entry->settings;
+  for (size_t i = 0; i < s->seed_count; i++)
+    {
+      struct peer *c = &p->peers[p->count++];
+      snprintf (c->daemon, sizeof c->daemon, "seed-%s", s->seeds[i].address);
+      c->address = s->seeds[i];
+    }
+}
+
 /* Starts to listen for calls of other daemons, if a peer address is set.
    Returns null with ERR when the address can't be bound.  */
 struct peers *
@@ -287,5 +403,6 @@
       free (p);
       return NULL;
     }
+  add_seeds (p);
   return p;
 }
--- a/rosemaryentryd/peers_xdr.c
+++ b/rosemaryentryd/peers_xdr.c
@@ -1,5 +1,10 @@
 #include "rosemaryentryd/peers_xdr.h"
 
+enum
+{
+  CONFIG_TEXT_MAX = 1100000 /* a value of the store, and some more */
+};
+
 /* Encodes or decodes the id of a job.  */
 bool_t
 xdr_peer_job (XDR *x, struct peer_job *j)
@@ -23,6 +28,19 @@
   return TRUE;
 }
 
+/* Encodes or decodes the configuration of a daemon, without its name.  */
+bool_t
+xdr_peer_config (XDR *x, struct peer_config *c)
+{
+  bool_t known = c->known;
+  if (!xdr_bool (x, &known) || !xdr_int64_t (x, &c->version)
+      || !xdr_int64_t (x, &c->age_ms)
+      || !xdr_string (x, &c->text, CONFIG_TEXT_MAX))
+    return FALSE;
+  c->known = known;
+  return TRUE;
+}
+
 /* Returns the number of moments for CLASSES classes: the upper triangle of a
    symmetric matrix of CLASSES + 3 rows.  */
 static size_t
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -76,7 +76,8 @@
 {"name": "d$1", "zone": "z$(($1 % 2 + 1))", "zones": ["z1", "z2"],
  "front": "$address:$((25500 + $1))", "ready": "$address:$((25600 + $1))",
  "metrics": "$address:$((25700 + $1))", "peer": "$address:$((25800 + $1))",
- "store": "$address:$((25100 + $1))", "lease_max_ms": 10000, "drain_ms": 2000,
+ "seeds": [${seeds:-}], "store": "$address:$((25100 + $1))",
+ "lease_max_ms": 10000, "drain_ms": 2000,
  "cpu_share": 0.1, "link_mbps": 1000, "shutdown_s": 6,
  "retention_s": ${retention_s:-120}, "late_s": ${late_s:-60},
  "remote_factor": 3}
