peers: addresses of replaced daemons make room for new ones

A daemon kept the address of each daemon that ever registered. After 256 of them new ones were left out without a log line: their shards' phases were read from the store, and they got no estimates. The address of the daemon whose registration ended first is given up now, and queries for the configuration go to registered daemons first, so that they do not wait for those that are gone.

--- a/include/rosemaryentryd/peers.h
+++ b/include/rosemaryentryd/peers.h
@@ -49,6 +49,7 @@
 
 struct peers *peers_open (struct entry *e, struct rr_error *err);
 void peers_daemon_update (struct peers *p, const struct daemon_record *d);
+void peers_daemon_unregister (struct peers *p, const char *daemon);
 void peers_query_phase (struct peers *p, const char *daemon, const char *job,
                         peers_phase_done_fn *done, void *data);
 /* Called with the answer; C is null when there was none.  */
--- a/rosemaryentryd/peers.c
+++ b/rosemaryentryd/peers.c
@@ -34,6 +34,8 @@
   char daemon[RR_JOB_NAME_SIZE];
   struct settings_peer address;
   struct rpc_client *client;
+  bool registered; /* in the store, as far as this daemon knows */
+  struct rr_time unregistered_at;
   bool unreachable; /* the last call was not answered */
   struct rr_time last_failure;
 };
@@ -242,6 +244,28 @@
   return NULL;
 }
 
+/* Returns an unused slot.  If there is none, takes that of the daemon whose
+   registration ended first; null if all are registered.  */
+static struct peer *
+peer_add (struct peers *p)
+{
+  if (p->count < PEERS_MAX)
+    return &p->peers[p->count++];
+  struct peer *oldest = NULL;
+  for (size_t i = 0; i < p->count; i++)
+    if (!p->peers[i].registered
+        && (oldest == NULL
+            || rr_time_before (p->peers[i].unregistered_at,
+                               oldest->unregistered_at)))
+      oldest = &p->peers[i];
+  if (oldest == NULL)
+    return NULL;
+  if (oldest->client != NULL)
+    rpc_client_close (oldest->client);
+  memset (oldest, 0, sizeof *oldest);
+  return oldest;
+}
+
 /* Records the address of the daemon D, which has registered.  The address is
    kept when the registration ends, since a daemon that can't reach the store
    may still answer calls.  */
@@ -249,14 +273,20 @@
 peers_daemon_update (struct peers *p, const struct daemon_record *d)
 {
   struct peer *c = peer_find (p, d->name);
-  if (c == NULL && p->count < PEERS_MAX)
+  if (c == NULL)
     {
-      c = &p->peers[p->count++];
+      c = peer_add (p);
+      if (c == NULL)
+        {
+          log_event (LOG_LEVEL_WARN, "peer_ignored", "peer=%s peers=%zu",
+                     d->name, p->count);
+          return;
+        }
       snprintf (c->daemon, sizeof c->daemon, "%s", d->name);
     }
-  if (c == NULL
-      || (c->address.port == d->peer.port
-          && strcmp (c->address.address, d->peer.address) == 0))
+  c->registered = true;
+  if (c->address.port == d->peer.port
+      && strcmp (c->address.address, d->peer.address) == 0)
     return;
   if (c->client != NULL)
     rpc_client_close (c->client);
@@ -264,6 +294,17 @@
   c->address = d->peer;
 }
 
+/* The registration of DAEMON has ended.  */
+void
+peers_daemon_unregister (struct peers *p, const char *daemon)
+{
+  struct peer *c = peer_find (p, daemon);
+  if (c == NULL)
+    return;
+  c->registered = false;
+  c->unregistered_at = entry_now ();
+}
+
 /* Returns C with an open connection; null when its address is not known or a
    call has just failed.  */
 static struct peer *
@@ -331,6 +372,28 @@
   return p->count;
 }
 
+static bool
+peer_is_self (const struct peers *p, const struct peer *c)
+{
+  const struct settings_peer *self = &p->entry->settings.peer;
+  return c->address.port == self->port
+         && strcmp (c->address.address, self->address) == 0;
+}
+
+/* Returns the first registered daemon from NUMBER on, other than this one; if
+   there is none, number NUMBER, perhaps a seed.  */
+static struct peer *
+peer_select (struct peers *p, size_t number)
+{
+  for (size_t i = 0; i < p->count; i++)
+    {
+      struct peer *c = &p->peers[(number + i) % p->count];
+      if (c->registered && !peer_is_self (p, c))
+        return c;
+    }
+  return &p->peers[number % p->count];
+}
+
 /* Queries a daemon for its configuration, if that is newer than VERSION, and
    its age.  NUMBER selects the daemon, modulo their count, which must not be
    0. Calls DONE once, possibly before it returns.  */
@@ -338,11 +401,8 @@
 peers_query_config (struct peers *p, size_t number, int64_t version,
                     peers_config_done_fn *done, void *data)
 {
-  struct peer *c = &p->peers[number % p->count];
-  const struct settings_peer *self = &p->entry->settings.peer;
-  bool is_self = c->address.port == self->port
-                 && strcmp (c->address.address, self->address) == 0;
-  c = is_self ? NULL : peer_connect (p, c);
+  struct peer *c = peer_select (p, number);
+  c = peer_is_self (p, c) ? NULL : peer_connect (p, c);
   struct config_call *call = c == NULL ? NULL : calloc (1, sizeof *call);
   if (call == NULL)
     {
--- a/rosemaryentryd/records_items.c
+++ b/rosemaryentryd/records_items.c
@@ -102,6 +102,7 @@
              "peer=%s revision=%lld", name, (long long)item->revision);
   if (item->removed)
     {
+      peers_daemon_unregister (r->entry->peers, name);
       if (d == NULL)
         return;
       rr_key_index_remove (r->daemon_index, name);
