config_poll: an answer helps only if it is recent

While the store was away for all, daemons that asked each other took any improvement for help and asked again every 50 ms; the slow interval was never used. An answer helps now if it makes the configuration younger than the age from which daemons ask. Checks of a view that fail are logged, and queries for the configuration find no daemon instead of dividing by their count of 0 (clang-analyzer).

No test: found when reading the change.

--- a/rosemaryentryd/config_poll.c
+++ b/rosemaryentryd/config_poll.c
@@ -47,6 +47,14 @@
   return p->entry->settings.config_apply_ms * POLL_PERCENT / 100;
 }
 
+/* Returns the time until the next query while none has helped.  */
+static int64_t
+query_interval_ms (const struct config_poll *p)
+{
+  return p->useless < QUERIES_QUICK ? QUERY_INTERVAL_MS
+                                    : QUERY_SLOW_INTERVAL_MS;
+}
+
 static void
 schedule (struct config_poll *p, int64_t ms)
 {
@@ -80,7 +88,6 @@
   struct config_query *q = data;
   struct config_poll *p = q->poll;
   struct config_view *v = p->entry->config;
-  int64_t age_before = config_view_age_ms (v);
   p->in_flight--;
   bool has_version = c != NULL && c->known;
   if (has_version && c->text != NULL && c->text[0] != '\0')
@@ -94,13 +101,13 @@
   if (has_version && c->age_ms >= 0)
     config_view_confirm (v, c->version, rr_time_add (q->sent, -c->age_ms));
   free (q);
-  bool helped = config_view_age_ms (v) < age_before;
+  bool helped = config_view_age_ms (v) < poll_age_ms (p);
   p->useless = helped ? 0 : p->useless + 1;
   if (!helped)
     p->next++;
   log_currency (p);
   schedule (p, helped ? poll_age_ms (p) - config_view_age_ms (v)
-                      : QUERY_INTERVAL_MS);
+                      : query_interval_ms (p));
 }
 
 static void
@@ -110,8 +117,7 @@
   assert (q != NULL);
   *q = (struct config_query){ .poll = p, .sent = entry_now () };
   p->in_flight++;
-  bool quick = p->useless < QUERIES_QUICK;
-  schedule (p, quick ? QUERY_INTERVAL_MS : QUERY_SLOW_INTERVAL_MS);
+  schedule (p, query_interval_ms (p));
   peers_query_config (p->entry->peers, p->next,
                       config_view_version (p->entry->config), on_answer, q);
 }
@@ -134,7 +140,7 @@
       && peers_count (p->entry->peers) > 0)
     ask (p);
   else
-    schedule (p, QUERY_INTERVAL_MS);
+    schedule (p, query_interval_ms (p));
 }
 
 /* Starts to ask other daemons whenever E does not learn from the store in time
--- a/rosemaryentryd/peers.c
+++ b/rosemaryentryd/peers.c
@@ -381,7 +381,7 @@
 }
 
 /* Returns the first registered daemon from NUMBER on, other than this one; if
-   there is none, number NUMBER, perhaps a seed.  */
+   there is none, number NUMBER, perhaps a seed; null if none is known.  */
 static struct peer *
 peer_select (struct peers *p, size_t number)
 {
@@ -391,18 +391,18 @@
       if (c->registered && !peer_is_self (p, c))
         return c;
     }
-  return &p->peers[number % p->count];
+  return p->count == 0 ? NULL : &p->peers[number % p->count];
 }
 
 /* Queries a daemon for its configuration, if that is newer than VERSION, and
-   its age.  NUMBER selects the daemon, modulo their count, which must not be
-   0. Calls DONE once, possibly before it returns.  */
+   its age.  NUMBER selects the daemon, modulo their count.  Calls DONE once,
+   possibly before it returns.  */
 void
 peers_query_config (struct peers *p, size_t number, int64_t version,
                     peers_config_done_fn *done, void *data)
 {
   struct peer *c = peer_select (p, number);
-  c = peer_is_self (p, c) ? NULL : peer_connect (p, c);
+  c = c == NULL || peer_is_self (p, c) ? NULL : peer_connect (p, c);
   struct config_call *call = c == NULL ? NULL : calloc (1, sizeof *call);
   if (call == NULL)
     {
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -287,6 +287,13 @@
         item_apply (c, &r->items[i]);
       note_completeness (c, r, check->sent);
     }
+  else
+    log_event (LOG_LEVEL_WARN, "store_view_not_checked",
+               "prefix=%s state=%s why=%s", c->prefix,
+               store_state_name (r->state),
+               r->reason != NULL ? r->reason
+               : r->truncated    ? "truncated"
+                                 : "");
   free (check);
 }
 
