config_view: a configuration has no age before anybody gave it one

The age of a configuration that nobody had confirmed was counted from the boot of the VM, so a daemon on a VM that had just booted took one for recent that it had from a daemon that had heard nothing for 20 s.

Test: entry config_view; old_from_peer_after_boot fails before. The others guard the rest of the view: a version never goes back, whoever tells it.

--- a/include/rosemaryentryd/config_view.h
+++ b/include/rosemaryentryd/config_view.h
@@ -8,6 +8,9 @@
    not tell, from other daemons.  A version never goes back.  */
 struct config_view;
 
+#define CONFIG_AGE_NEVER                                                      \
+  INT64_C (1000000000000) /* 31 years, in milliseconds */
+
 enum config_source
 {
   CONFIG_FROM_STORE,
--- a/include/rosemaryentryd/peers.h
+++ b/include/rosemaryentryd/peers.h
@@ -32,7 +32,7 @@
   const char *daemon; /* its name */
   bool known;         /* it has one */
   int64_t version;
-  int64_t age_ms; /* since it knew that there was no newer one; -1: never */
+  int64_t age_ms; /* since it knew that there was no newer one */
   char *text;     /* empty unless newer than the version in the query */
 };
 
--- a/rosemaryentryd/config_poll.c
+++ b/rosemaryentryd/config_poll.c
@@ -98,7 +98,7 @@
                                    .origin = c->daemon };
       has_version = config_view_apply (v, &d);
     }
-  if (has_version && c->age_ms >= 0)
+  if (has_version && c->age_ms >= 0 && c->age_ms < CONFIG_AGE_NEVER)
     config_view_confirm (v, c->version, rr_time_add (q->sent, -c->age_ms));
   free (q);
   bool helped = config_view_age_ms (v) < poll_age_ms (p);
--- a/rosemaryentryd/config_view.c
+++ b/rosemaryentryd/config_view.c
@@ -23,6 +23,7 @@
 {
   struct entry *entry;
   char *text;                /* as it was read; null: none */
+  bool confirmed;            /* PEERS_KNOW is set */
   struct rr_time peers_know; /* other daemons had no newer version then */
 };
 
@@ -116,19 +117,25 @@
 void
 config_view_confirm (struct config_view *v, int64_t version, struct rr_time at)
 {
-  if (version <= config_view_version (v) && rr_time_before (v->peers_know, at))
-    v->peers_know = at;
+  if (version > config_view_version (v)
+      || (v->confirmed && !rr_time_before (v->peers_know, at)))
+    return;
+  v->confirmed = true;
+  v->peers_know = at;
 }
 
 /* Returns how long ago the configuration in force was certainly the newest, in
-   milliseconds.  */
+   milliseconds; CONFIG_AGE_NEVER if it never was.  */
 int64_t
 config_view_age_ms (const struct config_view *v)
 {
-  struct rr_time at = store_cache_complete_at (v->entry->config_cache);
-  if (rr_time_before (at, v->peers_know))
-    at = v->peers_know;
-  return rr_time_diff (entry_now (), at);
+  const struct store_cache *c = v->entry->config_cache;
+  int64_t age = CONFIG_AGE_NEVER;
+  if (store_cache_synced (c))
+    age = rr_time_diff (entry_now (), store_cache_complete_at (c));
+  int64_t peers_age = v->confirmed ? rr_time_diff (entry_now (), v->peers_know)
+                                   : CONFIG_AGE_NEVER;
+  return peers_age < age ? peers_age : age;
 }
 
 /* Returns whether each change that must be in force by now is: no queue that
