tests: entry peers frees its table

LeakSanitizer ended both of its tests with status 1 in the sanitizer build of the first whole check; the plain build had passed. No check is changed.

--- a/tests/entry/test_peers.c
+++ b/tests/entry/test_peers.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../check_suite.h"
@@ -151,6 +152,7 @@
   ck_assert_int_eq (opened_port, 0);
   peers_query_phase (p, "d3", "0123456789abcdef", on_phase, NULL);
   ck_assert_int_eq (opened_port, PORT_FIRST + 3);
+  free (p);
 }
 END_TEST
 
@@ -176,6 +178,7 @@
   peers_daemon_unregister (p, "d3");
   peers_query_config (p, 1, 1, on_config, NULL);
   ck_assert_int_eq (opened_port, PORT_FIRST + 1);
+  free (p);
 }
 END_TEST
 
