review: case 8, LOST after a burst on a queue that needs tickets

Seen: calls for tickets time out behind calls that were given up, so that after a burst half of the jobs never start.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 mkdir -p target/review-2
 libs="libuv libh2o json-c"
 # shellcheck disable=SC2046,SC2086
-for program in rv-worker; do
+for program in rv-worker rv-advice; do
   gcc -std=gnu11 -O2 -Wall -Wextra -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -I include \
     $(pkg-config --cflags $libs) -o "target/review-2/$program" \
     "review/standins-2/$program.c" \
--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -87,6 +87,7 @@
  "front": "$address:$((25500 + $1))", "ready": "$address:$((25600 + $1))",
  "metrics": "$address:$((25700 + $1))", "peer": "$address:$((25800 + $1))",
  "seeds": [], "store": "$address:${STORE:-$store_port}",
+ "permits": "${advice_port:+$address:$advice_port}",
  "config_apply_ms": 2000, "log_level": "info", "lease_max_ms": 10000,
  "drain_ms": 2000, "cpu_share": ${cpu_share:-0.1}, "link_mbps": ${link_mbps:-1000}, "shutdown_s": 6,
  "retention_s": 120, "late_s": 60, "remote_factor": 3}
--- a/review/standins-2/rv-worker.c
+++ b/review/standins-2/rv-worker.c
@@ -10,7 +10,8 @@
    capacity that its flags give.  It registers in rr-kv and serves calls only
    once the store has acknowledged that.  It doesn't guard its capacity.  A
    task's spec says what it does: "work=MS" and "cpu=MILLI"; "fail" makes each
-   run fail at its end.  The log has a line for each start and end.  */
+   run fail at its end, "ticket" lets no run start without this worker's
+   ticket.  The log has a line for each start and end.  */
 
 enum
 {
@@ -226,6 +227,14 @@
       respond (x, 409, "late");
       return;
     }
+  char wanted[TEXT_MAX];
+  snprintf (wanted, sizeof wanted, "t-%s", id);
+  if (strstr (spec, "ticket") != NULL
+      && strcmp (json_string_or (body, "ticket", ""), wanted) != 0)
+    {
+      respond (x, 409, "ticket");
+      return;
+    }
   extend_lease (deadline);
   struct run *r = tool_alloc (sizeof *r);
   memset (r, 0, sizeof *r);
