--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 [ -f target/build.ninja ] || meson setup target --buildtype=release -Db_ndebug=false
-ninja -C target --quiet standins/rr-kv standins/rr-relay
+ninja -C target --quiet standins/rr-kv
 mkdir -p target/review-2
 libs="libuv libh2o json-c"
 # shellcheck disable=SC2046,SC2086
@@ -13,6 +13,6 @@
     $(pkg-config --cflags $libs) -o "target/review-2/$program" \
     "review/standins-2/$program.c" \
     target/standins/libstandins.a target/common/libcommon.a \
-    -Ltarget/rosemaryrail -lrosemaryrail -Wl,-rpath,"$PWD/target/rosemaryrail" \
+    -Ltarget/rosemaryrail -lrosemaryrail -Wl,-rpath,'$ORIGIN/../rosemaryrail' \
     $(pkg-config --libs $libs libcurl libtirpc log4c openssl argtable2 gsl libxxhash)
 done
--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -8,9 +8,12 @@
 trouble=${TROUBLE:-1}
 record=$case_dir/record.txt
 work=$(mktemp -d)
-address=127.$((64 + RANDOM % 64)).$((1 + RANDOM % 250)).$((1 + RANDOM % 250))
 store_port=25001
-relay_port=25002
+# An address on which nobody listens.
+until
+  address=127.$((64 + RANDOM % 64)).$((1 + RANDOM % 250)).$((1 + RANDOM % 250))
+  ! (exec 3<>"/dev/tcp/$address/$store_port") 2>/dev/null
+do :; done
 daemon_program=$root/$(sed -n 's/^run = "\(.*\)"/\1/p' "$root/deploy/system.toml")
 declare -A pid
 : >"$record"
