--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -66,11 +66,11 @@
     "http://$address:$store_port/standin/put"
 }
 
-# start_worker ID KIND CORES PORT ZONE RACK
+# start_worker ID KIND CORES PORT ZONE RACK [GPUS]
 start_worker() {
   "$root/target/review-2/rv-worker" --address "$address" --port "$4" \
     --store $store_port --id "$1" --kind "$2" --cores "$3" --zone "$5" \
-    --rack "$6" --log "$work/runs.$1.jsonl" >>"$work/$1.log" 2>&1 &
+    --rack "$6" --gpus "${7:-0}" --log "$work/runs.$1.jsonl" >>"$work/$1.log" 2>&1 &
   pid[$1]=$!
 }
 
--- a/review/standins-2/rv-worker.c
+++ b/review/standins-2/rv-worker.c
@@ -64,6 +64,7 @@
 static int port;
 static int store_port;
 static int cores_milli;
+static int gpus;
 static FILE *log_file;
 static struct http_client *client;
 static int64_t started_ms;
@@ -430,7 +431,7 @@
   struct json_object *capacity = json_object_new_object ();
   json_add_int (capacity, "cpu", cores_milli);
   json_add_int (capacity, "memMb", 64000);
-  json_add_int (capacity, "gpu", 0);
+  json_add_int (capacity, "gpu", gpus);
   json_object_object_add (entry, "capacity", capacity);
   struct json_object *labels = json_object_new_array ();
   add_text (labels, kind);
@@ -475,12 +476,13 @@
           TEXT_FLAG ("kind", "kind of the machine", "a"),
           TEXT_FLAG ("rack", "rack of the machine", "r1"),
           INT_FLAG ("cores", "capacity in thousandths of a core", 8000),
+          INT_FLAG ("gpus", "accelerators", 0),
           TEXT_FLAG ("log", "file for what runs do", "/dev/stdout") };
   uv_loop_t *loop = uv_default_loop ();
   struct rr_error err = { 0 };
   int code;
   if (!tool_start (argc, argv, "rv-worker",
-                   "Stand-in of a worker of a given kind.", flags, 8, loop,
+                   "Stand-in of a worker of a given kind.", flags, 9, loop,
                    &code))
     return code;
   port = flags[0].number;
@@ -490,7 +492,8 @@
   kind = flags[4].text;
   rack = flags[5].text;
   cores_milli = flags[6].number;
-  log_file = fopen (flags[7].text, "a");
+  gpus = flags[7].number;
+  log_file = fopen (flags[8].text, "a");
   client = http_client_open (loop, &err);
   if (log_file == NULL || client == NULL)
     return tool_fail ("rv-worker", &err);
