--- a/include/rosemaryentryd/inheritance.h
+++ b/include/rosemaryentryd/inheritance.h
@@ -25,5 +25,7 @@
 int64_t inheritance_ownership_ms (int64_t lease_max_ms);
 struct rr_time inheritance_leases_until (struct rr_time claim_seen,
                                          int64_t lease_max_ms);
+struct rr_time inheritance_longest_until (struct rr_time claim_seen,
+                                          int64_t lease_max_ms);
 
 #endif
--- a/include/rosemaryentryd/worker_connection.h
+++ b/include/rosemaryentryd/worker_connection.h
@@ -14,7 +14,6 @@
 {
   void *data;
   struct rr_dispatch *dispatch;
-  int64_t fencing_token;
   struct command_window *window;
   /* Returns the time until which the owner may act on the shard.  */
   struct rr_time (*valid_until) (void *data);
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -87,6 +87,7 @@
 struct rr_worker_report
 {
   int64_t started_ms; /* 0: not given */
+  int64_t token;      /* fencing token of the poll */
   int64_t clock_ms;
   struct rr_time sent;     /* when the poll was sent */
   struct rr_time received; /* when the answer arrived */
@@ -177,17 +178,23 @@
 struct rr_recorded_worker
 {
   char id[RR_JOB_NAME_SIZE];
+  int64_t started_ms; /* its life; 0: not given */
   /* The owner that wrote the record grants it no lease before another record
      is stored: all leases on it have expired at EXPIRY.  */
   bool silent;
+  /* This life may carry out commands to former ones.  */
+  bool unfenced;
+  /* If it is not silent, of the leases that commands to former lives have
+     given; 0: they have given none.  */
   struct rr_time expiry;
 };
 
 /* Settings and callbacks of a dispatcher.  */
 struct rr_dispatch_options
 {
-  int64_t lease_ms;     /* of running tasks, renewed by each poll */
-  int64_t lease_max_ms; /* maximum time from grant to expiry */
+  int64_t fencing_token; /* of the owner */
+  int64_t lease_ms;      /* of running tasks, renewed by each poll */
+  int64_t lease_max_ms;  /* maximum time from grant to expiry */
   /* No task starts while the workers' registrations are older than this,
      compared with the store's last response.  */
   int64_t registration_age_max_ms;
@@ -225,8 +232,9 @@
    or its leases have expired, a task that is not reported as running may still
    run.  */
 void rr_dispatch_inherit (struct rr_dispatch *d, struct rr_time until,
-                          uint64_t former_run, uint64_t first_run,
-                          struct rr_time now);
+                          struct rr_time longest_until, uint64_t former_run,
+                          uint64_t first_run, struct rr_time now);
+void rr_dispatch_inherit_unknown (struct rr_dispatch *d);
 void rr_dispatch_inherit_worker (struct rr_dispatch *d,
                                  const struct rr_recorded_worker *worker);
 void rr_dispatch_release (struct rr_dispatch *d, struct rr_time now);
@@ -245,10 +253,12 @@
 void rr_dispatch_worker_unregister (struct rr_dispatch *d, const char *id,
                                     struct rr_time now);
 void rr_dispatch_worker_mark_recorded (struct rr_dispatch *d,
-                                       const struct rr_recorded_worker *r);
+                                       const struct rr_recorded_worker *r,
+                                       int64_t revision);
 bool rr_dispatch_worker_droppable (const struct rr_dispatch *d,
                                    struct rr_handle h, struct rr_time now);
-void rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h);
+void rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h,
+                              struct rr_time now);
 size_t rr_dispatch_record_workers (struct rr_dispatch *d,
                                    struct rr_recorded_worker *workers,
                                    size_t max, struct rr_time now);
@@ -265,8 +275,10 @@
                                struct rr_time now);
 void rr_dispatch_worker_unreachable (struct rr_dispatch *d,
                                      struct rr_handle h);
-bool rr_dispatch_worker_silence_recorded (const struct rr_dispatch *d,
-                                          struct rr_handle h);
+bool rr_dispatch_worker_awaits_record (const struct rr_dispatch *d,
+                                       struct rr_handle h);
+int64_t rr_dispatch_worker_token (const struct rr_dispatch *d,
+                                  struct rr_handle h);
 bool rr_dispatch_command_begin (struct rr_dispatch *d, struct rr_handle h,
                                 enum rr_command_kind kind,
                                 const struct rr_run_name *name);
--- a/rosemaryentryd/inheritance.c
+++ b/rosemaryentryd/inheritance.c
@@ -35,3 +35,12 @@
   return rr_time_add (claim_seen, (expired > released ? expired : released)
                                       + INHERIT_MARGIN_MS);
 }
+
+/* Returns the same for leases that commands of former owners gave to a worker
+   which had restarted meanwhile: these may be as long as workers give.  */
+struct rr_time
+inheritance_longest_until (struct rr_time claim_seen, int64_t lease_max_ms)
+{
+  return rr_time_add (claim_seen, lease_max_ms * CLOCK_SLOW_PERCENT / 100
+                                      + INHERIT_MARGIN_MS);
+}
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -261,7 +261,7 @@
       if (!rr_dispatch_worker_droppable (s->dispatch, worker, now))
         continue;
       drop_connection (s, worker_connection_worker_id (*c));
-      rr_dispatch_worker_drop (s->dispatch, worker);
+      rr_dispatch_worker_drop (s->dispatch, worker, now);
     }
 }
 
@@ -312,7 +312,6 @@
       struct worker_connection_owner owner
           = { .data = s,
               .dispatch = s->dispatch,
-              .fencing_token = s->fencing_token,
               .window = &s->entry->command_window,
               .valid_until = ownership_valid_until,
               .changed = on_worker_changed,
@@ -446,7 +445,8 @@
   snprintf (s->owner_key, sizeof s->owner_key, "%s%s", KEY_OWNER,
             record->name);
   struct rr_dispatch_options o
-      = { .lease_ms = TASK_LEASE_MS < e->settings.lease_max_ms
+      = { .fencing_token = fencing_token,
+          .lease_ms = TASK_LEASE_MS < e->settings.lease_max_ms
                           ? TASK_LEASE_MS
                           : e->settings.lease_max_ms,
           .lease_max_ms = e->settings.lease_max_ms,
--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -36,9 +36,11 @@
   uint64_t hash = XXH64 (&last_block, sizeof last_block, count);
   for (size_t i = 0; i < count; i++)
     {
-      hash = XXH64 (workers[i].id, strlen (workers[i].id), hash);
-      int64_t expiry_ms = workers[i].silent ? workers[i].expiry.ms : -1;
-      hash = XXH64 (&expiry_ms, sizeof expiry_ms, hash);
+      const struct rr_recorded_worker *w = &workers[i];
+      const int64_t values[]
+          = { w->started_ms, w->silent, w->unfenced, w->expiry.ms };
+      hash = XXH64 (w->id, strlen (w->id), hash);
+      hash = XXH64 (values, sizeof values, hash);
     }
   return hash;
 }
@@ -70,7 +72,8 @@
   s->membership.release_stored
       = s->membership.release_stored || s->membership.stopping;
   for (size_t i = 0; i < s->membership.worker_count; i++)
-    rr_dispatch_worker_mark_recorded (s->dispatch, &s->membership.workers[i]);
+    rr_dispatch_worker_mark_recorded (s->dispatch, &s->membership.workers[i],
+                                      revision);
   shard_schedule_planning (s);
 }
 
@@ -217,15 +220,15 @@
       s->dispatch,
       inheritance_leases_until (s->record->owner_seen,
                                 s->entry->settings.lease_max_ms),
+      inheritance_longest_until (s->record->owner_seen,
+                                 s->entry->settings.lease_max_ms),
       block_start (valid ? m.first_block : s->first_block),
       block_start (s->first_block), entry_now ());
   if (!valid)
     {
       log_event (LOG_LEVEL_ERROR, "roster_unreadable", "shard=%s %s",
                  s->record->name, err.message);
-      /* Any worker may have been used.  None of this name ever reports.  */
-      const struct rr_recorded_worker any = { .id = "*" };
-      rr_dispatch_inherit_worker (s->dispatch, &any);
+      rr_dispatch_inherit_unknown (s->dispatch);
       return;
     }
   for (size_t i = 0; i < m.worker_count; i++)
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -43,6 +43,7 @@
   struct worker_connection *connection;
   struct rr_time queued;
   int64_t bytes; /* counted in the command window */
+  int64_t token; /* with which it was sent */
   struct queued_command *next;
 };
 
@@ -75,6 +76,7 @@
 {
   struct worker_connection *connection;
   uint64_t number;
+  int64_t token;
 };
 
 static void poll_worker (struct worker_connection *c);
@@ -178,7 +180,7 @@
 {
   if (c->awaiting_store)
     return STORE_WAIT_MAX_MS;
-  return rr_dispatch_worker_silence_recorded (c->owner.dispatch, c->worker)
+  return rr_dispatch_worker_awaits_record (c->owner.dispatch, c->worker)
              ? RECORD_WAIT_MS
              : POLL_DELAY_MS;
 }
@@ -202,6 +204,15 @@
   c->owner.changed (c->owner.data);
 }
 
+/* Returns whether a worker that refuses a call for its TOKEN knows another
+   owner: the tokens of commands to its former lives are lower than its
+   own.  */
+static bool
+token_current (const struct worker_connection *c, int64_t token)
+{
+  return token >= rr_dispatch_worker_token (c->owner.dispatch, c->worker);
+}
+
 static void
 on_poll_done (void *data, enum rr_command_outcome outcome,
               const struct rr_worker_report *report)
@@ -209,12 +220,13 @@
   struct poll *poll = data;
   struct worker_connection *c = poll->connection;
   bool in_time = c->polling && poll->number == c->poll_number;
+  bool fenced = outcome == RR_OUTCOME_FENCED && token_current (c, poll->token);
   free (poll);
   c->calls--;
   c->polls_in_flight--;
   if (c->closed)
     worker_connection_free_if_unused (c);
-  else if (outcome == RR_OUTCOME_FENCED)
+  else if (fenced)
     c->owner.fenced (c->owner.data);
   else if (report != NULL)
     {
@@ -232,7 +244,7 @@
   struct rr_time now = entry_now ();
   struct platform_worker_poll k = {
     .id = c->id,
-    .token = c->owner.fencing_token,
+    .token = rr_dispatch_worker_token (c->owner.dispatch, c->worker),
     .observed
     = rr_dispatch_worker_stored_end (c->owner.dispatch, c->worker, now),
     .timeout_ms = POLL_ANSWER_MAX_MS,
@@ -247,6 +259,7 @@
   assert (poll != NULL);
   poll->connection = c;
   poll->number = ++c->poll_number;
+  poll->token = k.token;
   c->polling = true;
   c->renewing = k.lease_end > 0;
   c->calls++;
@@ -287,10 +300,13 @@
   if (outcome != RR_OUTCOME_UNKNOWN && outcome != RR_OUTCOME_NOT_SENT)
     command_window_answered (
         c->owner.window, rr_time_diff (entry_now (), q->queued), entry_now ());
-  if (!c->closed && outcome == RR_OUTCOME_FENCED)
+  bool fenced = !c->closed && outcome == RR_OUTCOME_FENCED;
+  if (fenced && token_current (c, q->token))
     c->owner.fenced (c->owner.data);
   else if (!c->closed)
     {
+      if (fenced)
+        outcome = RR_OUTCOME_NOT_SENT;
       if (outcome != RR_OUTCOME_ACCEPTED)
         log_event (LOG_LEVEL_WARN, "order_failed",
                    "vm=%s kind=%s job=%s task=%d.%d.%d run=%llu outcome=%s",
@@ -343,8 +359,8 @@
       on_command_done (q, RR_OUTCOME_NOT_SENT, 0);
       return;
     }
-  platform_worker_send_command (c->upstream, &q->command,
-                                c->owner.fencing_token, lease_end,
+  q->token = rr_dispatch_worker_token (c->owner.dispatch, c->worker);
+  platform_worker_send_command (c->upstream, &q->command, q->token, lease_end,
                                 COMMAND_TIMEOUT_MS, on_command_done, q);
 }
 
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -76,6 +76,7 @@
   rr_key_index_free (d->worker_ids);
   free (d->queues);
   free (d->inherited);
+  free (d->dropped);
   rr_interference_free (d->model);
   free (d);
 }
--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -16,19 +16,32 @@
 
 /* Starts the period in which tasks of inherited jobs may run unreported.  It
    ends at UNTIL, when every lease of the former owner has expired, or earlier
-   once each inherited worker has reported or is known to have no lease.  Runs
-   of inherited tasks are numbered from FIRST_RUN on, since former owners may
-   have used lower numbers.  The last owner used numbers from FORMER_RUN on. */
+   once each inherited worker has reported or is known to have no lease.  On
+   workers that may have restarted unseen by that owner its leases end by
+   LONGEST_UNTIL.  Runs of inherited tasks are numbered from FIRST_RUN on,
+   since former owners may have used lower numbers.  The last owner used
+   numbers from FORMER_RUN on. */
 void
 rr_dispatch_inherit (struct rr_dispatch *d, struct rr_time until,
-                     uint64_t former_run, uint64_t first_run,
-                     struct rr_time now)
+                     struct rr_time longest_until, uint64_t former_run,
+                     uint64_t first_run, struct rr_time now)
 {
   d->former_run = former_run;
   d->first_run = first_run;
   d->inheriting = true;
   d->inherited_at = now;
   d->inherited_until = until;
+  d->inherited_longest_until = longest_until;
+}
+
+/* Nothing is on record: any worker may have been used, in any life.  */
+void
+rr_dispatch_inherit_unknown (struct rr_dispatch *d)
+{
+  /* No worker of this name ever reports.  */
+  const struct rr_recorded_worker any = { .id = "*", .unfenced = true };
+  rr_dispatch_inherit_worker (d, &any);
+  d->inherited_lives_unknown = true;
 }
 
 /* Adds WORKER to those that a former owner may have used.  */
@@ -42,9 +55,34 @@
   struct dispatch_inherited *i = &d->inherited[d->inherited_count++];
   snprintf (i->id, sizeof i->id, "%s", worker->id);
   i->silence_recorded = worker->silent;
-  bool known
-      = worker->silent && rr_time_before (worker->expiry, d->inherited_until);
-  i->expiry = known ? worker->expiry : d->inherited_until;
+  i->started_ms = worker->started_ms;
+  i->unfenced = worker->unfenced;
+  i->former_expiry = worker->silent ? rr_time_from_ms (0) : worker->expiry;
+  i->expiry = worker->expiry;
+  if (!worker->silent && rr_time_before (i->expiry, d->inherited_until))
+    i->expiry = d->inherited_until;
+  if (worker->unfenced
+      || rr_time_before (d->inherited_longest_until, i->expiry))
+    i->expiry = d->inherited_longest_until;
+}
+
+/* The worker ID is registered in the life that began at STARTED_MS.  If that
+   is later than its life on record, commands of former owners to that one may
+   have reached the new life.  */
+void
+dispatch_inherited_restarted (struct rr_dispatch *d, const char *id,
+                              int64_t started_ms)
+{
+  for (size_t k = 0; k < d->inherited_count; k++)
+    {
+      struct dispatch_inherited *i = &d->inherited[k];
+      if (strcmp (i->id, id) != 0 || i->started_ms == 0
+          || started_ms <= i->started_ms)
+        continue;
+      i->started_ms = started_ms;
+      i->unfenced = true;
+      i->expiry = d->inherited_longest_until;
+    }
 }
 
 /* Returns the worker ID among those that have not reported, or null.  */
@@ -116,6 +154,7 @@
                              "vm=%s recorded=%d ago_ms=%lld", worker->id,
                              worker->silence_recorded ? 1 : 0,
                              (long long)rr_time_diff (confirmed, expiry));
+      dispatch_life_dropped (d, worker->id, worker->started_ms, confirmed);
       d->inherited[i] = d->inherited[--d->inherited_count];
       expired++;
     }
--- a/rosemaryrail/dispatch_leases.c
+++ b/rosemaryrail/dispatch_leases.c
@@ -27,15 +27,17 @@
 }
 
 /* Returns the lease end for the next command to worker H, on the worker's
-   clock, or 0 when that clock is not known, the worker does not answer, or the
-   membership record may say that it gets no lease.  The shard owner may act
+   clock, or 0 when that clock is not known, the worker does not answer, it may
+   carry out commands to a former life, or the membership record may say that
+   it gets no lease.  The shard owner may act
    until VALID_UNTIL, so no lease ends later.  */
 int64_t
 rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
                           struct rr_time valid_until, struct rr_time now)
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
-  if (w == NULL || !w->has_clock || w->unresponsive || w->silence_recorded)
+  if (w == NULL || !w->has_clock || w->unresponsive || w->silence_recorded
+      || !w->former_fenced)
     return 0;
   int64_t valid = rr_time_diff (valid_until, now);
   if (valid <= 0)
--- /dev/null
+++ b/rosemaryrail/dispatch_lives.c
@@ -0,0 +1,122 @@
+#include "dispatch_private.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Lives of workers.  A worker that restarts under its id carries out commands
+   that were sent to its former life.  The end of a lease is a time on the
+   clock of one life; on the clock of the next it may be far ahead, and the
+   worker then gives the longest lease that it knows.  Each life after the
+   first that this owner knows therefore gets a higher fencing token: once it
+   has answered a poll with this token it refuses what was meant for former
+   lives, and what these commands can have granted until then is known.  */
+
+enum
+{
+  /* Time for which it is remembered that a worker was dropped, which is longer
+     than a command is under way.  */
+  DROPPED_KEEP_MS = 60000
+};
+
+/* Removes the workers from D that were dropped long ago.  */
+static void
+forget_dropped (struct rr_dispatch *d, struct rr_time now)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < d->dropped_count; i++)
+    if (rr_time_diff (now, d->dropped[i].at) < DROPPED_KEEP_MS)
+      d->dropped[kept++] = d->dropped[i];
+  d->dropped_count = kept;
+}
+
+/* Remembers that the worker ID was dropped in the life that began at
+   STARTED_MS: commands to it may be under way.  */
+void
+dispatch_life_dropped (struct rr_dispatch *d, const char *id,
+                       int64_t started_ms, struct rr_time now)
+{
+  forget_dropped (d, now);
+  d->dropped
+      = realloc (d->dropped, (d->dropped_count + 1) * sizeof *d->dropped);
+  assert (d->dropped != NULL);
+  struct dispatch_dropped *p = &d->dropped[d->dropped_count++];
+  snprintf (p->id, sizeof p->id, "%s", id);
+  p->started_ms = started_ms;
+  p->at = now;
+}
+
+/* Starts a life of W in which commands to former lives may still be carried
+   out.  */
+void
+dispatch_life_begin (struct dispatch_worker *w)
+{
+  w->life++;
+  w->recorded = false;
+  w->token_due = true;
+  w->former_fenced = false;
+  w->former_expiry = rr_time_from_ms (0);
+}
+
+/* Starts the first life of W, which this owner did not know, or has dropped
+   meanwhile.  */
+void
+dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w)
+{
+  w->token = d->o.fencing_token;
+  for (size_t i = 0; i < d->dropped_count; i++)
+    if (strcmp (d->dropped[i].id, w->info.id) == 0
+        && d->dropped[i].started_ms != w->info.started_ms)
+      {
+        dispatch_life_begin (w);
+        return;
+      }
+}
+
+/* Returns until when commands to former lives may have granted leases to the
+   present life of W, or 0 when they have granted none.  */
+static struct rr_time
+former_leases_expiry (const struct rr_dispatch *d,
+                      const struct dispatch_worker *w)
+{
+  const struct rr_time none = rr_time_from_ms (0);
+  const struct rr_time longest
+      = rr_time_add (w->clock_received, d->o.lease_max_ms);
+  if (w->life > 0 || d->inherited_lives_unknown)
+    return longest;
+  const struct dispatch_inherited *i = dispatch_inherited_find (d, w->info.id);
+  if (i == NULL)
+    return none;
+  bool same = i->started_ms == 0 || i->started_ms == w->info.started_ms;
+  return same && !i->unfenced ? i->former_expiry : longest;
+}
+
+/* W has answered a poll that had TOKEN.  */
+void
+dispatch_life_answered (struct rr_dispatch *d, struct dispatch_worker *w,
+                        int64_t token)
+{
+  if (w->former_fenced || w->token_due || token < w->token)
+    return;
+  w->former_fenced = true;
+  int64_t ahead_ms
+      = rr_time_diff (former_leases_expiry (d, w), w->clock_received);
+  if (ahead_ms <= 0)
+    return;
+  dispatch_lease_assume (w, ahead_ms);
+  w->former_expiry = dispatch_lease_expiry (w);
+  dispatch_log_decision (d, "vm_former_life_fenced",
+                         "vm=%s born=%lld life=%u leases_left_ms=%lld",
+                         w->info.id, (long long)w->info.started_ms, w->life,
+                         (long long)ahead_ms);
+}
+
+/* Returns the fencing token for commands to worker H: the owner's, or that of
+   its present life.  */
+int64_t
+rr_dispatch_worker_token (const struct rr_dispatch *d, struct rr_handle h)
+{
+  const struct dispatch_worker *w = dispatch_worker_get (d, h);
+  return w == NULL ? d->o.fencing_token : w->token;
+}
--- a/rosemaryrail/dispatch_membership.c
+++ b/rosemaryrail/dispatch_membership.c
@@ -36,9 +36,15 @@
                struct rr_recorded_worker *out, struct rr_time now)
 {
   snprintf (out->id, sizeof out->id, "%s", w->info.id);
+  out->started_ms = w->info.started_ms;
+  out->unfenced = !w->former_fenced;
   out->silent = w->reported && w->unresponsive
                 && silence_to_record (d, w->last_report, now);
-  out->expiry = dispatch_lease_expiry (w);
+  if (out->silent)
+    out->expiry = dispatch_lease_expiry (w);
+  else
+    out->expiry = rr_time_before (now, w->former_expiry) ? w->former_expiry
+                                                         : rr_time_from_ms (0);
   w->silence_recorded = w->silence_recorded || out->silent;
 }
 
@@ -49,6 +55,7 @@
                   struct rr_recorded_worker *out, struct rr_time now)
 {
   snprintf (out->id, sizeof out->id, "%s", i->id);
+  out->started_ms = i->started_ms;
   out->silent
       = i->silence_recorded || silence_to_record (d, d->inherited_at, now);
   out->expiry = i->expiry;
@@ -89,27 +96,33 @@
   return n;
 }
 
-/* Takes note that the stored membership record has R, so that a later owner
-   polls this worker: tasks may be started on it, unless it is silent.  */
+/* Takes note that the membership record of REVISION is stored and has R, so
+   that a later owner polls this worker: tasks may be started on it, unless it
+   is silent.  The revision is above the fencing tokens of this owner so far,
+   and below those of later owners.  */
 void
 rr_dispatch_worker_mark_recorded (struct rr_dispatch *d,
-                                  const struct rr_recorded_worker *r)
+                                  const struct rr_recorded_worker *r,
+                                  int64_t revision)
 {
   struct dispatch_worker *w = dispatch_worker_find (d, r->id);
-  if (w == NULL)
+  if (w == NULL || r->started_ms != w->info.started_ms)
     return;
+  if (w->token_due && revision > w->token)
+    w->token = revision;
+  w->token_due = false;
   w->recorded = true;
   w->silence_recorded = r->silent;
 }
 
-/* Returns whether the membership record may say that worker H gets no lease:
-   it gets none until the record is stored without that.  */
+/* Returns whether worker H gets no lease until the membership record is
+   stored: it may say that the worker is silent, or have its former life.  */
 bool
-rr_dispatch_worker_silence_recorded (const struct rr_dispatch *d,
-                                     struct rr_handle h)
+rr_dispatch_worker_awaits_record (const struct rr_dispatch *d,
+                                  struct rr_handle h)
 {
   const struct dispatch_worker *w = dispatch_worker_get (d, h);
-  return w != NULL && w->silence_recorded;
+  return w != NULL && (w->silence_recorded || w->token_due);
 }
 
 /* Another owner is to take over: from now on each silence is recorded, however
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -150,6 +150,18 @@
   char id[RR_JOB_NAME_SIZE];
   bool silence_recorded; /* as of struct dispatch_worker */
   struct rr_time expiry; /* of all leases of former owners */
+  int64_t started_ms;    /* its life on record; 0: not given */
+  /* Commands to former lives may have reached this life unseen.  */
+  bool unfenced;
+  struct rr_time former_expiry; /* as of struct dispatch_worker */
+};
+
+/* A worker that was dropped.  */
+struct dispatch_dropped
+{
+  char id[RR_JOB_NAME_SIZE];
+  int64_t started_ms;
+  struct rr_time at;
 };
 
 struct dispatch_worker
@@ -170,6 +182,13 @@
   struct rr_time clock_received;
   int64_t lease_clock_ms; /* latest lease end granted, on the worker's clock */
   uint32_t life;          /* how often it was seen to restart under its id */
+  int64_t token;          /* fencing token of its commands */
+  /* Its life gets a token of its own once the membership record has it.  */
+  bool token_due;
+  bool former_fenced; /* refuses commands to former lives */
+  /* Of the leases that such commands have given to its present life; 0: they
+     have given none.  */
+  struct rr_time former_expiry;
   struct dispatch_run *runs;
   size_t run_count;
   size_t run_capacity;
@@ -209,6 +228,11 @@
   size_t inherited_expired; /* workers that have not reported in time */
   struct rr_time inherited_at;
   struct rr_time inherited_until; /* leases not on record expire */
+  /* ... also those that commands to former lives have given.  */
+  struct rr_time inherited_longest_until;
+  bool inherited_lives_unknown; /* nothing is on record */
+  struct dispatch_dropped *dropped;
+  size_t dropped_count;
   bool inheriting;
   bool releasing;                  /* another owner is to take over */
   struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
@@ -364,10 +388,18 @@
 void dispatch_worker_restarted (struct rr_dispatch *d,
                                 struct dispatch_worker *w, int64_t started_ms,
                                 struct rr_time now);
+void dispatch_life_dropped (struct rr_dispatch *d, const char *id,
+                            int64_t started_ms, struct rr_time now);
+void dispatch_life_begin (struct dispatch_worker *w);
+void dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w);
+void dispatch_life_answered (struct rr_dispatch *d, struct dispatch_worker *w,
+                             int64_t token);
 void dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms);
 const struct dispatch_inherited *
 dispatch_inherited_find (const struct rr_dispatch *d, const char *id);
 void dispatch_inherited_remove (struct rr_dispatch *d, const char *id);
+void dispatch_inherited_restarted (struct rr_dispatch *d, const char *id,
+                                   int64_t started_ms);
 void dispatch_inheritance_settle (struct rr_dispatch *d,
                                   struct rr_time confirmed);
 void dispatch_inheritance_log (struct rr_dispatch *d, struct rr_time now);
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -295,6 +295,7 @@
   w->clock_ms = r->clock_ms;
   w->clock_sent = r->sent;
   w->clock_received = r->received;
+  dispatch_life_answered (d, w, r->token);
   skip_silence (w, now);
   w->last_report = now;
   w->unresponsive = false;
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -170,7 +170,7 @@
       d, "vm_restarted", "vm=%s born=%lld before=%lld runs=%zu", w->info.id,
       (long long)started_ms, (long long)w->info.started_ms, w->run_count);
   w->info.started_ms = started_ms;
-  w->life++;
+  dispatch_life_begin (w);
   w->reported = false;
   w->has_clock = false;
   w->lease_clock_ms = 0;
@@ -208,10 +208,12 @@
       const struct dispatch_inherited *former
           = dispatch_inherited_find (d, info->id);
       w->silence_recorded = former != NULL && former->silence_recorded;
+      dispatch_life_first (d, w);
       rr_key_index_put (d->worker_ids, info->id, h);
     }
   if (info->started_ms > w->info.started_ms && w->info.started_ms != 0)
     dispatch_worker_restarted (d, w, info->started_ms, now);
+  dispatch_inherited_restarted (d, info->id, info->started_ms);
   if (info->draining && !w->info.draining)
     dispatch_log_decision (d, "vm_draining", "vm=%s runs=%zu", info->id,
                            w->run_count);
@@ -270,10 +272,12 @@
 
 /* Removes worker H, which has no runs.  */
 void
-rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h)
+rr_dispatch_worker_drop (struct rr_dispatch *d, struct rr_handle h,
+                         struct rr_time now)
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   assert (w != NULL && w->run_count == 0);
+  dispatch_life_dropped (d, w->info.id, w->info.started_ms, now);
   rr_key_index_remove (d->worker_ids, w->info.id);
   dispatch_worker_release (w);
   rr_table_remove (d->workers, h);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -42,6 +42,11 @@
      deliver_answers W        these answers come
      slow_answers W MS        the answers of W take MS
      lease W                  prints how far the next lease of W reaches
+     send_poll W              a poll that renews leases leaves for W
+     deliver_poll W           W takes that poll, in whichever life it is; its
+                              answer is lost
+     running                  prints the runs that are in progress, also on
+                              workers out of reach
      queue_commands W         commands to W wait in the daemon
      send_commands W          sends the commands that wait
      reconnect W              replaces the connection to W; commands that wait
@@ -51,6 +56,9 @@
      poll [W]                 polls one worker or all
      needed                   prints the workers that must stay in the
                               membership record
+     record_by_script         the membership record is stored by the script
+                              only; otherwise a worker that has restarted is
+                              recorded when it reports
      record                   stores the membership record and prints it, with
                               the time that is left of the leases of silent
                               workers
@@ -64,6 +72,8 @@
                               of the last planning round
      takeover W...            replaces the owner by a new one, with these
                               workers in the membership record
+     inherited_leases MS      the leases that an owner gives end this long
+                              after the next one took over
      takeover_recorded        the same with the record that was stored last
      idle NEW_MS STARTED_MS   prints the jobs that another shard may take
      forget_queues            later owners don't know the queues
@@ -89,11 +99,13 @@
 {
   NEEDED_MAX = 32,
   RUNS_PER_BLOCK = 16,
-  REGISTRATION_AGE_MAX_MS = 1400
+  REGISTRATION_AGE_MAX_MS = 1400,
+  LEASE_LONGEST_MS = LEASE_MAX_MS + 900 /* that any owner can have given */
 };
 
 struct script script = { .now = { 1000000 }, .confirmed = { 1000000 } };
 static bool confirming = true;
+static int64_t inherited_leases_ms = LEASE_LONGEST_MS;
 static struct rr_time registrations_at = { 1000000 };
 static bool registrations_current = true;
 static int64_t start_bytes_max = INT64_MAX / 2;
@@ -146,7 +158,8 @@
 dispatcher_new (void)
 {
   struct rr_dispatch_options o
-      = { .lease_ms = LEASE_MS,
+      = { .fencing_token = ++script.revision,
+          .lease_ms = LEASE_MS,
           .lease_max_ms = LEASE_MAX_MS,
           .registration_age_max_ms = REGISTRATION_AGE_MAX_MS,
           .remote_factor = 3,
@@ -251,6 +264,7 @@
 {
   recorded_count = rr_dispatch_record_workers (script.dispatch, recorded,
                                                NEEDED_MAX, script.now);
+  script.revision++;
   printf ("recorded:");
   for (size_t i = 0; i < recorded_count; i++)
     {
@@ -258,8 +272,13 @@
       printf (" %s", r->id);
       if (r->silent)
         printf (":%lld", (long long)rr_time_diff (r->expiry, script.now));
+      else if (r->unfenced)
+        printf (":unfenced");
+      else if (r->expiry.ms > 0)
+        printf (":former=%lld",
+                (long long)rr_time_diff (r->expiry, script.now));
       if (answered)
-        rr_dispatch_worker_mark_recorded (script.dispatch, r);
+        rr_dispatch_worker_mark_recorded (script.dispatch, r, script.revision);
     }
   printf ("\n");
 }
@@ -286,7 +305,8 @@
   script.confirmed = script.now;
   confirming = true;
   rr_dispatch_inherit (script.dispatch,
-                       rr_time_add (script.now, LEASE_MAX_MS + 900),
+                       rr_time_add (script.now, inherited_leases_ms),
+                       rr_time_add (script.now, LEASE_LONGEST_MS),
                        former_block * RUNS_PER_BLOCK + 1,
                        first_block * RUNS_PER_BLOCK + 1, script.now);
   for (size_t i = 0; i < count; i++)
@@ -422,6 +442,8 @@
     record (true);
   else if (strcmp (word, "record_lost") == 0)
     record (false);
+  else if (strcmp (word, "record_by_script") == 0)
+    script.records_itself = true;
   else if (strcmp (word, "stop_owner") == 0)
     rr_dispatch_release (script.dispatch, script.now);
   else if (strcmp (word, "takeover_recorded") == 0)
@@ -476,6 +498,10 @@
     }
   else if (strcmp (c, "speeds") == 0)
     fake_workers_print_speeds ();
+  else if (strcmp (c, "inherited_leases") == 0)
+    inherited_leases_ms = strtol (word[1], NULL, 10);
+  else if (strcmp (c, "running") == 0)
+    fake_workers_print_running ();
   else if (strcmp (c, "poll") == 0)
     fake_workers_poll (words > 1 ? word[1] : NULL);
   else if (strcmp (c, "needed") == 0)
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -67,6 +67,19 @@
   w->answer_count = 0;
 }
 
+/* Lets W take a lease up to END, unless a higher TOKEN was there first.  */
+static void
+lease_take (struct fake_worker *w, int64_t end, int64_t token)
+{
+  if (token < w->token)
+    return;
+  w->token = token;
+  if (end > clock_ms (w) + LEASE_MAX_MS)
+    end = clock_ms (w) + LEASE_MAX_MS;
+  if (end > w->lease_end)
+    w->lease_end = end;
+}
+
 static struct fake_run *
 run_new (struct fake_worker *w, const struct rr_run_name *name)
 {
@@ -192,8 +205,7 @@
   bool answered
       = !w->blocked && (!w->delaying || command->kind != RR_COMMAND_THROTTLE);
   printf ("%s\n", answered ? "" : ": no answer");
-  if (lease > w->lease_end)
-    w->lease_end = lease;
+  lease_take (w, lease, rr_dispatch_worker_token (script.dispatch, w->handle));
   if (w->blocked)
     {
       if (command->kind == RR_COMMAND_START)
@@ -234,6 +246,34 @@
       fake_run_end (w, &w->runs[i], RR_END_LEASE_EXPIRED);
 }
 
+/* Prints the runs that are in progress, also on workers out of reach.  */
+void
+fake_workers_print_running (void)
+{
+  for (size_t i = 0; i < fake_worker_count; i++)
+    {
+      struct fake_worker *w = &fake_workers[i];
+      expire (w);
+      for (size_t k = 0; k < w->run_count; k++)
+        {
+          const struct rr_run_name *n = &w->runs[k].status.name;
+          if (!w->runs[k].ended && !w->runs[k].delayed && !w->runs[k].sealed)
+            printf ("%s %d.%d run %llu runs on %s\n", n->job, n->step, n->task,
+                    (unsigned long long)n->run, w->id);
+        }
+    }
+}
+
+/* A poll that renews leases leaves for W, and is under way.  */
+static void
+late_poll_send (struct fake_worker *w)
+{
+  w->late_lease = rr_dispatch_worker_lease (
+      script.dispatch, w->handle, rr_time_add (script.confirmed, LEASE_MAX_MS),
+      script.now);
+  w->late_token = rr_dispatch_worker_token (script.dispatch, w->handle);
+}
+
 static int
 compare_ends (const void *a, const void *b)
 {
@@ -242,9 +282,20 @@
   return (x > y) - (x < y);
 }
 
+/* Stores a membership record with the present life of W, and not as silent. */
+static void
+record_life (struct fake_worker *w, int64_t started_ms)
+{
+  w->recorded_life = started_ms;
+  struct rr_recorded_worker r = { .started_ms = started_ms };
+  snprintf (r.id, sizeof r.id, "%s", w->id);
+  rr_dispatch_worker_mark_recorded (script.dispatch, &r, ++script.revision);
+}
+
 static void
 worker_poll (struct fake_worker *w)
 {
+  int64_t token = rr_dispatch_worker_token (script.dispatch, w->handle);
   int64_t observed
       = rr_dispatch_worker_stored_end (script.dispatch, w->handle, script.now);
   int64_t lease = rr_dispatch_worker_lease (
@@ -253,19 +304,19 @@
   expire (w);
   if (w->blocked || w->muted)
     {
-      if (w->muted && lease > w->lease_end)
-        w->lease_end = lease;
+      if (w->muted)
+        lease_take (w, lease, token);
       rr_dispatch_worker_unreachable (script.dispatch, w->handle);
       return;
     }
-  if (lease > w->lease_end)
-    w->lease_end = lease;
+  lease_take (w, lease, token);
   if (observed > w->forgotten)
     w->forgotten = observed;
   static struct rr_run_status running[RUNS_MAX];
   static struct rr_run_end ended[RUNS_MAX];
   struct rr_worker_report r
       = { .started_ms = w->started_ms,
+          .token = token,
           .clock_ms = clock_ms (w),
           .sent = rr_time_add (script.now, -w->answer_ms),
           .received = script.now,
@@ -285,13 +336,23 @@
   rr_dispatch_report_apply (script.dispatch, w->handle, &r, script.now);
 }
 
-/* Polls the worker ID, or all if that is null.  */
+/* Polls the worker ID, or all if that is null.  A life that is to be recorded
+   is, unless the script stores the record itself, and is polled again.  */
 void
 fake_workers_poll (const char *id)
 {
   for (size_t i = 0; i < fake_worker_count; i++)
-    if (id == NULL || strcmp (fake_workers[i].id, id) == 0)
-      worker_poll (&fake_workers[i]);
+    {
+      struct fake_worker *w = &fake_workers[i];
+      if (id != NULL && strcmp (w->id, id) != 0)
+        continue;
+      worker_poll (w);
+      if (script.records_itself || w->recorded_life == w->started_ms
+          || w->blocked || w->muted)
+        continue;
+      record_life (w, w->started_ms);
+      worker_poll (w);
+    }
 }
 
 /* Registers W, or updates its registration.  RECORDED: the membership record
@@ -303,9 +364,7 @@
   w->handle = rr_dispatch_worker_set (script.dispatch, &w->info, script.now);
   if (!recorded)
     return;
-  struct rr_recorded_worker r = { 0 };
-  snprintf (r.id, sizeof r.id, "%s", w->id);
-  rr_dispatch_worker_mark_recorded (script.dispatch, &r);
+  record_life (w, w->info.started_ms);
 }
 
 /* Adds the worker of a script line.  */
@@ -356,6 +415,7 @@
   w->ends = 0;
   w->forgotten = 0;
   w->lease_end = 0;
+  w->token = 0;
   w->started_ms = script.now.ms;
 }
 
@@ -410,6 +470,10 @@
                             rr_time_add (script.confirmed, LEASE_MAX_MS),
                             script.now)
                         - clock_ms (w)));
+  else if (strcmp (word[0], "send_poll") == 0)
+    late_poll_send (w);
+  else if (strcmp (word[0], "deliver_poll") == 0)
+    lease_take (w, w->late_lease, w->late_token);
   else if (strcmp (word[0], "queue_commands") == 0)
     w->queueing = true;
   else if (strcmp (word[0], "send_commands") == 0)
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -48,8 +48,12 @@
   struct fake_answer answers[16];
   size_t answer_count;
   int64_t started_ms;
-  int64_t clock_start; /* on the script's clock, when its own showed 0 */
-  int64_t lease_end;   /* on its own clock */
+  int64_t recorded_life; /* start of its life on record */
+  int64_t clock_start;   /* on the script's clock, when its own showed 0 */
+  int64_t lease_end;     /* on its own clock */
+  int64_t token;         /* the highest that it has seen */
+  int64_t late_lease;    /* of a poll under way; 0: none */
+  int64_t late_token;
   int64_t ends;
   int64_t forgotten; /* ends up to this one are not listed any more */
   struct fake_run runs[RUNS_MAX];
@@ -62,6 +66,10 @@
   struct rr_dispatch *dispatch;
   struct rr_time now;
   struct rr_time confirmed; /* when the owner last certainly held the shard */
+  int64_t revision;         /* of the store */
+  /* The script has all commands that store the membership record.  Otherwise
+     a restarted worker is recorded at its first report.  */
+  bool records_itself;
 };
 
 extern struct script script;
@@ -75,6 +83,7 @@
 void fake_worker_command (char **word, struct fake_worker *w);
 void fake_workers_poll (const char *id);
 void fake_workers_print_speeds (void);
+void fake_workers_print_running (void);
 struct fake_run *fake_run_find (char *job, char *task_name,
                                 struct fake_worker **where);
 void fake_run_end (struct fake_worker *w, struct fake_run *r,
--- a/tests/dispatch/test_many_steps.c
+++ b/tests/dispatch/test_many_steps.c
@@ -62,7 +62,7 @@
                                  .started_ms = 1 };
   struct rr_handle w = rr_dispatch_worker_set (d, &info, now);
   struct rr_recorded_worker recorded = { .id = "w1" };
-  rr_dispatch_worker_mark_recorded (d, &recorded);
+  rr_dispatch_worker_mark_recorded (d, &recorded, 1);
   rr_dispatch_job_add (d, many_steps (), NULL, false, now);
   double best = 1e9;
   for (int i = 0; i < ROUNDS; i++)
--- a/tests/entry/test_inheritance.c
+++ b/tests/entry/test_inheritance.c
@@ -36,4 +36,17 @@
 }
 END_TEST
 
-SUITE ("inheritance", owner_that_was_cut_off, owner_that_released)
+/* Guards against two runs of a task: a command of the former owner reaches a
+   worker that has restarted, and gives the longest lease there.  */
+START_TEST (worker_that_restarted)
+{
+  struct rr_time since = rr_time_from_ms (5000);
+  int64_t wait
+      = rr_time_diff (inheritance_longest_until (since, 10000), since);
+  ck_assert_int_gt (wait, 10200);
+  ck_assert_int_lt (wait, 11200);
+}
+END_TEST
+
+SUITE ("inheritance", owner_that_was_cut_off, owner_that_released,
+       worker_that_restarted)
--- a/tests/entry/test_membership_record.c
+++ b/tests/entry/test_membership_record.c
@@ -62,6 +62,53 @@
 }
 END_TEST
 
+/* Guards against a next owner that takes the leases of a restarted worker for
+   shorter than they are (TWICE): its life, whether commands to former lives
+   are refused there, and the time that is left of what they gave.  */
+START_TEST (lives_on_record)
+{
+  struct rr_recorded_worker workers[]
+      = { worker ("w1", false, 0), worker ("w2", false, 503000),
+          worker ("w3", false, 499000) };
+  workers[0].started_ms = 1779330642849;
+  workers[1].unfenced = true;
+  struct membership_record written = {
+    .first_block = 5, .last_block = 7, .workers = workers, .worker_count = 3
+  };
+  char *text = membership_record_encode (&written, rr_time_from_ms (500000));
+  struct membership_record read = decode (text);
+  ck_assert_uint_eq (read.worker_count, 3);
+  ck_assert_int_eq (read.workers[0].started_ms, 1779330642849);
+  ck_assert (!read.workers[0].unfenced);
+  ck_assert_int_eq (read.workers[0].expiry.ms, 0);
+  ck_assert (read.workers[1].unfenced);
+  ck_assert (!read.workers[1].silent);
+  ck_assert_int_eq (read.workers[1].expiry.ms, 4000);
+  ck_assert_int_eq (read.workers[2].expiry.ms, 0);
+  membership_record_clear (&read);
+  free (text);
+}
+END_TEST
+
+/* Guards against the record of an older daemon, or an odd one, from which a
+   worker would pass for one that has not restarted.  */
+START_TEST (life_not_given)
+{
+  const char *const lives[]
+      = { "", ",\"lives\":[]", ",\"lives\":{\"w2\":5}",
+          ",\"lives\":{\"w1\":-5}", ",\"lives\":{\"w1\":\"5\"}" };
+  for (size_t i = 0; i < sizeof lives / sizeof lives[0]; i++)
+    {
+      char text[128];
+      snprintf (text, sizeof text, "{\"ordinal\":2,\"workers\":[\"w1\"]%s}",
+                lives[i]);
+      struct membership_record m = decode (text);
+      ck_assert_msg (m.workers[0].unfenced, "%s", lives[i]);
+      membership_record_clear (&m);
+    }
+}
+END_TEST
+
 /* Guards against an older daemon's record that can't be read, and against a
    silence that it does not state.  */
 START_TEST (record_without_silence)
@@ -111,4 +158,5 @@
 END_TEST
 
 SUITE ("membership record", time_left_counts_from_sight,
-       record_without_silence, odd_time_left, odd_record)
+       record_without_silence, lives_on_record, life_not_given, odd_time_left,
+       odd_record)
