--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -77,6 +77,8 @@
   free (d->queues);
   free (d->inherited);
   free (d->dropped);
+  free (d->suspicions);
+  free (d->losses);
   rr_interference_free (d->model);
   free (d);
 }
@@ -262,7 +264,7 @@
   t->recorded_ends = row->recorded_ends;
   t->next_run = row->run + 1;
   t->failures = row->failures;
-  t->crashes = row->crashes;
+  t->crashes = dispatch_crash_restore (row->crashes);
   rr_text_assign (&t->checkpoint, row->checkpoint);
   t->checkpoint_run = row->checkpoint_run;
   if (row->done)
--- a/rosemaryrail/dispatch_crash.c
+++ b/rosemaryrail/dispatch_crash.c
@@ -1,10 +1,21 @@
 #include "dispatch_private.h"
 
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
 /* Gives up tasks under which workers crash.  Such a task ends its worker soon
    after it starts, so that the worker never reports it as running for long;
    most of what else was lost with the worker had run before.  Tasks that are
    suspected are started on different workers, so that each crash tells more
-   about them.  */
+   about them.
+
+   That a worker was lost soon after a start is no proof: it may be out of
+   reach, or have been lost for another reason.  So a suspicion is withdrawn
+   when the worker is heard again in the same life, and when another worker, on
+   which nothing had just started, was lost at about the same time.  A task is
+   given up only when its last suspicion has stood for a while.  */
 
 enum
 {
@@ -14,8 +25,22 @@
   /* From this many crashes on, a task is started where nothing else starts
      until it has survived.  */
   TRIAL_CRASHES = 2,
-  /* A task is given up after this many crashes in a row.  */
-  CRASHES_MAX = 3
+  /* A task is not started any more after this many crashes in a row.  */
+  CRASHES_MAX = 3,
+  /* The stored count of a task that was given up.  */
+  CRASHES_GIVEN_UP = CRASHES_MAX + 1,
+  /* Losses of workers are noticed up to the interval between polls and the
+     time for an answer after they happened; closer ones may have one cause. */
+  SAME_CAUSE_MS = 1500,
+  /* A worker that has been silent for this long counts as lost.  */
+  SILENCE_MS = 2000,
+  /* Until a task is given up: longer than its worker, if that is only out of
+     reach, usually takes to answer again.  */
+  CONFIRM_MS = 10000,
+  /* The same if the worker has restarted: until other losses of the time are
+     known.  */
+  CONFIRM_RESTARTED_MS = SILENCE_MS + SAME_CAUSE_MS,
+  EVIDENCE_KEEP_MS = 60000
 };
 
 /* Returns whether workers have crashed under T in its last runs.  */
@@ -32,21 +57,48 @@
   return t->crashes >= TRIAL_CRASHES;
 }
 
-/* Returns whether T is not started any more.  */
+/* Returns whether T is not started any more, or not for now.  */
 bool
 dispatch_crash_given_up (const struct dispatch_task *t)
 {
   return t->crashes >= CRASHES_MAX;
 }
 
-/* T has run without a crash of its worker.  */
+/* Returns the count of crashes of a task whose stored count is STORED.  That
+   its last suspicion was not withdrawn is known only if the task had been
+   given up: otherwise it is tried once more.  */
+uint32_t
+dispatch_crash_restore (uint32_t stored)
+{
+  return stored == CRASHES_MAX ? CRASHES_MAX - 1 : stored;
+}
+
+static void
+suspicion_remove (struct rr_dispatch *d, size_t i)
+{
+  d->suspicions[i] = d->suspicions[--d->suspicion_count];
+}
+
+static bool
+same_task (const struct dispatch_suspicion *s, struct rr_handle job,
+           uint32_t number)
+{
+  return rr_handle_equal (s->job, job) && s->number == number;
+}
+
+/* Task NUMBER of J has run without a crash of its worker.  */
 void
-dispatch_crash_clear (struct dispatch_job *j, struct dispatch_task *t)
+dispatch_crash_clear (struct rr_dispatch *d, struct dispatch_job *j,
+                      uint32_t number)
 {
+  struct dispatch_task *t = &j->tasks[number];
   if (t->crashes == 0)
     return;
   t->crashes = 0;
   j->version++;
+  for (size_t i = d->suspicion_count; i-- > 0;)
+    if (same_task (&d->suspicions[i], j->handle, number))
+      suspicion_remove (d, i);
 }
 
 /* The worker of R has reported that it is running.  */
@@ -62,15 +114,114 @@
   if (j != NULL
       && dispatch_task_placed_as (&j->tasks[r->number], r->name.run,
                                   w->handle))
-    dispatch_crash_clear (j, &j->tasks[r->number]);
+    dispatch_crash_clear (d, j, r->number);
+}
+
+/* Withdraws suspicion I for REASON.  */
+static void
+suspicion_withdraw (struct rr_dispatch *d, size_t i, const char *reason)
+{
+  struct dispatch_suspicion s = d->suspicions[i];
+  suspicion_remove (d, i);
+  struct dispatch_job *j = dispatch_job_get (d, s.job);
+  if (j == NULL || j->tasks[s.number].crashes == 0
+      || j->tasks[s.number].crashes >= CRASHES_GIVEN_UP)
+    return;
+  struct rr_run_name name;
+  dispatch_task_name (j, s.number, &name);
+  j->tasks[s.number].crashes--;
+  j->version++;
+  dispatch_log_decision (
+      d, "crash_not_suspected",
+      "job=%s task=%d.%d.%d vm=%s reason=%s crashes=%u max=%d", name.job,
+      name.occurrence, name.step, name.task, s.worker, reason,
+      j->tasks[s.number].crashes, CRASHES_MAX);
+}
+
+/* W has answered: it has not crashed in its present life.  */
+void
+dispatch_crash_worker_heard (struct rr_dispatch *d,
+                             const struct dispatch_worker *w)
+{
+  for (size_t i = d->suspicion_count; i-- > 0;)
+    if (d->suspicions[i].started_ms == w->info.started_ms
+        && strcmp (d->suspicions[i].worker, w->info.id) == 0)
+      suspicion_withdraw (d, i, "vm-heard");
+}
+
+static bool
+same_time (struct rr_time a, struct rr_time b)
+{
+  int64_t apart_ms = rr_time_diff (a, b);
+  return apart_ms <= SAME_CAUSE_MS && apart_ms >= -SAME_CAUSE_MS;
+}
+
+/* A worker that was last heard AT was lost for a reason of its own, or of its
+   surroundings: nothing had been started on it shortly before.  */
+static void
+unprovoked_loss_add (struct rr_dispatch *d, struct rr_time at,
+                     struct rr_time now)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < d->loss_count; i++)
+    if (rr_time_diff (now, d->losses[i]) < EVIDENCE_KEEP_MS)
+      d->losses[kept++] = d->losses[i];
+  d->losses = realloc (d->losses, (kept + 1) * sizeof *d->losses);
+  assert (d->losses != NULL);
+  d->losses[kept++] = at;
+  d->loss_count = kept;
+  for (size_t i = d->suspicion_count; i-- > 0;)
+    if (same_time (d->suspicions[i].lost_at, at))
+      suspicion_withdraw (d, i, "others-lost");
+}
+
+static bool
+unprovoked_loss_near (const struct rr_dispatch *d, struct rr_time at)
+{
+  for (size_t i = 0; i < d->loss_count; i++)
+    if (same_time (d->losses[i], at))
+      return true;
+  return false;
+}
+
+/* Returns whether a run that was sent to W may have crashed it.  */
+static bool
+has_fresh_run (const struct dispatch_worker *w)
+{
+  for (size_t i = 0; i < w->run_count; i++)
+    if (!w->runs[i].queued && !w->runs[i].survived)
+      return true;
+  return false;
+}
+
+/* Takes note that W is lost, if nothing that was started on it can be the
+   cause.  */
+static void
+loss_note (struct rr_dispatch *d, struct dispatch_worker *w,
+           struct rr_time now)
+{
+  if (w->loss_noted || !w->heard || w->info.draining)
+    return;
+  w->loss_noted = true;
+  if (!has_fresh_run (w))
+    unprovoked_loss_add (d, w->last_report, now);
+}
+
+/* Takes note of W if it has been silent for long.  */
+void
+dispatch_crash_silence_check (struct rr_dispatch *d, struct dispatch_worker *w,
+                              struct rr_time now)
+{
+  if (w->unresponsive && rr_time_diff (now, w->last_report) >= SILENCE_MS)
+    loss_note (d, w, now);
 }
 
-/* Counts a crash under the task of R, and gives the task up after the last
-   one.  The other tasks of a divided job go on, since other shards run them
-   too.  */
+/* Counts a crash under the task of R, which is not started any more after the
+   last one, until it is given up.  */
 static void
 crash_count (struct rr_dispatch *d, struct dispatch_run *r,
-             const struct dispatch_worker *w, const char *reason)
+             const struct dispatch_worker *w, bool restarted,
+             const char *reason, struct rr_time now)
 {
   struct dispatch_job *j = dispatch_job_get (d, r->job);
   if (j == NULL
@@ -79,23 +230,28 @@
     return;
   struct dispatch_task *t = &j->tasks[r->number];
   r->crash_counted = true;
-  t->crashes++;
   t->failed_worker = w->handle;
+  t->crashes++;
   j->version++;
+  d->suspicions = realloc (d->suspicions,
+                           (d->suspicion_count + 1) * sizeof *d->suspicions);
+  assert (d->suspicions != NULL);
+  struct dispatch_suspicion *s = &d->suspicions[d->suspicion_count++];
+  *s = (struct dispatch_suspicion){
+    .started_ms = w->info.started_ms,
+    .job = r->job,
+    .number = r->number,
+    .lost_at = w->last_report,
+    .stands_at
+    = rr_time_add (now, restarted ? CONFIRM_RESTARTED_MS : CONFIRM_MS)
+  };
+  snprintf (s->worker, sizeof s->worker, "%s", w->info.id);
   dispatch_log_decision (
       d, "crash_suspected",
       "job=%s task=%d.%d.%d run=%llu vm=%s reason=%s crashes=%u max=%d",
       r->name.job, r->name.occurrence, r->name.step, r->name.task,
       (unsigned long long)r->name.run, w->info.id, reason, t->crashes,
       CRASHES_MAX);
-  if (!dispatch_crash_given_up (t))
-    return;
-  dispatch_log_decision (d, j->graph->divided ? "task_given_up" : "job_failed",
-                         "job=%s task=%d.%d.%d crashes=%u max=%d", r->name.job,
-                         r->name.occurrence, r->name.step, r->name.task,
-                         t->crashes, CRASHES_MAX);
-  if (!j->graph->divided)
-    dispatch_job_fail (d, j);
 }
 
 /* The runs of W are lost with it for REASON.  Counts a crash for those that
@@ -103,14 +259,61 @@
    still registered when its leases have expired is only out of reach.  */
 void
 dispatch_crash_worker_lost (struct rr_dispatch *d, struct dispatch_worker *w,
-                            bool restarted, const char *reason)
+                            bool restarted, const char *reason,
+                            struct rr_time now)
 {
-  if (w->registered && !restarted)
+  loss_note (d, w, now);
+  if ((w->registered && !restarted)
+      || unprovoked_loss_near (d, w->last_report))
     return;
   for (size_t i = 0; i < w->run_count; i++)
     {
       struct dispatch_run *r = &w->runs[i];
       if (r->phase == RUN_RUNNING && !r->survived && !r->crash_counted)
-        crash_count (d, r, w, reason);
+        crash_count (d, r, w, restarted, reason, now);
+    }
+}
+
+/* Gives up task NUMBER of J.  The other tasks of a divided job go on, since
+   other shards run them too.  */
+static void
+task_give_up (struct rr_dispatch *d, struct dispatch_job *j, uint32_t number)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  dispatch_log_decision (d, j->graph->divided ? "task_given_up" : "job_failed",
+                         "job=%s task=%d.%d.%d crashes=%u max=%d", name.job,
+                         name.occurrence, name.step, name.task, t->crashes,
+                         CRASHES_MAX);
+  t->crashes = CRASHES_GIVEN_UP;
+  j->version++;
+  if (!j->graph->divided && !j->cancelled && j->phase != RR_PHASE_FAILED
+      && j->phase != RR_PHASE_COMPLETED)
+    dispatch_job_fail (d, j);
+}
+
+/* Gives up the tasks whose suspicions have all stood for long enough, and
+   forgets old ones.  */
+void
+dispatch_crash_audit (struct rr_dispatch *d, struct rr_time now)
+{
+  for (size_t i = d->suspicion_count; i-- > 0;)
+    {
+      const struct dispatch_suspicion s = d->suspicions[i];
+      struct dispatch_job *j = dispatch_job_get (d, s.job);
+      if (j == NULL || rr_time_diff (now, s.lost_at) >= EVIDENCE_KEEP_MS)
+        {
+          suspicion_remove (d, i);
+          continue;
+        }
+      if (j->tasks[s.number].crashes != CRASHES_MAX)
+        continue;
+      bool stands = true;
+      for (size_t k = 0; k < d->suspicion_count && stands; k++)
+        stands = !same_task (&d->suspicions[k], s.job, s.number)
+                 || !rr_time_before (now, d->suspicions[k].stands_at);
+      if (stands)
+        task_give_up (d, j, s.number);
     }
 }
--- a/rosemaryrail/dispatch_leases.c
+++ b/rosemaryrail/dispatch_leases.c
@@ -122,6 +122,6 @@
   dispatch_log_decision (d, "vm_lease_expired",
                          "vm=%s runs=%zu silent_ms=%lld", w->info.id, sent,
                          (long long)rr_time_diff (now, w->clock_received));
-  dispatch_crash_worker_lost (d, w, false, "lease-expired");
+  dispatch_crash_worker_lost (d, w, false, "lease-expired", now);
   requeue_sent_runs (d, w, "lease-expired", now);
 }
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -142,6 +142,7 @@
     return;
   dispatch_log_waiting (d, rr_time_diff (now, d->audited), now);
   dispatch_inheritance_log (d, now);
+  dispatch_crash_audit (d, now);
   d->audited = now;
   d->log_holds = true;
   struct rr_handle h = { 0 };
@@ -182,6 +183,7 @@
   d->free_cores_milli = 0;
   while ((w = rr_table_next (d->workers, &h)) != NULL)
     {
+      dispatch_crash_silence_check (d, w, now);
       dispatch_expire (d, w, confirmed, now);
       if (w->info.draining)
         drain_worker (w, now);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -156,6 +156,17 @@
   struct rr_time former_expiry; /* as of struct dispatch_worker */
 };
 
+/* The worker of a run was lost soon after the start of the run.  */
+struct dispatch_suspicion
+{
+  char worker[RR_JOB_NAME_SIZE];
+  int64_t started_ms; /* life of the worker */
+  struct rr_handle job;
+  uint32_t number;          /* of the task in its job */
+  struct rr_time lost_at;   /* when the worker was last heard */
+  struct rr_time stands_at; /* unless it is withdrawn */
+};
+
 /* A worker that was dropped.  */
 struct dispatch_dropped
 {
@@ -211,7 +222,9 @@
   int64_t serving_cores_milli;
   bool has_suspect; /* runs that are suspected and have not survived yet */
   bool has_trial;
-  bool held; /* some of its capacity, for long-running tasks */
+  bool held;       /* some of its capacity, for long-running tasks */
+  bool heard;      /* in any life */
+  bool loss_noted; /* since it was last heard */
 };
 
 struct rr_dispatch
@@ -233,6 +246,11 @@
   bool inherited_lives_unknown; /* nothing is on record */
   struct dispatch_dropped *dropped;
   size_t dropped_count;
+  struct dispatch_suspicion *suspicions;
+  size_t suspicion_count;
+  /* When workers were last heard that were lost without a recent start.  */
+  struct rr_time *losses;
+  size_t loss_count;
   bool inheriting;
   bool releasing;                  /* another owner is to take over */
   struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
@@ -454,13 +472,21 @@
 bool dispatch_crash_suspected (const struct dispatch_task *t);
 bool dispatch_crash_on_trial (const struct dispatch_task *t);
 bool dispatch_crash_given_up (const struct dispatch_task *t);
-void dispatch_crash_clear (struct dispatch_job *j, struct dispatch_task *t);
+uint32_t dispatch_crash_restore (uint32_t stored);
+void dispatch_crash_clear (struct rr_dispatch *d, struct dispatch_job *j,
+                           uint32_t number);
+void dispatch_crash_worker_heard (struct rr_dispatch *d,
+                                  const struct dispatch_worker *w);
+void dispatch_crash_silence_check (struct rr_dispatch *d,
+                                   struct dispatch_worker *w,
+                                   struct rr_time now);
+void dispatch_crash_audit (struct rr_dispatch *d, struct rr_time now);
 void dispatch_crash_run_reported (struct rr_dispatch *d,
                                   const struct dispatch_worker *w,
                                   struct dispatch_run *r, struct rr_time now);
 void dispatch_crash_worker_lost (struct rr_dispatch *d,
                                  struct dispatch_worker *w, bool restarted,
-                                 const char *reason);
+                                 const char *reason, struct rr_time now);
 void dispatch_health_check (struct rr_dispatch *d, struct dispatch_worker *w,
                             struct rr_time now);
 
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -298,6 +298,9 @@
   dispatch_life_answered (d, w, r->token);
   skip_silence (w, now);
   w->last_report = now;
+  w->heard = true;
+  w->loss_noted = false;
+  dispatch_crash_worker_heard (d, w);
   w->unresponsive = false;
   if (rr_time_diff (r->received, r->sent) > SLOW_REPORT_MS)
     w->avoid_until = rr_time_add (now, SLOW_REPORT_AVOID_MS);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -169,6 +169,7 @@
   dispatch_log_decision (
       d, "vm_restarted", "vm=%s born=%lld before=%lld runs=%zu", w->info.id,
       (long long)started_ms, (long long)w->info.started_ms, w->run_count);
+  dispatch_crash_worker_lost (d, w, true, "vm-restarted", now);
   w->info.started_ms = started_ms;
   dispatch_life_begin (w);
   w->reported = false;
@@ -179,7 +180,6 @@
   w->end_count = 0;
   w->failed_in_row = 0;
   w->best_effort_percent = 100;
-  dispatch_crash_worker_lost (d, w, true, "vm-restarted");
   requeue_former_runs (d, w, now);
   /* Assume the longest lease for the runs that are kept, so that they expire
      when the new incarnation never reports.  */
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -22,6 +22,7 @@
                               shows in its reports only
      restart_clock ID         the same, and its clock starts anew
      reregister ID            restarts it and updates its registration
+     reregister_same ID       registers it again, in the same life
      job ID QUEUE STEP...     submits a job; STEP is COUNTxCORES[,FLAG]...
                               with the flags after, long_running,
                               best_effort, checkpoint, gang, spread,
@@ -130,7 +131,8 @@
           "job_failed",         "job_done",
           "vm_avoided",         "vm_restarted",
           "fillers_cut",        "inheritance_settled",
-          "long_running_waits", "crash_suspected" };
+          "long_running_waits", "crash_suspected",
+          "crash_not_suspected" };
   for (size_t i = 0; i < sizeof shown / sizeof shown[0]; i++)
     if (strcmp (shown[i], event) == 0)
       printf ("%s %s\n", event, text);
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -453,6 +453,8 @@
       w->info.started_ms = w->started_ms;
       fake_worker_register (w, true);
     }
+  else if (strcmp (word[0], "reregister_same") == 0)
+    fake_worker_register (w, true);
   else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
     w->muted = word[0][0] == 'm';
   else if (strcmp (word[0], "slow_answers") == 0)
