--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -255,7 +255,8 @@
 }
 
 static void
-task_restore (struct dispatch_job *j, const struct rr_progress_row *row)
+task_restore (struct rr_dispatch *d, struct dispatch_job *j,
+              const struct rr_progress_row *row, struct rr_time now)
 {
   if (row->number >= j->task_count)
     return;
@@ -264,7 +265,7 @@
   t->recorded_ends = row->recorded_ends;
   t->next_run = row->run + 1;
   t->failures = row->failures;
-  t->crashes = dispatch_crash_restore (row->crashes);
+  dispatch_crash_restore (d, j, row->number, row->crashes, now);
   rr_text_assign (&t->checkpoint, row->checkpoint);
   t->checkpoint_run = row->checkpoint_run;
   if (row->done)
@@ -273,11 +274,11 @@
 
 static void
 job_restore (struct rr_dispatch *d, struct dispatch_job *j,
-             const struct rr_progress *p)
+             const struct rr_progress *p, struct rr_time now)
 {
   j->phase = p->phase;
   for (size_t i = 0; i < p->row_count; i++)
-    task_restore (j, &p->rows[i]);
+    task_restore (d, j, &p->rows[i], now);
   dispatch_job_settle (d, j);
 }
 
@@ -338,7 +339,7 @@
     }
   rr_key_index_put (d->job_ids, g->id, h);
   if (progress != NULL)
-    job_restore (d, j, progress);
+    job_restore (d, j, progress, now);
   for (uint32_t i = 0; i < j->task_count; i++)
     {
       j->tasks[i].first_run = g->run_base;
--- a/rosemaryrail/dispatch_crash.c
+++ b/rosemaryrail/dispatch_crash.c
@@ -13,9 +13,10 @@
 
    That a worker was lost soon after a start is no proof: it may be out of
    reach, or have been lost for another reason.  So a suspicion is withdrawn
-   when the worker is heard again in the same life, and when another worker, on
-   which nothing had just started, was lost at about the same time.  A task is
-   given up only when its last suspicion has stood for a while.  */
+   when the worker is heard again in the same life, and when many of the
+   workers beside it, on which nothing had just started, were lost at about the
+   same time.  A task is given up only when its suspicions have stood for a
+   while.  */
 
 enum
 {
@@ -40,6 +41,16 @@
   /* The same if the worker has restarted: until other losses of the time are
      known.  */
   CONFIRM_RESTARTED_MS = SILENCE_MS + SAME_CAUSE_MS,
+  /* Shares of the workers of a rack, and of the shard, which are not lost at
+     the same time by chance, and their least number.  Only workers on which
+     nothing had just started count: a job whose tasks crash their workers may
+     start many at once.  */
+  RACK_LOSS_PERCENT = 50,
+  SHARD_LOSS_PERCENT = 30,
+  LOSSES_MIN = 2,
+  /* The same for all workers of the shard: more than such a job uses.  */
+  ANY_LOSS_PERCENT = 50,
+  ANY_LOSSES_MIN = 8,
   EVIDENCE_KEEP_MS = 60000
 };
 
@@ -64,15 +75,6 @@
   return t->crashes >= CRASHES_MAX;
 }
 
-/* Returns the count of crashes of a task whose stored count is STORED.  That
-   its last suspicion was not withdrawn is known only if the task had been
-   given up: otherwise it is tried once more.  */
-uint32_t
-dispatch_crash_restore (uint32_t stored)
-{
-  return stored == CRASHES_MAX ? CRASHES_MAX - 1 : stored;
-}
-
 static void
 suspicion_remove (struct rr_dispatch *d, size_t i)
 {
@@ -95,6 +97,7 @@
   if (t->crashes == 0)
     return;
   t->crashes = 0;
+  t->restored_crashes = 0;
   j->version++;
   for (size_t i = d->suspicion_count; i-- > 0;)
     if (same_task (&d->suspicions[i], j->handle, number))
@@ -156,32 +159,56 @@
   return apart_ms <= SAME_CAUSE_MS && apart_ms >= -SAME_CAUSE_MS;
 }
 
-/* A worker that was last heard AT was lost for a reason of its own, or of its
-   surroundings: nothing had been started on it shortly before.  */
-static void
-unprovoked_loss_add (struct rr_dispatch *d, struct rr_time at,
-                     struct rr_time now)
+/* Workers that were lost at about the same time.  */
+struct loss_count
 {
-  size_t kept = 0;
+  size_t unprovoked; /* nothing had been started on them shortly before */
+  size_t all;
+  size_t others; /* were not lost then */
+};
+
+/* Counts the workers of RACK, or of the shard if that is null, that were lost
+   when one was that was last heard AT.  */
+static struct loss_count
+losses_count (struct rr_dispatch *d, const char *rack, struct rr_time at)
+{
+  struct loss_count n = { 0 };
   for (size_t i = 0; i < d->loss_count; i++)
-    if (rr_time_diff (now, d->losses[i]) < EVIDENCE_KEEP_MS)
-      d->losses[kept++] = d->losses[i];
-  d->losses = realloc (d->losses, (kept + 1) * sizeof *d->losses);
-  assert (d->losses != NULL);
-  d->losses[kept++] = at;
-  d->loss_count = kept;
-  for (size_t i = d->suspicion_count; i-- > 0;)
-    if (same_time (d->suspicions[i].lost_at, at))
-      suspicion_withdraw (d, i, "others-lost");
+    {
+      const struct dispatch_loss *l = &d->losses[i];
+      if (!same_time (l->at, at)
+          || (rack != NULL && strcmp (l->rack, rack) != 0))
+        continue;
+      n.all++;
+      n.unprovoked += l->provoked ? 0 : 1;
+    }
+  struct rr_handle h = { 0 };
+  const struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (w->heard && !(w->lost && same_time (w->lost_at, at))
+        && (rack == NULL || strcmp (w->info.rack, rack) == 0))
+      n.others++;
+  return n;
 }
 
 static bool
-unprovoked_loss_near (const struct rr_dispatch *d, struct rr_time at)
+is_share (size_t part, size_t rest, size_t percent, size_t least)
 {
-  for (size_t i = 0; i < d->loss_count; i++)
-    if (same_time (d->losses[i], at))
-      return true;
-  return false;
+  return part >= least && part * 100 >= (part + rest) * percent;
+}
+
+/* Returns whether so many workers were lost with the one of S that their
+   losses have another cause than a task.  */
+static bool
+many_lost (struct rr_dispatch *d, const struct dispatch_suspicion *s)
+{
+  struct loss_count rack = losses_count (d, s->rack, s->lost_at);
+  struct loss_count shard = losses_count (d, NULL, s->lost_at);
+  return is_share (rack.unprovoked, rack.others, RACK_LOSS_PERCENT, LOSSES_MIN)
+         || is_share (shard.unprovoked, shard.others, SHARD_LOSS_PERCENT,
+                      LOSSES_MIN)
+         || is_share (shard.all, shard.others, ANY_LOSS_PERCENT,
+                      ANY_LOSSES_MIN);
 }
 
 /* Returns whether a run that was sent to W may have crashed it.  */
@@ -194,8 +221,7 @@
   return false;
 }
 
-/* Takes note that W is lost, if nothing that was started on it can be the
-   cause.  */
+/* Takes note that W is lost.  */
 static void
 loss_note (struct rr_dispatch *d, struct dispatch_worker *w,
            struct rr_time now)
@@ -203,8 +229,19 @@
   if (w->loss_noted || !w->heard || w->info.draining)
     return;
   w->loss_noted = true;
-  if (!has_fresh_run (w))
-    unprovoked_loss_add (d, w->last_report, now);
+  w->lost = true;
+  w->lost_at = w->last_report;
+  size_t kept = 0;
+  for (size_t i = 0; i < d->loss_count; i++)
+    if (rr_time_diff (now, d->losses[i].at) < EVIDENCE_KEEP_MS)
+      d->losses[kept++] = d->losses[i];
+  d->losses = realloc (d->losses, (kept + 1) * sizeof *d->losses);
+  assert (d->losses != NULL);
+  struct dispatch_loss *l = &d->losses[kept++];
+  snprintf (l->rack, sizeof l->rack, "%s", w->info.rack);
+  l->at = w->last_report;
+  l->provoked = has_fresh_run (w);
+  d->loss_count = kept;
 }
 
 /* Takes note of W if it has been silent for long.  */
@@ -216,6 +253,55 @@
     loss_note (d, w, now);
 }
 
+static struct dispatch_suspicion *
+suspicion_add (struct rr_dispatch *d, struct rr_handle job, uint32_t number)
+{
+  d->suspicions = realloc (d->suspicions,
+                           (d->suspicion_count + 1) * sizeof *d->suspicions);
+  assert (d->suspicions != NULL);
+  struct dispatch_suspicion *s = &d->suspicions[d->suspicion_count++];
+  *s = (struct dispatch_suspicion){ .job = job, .number = number };
+  return s;
+}
+
+/* Restores the STORED count of crashes under task NUMBER of J, of which this
+   owner knows nothing else.  */
+void
+dispatch_crash_restore (struct rr_dispatch *d, struct dispatch_job *j,
+                        uint32_t number, uint32_t stored, struct rr_time now)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  t->crashes = stored;
+  t->restored_crashes = stored;
+  if (stored != CRASHES_MAX)
+    return;
+  struct dispatch_suspicion *s = suspicion_add (d, j->handle, number);
+  s->lost_at = now;
+  s->stands_at = rr_time_add (now, CONFIRM_MS);
+}
+
+/* A worker has listed how a run of task NUMBER of J ended, so it did not crash
+   under that run.  If a former owner had suspected that, its count has one too
+   many.  */
+void
+dispatch_crash_end_reported (struct rr_dispatch *d, struct dispatch_job *j,
+                             uint32_t number)
+{
+  struct dispatch_task *t = &j->tasks[number];
+  if (t->restored_crashes == 0 || t->crashes == 0
+      || t->crashes >= CRASHES_GIVEN_UP)
+    return;
+  t->restored_crashes--;
+  t->crashes--;
+  j->version++;
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  dispatch_log_decision (
+      d, "crash_not_suspected",
+      "job=%s task=%d.%d.%d reason=end-reported crashes=%u max=%d", name.job,
+      name.occurrence, name.step, name.task, t->crashes, CRASHES_MAX);
+}
+
 /* Counts a crash under the task of R, which is not started any more after the
    last one, until it is given up.  */
 static void
@@ -233,19 +319,13 @@
   t->failed_worker = w->handle;
   t->crashes++;
   j->version++;
-  d->suspicions = realloc (d->suspicions,
-                           (d->suspicion_count + 1) * sizeof *d->suspicions);
-  assert (d->suspicions != NULL);
-  struct dispatch_suspicion *s = &d->suspicions[d->suspicion_count++];
-  *s = (struct dispatch_suspicion){
-    .started_ms = w->info.started_ms,
-    .job = r->job,
-    .number = r->number,
-    .lost_at = w->last_report,
-    .stands_at
-    = rr_time_add (now, restarted ? CONFIRM_RESTARTED_MS : CONFIRM_MS)
-  };
+  struct dispatch_suspicion *s = suspicion_add (d, r->job, r->number);
   snprintf (s->worker, sizeof s->worker, "%s", w->info.id);
+  snprintf (s->rack, sizeof s->rack, "%s", w->info.rack);
+  s->started_ms = w->info.started_ms;
+  s->lost_at = w->last_report;
+  s->stands_at
+      = rr_time_add (now, restarted ? CONFIRM_RESTARTED_MS : CONFIRM_MS);
   dispatch_log_decision (
       d, "crash_suspected",
       "job=%s task=%d.%d.%d run=%llu vm=%s reason=%s crashes=%u max=%d",
@@ -263,8 +343,7 @@
                             struct rr_time now)
 {
   loss_note (d, w, now);
-  if ((w->registered && !restarted)
-      || unprovoked_loss_near (d, w->last_report))
+  if (w->registered && !restarted)
     return;
   for (size_t i = 0; i < w->run_count; i++)
     {
@@ -293,27 +372,45 @@
     dispatch_job_fail (d, j);
 }
 
-/* Gives up the tasks whose suspicions have all stood for long enough, and
-   forgets old ones.  */
+/* Withdraws suspicions that are explained by the losses of other workers.  */
+static void
+suspicions_check (struct rr_dispatch *d, struct rr_time now)
+{
+  for (size_t i = d->suspicion_count; i-- > 0;)
+    {
+      const struct dispatch_suspicion *s = &d->suspicions[i];
+      if (s->worker[0] != '\0' && rr_time_before (now, s->stands_at)
+          && many_lost (d, s))
+        suspicion_withdraw (d, i, "many-lost");
+    }
+}
+
+/* Returns whether all suspicions of task NUMBER of JOB stand.  */
+static bool
+suspicions_stand (const struct rr_dispatch *d, struct rr_handle job,
+                  uint32_t number, struct rr_time now)
+{
+  for (size_t i = 0; i < d->suspicion_count; i++)
+    if (same_task (&d->suspicions[i], job, number)
+        && rr_time_before (now, d->suspicions[i].stands_at))
+      return false;
+  return true;
+}
+
+/* Withdraws suspicions, gives up the tasks whose suspicions have all stood for
+   long enough, and forgets old ones.  */
 void
 dispatch_crash_audit (struct rr_dispatch *d, struct rr_time now)
 {
+  suspicions_check (d, now);
   for (size_t i = d->suspicion_count; i-- > 0;)
     {
       const struct dispatch_suspicion s = d->suspicions[i];
       struct dispatch_job *j = dispatch_job_get (d, s.job);
       if (j == NULL || rr_time_diff (now, s.lost_at) >= EVIDENCE_KEEP_MS)
-        {
-          suspicion_remove (d, i);
-          continue;
-        }
-      if (j->tasks[s.number].crashes != CRASHES_MAX)
-        continue;
-      bool stands = true;
-      for (size_t k = 0; k < d->suspicion_count && stands; k++)
-        stands = !same_task (&d->suspicions[k], s.job, s.number)
-                 || !rr_time_before (now, d->suspicions[k].stands_at);
-      if (stands)
+        suspicion_remove (d, i);
+      else if (j->tasks[s.number].crashes == CRASHES_MAX
+               && suspicions_stand (d, s.job, s.number, now))
         task_give_up (d, j, s.number);
     }
 }
--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -117,6 +117,8 @@
   j->version++;
   if (end->kind == RR_END_DONE || end->kind == RR_END_FAILED)
     dispatch_crash_clear (d, j, number);
+  else
+    dispatch_crash_end_reported (d, j, number);
   if (t->state == TASK_DONE)
     return;
   /* The end of an older run that was given up as lost, while a newer run is in
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -26,6 +26,7 @@
   uint64_t recorded_ends;
   uint32_t failures;
   uint32_t crashes;               /* of workers in a row, soon after a start */
+  uint32_t restored_crashes;      /* of these, counted by former owners */
   struct rr_handle worker;        /* while placed */
   struct rr_handle failed_worker; /* of its last failure or crash; avoided */
   struct rr_time not_before;      /* of the next start */
@@ -159,7 +160,8 @@
 /* The worker of a run was lost soon after the start of the run.  */
 struct dispatch_suspicion
 {
-  char worker[RR_JOB_NAME_SIZE];
+  char worker[RR_JOB_NAME_SIZE]; /* empty: a former owner counted it */
+  char rack[RR_JOB_NAME_SIZE];
   int64_t started_ms; /* life of the worker */
   struct rr_handle job;
   uint32_t number;          /* of the task in its job */
@@ -167,6 +169,14 @@
   struct rr_time stands_at; /* unless it is withdrawn */
 };
 
+/* The loss of a worker.  */
+struct dispatch_loss
+{
+  char rack[RR_JOB_NAME_SIZE];
+  struct rr_time at; /* when it was last heard */
+  bool provoked;     /* something had just started on it */
+};
+
 /* A worker that was dropped.  */
 struct dispatch_dropped
 {
@@ -222,9 +232,11 @@
   int64_t serving_cores_milli;
   bool has_suspect; /* runs that are suspected and have not survived yet */
   bool has_trial;
-  bool held;       /* some of its capacity, for long-running tasks */
-  bool heard;      /* in any life */
-  bool loss_noted; /* since it was last heard */
+  bool held;              /* some of its capacity, for long-running tasks */
+  bool heard;             /* in any life */
+  bool loss_noted;        /* since it was last heard */
+  bool lost;              /* at least once */
+  struct rr_time lost_at; /* when it was last heard before its last loss */
 };
 
 struct rr_dispatch
@@ -248,8 +260,7 @@
   size_t dropped_count;
   struct dispatch_suspicion *suspicions;
   size_t suspicion_count;
-  /* When workers were last heard that were lost without a recent start.  */
-  struct rr_time *losses;
+  struct dispatch_loss *losses;
   size_t loss_count;
   bool inheriting;
   bool releasing;                  /* another owner is to take over */
@@ -472,7 +483,11 @@
 bool dispatch_crash_suspected (const struct dispatch_task *t);
 bool dispatch_crash_on_trial (const struct dispatch_task *t);
 bool dispatch_crash_given_up (const struct dispatch_task *t);
-uint32_t dispatch_crash_restore (uint32_t stored);
+void dispatch_crash_restore (struct rr_dispatch *d, struct dispatch_job *j,
+                             uint32_t number, uint32_t stored,
+                             struct rr_time now);
+void dispatch_crash_end_reported (struct rr_dispatch *d,
+                                  struct dispatch_job *j, uint32_t number);
 void dispatch_crash_clear (struct rr_dispatch *d, struct dispatch_job *j,
                            uint32_t number);
 void dispatch_crash_worker_heard (struct rr_dispatch *d,
