--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -154,7 +154,11 @@
                              "vm=%s recorded=%d ago_ms=%lld", worker->id,
                              worker->silence_recorded ? 1 : 0,
                              (long long)rr_time_diff (confirmed, expiry));
-      dispatch_life_dropped (d, worker->id, worker->started_ms, confirmed);
+      struct dispatch_dropped dropped = { .started_ms = worker->started_ms,
+                                          .token = d->o.fencing_token,
+                                          .at = confirmed };
+      snprintf (dropped.id, sizeof dropped.id, "%s", worker->id);
+      dispatch_life_dropped (d, &dropped);
       d->inherited[i] = d->inherited[--d->inherited_count];
       expired++;
     }
--- a/rosemaryrail/dispatch_lives.c
+++ b/rosemaryrail/dispatch_lives.c
@@ -20,31 +20,52 @@
   DROPPED_KEEP_MS = 60000
 };
 
-/* Removes the workers from D that were dropped long ago.  */
+/* Removes the workers from D that were dropped long ago.  One that has seen a
+   higher token than that of the owner refuses the owner's in the same life,
+   however late it comes back.  */
 static void
 forget_dropped (struct rr_dispatch *d, struct rr_time now)
 {
   size_t kept = 0;
   for (size_t i = 0; i < d->dropped_count; i++)
-    if (rr_time_diff (now, d->dropped[i].at) < DROPPED_KEEP_MS)
+    if (rr_time_diff (now, d->dropped[i].at) < DROPPED_KEEP_MS
+        || d->dropped[i].token > d->o.fencing_token)
       d->dropped[kept++] = d->dropped[i];
   d->dropped_count = kept;
 }
 
-/* Remembers that the worker ID was dropped in the life that began at
-   STARTED_MS: commands to it may be under way.  */
+/* Returns what is remembered of the worker ID since it was dropped, or
+   null.  */
+static struct dispatch_dropped *
+dropped_find (const struct rr_dispatch *d, const char *id)
+{
+  for (size_t i = 0; i < d->dropped_count; i++)
+    if (strcmp (d->dropped[i].id, id) == 0)
+      return &d->dropped[i];
+  return NULL;
+}
+
+/* Remembers the worker DROPPED: commands to it may be under way.  */
 void
-dispatch_life_dropped (struct rr_dispatch *d, const char *id,
-                       int64_t started_ms, struct rr_time now)
+dispatch_life_dropped (struct rr_dispatch *d,
+                       const struct dispatch_dropped *dropped)
 {
-  forget_dropped (d, now);
+  forget_dropped (d, dropped->at);
+  struct dispatch_dropped *before = dropped_find (d, dropped->id);
+  if (before != NULL)
+    {
+      before->restarted = before->restarted || dropped->restarted
+                          || before->started_ms != dropped->started_ms;
+      before->started_ms = dropped->started_ms;
+      if (before->token < dropped->token)
+        before->token = dropped->token;
+      before->at = dropped->at;
+      return;
+    }
   d->dropped
       = realloc (d->dropped, (d->dropped_count + 1) * sizeof *d->dropped);
   assert (d->dropped != NULL);
-  struct dispatch_dropped *p = &d->dropped[d->dropped_count++];
-  snprintf (p->id, sizeof p->id, "%s", id);
-  p->started_ms = started_ms;
-  p->at = now;
+  d->dropped[d->dropped_count++] = *dropped;
 }
 
 /* Starts a life of W in which commands to former lives may still be carried
@@ -60,18 +81,20 @@
 }
 
 /* Starts the first life of W, which this owner did not know, or has dropped
-   meanwhile.  */
+   meanwhile.  One that was dropped in a later life than its first one is not
+   known to refuse commands to the others, and may have seen a higher token
+   than that of the owner.  */
 void
 dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w)
 {
   w->token = d->o.fencing_token;
-  for (size_t i = 0; i < d->dropped_count; i++)
-    if (strcmp (d->dropped[i].id, w->info.id) == 0
-        && d->dropped[i].started_ms != w->info.started_ms)
-      {
-        dispatch_life_begin (w);
-        return;
-      }
+  const struct dispatch_dropped *dropped = dropped_find (d, w->info.id);
+  if (dropped == NULL)
+    return;
+  if (dropped->token > w->token)
+    w->token = dropped->token;
+  if (dropped->restarted || dropped->started_ms != w->info.started_ms)
+    dispatch_life_begin (w);
 }
 
 /* Returns until when commands to former lives may have granted leases to the
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -182,6 +182,8 @@
 {
   char id[RR_JOB_NAME_SIZE];
   int64_t started_ms;
+  int64_t token;  /* the highest of this owner that it may have seen */
+  bool restarted; /* under this owner */
   struct rr_time at;
 };
 
@@ -417,8 +419,8 @@
 void dispatch_worker_restarted (struct rr_dispatch *d,
                                 struct dispatch_worker *w, int64_t started_ms,
                                 struct rr_time now);
-void dispatch_life_dropped (struct rr_dispatch *d, const char *id,
-                            int64_t started_ms, struct rr_time now);
+void dispatch_life_dropped (struct rr_dispatch *d,
+                            const struct dispatch_dropped *dropped);
 void dispatch_life_begin (struct dispatch_worker *w);
 void dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w);
 void dispatch_life_answered (struct rr_dispatch *d, struct dispatch_worker *w,
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -277,7 +277,12 @@
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   assert (w != NULL && w->run_count == 0);
-  dispatch_life_dropped (d, w->info.id, w->info.started_ms, now);
+  struct dispatch_dropped dropped = { .started_ms = w->info.started_ms,
+                                      .token = w->token,
+                                      .restarted = w->life > 0,
+                                      .at = now };
+  snprintf (dropped.id, sizeof dropped.id, "%s", w->info.id);
+  dispatch_life_dropped (d, &dropped);
   rr_key_index_remove (d->worker_ids, w->info.id);
   dispatch_worker_release (w);
   rr_table_remove (d->workers, h);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -18,11 +18,13 @@
                               registers a worker, with cores in thousandths
      drain ID                 the worker drains
      unregister ID            removes the worker's registration
+     drop_idle ID             drops the worker if it is unregistered and has
+                              no runs
      restart ID               restarts the worker under the same id, which
                               shows in its reports only
      restart_clock ID         the same, and its clock starts anew
      reregister ID            restarts it and updates its registration
-     reregister_same ID       registers it again, in the same life
+     reregister_same ID       registers it again, in its present life
      job ID QUEUE STEP...     submits a job; STEP is COUNTxCORES[,FLAG]...
                               with the flags after, long_running,
                               best_effort, checkpoint, gang, spread,
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -309,6 +309,13 @@
       rr_dispatch_worker_unreachable (script.dispatch, w->handle);
       return;
     }
+  if (token < w->token)
+    {
+      /* The owner takes a refusal of its present token for another owner.  */
+      printf ("poll of %s refused: fence\n", w->id);
+      rr_dispatch_worker_unreachable (script.dispatch, w->handle);
+      return;
+    }
   lease_take (w, lease, token);
   if (observed > w->forgotten)
     w->forgotten = observed;
@@ -419,6 +426,18 @@
   w->started_ms = script.now.ms;
 }
 
+/* Drops W as the owner does with a worker that is not registered, if it may.
+ */
+static void
+worker_drop (struct fake_worker *w)
+{
+  bool droppable
+      = rr_dispatch_worker_droppable (script.dispatch, w->handle, script.now);
+  if (droppable)
+    rr_dispatch_worker_drop (script.dispatch, w->handle, script.now);
+  printf ("%s %s\n", w->id, droppable ? "dropped" : "kept");
+}
+
 /* Runs a script command about worker W.  */
 void
 fake_worker_command (char **word, struct fake_worker *w)
@@ -434,6 +453,8 @@
       w->registered = false;
       rr_dispatch_worker_unregister (script.dispatch, w->id, script.now);
     }
+  else if (strcmp (word[0], "drop_idle") == 0)
+    worker_drop (w);
   else if (strcmp (word[0], "restart") == 0)
     worker_restart (w);
   else if (strcmp (word[0], "restart_clock") == 0)
@@ -454,7 +475,10 @@
       fake_worker_register (w, true);
     }
   else if (strcmp (word[0], "reregister_same") == 0)
-    fake_worker_register (w, true);
+    {
+      w->info.started_ms = w->started_ms;
+      fake_worker_register (w, !script.records_itself);
+    }
   else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
     w->muted = word[0][0] == 'm';
   else if (strcmp (word[0], "slow_answers") == 0)
