--- a/rosemaryrail/dispatch_membership.c
+++ b/rosemaryrail/dispatch_membership.c
@@ -56,6 +56,7 @@
 {
   snprintf (out->id, sizeof out->id, "%s", i->id);
   out->started_ms = i->started_ms;
+  out->unfenced = i->unfenced;
   out->silent
       = i->silence_recorded || silence_to_record (d, d->inherited_at, now);
   out->expiry = i->expiry;
