--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -184,8 +184,8 @@
   bool silent;
   /* This life may carry out commands to former ones.  */
   bool unfenced;
-  /* If it is not silent, of the leases that commands to former lives have
-     given; 0: they have given none.  */
+  /* Of all leases on it if it is silent, else of those that commands to former
+     lives have given; 0: they have given none.  */
   struct rr_time expiry;
 };
 
--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -57,7 +57,7 @@
   i->silence_recorded = worker->silent;
   i->started_ms = worker->started_ms;
   i->unfenced = worker->unfenced;
-  i->former_expiry = worker->silent ? rr_time_from_ms (0) : worker->expiry;
+  i->former_expiry = worker->expiry;
   i->expiry = worker->expiry;
   if (!worker->silent && rr_time_before (i->expiry, d->inherited_until))
     i->expiry = d->inherited_until;
