--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -296,6 +296,9 @@
   w->clock_sent = r->sent;
   w->clock_received = r->received;
   dispatch_life_answered (d, w, r->token);
+  /* What it runs may have come with a command to a former life.  */
+  if (!w->former_fenced)
+    dispatch_lease_assume (w, d->o.lease_max_ms);
   skip_silence (w, now);
   w->last_report = now;
   w->heard = true;
