--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -161,6 +161,7 @@
     {
       r->phase = RUN_RUNNING;
       r->settled_clock = clock_ms;
+      r->accepted = now;
       r->progressed = now;
       struct dispatch_job *j = dispatch_job_get (d, r->job);
       if (j != NULL && j->phase == RR_PHASE_QUEUED)
--- a/rosemaryrail/dispatch_leases.c
+++ b/rosemaryrail/dispatch_leases.c
@@ -76,25 +76,6 @@
     }
 }
 
-/* Gives up the runs whose starts were sent to W.  */
-static void
-requeue_sent_runs (struct rr_dispatch *d, struct dispatch_worker *w,
-                   const char *reason, struct rr_time now)
-{
-  for (size_t i = w->run_count; i-- > 0;)
-    if (!w->runs[i].queued)
-      dispatch_run_requeue (d, w, &w->runs[i], reason, now);
-}
-
-static size_t
-sent_run_count (const struct dispatch_worker *w)
-{
-  size_t n = 0;
-  for (size_t i = 0; i < w->run_count; i++)
-    n += w->runs[i].queued ? 0 : 1;
-  return n;
-}
-
 /* Returns when every lease granted to W must have expired and its tasks have
    ended, even on its slowest possible clock.  */
 struct rr_time
@@ -105,6 +86,56 @@
   return rr_time_add (w->clock_received, (int64_t)ahead + KILL_MARGIN_MS);
 }
 
+/* Returns whether a life of W that this owner has not heard has carried out
+   the start of R: the answer has an earlier time than W's clock has shown.  */
+static bool
+start_in_unheard_life (const struct dispatch_worker *w,
+                       const struct dispatch_run *r)
+{
+  return r->phase == RUN_RUNNING && !r->reported && w->has_clock
+         && r->settled_clock < w->clock_ms;
+}
+
+/* Returns when the lease of R on W must have expired.  A life that W's clock
+   does not belong to gives the longest lease.  */
+static struct rr_time
+run_expiry (const struct rr_dispatch *d, const struct dispatch_worker *w,
+            const struct dispatch_run *r)
+{
+  struct rr_time expiry = dispatch_lease_expiry (w);
+  if (!start_in_unheard_life (w, r))
+    return expiry;
+  struct rr_time longest = rr_time_add (
+      r->accepted,
+      (int64_t)((double)d->o.lease_max_ms / CLOCK_RATE_MIN) + KILL_MARGIN_MS);
+  return rr_time_before (expiry, longest) ? longest : expiry;
+}
+
+/* Returns when every lease on W must have expired, also those of starts that
+   another life of W than this owner knows has carried out.  */
+struct rr_time
+dispatch_runs_expiry (const struct rr_dispatch *d,
+                      const struct dispatch_worker *w)
+{
+  struct rr_time latest = dispatch_lease_expiry (w);
+  for (size_t i = 0; i < w->run_count; i++)
+    {
+      struct rr_time expiry = run_expiry (d, w, &w->runs[i]);
+      if (!w->runs[i].queued && rr_time_before (latest, expiry))
+        latest = expiry;
+    }
+  return latest;
+}
+
+/* Returns whether the start of R was sent to W and its lease has expired at a
+   time when this owner certainly held the shard.  */
+static bool
+run_expired (const struct rr_dispatch *d, const struct dispatch_worker *w,
+             const struct dispatch_run *r, struct rr_time confirmed)
+{
+  return !r->queued && !rr_time_before (confirmed, run_expiry (d, w, r));
+}
+
 /* Gives up W's runs once every lease granted to it must have expired, even on
    its slowest possible clock, at a time when this owner certainly held the
    shard.  A run whose start was not sent has no lease yet: the worker's last
@@ -114,14 +145,18 @@
                  struct rr_time confirmed, struct rr_time now)
 {
   withdraw_queued_starts (d, w, now);
-  size_t sent = sent_run_count (w);
-  if (sent == 0 || (!w->has_clock && w->lease_clock_ms == 0))
+  if (!w->has_clock && w->lease_clock_ms == 0)
     return;
-  if (rr_time_before (confirmed, dispatch_lease_expiry (w)))
+  size_t expired = 0;
+  for (size_t i = 0; i < w->run_count; i++)
+    expired += run_expired (d, w, &w->runs[i], confirmed) ? 1 : 0;
+  if (expired == 0)
     return;
   dispatch_log_decision (d, "vm_lease_expired",
-                         "vm=%s runs=%zu silent_ms=%lld", w->info.id, sent,
+                         "vm=%s runs=%zu silent_ms=%lld", w->info.id, expired,
                          (long long)rr_time_diff (now, w->clock_received));
   dispatch_crash_worker_lost (d, w, false, "lease-expired", now);
-  requeue_sent_runs (d, w, "lease-expired", now);
+  for (size_t i = w->run_count; i-- > 0;)
+    if (run_expired (d, w, &w->runs[i], confirmed))
+      dispatch_run_requeue (d, w, &w->runs[i], "lease-expired", now);
 }
--- a/rosemaryrail/dispatch_membership.c
+++ b/rosemaryrail/dispatch_membership.c
@@ -41,7 +41,7 @@
   out->silent = w->reported && w->unresponsive
                 && silence_to_record (d, w->last_report, now);
   if (out->silent)
-    out->expiry = dispatch_lease_expiry (w);
+    out->expiry = dispatch_runs_expiry (d, w);
   else
     out->expiry = rr_time_before (now, w->former_expiry) ? w->former_expiry
                                                          : rr_time_from_ms (0);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -123,6 +123,7 @@
   int32_t percent;
   int64_t measurement;
   struct rr_time started;
+  struct rr_time accepted;   /* when its start was answered */
   struct rr_time progressed; /* last change of PERCENT */
   int image;                 /* class in the interference model */
   double load; /* of a latency-critical task: utilisation without best-effort
@@ -435,6 +436,8 @@
                                   struct rr_time confirmed);
 void dispatch_inheritance_log (struct rr_dispatch *d, struct rr_time now);
 struct rr_time dispatch_lease_expiry (const struct dispatch_worker *w);
+struct rr_time dispatch_runs_expiry (const struct rr_dispatch *d,
+                                     const struct dispatch_worker *w);
 struct dispatch_run *dispatch_run_find (struct dispatch_worker *w,
                                         const struct rr_run_name *name);
 struct dispatch_run *dispatch_run_add (struct rr_dispatch *d,
