--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -3,7 +3,9 @@
 /* Jobs that another shard may take over, whole or, for divisible jobs, task by
    task, when they certainly run nowhere.  */
 
-/* Returns true when J certainly runs nowhere and its progress is stored.  */
+/* Returns true when J certainly runs nowhere, its progress is stored, and none
+   of its tasks waits to be given up: only this shard hears the workers that
+   they may have crashed.  */
 static bool
 job_idle (const struct dispatch_job *j)
 {
@@ -11,7 +13,8 @@
       || j->version != j->stored_version || j->run_count != 0)
     return false;
   for (size_t i = 0; i < j->task_count; i++)
-    if (j->tasks[i].state != TASK_WAITING && j->tasks[i].state != TASK_DONE)
+    if ((j->tasks[i].state != TASK_WAITING && j->tasks[i].state != TASK_DONE)
+        || dispatch_crash_given_up (&j->tasks[i]))
       return false;
   return true;
 }
