--- a/rosemaryrail/dispatch_crash.c
+++ b/rosemaryrail/dispatch_crash.c
@@ -407,7 +407,7 @@
     {
       const struct dispatch_suspicion s = d->suspicions[i];
       struct dispatch_job *j = dispatch_job_get (d, s.job);
-      if (j == NULL || rr_time_diff (now, s.lost_at) >= EVIDENCE_KEEP_MS)
+      if (j == NULL || rr_time_diff (now, s.stands_at) >= EVIDENCE_KEEP_MS)
         suspicion_remove (d, i);
       else if (j->tasks[s.number].crashes == CRASHES_MAX
                && suspicions_stand (d, s.job, s.number, now))
