--- a/rosemaryrail/dispatch_crash.c
+++ b/rosemaryrail/dispatch_crash.c
@@ -159,7 +159,17 @@
   return apart_ms <= SAME_CAUSE_MS && apart_ms >= -SAME_CAUSE_MS;
 }
 
-/* Workers that were lost at about the same time.  */
+/* Returns whether a loss is of the same time as AT, and the loss of the same
+   worker at PREVIOUS, 0 for none, is not.  */
+static bool
+first_loss (struct rr_time loss, struct rr_time previous, struct rr_time at)
+{
+  return same_time (loss, at)
+         && (previous.ms == 0 || !same_time (previous, at));
+}
+
+/* Workers that were lost at about the same time, each counted once: tasks that
+   crash few workers may do so several times in that time.  */
 struct loss_count
 {
   size_t unprovoked; /* nothing had been started on them shortly before */
@@ -176,11 +186,13 @@
   for (size_t i = 0; i < d->loss_count; i++)
     {
       const struct dispatch_loss *l = &d->losses[i];
-      if (!same_time (l->at, at)
-          || (rack != NULL && strcmp (l->rack, rack) != 0))
+      if (rack != NULL && strcmp (l->rack, rack) != 0)
         continue;
-      n.all++;
-      n.unprovoked += l->provoked ? 0 : 1;
+      n.all += first_loss (l->at, l->previous, at) ? 1 : 0;
+      n.unprovoked
+          += !l->provoked && first_loss (l->at, l->previous_unprovoked, at)
+                 ? 1
+                 : 0;
     }
   struct rr_handle h = { 0 };
   const struct dispatch_worker *w;
@@ -229,8 +241,6 @@
   if (w->loss_noted || !w->heard || w->info.draining)
     return;
   w->loss_noted = true;
-  w->lost = true;
-  w->lost_at = w->last_report;
   size_t kept = 0;
   for (size_t i = 0; i < d->loss_count; i++)
     if (rr_time_diff (now, d->losses[i].at) < EVIDENCE_KEEP_MS)
@@ -238,10 +248,16 @@
   d->losses = realloc (d->losses, (kept + 1) * sizeof *d->losses);
   assert (d->losses != NULL);
   struct dispatch_loss *l = &d->losses[kept++];
+  *l = (struct dispatch_loss){ .at = w->last_report,
+                               .provoked = has_fresh_run (w),
+                               .previous = w->lost_at,
+                               .previous_unprovoked = w->lost_unprovoked_at };
   snprintf (l->rack, sizeof l->rack, "%s", w->info.rack);
-  l->at = w->last_report;
-  l->provoked = has_fresh_run (w);
   d->loss_count = kept;
+  w->lost = true;
+  w->lost_at = w->last_report;
+  if (!l->provoked)
+    w->lost_unprovoked_at = w->last_report;
 }
 
 /* Takes note of W if it has been silent for long.  */
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -176,6 +176,9 @@
   char rack[RR_JOB_NAME_SIZE];
   struct rr_time at; /* when it was last heard */
   bool provoked;     /* something had just started on it */
+  /* Of its losses before this one, 0: none.  */
+  struct rr_time previous;
+  struct rr_time previous_unprovoked;
 };
 
 /* A worker that was dropped.  */
@@ -240,6 +243,8 @@
   bool loss_noted;        /* since it was last heard */
   bool lost;              /* at least once */
   struct rr_time lost_at; /* when it was last heard before its last loss */
+  /* ... before its last loss that was not provoked; 0: none.  */
+  struct rr_time lost_unprovoked_at;
 };
 
 struct rr_dispatch
