--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -209,7 +209,8 @@
   struct rr_time clock_received;
   int64_t lease_clock_ms; /* latest lease end granted, on the worker's clock */
   uint32_t life;          /* how often it was seen to restart under its id */
-  int64_t token;          /* fencing token of its commands */
+  int64_t registered_life; /* start of the life that its registration is of */
+  int64_t token;           /* fencing token of its commands */
   /* Its life gets a token of its own once the membership record has it.  */
   bool token_due;
   bool former_fenced; /* refuses commands to former lives */
--- a/rosemaryrail/dispatch_select.c
+++ b/rosemaryrail/dispatch_select.c
@@ -65,6 +65,8 @@
 {
   return w->registered && !w->info.draining && w->recorded && w->reported
          && !w->unresponsive && !w->silence_recorded && w->former_fenced
+         && (w->registered_life == 0
+             || w->registered_life == w->info.started_ms)
          && rr_time_diff (now, w->last_report) <= REPORT_AGE_MAX_MS
          && !rr_time_before (now, w->full_until)
          && !rr_time_before (now, w->avoid_until);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -219,6 +219,7 @@
                            w->run_count);
   int64_t started_ms = w->info.started_ms;
   w->info = *info;
+  w->registered_life = info->started_ms;
   if (started_ms > info->started_ms)
     w->info.started_ms = started_ms;
   w->registered = true;
