--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -68,11 +68,13 @@
 
 /* The worker ID is registered in the life that began at STARTED_MS.  If that
    is later than its life on record, commands of former owners to that one may
-   have reached the new life.  */
+   have reached the new life until now: a former owner that is cut off from the
+   store sends some for seconds after it was replaced.  */
 void
 dispatch_inherited_restarted (struct rr_dispatch *d, const char *id,
-                              int64_t started_ms)
+                              int64_t started_ms, struct rr_time now)
 {
+  int64_t owned_ms = rr_time_diff (now, d->inherited_at);
   for (size_t k = 0; k < d->inherited_count; k++)
     {
       struct dispatch_inherited *i = &d->inherited[k];
@@ -81,7 +83,7 @@
         continue;
       i->started_ms = started_ms;
       i->unfenced = true;
-      i->expiry = d->inherited_longest_until;
+      i->expiry = rr_time_add (d->inherited_longest_until, owned_ms);
     }
 }
 
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -437,7 +437,7 @@
 dispatch_inherited_find (const struct rr_dispatch *d, const char *id);
 void dispatch_inherited_remove (struct rr_dispatch *d, const char *id);
 void dispatch_inherited_restarted (struct rr_dispatch *d, const char *id,
-                                   int64_t started_ms);
+                                   int64_t started_ms, struct rr_time now);
 void dispatch_inheritance_settle (struct rr_dispatch *d,
                                   struct rr_time confirmed);
 void dispatch_inheritance_log (struct rr_dispatch *d, struct rr_time now);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -213,7 +213,7 @@
     }
   if (info->started_ms > w->info.started_ms && w->info.started_ms != 0)
     dispatch_worker_restarted (d, w, info->started_ms, now);
-  dispatch_inherited_restarted (d, info->id, info->started_ms);
+  dispatch_inherited_restarted (d, info->id, info->started_ms, now);
   if (info->draining && !w->info.draining)
     dispatch_log_decision (d, "vm_draining", "vm=%s runs=%zu", info->id,
                            w->run_count);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -49,6 +49,9 @@
      send_poll W              a poll that renews leases leaves for W
      deliver_poll W           W takes that poll, in whichever life it is; its
                               answer is lost
+     deliver_starts W         W takes the starts that were lost while it was
+                              blocked, in whichever life it is; their answers
+                              are lost
      running                  prints the runs that are in progress, also on
                               workers out of reach
      queue_commands W         commands to W wait in the daemon
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -102,6 +102,37 @@
     r->delayed = false;
 }
 
+/* The start COMMAND, which gives a lease up to LEASE, does not reach W for
+   now.  */
+static void
+start_lose (struct fake_worker *w, const struct rr_command *command,
+            int64_t lease)
+{
+  run_new (w, &command->name)->delayed = true;
+  assert (w->late_start_count
+          < sizeof w->late_starts / sizeof w->late_starts[0]);
+  w->late_starts[w->late_start_count++] = (struct fake_start){
+    .name = command->name,
+    .lease = lease,
+    .token = rr_dispatch_worker_token (script.dispatch, w->handle)
+  };
+}
+
+/* W takes the starts that it has not got, in the life in which it is.  */
+static void
+late_starts_deliver (struct fake_worker *w)
+{
+  for (size_t i = 0; i < w->late_start_count; i++)
+    {
+      const struct fake_start *late = &w->late_starts[i];
+      if (late->token < w->token)
+        continue;
+      lease_take (w, late->lease, late->token);
+      start (w, &late->name);
+    }
+  w->late_start_count = 0;
+}
+
 static void
 stop (struct fake_worker *w, const struct rr_run_name *name)
 {
@@ -209,7 +240,7 @@
   if (w->blocked)
     {
       if (command->kind == RR_COMMAND_START)
-        run_new (w, &command->name)->delayed = true;
+        start_lose (w, command, lease);
     }
   else if (command->kind == RR_COMMAND_START)
     start (w, &command->name);
@@ -510,6 +541,8 @@
     late_poll_send (w);
   else if (strcmp (word[0], "deliver_poll") == 0)
     lease_take (w, w->late_lease, w->late_token);
+  else if (strcmp (word[0], "deliver_starts") == 0)
+    late_starts_deliver (w);
   else if (strcmp (word[0], "queue_commands") == 0)
     w->queueing = true;
   else if (strcmp (word[0], "send_commands") == 0)
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -22,6 +22,14 @@
   int32_t late_speed; /* of a throttle on its way; -1: none */
 };
 
+/* A start that is under way to a worker that is out of reach.  */
+struct fake_start
+{
+  struct rr_run_name name;
+  int64_t lease;
+  int64_t token;
+};
+
 /* An answer to a command that was withheld.  */
 struct fake_answer
 {
@@ -54,6 +62,8 @@
   int64_t token;         /* the highest that it has seen */
   int64_t late_lease;    /* of a poll under way; 0: none */
   int64_t late_token;
+  struct fake_start late_starts[16];
+  size_t late_start_count;
   int64_t ends;
   int64_t forgotten; /* ends up to this one are not listed any more */
   struct fake_run runs[RUNS_MAX];
