--- a/rosemaryrail/dispatch_inherit.c
+++ b/rosemaryrail/dispatch_inherit.c
@@ -57,7 +57,7 @@
   i->silence_recorded = worker->silent;
   i->started_ms = worker->started_ms;
   i->unfenced = worker->unfenced;
-  i->former_expiry = worker->silent ? rr_time_from_ms (0) : worker->expiry;
+  i->former_expiry = worker->expiry;
   i->expiry = worker->expiry;
   if (!worker->silent && rr_time_before (i->expiry, d->inherited_until))
     i->expiry = d->inherited_until;
@@ -68,11 +68,13 @@
 
 /* The worker ID is registered in the life that began at STARTED_MS.  If that
    is later than its life on record, commands of former owners to that one may
-   have reached the new life.  */
+   have reached the new life until now: a former owner that is cut off from the
+   store sends some for seconds after it was replaced.  */
 void
 dispatch_inherited_restarted (struct rr_dispatch *d, const char *id,
-                              int64_t started_ms)
+                              int64_t started_ms, struct rr_time now)
 {
+  int64_t owned_ms = rr_time_diff (now, d->inherited_at);
   for (size_t k = 0; k < d->inherited_count; k++)
     {
       struct dispatch_inherited *i = &d->inherited[k];
@@ -81,7 +83,7 @@
         continue;
       i->started_ms = started_ms;
       i->unfenced = true;
-      i->expiry = d->inherited_longest_until;
+      i->expiry = rr_time_add (d->inherited_longest_until, owned_ms);
     }
 }
 
@@ -154,7 +156,11 @@
                              "vm=%s recorded=%d ago_ms=%lld", worker->id,
                              worker->silence_recorded ? 1 : 0,
                              (long long)rr_time_diff (confirmed, expiry));
-      dispatch_life_dropped (d, worker->id, worker->started_ms, confirmed);
+      struct dispatch_dropped dropped = { .started_ms = worker->started_ms,
+                                          .token = d->o.fencing_token,
+                                          .at = confirmed };
+      snprintf (dropped.id, sizeof dropped.id, "%s", worker->id);
+      dispatch_life_dropped (d, &dropped);
       d->inherited[i] = d->inherited[--d->inherited_count];
       expired++;
     }
--- a/rosemaryrail/dispatch_membership.c
+++ b/rosemaryrail/dispatch_membership.c
@@ -41,7 +41,7 @@
   out->silent = w->reported && w->unresponsive
                 && silence_to_record (d, w->last_report, now);
   if (out->silent)
-    out->expiry = dispatch_lease_expiry (w);
+    out->expiry = dispatch_runs_expiry (d, w);
   else
     out->expiry = rr_time_before (now, w->former_expiry) ? w->former_expiry
                                                          : rr_time_from_ms (0);
@@ -56,6 +56,7 @@
 {
   snprintf (out->id, sizeof out->id, "%s", i->id);
   out->started_ms = i->started_ms;
+  out->unfenced = i->unfenced;
   out->silent
       = i->silence_recorded || silence_to_record (d, d->inherited_at, now);
   out->expiry = i->expiry;
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -123,6 +123,7 @@
   int32_t percent;
   int64_t measurement;
   struct rr_time started;
+  struct rr_time accepted;   /* when its start was answered */
   struct rr_time progressed; /* last change of PERCENT */
   int image;                 /* class in the interference model */
   double load; /* of a latency-critical task: utilisation without best-effort
@@ -175,6 +176,9 @@
   char rack[RR_JOB_NAME_SIZE];
   struct rr_time at; /* when it was last heard */
   bool provoked;     /* something had just started on it */
+  /* Of its losses before this one, 0: none.  */
+  struct rr_time previous;
+  struct rr_time previous_unprovoked;
 };
 
 /* A worker that was dropped.  */
@@ -182,6 +186,8 @@
 {
   char id[RR_JOB_NAME_SIZE];
   int64_t started_ms;
+  int64_t token;  /* the highest of this owner that it may have seen */
+  bool restarted; /* under this owner */
   struct rr_time at;
 };
 
@@ -203,7 +209,8 @@
   struct rr_time clock_received;
   int64_t lease_clock_ms; /* latest lease end granted, on the worker's clock */
   uint32_t life;          /* how often it was seen to restart under its id */
-  int64_t token;          /* fencing token of its commands */
+  int64_t registered_life; /* start of the life that its registration is of */
+  int64_t token;           /* fencing token of its commands */
   /* Its life gets a token of its own once the membership record has it.  */
   bool token_due;
   bool former_fenced; /* refuses commands to former lives */
@@ -237,6 +244,8 @@
   bool loss_noted;        /* since it was last heard */
   bool lost;              /* at least once */
   struct rr_time lost_at; /* when it was last heard before its last loss */
+  /* ... before its last loss that was not provoked; 0: none.  */
+  struct rr_time lost_unprovoked_at;
 };
 
 struct rr_dispatch
@@ -417,8 +426,8 @@
 void dispatch_worker_restarted (struct rr_dispatch *d,
                                 struct dispatch_worker *w, int64_t started_ms,
                                 struct rr_time now);
-void dispatch_life_dropped (struct rr_dispatch *d, const char *id,
-                            int64_t started_ms, struct rr_time now);
+void dispatch_life_dropped (struct rr_dispatch *d,
+                            const struct dispatch_dropped *dropped);
 void dispatch_life_begin (struct dispatch_worker *w);
 void dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w);
 void dispatch_life_answered (struct rr_dispatch *d, struct dispatch_worker *w,
@@ -428,11 +437,13 @@
 dispatch_inherited_find (const struct rr_dispatch *d, const char *id);
 void dispatch_inherited_remove (struct rr_dispatch *d, const char *id);
 void dispatch_inherited_restarted (struct rr_dispatch *d, const char *id,
-                                   int64_t started_ms);
+                                   int64_t started_ms, struct rr_time now);
 void dispatch_inheritance_settle (struct rr_dispatch *d,
                                   struct rr_time confirmed);
 void dispatch_inheritance_log (struct rr_dispatch *d, struct rr_time now);
 struct rr_time dispatch_lease_expiry (const struct dispatch_worker *w);
+struct rr_time dispatch_runs_expiry (const struct rr_dispatch *d,
+                                     const struct dispatch_worker *w);
 struct dispatch_run *dispatch_run_find (struct dispatch_worker *w,
                                         const struct rr_run_name *name);
 struct dispatch_run *dispatch_run_add (struct rr_dispatch *d,
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -213,12 +213,13 @@
     }
   if (info->started_ms > w->info.started_ms && w->info.started_ms != 0)
     dispatch_worker_restarted (d, w, info->started_ms, now);
-  dispatch_inherited_restarted (d, info->id, info->started_ms);
+  dispatch_inherited_restarted (d, info->id, info->started_ms, now);
   if (info->draining && !w->info.draining)
     dispatch_log_decision (d, "vm_draining", "vm=%s runs=%zu", info->id,
                            w->run_count);
   int64_t started_ms = w->info.started_ms;
   w->info = *info;
+  w->registered_life = info->started_ms;
   if (started_ms > info->started_ms)
     w->info.started_ms = started_ms;
   w->registered = true;
@@ -277,7 +278,12 @@
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   assert (w != NULL && w->run_count == 0);
-  dispatch_life_dropped (d, w->info.id, w->info.started_ms, now);
+  struct dispatch_dropped dropped = { .started_ms = w->info.started_ms,
+                                      .token = w->token,
+                                      .restarted = w->life > 0,
+                                      .at = now };
+  snprintf (dropped.id, sizeof dropped.id, "%s", w->info.id);
+  dispatch_life_dropped (d, &dropped);
   rr_key_index_remove (d->worker_ids, w->info.id);
   dispatch_worker_release (w);
   rr_table_remove (d->workers, h);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -18,11 +18,14 @@
                               registers a worker, with cores in thousandths
      drain ID                 the worker drains
      unregister ID            removes the worker's registration
+     drop_idle ID             drops the worker if it is unregistered and has
+                              no runs
      restart ID               restarts the worker under the same id, which
-                              shows in its reports only
+                              shows in its reports first
      restart_clock ID         the same, and its clock starts anew
      reregister ID            restarts it and updates its registration
-     reregister_same ID       registers it again, in the same life
+     resize ID CORES MEMORY   its next registration has these
+     reregister_same ID       registers it again, in its present life
      job ID QUEUE STEP...     submits a job; STEP is COUNTxCORES[,FLAG]...
                               with the flags after, long_running,
                               best_effort, checkpoint, gang, spread,
@@ -46,6 +49,9 @@
      send_poll W              a poll that renews leases leaves for W
      deliver_poll W           W takes that poll, in whichever life it is; its
                               answer is lost
+     deliver_starts W         W takes the starts that were lost while it was
+                              blocked, in whichever life it is; their answers
+                              are lost
      running                  prints the runs that are in progress, also on
                               workers out of reach
      queue_commands W         commands to W wait in the daemon
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -102,6 +102,37 @@
     r->delayed = false;
 }
 
+/* The start COMMAND, which gives a lease up to LEASE, does not reach W for
+   now.  */
+static void
+start_lose (struct fake_worker *w, const struct rr_command *command,
+            int64_t lease)
+{
+  run_new (w, &command->name)->delayed = true;
+  assert (w->late_start_count
+          < sizeof w->late_starts / sizeof w->late_starts[0]);
+  w->late_starts[w->late_start_count++] = (struct fake_start){
+    .name = command->name,
+    .lease = lease,
+    .token = rr_dispatch_worker_token (script.dispatch, w->handle)
+  };
+}
+
+/* W takes the starts that it has not got, in the life in which it is.  */
+static void
+late_starts_deliver (struct fake_worker *w)
+{
+  for (size_t i = 0; i < w->late_start_count; i++)
+    {
+      const struct fake_start *late = &w->late_starts[i];
+      if (late->token < w->token)
+        continue;
+      lease_take (w, late->lease, late->token);
+      start (w, &late->name);
+    }
+  w->late_start_count = 0;
+}
+
 static void
 stop (struct fake_worker *w, const struct rr_run_name *name)
 {
@@ -209,7 +240,7 @@
   if (w->blocked)
     {
       if (command->kind == RR_COMMAND_START)
-        run_new (w, &command->name)->delayed = true;
+        start_lose (w, command, lease);
     }
   else if (command->kind == RR_COMMAND_START)
     start (w, &command->name);
@@ -309,6 +340,13 @@
       rr_dispatch_worker_unreachable (script.dispatch, w->handle);
       return;
     }
+  if (token < w->token)
+    {
+      /* The owner takes a refusal of its present token for another owner.  */
+      printf ("poll of %s refused: fence\n", w->id);
+      rr_dispatch_worker_unreachable (script.dispatch, w->handle);
+      return;
+    }
   lease_take (w, lease, token);
   if (observed > w->forgotten)
     w->forgotten = observed;
@@ -337,7 +375,8 @@
 }
 
 /* Polls the worker ID, or all if that is null.  A life that is to be recorded
-   is, unless the script stores the record itself, and is polled again.  */
+   is, and registered, unless the script stores the record itself, and is
+   polled again.  */
 void
 fake_workers_poll (const char *id)
 {
@@ -350,7 +389,11 @@
       if (script.records_itself || w->recorded_life == w->started_ms
           || w->blocked || w->muted)
         continue;
-      record_life (w, w->started_ms);
+      w->info.started_ms = w->started_ms;
+      if (w->registered)
+        fake_worker_register (w, true);
+      else
+        record_life (w, w->started_ms);
       worker_poll (w);
     }
 }
@@ -419,6 +462,18 @@
   w->started_ms = script.now.ms;
 }
 
+/* Drops W as the owner does with a worker that is not registered, if it may.
+ */
+static void
+worker_drop (struct fake_worker *w)
+{
+  bool droppable
+      = rr_dispatch_worker_droppable (script.dispatch, w->handle, script.now);
+  if (droppable)
+    rr_dispatch_worker_drop (script.dispatch, w->handle, script.now);
+  printf ("%s %s\n", w->id, droppable ? "dropped" : "kept");
+}
+
 /* Runs a script command about worker W.  */
 void
 fake_worker_command (char **word, struct fake_worker *w)
@@ -434,6 +489,8 @@
       w->registered = false;
       rr_dispatch_worker_unregister (script.dispatch, w->id, script.now);
     }
+  else if (strcmp (word[0], "drop_idle") == 0)
+    worker_drop (w);
   else if (strcmp (word[0], "restart") == 0)
     worker_restart (w);
   else if (strcmp (word[0], "restart_clock") == 0)
@@ -453,8 +510,16 @@
       w->info.started_ms = w->started_ms;
       fake_worker_register (w, true);
     }
+  else if (strcmp (word[0], "resize") == 0)
+    {
+      w->info.cores_milli = strtol (word[2], NULL, 10);
+      w->info.memory_mb = strtol (word[3], NULL, 10);
+    }
   else if (strcmp (word[0], "reregister_same") == 0)
-    fake_worker_register (w, true);
+    {
+      w->info.started_ms = w->started_ms;
+      fake_worker_register (w, !script.records_itself);
+    }
   else if (strcmp (word[0], "mute") == 0 || strcmp (word[0], "unmute") == 0)
     w->muted = word[0][0] == 'm';
   else if (strcmp (word[0], "slow_answers") == 0)
@@ -476,6 +541,8 @@
     late_poll_send (w);
   else if (strcmp (word[0], "deliver_poll") == 0)
     lease_take (w, w->late_lease, w->late_token);
+  else if (strcmp (word[0], "deliver_starts") == 0)
+    late_starts_deliver (w);
   else if (strcmp (word[0], "queue_commands") == 0)
     w->queueing = true;
   else if (strcmp (word[0], "send_commands") == 0)
