--- a/rosemaryrail/dispatch_interference.c
+++ b/rosemaryrail/dispatch_interference.c
@@ -326,7 +326,11 @@
   if (worst == NULL)
     return false;
   double keep = over >= worst_effect ? 0 : 1 - over / worst_effect;
-  worst->speed_target = (int32_t)(worst->speed_target * keep);
+  /* KEEP may be 1 within the accuracy of a double: the caller goes on until
+     nothing is left to slow down.  */
+  int32_t slower = (int32_t)(worst->speed_target * keep);
+  worst->speed_target
+      = slower < worst->speed_target ? slower : worst->speed_target - 1;
   if (worst->speed_target < SPEED_MIN_PERCENT)
     worst->speed_target = 0;
   return true;
--- a/rosemaryrail/dispatch_lives.c
+++ b/rosemaryrail/dispatch_lives.c
@@ -68,16 +68,42 @@
   d->dropped[d->dropped_count++] = *dropped;
 }
 
-/* Starts a life of W in which commands to former lives may still be carried
-   out.  */
+/* Starts a life of W, which began at STARTED_MS, and was learned of at NOW, in
+   which commands to former lives may still be carried out.  Nothing that was
+   known of a former life holds for it, but what concerns this owner: runs that
+   may have reached the new life, the token that former lives know, what the
+   membership record says, and when the worker was last heard and lost.  */
 void
-dispatch_life_begin (struct dispatch_worker *w)
+dispatch_life_begin (struct dispatch_worker *w, int64_t started_ms,
+                     struct rr_time now)
 {
-  w->life++;
-  w->recorded = false;
-  w->token_due = true;
-  w->former_fenced = false;
-  w->former_expiry = rr_time_from_ms (0);
+  struct dispatch_worker fresh = {
+    .info = w->info,
+    .handle = w->handle,
+    .registered = w->registered,
+    .registered_life = w->registered_life,
+    .unregistered_at = w->unregistered_at,
+    .unresponsive = w->unresponsive,
+    .last_report = w->last_report,
+    .silence_recorded = w->silence_recorded,
+    .life = w->life + 1,
+    .life_learned = now,
+    .token = w->token,
+    .token_due = true,
+    .runs = w->runs,
+    .run_count = w->run_count,
+    .run_capacity = w->run_capacity,
+    .ends = w->ends,
+    .end_capacity = w->end_capacity,
+    .best_effort_percent = 100,
+    .heard = w->heard,
+    .loss_noted = w->loss_noted,
+    .lost = w->lost,
+    .lost_at = w->lost_at,
+    .lost_unprovoked_at = w->lost_unprovoked_at,
+  };
+  *w = fresh;
+  w->info.started_ms = started_ms;
 }
 
 /* Starts the first life of W, which this owner did not know, or has dropped
@@ -85,16 +111,19 @@
    known to refuse commands to the others, and may have seen a higher token
    than that of the owner.  */
 void
-dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w)
+dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w,
+                     struct rr_time now)
 {
   w->token = d->o.fencing_token;
+  w->best_effort_percent = 100;
+  w->life_learned = now;
   const struct dispatch_dropped *dropped = dropped_find (d, w->info.id);
   if (dropped == NULL)
     return;
   if (dropped->token > w->token)
     w->token = dropped->token;
   if (dropped->restarted || dropped->started_ms != w->info.started_ms)
-    dispatch_life_begin (w);
+    dispatch_life_begin (w, w->info.started_ms, now);
 }
 
 /* Returns until when commands to former lives may have granted leases to the
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -209,6 +209,7 @@
   struct rr_time clock_received;
   int64_t lease_clock_ms; /* latest lease end granted, on the worker's clock */
   uint32_t life;          /* how often it was seen to restart under its id */
+  struct rr_time life_learned; /* when this owner learned of its life */
   int64_t registered_life; /* start of the life that its registration is of */
   int64_t token;           /* fencing token of its commands */
   /* Its life gets a token of its own once the membership record has it.  */
@@ -428,8 +429,10 @@
                                 struct rr_time now);
 void dispatch_life_dropped (struct rr_dispatch *d,
                             const struct dispatch_dropped *dropped);
-void dispatch_life_begin (struct dispatch_worker *w);
-void dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w);
+void dispatch_life_begin (struct dispatch_worker *w, int64_t started_ms,
+                          struct rr_time now);
+void dispatch_life_first (struct rr_dispatch *d, struct dispatch_worker *w,
+                          struct rr_time now);
 void dispatch_life_answered (struct rr_dispatch *d, struct dispatch_worker *w,
                              int64_t token);
 void dispatch_lease_assume (struct dispatch_worker *w, int64_t ahead_ms);
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -252,12 +252,16 @@
     }
 }
 
+/* Returns whether R is older than what is known of W.  The start of a life is
+   a time of day, which may go back between two lives: an answer to a poll that
+   was sent after this owner had learned of the present life is of that one or
+   a later one.  */
 static bool
 report_is_stale (const struct dispatch_worker *w,
                  const struct rr_worker_report *r)
 {
   if (r->started_ms != 0 && r->started_ms < w->info.started_ms)
-    return true;
+    return !rr_time_before (w->life_learned, r->sent);
   return w->has_clock && r->clock_ms < w->clock_ms
          && rr_time_before (r->sent, w->clock_sent);
 }
@@ -283,7 +287,7 @@
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   if (w == NULL || report_is_stale (w, r))
     return;
-  if (r->started_ms > w->info.started_ms)
+  if (r->started_ms != 0 && r->started_ms != w->info.started_ms)
     {
       if (w->info.started_ms != 0)
         dispatch_worker_restarted (d, w, r->started_ms, now);
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -160,8 +160,8 @@
     }
 }
 
-/* Resets W for a new incarnation, which has none of the former one's
-   state.  */
+/* W has restarted: its new life, which began at STARTED_MS, runs nothing that
+   was reported before.  */
 void
 dispatch_worker_restarted (struct rr_dispatch *d, struct dispatch_worker *w,
                            int64_t started_ms, struct rr_time now)
@@ -170,16 +170,7 @@
       d, "vm_restarted", "vm=%s born=%lld before=%lld runs=%zu", w->info.id,
       (long long)started_ms, (long long)w->info.started_ms, w->run_count);
   dispatch_crash_worker_lost (d, w, true, "vm-restarted", now);
-  w->info.started_ms = started_ms;
-  dispatch_life_begin (w);
-  w->reported = false;
-  w->has_clock = false;
-  w->lease_clock_ms = 0;
-  w->ends_seen = 0;
-  w->observed = 0;
-  w->end_count = 0;
-  w->failed_in_row = 0;
-  w->best_effort_percent = 100;
+  dispatch_life_begin (w, started_ms, now);
   requeue_former_runs (d, w, now);
   /* Assume the longest lease for the runs that are kept, so that they expire
      when the new incarnation never reports.  */
@@ -204,11 +195,10 @@
       memset (w, 0, sizeof *w);
       w->handle = h;
       w->info = *info;
-      w->best_effort_percent = 100;
       const struct dispatch_inherited *former
           = dispatch_inherited_find (d, info->id);
       w->silence_recorded = former != NULL && former->silence_recorded;
-      dispatch_life_first (d, w);
+      dispatch_life_first (d, w, now);
       rr_key_index_put (d->worker_ids, info->id, h);
     }
   if (info->started_ms > w->info.started_ms && w->info.started_ms != 0)
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -22,6 +22,7 @@
                               no runs
      restart ID               restarts the worker under the same id, which
                               shows in its reports first
+     restart_at ID MS         the same, with this time of day for its start
      restart_clock ID         the same, and its clock starts anew
      reregister ID            restarts it and updates its registration
      resize ID CORES MEMORY   its next registration has these
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -493,6 +493,11 @@
     worker_drop (w);
   else if (strcmp (word[0], "restart") == 0)
     worker_restart (w);
+  else if (strcmp (word[0], "restart_at") == 0)
+    {
+      worker_restart (w);
+      w->started_ms = strtol (word[2], NULL, 10);
+    }
   else if (strcmp (word[0], "restart_clock") == 0)
     {
       worker_restart (w);
