dispatch, membership: LIMIT after a takeover; a worker that waits for the record

A worker with a run of a job that the owner does not have now takes no tasks.

The record is now also written while a worker waits for it.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -263,6 +263,8 @@
                                    struct rr_recorded_worker *workers,
                                    size_t max, struct rr_time now);
 
+bool rr_dispatch_record_due (const struct rr_dispatch *d, struct rr_time now);
+
 int64_t rr_dispatch_worker_lease (struct rr_dispatch *d, struct rr_handle h,
                                   struct rr_time valid_until,
                                   struct rr_time now);
--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -184,7 +184,8 @@
                                              MEMBERSHIP_MAX, entry_now ());
   reserve_runs (s);
   uint64_t hash = record_hash (workers, count, s->last_block);
-  if (s->membership.stored && hash == s->membership.hash)
+  if (s->membership.stored && hash == s->membership.hash
+      && !rr_dispatch_record_due (s->dispatch, entry_now ()))
     {
       s->membership.release_stored
           = s->membership.release_stored || s->stopping;
--- a/rosemaryrail/dispatch_membership.c
+++ b/rosemaryrail/dispatch_membership.c
@@ -97,6 +97,20 @@
   return n;
 }
 
+/* Returns whether a worker that must be in the membership record waits for it:
+   it was dropped, or restarted, while a record that has it was being
+   stored.  */
+bool
+rr_dispatch_record_due (const struct rr_dispatch *d, struct rr_time now)
+{
+  struct rr_handle h = { 0 };
+  const struct dispatch_worker *w;
+  while ((w = rr_table_next (d->workers, &h)) != NULL)
+    if (worker_needed (w, now) && (!w->recorded || w->token_due))
+      return true;
+  return false;
+}
+
 /* Takes note that the membership record of REVISION is stored and has R, so
    that a later owner polls this worker: tasks may be started on it, unless it
    is silent.  The revision is above the fencing tokens of this owner so far,
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -93,7 +93,8 @@
 struct dispatch_run
 {
   struct rr_run_name name;
-  struct rr_handle job; /* null: the job is not known */
+  /* Null: the job is not known, nor what the run needs.  */
+  struct rr_handle job;
   uint32_t number;      /* of the task in its job */
   /* Reported as its checkpoint until it saves its own; empty: none, or
      unknown.  */
--- a/rosemaryrail/dispatch_select.c
+++ b/rosemaryrail/dispatch_select.c
@@ -43,9 +43,12 @@
   w->has_suspect = false;
   w->has_trial = false;
   w->held = false;
+  const struct rr_handle no_job = { 0 };
+  bool unknown = false;
   for (size_t i = 0; i < w->run_count; i++)
     {
       const struct dispatch_run *r = &w->runs[i];
+      unknown = unknown || rr_handle_equal (r->job, no_job);
       w->free_memory_mb -= r->memory_mb;
       w->free_accelerators -= r->accelerators;
       if (r->best_effort)
@@ -57,6 +60,13 @@
       w->has_suspect = w->has_suspect || (r->suspected && !r->survived);
       w->has_trial = w->has_trial || (r->on_trial && !r->survived);
     }
+  if (!unknown)
+    return;
+  /* A run of a job that this owner does not have, for example one that was
+     cancelled, is being stopped and takes up an unknown part of W.  */
+  w->free_cores_milli = 0;
+  w->free_memory_mb = 0;
+  w->free_accelerators = 0;
 }
 
 /* Returns true when tasks may be started on W now.  */
