standins: rr-relay holds new connections until they are released

The relay could not deliver a call to a later process than the one that it was sent to: cut and freeze end or stop the connections of the old one. In mode hold, new connections keep what their clients send, and others end with their next answer, so that the next call comes on a new one. A release connects the held ones to whatever listens then, oldest first; they pass in every mode and end with their next answer.

Test: standins-callers has a call that is held before its worker listens.

--- a/standins/rr-relay.c
+++ b/standins/rr-relay.c
@@ -13,13 +13,17 @@
 enum relay_mode
 {
   RELAY_PASS,
-  RELAY_CUT,         /* connections are reset and refused */
-  RELAY_FREEZE,      /* accepted, but no byte moves */
-  RELAY_DROP_ANSWERS /* closed when the target begins to answer */
+  RELAY_CUT,          /* connections are reset and refused */
+  RELAY_FREEZE,       /* accepted, but no byte moves */
+  RELAY_DROP_ANSWERS, /* closed when the target begins to answer */
+  /* New connections are held: they keep what their clients send, and reach the
+     target when they are released.  Others and released ones end with their
+     next answer, which has to come in one piece.  */
+  RELAY_HOLD
 };
 
 static const char *const mode_names[]
-    = { "pass", "cut", "freeze", "drop-answers" };
+    = { "pass", "cut", "freeze", "drop-answers", "hold" };
 
 /* Bytes on their way; an empty chunk is the end of the stream.  */
 struct chunk
@@ -44,12 +48,15 @@
 
 struct connection
 {
-  LIST_ENTRY (connection) link;
+  TAILQ_ENTRY (connection) link;
   struct pair *pair;
   struct direction request; /* from the client */
   struct direction answer;  /* from the target */
   uv_connect_t connect;
   uv_shutdown_t shutdown[2];
+  bool held;
+  bool released;   /* passes in every mode */
+  bool connecting; /* or connected */
   bool connected;
   bool closing;
   int open_handles;
@@ -60,12 +67,13 @@
   char group[64];
   struct sockaddr_in listen;
   struct sockaddr_in target;
-  uv_tcp_t *listener; /* null while cut */
-  LIST_HEAD (connection_list, connection) connections;
+  uv_tcp_t *listener;                                   /* null while cut */
+  TAILQ_HEAD (connection_list, connection) connections; /* oldest first */
   enum relay_mode mode;
   int64_t delay_ms;
   int64_t accepted;
   int64_t dropped;
+  int64_t held; /* reads from clients of held connections */
 };
 
 static uv_loop_t loop;
@@ -95,7 +103,7 @@
   if (c->closing)
     return;
   c->closing = true;
-  LIST_REMOVE (c, link);
+  TAILQ_REMOVE (&c->pair->connections, c, link);
   c->open_handles = 4;
   uv_handle_t *handles[]
       = { (uv_handle_t *)&c->request.from, (uv_handle_t *)&c->answer.from,
@@ -132,12 +140,18 @@
 
 static void on_direction_timer (uv_timer_t *timer);
 
+static enum relay_mode
+connection_mode (const struct connection *c)
+{
+  return c->released ? RELAY_PASS : c->pair->mode;
+}
+
 /* Writes the chunks of D that are due.  */
 static void
 direction_flush (struct direction *d)
 {
   struct connection *c = d->connection;
-  while (!c->closing && c->connected && c->pair->mode != RELAY_FREEZE
+  while (!c->closing && c->connected && connection_mode (c) != RELAY_FREEZE
          && !STAILQ_EMPTY (&d->chunks))
     {
       struct chunk *k = STAILQ_FIRST (&d->chunks);
@@ -204,13 +218,23 @@
   struct connection *c = d->connection;
   if (n == 0)
     return;
-  if (d == &c->answer && c->pair->mode == RELAY_DROP_ANSWERS)
+  if (n > 0 && c->held)
+    c->pair->held++;
+  if (d == &c->answer && connection_mode (c) == RELAY_DROP_ANSWERS)
     {
       c->pair->dropped++;
       connection_close (c);
     }
   else if (n > 0)
-    direction_queue (d, buf->base, (size_t)n);
+    {
+      direction_queue (d, buf->base, (size_t)n);
+      if (d == &c->answer && !c->closing
+          && (c->released || c->pair->mode == RELAY_HOLD))
+        {
+          uv_read_stop (from);
+          direction_queue (d, NULL, 0);
+        }
+    }
   else if (n == UV_EOF)
     {
       uv_read_stop (from);
@@ -220,14 +244,27 @@
     connection_close (c);
 }
 
-/* Starts or stops reading and writing as the mode of the pair wants.  */
+static void on_connected (uv_connect_t *connect, int status);
+
+/* Starts or stops reading and writing as the mode of the pair wants, and
+   connects to the target unless C is held.  */
 static void
 connection_apply_mode (struct connection *c)
 {
+  if (!c->connecting && !c->held)
+    {
+      c->connecting = true;
+      if (uv_tcp_connect (&c->connect, &c->answer.from,
+                          (struct sockaddr *)&c->pair->target, on_connected)
+          != 0)
+        connection_close (c);
+    }
   struct direction *both[] = { &c->request, &c->answer };
-  bool read = c->connected && c->pair->mode != RELAY_FREEZE;
   for (int i = 0; i < 2 && !c->closing; i++)
     {
+      bool read = c->held
+                      ? both[i] == &c->request
+                      : c->connected && connection_mode (c) != RELAY_FREEZE;
       if (read && !both[i]->reading)
         uv_read_start ((uv_stream_t *)&both[i]->from, on_alloc, on_read);
       else if (!read && both[i]->reading)
@@ -245,9 +282,12 @@
     return;
   c->connected = status == 0;
   if (status != 0)
-    connection_close (c);
-  else
-    connection_apply_mode (c);
+    {
+      connection_close (c);
+      return;
+    }
+  uv_tcp_nodelay (&c->answer.from, 1);
+  connection_apply_mode (c);
 }
 
 static void
@@ -269,21 +309,19 @@
     return;
   struct connection *c = tool_alloc (sizeof *c);
   c->pair = p;
-  LIST_INSERT_HEAD (&p->connections, c, link);
+  c->held = p->mode == RELAY_HOLD;
+  TAILQ_INSERT_TAIL (&p->connections, c, link);
   p->accepted++;
   direction_open (c, &c->request);
   direction_open (c, &c->answer);
   c->connect.data = c;
-  if (uv_accept (listener, (uv_stream_t *)&c->request.from) != 0
-      || uv_tcp_connect (&c->connect, &c->answer.from,
-                         (struct sockaddr *)&p->target, on_connected)
-             != 0)
+  if (uv_accept (listener, (uv_stream_t *)&c->request.from) != 0)
     {
       connection_close (c);
       return;
     }
   uv_tcp_nodelay (&c->request.from, 1);
-  uv_tcp_nodelay (&c->answer.from, 1);
+  connection_apply_mode (c);
 }
 
 static void
@@ -312,8 +350,8 @@
   p->mode = mode;
   if (mode == RELAY_CUT)
     {
-      while (!LIST_EMPTY (&p->connections))
-        connection_close (LIST_FIRST (&p->connections));
+      while (!TAILQ_EMPTY (&p->connections))
+        connection_close (TAILQ_FIRST (&p->connections));
       if (p->listener != NULL)
         uv_close ((uv_handle_t *)p->listener, on_listener_closed);
       p->listener = NULL;
@@ -322,10 +360,28 @@
   if (p->listener == NULL)
     pair_listen (p, err);
   struct connection *next;
-  for (struct connection *c = LIST_FIRST (&p->connections); c != NULL;
+  for (struct connection *c = TAILQ_FIRST (&p->connections); c != NULL;
+       c = next)
+    {
+      next = TAILQ_NEXT (c, link);
+      connection_apply_mode (c);
+    }
+}
+
+/* Lets the held connections of P go through to the target, in every mode and
+   in the order in which they were made.  */
+static void
+pair_release (struct pair *p)
+{
+  struct connection *next;
+  for (struct connection *c = TAILQ_FIRST (&p->connections); c != NULL;
        c = next)
     {
-      next = LIST_NEXT (c, link);
+      next = TAILQ_NEXT (c, link);
+      if (!c->held)
+        continue;
+      c->held = false;
+      c->released = true;
       connection_apply_mode (c);
     }
 }
@@ -340,15 +396,16 @@
       json_object_array_add (
           list,
           tool_object (
-              "group:s port:d mode:s delay_ms:i accepted:i answers_dropped:i",
+              "group:s port:d mode:s delay_ms:i accepted:i answers_dropped:i "
+              "held:i",
               p->group, ntohs (p->listen.sin_port), mode_names[p->mode],
-              p->delay_ms, p->accepted, p->dropped));
+              p->delay_ms, p->accepted, p->dropped, p->held));
     }
   tool_respond (x, 200, list);
 }
 
-/* Serves POST /groups/NAME {"mode":TEXT?,"delay_ms":N?}; NAME "all" means
-   every pair.  */
+/* Serves POST /groups/NAME {"mode":TEXT?,"delay_ms":N?,"release":N?}; NAME
+   "all" means every pair, and a release of 1 lets held connections go.  */
 static void
 serve_group (struct http_exchange *x, const char *group)
 {
@@ -361,20 +418,22 @@
     return;
   const char *mode_name = json_string_or (o, "mode", NULL);
   int mode = 0;
-  while (mode_name != NULL && mode <= RELAY_DROP_ANSWERS
+  while (mode_name != NULL && mode <= RELAY_HOLD
          && strcmp (mode_names[mode], mode_name) != 0)
     mode++;
   int matched = 0;
-  for (int i = 0; i < pair_count && mode <= RELAY_DROP_ANSWERS; i++)
+  for (int i = 0; i < pair_count && mode <= RELAY_HOLD; i++)
     if (all || strcmp (pairs[i].group, name) == 0)
       {
         matched++;
         pairs[i].delay_ms = json_int_or (o, "delay_ms", pairs[i].delay_ms);
         if (mode_name != NULL)
           pair_set_mode (&pairs[i], (enum relay_mode)mode, &err);
+        if (json_int_or (o, "release", 0) != 0)
+          pair_release (&pairs[i]);
       }
   json_object_put (o);
-  if (mode > RELAY_DROP_ANSWERS)
+  if (mode > RELAY_HOLD)
     rr_error_set (&err, RR_ERROR_INVALID, "unknown mode");
   else if (matched == 0)
     rr_error_set (&err, RR_ERROR_NOT_FOUND, "no pair is in group %s", name);
@@ -419,6 +478,7 @@
     return rr_error_set (err, RR_ERROR_INVALID,
                          "\"%s\" is not GROUP:IP:PORT=IP:PORT on loopback",
                          text);
+  TAILQ_INIT (&p->connections);
   return pair_listen (p, err);
 }
 
--- a/tests/standins/callers.sh
+++ b/tests/standins/callers.sh
@@ -46,6 +46,22 @@
 relay all '{"mode":"pass"}'
 wait $frozen
 cat "$work/frozen"
+echo "# held: no answer until released, then from a worker that started meanwhile"
+background 7207 "$bin/rr-relay" --control-port 7207 \
+  --pair "zc:$address:7206=$address:7205"
+call 7207 POST /groups/zc '{"mode":"hold"}'
+call 7206 GET /stats >"$work/held" &
+held=$!
+sleep 0.3
+echo "answers while held: $(cat "$work/held" | wc -l)"
+background 7205 "$bin/rr-worker" --first-port 7205 --log "$work/held.log"
+call 7207 POST /groups/zc '{"mode":"pass"}'
+sleep 0.3
+echo "answers while others pass: $(cat "$work/held" | wc -l)"
+call 7206 GET /stats | sed 's/{.*}/{...}/'
+call 7207 POST /groups/zc '{"mode":"freeze","release":1}'
+wait $held
+sed 's/{.*}/{...}/' "$work/held"
 echo "# errors"
 relay none '{"mode":"pass"}'
 relay za '{"mode":"sideways"}'
