--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -83,7 +83,10 @@
   };
   int64_t now = clock_ms ();
   if (deadline > now + LEASE_MAX_MS)
-    deadline = now + LEASE_MAX_MS;
+    {
+      deadline = now + LEASE_MAX_MS;
+      taskruns_log ("lease_cut", "", 0, "");
+    }
   if (deadline > 0 && born_us + deadline * 1000 > lease_end_us)
     lease_end_us = born_us + deadline * 1000;
 }
@@ -162,7 +165,10 @@
   const char *task = json_string_or (body, "task", "");
   int64_t run = json_int_or (body, "run", 0);
   if (!taskruns_fence (json_int_or (body, "fencingToken", 0)))
-    respond_reason (x, "fence");
+    {
+      taskruns_log ("fenced", task, run, path);
+      respond_reason (x, "fence");
+    }
   else if (strcmp (path, "/-/hold") == 0)
     on_hold (x, body);
   else if (strcmp (path, "/-/run-start") == 0)
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -59,6 +59,7 @@
 }
 
 relay_mode() { post "$relay_port/groups/$1" "{\"mode\":\"$2\"}"; }
+relay_release() { post "$relay_port/groups/$1" '{"release":1}'; }
 relay_delay() { post "$relay_port/groups/$1" "{\"delay_ms\":$2}"; }
 
 # start_worker I: starts worker I, which registers the relay's port for it.
@@ -100,10 +101,11 @@
 }
 
 # deploy DAEMONS WORKERS: starts all processes with a configuration of one
-# queue.  The number of shards is $layout if that is set.
+# queue.  The number of shards is $layout if that is set, and the relay has
+# routes to $worker_routes workers, which may start later.
 deploy() {
   start_store
-  start_relay "$1" "$2"
+  start_relay "$1" "${worker_routes:-$2}"
   wait_for "the store" 20 curl -s -m 1 "http://$address:$store_port/-/kv-range?prefix=x"
   wait_for "the relay" 20 curl -s -m 1 "http://$address:$((25100 + 1))/-/kv-range?prefix=x"
   store_put op/config '{"version":1,"routes":[{"name":"q","host":"desk.example","prefix":"/q/","service":"desk","priority":0,"maxAttempts":4,"slackFactor":2,"targetRuntimeMs":500,"timeoutMs":3000}],"services":[{"name":"desk"}],"limits":{}}'
