standins: rr-taskworker takes the lease of a start that is refused as old

PROTOCOL.md, Running tasks: deadlineMs is also taken from a start that receives old. A start for a former life that is repeated or comes late extends the lease of the new one too.

--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -118,6 +118,8 @@
   int64_t run = json_int_or (body, "run", 0);
   int64_t deadline = json_int_or (body, "deadlineMs", 0);
   int64_t present = taskrun_present (task);
+  /* Also from a start that is refused as old.  */
+  extend_lease (deadline);
   if (present != 0 && present == run)
     {
       respond_clock (x);
@@ -133,7 +135,6 @@
       respond_reason (x, "late");
       return;
     }
-  extend_lease (deadline);
   taskrun_start (task, run, spec, json_object_get_string_len (text));
   respond_clock (x);
 }
