--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -80,6 +80,10 @@
     return;
   const struct rr_job_graph_step *step = &j->graph->steps[name->step];
   struct rr_permit_request request = { .name = *name };
+  /* A permit is for all tasks of the step, and a gang that found no capacity
+     leaves no valid task number in NAME.  */
+  request.name.task = 0;
+  request.name.run = 0;
   size_t seen = 0;
   size_t total = rr_table_count (d->workers);
   struct rr_handle h = { 0 };
@@ -144,7 +148,11 @@
   struct dispatch_job *j = dispatch_job_find (d, name->job);
   uint32_t number;
   if (j == NULL || !dispatch_task_number (j, name, &number))
-    return;
+    {
+      dispatch_log_decision (d, "permits_unused", "job=%s step=%d.%d",
+                             name->job, name->occurrence, name->step);
+      return;
+    }
   struct dispatch_step *s = dispatch_step_of (j, name);
   s->request_in_flight = false;
   dispatch_log_decision (
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -119,7 +119,8 @@
 static size_t recorded_count;
 static struct rr_dispatch_statistics statistics[RR_CLASSES_MAX];
 static size_t statistics_count;
-static char empty_word[] = ""; /* stands for missing words */
+static struct rr_run_name permit_request_name; /* of the last request */
+static char empty_word[] = "";                 /* stands for missing words */
 
 static void
 log_decision (void *data, const char *event, const char *text)
@@ -150,6 +151,7 @@
 on_permit_request (void *data, const struct rr_permit_request *request)
 {
   (void)data;
+  permit_request_name = request->name;
   printf ("permit request %s step %d:", request->name.job, request->name.step);
   for (size_t i = 0; i < request->worker_count; i++)
     printf (" %s", request->workers[i]);
@@ -343,6 +345,10 @@
   memset (permits, 0, sizeof permits);
   struct rr_run_name name = { .step = (int32_t)strtol (word[2], NULL, 10) };
   snprintf (name.job, sizeof name.job, "%s", word[1]);
+  /* An answer carries the name in its request.  */
+  if (strcmp (name.job, permit_request_name.job) == 0
+      && name.step == permit_request_name.step)
+    name = permit_request_name;
   for (size_t i = 4; i < words; i++)
     {
       snprintf (permits[i - 4].worker, RR_JOB_NAME_SIZE, "%s", word[i]);
