--- a/include/platform/permits.h
+++ b/include/platform/permits.h
@@ -4,14 +4,20 @@
 #include "common/upstream.h"
 #include "rosemaryrail/dispatch.h"
 
-/* PERMITS is null if there was no usable response.  Valid only during the
-   callback.  */
-typedef void permits_done_fn (void *data, const struct rr_run_name *name,
-                              const struct rr_permit *permits, size_t count,
-                              int64_t valid_ms);
+/* The response to a permit request, valid only during the callback.  */
+struct permits_response
+{
+  const struct rr_permit *permits; /* null if there was no usable response */
+  size_t count;
+  int64_t valid_ms;   /* 0: not given */
+  int status;         /* of HTTP; 0: no response */
+  const char *reason; /* why there is no usable response, for the log */
+};
+
+typedef void permits_done_fn (void *data, const struct permits_response *r);
 
 /* Requests permits from the platform's permit service: which of the workers in
-   Q may run its step.  */
+   REQUEST may run its step.  */
 void permits_request (struct upstream *u,
                       const struct rr_permit_request *request,
                       uint64_t timeout_ms, permits_done_fn *done, void *data);
--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -13,7 +13,7 @@
 struct store_cache;
 struct config_view;
 struct config_poll;
-struct upstream;
+struct permit_queue;
 struct records;
 struct session;
 struct owners;
@@ -28,7 +28,7 @@
   uv_loop_t *loop;
   struct entry_settings settings;
   struct store *store;
-  struct upstream *permits; /* permit service; null: none */
+  struct permit_queue *permits; /* of the permit service; null: none */
   struct rr_queues *queues; /* applied configuration; null before the first */
   struct config_view *config;
   struct config_poll *config_poll;
--- a/include/rosemaryentryd/owners.h
+++ b/include/rosemaryentryd/owners.h
@@ -26,6 +26,7 @@
 void owners_shard_lost (struct owners *o, struct shard *s, const char *why);
 void owners_release (struct owners *o);
 bool owners_released (const struct owners *o);
+struct shard *owners_permits_next (const struct owners *o);
 size_t owners_shard_count (const struct owners *o);
 bool owners_serves (const struct owners *o, const struct shard_record *s);
 
--- a/include/rosemaryentryd/shard.h
+++ b/include/rosemaryentryd/shard.h
@@ -1,7 +1,7 @@
 #ifndef ROSEMARYENTRYD_SHARD_H
 #define ROSEMARYENTRYD_SHARD_H
 
-#include "common/upstream.h"
+#include "platform/permits.h"
 #include "rosemaryentryd/records.h"
 
 /* A shard that this daemon owns: its dispatcher, the connections to its
@@ -26,6 +26,14 @@
 void shard_queues_update (struct shard *s);
 void shard_statistics_merge (struct shard *s,
                              const struct statistics_list *list);
+bool shard_permits_wanted (const struct shard *s,
+                           struct rr_permit_urgency *urgency);
+bool shard_permits_request (struct shard *s,
+                            const struct rr_permit_calls *calls,
+                            struct rr_permit_request *request);
+void shard_permits_answered (struct shard *s, const struct rr_run_name *name,
+                             const struct permits_response *r,
+                             int64_t valid_ms, struct rr_time issued);
 void shard_stop_starting (struct shard *s);
 bool shard_released (struct shard *s);
 
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -26,9 +26,6 @@
   /* The load is published when the largest free capacity of a worker changes
      by this much.  */
   LOAD_LARGEST_CHANGE_MILLI = 1500,
-  /* The permit service answers the calls of one daemon one after the other,
-     so a call also waits for those before it.  */
-  PERMITS_TIMEOUT_MS = 2500,
   /* Numbers of runs are reserved in blocks of this many, one with each stored
      membership record at most: so there are never more blocks than revisions
      of the store.  */
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -8,6 +8,7 @@
 #include "rosemaryrail/clock.h"
 #include "rosemaryrail/interference.h"
 #include "rosemaryrail/job_graph.h"
+#include "rosemaryrail/permit_calls.h"
 #include "rosemaryrail/progress.h"
 #include "rosemaryrail/table.h"
 #include "rosemaryrail/text.h"
@@ -150,6 +151,7 @@
   double slack_factor;       /* objective: this times the critical path */
   int64_t target_runtime_ms; /* plus this */
   bool needs_permits;        /* a step runs only on workers with a permit */
+  struct rr_permit_times permit_times; /* 0: unknown */
 };
 
 enum
@@ -158,10 +160,11 @@
 };
 
 /* Asks which of the listed workers may run a step.  NAME holds the job, the
-   occurrence and the step.  Valid during the callback.  */
+   occurrence and the step.  Valid until workers of the dispatcher change.  */
 struct rr_permit_request
 {
   struct rr_run_name name;
+  struct rr_permit_times times;
   const char *workers[RR_PERMIT_WORKERS_MAX]; /* ids */
   size_t worker_count;
 };
@@ -201,8 +204,6 @@
   double remote_factor;   /* slowdown on a rack without the data */
   int64_t wall_offset_ms; /* wall clock minus the clock of rr_time */
   void (*send_command) (void *data, const struct rr_command *command);
-  void (*request_permits) (void *data,
-                           const struct rr_permit_request *request);
   void (*log_decision) (void *data, const char *event, const char *text);
   void *data;
 };
@@ -290,13 +291,27 @@
                                    enum rr_command_outcome outcome,
                                    int64_t clock_ms, struct rr_time now);
 
+/* Returns whether the last planning round has left steps that need permits,
+   and sets URGENCY to that of the most urgent one.  */
+bool rr_dispatch_permits_wanted (const struct rr_dispatch *d,
+                                 struct rr_permit_urgency *urgency);
+
+/* Takes the most urgent step that needs permits and fills REQUEST for it.
+   Returns false when there is nothing to ask about it.  The step makes no
+   other request until rr_dispatch_permits_set is called.  */
+bool rr_dispatch_permits_request (struct rr_dispatch *d,
+                                  const struct rr_permit_calls *calls,
+                                  struct rr_permit_request *request,
+                                  struct rr_time now);
+
 /* Stores the answer to a permit request for the step of NAME.  COUNT is 0 when
    no worker may run it; PERMITS is null when the request failed.  The permit
-   tokens are valid for VALID_MS.  */
+   tokens are valid for VALID_MS, from ISSUED on at the earliest.  */
 void rr_dispatch_permits_set (struct rr_dispatch *d,
                               const struct rr_run_name *name,
                               const struct rr_permit *permits, size_t count,
-                              int64_t valid_ms, struct rr_time now);
+                              int64_t valid_ms, struct rr_time issued,
+                              struct rr_time now);
 
 /* Takes ownership of G.  PROGRESS is null for a new job.  INHERITED means that
    a former owner may have started tasks.  */
--- a/rosemaryentryd/main.c
+++ b/rosemaryentryd/main.c
@@ -5,7 +5,6 @@
 #include <unistd.h>
 
 #include "common/log.h"
-#include "common/upstream.h"
 #include "rosemaryentryd/config_poll.h"
 #include "rosemaryentryd/config_view.h"
 #include "rosemaryentryd/entry.h"
@@ -14,6 +13,7 @@
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/peer_statistics.h"
 #include "rosemaryentryd/peers.h"
+#include "rosemaryentryd/permit_queue.h"
 #include "rosemaryentryd/session.h"
 
 enum
@@ -175,8 +175,14 @@
       return 1;
     }
   if (e->settings.permits.port != 0)
-    e->permits = upstream_open (e->loop, e->settings.permits.address,
-                                e->settings.permits.port);
+    {
+      e->permits = permit_queue_open (e);
+      if (e->permits == NULL)
+        {
+          fprintf (stderr, "rosemaryentryd: invalid permits IP address\n");
+          return 1;
+        }
+    }
   e->metrics = entry_metrics_open (e, &err);
   if (e->metrics == NULL)
     {
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -86,6 +86,24 @@
   return n;
 }
 
+/* Returns the shard with the step that most urgently needs permits, or
+   null.  */
+struct shard *
+owners_permits_next (const struct owners *o)
+{
+  struct shard *first = NULL;
+  struct rr_permit_urgency best = { 0 };
+  struct rr_permit_urgency urgency;
+  for (size_t i = 0; i < SHARDS_MAX; i++)
+    if (o->shards[i] != NULL && shard_permits_wanted (o->shards[i], &urgency)
+        && (first == NULL || rr_permit_urgency_compare (&urgency, &best) < 0))
+      {
+        first = o->shards[i];
+        best = urgency;
+      }
+  return first;
+}
+
 /* Returns whether this daemon serves the shard S: it owns it and has read its
    jobs' progress.  */
 bool
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -7,6 +7,7 @@
 
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/peer_statistics.h"
+#include "rosemaryentryd/permit_queue.h"
 #include "rosemaryentryd/session.h"
 #include "rosemaryentryd/store_cache.h"
 
@@ -126,31 +127,45 @@
              (long long)s->fencing_token, text);
 }
 
-static void
-on_permits (void *data, const struct rr_run_name *name,
-            const struct rr_permit *permits, size_t count, int64_t valid_ms)
+/* Returns whether steps of S need permits, and sets URGENCY to that of the
+   most urgent one.  */
+bool
+shard_permits_wanted (const struct shard *s, struct rr_permit_urgency *urgency)
+{
+  return rr_dispatch_permits_wanted (s->dispatch, urgency);
+}
+
+/* Fills REQUEST for the step of S that needs permits most urgently.  Returns
+   false when there is nothing to ask; otherwise shard_permits_answered must be
+   called.  */
+bool
+shard_permits_request (struct shard *s, const struct rr_permit_calls *calls,
+                       struct rr_permit_request *request)
+{
+  if (!rr_dispatch_permits_request (s->dispatch, calls, request, entry_now ()))
+    return false;
+  s->calls_in_flight++;
+  return true;
+}
+
+/* Passes on the answer R to a request for the step of NAME.  The permits were
+   issued at ISSUED or later.  */
+void
+shard_permits_answered (struct shard *s, const struct rr_run_name *name,
+                        const struct permits_response *r, int64_t valid_ms,
+                        struct rr_time issued)
 {
-  struct shard *s = data;
   s->calls_in_flight--;
   if (s->closed)
     {
       shard_free_if_unused (s);
       return;
     }
-  rr_dispatch_permits_set (s->dispatch, name, permits, count, valid_ms,
-                           entry_now ());
+  rr_dispatch_permits_set (s->dispatch, name, r->permits, r->count, valid_ms,
+                           issued, entry_now ());
   shard_schedule_planning (s);
 }
 
-static void
-on_permit_request (void *data, const struct rr_permit_request *request)
-{
-  struct shard *s = data;
-  s->calls_in_flight++;
-  permits_request (s->entry->permits, request, PERMITS_TIMEOUT_MS, on_permits,
-                   s);
-}
-
 /* Returns the connection to the worker, or null.  */
 struct worker_connection *
 shard_worker_connection (const struct shard *s, const char *worker_id)
@@ -229,6 +244,7 @@
   rr_dispatch_plan (s->dispatch, ownership_confirmed_at (s), until,
                     command_window_room (&s->entry->command_window), now);
   send_commands (s);
+  permit_queue_advance (s->entry->permits);
   const char *ids[1];
   bool urgent;
   if (!s->closed && !s->committing
@@ -455,7 +471,6 @@
           .remote_factor = e->settings.remote_factor,
           .wall_offset_ms = entry_wall_ms () - entry_now ().ms,
           .send_command = on_command,
-          .request_permits = e->permits == NULL ? NULL : on_permit_request,
           .log_decision = on_decision,
           .data = s };
   s->dispatch = rr_dispatch_new (&o);
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -79,6 +79,7 @@
   free (d->dropped);
   free (d->suspicions);
   free (d->losses);
+  free (d->permit_wants);
   rr_interference_free (d->model);
   free (d);
 }
--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 /* Permits of workers to run a step, for queues whose policy is kept by an
-   external permit service.  Requests are sent in batches, since the answer
-   takes longer with each worker listed.  */
+   external permit service.  A planning round notes the steps that need
+   permits; requests are made for them, the most urgent first, as the daemon's
+   calls to the service allow.  */
 
 enum
 {
@@ -16,6 +17,12 @@
   /* Delay before the next request, when no permitted worker has capacity.  */
   REQUEST_INTERVAL_MS = 300,
   REQUEST_RETRY_MS = 200, /* after an unanswered request */
+  /* Which workers may run a step doesn't change.  One that was not in the
+     answer is still asked about again after this long, in case the answer was
+     not understood.  */
+  DENIAL_MS = 10000,
+  /* Before all groups of ready jobs.  */
+  GROUP_FIRST = -1,
   /* A permit token must still be valid when the start arrives.  */
   TOKEN_MARGIN_MS = 150
 };
@@ -64,54 +71,306 @@
       for (size_t k = 0; k < j->steps[i].permit_count; k++)
         rr_text_unref (j->steps[i].permits[k].token);
       free (j->steps[i].permits);
+      free (j->steps[i].denials);
     }
 }
 
-/* Requests permits for the step of NAME.  Each request continues after the
-   workers of the last one and lists those with capacity for the step that have
-   no valid permit.  */
+/* Returns whether the service has not permitted W to run the step S.  */
+static bool
+denied (const struct dispatch_step *s, const struct dispatch_worker *w,
+        struct rr_time now)
+{
+  for (size_t i = 0; i < s->denial_count; i++)
+    if (rr_handle_equal (s->denials[i].worker, w->handle)
+        && s->denials[i].started_ms == w->info.started_ms)
+      return rr_time_before (now, s->denials[i].expires);
+  return false;
+}
+
+/* Notes that the service is asked whether W may run the step S.  */
+static void
+denial_await (struct dispatch_step *s, const struct dispatch_worker *w)
+{
+  struct dispatch_denial *denial = NULL;
+  for (size_t i = 0; i < s->denial_count; i++)
+    if (rr_handle_equal (s->denials[i].worker, w->handle))
+      denial = &s->denials[i];
+  if (denial == NULL)
+    {
+      s->denials
+          = realloc (s->denials, (s->denial_count + 1) * sizeof *s->denials);
+      assert (s->denials != NULL);
+      denial = &s->denials[s->denial_count++];
+    }
+  *denial = (struct dispatch_denial){ .worker = w->handle,
+                                      .started_ms = w->info.started_ms,
+                                      .pending = true };
+}
+
+static void
+denial_remove (struct dispatch_step *s, size_t i)
+{
+  s->denials[i] = s->denials[--s->denial_count];
+}
+
+/* The workers that were asked about and are not permitted by now are denied if
+   the call was ANSWERED.  */
+static void
+denials_settle (struct dispatch_step *s, bool answered, struct rr_time now)
+{
+  for (size_t i = s->denial_count; i-- > 0;)
+    {
+      struct dispatch_denial *denial = &s->denials[i];
+      if (!denial->pending)
+        continue;
+      denial->pending = false;
+      denial->expires = rr_time_add (now, DENIAL_MS);
+      if (!answered)
+        denial_remove (s, i);
+    }
+}
+
+/* Notes that the step of NAME needs permits: no permitted worker has capacity
+   for it.  */
 void
-dispatch_permit_request (struct rr_dispatch *d, struct dispatch_job *j,
-                         const struct rr_run_name *name, struct rr_time now)
+dispatch_permit_want_add (struct rr_dispatch *d, struct dispatch_job *j,
+                          const struct rr_run_name *name, struct rr_time now)
 {
-  struct dispatch_step *s = dispatch_step_of (j, name);
-  if (d->o.request_permits == NULL || s->request_in_flight
-      || rr_time_before (now, s->request_at))
+  const struct dispatch_step *s = dispatch_step_of (j, name);
+  struct dispatch_ready_job ready;
+  if (s->request_in_flight || rr_time_before (now, s->request_at)
+      || !dispatch_ready_job_init (d, j, &ready, now))
     return;
-  const struct rr_job_graph_step *step = &j->graph->steps[name->step];
-  struct rr_permit_request request = { .name = *name };
+  if (d->permit_want_count == d->permit_want_capacity)
+    {
+      d->permit_want_capacity
+          = d->permit_want_capacity == 0 ? 16 : d->permit_want_capacity * 2;
+      d->permit_wants = realloc (
+          d->permit_wants, d->permit_want_capacity * sizeof *d->permit_wants);
+      assert (d->permit_wants != NULL);
+    }
+  struct dispatch_permit_want *want = &d->permit_wants[d->permit_want_count++];
+  want->job = j->handle;
+  want->name = *name;
   /* A permit is for all tasks of the step, and a gang that found no capacity
      leaves no valid task number in NAME.  */
-  request.name.task = 0;
-  request.name.run = 0;
-  size_t seen = 0;
-  size_t total = rr_table_count (d->workers);
+  want->name.task = 0;
+  want->name.run = 0;
+  want->urgency = (struct rr_permit_urgency){ .priority = ready.priority,
+                                              .group = (int32_t)ready.group,
+                                              .due = ready.due };
+  /* It has waited so long that it is placed before all others.  */
+  if (d->holding)
+    want->urgency.group = GROUP_FIRST;
+}
+
+/* Returns the most urgent step that needs permits, or null.  */
+static struct dispatch_permit_want *
+want_first (const struct rr_dispatch *d)
+{
+  struct dispatch_permit_want *first = NULL;
+  for (size_t i = 0; i < d->permit_want_count; i++)
+    if (first == NULL
+        || rr_permit_urgency_compare (&d->permit_wants[i].urgency,
+                                      &first->urgency)
+               < 0)
+      first = &d->permit_wants[i];
+  return first;
+}
+
+bool
+rr_dispatch_permits_wanted (const struct rr_dispatch *d,
+                            struct rr_permit_urgency *urgency)
+{
+  const struct dispatch_permit_want *want = want_first (d);
+  if (want != NULL)
+    *urgency = want->urgency;
+  return want != NULL;
+}
+
+/* A worker that a request may list.  */
+struct candidate
+{
+  const struct dispatch_worker *worker;
+  size_t position; /* in the table */
+  int32_t room;    /* tasks that it has capacity for */
+  bool preferred;  /* in the rack of the step */
+};
+
+/* Returns the rack in which the tasks of S should run, or null.  That of a
+   gang on one rack is the one with capacity for most of its members.  */
+static const char *
+rack_wanted (const struct rr_job_graph_step *s, const struct candidate *list,
+             size_t count)
+{
+  if (!s->gang || !s->same_rack)
+    return s->rack[0] == '\0' ? NULL : s->rack;
+  const char *best = NULL;
+  int64_t best_room = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *rack = list[i].worker->info.rack;
+      if (rack[0] == '\0' || (best != NULL && strcmp (rack, best) == 0))
+        continue;
+      int64_t room = 0;
+      for (size_t k = i; k < count; k++)
+        if (strcmp (list[k].worker->info.rack, rack) == 0)
+          room += list[k].room;
+      if (room > best_room)
+        {
+          best = rack;
+          best_room = room;
+        }
+    }
+  return best;
+}
+
+/* Fills LIST with the workers that have capacity for the step of NAME, the
+   permitted ones too, and returns their number.  */
+static size_t
+candidates_list (struct rr_dispatch *d, struct dispatch_job *j,
+                 const struct rr_run_name *name, struct candidate *list,
+                 struct rr_time now)
+{
+  const struct rr_job_graph_step *step = &j->graph->steps[name->step];
+  size_t n = 0;
+  size_t position = 0;
   struct rr_handle h = { 0 };
   const struct dispatch_worker *w;
-  while ((w = rr_table_next (d->workers, &h)) != NULL)
+  for (; (w = rr_table_next (d->workers, &h)) != NULL; position++)
+    {
+      int32_t room = dispatch_worker_room (d, w, j, name, now);
+      if (room > 0)
+        list[n++] = (struct candidate){ w, position, room, false };
+    }
+  const char *rack = rack_wanted (step, list, n);
+  for (size_t i = 0; i < n; i++)
+    list[i].preferred
+        = rack != NULL && rr_worker_has_label (&list[i].worker->info, rack);
+  return n;
+}
+
+/* What a request is still to list.  */
+struct request_need
+{
+  int64_t tasks; /* without capacity on workers that are listed or permitted */
+  size_t needed; /* workers listed for them */
+  size_t max;    /* workers in the request */
+  uint32_t refusals;
+  struct rr_time valid_at; /* permits that expire before are asked for again */
+  struct rr_time now;
+  const struct rr_permit_calls *calls;
+};
+
+/* Lists the candidates from FROM to TO (excluded) that are PREFERRED or not
+   and have no valid permit, as long as the request needs more.  */
+static void
+candidates_take (struct dispatch_job *j, struct rr_permit_request *request,
+                 struct request_need *need, const struct candidate *list,
+                 size_t from, size_t to, bool preferred)
+{
+  struct dispatch_step *s = dispatch_step_of (j, &request->name);
+  for (size_t i = from; i < to && request->worker_count < need->max; i++)
     {
-      size_t position = seen++;
-      bool in_cycle = position >= s->permit_cursor % (total + 1);
-      if (!in_cycle || request.worker_count == REQUEST_WORKERS_MAX
-          || !w->registered || w->info.draining || !w->reported
-          || w->free_memory_mb < step->memory_mb
-          || (!step->best_effort && w->free_cores_milli < step->cores_milli)
-          || dispatch_permit_find (j, name, w, now) != NULL)
+      const struct candidate *c = &list[i];
+      if (need->tasks <= 0
+          && request->worker_count >= rr_permit_calls_workers (
+                 need->calls, need->needed, need->refusals))
+        return;
+      if (c->preferred != preferred || denied (s, c->worker, need->now)
+          || dispatch_permit_find (j, &request->name, c->worker,
+                                   need->valid_at)
+                 != NULL)
         continue;
-      request.workers[request.worker_count++] = w->info.id;
-      s->permit_cursor = position + 1;
+      request->workers[request->worker_count++] = c->worker->info.id;
+      denial_await (s, c->worker);
+      need->needed += need->tasks > 0;
+      need->tasks -= c->room;
+      s->permit_cursor = c->position + 1;
     }
-  s->request_at = rr_time_add (now, REQUEST_INTERVAL_MS);
-  if (request.worker_count == 0)
+}
+
+/* Lists workers for the step in REQUEST: those in its rack first, and each
+   request goes on after the workers of the last one.  A gang needs permits for
+   the workers of all members at the same time, so its request may be longer,
+   the capacity of permitted workers counts, and permits that may expire before
+   the answer is there are asked for again.  */
+static void
+request_fill (struct rr_dispatch *d, struct dispatch_job *j,
+              const struct rr_permit_calls *calls,
+              struct rr_permit_request *request, struct rr_time now)
+{
+  struct dispatch_step *s = dispatch_step_of (j, &request->name);
+  const struct rr_job_graph_step *step = &j->graph->steps[request->name.step];
+  struct candidate *list
+      = calloc (rr_table_count (d->workers) + 1, sizeof *list);
+  assert (list != NULL);
+  size_t n = candidates_list (d, j, &request->name, list, now);
+  struct request_need need
+      = { .tasks = s->waiting,
+          .max = step->gang ? RR_PERMIT_WORKERS_MAX : REQUEST_WORKERS_MAX,
+          .refusals = s->permit_refusals,
+          .valid_at = now,
+          .now = now,
+          .calls = calls };
+  if (step->gang)
     {
-      s->permit_cursor = 0;
-      return;
+      int64_t cost_ms = rr_permit_cost_ms (&request->times, need.max);
+      if (cost_ms > request->times.valid_ms / 2)
+        cost_ms = request->times.valid_ms / 2;
+      need.valid_at = rr_time_add (now, cost_ms);
+    }
+  for (size_t i = 0; step->gang && i < n; i++)
+    if (dispatch_permit_find (j, &request->name, list[i].worker, need.valid_at)
+        != NULL)
+      need.tasks -= list[i].room;
+  size_t start = 0;
+  while (start < n && list[start].position < s->permit_cursor)
+    start++;
+  for (int other = 0; other < 2; other++)
+    {
+      candidates_take (j, request, &need, list, start, n, other == 0);
+      candidates_take (j, request, &need, list, 0, start, other == 0);
     }
+  free (list);
+}
+
+bool
+rr_dispatch_permits_request (struct rr_dispatch *d,
+                             const struct rr_permit_calls *calls,
+                             struct rr_permit_request *request,
+                             struct rr_time now)
+{
+  struct dispatch_permit_want *want = want_first (d);
+  if (want == NULL)
+    return false;
+  memset (request, 0, sizeof *request);
+  request->name = want->name;
+  struct dispatch_job *j = dispatch_job_get (d, want->job);
+  *want = d->permit_wants[--d->permit_want_count];
+  if (j == NULL || j->cancelled || j->held)
+    return false;
+  struct dispatch_step *s = dispatch_step_of (j, &request->name);
+  if (s->waiting <= 0 || s->request_in_flight)
+    return false;
+  if (!s->requested)
+    s->permit_cursor = d->permit_start % (rr_table_count (d->workers) + 1);
+  request->times
+      = rr_permit_times_check (dispatch_queue_policy (d, j)->permit_times);
+  request_fill (d, j, calls, request, now);
+  s->request_at = rr_time_add (now, REQUEST_INTERVAL_MS);
+  if (request->worker_count == 0)
+    return false;
+  /* Steps that begin at different workers don't all get permits for the same
+     few, which soon have no capacity left.  */
+  if (!s->requested)
+    d->permit_start = s->permit_cursor;
+  s->requested = true;
   s->request_in_flight = true;
   dispatch_log_decision (d, "permits_asked", "job=%s step=%d.%d workers=%zu",
-                         name->job, name->occurrence, name->step,
-                         request.worker_count);
-  d->o.request_permits (d->o.data, &request);
+                         request->name.job, request->name.occurrence,
+                         request->name.step, request->worker_count);
+  return true;
 }
 
 static void
@@ -138,12 +397,16 @@
   p->started_ms = w->info.started_ms;
   p->expires = expires;
   rr_text_assign (&p->token, permit->permit_token);
+  for (size_t i = s->denial_count; i-- > 0;)
+    if (rr_handle_equal (s->denials[i].worker, h))
+      denial_remove (s, i);
 }
 
 void
 rr_dispatch_permits_set (struct rr_dispatch *d, const struct rr_run_name *name,
                          const struct rr_permit *permits, size_t count,
-                         int64_t valid_ms, struct rr_time now)
+                         int64_t valid_ms, struct rr_time issued,
+                         struct rr_time now)
 {
   struct dispatch_job *j = dispatch_job_find (d, name->job);
   uint32_t number;
@@ -160,9 +423,12 @@
       name->occurrence, name->step, count, (long long)valid_ms);
   if (permits == NULL)
     {
+      denials_settle (s, false, now);
       s->request_at = rr_time_add (now, REQUEST_RETRY_MS);
       return;
     }
+  s->permit_refusals = count == 0 ? s->permit_refusals + 1 : 0;
   for (size_t i = 0; i < count; i++)
-    permit_set (d, s, &permits[i], rr_time_add (now, valid_ms));
+    permit_set (d, s, &permits[i], rr_time_add (issued, valid_ms));
+  denials_settle (s, true, now);
 }
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -205,7 +205,7 @@
   if (s->gang)
     {
       if (!place_gang (d, j, &name, now) && needs_permits)
-        dispatch_permit_request (d, j, &name, now);
+        dispatch_permit_want_add (d, j, &name, now);
       return;
     }
   for (name.task = 0; name.task < s->task_count && d->start_bytes_left > 0;
@@ -221,7 +221,7 @@
       if (place_single (d, j, &name, number, now))
         continue;
       if (needs_permits)
-        dispatch_permit_request (d, j, &name, now);
+        dispatch_permit_want_add (d, j, &name, now);
       /* The others of the step may run beside what this one may not.  */
       if (dispatch_crash_suspected (t))
         continue;
--- a/rosemaryrail/dispatch_plan.c
+++ b/rosemaryrail/dispatch_plan.c
@@ -195,6 +195,7 @@
   audit_placed_tasks (d, now);
   dispatch_interference_refresh (d, now);
   d->start_bytes_left = start_bytes_max;
+  d->permit_want_count = 0;
   if (rr_time_diff (valid_until, now) >= START_LEASE_MIN_MS
       && !d->registrations_stale)
     place_jobs (d, now);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -43,6 +43,23 @@
   struct rr_time expires;
 };
 
+/* A worker that a step has asked about and that was not permitted.  */
+struct dispatch_denial
+{
+  struct rr_handle worker;
+  int64_t started_ms; /* incarnation for which it is known */
+  bool pending;       /* the answer is not there yet */
+  struct rr_time expires;
+};
+
+/* A step that found no permitted worker in a planning round.  */
+struct dispatch_permit_want
+{
+  struct rr_handle job;
+  struct rr_run_name name; /* of its first task */
+  struct rr_permit_urgency urgency;
+};
+
 /* Progress of one step in one occurrence.  */
 struct dispatch_step
 {
@@ -52,7 +69,11 @@
   uint64_t settled_version;
   struct dispatch_permit *permits; /* of a queue with needs_permits */
   size_t permit_count;
-  size_t permit_cursor; /* first worker of the next request */
+  struct dispatch_denial *denials;
+  size_t denial_count;
+  size_t permit_cursor;     /* first worker of the next request */
+  uint32_t permit_refusals; /* answers in a row that allowed no worker */
+  bool requested;           /* at least once */
   bool request_in_flight;
   struct rr_time request_at; /* not before */
 };
@@ -274,8 +295,12 @@
   struct rr_time registrations_at; /* registrations are known as of then */
   bool registrations_stale;        /* too old to start tasks */
   int64_t start_bytes_left;        /* that may be sent in this round */
-  bool holding;                    /* capacity for tasks that don't find any */
-  bool log_holds;                  /* in this round */
+  struct dispatch_permit_want *permit_wants; /* of the last round */
+  size_t permit_want_count;
+  size_t permit_want_capacity;
+  size_t permit_start;     /* first worker of the next step's first request */
+  bool holding;            /* capacity for tasks that don't find any */
+  bool log_holds;          /* in this round */
   size_t holds_left;       /* workers on which capacity may still be held */
   struct rr_policy policy; /* of the interference model */
   struct rr_interference *model;
@@ -349,6 +374,11 @@
 dispatch_worker_select (struct rr_dispatch *d, struct dispatch_job *j,
                         const struct rr_run_name *name, uint32_t number,
                         const char *gang_rack, struct rr_time now);
+int32_t dispatch_worker_room (struct rr_dispatch *d,
+                              const struct dispatch_worker *w,
+                              struct dispatch_job *j,
+                              const struct rr_run_name *name,
+                              struct rr_time now);
 void dispatch_hold_capacity (struct rr_dispatch *d, struct dispatch_job *j,
                              const struct rr_run_name *name,
                              struct rr_time now);
@@ -449,9 +479,9 @@
 const struct dispatch_permit *
 dispatch_permit_find (struct dispatch_job *j, const struct rr_run_name *name,
                       const struct dispatch_worker *w, struct rr_time now);
-void dispatch_permit_request (struct rr_dispatch *d, struct dispatch_job *j,
-                              const struct rr_run_name *name,
-                              struct rr_time now);
+void dispatch_permit_want_add (struct rr_dispatch *d, struct dispatch_job *j,
+                               const struct rr_run_name *name,
+                               struct rr_time now);
 void dispatch_permit_drop (struct dispatch_job *j,
                            const struct rr_run_name *name,
                            const struct dispatch_worker *w);
--- a/rosemaryrail/dispatch_select.c
+++ b/rosemaryrail/dispatch_select.c
@@ -300,6 +300,37 @@
   return select_worker (d, &c, failed_worker, now);
 }
 
+/* Returns for how many tasks of J's step of NAME the worker W has capacity
+   now, permit or not.  */
+int32_t
+dispatch_worker_room (struct rr_dispatch *d, const struct dispatch_worker *w,
+                      struct dispatch_job *j, const struct rr_run_name *name,
+                      struct rr_time now)
+{
+  const struct rr_job_graph_step *s = &j->graph->steps[name->step];
+  const struct rr_queue_policy *q = dispatch_queue_policy (d, j);
+  struct constraints c
+      = { .job = j,
+          .step = s,
+          .name = name,
+          .service = q->service[0] != '\0' ? q->service : j->graph->service };
+  if (!worker_allowed (w, &c, now) || !worker_fits (w, s))
+    return 0;
+  int64_t room = s->task_count;
+  if (s->memory_mb > 0 && w->free_memory_mb / s->memory_mb < room)
+    room = w->free_memory_mb / s->memory_mb;
+  if (s->accelerators > 0 && w->free_accelerators / s->accelerators < room)
+    room = w->free_accelerators / s->accelerators;
+  int64_t cores
+      = s->best_effort ? unused_cores_milli (w) : w->free_cores_milli;
+  if (s->cores_milli > 0 && cores / s->cores_milli < room)
+    room = cores / s->cores_milli;
+  if (s->per_worker_max > 0
+      && s->per_worker_max - step_run_count (w, j, name) < room)
+    room = s->per_worker_max - step_run_count (w, j, name);
+  return room < 1 ? 1 : (int32_t)room;
+}
+
 /* Keeps other tasks off capacity for the task NAME, for this planning round,
    on the allowed worker that is expected to have enough of it first.  What is
    held for several tasks may be on one worker.  */
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -14,6 +14,9 @@
                               sets the policy of a queue
      permit JOB STEP MS [W...]
                               permits these workers to run the step for MS
+     permit_age MS            later answers come MS after their permits were
+                              issued
+     permit_lost JOB STEP     a call for permits gets no answer
      worker ID RACK CORES MEMORY
                               registers a worker, with cores in thousandths
      drain ID                 the worker drains
@@ -119,6 +122,8 @@
 static size_t recorded_count;
 static struct rr_dispatch_statistics statistics[RR_CLASSES_MAX];
 static size_t statistics_count;
+static struct rr_permit_calls permit_calls;
+static int64_t permit_age_ms; /* of the permits in an answer */
 static struct rr_run_name permit_request_name; /* of the last request */
 static char empty_word[] = "";                 /* stands for missing words */
 
@@ -148,9 +153,8 @@
 }
 
 static void
-on_permit_request (void *data, const struct rr_permit_request *request)
+permit_request_print (const struct rr_permit_request *request)
 {
-  (void)data;
   permit_request_name = request->name;
   printf ("permit request %s step %d:", request->name.job, request->name.step);
   for (size_t i = 0; i < request->worker_count; i++)
@@ -158,6 +162,20 @@
   printf ("\n");
 }
 
+/* Makes all requests for permits of the planning round.  */
+static void
+permits_request (void)
+{
+  struct rr_permit_urgency urgency;
+  while (rr_dispatch_permits_wanted (script.dispatch, &urgency))
+    {
+      struct rr_permit_request request;
+      if (rr_dispatch_permits_request (script.dispatch, &permit_calls,
+                                       &request, script.now))
+        permit_request_print (&request);
+    }
+}
+
 static struct rr_dispatch *
 dispatcher_new (void)
 {
@@ -168,7 +186,6 @@
           .registration_age_max_ms = REGISTRATION_AGE_MAX_MS,
           .remote_factor = 3,
           .send_command = on_command,
-          .request_permits = on_permit_request,
           .log_decision = log_decision };
   struct rr_dispatch *fresh = rr_dispatch_new (&o);
   for (size_t i = 0; i < queue_count; i++)
@@ -190,6 +207,7 @@
   rr_dispatch_plan (script.dispatch, script.confirmed,
                     rr_time_add (script.confirmed, LEASE_MAX_MS),
                     start_bytes_max, script.now);
+  permits_request ();
   for (size_t i = 0; i < command_count; i++)
     {
       struct fake_worker *w = fake_worker_find (commands[i].worker_id);
@@ -356,12 +374,23 @@
       int n = snprintf (token, sizeof token, "t-%s", word[i]);
       permits[i - 4].permit_token = rr_text_new (token, (size_t)n);
     }
-  rr_dispatch_permits_set (script.dispatch, &name, permits, words - 4,
-                           strtol (word[3], NULL, 10), script.now);
+  rr_dispatch_permits_set (
+      script.dispatch, &name, permits, words - 4, strtol (word[3], NULL, 10),
+      rr_time_add (script.now, -permit_age_ms), script.now);
   for (size_t i = 4; i < words; i++)
     rr_text_unref (permits[i - 4].permit_token);
 }
 
+/* A call for permits for the step gets no answer.  */
+static void
+permits_lose (char **word)
+{
+  struct rr_run_name name = { .step = (int32_t)strtol (word[2], NULL, 10) };
+  snprintf (name.job, sizeof name.job, "%s", word[1]);
+  rr_dispatch_permits_set (script.dispatch, &name, NULL, 0, 0, script.now,
+                           script.now);
+}
+
 static void
 print_idle (int64_t new_ms, int64_t started_ms)
 {
@@ -528,6 +557,10 @@
     reserve ();
   else if (strcmp (c, "permit") == 0)
     permits_grant (word, words);
+  else if (strcmp (c, "permit_age") == 0)
+    permit_age_ms = strtol (word[1], NULL, 10);
+  else if (strcmp (c, "permit_lost") == 0)
+    permits_lose (word);
   else if (strcmp (c, "confirm") == 0)
     confirming = strcmp (word[1], "on") == 0;
   else if (strcmp (c, "registrations") == 0)
@@ -561,6 +594,7 @@
 main (void)
 {
   char line[512];
+  rr_permit_calls_init (&permit_calls);
   script.dispatch = dispatcher_new ();
   while (fgets (line, sizeof line, stdin) != NULL)
     {
--- a/tests/entry/test_documents.c
+++ b/tests/entry/test_documents.c
@@ -314,6 +314,31 @@
 }
 END_TEST
 
+/* Guards against a permit service whose times are not known, which decide how
+   long an answer is waited for and for how long permits are used.  */
+START_TEST (test_permit_times)
+{
+  static const char text[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"a.example\","
+        "\"prefix\":\"/x/\",\"service\":\"desk\",\"advice\":{\"decisionMs\":"
+        "90,\"perWorkerMs\":7,\"validMs\":2500}},{\"name\":\"r2\",\"host\":"
+        "\"a.example\",\"prefix\":\"/y/\",\"service\":\"desk\",\"advice\":{"
+        "\"decisionMs\":\"soon\"}},{\"name\":\"r3\",\"host\":\"a.example\","
+        "\"prefix\":\"/z/\",\"service\":\"desk\"}]}";
+  struct rr_error err = { 0 };
+  struct rr_queues *q = platform_config_decode (text, strlen (text), &err);
+  ck_assert_ptr_nonnull (q);
+  ck_assert (q->routes[0].policy.needs_permits);
+  ck_assert_int_eq (q->routes[0].policy.permit_times.decision_ms, 90);
+  ck_assert_int_eq (q->routes[0].policy.permit_times.per_worker_ms, 7);
+  ck_assert_int_eq (q->routes[0].policy.permit_times.valid_ms, 2500);
+  ck_assert (q->routes[1].policy.needs_permits);
+  ck_assert_int_eq (q->routes[1].policy.permit_times.valid_ms, 0);
+  ck_assert (!q->routes[2].policy.needs_permits);
+  rr_queues_free (q);
+}
+END_TEST
+
 /* Guards against invalid settings that are accepted, and against unknown or
    missing optional settings that prevent a daemon from starting.  */
 START_TEST (test_settings)
@@ -358,6 +383,7 @@
   tcase_add_loop_test (tc, test_odd_worker_numbers, 0, 10);
   tcase_add_test (tc, test_worker_digests);
   tcase_add_test (tc, test_routes);
+  tcase_add_test (tc, test_permit_times);
   tcase_add_test (tc, test_settings);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
