--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -309,7 +309,7 @@
 
 /* A job that runs nowhere can move to another shard: it is held while the
    change is stored, and dropped afterwards.  */
-size_t rr_dispatch_idle_jobs (const struct rr_dispatch *d, const char **ids,
+size_t rr_dispatch_idle_jobs (struct rr_dispatch *d, const char **ids,
                               size_t max, int64_t new_ms, int64_t started_ms,
                               struct rr_time now);
 uint64_t rr_dispatch_run_base (const struct rr_dispatch *d, const char *id);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -265,6 +265,7 @@
   bool inheriting;
   bool releasing;                  /* another owner is to take over */
   struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
+  struct rr_handle idle_cursor;    /* of rr_dispatch_idle_jobs */
   uint64_t first_run;       /* of inherited tasks: above former owners' runs */
   uint64_t former_run;      /* lowest run number of the last owner */
   uint64_t runs_end;        /* numbers below it are reserved */
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -16,29 +16,47 @@
   return true;
 }
 
+/* Returns whether J certainly runs nowhere and has waited for capacity: for
+   NEW_MS when none of its tasks was ever started, for STARTED_MS otherwise.
+   Started jobs that are divisible are left out, since their tasks move one by
+   one.  */
+static bool
+job_waits (const struct rr_dispatch *d, const struct dispatch_job *j,
+           int64_t new_ms, int64_t started_ms, struct rr_time now)
+{
+  bool started = j->version != 0;
+  struct rr_time since = dispatch_occurrence_start (d, j, 0);
+  if (started && rr_time_before (since, j->last_run_seen))
+    since = j->last_run_seen;
+  return (!started || !rr_job_graph_divisible (j->graph))
+         && rr_time_diff (now, since) >= (started ? started_ms : new_ms)
+         && job_idle (j);
+}
+
 /* Writes the ids of at most MAX jobs that certainly run nowhere and have
-   waited for capacity: for NEW_MS when none of their tasks was ever started,
-   for STARTED_MS otherwise.  Started jobs that are divisible are left out,
-   since their tasks move one by one.  Returns the number of ids.  */
+   waited for NEW_MS or STARTED_MS.  Returns their number.  Successive calls
+   cycle through the jobs: the first MAX may have no other shard.  */
 size_t
-rr_dispatch_idle_jobs (const struct rr_dispatch *d, const char **ids,
-                       size_t max, int64_t new_ms, int64_t started_ms,
-                       struct rr_time now)
+rr_dispatch_idle_jobs (struct rr_dispatch *d, const char **ids, size_t max,
+                       int64_t new_ms, int64_t started_ms, struct rr_time now)
 {
   size_t n = 0;
-  struct rr_handle h = { 0 };
-  const struct dispatch_job *j;
-  while (n < max && (j = rr_table_next (d->jobs, &h)) != NULL)
+  size_t left = rr_table_count (d->jobs);
+  while (left > 0 && n < max)
     {
-      bool started = j->version != 0;
-      struct rr_time since = dispatch_occurrence_start (d, j, 0);
-      if (started && rr_time_before (since, j->last_run_seen))
-        since = j->last_run_seen;
-      if ((!started || !rr_job_graph_divisible (j->graph))
-          && rr_time_diff (now, since) >= (started ? started_ms : new_ms)
-          && job_idle (j))
+      const struct dispatch_job *j = rr_table_next (d->jobs, &d->idle_cursor);
+      if (j == NULL)
+        {
+          d->idle_cursor = (struct rr_handle){ 0 };
+          continue;
+        }
+      left--;
+      if (job_waits (d, j, new_ms, started_ms, now))
         ids[n++] = j->graph->id;
     }
+  /* All were seen: the next call begins with the first again.  */
+  if (left == 0)
+    d->idle_cursor = (struct rr_handle){ 0 };
   return n;
 }
 
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -357,10 +357,10 @@
 }
 
 static void
-print_idle (int64_t new_ms, int64_t started_ms)
+print_idle (int64_t new_ms, int64_t started_ms, size_t max)
 {
   const char *ids[JOBS_MAX];
-  size_t n = rr_dispatch_idle_jobs (script.dispatch, ids, JOBS_MAX, new_ms,
+  size_t n = rr_dispatch_idle_jobs (script.dispatch, ids, max, new_ms,
                                     started_ms, script.now);
   printf ("idle:");
   for (size_t i = 0; i < n; i++)
@@ -413,7 +413,8 @@
 transfer_command (char **word, size_t words)
 {
   if (strcmp (word[0], "idle") == 0)
-    print_idle (strtol (word[1], NULL, 10), strtol (word[2], NULL, 10));
+    print_idle (strtol (word[1], NULL, 10), strtol (word[2], NULL, 10),
+                words > 3 ? strtoul (word[3], NULL, 10) : JOBS_MAX);
   else if (strcmp (word[0], "hold") == 0 || strcmp (word[0], "release") == 0)
     rr_dispatch_job_hold (script.dispatch, word[1], word[0][0] == 'h');
   else if (strcmp (word[0], "waiting") == 0)
