--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -22,7 +22,19 @@
   RR_WORKER_LABELS = 8,
   /* A lease may end this much later than its length after it was granted,
      since the worker's clock is known only as of its last report.  */
-  RR_LEASE_EXCESS_MAX_MS = 700
+  RR_LEASE_EXCESS_MAX_MS = 700,
+  /* A best-effort task starts only where at least this percentage of its cores
+     is unused: with less, best-effort tasks would only slow each other
+     down.  */
+  RR_BEST_EFFORT_UNUSED_MIN_PERCENT = 60
+};
+
+/* What is left of a step of a job, in all its occurrences.  */
+enum rr_step_state
+{
+  RR_STEP_OVER,  /* no task waits */
+  RR_STEP_LATER, /* tasks wait for other steps or for their time */
+  RR_STEP_READY  /* a task could start now */
 };
 
 /* A worker as described by its registration.  */
--- a/rosemaryentryd/shard_selection.c
+++ b/rosemaryentryd/shard_selection.c
@@ -1,7 +1,9 @@
 #include "rosemaryentryd/shard_selection.h"
 
+#include <assert.h>
 #include <stdlib.h>
-#include <string.h>
+
+#include "rosemaryentryd/shard_fit.h"
 
 /* Selects shards for jobs and tasks.  A new job goes to a random shard, with a
    probability that increases with its free capacity.  The capacity follows
@@ -18,59 +20,6 @@
   OWNERLESS_DIVISOR = 3
 };
 
-/* How well the workers of a shard suit a job.  */
-struct shard_fit
-{
-  int64_t capacity_milli;
-  bool has_rack;  /* a worker is in the rack of the job's data */
-  bool has_label; /* each required label is on some worker */
-};
-
-static const char *
-first_rack (const struct rr_job_graph *g)
-{
-  for (size_t i = 0; i < g->step_count; i++)
-    if (g->steps[i].rack[0] != '\0')
-      return g->steps[i].rack;
-  return "";
-}
-
-/* Returns the steps, among G's first 64, whose required label W lacks, as a
-   bit mask.  */
-static uint64_t
-labels_missing (const struct platform_worker *w, const struct rr_job_graph *g)
-{
-  uint64_t missing = 0;
-  for (size_t i = 0; i < g->step_count && i < 64; i++)
-    if (g->steps[i].required_label[0] != '\0'
-        && !rr_worker_has_label (&w->info, g->steps[i].required_label))
-      missing |= UINT64_C (1) << i;
-  return missing;
-}
-
-static struct shard_fit
-shard_fit_compute (struct entry *e, const struct shard_record *s,
-                   const struct rr_job_graph *g)
-{
-  struct shard_fit fit = { 0 };
-  const char *rack = first_rack (g);
-  fit.has_rack = rack[0] == '\0';
-  uint64_t missing = UINT64_MAX; /* on every worker so far */
-  struct rr_handle h = { 0 };
-  const struct platform_worker *w;
-  while ((w = records_worker_next (e->records, &h)) != NULL)
-    {
-      if (w->info.draining || strcmp (w->info.service, g->service) != 0
-          || records_shard_of_worker (e->records, w) != s)
-        continue;
-      fit.capacity_milli += w->info.cores_milli;
-      fit.has_rack = fit.has_rack || rr_worker_has_label (&w->info, rack);
-      missing &= labels_missing (w, g);
-    }
-  fit.has_label = missing == 0;
-  return fit;
-}
-
 /* Returns whether all steps of G are best-effort.  */
 static bool
 is_best_effort (const struct rr_job_graph *g)
@@ -110,26 +59,63 @@
   return is_best_effort (g) ? s->demand_milli : s->non_best_effort_cores_milli;
 }
 
-/* Returns the weight of shard S in the selection for G: the cores
-   without competing demand; 0 where G can't run.  */
+/* Returns the weight of shard S in the selection for G: the cores without
+   competing demand.  */
 static int64_t
-shard_weight (struct entry *e, const struct shard_record *s,
+shard_weight (const struct shard_record *s, const struct shard_fit *fit,
               const struct rr_job_graph *g)
 {
-  struct shard_fit fit = shard_fit_compute (e, s, g);
-  if (fit.capacity_milli == 0 || !fit.has_label)
-    return 0;
-  int64_t capacity = fit.capacity_milli - competing_milli (s, g);
-  int64_t least = fit.capacity_milli / FULL_SHARD_DIVISOR;
+  int64_t capacity = fit->capacity_milli - competing_milli (s, g);
+  int64_t least = fit->capacity_milli / FULL_SHARD_DIVISOR;
   if (capacity < least)
     capacity = least;
-  if (!fit.has_rack)
+  if (!fit->has_rack)
     capacity /= REMOTE_DIVISOR;
   if (s->owner_revision == 0)
     capacity /= OWNERLESS_DIVISOR;
   return capacity > 0 ? capacity : 1;
 }
 
+/* Writes to STATES what is left of the new job G.  */
+static void
+new_job_states (const struct rr_job_graph *g, enum rr_step_state *states)
+{
+  for (size_t i = 0; i < g->step_count; i++)
+    states[i] = g->steps[i].after_count == 0 ? RR_STEP_READY : RR_STEP_LATER;
+}
+
+/* Fills WEIGHTS with those of the shards for the new job G, and returns their
+   sum.  A shard has one only if it can run a first step of G, and no other one
+   can run more steps; 0 if no shard can run a first step.  */
+static int64_t
+weigh_shards (struct entry *e, const struct rr_job_graph *g, int64_t *weights)
+{
+  enum rr_step_state *states = calloc (g->step_count + 1, sizeof *states);
+  assert (states != NULL);
+  new_job_states (g, states);
+  struct shard_fits f;
+  shard_fits_init (&f, e, g);
+  size_t most = 0;
+  int64_t sum = 0;
+  for (size_t i = 0; i < f.shard_count; i++)
+    {
+      weights[i] = 0;
+      size_t steps = shard_fits_count (&f, i, states, RR_STEP_LATER);
+      if (shard_fits_count (&f, i, states, RR_STEP_READY) == 0 || steps < most)
+        continue;
+      for (size_t k = 0; k < i && steps > most; k++)
+        weights[k] = 0;
+      sum = steps > most ? 0 : sum;
+      most = steps;
+      weights[i]
+          = shard_weight (records_shard_at (e->records, i), &f.shards[i], g);
+      sum += weights[i];
+    }
+  shard_fits_clear (&f);
+  free (states);
+  return sum;
+}
+
 /* Selects a shard at random by weight.  The shard with the most free capacity
    would receive the jobs of all daemons until its owner publishes its new
    load.  */
@@ -137,15 +123,10 @@
 shard_selection_for_job (struct entry *e, const struct rr_job_graph *g)
 {
   size_t n = records_shard_count (e->records);
-  int64_t weights[SHARDS_MAX];
-  int64_t sum = 0;
-  for (size_t i = 0; i < n; i++)
-    {
-      weights[i] = shard_weight (e, records_shard_at (e->records, i), g);
-      sum += weights[i];
-    }
   if (n == 0)
     return NULL;
+  int64_t weights[SHARDS_MAX];
+  int64_t sum = weigh_shards (e, g, weights);
   if (sum == 0)
     return records_shard_at (e->records, (size_t)rand () % n);
   int64_t drawn = (int64_t)((double)sum * rand () / ((double)RAND_MAX + 1));
@@ -162,17 +143,26 @@
   return s->capacity_milli - competing_milli (s, g);
 }
 
-/* Returns whether work of G that waits in FROM can be transferred to S.  Work
-   goes away from the rack of its data only when FROM has no workers.  */
+/* Returns the position of S among the shards.  */
+static size_t
+shard_number (struct entry *e, const struct shard_record *s)
+{
+  return (size_t)(s - records_shard_at (e->records, 0));
+}
+
+/* Returns whether work of G that waits in FROM can be transferred to S for its
+   free capacity: S can run each step that FROM can, and one at least.  Work
+   goes away from the rack of its data only when FROM has no usable workers. */
 static bool
-can_transfer (struct entry *e, const struct shard_record *from,
-              const struct shard_record *s, const struct rr_job_graph *g)
+can_transfer (struct entry *e, const struct shard_fits *f,
+              const struct shard_record *from, const struct shard_record *s,
+              const enum rr_step_state *states)
 {
-  if (s == from || s->owner_revision == 0)
-    return false;
-  struct shard_fit fit = shard_fit_compute (e, s, g);
-  return fit.capacity_milli > 0 && fit.has_label
-         && (fit.has_rack || from->capacity_milli == 0);
+  size_t i = shard_number (e, s);
+  return s != from && s->owner_revision != 0
+         && shard_fits_count (f, i, states, RR_STEP_LATER) > 0
+         && shard_fits_includes (f, i, shard_number (e, from), states)
+         && (f->shards[i].has_rack || from->capacity_milli == 0);
 }
 
 /* Returns the shard with the most free capacity for G, which waits in FROM.
@@ -183,17 +173,30 @@
                               const struct rr_job_graph *g)
 {
   struct shard_record *best = NULL;
+  struct shard_fits f;
+  bool computed = false;
+  enum rr_step_state *states = calloc (g->step_count + 1, sizeof *states);
+  assert (states != NULL);
+  new_job_states (g, states);
   int64_t least = free_milli (from, g) + first_step_demand (g);
   if (least < first_step_demand (g))
     least = first_step_demand (g);
   for (size_t i = 0; i < records_shard_count (e->records); i++)
     {
       struct shard_record *s = records_shard_at (e->records, i);
-      if (free_milli (s, g) < least || !can_transfer (e, from, s, g))
+      if (s == from || free_milli (s, g) < least)
+        continue;
+      if (!computed)
+        shard_fits_init (&f, e, g);
+      computed = true;
+      if (!can_transfer (e, &f, from, s, states))
         continue;
       best = s;
       least = free_milli (s, g) + 1;
     }
+  if (computed)
+    shard_fits_clear (&f);
+  free (states);
   return best;
 }
 
@@ -206,17 +209,22 @@
                                    const struct rr_job_graph *g,
                                    size_t *tasks_max)
 {
+  static const enum rr_step_state states[] = { RR_STEP_READY };
   int64_t cores = g->steps[0].cores_milli > 0 ? g->steps[0].cores_milli : 1;
   struct shard_record *best = NULL;
-  for (size_t i = 0; i < records_shard_count (e->records); i++)
+  struct shard_fits f;
+  shard_fits_init (&f, e, g);
+  for (size_t i = 0; i < f.shard_count; i++)
     {
       struct shard_record *s = records_shard_at (e->records, i);
       if (s->largest_free_cores_milli >= cores
           && free_milli (s, g) >= 2 * cores
           && (best == NULL || free_milli (s, g) > free_milli (best, g))
-          && can_transfer (e, from, s, g))
+          && shard_fits_step (&f, i, 0)
+          && can_transfer (e, &f, from, s, states))
         best = s;
     }
+  shard_fits_clear (&f);
   /* Half of the free capacity, since published loads are out of date and other
      shards transfer tasks there too.  */
   *tasks_max = best == NULL ? 0 : (size_t)(free_milli (best, g) / (2 * cores));
--- a/rosemaryrail/dispatch_select.c
+++ b/rosemaryrail/dispatch_select.c
@@ -6,11 +6,8 @@
 
 enum
 {
-  /* A best-effort task starts only where at least this percentage of its cores
-     is unused: with less, best-effort tasks would only slow each other
-     down.  */
-  BEST_EFFORT_UNUSED_MIN_PERCENT = 60,
-  /* ... and where it can run at this speed or faster.  */
+  /* A best-effort task starts only where it can run at this speed or
+     faster.  */
   BEST_EFFORT_SPEED_MIN_PERCENT = 50,
   /* Percentage of their cores that latency-critical tasks use at their
      peak.  */
@@ -141,7 +138,7 @@
   if (!s->best_effort)
     return w->free_cores_milli >= s->cores_milli;
   return unused_cores_milli (w) * 100
-         >= s->cores_milli * BEST_EFFORT_UNUSED_MIN_PERCENT;
+         >= s->cores_milli * RR_BEST_EFFORT_UNUSED_MIN_PERCENT;
 }
 
 /* Groups latency-critical tasks by image, so that a best-effort task that
--- a/tests/entry/test_shard_selection.c
+++ b/tests/entry/test_shard_selection.c
@@ -3,7 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "rosemaryentryd/shard_fit.h"
 #include "rosemaryentryd/shard_selection.h"
+#include "rosemaryrail/queues.h"
 
 /* Selection of a shard for a job.  Two shards of two workers each replace the
    records of the store.  */
@@ -52,6 +54,7 @@
 {
   memset (workers, 0, sizeof workers);
   memset (shards, 0, sizeof shards);
+  memset (&entry, 0, sizeof entry);
   for (size_t i = 0; i < SHARDS; i++)
     {
       snprintf (shards[i].name, sizeof shards[i].name, "s%zu", i);
@@ -65,6 +68,7 @@
       snprintf (w->id, sizeof w->id, "w%zu", i);
       snprintf (w->service, sizeof w->service, "desk");
       w->cores_milli = 4000;
+      w->memory_mb = 8000;
       w->label_count = 1;
     }
 }
@@ -88,6 +92,13 @@
   return g;
 }
 
+/* Returns the shard to which G goes from the shard number FROM.  */
+static struct shard_record *
+transfer (size_t from, const struct rr_job_graph *g)
+{
+  return shard_selection_for_transfer (&entry, &shards[from], g);
+}
+
 /* Guards against a job whose steps require different labels being treated as
    one that no shard can run.  It was then sent to a shard without these
    labels.  */
@@ -100,12 +111,10 @@
   snprintf (g->steps[1].required_label, RR_JOB_NAME_SIZE, "wide");
   for (int i = 0; i < 50; i++)
     ck_assert_str_eq (shard_selection_for_job (&entry, g)->name, "s0");
-  ck_assert_ptr_null (shard_selection_for_transfer (&entry, &shards[0], g));
-  ck_assert_ptr_eq (shard_selection_for_transfer (&entry, &shards[1], g),
-                    NULL);
+  ck_assert_ptr_null (transfer (0, g));
+  ck_assert_ptr_null (transfer (1, g));
   shards[1].non_best_effort_cores_milli = 9000;
-  ck_assert_ptr_eq (shard_selection_for_transfer (&entry, &shards[1], g),
-                    &shards[0]);
+  ck_assert_ptr_eq (transfer (1, g), &shards[0]);
   rr_job_graph_free (g);
 }
 END_TEST
@@ -119,12 +128,11 @@
   struct rr_job_graph *g = graph (1);
   snprintf (g->steps[0].rack, RR_JOB_NAME_SIZE, "r1");
   shards[0].non_best_effort_cores_milli = 9000;
-  ck_assert_ptr_null (shard_selection_for_transfer (&entry, &shards[0], g));
+  ck_assert_ptr_null (transfer (0, g));
   shards[0].capacity_milli = 0;
-  ck_assert_ptr_eq (shard_selection_for_transfer (&entry, &shards[0], g),
-                    &shards[1]);
+  ck_assert_ptr_eq (transfer (0, g), &shards[1]);
   shards[1].owner_revision = 0;
-  ck_assert_ptr_null (shard_selection_for_transfer (&entry, &shards[0], g));
+  ck_assert_ptr_null (transfer (0, g));
   rr_job_graph_free (g);
 }
 END_TEST
@@ -147,6 +155,90 @@
 }
 END_TEST
 
+/* Fails unless G, new or waiting in the full shard 1, goes to shard 0, and
+   from a full shard 0 to no other one.  */
+static void
+check_goes_to_first (const struct rr_job_graph *g)
+{
+  for (int i = 0; i < 50; i++)
+    ck_assert_str_eq (shard_selection_for_job (&entry, g)->name, "s0");
+  shards[0].non_best_effort_cores_milli = 9000;
+  ck_assert_ptr_null (transfer (0, g));
+  shards[0].non_best_effort_cores_milli = 0;
+  shards[1].non_best_effort_cores_milli = 60000;
+  shards[0].capacity_milli = 60000;
+  ck_assert_ptr_eq (transfer (1, g), &shards[0]);
+  shards[1].non_best_effort_cores_milli = 0;
+  shards[0].capacity_milli = 8000;
+}
+
+/* Guards against a job that is given to a shard where no worker can run it,
+   since another worker lacks what it needs: case 9 of the second review
+   (accelerators), and the same by other conditions.  */
+START_TEST (workers_that_cannot_run_it)
+{
+  struct rr_job_graph *g = graph (1);
+  g->steps[0].accelerators = 1;
+  workers[2].info.accelerators = 1;
+  check_goes_to_first (g);
+  g->steps[0].accelerators = 0;
+  g->steps[0].memory_mb = 9000;
+  workers[2].info.memory_mb = 10000;
+  check_goes_to_first (g);
+  g->steps[0].memory_mb = 0;
+  g->steps[0].cores_milli = 5000;
+  workers[2].info.cores_milli = 6000;
+  check_goes_to_first (g);
+  /* Only a worker that meets all conditions counts.  */
+  workers[1].info.accelerators = 1;
+  workers[3].info.cores_milli = 6000;
+  g->steps[0].accelerators = 1;
+  check_goes_to_first (g);
+  rr_job_graph_free (g);
+}
+END_TEST
+
+/* Guards against a job that stays with workers that drain or belong to the
+   former service of its queue, while others could run it.  */
+START_TEST (workers_that_leave_or_serve_others)
+{
+  struct rr_job_graph *g = graph (1);
+  workers[1].info.draining = workers[3].info.draining = true;
+  check_goes_to_first (g);
+  for (size_t i = 0; i < WORKERS; i++)
+    workers[i].info.draining = false;
+  snprintf (workers[1].info.service, RR_JOB_NAME_SIZE, "lab");
+  snprintf (workers[3].info.service, RR_JOB_NAME_SIZE, "lab");
+  check_goes_to_first (g);
+  struct rr_queues *q = rr_queues_new (1);
+  snprintf (g->queue, sizeof g->queue, "q");
+  snprintf (q->routes[0].policy.queue, RR_JOB_NAME_SIZE, "q");
+  snprintf (q->routes[0].policy.service, RR_JOB_NAME_SIZE, "lab");
+  entry.queues = q;
+  ck_assert_str_eq (shard_selection_for_job (&entry, g)->name, "s1");
+  ck_assert_ptr_null (transfer (1, g));
+  rr_queues_free (q);
+  rr_job_graph_free (g);
+}
+END_TEST
+
+/* Guards against a gang in a shard that has no room for all its members at the
+   same time.  */
+START_TEST (gang_needs_room_for_all)
+{
+  struct rr_job_graph *g = graph (1);
+  g->steps[0].gang = true;
+  g->steps[0].task_count = 9;
+  workers[2].info.cores_milli = 8000;
+  check_goes_to_first (g);
+  g->steps[0].task_count = 2;
+  g->steps[0].per_worker_max = 1;
+  workers[3].info.draining = true;
+  check_goes_to_first (g);
+  rr_job_graph_free (g);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -156,6 +248,9 @@
   tcase_add_test (tc, labels_of_different_steps);
   tcase_add_test (tc, data_in_a_lost_shard);
   tcase_add_test (tc, fragmented_capacity);
+  tcase_add_test (tc, workers_that_cannot_run_it);
+  tcase_add_test (tc, workers_that_leave_or_serve_others);
+  tcase_add_test (tc, gang_needs_room_for_all);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
