--- a/include/rosemaryentryd/shard_fit.h
+++ b/include/rosemaryentryd/shard_fit.h
@@ -26,6 +26,9 @@
   int32_t *room_needed; /* by step */
 };
 
+bool shard_fit_any_ready (struct entry *e, const struct shard_record *shard,
+                          const struct rr_job_graph *g,
+                          const enum rr_step_state *states);
 void shard_fits_init (struct shard_fits *f, struct entry *e,
                       const struct rr_job_graph *g);
 void shard_fits_clear (struct shard_fits *f);
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -8,6 +8,7 @@
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/shard.h"
+#include "rosemaryentryd/shard_selection.h"
 #include "rosemaryentryd/worker_connection.h"
 
 enum
@@ -40,7 +41,12 @@
   TRANSFER_WAIT_MS = 300,
   /* The same for a started job: it has had capacity here before.  */
   TRANSFER_STARTED_WAIT_MS = 1000,
-  TRANSFERS_MAX = 5, /* of one job, since published loads are out of date */
+  /* Transfers of one job for free capacity, since published loads are out of
+     date.  Those to a shard that can run it are not limited.  */
+  TRANSFERS_MAX = 5,
+  /* Interval between looks for a worker for a job that none can run: each one
+     compares all its steps with all workers.  */
+  UNFIT_INTERVAL_MS = 500,
   /* Each job needs two conditions, two writes and a removal, and the owner key
      a condition.  */
   TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 5,
@@ -185,6 +191,9 @@
 void shard_send_statistics (struct shard *s, struct rr_time now);
 void shard_transfer_jobs (struct shard *s, struct rr_time now);
 void shard_transfer_clear (struct shard *s);
+bool shard_unfit_recently (const struct job_record *j, struct rr_time now);
+bool shard_unfit_note (struct shard *s, struct job_record *j,
+                       enum shard_verdict verdict, struct rr_time now);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
 void shard_summarize_jobs (struct shard *s, struct rr_time now);
 
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -262,6 +262,7 @@
 void rr_dispatch_registrations_set_time (struct rr_dispatch *d,
                                          struct rr_time at,
                                          struct rr_time store_responded);
+bool rr_dispatch_registrations_stale (const struct rr_dispatch *d);
 void rr_dispatch_worker_unregister (struct rr_dispatch *d, const char *id,
                                     struct rr_time now);
 void rr_dispatch_worker_mark_recorded (struct rr_dispatch *d,
@@ -324,6 +325,9 @@
 size_t rr_dispatch_idle_jobs (struct rr_dispatch *d, const char **ids,
                               size_t max, int64_t new_ms, int64_t started_ms,
                               struct rr_time now);
+void rr_dispatch_job_steps (const struct rr_dispatch *d, const char *id,
+                            enum rr_step_state *states, size_t count,
+                            struct rr_time now);
 uint64_t rr_dispatch_run_base (const struct rr_dispatch *d, const char *id);
 void rr_dispatch_job_hold (struct rr_dispatch *d, const char *id, bool held);
 bool rr_dispatch_job_drop (struct rr_dispatch *d, const char *id);
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -163,17 +163,21 @@
    destination has capacity for.  */
 static void
 prepare_division (struct shard *s, const struct rr_waiting_task *tasks,
-                  size_t n)
+                  size_t n, struct rr_time now)
 {
   struct division *v = &s->division;
   shard_record_id (s, tasks[0].job, v->source.id);
-  const struct job_record *j = records_job (s->entry->records, v->source.id);
-  struct rr_job_graph *from = decode_record (j);
+  struct job_record *j = records_job (s->entry->records, v->source.id);
+  struct rr_job_graph *from
+      = j == NULL || shard_unfit_recently (j, now) ? NULL : decode_record (j);
   if (from == NULL)
     return;
   size_t tasks_max;
+  enum shard_verdict verdict;
   struct shard_record *target = shard_selection_for_task_transfer (
-      s->entry, s->record, from, &tasks_max);
+      s->entry, s->record, from, &tasks_max, &verdict);
+  if (!shard_unfit_note (s, j, verdict, now))
+    target = NULL;
   struct rr_job_graph *to
       = target == NULL ? NULL
                        : find_destination (s, from, target, &v->destination);
@@ -199,8 +203,8 @@
   rr_job_graph_free (to);
 }
 
-/* Transfers waiting tasks of long-running jobs to shards with free
-   capacity.  */
+/* Transfers waiting tasks of long-running jobs to shards with free capacity,
+   or that can run them if this one can't.  */
 void
 shard_divide_jobs (struct shard *s, struct rr_time now)
 {
@@ -213,7 +217,7 @@
       size_t n = rr_dispatch_waiting_tasks (
           s->dispatch, tasks, DIVIDE_TASKS_MAX, DIVIDE_WAIT_MS, now);
       if (n > 0)
-        prepare_division (s, tasks, n);
+        prepare_division (s, tasks, n, now);
     }
   if (v->active)
     division_send (s);
--- a/rosemaryentryd/shard_fit.c
+++ b/rosemaryentryd/shard_fit.c
@@ -69,6 +69,32 @@
   return s->gang ? s->task_count : 1;
 }
 
+/* Returns whether the workers of SHARD can run a step of G that is ready by
+   STATES.  Stops at the first one, since this is asked for each waiting job
+   and nearly always true.  */
+bool
+shard_fit_any_ready (struct entry *e, const struct shard_record *shard,
+                     const struct rr_job_graph *g,
+                     const enum rr_step_state *states)
+{
+  const char *service = job_service (e, g);
+  for (size_t i = 0; i < g->step_count; i++)
+    {
+      int32_t needed = step_room_needed (&g->steps[i]);
+      struct rr_handle h = { 0 };
+      const struct platform_worker *w;
+      while (states[i] == RR_STEP_READY && needed > 0
+             && (w = records_worker_next (e->records, &h)) != NULL)
+        if (!w->info.draining
+            && records_shard_of_worker (e->records, w) == shard
+            && strcmp (w->info.service, service) == 0)
+          needed -= (int32_t)worker_room (&w->info, &g->steps[i], needed);
+      if (needed <= 0)
+        return true;
+    }
+  return false;
+}
+
 /* Adds the worker W of the shard number SHARD to F.  */
 static void
 fits_add_worker (struct shard_fits *f, size_t shard,
--- a/rosemaryentryd/shard_selection.c
+++ b/rosemaryentryd/shard_selection.c
@@ -150,9 +150,49 @@
   return (size_t)(s - records_shard_at (e->records, 0));
 }
 
-/* Returns whether work of G that waits in FROM can be transferred to S for its
-   free capacity: S can run each step that FROM can, and one at least.  Work
-   goes away from the rack of its data only when FROM has no usable workers. */
+/* Returns the shard to which G goes from FROM, whose workers can run no step
+   that is ready by STATES: the one that can run the most steps that are left,
+   in the rack of the data if possible, with the most free capacity.  Sets
+   VERDICT.  Null also while the shard that can run one has no owner.  */
+static struct shard_record *
+select_fitting (struct entry *e, const struct shard_record *from,
+                const struct rr_job_graph *g, const enum rr_step_state *states,
+                enum shard_verdict *verdict)
+{
+  struct shard_record *best = NULL;
+  size_t most = 0;
+  bool has_rack = false;
+  struct shard_fits f;
+  shard_fits_init (&f, e, g);
+  *verdict = SHARDS_UNFIT;
+  for (size_t i = 0; i < f.shard_count; i++)
+    {
+      struct shard_record *s = records_shard_at (e->records, i);
+      if (shard_fits_count (&f, i, states, RR_STEP_READY) == 0)
+        continue;
+      *verdict = SHARD_UNFIT;
+      size_t steps = shard_fits_count (&f, i, states, RR_STEP_LATER);
+      bool rack = f.shards[i].has_rack;
+      if (s == from || s->owner_revision == 0)
+        continue;
+      bool better = best == NULL || steps > most
+                    || (steps == most && rack && !has_rack)
+                    || (steps == most && rack == has_rack
+                        && free_milli (s, g) > free_milli (best, g));
+      if (!better)
+        continue;
+      best = s;
+      most = steps;
+      has_rack = rack;
+    }
+  shard_fits_clear (&f);
+  return best;
+}
+
+/* Returns whether work of G that waits in FROM, whose workers can run a ready
+   step, can be transferred to S for its free capacity: S can run each step
+   that FROM can, and one at least.  Work goes away from the rack of its data
+   only when FROM has no usable workers.  */
 static bool
 can_transfer (struct entry *e, const struct shard_fits *f,
               const struct shard_record *from, const struct shard_record *s,
@@ -168,16 +208,14 @@
 /* Returns the shard with the most free capacity for G, which waits in FROM.
    Its free capacity covers G's first step, and exceeds that of FROM by at
    least as much.  Null when there is no such shard.  */
-struct shard_record *
-shard_selection_for_transfer (struct entry *e, const struct shard_record *from,
-                              const struct rr_job_graph *g)
+static struct shard_record *
+select_for_capacity (struct entry *e, const struct shard_record *from,
+                     const struct rr_job_graph *g,
+                     const enum rr_step_state *states)
 {
   struct shard_record *best = NULL;
   struct shard_fits f;
   bool computed = false;
-  enum rr_step_state *states = calloc (g->step_count + 1, sizeof *states);
-  assert (states != NULL);
-  new_job_states (g, states);
   int64_t least = free_milli (from, g) + first_step_demand (g);
   if (least < first_step_demand (g))
     least = first_step_demand (g);
@@ -196,18 +234,37 @@
     }
   if (computed)
     shard_fits_clear (&f);
-  free (states);
   return best;
 }
 
+/* Returns the shard to which the job G goes, which waits in FROM, with what is
+   left of its steps in STATES: one that can run it if FROM can't, or one with
+   more free capacity if FOR_CAPACITY.  Null when there is none.  */
+struct shard_record *
+shard_selection_for_transfer (struct entry *e, const struct shard_record *from,
+                              const struct rr_job_graph *g,
+                              const enum rr_step_state *states,
+                              bool for_capacity, enum shard_verdict *verdict)
+{
+  *verdict = SHARD_FITS;
+  bool any_ready = false;
+  for (size_t i = 0; i < g->step_count && !any_ready; i++)
+    any_ready = states[i] == RR_STEP_READY;
+  if (any_ready && !shard_fit_any_ready (e, from, g, states))
+    return select_fitting (e, from, g, states, verdict);
+  return for_capacity ? select_for_capacity (e, from, g, states) : NULL;
+}
+
 /* Returns the shard with the most free capacity for tasks of the long-running
-   job G, of which some wait in FROM; null when none has capacity for one. Sets
-   TASKS_MAX to the number of tasks that can be transferred there.  */
+   job G, of which some wait in FROM; null when none has capacity for one, and
+   FROM can run them or no shard can.  Sets TASKS_MAX to the number of tasks
+   that can be transferred there.  */
 struct shard_record *
 shard_selection_for_task_transfer (struct entry *e,
                                    const struct shard_record *from,
                                    const struct rr_job_graph *g,
-                                   size_t *tasks_max)
+                                   size_t *tasks_max,
+                                   enum shard_verdict *verdict)
 {
   static const enum rr_step_state states[] = { RR_STEP_READY };
   int64_t cores = g->steps[0].cores_milli > 0 ? g->steps[0].cores_milli : 1;
@@ -224,9 +281,18 @@
           && can_transfer (e, &f, from, s, states))
         best = s;
     }
+  bool fits = shard_fits_step (&f, shard_number (e, from), 0);
   shard_fits_clear (&f);
+  *verdict = SHARD_FITS;
   /* Half of the free capacity, since published loads are out of date and other
      shards transfer tasks there too.  */
   *tasks_max = best == NULL ? 0 : (size_t)(free_milli (best, g) / (2 * cores));
-  return best;
+  if (fits)
+    return best;
+  struct shard_record *fitting = select_fitting (e, from, g, states, verdict);
+  if (best != NULL || fitting == NULL)
+    return best;
+  /* Where they are they will never run, so they wait there instead.  */
+  *tasks_max = SIZE_MAX;
+  return fitting;
 }
--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -1,5 +1,6 @@
 #include "rosemaryentryd/shard_private.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,7 +9,8 @@
 #include "rosemaryentryd/transfer_outcome.h"
 
 /* Transfers jobs that have waited too long for free capacity to a shard that
-   has it, with their progress.  Only jobs that certainly run nowhere are
+   has it, and jobs that no worker of their shard can run to a shard that has
+   one, with their progress.  Only jobs that certainly run nowhere are
    transferred, so that the next owner can start them without asking any
    worker.  */
 
@@ -128,44 +130,67 @@
   store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_transferred, s);
 }
 
-/* Prepares the transfer of the job ID if another shard has free capacity for
-   it.  */
+/* Prepares the transfer of the job ID, with the graph G, to TARGET.  */
 static void
-transfer_add (struct shard *s, const char *id)
+transfer_prepare (struct shard *s, const char *id, struct rr_job_graph *g,
+                  struct shard_record *target)
 {
   const struct job_record *j = records_job (s->entry->records, id);
-  if (j == NULL || j->graph_text == NULL || j->transfers >= TRANSFERS_MAX)
+  struct transfer_entry *t = &s->transfer[s->transfer_count++];
+  memset (t, 0, sizeof *t);
+  shard_selection_add_demand (target, g);
+  snprintf (t->id, sizeof t->id, "%s", id);
+  snprintf (t->target, sizeof t->target, "%s", target->name);
+  snprintf (g->shard, sizeof g->shard, "%s", target->name);
+  t->revision = j->job_revision;
+  t->progress_revision = j->progress_revision;
+  uint64_t version;
+  if (t->progress_revision != 0)
+    t->progress = rr_dispatch_progress_encode (s->dispatch, id, &version);
+  free (g->progress);
+  g->progress = t->progress == NULL ? NULL : strdup (t->progress);
+  g->run_base = rr_dispatch_run_base (s->dispatch, id);
+  t->text = rr_job_graph_encode (g);
+  rr_dispatch_job_hold (s->dispatch, id, true);
+}
+
+/* Returns the shard to which G, the graph of J, goes; null: none.  */
+static struct shard_record *
+transfer_target (struct shard *s, struct job_record *j,
+                 const struct rr_job_graph *g, struct rr_time now)
+{
+  enum rr_step_state *states = calloc (g->step_count + 1, sizeof *states);
+  assert (states != NULL);
+  rr_dispatch_job_steps (s->dispatch, j->id, states, g->step_count, now);
+  enum shard_verdict verdict;
+  struct shard_record *target = shard_selection_for_transfer (
+      s->entry, s->record, g, states, j->transfers < TRANSFERS_MAX, &verdict);
+  if (!shard_unfit_note (s, j, verdict, now))
+    target = NULL;
+  free (states);
+  return target;
+}
+
+/* Prepares the transfer of the job ID if its shard can't run it and another
+   one can, or if another one has free capacity for it.  */
+static void
+transfer_add (struct shard *s, const char *id, struct rr_time now)
+{
+  struct job_record *j = records_job (s->entry->records, id);
+  if (j == NULL || j->graph_text == NULL || shard_unfit_recently (j, now))
     return;
   struct rr_error err = { 0 };
   struct rr_job_graph *g
       = rr_job_graph_decode (j->graph_text, strlen (j->graph_text), &err);
   struct shard_record *target
-      = g == NULL || g->divided
-            ? NULL
-            : shard_selection_for_transfer (s->entry, s->record, g);
+      = g == NULL || g->divided ? NULL : transfer_target (s, j, g, now);
   if (target != NULL)
-    {
-      struct transfer_entry *t = &s->transfer[s->transfer_count++];
-      memset (t, 0, sizeof *t);
-      shard_selection_add_demand (target, g);
-      snprintf (t->id, sizeof t->id, "%s", id);
-      snprintf (t->target, sizeof t->target, "%s", target->name);
-      snprintf (g->shard, sizeof g->shard, "%s", target->name);
-      t->revision = j->job_revision;
-      t->progress_revision = j->progress_revision;
-      uint64_t version;
-      if (t->progress_revision != 0)
-        t->progress = rr_dispatch_progress_encode (s->dispatch, id, &version);
-      free (g->progress);
-      g->progress = t->progress == NULL ? NULL : strdup (t->progress);
-      g->run_base = rr_dispatch_run_base (s->dispatch, id);
-      t->text = rr_job_graph_encode (g);
-      rr_dispatch_job_hold (s->dispatch, id, true);
-    }
+    transfer_prepare (s, id, g, target);
   rr_job_graph_free (g);
 }
 
-/* Transfers jobs that wait for free capacity to shards that have it.  */
+/* Transfers jobs that wait here to shards that can run them or have more free
+   capacity.  */
 void
 shard_transfer_jobs (struct shard *s, struct rr_time now)
 {
@@ -179,7 +204,7 @@
                                         TRANSFER_WAIT_MS,
                                         TRANSFER_STARTED_WAIT_MS, now);
       for (size_t i = 0; i < n; i++)
-        transfer_add (s, ids[i]);
+        transfer_add (s, ids[i], now);
     }
   if (s->transfer_count > 0)
     transfer_send (s);
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -60,6 +60,38 @@
   return n;
 }
 
+/* Returns what is left of STEP of J.  */
+static enum rr_step_state
+step_state (const struct rr_dispatch *d, const struct dispatch_job *j,
+            size_t step, struct rr_time now)
+{
+  enum rr_step_state state = RR_STEP_OVER;
+  for (int32_t k = 0; k < j->graph->occurrence_count; k++)
+    {
+      if (j->steps[(size_t)k * j->graph->step_count + step].waiting == 0)
+        continue;
+      state = RR_STEP_LATER;
+      if (!rr_time_before (now, dispatch_occurrence_start (d, j, k))
+          && dispatch_step_ready (j, k, step))
+        return RR_STEP_READY;
+    }
+  return state;
+}
+
+/* Writes to STATES what is left of the first COUNT steps of job ID; of an
+   unknown job nothing is.  */
+void
+rr_dispatch_job_steps (const struct rr_dispatch *d, const char *id,
+                       enum rr_step_state *states, size_t count,
+                       struct rr_time now)
+{
+  const struct dispatch_job *j = dispatch_job_find (d, id);
+  for (size_t i = 0; i < count; i++)
+    states[i] = j != NULL && i < j->graph->step_count
+                    ? step_state (d, j, i, now)
+                    : RR_STEP_OVER;
+}
+
 /* Returns the lowest run number that is free for every task of job ID.  */
 uint64_t
 rr_dispatch_run_base (const struct rr_dispatch *d, const char *id)
--- a/rosemaryrail/dispatch_workers.c
+++ b/rosemaryrail/dispatch_workers.c
@@ -244,6 +244,13 @@
   d->registrations_stale = stale;
 }
 
+/* Returns whether the workers' registrations are too old to start tasks.  */
+bool
+rr_dispatch_registrations_stale (const struct rr_dispatch *d)
+{
+  return d->registrations_stale;
+}
+
 /* Records that the worker ID is no longer registered.  Its tasks may go
    on.  */
 void
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -369,6 +369,18 @@
   printf ("\n");
 }
 
+static void
+print_steps (const char *job, size_t count)
+{
+  static const char *const names[] = { "over", "later", "ready" };
+  enum rr_step_state states[RUNS_MAX];
+  rr_dispatch_job_steps (script.dispatch, job, states, count, script.now);
+  printf ("steps:");
+  for (size_t i = 0; i < count; i++)
+    printf (" %s", names[states[i]]);
+  printf ("\n");
+}
+
 static void
 print_waiting (int64_t waited_ms)
 {
@@ -415,6 +427,8 @@
   if (strcmp (word[0], "idle") == 0)
     print_idle (strtol (word[1], NULL, 10), strtol (word[2], NULL, 10),
                 words > 3 ? strtoul (word[3], NULL, 10) : JOBS_MAX);
+  else if (strcmp (word[0], "steps") == 0)
+    print_steps (word[1], strtoul (word[2], NULL, 10));
   else if (strcmp (word[0], "hold") == 0 || strcmp (word[0], "release") == 0)
     rr_dispatch_job_hold (script.dispatch, word[1], word[0][0] == 'h');
   else if (strcmp (word[0], "waiting") == 0)
