--- a/include/rosemaryentryd/records.h
+++ b/include/rosemaryentryd/records.h
@@ -53,9 +53,11 @@
   int64_t owner_phase_revision; /* of the phase from the owner; 0: none */
   int64_t job_revision;
   int32_t transfers; /* changes of its shard read by this daemon */
-  /* When the owner, this daemon, last found that no worker of any shard can
-     run what is ready; ms 0: one can.  */
+  /* When the owner, this daemon, first and last found that no worker of any
+     shard can run what is ready; ms 0: one can.  */
+  struct rr_time unfit_since;
   struct rr_time unfit_at;
+  bool unfit_logged;
   int64_t accepted_ms;     /* since 1970 */
   struct rr_time finished; /* when this daemon read its end */
 };
--- a/include/rosemaryentryd/shard_fit.h
+++ b/include/rosemaryentryd/shard_fit.h
@@ -38,5 +38,7 @@
                          enum rr_step_state least);
 bool shard_fits_includes (const struct shard_fits *f, size_t shard,
                           size_t other, const enum rr_step_state *states);
+const char *shard_fit_missing (struct entry *e, const struct rr_job_graph *g,
+                               size_t step);
 
 #endif
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -47,6 +47,12 @@
   /* Interval between looks for a worker for a job that none can run: each one
      compares all its steps with all workers.  */
   UNFIT_INTERVAL_MS = 500,
+  /* A job that no worker can run is logged after this long: workers that
+     restart, or register while the deployment starts, are back by then.  */
+  UNFIT_LOG_AFTER_MS = 2000,
+  /* A job that was not looked at for this long has run meanwhile and is logged
+     anew: several times what a look at 1000 waiting jobs takes.  */
+  UNFIT_FORGET_AFTER_MS = 30000,
   /* Each job needs two conditions, two writes and a removal, and the owner key
      a condition.  */
   TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 5,
@@ -144,7 +150,8 @@
   struct transfer_entry transfer[TRANSFER_JOBS_MAX];
   size_t transfer_count;
   bool transferring;
-  bool transfer_unknown; /* an attempt without answer may take effect */
+  bool transfer_unknown;       /* an attempt without answer may take effect */
+  struct rr_time unfit_looked; /* when waiting jobs were last compared */
   struct division division;
   int64_t first_block; /* of run numbers of this owner */
   int64_t last_block;  /* its last one, which may not be stored yet */
@@ -193,6 +200,8 @@
 void shard_transfer_clear (struct shard *s);
 bool shard_unfit_recently (const struct job_record *j, struct rr_time now);
 bool shard_unfit_note (struct shard *s, struct job_record *j,
+                       const struct rr_job_graph *g,
+                       const enum rr_step_state *states,
                        enum shard_verdict verdict, struct rr_time now);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
 void shard_summarize_jobs (struct shard *s, struct rr_time now);
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -165,6 +165,7 @@
 prepare_division (struct shard *s, const struct rr_waiting_task *tasks,
                   size_t n, struct rr_time now)
 {
+  static const enum rr_step_state states[] = { RR_STEP_READY };
   struct division *v = &s->division;
   shard_record_id (s, tasks[0].job, v->source.id);
   struct job_record *j = records_job (s->entry->records, v->source.id);
@@ -176,7 +177,7 @@
   enum shard_verdict verdict;
   struct shard_record *target = shard_selection_for_task_transfer (
       s->entry, s->record, from, &tasks_max, &verdict);
-  if (!shard_unfit_note (s, j, verdict, now))
+  if (!shard_unfit_note (s, j, from, states, verdict, now))
     target = NULL;
   struct rr_job_graph *to
       = target == NULL ? NULL
@@ -209,7 +210,7 @@
 shard_divide_jobs (struct shard *s, struct rr_time now)
 {
   struct division *v = &s->division;
-  if (v->sending || s->stopping || records_shard_count (s->entry->records) < 2)
+  if (v->sending || s->stopping)
     return;
   if (!v->active)
     {
--- a/rosemaryentryd/shard_fit.c
+++ b/rosemaryentryd/shard_fit.c
@@ -180,3 +180,39 @@
       return false;
   return true;
 }
+
+/* Returns what the workers of all shards lack that STEP of G needs: the first
+   condition that no worker meets which meets those before.  */
+const char *
+shard_fit_missing (struct entry *e, const struct rr_job_graph *g, size_t step)
+{
+  static const char *const reasons[]
+      = { "service", "label", "cores", "memory", "accelerators", "gang" };
+  const struct rr_job_graph_step *s = &g->steps[step];
+  const char *service = job_service (e, g);
+  size_t met_most = 0;
+  struct rr_handle h = { 0 };
+  const struct platform_worker *w;
+  while ((w = records_worker_next (e->records, &h)) != NULL)
+    {
+      if (w->info.draining || strcmp (w->info.service, service) != 0)
+        continue;
+      /* The needs of S up to and including each condition.  */
+      struct rr_job_graph_step part = *s;
+      part.cores_milli = part.memory_mb = part.accelerators = 0;
+      size_t met = 1;
+      if (worker_room (&w->info, &part, 1) > 0)
+        {
+          met = 2;
+          part.cores_milli = s->cores_milli;
+          met += worker_room (&w->info, &part, 1) > 0;
+          part.memory_mb = s->memory_mb;
+          met += met == 3 && worker_room (&w->info, &part, 1) > 0;
+          part.accelerators = s->accelerators;
+          met += met == 4 && worker_room (&w->info, &part, 1) > 0;
+        }
+      if (met > met_most)
+        met_most = met;
+    }
+  return reasons[met_most];
+}
--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -165,7 +165,7 @@
   enum shard_verdict verdict;
   struct shard_record *target = shard_selection_for_transfer (
       s->entry, s->record, g, states, j->transfers < TRANSFERS_MAX, &verdict);
-  if (!shard_unfit_note (s, j, verdict, now))
+  if (!shard_unfit_note (s, j, g, states, verdict, now))
     target = NULL;
   free (states);
   return target;
@@ -190,13 +190,17 @@
 }
 
 /* Transfers jobs that wait here to shards that can run them or have more free
-   capacity.  */
+   capacity, and reports those that no shard can run.  */
 void
 shard_transfer_jobs (struct shard *s, struct rr_time now)
 {
-  if (s->transferring || s->stopping
-      || records_shard_count (s->entry->records) < 2)
+  if (s->transferring || s->stopping)
     return;
+  /* With one shard there is only something to report.  */
+  if (records_shard_count (s->entry->records) < 2
+      && rr_time_diff (now, s->unfit_looked) < UNFIT_INTERVAL_MS)
+    return;
+  s->unfit_looked = now;
   if (s->transfer_count == 0)
     {
       const char *ids[TRANSFER_JOBS_MAX];
--- a/tests/entry/test_shard_selection.c
+++ b/tests/entry/test_shard_selection.c
@@ -245,6 +245,7 @@
   g->steps[0].task_count = 3;
   ck_assert_ptr_null (transfer (0, g));
   ck_assert_int_eq (verdict, SHARDS_UNFIT);
+  ck_assert_str_eq (shard_fit_missing (&entry, g, 0), "gang");
   rr_job_graph_free (g);
 }
 END_TEST
@@ -287,7 +288,19 @@
   shards[0].non_best_effort_cores_milli = 9000;
   ck_assert_ptr_null (transfer (0, g));
   ck_assert_int_eq (verdict, SHARDS_UNFIT);
+  ck_assert_str_eq (shard_fit_missing (&entry, g, 0), "accelerators");
+  s->memory_mb = 9000;
+  ck_assert_str_eq (shard_fit_missing (&entry, g, 0), "memory");
+  s->cores_milli = 9000;
+  ck_assert_str_eq (shard_fit_missing (&entry, g, 0), "cores");
+  snprintf (s->required_label, RR_JOB_NAME_SIZE, "b");
+  ck_assert_str_eq (shard_fit_missing (&entry, g, 0), "label");
+  snprintf (g->service, sizeof g->service, "lab");
+  ck_assert_str_eq (shard_fit_missing (&entry, g, 0), "service");
   /* It goes as soon as there is a worker, to a shard that has an owner.  */
+  snprintf (g->service, sizeof g->service, "desk");
+  s->required_label[0] = '\0';
+  s->cores_milli = s->memory_mb = 1000;
   workers[1].info.accelerators = 1;
   shards[1].owner_revision = 0;
   ck_assert_ptr_null (transfer (0, g));
--- a/tests/entry/unfit_work.sh
+++ b/tests/entry/unfit_work.sh
@@ -59,6 +59,17 @@
 wait_for "the long-running tasks" 20 lasting 2
 echo "long-running tasks run"
 
+# No worker of any shard has this label until worker 8 starts.
+submit 12 "{$task,\"requirements\":\"z9\"}"
+unfit() { cat "$work"/d?.log | grep -c "event=job_unfit .*job=000000000000000c .*lacking=label"; }
+wait_for "the log line" 5 grep -q event=job_unfit "$work/d1.log" "$work/d2.log" "$work/d3.log"
+sleep 2
+echo "logged $(unfit)"
+counted() { for i in 1 2 3; do curl -s -m 1 "http://$address:$((25700 + i))/metrics"; done; }
+echo "counted $(counted | grep -c 'rosemaryrail_events_total{event="job_unfit"} 1')"
+start_worker_in 8 z9
+wait_jobs 12 12
+echo "job completed once there is a worker"
 request DELETE 1 000000000000000b >/dev/null
 verify "$work/none"
 echo "verified"
