--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -339,6 +339,7 @@
   const char *job;
   uint32_t number;
   uint64_t next_run;
+  uint32_t crashes; /* of workers under it, in a row */
 };
 
 /* A waiting task can move to another shard: it is withheld while the change is
--- a/include/rosemaryrail/job_graph.h
+++ b/include/rosemaryrail/job_graph.h
@@ -39,12 +39,14 @@
   char image[RR_JOB_NAME_SIZE];
 };
 
-/* A task of a divided job that its shard runs, and the lowest number of its
-   next run there, which is above the numbers that other shards have used.  */
+/* A task of a divided job that its shard runs, the lowest number of its next
+   run there, which is above the numbers that other shards have used, and how
+   many workers in a row had crashed under it when it came.  */
 struct rr_job_graph_share
 {
   uint32_t task;
   uint64_t first_run;
+  uint32_t crashes;
 };
 
 /* The job graph of a submitted job: a DAG of steps that runs once or at
@@ -80,7 +82,7 @@
 bool rr_job_graph_divisible (const struct rr_job_graph *g);
 void rr_job_graph_divide (struct rr_job_graph *g, bool all);
 void rr_job_graph_share_add (struct rr_job_graph *g, uint32_t task,
-                             uint64_t first_run);
+                             uint64_t first_run, uint32_t crashes);
 bool rr_job_graph_share_remove (struct rr_job_graph *g, uint32_t task);
 const struct rr_job_graph_share *
 rr_job_graph_share_find (const struct rr_job_graph *g, uint32_t task);
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -159,11 +159,24 @@
   return g;
 }
 
+/* Removes from the N tasks of TASKS those that are suspected to crash workers,
+   and returns the number of the others.  */
+static size_t
+remove_suspected (struct rr_waiting_task *tasks, size_t n)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < n; i++)
+    if (tasks[i].crashes == 0)
+      tasks[kept++] = tasks[i];
+  return kept;
+}
+
 /* Prepares the transfer of N waiting TASKS of one job, or of as many as the
-   destination has capacity for.  */
+   destination has capacity for.  Tasks that are suspected to crash workers go
+   only where they can run if they can't here: the evidence stays here.  */
 static void
-prepare_division (struct shard *s, const struct rr_waiting_task *tasks,
-                  size_t n, struct rr_time now)
+prepare_division (struct shard *s, struct rr_waiting_task *tasks, size_t n,
+                  struct rr_time now)
 {
   static const enum rr_step_state states[] = { RR_STEP_READY };
   struct division *v = &s->division;
@@ -179,6 +192,10 @@
       s->entry, s->record, from, &tasks_max, &verdict);
   if (!shard_unfit_note (s, j, from, states, verdict, now))
     target = NULL;
+  if (verdict == SHARD_FITS)
+    n = remove_suspected (tasks, n);
+  if (n == 0)
+    target = NULL;
   struct rr_job_graph *to
       = target == NULL ? NULL
                        : find_destination (s, from, target, &v->destination);
@@ -192,7 +209,8 @@
       for (size_t i = 0; i < v->tasks; i++)
         {
           rr_job_graph_share_remove (from, tasks[i].number);
-          rr_job_graph_share_add (to, tasks[i].number, tasks[i].next_run);
+          rr_job_graph_share_add (to, tasks[i].number, tasks[i].next_run,
+                                  tasks[i].crashes);
           rr_dispatch_task_withhold (s->dispatch, from->id, tasks[i].number);
         }
       target->non_best_effort_cores_milli
--- a/rosemaryrail/dispatch_crash.c
+++ b/rosemaryrail/dispatch_crash.c
@@ -280,6 +280,19 @@
   s->stands_at = rr_time_add (now, CONFIRM_MS);
 }
 
+/* Another shard has counted CRASHES under T, of which this owner knows nothing
+   else.  The last one that gives it up is counted by the shard that saw it. */
+void
+dispatch_crash_receive (struct dispatch_task *t, uint32_t crashes)
+{
+  if (crashes >= CRASHES_MAX)
+    crashes = CRASHES_MAX - 1;
+  if (crashes <= t->crashes)
+    return;
+  t->crashes = crashes;
+  t->restored_crashes = crashes;
+}
+
 /* A worker has listed how a run of task NUMBER of J ended, so it did not crash
    under that run.  If a former owner had suspected that, its count has one too
    many.  */
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -487,6 +487,7 @@
 void dispatch_crash_restore (struct rr_dispatch *d, struct dispatch_job *j,
                              uint32_t number, uint32_t stored,
                              struct rr_time now);
+void dispatch_crash_receive (struct dispatch_task *t, uint32_t crashes);
 void dispatch_crash_end_reported (struct rr_dispatch *d,
                                   struct dispatch_job *j, uint32_t number);
 void dispatch_crash_clear (struct rr_dispatch *d, struct dispatch_job *j,
--- a/rosemaryrail/dispatch_transfer.c
+++ b/rosemaryrail/dispatch_transfer.c
@@ -132,7 +132,8 @@
 }
 
 /* Sets which tasks of J this shard may start, from the share in G: all if G is
-   not divided.  A task that is placed here stays here.  */
+   not divided.  A task that is placed here stays here; one that has not run
+   here since it came has the crashes that were counted before.  */
 void
 dispatch_job_set_share (struct dispatch_job *j, const struct rr_job_graph *g)
 {
@@ -147,6 +148,8 @@
           continue;
         }
       const struct rr_job_graph_share *share = rr_job_graph_share_find (g, i);
+      if (share != NULL && t->next_run <= share->first_run)
+        dispatch_crash_receive (t, share->crashes);
       if (share != NULL && share->first_run > t->first_run)
         t->first_run = share->first_run;
       if (t->next_run < t->first_run)
@@ -194,12 +197,12 @@
           struct rr_time since = t->not_before;
           if (rr_time_before (since, j->accepted))
             since = j->accepted;
-          /* The count of crashes stays with this shard, and so does the
-             task.  */
-          if (t->state == TASK_WAITING && !dispatch_crash_suspected (t)
+          /* A task that is not started any more is given up here or goes on
+             here.  */
+          if (t->state == TASK_WAITING && !dispatch_crash_given_up (t)
               && rr_time_diff (now, since) >= waited_ms)
-            tasks[n++]
-                = (struct rr_waiting_task){ j->graph->id, i, t->next_run };
+            tasks[n++] = (struct rr_waiting_task){ j->graph->id, i,
+                                                   t->next_run, t->crashes };
         }
       if (n == 0)
         j = rr_table_next (d->jobs, &d->waiting_cursor);
--- a/rosemaryrail/job_graph.c
+++ b/rosemaryrail/job_graph.c
@@ -49,18 +49,20 @@
   g->divided = true;
   g->share_count = 0;
   for (uint32_t i = 0; all && i < (uint32_t)g->steps[0].task_count; i++)
-    rr_job_graph_share_add (g, i, 1);
+    rr_job_graph_share_add (g, i, 1, 0);
 }
 
-/* Adds TASK to the share of G, with the lowest number of its next run.  */
+/* Adds TASK to the share of G, with the lowest number of its next run
+   and the number of CRASHES under it.  */
 void
 rr_job_graph_share_add (struct rr_job_graph *g, uint32_t task,
-                        uint64_t first_run)
+                        uint64_t first_run, uint32_t crashes)
 {
   rr_job_graph_share_remove (g, task);
   g->share = realloc (g->share, (g->share_count + 1) * sizeof *g->share);
   assert (g->share != NULL);
-  g->share[g->share_count++] = (struct rr_job_graph_share){ task, first_run };
+  g->share[g->share_count++]
+      = (struct rr_job_graph_share){ task, first_run, crashes };
 }
 
 /* Returns the entry of TASK in the share of the divided job G, or null.  */
--- a/rosemaryrail/job_graph_codec.c
+++ b/rosemaryrail/job_graph_codec.c
@@ -49,7 +49,8 @@
 
 static const struct rr_stored_field share_fields[]
     = { { "task", RR_STORED_UINT32, SHARE (task) },
-        { "first_run", RR_STORED_COUNT, SHARE (first_run) } };
+        { "first_run", RR_STORED_COUNT, SHARE (first_run) },
+        { "crashes", RR_STORED_UINT32, SHARE (crashes) } };
 
 /* What is stored of a graph in another form than its members have.  */
 struct derived
@@ -145,7 +146,7 @@
                                share_fields, COUNT (share_fields), &share,
                                err))
         return false;
-      rr_job_graph_share_add (g, share.task, share.first_run);
+      rr_job_graph_share_add (g, share.task, share.first_run, share.crashes);
     }
   return true;
 }
--- a/tests/dispatch/script_jobs.c
+++ b/tests/dispatch/script_jobs.c
@@ -90,8 +90,11 @@
         {
           char *run = NULL;
           uint32_t task = (uint32_t)strtoul (word[k], &run, 10);
-          rr_job_graph_share_add (g, task,
-                                  (uint32_t)strtoul (run + 1, NULL, 10));
+          char *crashes = NULL;
+          uint64_t first = strtoul (run + 1, &crashes, 10);
+          rr_job_graph_share_add (
+              g, task, first,
+              *crashes == ':' ? (uint32_t)strtoul (crashes + 1, NULL, 10) : 0);
         }
       free (jobs[i].graph);
       jobs[i].graph = rr_job_graph_encode (g);
--- a/tests/entry/test_stored_forms.c
+++ b/tests/entry/test_stored_forms.c
@@ -188,9 +188,9 @@
   struct rr_job_graph *copy = stored_and_read (g);
   assert_same_graph (g, copy);
   rr_job_graph_free (copy);
-  rr_job_graph_share_add (g, 0, 0);
-  rr_job_graph_share_add (g, 1, 0);
-  rr_job_graph_share_add (g, 2, INT64_MAX);
+  rr_job_graph_share_add (g, 0, 0, 0);
+  rr_job_graph_share_add (g, 1, 0, 2);
+  rr_job_graph_share_add (g, 2, INT64_MAX, 0);
   copy = stored_and_read (g);
   assert_same_graph (g, copy);
   rr_job_graph_free (copy);
