--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -31,6 +31,7 @@
 
 static const char *id;
 static const char *zone;
+static const char *kind;
 static int port;
 static int listed_port;
 static int cores_milli;
@@ -244,7 +245,7 @@
   json_add_int (capacity, "memMb", 64000);
   json_object_object_add (entry, "capacity", capacity);
   struct json_object *labels = json_object_new_array ();
-  json_object_array_add (labels, json_object_new_string ("a"));
+  json_object_array_add (labels, json_object_new_string (kind));
   json_object_array_add (labels, json_object_new_string (zone));
   json_object_object_add (entry, "labels", labels);
   struct json_object *body = json_object_new_object ();
@@ -286,12 +287,13 @@
           TEXT_FLAG ("id", "id of the worker", "w1"),
           TEXT_FLAG ("zone", "availability zone", "z1"),
           INT_FLAG ("cores", "capacity in thousandths of a core", 8000),
-          TEXT_FLAG ("log", "file for what runs do", "/dev/stdout") };
+          TEXT_FLAG ("log", "file for what runs do", "/dev/stdout"),
+          TEXT_FLAG ("kind", "kind of the worker, its first label", "a") };
   uv_loop_t *loop = uv_default_loop ();
   struct rr_error err = { 0 };
   int code;
   if (!tool_start (argc, argv, "rr-taskworker",
-                   "Stand-in of a worker on the users' platform.", flags, 7,
+                   "Stand-in of a worker on the users' platform.", flags, 8,
                    loop, &code))
     return code;
   port = flags[0].number;
@@ -300,6 +302,7 @@
   id = flags[3].text;
   zone = flags[4].text;
   cores_milli = flags[5].number;
+  kind = flags[7].text;
   FILE *log = fopen (flags[6].text, "a");
   client = http_client_open (loop, &err);
   if (log == NULL || client == NULL
