--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -8,6 +8,7 @@
 #include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/peers.h"
 #include "rosemaryentryd/shard.h"
+#include "rosemaryentryd/shard_selection.h"
 #include "rosemaryentryd/worker_connection.h"
 
 enum
@@ -37,7 +38,18 @@
   TRANSFER_WAIT_MS = 300,
   /* The same for a started job: it has had capacity here before.  */
   TRANSFER_STARTED_WAIT_MS = 1000,
-  TRANSFERS_MAX = 5, /* of one job, since published loads are out of date */
+  /* Transfers of one job for free capacity, since published loads are out of
+     date.  Those to a shard that can run it are not limited.  */
+  TRANSFERS_MAX = 5,
+  /* Interval between looks for a worker for a job that none can run: each one
+     compares all its steps with all workers.  */
+  UNFIT_INTERVAL_MS = 500,
+  /* A job that no worker can run is logged after this long: workers that
+     restart, or register while the deployment starts, are back by then.  */
+  UNFIT_LOG_AFTER_MS = 2000,
+  /* A job that was not looked at for this long has run meanwhile and is logged
+     anew: several times what a look at 1000 waiting jobs takes.  */
+  UNFIT_FORGET_AFTER_MS = 30000,
   /* Each job needs two conditions, two writes and a removal, and the owner key
      a condition.  */
   TRANSFER_JOBS_MAX = (STORE_TXN_ENTRIES_MAX - 1) / 5,
@@ -135,7 +147,8 @@
   struct transfer_entry transfer[TRANSFER_JOBS_MAX];
   size_t transfer_count;
   bool transferring;
-  bool transfer_unknown; /* an attempt without answer may take effect */
+  bool transfer_unknown;       /* an attempt without answer may take effect */
+  struct rr_time unfit_looked; /* when waiting jobs were last compared */
   struct division division;
   int64_t first_block; /* of run numbers of this owner */
   int64_t last_block;  /* its last one, which may not be stored yet */
@@ -182,6 +195,11 @@
 void shard_send_statistics (struct shard *s, struct rr_time now);
 void shard_transfer_jobs (struct shard *s, struct rr_time now);
 void shard_transfer_clear (struct shard *s);
+bool shard_unfit_recently (const struct job_record *j, struct rr_time now);
+bool shard_unfit_note (struct shard *s, struct job_record *j,
+                       const struct rr_job_graph *g,
+                       const enum rr_step_state *states,
+                       enum shard_verdict verdict, struct rr_time now);
 void shard_forget_jobs (struct shard *s, struct rr_time now);
 void shard_summarize_jobs (struct shard *s, struct rr_time now);
 
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -23,7 +23,19 @@
   RR_WORKER_LABELS = 8,
   /* A lease may end this much later than its length after it was granted,
      since the worker's clock is known only as of its last report.  */
-  RR_LEASE_EXCESS_MAX_MS = 700
+  RR_LEASE_EXCESS_MAX_MS = 700,
+  /* A best-effort task starts only where at least this percentage of its cores
+     is unused: with less, best-effort tasks would only slow each other
+     down.  */
+  RR_BEST_EFFORT_UNUSED_MIN_PERCENT = 60
+};
+
+/* What is left of a step of a job, in all its occurrences.  */
+enum rr_step_state
+{
+  RR_STEP_OVER,  /* no task waits */
+  RR_STEP_LATER, /* tasks wait for other steps or for their time */
+  RR_STEP_READY  /* a task could start now */
 };
 
 /* A worker as described by its registration.  */
@@ -251,6 +263,7 @@
 void rr_dispatch_registrations_set_time (struct rr_dispatch *d,
                                          struct rr_time at,
                                          struct rr_time store_responded);
+bool rr_dispatch_registrations_stale (const struct rr_dispatch *d);
 void rr_dispatch_worker_unregister (struct rr_dispatch *d, const char *id,
                                     struct rr_time now);
 void rr_dispatch_worker_mark_recorded (struct rr_dispatch *d,
@@ -326,9 +339,12 @@
 
 /* A job that runs nowhere can move to another shard: it is held while the
    change is stored, and dropped afterwards.  */
-size_t rr_dispatch_idle_jobs (const struct rr_dispatch *d, const char **ids,
+size_t rr_dispatch_idle_jobs (struct rr_dispatch *d, const char **ids,
                               size_t max, int64_t new_ms, int64_t started_ms,
                               struct rr_time now);
+void rr_dispatch_job_steps (const struct rr_dispatch *d, const char *id,
+                            enum rr_step_state *states, size_t count,
+                            struct rr_time now);
 uint64_t rr_dispatch_run_base (const struct rr_dispatch *d, const char *id);
 void rr_dispatch_job_hold (struct rr_dispatch *d, const char *id, bool held);
 bool rr_dispatch_job_drop (struct rr_dispatch *d, const char *id);
@@ -340,6 +356,7 @@
   const char *job;
   uint32_t number;
   uint64_t next_run;
+  uint32_t crashes; /* of workers under it, in a row */
 };
 
 /* A waiting task can move to another shard: it is withheld while the change is
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -159,21 +159,70 @@
   return g;
 }
 
+/* Removes from the N tasks of TASKS those that are suspected to crash workers,
+   and returns the number of the others.  */
+static size_t
+remove_suspected (struct rr_waiting_task *tasks, size_t n)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < n; i++)
+    if (tasks[i].crashes == 0)
+      tasks[kept++] = tasks[i];
+  return kept;
+}
+
+/* Returns how often the task T, which waits here, has moved since it last ran;
+   FROM is this shard's record of its job.  */
+static uint32_t
+moves_since_run (const struct rr_job_graph *from,
+                 const struct rr_waiting_task *t)
+{
+  const struct rr_job_graph_share *share
+      = rr_job_graph_share_find (from, t->number);
+  return share != NULL && t->next_run <= share->first_run ? share->moves : 0;
+}
+
+/* Removes from the N tasks of TASKS those that have moved TRANSFERS_MAX times
+   since they last ran, and returns the number of the others.  */
+static size_t
+remove_moved (const struct rr_job_graph *from, struct rr_waiting_task *tasks,
+              size_t n)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < n; i++)
+    if (moves_since_run (from, &tasks[i]) < TRANSFERS_MAX)
+      tasks[kept++] = tasks[i];
+  return kept;
+}
+
 /* Prepares the transfer of N waiting TASKS of one job, or of as many as the
-   destination has capacity for.  */
+   destination has capacity for.  Tasks that are suspected to crash workers go
+   only where they can run if they can't here: the evidence stays here.  */
 static void
-prepare_division (struct shard *s, const struct rr_waiting_task *tasks,
-                  size_t n)
+prepare_division (struct shard *s, struct rr_waiting_task *tasks, size_t n,
+                  struct rr_time now)
 {
+  static const enum rr_step_state states[] = { RR_STEP_READY };
   struct division *v = &s->division;
   shard_record_id (s, tasks[0].job, v->source.id);
-  const struct job_record *j = records_job (s->entry->records, v->source.id);
-  struct rr_job_graph *from = decode_record (j);
+  struct job_record *j = records_job (s->entry->records, v->source.id);
+  struct rr_job_graph *from
+      = j == NULL || shard_unfit_recently (j, now) ? NULL : decode_record (j);
   if (from == NULL)
     return;
   size_t tasks_max;
+  bool certain;
+  enum shard_verdict verdict;
   struct shard_record *target = shard_selection_for_task_transfer (
-      s->entry, s->record, from, &tasks_max);
+      s->entry, s->record, from, &tasks_max, &certain, &verdict);
+  if (!shard_unfit_note (s, j, from, states, verdict, now))
+    target = NULL;
+  if (verdict == SHARD_FITS)
+    n = remove_suspected (tasks, n);
+  if (verdict == SHARD_FITS && !certain)
+    n = remove_moved (from, tasks, n);
+  if (n == 0)
+    target = NULL;
   struct rr_job_graph *to
       = target == NULL ? NULL
                        : find_destination (s, from, target, &v->destination);
@@ -186,8 +235,11 @@
       rr_job_graph_divide (from, true);
       for (size_t i = 0; i < v->tasks; i++)
         {
+          uint32_t moves = moves_since_run (from, &tasks[i]) + 1;
           rr_job_graph_share_remove (from, tasks[i].number);
-          rr_job_graph_share_add (to, tasks[i].number, tasks[i].next_run);
+          rr_job_graph_share_add (to, tasks[i].number, tasks[i].next_run,
+                                  tasks[i].crashes);
+          to->share[to->share_count - 1].moves = moves;
           rr_dispatch_task_withhold (s->dispatch, from->id, tasks[i].number);
         }
       target->non_best_effort_cores_milli
@@ -199,13 +251,13 @@
   rr_job_graph_free (to);
 }
 
-/* Transfers waiting tasks of long-running jobs to shards with free
-   capacity.  */
+/* Transfers waiting tasks of long-running jobs to shards with free capacity,
+   or that can run them if this one can't.  */
 void
 shard_divide_jobs (struct shard *s, struct rr_time now)
 {
   struct division *v = &s->division;
-  if (v->sending || s->stopping || records_shard_count (s->entry->records) < 2)
+  if (v->sending || s->stopping)
     return;
   if (!v->active)
     {
@@ -213,7 +265,7 @@
       size_t n = rr_dispatch_waiting_tasks (
           s->dispatch, tasks, DIVIDE_TASKS_MAX, DIVIDE_WAIT_MS, now);
       if (n > 0)
-        prepare_division (s, tasks, n);
+        prepare_division (s, tasks, n, now);
     }
   if (v->active)
     division_send (s);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -297,6 +297,7 @@
   bool inheriting;
   bool releasing;                  /* another owner is to take over */
   struct rr_handle waiting_cursor; /* of rr_dispatch_waiting_tasks */
+  struct rr_handle idle_cursor;    /* of rr_dispatch_idle_jobs */
   uint64_t first_run;       /* of inherited tasks: above former owners' runs */
   uint64_t former_run;      /* lowest run number of the last owner */
   uint64_t runs_end;        /* numbers below it are reserved */
@@ -531,6 +532,7 @@
 void dispatch_crash_restore (struct rr_dispatch *d, struct dispatch_job *j,
                              uint32_t number, uint32_t stored,
                              struct rr_time now);
+void dispatch_crash_receive (struct dispatch_task *t, uint32_t crashes);
 void dispatch_crash_end_reported (struct rr_dispatch *d,
                                   struct dispatch_job *j, uint32_t number);
 void dispatch_crash_clear (struct rr_dispatch *d, struct dispatch_job *j,
