--- a/tests/entry/former_life_lib.sh
+++ b/tests/entry/former_life_lib.sh
@@ -46,6 +46,18 @@
   echo "the worker restarted while a poll was under way"
 }
 
+# restart_with_longest_lease: the poll under way is carried out by the next
+# process of worker 1 and gives what starts there the longest lease.
+restart_with_longest_lease() {
+  start_first_run
+  restart_under_poll
+  relay_release w1
+  relay_mode w1 pass
+  wait_for "the poll to be carried out" 3 present lease_cut
+  echo "the poll gave the longest lease"
+  await_second_run
+}
+
 await_second_run() {
   wait_for "the second run" 5 started 1 2
   echo "the task runs there again"
--- a/tests/entry/lease_of_former_life.sh
+++ b/tests/entry/lease_of_former_life.sh
@@ -5,12 +5,6 @@
 # worker is cut off then, and the task may start elsewhere after that lease only.
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/former_life_lib.sh"
-start_first_run
-restart_under_poll
-relay_release w1
-relay_mode w1 pass
-wait_for "the poll to be carried out" 3 present lease_cut
-echo "the poll gave the longest lease"
-await_second_run
+restart_with_longest_lease
 cut_off
 await_third_run
