--- a/include/rosemaryentryd/shard_fit.h
+++ b/include/rosemaryentryd/shard_fit.h
@@ -12,7 +12,8 @@
 struct shard_fit
 {
   int64_t capacity_milli;
-  bool has_rack; /* a worker is in the rack of the job's data */
+  int64_t unfit_milli; /* of workers that can't run the job's first step */
+  bool has_rack;       /* a worker is in the rack of the job's data */
 };
 
 struct shard_fits
--- a/include/rosemaryentryd/shard_selection.h
+++ b/include/rosemaryentryd/shard_selection.h
@@ -27,7 +27,7 @@
                               bool for_capacity, enum shard_verdict *verdict);
 struct shard_record *shard_selection_for_task_transfer (
     struct entry *e, const struct shard_record *from,
-    const struct rr_job_graph *g, size_t *tasks_max,
+    const struct rr_job_graph *g, size_t *tasks_max, bool *certain,
     enum shard_verdict *verdict);
 void shard_selection_add_demand (struct shard_record *s,
                                  const struct rr_job_graph *g);
--- a/include/rosemaryrail/job_graph.h
+++ b/include/rosemaryrail/job_graph.h
@@ -47,6 +47,7 @@
   uint32_t task;
   uint64_t first_run;
   uint32_t crashes;
+  uint32_t moves; /* between shards, since it ran last */
 };
 
 /* The job graph of a submitted job: a DAG of steps that runs once or at
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -171,6 +171,30 @@
   return kept;
 }
 
+/* Returns how often the task T, which waits here, has moved since it last ran;
+   FROM is this shard's record of its job.  */
+static uint32_t
+moves_since_run (const struct rr_job_graph *from,
+                 const struct rr_waiting_task *t)
+{
+  const struct rr_job_graph_share *share
+      = rr_job_graph_share_find (from, t->number);
+  return share != NULL && t->next_run <= share->first_run ? share->moves : 0;
+}
+
+/* Removes from the N tasks of TASKS those that have moved TRANSFERS_MAX times
+   since they last ran, and returns the number of the others.  */
+static size_t
+remove_moved (const struct rr_job_graph *from, struct rr_waiting_task *tasks,
+              size_t n)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < n; i++)
+    if (moves_since_run (from, &tasks[i]) < TRANSFERS_MAX)
+      tasks[kept++] = tasks[i];
+  return kept;
+}
+
 /* Prepares the transfer of N waiting TASKS of one job, or of as many as the
    destination has capacity for.  Tasks that are suspected to crash workers go
    only where they can run if they can't here: the evidence stays here.  */
@@ -187,13 +211,16 @@
   if (from == NULL)
     return;
   size_t tasks_max;
+  bool certain;
   enum shard_verdict verdict;
   struct shard_record *target = shard_selection_for_task_transfer (
-      s->entry, s->record, from, &tasks_max, &verdict);
+      s->entry, s->record, from, &tasks_max, &certain, &verdict);
   if (!shard_unfit_note (s, j, from, states, verdict, now))
     target = NULL;
   if (verdict == SHARD_FITS)
     n = remove_suspected (tasks, n);
+  if (verdict == SHARD_FITS && !certain)
+    n = remove_moved (from, tasks, n);
   if (n == 0)
     target = NULL;
   struct rr_job_graph *to
@@ -208,9 +235,11 @@
       rr_job_graph_divide (from, true);
       for (size_t i = 0; i < v->tasks; i++)
         {
+          uint32_t moves = moves_since_run (from, &tasks[i]) + 1;
           rr_job_graph_share_remove (from, tasks[i].number);
           rr_job_graph_share_add (to, tasks[i].number, tasks[i].next_run,
                                   tasks[i].crashes);
+          to->share[to->share_count - 1].moves = moves;
           rr_dispatch_task_withhold (s->dispatch, from->id, tasks[i].number);
         }
       target->non_best_effort_cores_milli
--- a/rosemaryentryd/shard_fit.c
+++ b/rosemaryentryd/shard_fit.c
@@ -103,6 +103,8 @@
 {
   struct shard_fit *fit = &f->shards[shard];
   fit->capacity_milli += w->cores_milli;
+  if (worker_room (w, &g->steps[0], 1) == 0)
+    fit->unfit_milli += w->cores_milli;
   fit->has_rack = fit->has_rack || rr_worker_has_label (w, rack);
   int32_t *room = &f->room[shard * f->step_count];
   for (size_t i = 0; i < f->step_count; i++)
--- a/rosemaryentryd/shard_selection.c
+++ b/rosemaryentryd/shard_selection.c
@@ -258,12 +258,13 @@
 /* Returns the shard with the most free capacity for tasks of the long-running
    job G, of which some wait in FROM; null when none has capacity for one, and
    FROM can run them or no shard can.  Sets TASKS_MAX to the number of tasks
-   that can be transferred there.  */
+   that can be transferred there, and CERTAIN if by its load there is room on
+   workers that can run them, not only on others.  */
 struct shard_record *
 shard_selection_for_task_transfer (struct entry *e,
                                    const struct shard_record *from,
                                    const struct rr_job_graph *g,
-                                   size_t *tasks_max,
+                                   size_t *tasks_max, bool *certain,
                                    enum shard_verdict *verdict)
 {
   static const enum rr_step_state states[] = { RR_STEP_READY };
@@ -281,6 +282,10 @@
           && can_transfer (e, &f, from, s, states))
         best = s;
     }
+  *certain
+      = best != NULL
+        && free_milli (best, g) - f.shards[shard_number (e, best)].unfit_milli
+               >= 2 * cores;
   bool fits = shard_fits_step (&f, shard_number (e, from), 0);
   shard_fits_clear (&f);
   *verdict = SHARD_FITS;
--- a/rosemaryrail/job_graph.c
+++ b/rosemaryrail/job_graph.c
@@ -62,7 +62,7 @@
   g->share = realloc (g->share, (g->share_count + 1) * sizeof *g->share);
   assert (g->share != NULL);
   g->share[g->share_count++]
-      = (struct rr_job_graph_share){ task, first_run, crashes };
+      = (struct rr_job_graph_share){ task, first_run, crashes, 0 };
 }
 
 /* Returns the entry of TASK in the share of the divided job G, or null.  */
--- a/rosemaryrail/job_graph_codec.c
+++ b/rosemaryrail/job_graph_codec.c
@@ -50,7 +50,8 @@
 static const struct rr_stored_field share_fields[]
     = { { "task", RR_STORED_UINT32, SHARE (task) },
         { "first_run", RR_STORED_COUNT, SHARE (first_run) },
-        { "crashes", RR_STORED_UINT32, SHARE (crashes) } };
+        { "crashes", RR_STORED_UINT32, SHARE (crashes) },
+        { "moves", RR_STORED_UINT32, SHARE (moves) } };
 
 /* What is stored of a graph in another form than its members have.  */
 struct derived
@@ -147,6 +148,7 @@
                                err))
         return false;
       rr_job_graph_share_add (g, share.task, share.first_run, share.crashes);
+      g->share[g->share_count - 1].moves = share.moves;
     }
   return true;
 }
--- a/tests/entry/test_shard_selection.c
+++ b/tests/entry/test_shard_selection.c
@@ -21,6 +21,7 @@
 static struct entry entry;
 static enum rr_step_state states[4];
 static enum shard_verdict verdict;
+static bool certain;
 
 const struct platform_worker *
 records_worker_next (const struct records *r, struct rr_handle *cursor)
@@ -152,13 +153,14 @@
   struct rr_job_graph *g = graph (1);
   size_t tasks_max = 0;
   shards[0].capacity_milli = 0;
-  ck_assert_ptr_eq (shard_selection_for_task_transfer (&entry, &shards[0], g,
-                                                       &tasks_max, &verdict),
+  ck_assert_ptr_eq (shard_selection_for_task_transfer (
+                        &entry, &shards[0], g, &tasks_max, &certain, &verdict),
                     &shards[1]);
   ck_assert_uint_eq (tasks_max, 4);
+  ck_assert (certain);
   shards[1].largest_free_cores_milli = 900;
   ck_assert_ptr_null (shard_selection_for_task_transfer (
-      &entry, &shards[0], g, &tasks_max, &verdict));
+      &entry, &shards[0], g, &tasks_max, &certain, &verdict));
   rr_job_graph_free (g);
 }
 END_TEST
@@ -337,19 +339,27 @@
   g->steps[0].long_running = true;
   g->steps[0].accelerators = 1;
   workers[1].info.accelerators = 1;
+  size_t tasks_max = 0;
+  /* Worker 1 may be full: what is free may be on worker 3.  */
+  workers[0].info.accelerators = 1;
+  shards[1].non_best_effort_cores_milli = 4000;
+  ck_assert_ptr_eq (shard_selection_for_task_transfer (
+                        &entry, &shards[0], g, &tasks_max, &certain, &verdict),
+                    &shards[1]);
+  ck_assert (!certain);
+  workers[0].info.accelerators = 0;
   shards[1].non_best_effort_cores_milli = 8000;
   shards[1].largest_free_cores_milli = 0;
-  size_t tasks_max = 0;
-  ck_assert_ptr_eq (shard_selection_for_task_transfer (&entry, &shards[0], g,
-                                                       &tasks_max, &verdict),
+  ck_assert_ptr_eq (shard_selection_for_task_transfer (
+                        &entry, &shards[0], g, &tasks_max, &certain, &verdict),
                     &shards[1]);
   ck_assert_uint_ge (tasks_max, 2);
   ck_assert_ptr_null (shard_selection_for_task_transfer (
-      &entry, &shards[1], g, &tasks_max, &verdict));
+      &entry, &shards[1], g, &tasks_max, &certain, &verdict));
   ck_assert_int_eq (verdict, SHARD_FITS);
   workers[1].info.accelerators = 0;
   ck_assert_ptr_null (shard_selection_for_task_transfer (
-      &entry, &shards[0], g, &tasks_max, &verdict));
+      &entry, &shards[0], g, &tasks_max, &certain, &verdict));
   ck_assert_int_eq (verdict, SHARDS_UNFIT);
   rr_job_graph_free (g);
 }
--- a/tests/entry/test_stored_forms.c
+++ b/tests/entry/test_stored_forms.c
@@ -38,6 +38,8 @@
     {
       ck_assert_uint_eq (x.share[i].task, y.share[i].task);
       ck_assert_uint_eq (x.share[i].first_run, y.share[i].first_run);
+      ck_assert_uint_eq (x.share[i].crashes, y.share[i].crashes);
+      ck_assert_uint_eq (x.share[i].moves, y.share[i].moves);
     }
   x.share = y.share = NULL;
   for (size_t i = 0; i < x.step_count; i++)
@@ -191,6 +193,7 @@
   rr_job_graph_share_add (g, 0, 0, 0);
   rr_job_graph_share_add (g, 1, 0, 2);
   rr_job_graph_share_add (g, 2, INT64_MAX, 0);
+  g->share[1].moves = 3;
   copy = stored_and_read (g);
   assert_same_graph (g, copy);
   rr_job_graph_free (copy);
