entry: weights of shards are initialised where they are read

clang-tidy took the weights of a new job's shards for unset where they are drawn from ("garbage value"), since it can't see that there are as many as shards. Callers saw nothing.

--- a/rosemaryentryd/shard_selection.c
+++ b/rosemaryentryd/shard_selection.c
@@ -125,7 +125,7 @@
   size_t n = records_shard_count (e->records);
   if (n == 0)
     return NULL;
-  int64_t weights[SHARDS_MAX];
+  int64_t weights[SHARDS_MAX] = { 0 };
   int64_t sum = weigh_shards (e, g, weights);
   if (sum == 0)
     return records_shard_at (e->records, (size_t)rand () % n);
