--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -116,7 +116,7 @@
   struct rr_run_name name;
   /* Null: the job is not known, nor what the run needs.  */
   struct rr_handle job;
-  uint32_t number;      /* of the task in its job */
+  uint32_t number; /* of the task in its job */
   /* Reported as its checkpoint until it saves its own; empty: none, or
      unknown.  */
   struct rr_text *start_checkpoint;
