--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -220,7 +220,9 @@
   struct poll *poll = data;
   struct worker_connection *c = poll->connection;
   bool in_time = c->polling && poll->number == c->poll_number;
-  bool fenced = outcome == RR_OUTCOME_FENCED && token_current (c, poll->token);
+  /* The dispatcher of a closed connection may be gone.  */
+  bool fenced = !c->closed && outcome == RR_OUTCOME_FENCED
+                && token_current (c, poll->token);
   free (poll);
   c->calls--;
   c->polls_in_flight--;
