--- a/include/rosemaryrail/permit_calls.h
+++ b/include/rosemaryrail/permit_calls.h
@@ -67,6 +67,7 @@
 int64_t rr_permit_cost_ms (const struct rr_permit_times *t, size_t workers);
 int64_t rr_permit_valid_ms (const struct rr_permit_times *t,
                             int64_t answered_ms);
+int64_t rr_permit_delivery_ms (int64_t valid_ms);
 int rr_permit_urgency_compare (const struct rr_permit_urgency *a,
                                const struct rr_permit_urgency *b);
 size_t rr_permit_calls_workers (const struct rr_permit_calls *c, size_t needed,
--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -22,9 +22,7 @@
      not understood.  */
   DENIAL_MS = 10000,
   /* Before all groups of ready jobs.  */
-  GROUP_FIRST = -1,
-  /* A permit token must still be valid when the start arrives.  */
-  TOKEN_MARGIN_MS = 150
+  GROUP_FIRST = -1
 };
 
 /* Returns W's permit for the step of NAME, or null when it has no valid
@@ -34,13 +32,12 @@
                       const struct dispatch_worker *w, struct rr_time now)
 {
   const struct dispatch_step *s = dispatch_step_of (j, name);
-  struct rr_time needed = rr_time_add (now, TOKEN_MARGIN_MS);
   for (size_t i = 0; i < s->permit_count; i++)
     {
       const struct dispatch_permit *p = &s->permits[i];
       if (rr_handle_equal (p->worker, w->handle)
           && p->started_ms == w->info.started_ms
-          && rr_time_before (needed, p->expires))
+          && rr_time_before (rr_time_add (now, p->delivery_ms), p->expires))
         return p;
     }
   return NULL;
@@ -375,7 +372,8 @@
 
 static void
 permit_set (struct rr_dispatch *d, struct dispatch_step *s,
-            const struct rr_permit *permit, struct rr_time expires)
+            const struct rr_permit *permit, struct rr_time expires,
+            int64_t valid_ms)
 {
   struct rr_handle h = rr_key_index_get (d->worker_ids, permit->worker);
   const struct dispatch_worker *w = dispatch_worker_get (d, h);
@@ -396,6 +394,7 @@
   p->worker = h;
   p->started_ms = w->info.started_ms;
   p->expires = expires;
+  p->delivery_ms = rr_permit_delivery_ms (valid_ms);
   rr_text_assign (&p->token, permit->permit_token);
   for (size_t i = s->denial_count; i-- > 0;)
     if (rr_handle_equal (s->denials[i].worker, h))
@@ -429,6 +428,6 @@
     }
   s->permit_refusals = count == 0 ? s->permit_refusals + 1 : 0;
   for (size_t i = 0; i < count; i++)
-    permit_set (d, s, &permits[i], rr_time_add (issued, valid_ms));
+    permit_set (d, s, &permits[i], rr_time_add (issued, valid_ms), valid_ms);
   denials_settle (s, true, now);
 }
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -41,6 +41,7 @@
   int64_t started_ms; /* incarnation for which the permit is valid */
   struct rr_text *token;
   struct rr_time expires;
+  int64_t delivery_ms; /* of its time are left to the start's delivery */
 };
 
 /* A worker that a step has asked about and that was not permitted.  */
--- a/rosemaryrail/permit_calls.c
+++ b/rosemaryrail/permit_calls.c
@@ -30,6 +30,10 @@
   DEFAULT_PER_WORKER_MS = 10,
   DEFAULT_VALID_MS = 1000,
   TIME_MAX_MS = 3600000, /* of a policy; longer times count as this */
+  /* Time for a start to arrive while its permit is valid, and the share of a
+     short validity that is kept for it at most.  */
+  DELIVERY_MS = 150,
+  DELIVERY_MAX_PERCENT = 25,
   /* Workers asked for beyond the expected need: one more takes a few
      milliseconds, a second call at least its decision time.  */
   SPARE_WORKERS = 1,
@@ -93,6 +97,15 @@
                                                       : t->valid_ms;
 }
 
+/* Returns how much of the validity of a permit, VALID_MS in all, must be left
+   for a start to be sent.  */
+int64_t
+rr_permit_delivery_ms (int64_t valid_ms)
+{
+  int64_t share_ms = valid_ms * DELIVERY_MAX_PERCENT / 100;
+  return share_ms < DELIVERY_MS ? share_ms : DELIVERY_MS;
+}
+
 /* Returns a negative value when A comes before B.  */
 int
 rr_permit_urgency_compare (const struct rr_permit_urgency *a,
