--- a/include/rosemaryrail/permit_calls.h
+++ b/include/rosemaryrail/permit_calls.h
@@ -44,6 +44,7 @@
 {
   uint64_t number; /* 0: unused */
   int64_t cost_ms; /* that the service needs for it */
+  struct rr_time sent;
   struct rr_time overdue_at;
 };
 
@@ -52,6 +53,10 @@
 {
   struct rr_permit_call open[RR_PERMIT_CALLS_MAX];
   uint64_t last_number;
+  /* Last call that was answered, and when the service decided on it at the
+     earliest.  */
+  uint64_t answered_number;
+  struct rr_time decided;
   /* Last call that was given up, and what the service needs for such calls
      that it may not have handled yet.  */
   uint64_t abandoned_number;
@@ -78,6 +83,9 @@
                                 const struct rr_permit_times *t,
                                 size_t workers, struct rr_time now,
                                 int64_t *timeout_ms);
+struct rr_time rr_permit_calls_issued (const struct rr_permit_calls *c,
+                                       uint64_t number, int64_t valid_ms,
+                                       struct rr_time now);
 void rr_permit_calls_end (struct rr_permit_calls *c, uint64_t number,
                           enum rr_permit_outcome outcome, size_t asked,
                           size_t allowed, struct rr_time now);
--- a/rosemaryentryd/permit_queue.c
+++ b/rosemaryentryd/permit_queue.c
@@ -75,15 +75,12 @@
                                                       : RR_PERMIT_LOST;
   if (outcome != RR_PERMIT_ANSWERED)
     log_failure (c, r);
+  int64_t valid_ms = rr_permit_valid_ms (&c->times, r->valid_ms);
+  struct rr_time issued
+      = rr_permit_calls_issued (&q->calls, c->number, valid_ms, entry_now ());
   rr_permit_calls_end (&q->calls, c->number, outcome, c->asked, r->count,
                        entry_now ());
-  /* The service decides before it issues, so no earlier than this.  */
-  struct rr_time issued
-      = rr_time_add (c->sent, rr_permit_cost_ms (&c->times, c->asked));
-  if (rr_time_before (entry_now (), issued))
-    issued = entry_now ();
-  shard_permits_answered (c->shard, &c->name, r,
-                          rr_permit_valid_ms (&c->times, r->valid_ms), issued);
+  shard_permits_answered (c->shard, &c->name, r, valid_ms, issued);
   free (c);
   permit_queue_advance (q);
 }
--- a/rosemaryrail/permit_calls.c
+++ b/rosemaryrail/permit_calls.c
@@ -181,11 +181,53 @@
   assert (unused != NULL);
   unused->number = ++c->last_number;
   unused->cost_ms = rr_permit_cost_ms (t, workers);
+  unused->sent = now;
   unused->overdue_at = rr_time_add (now, work_ms + OVERDUE_MS);
   *timeout_ms = work_ms + clamp (t->valid_ms, LATE_MIN_MS, LATE_MAX_MS);
   return unused->number;
 }
 
+/* Returns the position of call NUMBER, which is open.  */
+static size_t
+call_position (const struct rr_permit_calls *c, uint64_t number)
+{
+  size_t i = 0;
+  while (i < RR_PERMIT_CALLS_MAX && c->open[i].number != number)
+    i++;
+  assert (i < RR_PERMIT_CALLS_MAX);
+  return i;
+}
+
+/* Returns when the service decided on CALL, whose answer is there NOW, at the
+   earliest: it begins with it after it has decided on the calls before.  */
+static struct rr_time
+decided_earliest (const struct rr_permit_calls *c,
+                  const struct rr_permit_call *call, struct rr_time now)
+{
+  struct rr_time begun = call->sent;
+  if (call->number > c->answered_number && rr_time_before (begun, c->decided))
+    begun = c->decided;
+  struct rr_time decided = rr_time_add (begun, call->cost_ms);
+  return rr_time_before (now, decided) ? now : decided;
+}
+
+/* Returns the time from which on the permits in the answer to call NUMBER,
+   which is there NOW, count as valid for VALID_MS.  The service issues them
+   when it has decided, which is not told: it is the earliest such time, unless
+   the permits would be of no use by now.  In that case the service took
+   longer, or had calls of others to handle, and the answer was sent at once
+   when the decision was there; whether the permits are valid is up to the
+   workers.  */
+struct rr_time
+rr_permit_calls_issued (const struct rr_permit_calls *c, uint64_t number,
+                        int64_t valid_ms, struct rr_time now)
+{
+  const struct rr_permit_call *call = &c->open[call_position (c, number)];
+  struct rr_time decided = decided_earliest (c, call, now);
+  int64_t left_ms = valid_ms - rr_time_diff (now, decided);
+  return left_ms > 2 * rr_permit_delivery_ms (valid_ms) ? decided : now;
+}
+
 /* Records the end of call NUMBER, in which ALLOWED of ASKED workers were
    allowed if it was answered.  */
 void
@@ -193,11 +235,12 @@
                      enum rr_permit_outcome outcome, size_t asked,
                      size_t allowed, struct rr_time now)
 {
-  struct rr_permit_call *call = NULL;
-  for (size_t i = 0; i < RR_PERMIT_CALLS_MAX; i++)
-    if (c->open[i].number == number)
-      call = &c->open[i];
-  assert (call != NULL);
+  struct rr_permit_call *call = &c->open[call_position (c, number)];
+  if (outcome == RR_PERMIT_ANSWERED && number > c->answered_number)
+    {
+      c->decided = decided_earliest (c, call, now);
+      c->answered_number = number;
+    }
   call->number = 0;
   if (outcome == RR_PERMIT_ANSWERED)
     {
--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -12,7 +12,9 @@
    What a task does stands in its spec: "work=MS" ("again=MS" for runs after
    the first), "fail=PERCENT", "fails_off_peak" (runs fail early) and
    "cpu=" in thousandths of a core, or "tail=MS" for a latency-critical task,
-   which has the tail latency "peak=MS" between one SIGUSR2 and the next.  */
+   which has the tail latency "peak=MS" between one SIGUSR2 and the next.
+   "permit" stands in the spec of a task that starts only with a valid permit
+   of rr-permits.  */
 
 enum
 {
@@ -109,6 +111,21 @@
   http_exchange_respond_json (x, 200, json);
 }
 
+/* Returns why a start of TASK with the permit TOKEN is refused, or null.  */
+static const char *
+permit_fault (const char *task, const char *token)
+{
+  char prefix[2 * TASKWORKER_TEXT_MAX];
+  const char *index = strrchr (task, '.');
+  int step = index == NULL ? 0 : (int)(index - task);
+  int n = snprintf (prefix, sizeof prefix, "%s/%.*s/", id, step, task);
+  if (token[0] == '\0')
+    return "missing";
+  if (strncmp (token, prefix, (size_t)n) != 0)
+    return "foreign";
+  return strtoll (token + n, NULL, 10) < wall_ms () ? "expired" : NULL;
+}
+
 static void
 on_start (struct http_exchange *x, struct json_object *body)
 {
@@ -136,6 +153,15 @@
       respond_reason (x, "late");
       return;
     }
+  const char *fault = NULL;
+  if (strstr (spec, "permit") != NULL)
+    fault = permit_fault (task, json_string_or (body, "ticket", ""));
+  if (fault != NULL)
+    {
+      taskruns_log ("not_permitted", task, run, fault);
+      respond_reason (x, "ticket");
+      return;
+    }
   taskrun_start (task, run, spec, json_object_get_string_len (text));
   respond_clock (x);
 }
--- a/tests/decisions/test_permit_calls.c
+++ b/tests/decisions/test_permit_calls.c
@@ -213,6 +213,56 @@
 }
 END_TEST
 
+/* Guards against permits whose time counts from before the service began with
+   their call: calls of 340 ms, two at a time, give permits for 250 ms.  The
+   second answer comes 340 ms after the first, and its permits are new.  */
+START_TEST (issued_after_the_calls_before)
+{
+  static const struct rr_permit_times short_lived = { 300, 8, 250 };
+  struct sim *s = sim_new ();
+  int64_t timeout_ms;
+  uint64_t first = rr_permit_calls_begin (&s->calls, &short_lived, 5, s->now,
+                                          &timeout_ms);
+  uint64_t second = rr_permit_calls_begin (&s->calls, &short_lived, 5, s->now,
+                                           &timeout_ms);
+  s->now.ms += 341;
+  struct rr_time issued
+      = rr_permit_calls_issued (&s->calls, first, 250, s->now);
+  ck_assert_int_eq (rr_time_diff (s->now, issued), 1);
+  rr_permit_calls_end (&s->calls, first, RR_PERMIT_ANSWERED, 5, 5, s->now);
+  s->now.ms += 342;
+  issued = rr_permit_calls_issued (&s->calls, second, 250, s->now);
+  ck_assert_int_eq (rr_time_diff (s->now, issued), 3);
+  rr_permit_calls_end (&s->calls, second, RR_PERMIT_ANSWERED, 5, 5, s->now);
+  /* A call that is sent later begins when it arrives.  */
+  s->now.ms += 5000;
+  first = rr_permit_calls_begin (&s->calls, &short_lived, 5, s->now,
+                                 &timeout_ms);
+  s->now.ms += 345;
+  issued = rr_permit_calls_issued (&s->calls, first, 250, s->now);
+  ck_assert_int_eq (rr_time_diff (s->now, issued), 5);
+}
+END_TEST
+
+/* Guards against answers that are never used since the service takes longer
+   than its policy says: permits that would be over by the declared times count
+   from the answer, others from the earliest time.  */
+START_TEST (late_answers_count_from_their_arrival)
+{
+  struct sim *s = sim_new ();
+  int64_t timeout_ms;
+  uint64_t number
+      = rr_permit_calls_begin (&s->calls, &times, 5, s->now, &timeout_ms);
+  s->now.ms += 2000;
+  struct rr_time issued
+      = rr_permit_calls_issued (&s->calls, number, 3000, s->now);
+  ck_assert_int_eq (rr_time_diff (s->now, issued), 2000 - 140);
+  s->now.ms += 900;
+  issued = rr_permit_calls_issued (&s->calls, number, 3000, s->now);
+  ck_assert_int_eq (rr_time_diff (s->now, issued), 0);
+}
+END_TEST
+
 /* Guards against urgent steps that wait behind others: priority first, then
    the class of the job, then the time at which it is due.  */
 START_TEST (urgent_steps_come_first)
@@ -270,6 +320,7 @@
 
 SUITE ("permit_calls", burst_is_worked_off, service_is_kept_at_work,
        given_up_calls_do_not_fail_the_next, refused_calls_back_off,
+       issued_after_the_calls_before, late_answers_count_from_their_arrival,
        urgent_steps_come_first,
        workers_asked_for_follow_the_share_that_is_allowed,
        odd_times_are_replaced)
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -77,7 +77,7 @@
 {"name": "d$1", "zone": "z$(($1 % 2 + 1))", "zones": ["z1", "z2"],
  "front": "$address:$((25500 + $1))", "ready": "$address:$((25600 + $1))",
  "metrics": "$address:$((25700 + $1))", "peer": "$address:$((25800 + $1))",
- "seeds": [${seeds:-}], "store": "$address:$((25100 + $1))",
+ "seeds": [${seeds:-}], "permits": "${permits:-}", "store": "$address:$((25100 + $1))",
  "lease_max_ms": 10000, "drain_ms": 2000,
  "cpu_share": 0.1, "link_mbps": 1000, "shutdown_s": 6,
  "retention_s": ${retention_s:-120}, "late_s": ${late_s:-60},
@@ -101,14 +101,15 @@
 }
 
 # deploy DAEMONS WORKERS: starts all processes with a configuration of one
-# queue.  The number of shards is $layout if that is set, and the relay has
+# queue, whose times of the permit service are $advice if that is set.  The
+# number of shards is $layout if that is set, and the relay has
 # routes to $worker_routes workers, which may start later.
 deploy() {
   start_store
   start_relay "$1" "${worker_routes:-$2}"
   wait_for "the store" 20 curl -s -m 1 "http://$address:$store_port/-/kv-range?prefix=x"
   wait_for "the relay" 20 curl -s -m 1 "http://$address:$((25100 + 1))/-/kv-range?prefix=x"
-  store_put op/config '{"version":1,"routes":[{"name":"q","host":"desk.example","prefix":"/q/","service":"desk","priority":0,"maxAttempts":4,"slackFactor":2,"targetRuntimeMs":500,"timeoutMs":3000}],"services":[{"name":"desk"}],"limits":{}}'
+  store_put op/config '{"version":1,"routes":[{"name":"q","host":"desk.example","prefix":"/q/","service":"desk","priority":0,"maxAttempts":4,"slackFactor":2,"targetRuntimeMs":500,"timeoutMs":3000'"${advice:+,\"advice\":$advice}"'}],"services":[{"name":"desk"}],"limits":{}}'
   [ -z "${layout:-}" ] || store_put rail/layout "{\"shards\":$layout,\"format\":${format:-2}}"
   local i
   for i in $(seq "$2"); do start_worker "$i"; done
