--- a/include/rosemaryrail/permit_calls.h
+++ b/include/rosemaryrail/permit_calls.h
@@ -57,6 +57,10 @@
      earliest.  */
   uint64_t answered_number;
   struct rr_time decided;
+  struct rr_time answered_at;
+  /* Time that the service takes for a call, in proportion to what it should
+     take by the policy; 1 or more.  */
+  double slowdown;
   /* Last call that was given up, and what the service needs for such calls
      that it may not have handled yet.  */
   uint64_t abandoned_number;
@@ -75,6 +79,9 @@
 int64_t rr_permit_delivery_ms (int64_t valid_ms);
 int rr_permit_urgency_compare (const struct rr_permit_urgency *a,
                                const struct rr_permit_urgency *b);
+int64_t rr_permit_calls_cost_ms (const struct rr_permit_calls *c,
+                                 const struct rr_permit_times *t,
+                                 size_t workers);
 size_t rr_permit_calls_workers (const struct rr_permit_calls *c, size_t needed,
                                 uint32_t refusals);
 int64_t rr_permit_calls_wait_ms (const struct rr_permit_calls *c,
--- a/rosemaryrail/permit_calls.c
+++ b/rosemaryrail/permit_calls.c
@@ -21,6 +21,9 @@
   /* The service keeps at most 32 calls waiting, so calls that were given up
      don't hold it for longer than about this.  */
   ABANDONED_MAX_MS = 10000,
+  /* Longest time beyond the declared one that calls are given because the
+     service was slow before.  */
+  SLOWNESS_MAX_MS = 10000,
   /* Delay before the next call after one that was refused or got no answer,
      doubled each time.  */
   BACKOFF_MIN_MS = 100,
@@ -45,6 +48,9 @@
 static const double first_allowed = 4;
 static const double asked_max = 400; /* older answers then count by half */
 static const double share_min = 0.05;
+static const double slowdown_max = 100;
+static const double slowdown_lost = 2; /* after a call without an answer */
+static const double slowdown_decay = 0.75;
 
 /* Initializes C for a daemon that has made no calls.  */
 void
@@ -53,6 +59,7 @@
   memset (c, 0, sizeof *c);
   c->asked = first_asked;
   c->allowed = first_allowed;
+  c->slowdown = 1;
 }
 
 static int64_t
@@ -88,6 +95,25 @@
   return t->decision_ms + t->per_worker_ms * (int64_t)workers;
 }
 
+/* Returns how long the service is expected to need for calls that should take
+   COST_MS.  */
+static int64_t
+expected_ms (const struct rr_permit_calls *c, int64_t cost_ms)
+{
+  return cost_ms
+         + clamp ((int64_t)((double)cost_ms * (c->slowdown - 1)), 0,
+                  SLOWNESS_MAX_MS);
+}
+
+/* Returns how long the service is expected to need for a call that lists
+   WORKERS, by what it has needed lately.  */
+int64_t
+rr_permit_calls_cost_ms (const struct rr_permit_calls *c,
+                         const struct rr_permit_times *t, size_t workers)
+{
+  return expected_ms (c, rr_permit_cost_ms (t, workers));
+}
+
 /* Returns for how long permits are valid.  ANSWERED_MS is what the answer
    says; 0: nothing.  */
 int64_t
@@ -179,6 +205,7 @@
         unused = &c->open[i];
     }
   assert (unused != NULL);
+  work_ms = expected_ms (c, work_ms);
   unused->number = ++c->last_number;
   unused->cost_ms = rr_permit_cost_ms (t, workers);
   unused->sent = now;
@@ -228,6 +255,25 @@
   return left_ms > 2 * rr_permit_delivery_ms (valid_ms) ? decided : now;
 }
 
+/* Takes note of how long the service has needed for CALL, which is answered
+   NOW.  It has handled the calls before it first.  */
+static void
+slowdown_learn (struct rr_permit_calls *c, const struct rr_permit_call *call,
+                struct rr_time now)
+{
+  struct rr_time begun = call->sent;
+  if (call->number > c->answered_number
+      && rr_time_before (begun, c->answered_at))
+    begun = c->answered_at;
+  if (call->cost_ms <= 0)
+    return;
+  double seen = (double)rr_time_diff (now, begun) / (double)call->cost_ms;
+  double kept = seen > c->slowdown ? 1 - slowdown_decay : slowdown_decay;
+  c->slowdown = c->slowdown * kept + seen * (1 - kept);
+  c->slowdown = c->slowdown < 1 ? 1 : c->slowdown;
+  c->slowdown = c->slowdown > slowdown_max ? slowdown_max : c->slowdown;
+}
+
 /* Records the end of call NUMBER, in which ALLOWED of ASKED workers were
    allowed if it was answered.  */
 void
@@ -236,10 +282,16 @@
                      size_t allowed, struct rr_time now)
 {
   struct rr_permit_call *call = &c->open[call_position (c, number)];
+  if (outcome == RR_PERMIT_ANSWERED)
+    slowdown_learn (c, call, now);
+  else if (outcome == RR_PERMIT_LOST && !rr_time_before (now, call->overdue_at)
+           && c->slowdown < slowdown_max)
+    c->slowdown *= slowdown_lost;
   if (outcome == RR_PERMIT_ANSWERED && number > c->answered_number)
     {
       c->decided = decided_earliest (c, call, now);
       c->answered_number = number;
+      c->answered_at = now;
     }
   call->number = 0;
   if (outcome == RR_PERMIT_ANSWERED)
--- a/tests/decisions/test_permit_calls.c
+++ b/tests/decisions/test_permit_calls.c
@@ -30,8 +30,9 @@
   size_t count; /* calls made */
   int64_t handled_at;
   int64_t stalled_until;
-  int64_t busy_ms; /* that the service has worked */
-  size_t waiting;  /* steps */
+  int64_t slowness; /* calls take so many times as long; 0: 1 */
+  int64_t busy_ms;  /* that the service has worked */
+  size_t waiting;   /* steps */
   size_t answered;
   size_t given_up;
   size_t given_up_since_stall; /* of those sent after it */
@@ -58,7 +59,8 @@
     return;
   struct sim_call *c = &s->queue[s->first];
   if (s->handled_at == 0)
-    s->handled_at = s->now.ms + c->cost_ms;
+    s->handled_at
+        = s->now.ms + c->cost_ms * (s->slowness == 0 ? 1 : s->slowness);
   s->busy_ms++;
   if (s->now.ms < s->handled_at)
     return;
@@ -263,6 +265,36 @@
 }
 END_TEST
 
+/* Guards against calls that are given up before their answers come: the
+   service takes twelve times as long as its policy says, so calls for permits
+   of 20 steps were abandoned behind each other.  What it needs is learned from
+   the first answers, so that few calls are given up and the service works off
+   the rest.  */
+START_TEST (slow_service_is_waited_for)
+{
+  struct sim *s = sim_new ();
+  s->slowness = 12;
+  s->waiting = 20;
+  while (s->answered < 20)
+    {
+      sim_step (s);
+      ck_assert_int_lt (s->now.ms, 60000);
+    }
+  ck_assert_uint_le (s->given_up, 4);
+  ck_assert_uint_eq (s->refused, 0);
+  /* It is trusted again once it is fast again.  */
+  s->slowness = 1;
+  s->waiting = 20;
+  while (s->answered < 40)
+    sim_step (s);
+  int64_t timeout_ms;
+  uint64_t number
+      = rr_permit_calls_begin (&s->calls, &times, 4, s->now, &timeout_ms);
+  rr_permit_calls_end (&s->calls, number, RR_PERMIT_REFUSED, 4, 0, s->now);
+  ck_assert_int_le (timeout_ms, 2 * 132 + 3000);
+}
+END_TEST
+
 /* Guards against urgent steps that wait behind others: priority first, then
    the class of the job, then the time at which it is due.  */
 START_TEST (urgent_steps_come_first)
@@ -321,6 +353,6 @@
 SUITE ("permit_calls", burst_is_worked_off, service_is_kept_at_work,
        given_up_calls_do_not_fail_the_next, refused_calls_back_off,
        issued_after_the_calls_before, late_answers_count_from_their_arrival,
-       urgent_steps_come_first,
+       slow_service_is_waited_for, urgent_steps_come_first,
        workers_asked_for_follow_the_share_that_is_allowed,
        odd_times_are_replaced)
