--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -72,6 +72,18 @@
     }
 }
 
+/* Returns whether W was permitted to run the step S, though its permit may
+   have expired.  */
+static bool
+permitted_before (const struct dispatch_step *s,
+                  const struct dispatch_worker *w)
+{
+  for (size_t i = 0; i < s->permit_count; i++)
+    if (rr_handle_equal (s->permits[i].worker, w->handle))
+      return s->permits[i].started_ms == w->info.started_ms;
+  return false;
+}
+
 /* Returns whether the service has not permitted W to run the step S.  */
 static bool
 denied (const struct dispatch_step *s, const struct dispatch_worker *w,
@@ -185,13 +197,24 @@
   return want != NULL;
 }
 
+/* The order in which a request lists workers.  Which of them may run a step
+   doesn't change.  */
+enum candidate_rank
+{
+  RACK_PERMITTED, /* in the rack of the step, and permitted before */
+  RACK_UNKNOWN,
+  OTHER_PERMITTED,
+  OTHER_UNKNOWN,
+  RANK_COUNT
+};
+
 /* A worker that a request may list.  */
 struct candidate
 {
   const struct dispatch_worker *worker;
   size_t position; /* in the table */
   int32_t room;    /* tasks that it has capacity for */
-  bool preferred;  /* in the rack of the step */
+  enum candidate_rank rank;
 };
 
 /* Returns the rack in which the tasks of S should run, or null.  That of a
@@ -238,12 +261,18 @@
     {
       int32_t room = dispatch_worker_room (d, w, j, name, now);
       if (room > 0)
-        list[n++] = (struct candidate){ w, position, room, false };
+        list[n++] = (struct candidate){ w, position, room, OTHER_UNKNOWN };
     }
   const char *rack = rack_wanted (step, list, n);
   for (size_t i = 0; i < n; i++)
-    list[i].preferred
-        = rack != NULL && rr_worker_has_label (&list[i].worker->info, rack);
+    {
+      struct candidate *c = &list[i];
+      bool known = permitted_before (dispatch_step_of (j, name), c->worker);
+      if (rack != NULL && rr_worker_has_label (&c->worker->info, rack))
+        c->rank = known ? RACK_PERMITTED : RACK_UNKNOWN;
+      else if (known)
+        c->rank = OTHER_PERMITTED;
+    }
   return n;
 }
 
@@ -259,12 +288,12 @@
   const struct rr_permit_calls *calls;
 };
 
-/* Lists the candidates from FROM to TO (excluded) that are PREFERRED or not
-   and have no valid permit, as long as the request needs more.  */
+/* Lists the candidates of RANK from FROM to TO (excluded) that have no valid
+   permit, as long as the request needs more.  */
 static void
 candidates_take (struct dispatch_job *j, struct rr_permit_request *request,
                  struct request_need *need, const struct candidate *list,
-                 size_t from, size_t to, bool preferred)
+                 size_t from, size_t to, enum candidate_rank rank)
 {
   struct dispatch_step *s = dispatch_step_of (j, &request->name);
   for (size_t i = from; i < to && request->worker_count < need->max; i++)
@@ -274,7 +303,7 @@
           && request->worker_count >= rr_permit_calls_workers (
                  need->calls, need->needed, need->refusals))
         return;
-      if (c->preferred != preferred || denied (s, c->worker, need->now)
+      if (c->rank != rank || denied (s, c->worker, need->now)
           || dispatch_permit_find (j, &request->name, c->worker,
                                    need->valid_at)
                  != NULL)
@@ -287,11 +316,11 @@
     }
 }
 
-/* Lists workers for the step in REQUEST: those in its rack first, and each
-   request goes on after the workers of the last one.  A gang needs permits for
-   the workers of all members at the same time, so its request may be longer,
-   the capacity of permitted workers counts, and permits that may expire before
-   the answer is there are asked for again.  */
+/* Lists workers for the step in REQUEST by their rank, and each request goes
+   on after the workers of the last one.  A gang needs permits for the workers
+   of all members at the same time, so its request may be longer, the capacity
+   of permitted workers counts, and permits that may expire before the answer
+   is there are asked for again.  */
 static void
 request_fill (struct rr_dispatch *d, struct dispatch_job *j,
               const struct rr_permit_calls *calls,
@@ -312,10 +341,9 @@
           .calls = calls };
   if (step->gang)
     {
-      int64_t cost_ms = rr_permit_cost_ms (&request->times, need.max);
-      if (cost_ms > request->times.valid_ms / 2)
-        cost_ms = request->times.valid_ms / 2;
-      need.valid_at = rr_time_add (now, cost_ms);
+      size_t listed = n < need.max ? n : need.max;
+      need.valid_at = rr_time_add (
+          now, rr_permit_calls_cost_ms (calls, &request->times, listed));
     }
   for (size_t i = 0; step->gang && i < n; i++)
     if (dispatch_permit_find (j, &request->name, list[i].worker, need.valid_at)
@@ -324,10 +352,12 @@
   size_t start = 0;
   while (start < n && list[start].position < s->permit_cursor)
     start++;
-  for (int other = 0; other < 2; other++)
+  for (int rank = 0; rank < RANK_COUNT; rank++)
     {
-      candidates_take (j, request, &need, list, start, n, other == 0);
-      candidates_take (j, request, &need, list, 0, start, other == 0);
+      candidates_take (j, request, &need, list, start, n,
+                       (enum candidate_rank)rank);
+      candidates_take (j, request, &need, list, 0, start,
+                       (enum candidate_rank)rank);
     }
   free (list);
 }
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -10,8 +10,9 @@
    Workers are fakes that carry out commands at once by default.
    compare.sh compares the output with the expected one.  The script has one
    command a line; # starts a comment:
-     queue NAME PRIORITY ATTEMPTS [permits]
-                              sets the policy of a queue
+     queue NAME PRIORITY ATTEMPTS [permits [DECISION PER_WORKER VALID]]
+                              sets the policy of a queue, with the times of
+                              the permit service in ms
      permit JOB STEP MS [W...]
                               permits these workers to run the step for MS
      permit_age MS            later answers come MS after their permits were
@@ -525,6 +526,9 @@
       q->priority = (int32_t)strtol (word[2], NULL, 10);
       q->attempts_max = (int32_t)strtol (word[3], NULL, 10);
       q->needs_permits = strcmp (word[4], "permits") == 0;
+      q->permit_times = (struct rr_permit_times){ strtol (word[5], NULL, 10),
+                                                  strtol (word[6], NULL, 10),
+                                                  strtol (word[7], NULL, 10) };
       q->slack_factor = 2;
       q->target_runtime_ms = 500;
       rr_dispatch_queue_set (script.dispatch, q);
--- a/tests/entry/permits_lib.sh
+++ b/tests/entry/permits_lib.sh
@@ -23,15 +23,15 @@
   case $answer in *200*) ;; *) fail "submission $1: $answer" ;; esac
 }
 
-# wait_jobs N SECONDS: waits until jobs 1 to N are completed, for SECONDS in
-# all, and prints how many are.
+# wait_jobs FIRST LAST SECONDS: waits until the jobs are completed, for SECONDS
+# in all, and prints how many are.
 wait_jobs() {
-  local until=$((SECONDS + $2)) done=0 i
-  for i in $(seq "$1"); do
+  local until=$((SECONDS + $3)) done=0 i
+  for i in $(seq "$1" "$2"); do
     until completed "$(printf '%016x' "$i")" || [ $SECONDS -ge $until ]; do sleep 0.1; done
     completed "$(printf '%016x' "$i")" && done=$((done + 1))
   done
-  echo "completed: $done of $1"
+  echo "completed: $done of $(($2 - $1 + 1))"
 }
 
 # verify_permits: no task may start without its own permit.
--- a/tests/entry/permits_short.sh
+++ b/tests/entry/permits_short.sh
@@ -6,5 +6,5 @@
 start_permits 100 8 120
 deploy 2 6
 for i in $(seq 12); do submit "$i" '{"count":2,"cpu":1000,"memMb":100,"estimateMs":200}'; done
-wait_jobs 12 20
+wait_jobs 1 12 20
 verify_permits
--- a/tests/entry/permits_slow.sh
+++ b/tests/entry/permits_slow.sh
@@ -8,5 +8,5 @@
 start_permits 1500 8 3000
 deploy 2 6
 for i in $(seq 10); do submit "$i" '{"count":2,"cpu":1000,"memMb":100,"estimateMs":200}'; done
-wait_jobs 10 30
+wait_jobs 1 10 30
 verify_permits
