--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -336,7 +336,8 @@
   bool wanted
       = rr_time_before (entry_now (), c->owner.valid_until (c->owner.data))
         && rr_dispatch_command_begin (c->owner.dispatch, c->worker,
-                                      q->command.kind, &q->command.name);
+                                      q->command.kind, &q->command.name,
+                                      entry_now ());
   if (wanted && q->command.kind == RR_COMMAND_START)
     {
       lease_end = rr_dispatch_worker_lease (
--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -47,14 +47,14 @@
 }
 
 /* Returns whether the command KIND to worker H, which has waited to be sent,
-   still has to be, and records that it is sent now.  Its run may have ended,
+   still has to be, and records that it is sent NOW.  Its run may have ended,
    or its start may have been withdrawn; a start that is to be stopped again is
-   not sent at all, nor one whose worker drains or is gone by now, or may do so
-   as far as this daemon knows.  */
+   not sent at all, nor one whose permit is over, or whose worker drains or is
+   gone by now, or may do so as far as this daemon knows.  */
 bool
 rr_dispatch_command_begin (struct rr_dispatch *d, struct rr_handle h,
                            enum rr_command_kind kind,
-                           const struct rr_run_name *name)
+                           const struct rr_run_name *name, struct rr_time now)
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
@@ -65,7 +65,8 @@
   if (kind != RR_COMMAND_START)
     return !r->queued;
   if (!r->queued || r->stop_wanted || !w->registered || w->info.draining
-      || d->registrations_stale)
+      || d->registrations_stale
+      || (r->needs_permit && !rr_time_before (now, r->permit_until)))
     return false;
   r->queued = false;
   return true;
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -195,7 +195,7 @@
 {
   struct fake_worker *w = fake_worker_find (command->worker_id);
   if (!rr_dispatch_command_begin (script.dispatch, w->handle, command->kind,
-                                  &command->name))
+                                  &command->name, script.now))
     {
       printf ("%s %s %d.%d run %llu on %s withdrawn\n", kinds[command->kind],
               command->name.job, command->name.step, command->name.task,
