--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -115,7 +115,7 @@
   struct dispatch_job *j = dispatch_job_get (d, r->job);
   uint32_t number = r->number;
   if (j != NULL && outcome == RR_OUTCOME_NO_PERMIT)
-    dispatch_permit_drop (j, &r->name, w);
+    dispatch_permit_refused (d, j, &r->name, w, now);
   dispatch_run_requeue (d, w, r, rr_command_outcome_name (outcome), now);
   /* No permit is requested where none is needed, so the same start would only
      be refused again.  */
@@ -165,6 +165,8 @@
       r->accepted = now;
       r->progressed = now;
       struct dispatch_job *j = dispatch_job_get (d, r->job);
+      if (j != NULL && r->needs_permit)
+        dispatch_permit_accepted (j, &r->name);
       if (j != NULL && j->phase == RR_PHASE_QUEUED)
         {
           j->phase = RR_PHASE_ACTIVE;
--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -17,6 +17,9 @@
   /* Delay before the next request, when no permitted worker has capacity.  */
   REQUEST_INTERVAL_MS = 300,
   REQUEST_RETRY_MS = 200, /* after an unanswered request */
+  /* Delay after an answer whose permits workers refuse, doubled each time.  */
+  REFUSED_DELAY_MIN_MS = 200,
+  REFUSED_DELAY_MAX_MS = 6400,
   /* Which workers may run a step doesn't change.  One that was not in the
      answer is still asked about again after this long, in case the answer was
      not understood.  */
@@ -43,12 +46,10 @@
   return NULL;
 }
 
-/* Discards W's permit token for the step of NAME, which W has rejected.  */
-void
-dispatch_permit_drop (struct dispatch_job *j, const struct rr_run_name *name,
-                      const struct dispatch_worker *w)
+/* Discards W's permit token for the step of NAME.  */
+static void
+permit_drop (struct dispatch_step *s, const struct dispatch_worker *w)
 {
-  struct dispatch_step *s = dispatch_step_of (j, name);
   for (size_t i = 0; i < s->permit_count; i++)
     if (rr_handle_equal (s->permits[i].worker, w->handle))
       {
@@ -58,6 +59,39 @@
       }
 }
 
+/* W has refused a start for its permit.  Another request at once would
+   probably get permits that are refused as well, and hold up other steps.  */
+void
+dispatch_permit_refused (struct rr_dispatch *d, struct dispatch_job *j,
+                         const struct rr_run_name *name,
+                         const struct dispatch_worker *w, struct rr_time now)
+{
+  struct dispatch_step *s = dispatch_step_of (j, name);
+  permit_drop (s, w);
+  if (s->answer_refused)
+    return;
+  s->answer_refused = true;
+  s->refused_delay_ms = s->refused_delay_ms == 0 ? REFUSED_DELAY_MIN_MS
+                                                 : s->refused_delay_ms * 2;
+  if (s->refused_delay_ms > REFUSED_DELAY_MAX_MS)
+    s->refused_delay_ms = REFUSED_DELAY_MAX_MS;
+  struct rr_time again = rr_time_add (now, s->refused_delay_ms);
+  if (rr_time_before (s->request_at, again))
+    s->request_at = again;
+  dispatch_log_decision (d, "permit_refused",
+                         "job=%s step=%d.%d vm=%s next_request_ms=%lld",
+                         name->job, name->occurrence, name->step, w->info.id,
+                         (long long)rr_time_diff (s->request_at, now));
+}
+
+/* A worker has accepted a start of the step of NAME with its permit.  */
+void
+dispatch_permit_accepted (struct dispatch_job *j,
+                          const struct rr_run_name *name)
+{
+  dispatch_step_of (j, name)->refused_delay_ms = 0;
+}
+
 /* Frees the permits of all steps of J.  */
 void
 dispatch_permits_free (struct dispatch_job *j)
@@ -456,6 +490,7 @@
       s->request_at = rr_time_add (now, REQUEST_RETRY_MS);
       return;
     }
+  s->answer_refused = false;
   s->permit_refusals = count == 0 ? s->permit_refusals + 1 : 0;
   for (size_t i = 0; i < count; i++)
     permit_set (d, s, &permits[i], rr_time_add (issued, valid_ms), valid_ms);
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -74,7 +74,11 @@
   size_t denial_count;
   size_t permit_cursor;     /* first worker of the next request */
   uint32_t permit_refusals; /* answers in a row that allowed no worker */
-  bool requested;           /* at least once */
+  /* Workers refuse permits of the last answer, and the delay of the next
+     request; 0: the last start was accepted.  */
+  bool answer_refused;
+  int64_t refused_delay_ms;
+  bool requested; /* at least once */
   bool request_in_flight;
   struct rr_time request_at; /* not before */
 };
@@ -501,9 +505,12 @@
 void dispatch_permit_want_add (struct rr_dispatch *d, struct dispatch_job *j,
                                const struct rr_run_name *name,
                                struct rr_time now);
-void dispatch_permit_drop (struct dispatch_job *j,
-                           const struct rr_run_name *name,
-                           const struct dispatch_worker *w);
+void dispatch_permit_refused (struct rr_dispatch *d, struct dispatch_job *j,
+                              const struct rr_run_name *name,
+                              const struct dispatch_worker *w,
+                              struct rr_time now);
+void dispatch_permit_accepted (struct dispatch_job *j,
+                               const struct rr_run_name *name);
 void dispatch_permits_free (struct dispatch_job *j);
 void dispatch_interference_init (struct rr_dispatch *d);
 void dispatch_interference_refresh (struct rr_dispatch *d, struct rr_time now);
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -63,6 +63,8 @@
      send_commands W          sends the commands that wait
      reconnect W              replaces the connection to W; commands that wait
                               are dropped
+     refuse_permits W | accept_permits W
+                              W refuses starts for their permits
      block W | unblock W      loses commands and polls to W; unblock delivers
                               the starts that were not stopped
      poll [W]                 polls one worker or all
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -242,21 +242,24 @@
       if (command->kind == RR_COMMAND_START)
         start_lose (w, command, lease);
     }
-  else if (command->kind == RR_COMMAND_START)
+  else if (command->kind == RR_COMMAND_START && !w->refusing)
     start (w, &command->name);
   else if (command->kind == RR_COMMAND_STOP)
     stop (w, &command->name);
-  else
+  else if (command->kind == RR_COMMAND_THROTTLE)
     throttle (w, command);
   struct rr_run_name name = command->name;
+  bool refused = w->refusing && command->kind == RR_COMMAND_START;
   if (w->withholding)
     w->answers[w->answer_count++]
         = (struct fake_answer){ command->kind, name, clock_ms (w) };
   else
-    rr_dispatch_command_answered (
-        script.dispatch, w->handle, command->kind, &name,
-        answered ? RR_OUTCOME_ACCEPTED : RR_OUTCOME_UNKNOWN, clock_ms (w),
-        script.now);
+    rr_dispatch_command_answered (script.dispatch, w->handle, command->kind,
+                                  &name,
+                                  !answered ? RR_OUTCOME_UNKNOWN
+                                  : refused ? RR_OUTCOME_NO_PERMIT
+                                            : RR_OUTCOME_ACCEPTED,
+                                  clock_ms (w), script.now);
 }
 
 static void
@@ -548,6 +551,10 @@
     lease_take (w, w->late_lease, w->late_token);
   else if (strcmp (word[0], "deliver_starts") == 0)
     late_starts_deliver (w);
+  else if (strcmp (word[0], "refuse_permits") == 0)
+    w->refusing = true;
+  else if (strcmp (word[0], "accept_permits") == 0)
+    w->refusing = false;
   else if (strcmp (word[0], "queue_commands") == 0)
     w->queueing = true;
   else if (strcmp (word[0], "send_commands") == 0)
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -48,6 +48,7 @@
   bool blocked;
   bool delaying;
   bool queueing;
+  bool refusing; /* starts, for their permits */
   int64_t answer_ms;           /* between a poll and its answer */
   struct rr_command queue[64]; /* names and kinds of commands that wait */
   size_t queue_count;
