--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -257,6 +257,7 @@
   int64_t observed;           /* highest number whose effect is stored */
   struct rr_time full_until;  /* no starts: out of capacity */
   struct rr_time avoid_until; /* no starts: tasks fail or stall on it */
+  struct rr_time slow_until;  /* its reports were slow */
   int32_t failed_in_row;
   struct rr_handle failed_job; /* of the last consecutive failure */
   int32_t best_effort_percent; /* speed limit of its best-effort tasks */
@@ -333,7 +334,10 @@
   START_LEASE_MIN_MS = 1000,
   /* A worker without a report for this long gets no new tasks: twice the
      interval between reports of an idle worker.  */
-  REPORT_AGE_MAX_MS = 1600
+  REPORT_AGE_MAX_MS = 1600,
+  /* A worker that was slow to report is avoided for this long, by tasks that
+     have not waited for as long themselves.  */
+  SLOW_AVOID_MS = 2000
 };
 
 /* Classes of ready jobs of one priority, placed in this order.  */
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -12,10 +12,9 @@
   /* A run is given up after this many consecutive reports without it: one
      report may have been sent before the run started.  */
   MISSING_REPORTS_MAX = 2,
-  /* A worker whose report took longer gets no new tasks for a while: a start
-     would have to wait as long for its answer.  */
-  SLOW_REPORT_MS = 1200,
-  SLOW_REPORT_AVOID_MS = 2000
+  /* A worker whose report took longer is avoided for a while: a start would
+     have to wait as long for its answer.  */
+  SLOW_REPORT_MS = 1200
 };
 
 /* Stops runs that W's new incarnation may have started and did not report.  */
@@ -310,7 +309,7 @@
   dispatch_crash_worker_heard (d, w);
   w->unresponsive = false;
   if (rr_time_diff (r->received, r->sent) > SLOW_REPORT_MS)
-    w->avoid_until = rr_time_add (now, SLOW_REPORT_AVOID_MS);
+    w->slow_until = rr_time_add (now, SLOW_AVOID_MS);
   for (size_t i = 0; i < r->ended_count; i++)
     if (r->ended[i].number > w->ends_seen)
       {
--- a/rosemaryrail/dispatch_select.c
+++ b/rosemaryrail/dispatch_select.c
@@ -105,6 +105,7 @@
   const char *rack; /* required rack; null: any */
   bool needs_permits;
   bool any_speed; /* also where a best-effort task runs slowly */
+  bool slow_too;  /* workers that were slow to report */
   bool suspected; /* not beside another task that may crash its worker */
   bool on_trial;  /* where the fewest tasks run */
 };
@@ -115,7 +116,8 @@
 {
   const struct rr_job_graph_step *s = c->step;
   if (!dispatch_worker_usable (w, now)
-      || strcmp (w->info.service, c->service) != 0)
+      || strcmp (w->info.service, c->service) != 0
+      || (!c->slow_too && rr_time_before (now, w->slow_until)))
     return false;
   if (w->has_trial || (c->suspected && w->has_suspect))
     return false;
@@ -210,7 +212,8 @@
 }
 
 /* Returns the allowed worker with the best score, or null.  The one where the
-   task failed last is selected only when there is no other.  */
+   task failed last, and slow ones, are selected only when there is no
+   other.  */
 static struct dispatch_worker *
 select_worker (struct rr_dispatch *d, const struct constraints *c,
                struct rr_handle failed_worker, struct rr_time now)
@@ -228,7 +231,8 @@
       int64_t score = worker_score (d, w, c, probe.image);
       if (score < 0)
         continue;
-      if (rr_handle_equal (w->handle, failed_worker))
+      if (rr_handle_equal (w->handle, failed_worker)
+          || rr_time_before (now, w->slow_until))
         score -= INT64_C (2) * SCORE_BASE;
       if (best == NULL || score > best_score)
         {
@@ -274,6 +278,17 @@
              : (int64_t)(lost_ms / 2);
 }
 
+/* Returns for how long the task NAME, which is NUMBER, could have started.  */
+static int64_t
+waited_ms (const struct rr_dispatch *d, const struct dispatch_job *j,
+           const struct rr_run_name *name, uint32_t number, struct rr_time now)
+{
+  struct rr_time since = dispatch_occurrence_start (d, j, name->occurrence);
+  if (rr_time_before (since, j->tasks[number].not_before))
+    since = j->tasks[number].not_before;
+  return rr_time_diff (now, since);
+}
+
 /* Returns the worker for the task NAME, which is NUMBER, or null.  GANG_RACK
    is the rack that its gang needs; null: any.  */
 struct dispatch_worker *
@@ -293,6 +308,8 @@
           .suspected = dispatch_crash_suspected (&j->tasks[number]),
           .on_trial = dispatch_crash_on_trial (&j->tasks[number]) };
   struct rr_handle failed_worker = j->tasks[number].failed_worker;
+  int64_t waited = waited_ms (d, j, name, number, now);
+  c.slow_too = waited >= SLOW_AVOID_MS;
   c.any_speed
       = s->best_effort && j->run_count == 0
         && rr_time_diff (now, j->last_run_seen) > BEST_EFFORT_WAIT_MAX_MS;
@@ -300,10 +317,7 @@
     return select_worker (d, &c, failed_worker, now);
   c.rack = s->rack;
   struct dispatch_worker *w = select_worker (d, &c, failed_worker, now);
-  struct rr_time since = dispatch_occurrence_start (d, j, name->occurrence);
-  if (rr_time_before (since, j->tasks[number].not_before))
-    since = j->tasks[number].not_before;
-  if (w != NULL || rr_time_diff (now, since) < rack_wait_ms (d, j, s))
+  if (w != NULL || waited < rack_wait_ms (d, j, s))
     return w;
   c.rack = NULL;
   return select_worker (d, &c, failed_worker, now);
@@ -318,11 +332,13 @@
 {
   const struct rr_job_graph_step *s = &j->graph->steps[name->step];
   const struct rr_queue_policy *q = dispatch_queue_policy (d, j);
+  struct rr_time since = dispatch_occurrence_start (d, j, name->occurrence);
   struct constraints c
       = { .job = j,
           .step = s,
           .name = name,
-          .service = q->service[0] != '\0' ? q->service : j->graph->service };
+          .service = q->service[0] != '\0' ? q->service : j->graph->service,
+          .slow_too = rr_time_diff (now, since) >= SLOW_AVOID_MS };
   if (!worker_allowed (w, &c, now) || !worker_fits (w, s))
     return 0;
   int64_t room = s->task_count;
@@ -353,7 +369,8 @@
           .step = &j->graph->steps[name->step],
           .name = name,
           .service = q->service[0] != '\0' ? q->service : j->graph->service,
-          .needs_permits = dispatch_needs_permits (d, j) };
+          .needs_permits = dispatch_needs_permits (d, j),
+          .slow_too = true };
   struct dispatch_worker *best = NULL;
   int64_t best_ms = -1;
   struct rr_handle h = { 0 };
