--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -7,12 +7,15 @@
 
 #include "common/log.h"
 #include "platform/worker.h"
+#include "rosemaryrail/answer_time.h"
 
 enum
 {
-  POLL_WAIT_MS = 600,     /* longest time between two status reports */
-  POLL_TIMEOUT_MS = 1200, /* the wait and an answer over a slow network */
-  PROBE_TIMEOUT_MS = 600, /* for a poll that returns at once */
+  POLL_WAIT_MS = 600, /* longest time between two status reports */
+  /* For an answer over a slow network, besides the wait.  */
+  ANSWER_TIMEOUT_MS = 600,
+  /* The same for a worker whose answers take longer.  */
+  ANSWER_TIMEOUT_MAX_MS = 3000,
   /* An answer that comes later is still used, for as long as a lease: it says
      what runs on a slow worker, and which runs have ended.  Meanwhile the
      worker is polled on other connections.  */
@@ -28,7 +31,6 @@
   /* Between polls that may not renew leases, until the membership record says
      that the worker is back.  */
   RECORD_WAIT_MS = 100,
-  COMMAND_TIMEOUT_MS = 600,
   /* Each command in flight uses a connection of its own, which has a cost.  */
   COMMANDS_IN_FLIGHT_MAX = 4,
   /* A command without its spec: headers and the other fields.  */
@@ -42,6 +44,7 @@
   struct rr_command command;
   struct worker_connection *connection;
   struct rr_time queued;
+  struct rr_time sent;
   int64_t bytes; /* counted in the command window */
   int64_t token; /* with which it was sent */
   struct queued_command *next;
@@ -60,6 +63,7 @@
   bool polling;     /* the last poll may still be answered in time */
   bool renewing;    /* the last poll renews leases */
   uint64_t poll_number;
+  struct rr_answer_time answer_time;
   size_t polls_in_flight; /* late ones included */
   bool awaiting_store;    /* the next poll waits until ends are stored */
   bool unresponsive;      /* the last poll had no valid answer */
@@ -77,6 +81,8 @@
   struct worker_connection *connection;
   uint64_t number;
   int64_t token;
+  int64_t wait_ms;
+  struct rr_time sent;
 };
 
 static void poll_worker (struct worker_connection *c);
@@ -213,6 +219,25 @@
   return token >= rr_dispatch_worker_token (c->owner.dispatch, c->worker);
 }
 
+static uint64_t
+answer_timeout_ms (const struct worker_connection *c)
+{
+  return rr_answer_timeout_ms (&c->answer_time, ANSWER_TIMEOUT_MS,
+                               ANSWER_TIMEOUT_MAX_MS);
+}
+
+/* The poll P is answered.  One that is answered early tells only how long the
+   answer took at most.  */
+static void
+learn_answer_time (struct worker_connection *c, const struct poll *p)
+{
+  int64_t ms = rr_time_diff (entry_now (), p->sent);
+  if (ms > p->wait_ms)
+    rr_answer_time_add (&c->answer_time, ms - p->wait_ms);
+  else if (ms < c->answer_time.seen_ms)
+    rr_answer_time_add (&c->answer_time, ms);
+}
+
 static void
 on_poll_done (void *data, enum rr_command_outcome outcome,
               const struct rr_worker_report *report)
@@ -223,6 +248,8 @@
   /* The dispatcher of a closed connection may be gone.  */
   bool fenced = !c->closed && outcome == RR_OUTCOME_FENCED
                 && token_current (c, poll->token);
+  if (report != NULL)
+    learn_answer_time (c, poll);
   free (poll);
   c->calls--;
   c->polls_in_flight--;
@@ -262,11 +289,13 @@
   poll->connection = c;
   poll->number = ++c->poll_number;
   poll->token = k.token;
+  poll->wait_ms = k.wait_ms;
+  poll->sent = now;
   c->polling = true;
   c->renewing = k.lease_end > 0;
   c->calls++;
   c->polls_in_flight++;
-  schedule_poll (c, k.lease_end > 0 ? POLL_TIMEOUT_MS : PROBE_TIMEOUT_MS);
+  schedule_poll (c, (uint64_t)k.wait_ms + answer_timeout_ms (c));
   platform_worker_poll (c->upstream, &k, entry_now, on_poll_done, poll);
 }
 
@@ -300,8 +329,12 @@
   c->calls--;
   c->commands_in_flight--;
   if (outcome != RR_OUTCOME_UNKNOWN && outcome != RR_OUTCOME_NOT_SENT)
-    command_window_answered (
-        c->owner.window, rr_time_diff (entry_now (), q->queued), entry_now ());
+    {
+      struct rr_time now = entry_now ();
+      command_window_answered (c->owner.window, rr_time_diff (now, q->queued),
+                               now);
+      rr_answer_time_add (&c->answer_time, rr_time_diff (now, q->sent));
+    }
   bool fenced = !c->closed && outcome == RR_OUTCOME_FENCED;
   if (fenced && token_current (c, q->token))
     c->owner.fenced (c->owner.data);
@@ -363,8 +396,9 @@
       return;
     }
   q->token = rr_dispatch_worker_token (c->owner.dispatch, c->worker);
+  q->sent = entry_now ();
   platform_worker_send_command (c->upstream, &q->command, q->token, lease_end,
-                                COMMAND_TIMEOUT_MS, on_command_done, q);
+                                answer_timeout_ms (c), on_command_done, q);
 }
 
 static void
