--- a/include/rosemaryentryd/entry.h
+++ b/include/rosemaryentryd/entry.h
@@ -7,6 +7,7 @@
 #include "rosemaryentryd/command_window.h"
 #include "rosemaryentryd/revision_times.h"
 #include "rosemaryentryd/settings.h"
+#include "rosemaryrail/answer_time.h"
 #include "rosemaryrail/clock.h"
 #include "rosemaryrail/queues.h"
 
@@ -44,6 +45,7 @@
   struct peer_statistics *peer_statistics;
   struct command_window command_window; /* of commands to workers */
   struct revision_times revision_times; /* of the store */
+  struct rr_answer_time store_answers;  /* to renewals of the lease */
   bool stopping;
 };
 
@@ -52,6 +54,8 @@
   /* Timeout of one call to the store: 15 times its response time when that is
      60 times the usual 4 ms.  */
   STORE_TIMEOUT_MS = 1000,
+  /* Longest timeout of a call to a store whose answers take longer.  */
+  STORE_TIMEOUT_MAX_MS = 6000,
   /* A daemon accepts no work when the store has not responded for this long.
      A watch returns after at most 1 s.  */
   STORE_RESPONSE_AGE_MAX_MS = 2500
@@ -60,5 +64,6 @@
 struct rr_time entry_now (void);
 int64_t entry_wall_ms (void);
 struct rr_time entry_store_last_response (const struct entry *e);
+uint64_t entry_store_timeout_ms (const struct entry *e, int64_t min_ms);
 
 #endif
--- a/include/rosemaryentryd/front_private.h
+++ b/include/rosemaryentryd/front_private.h
@@ -7,7 +7,7 @@
 
 enum
 {
-  STORE_CALL_TIMEOUT_MS = 700 /* of one call to the store */
+  STORE_CALL_TIMEOUT_MS = 700 /* of one call to a store that is quick */
 };
 
 struct front
@@ -42,6 +42,7 @@
 };
 
 void request_finish (struct request *q, int status, const char *json);
+uint64_t request_store_timeout_ms (const struct request *q);
 void request_retry (struct request *q, const struct store_result *r);
 void request_store_job (struct request *q);
 void request_store_cancellation (struct request *q);
--- a/rosemaryentryd/entry.c
+++ b/rosemaryentryd/entry.c
@@ -30,3 +30,14 @@
 {
   return store_cache_answered_at (e->records_cache);
 }
+
+/* Returns after how many milliseconds, MIN_MS or more, a call to the store
+   that has no answer is given up.  It is longer while the store is slow: a
+   call that is given up too early is carried out all the same, and its
+   successors are answered as late.  */
+uint64_t
+entry_store_timeout_ms (const struct entry *e, int64_t min_ms)
+{
+  return rr_answer_timeout_ms (&e->store_answers, min_ms,
+                               STORE_TIMEOUT_MAX_MS);
+}
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -115,6 +115,20 @@
   uv_timer_start (&q->retry_timer, on_retry_timer, RETRY_INTERVAL_MS, 0);
 }
 
+/* Returns the timeout in milliseconds of a call to the store for Q, whose
+   caller waits no longer than until its deadline.  */
+uint64_t
+request_store_timeout_ms (const struct request *q)
+{
+  int64_t left_ms = rr_time_diff (q->deadline, entry_now ());
+  uint64_t ms
+      = entry_store_timeout_ms (q->front->entry, STORE_CALL_TIMEOUT_MS);
+  if (ms <= STORE_CALL_TIMEOUT_MS || left_ms >= (int64_t)ms)
+    return ms;
+  return left_ms > STORE_CALL_TIMEOUT_MS ? (uint64_t)left_ms
+                                         : STORE_CALL_TIMEOUT_MS;
+}
+
 /* Continues a query for a job that is not in the records, with the result of
    reading the job's key from the store.  */
 static void
@@ -153,7 +167,7 @@
       if (known)
         request_read_phase (q, j);
       else
-        store_get (e->store, q->job_key, STORE_CALL_TIMEOUT_MS,
+        store_get (e->store, q->job_key, request_store_timeout_ms (q),
                    on_job_key_read, q);
       return;
     }
--- a/rosemaryentryd/front_changes.c
+++ b/rosemaryentryd/front_changes.c
@@ -20,7 +20,8 @@
                            .condition_count = count,
                            .writes = &w,
                            .write_count = 1 };
-  store_commit (q->front->entry->store, &txn, STORE_CALL_TIMEOUT_MS, done, q);
+  store_commit (q->front->entry->store, &txn, request_store_timeout_ms (q),
+                done, q);
 }
 
 /* The job may exist already, from an earlier attempt of this daemon or of the
@@ -78,8 +79,8 @@
   else if (j != NULL && j->accepted)
     request_finish (q, 200, "{}");
   else
-    store_get (q->front->entry->store, q->job_key, STORE_CALL_TIMEOUT_MS,
-               on_cancelled_job_read, q);
+    store_get (q->front->entry->store, q->job_key,
+               request_store_timeout_ms (q), on_cancelled_job_read, q);
 }
 
 /* Stores that the job of Q is cancelled, whether it is known or not.  */
--- a/rosemaryentryd/front_phase.c
+++ b/rosemaryentryd/front_phase.c
@@ -61,7 +61,7 @@
 {
   char key[KEY_SIZE];
   records_progress_key (j->shard, j->id, key);
-  store_get (q->front->entry->store, key, STORE_CALL_TIMEOUT_MS,
+  store_get (q->front->entry->store, key, request_store_timeout_ms (q),
              on_stored_phase, q);
 }
 
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -349,8 +349,9 @@
   o->claiming[i] = true;
   o->claims[i].owners = o;
   o->claims[i].record = s;
-  store_put_if (o->entry->store, &cond, &w, STORE_TIMEOUT_MS, on_claimed,
-                &o->claims[i]);
+  store_put_if (o->entry->store, &cond, &w,
+                entry_store_timeout_ms (o->entry, STORE_TIMEOUT_MS),
+                on_claimed, &o->claims[i]);
 }
 
 static size_t
--- a/rosemaryentryd/partitioning.c
+++ b/rosemaryentryd/partitioning.c
@@ -63,8 +63,9 @@
   struct store_condition cond = { .key = KEY_PARTITIONING, .revision = 0 };
   struct store_write w = { .key = KEY_PARTITIONING, .value = value };
   p->writing = true;
-  store_put_if (e->store, &cond, &w, STORE_TIMEOUT_MS, on_partitioning_written,
-                p);
+  store_put_if (e->store, &cond, &w,
+                entry_store_timeout_ms (e, STORE_TIMEOUT_MS),
+                on_partitioning_written, p);
 }
 
 /* Returns whether the workers have registered, as far as can be told: their
--- a/rosemaryentryd/progress_reader.c
+++ b/rosemaryentryd/progress_reader.c
@@ -51,7 +51,8 @@
 static void
 page_read (struct progress_reader *p)
 {
-  struct store_read how = { .timeout_ms = STORE_TIMEOUT_MS };
+  struct store_read how
+      = { .timeout_ms = entry_store_timeout_ms (p->entry, STORE_TIMEOUT_MS) };
   store_range (p->entry->store, p->prefix, p->after, &how, on_page_read, p);
 }
 
--- a/rosemaryentryd/session.c
+++ b/rosemaryentryd/session.c
@@ -11,9 +11,13 @@
 
 enum
 {
-  RENEW_MS = 375,        /* four renewals within the lease's TTL */
-  CALL_TIMEOUT_MS = 370, /* below RENEW_MS, so that one call is in flight */
-  SLOW_TIMEOUT_MS = 1200 /* after a call without an answer: a slow store */
+  RENEW_MS = 375, /* four renewals within the lease's TTL */
+  /* After a renewal without an answer another one is sent beside it: the store
+     may be slow, or the connection lost.  */
+  UNANSWERED_MS = 470,
+  /* An answer that comes later says nothing of use about a lease.  */
+  CALL_TIMEOUT_MS = 3000,
+  RENEWALS_MAX = 6 /* in flight */
 };
 
 struct session
@@ -22,12 +26,21 @@
   uv_timer_t timer;
   int64_t lease; /* 0: none */
   bool registered;
-  bool call_in_flight;
-  bool slow;                /* the last call had no answer */
+  bool closed;
+  bool granting;            /* or registering */
+  size_t renewals;          /* in flight */
   struct rr_time sent;      /* when the last call was sent */
   struct rr_time confirmed; /* last time the lease was certainly alive */
 };
 
+/* A renewal in flight.  */
+struct renewal
+{
+  struct session *session;
+  int64_t lease;
+  struct rr_time sent;
+};
+
 static void renew_lease (struct session *s);
 
 /* Returns the lease, or 0 when there is none.  */
@@ -53,14 +66,15 @@
 static void
 schedule_renewal (struct session *s, uint64_t delay_ms)
 {
-  s->call_in_flight = false;
-  uv_timer_start (&s->timer, on_timer, delay_ms, 0);
+  if (!s->closed)
+    uv_timer_start (&s->timer, on_timer, delay_ms, 0);
 }
 
 static void
 on_registered (void *data, const struct store_result *r)
 {
   struct session *s = data;
+  s->granting = false;
   s->registered = r->state == STORE_OK;
   if (r->state == STORE_MISSING)
     s->lease = 0;
@@ -85,15 +99,19 @@
                    self->peer.address, self->peer.port);
   snprintf (value + n, sizeof value - (size_t)n, "}");
   struct store_write w = { .key = key, .value = value, .lease = s->lease };
-  store_put_if (s->entry->store, NULL, &w, STORE_TIMEOUT_MS, on_registered, s);
+  s->granting = true;
+  uv_timer_stop (&s->timer);
+  store_put_if (s->entry->store, NULL, &w,
+                entry_store_timeout_ms (s->entry, STORE_TIMEOUT_MS),
+                on_registered, s);
 }
 
 static void
 on_granted (void *data, const struct store_result *r)
 {
   struct session *s = data;
-  s->slow = r->state == STORE_UNKNOWN;
-  if (r->state != STORE_OK || r->lease == 0)
+  s->granting = false;
+  if (r->state != STORE_OK || r->lease == 0 || s->closed)
     {
       schedule_renewal (s, RENEW_MS / 4);
       return;
@@ -105,45 +123,73 @@
   register_daemon (s);
 }
 
+static void
+lease_lost (struct session *s)
+{
+  log_event (LOG_LEVEL_WARN, "lease_lost", "lease=%lld age_ms=%lld",
+             (long long)s->lease,
+             (long long)rr_time_diff (entry_now (), s->confirmed));
+  s->lease = 0;
+  s->registered = false;
+  owners_lease_lost (s->entry->owners);
+}
+
+/* Answers may overtake each other, and come when the lease has been replaced
+   by another one.  */
 static void
 on_renewed (void *data, const struct store_result *r)
 {
-  struct session *s = data;
-  s->slow = r->state == STORE_UNKNOWN;
+  struct renewal *renewal = data;
+  struct session *s = renewal->session;
+  struct rr_time sent = renewal->sent;
+  bool current = renewal->lease == s->lease;
+  bool last = rr_time_diff (sent, s->sent) == 0;
+  free (renewal);
+  s->renewals--;
+  if (s->closed || !current)
+    return;
   if (r->state == STORE_OK)
     {
-      s->confirmed = s->sent;
+      rr_answer_time_add (&s->entry->store_answers,
+                          rr_time_diff (entry_now (), sent));
+      if (rr_time_before (s->confirmed, sent))
+        s->confirmed = sent;
+      if (s->granting)
+        return;
       if (!s->registered)
         register_daemon (s);
-      else
+      else if (last)
         schedule_renewal (s, RENEW_MS);
       return;
     }
-  if (r->state == STORE_MISSING)
-    {
-      log_event (LOG_LEVEL_WARN, "lease_lost", "lease=%lld age_ms=%lld",
-                 (long long)s->lease,
-                 (long long)rr_time_diff (entry_now (), s->confirmed));
-      s->lease = 0;
-      s->registered = false;
-      owners_lease_lost (s->entry->owners);
-    }
-  schedule_renewal (s, RENEW_MS / 4);
+  bool missing = r->state == STORE_MISSING;
+  if (missing)
+    lease_lost (s);
+  if ((last || missing) && !s->granting)
+    schedule_renewal (s, RENEW_MS / 4);
 }
 
 static void
 renew_lease (struct session *s)
 {
-  if (s->call_in_flight)
+  if (s->lease == 0)
+    {
+      s->granting = true;
+      s->sent = entry_now ();
+      store_lease_grant (s->entry->store, SESSION_TTL_MS, CALL_TIMEOUT_MS,
+                         on_granted, s);
+      return;
+    }
+  schedule_renewal (s, UNANSWERED_MS);
+  if (s->renewals >= RENEWALS_MAX)
     return;
-  s->call_in_flight = true;
   s->sent = entry_now ();
-  uint64_t timeout = s->slow ? SLOW_TIMEOUT_MS : CALL_TIMEOUT_MS;
-  if (s->lease == 0)
-    store_lease_grant (s->entry->store, SESSION_TTL_MS, SLOW_TIMEOUT_MS,
-                       on_granted, s);
-  else
-    store_lease_renew (s->entry->store, s->lease, timeout, on_renewed, s);
+  struct renewal *renewal = calloc (1, sizeof *renewal);
+  assert (renewal != NULL);
+  *renewal = (struct renewal){ s, s->lease, s->sent };
+  s->renewals++;
+  store_lease_renew (s->entry->store, s->lease, CALL_TIMEOUT_MS, on_renewed,
+                     renewal);
 }
 
 /* Obtains and keeps a lease, and registers the daemon under it.  */
@@ -171,6 +217,7 @@
 void
 session_close (struct session *s)
 {
+  s->closed = true;
   uv_timer_stop (&s->timer);
   if (s->lease != 0)
     store_lease_end (s->entry->store, s->lease, STORE_TIMEOUT_MS, on_ended, s);
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -191,5 +191,7 @@
                            .write_count = n };
   s->committing = true;
   s->calls_in_flight++;
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_committed, s);
+  store_commit (s->entry->store, &txn,
+                entry_store_timeout_ms (s->entry, COMMIT_TIMEOUT_MS),
+                on_committed, s);
 }
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -125,7 +125,9 @@
                            .write_count = 2 };
   v->sending = true;
   s->calls_in_flight++;
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_divided, s);
+  store_commit (s->entry->store, &txn,
+                entry_store_timeout_ms (s->entry, COMMIT_TIMEOUT_MS),
+                on_divided, s);
 }
 
 /* Sets DESTINATION to the record that receives tasks of FROM: the job's own
--- a/rosemaryentryd/shard_forget.c
+++ b/rosemaryentryd/shard_forget.c
@@ -59,5 +59,7 @@
   s->calls_in_flight++;
   log_event (LOG_LEVEL_INFO, "old_jobs_removed", "shard=%s jobs=%zu",
              s->record->name, jobs);
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_forgotten, s);
+  store_commit (s->entry->store, &txn,
+                entry_store_timeout_ms (s->entry, COMMIT_TIMEOUT_MS),
+                on_forgotten, s);
 }
--- a/rosemaryentryd/shard_membership.c
+++ b/rosemaryentryd/shard_membership.c
@@ -150,7 +150,8 @@
   s->membership.stored = false;
   s->membership.stopping = s->stopping;
   s->calls_in_flight++;
-  store_commit (s->entry->store, &txn, MEMBERSHIP_TIMEOUT_MS,
+  store_commit (s->entry->store, &txn,
+                entry_store_timeout_ms (s->entry, MEMBERSHIP_TIMEOUT_MS),
                 on_membership_written, s);
 }
 
--- a/rosemaryentryd/shard_publish.c
+++ b/rosemaryentryd/shard_publish.c
@@ -65,7 +65,8 @@
   s->published_demand = demand;
   s->published_largest = load.largest_free_cores_milli;
   s->calls_in_flight++;
-  store_put_if (s->entry->store, &cond, &w, COMMIT_TIMEOUT_MS, on_load_written,
-                s);
+  store_put_if (s->entry->store, &cond, &w,
+                entry_store_timeout_ms (s->entry, COMMIT_TIMEOUT_MS),
+                on_load_written, s);
   json_object_put (value);
 }
--- a/rosemaryentryd/shard_summarize.c
+++ b/rosemaryentryd/shard_summarize.c
@@ -76,7 +76,9 @@
                            .write_count = n };
   s->summarizing = true;
   s->calls_in_flight++;
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_summarized, s);
+  store_commit (s->entry->store, &txn,
+                entry_store_timeout_ms (s->entry, COMMIT_TIMEOUT_MS),
+                on_summarized, s);
   for (size_t i = 0; i < n; i++)
     free (texts[i]);
 }
--- a/rosemaryentryd/shard_transfer.c
+++ b/rosemaryentryd/shard_transfer.c
@@ -127,7 +127,9 @@
                            .removal_count = removed };
   s->transferring = true;
   s->calls_in_flight++;
-  store_commit (s->entry->store, &txn, COMMIT_TIMEOUT_MS, on_transferred, s);
+  store_commit (s->entry->store, &txn,
+                entry_store_timeout_ms (s->entry, COMMIT_TIMEOUT_MS),
+                on_transferred, s);
 }
 
 /* Prepares the transfer of the job ID, with the graph G, to TARGET.  */
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -17,6 +17,9 @@
   RESUMED_WATCH_WAIT_MS = 1,
   /* A watch that gets no response for this long is on a dead connection.  */
   WATCH_TIMEOUT_MS = 1800,
+  /* What answers take beyond this shortens the wait of a watch: what the cache
+     has is known to be complete as of when the watch was sent.  */
+  USUAL_ANSWER_MS = 200,
   RANGE_TIMEOUT_MS = 2000,
   RETRY_MIN_MS = 40,
   RETRY_MAX_MS = 320,
@@ -73,6 +76,31 @@
 static void follow (struct store_cache *c);
 static void watch_start (struct store_cache *c);
 
+/* Returns the timeout in milliseconds of a watch that waits for WAIT_MS.  */
+static uint64_t
+watch_timeout_ms (const struct store_cache *c, uint64_t wait_ms)
+{
+  uint64_t ms = wait_ms + entry_store_timeout_ms (c->entry, 0);
+  return ms > WATCH_TIMEOUT_MS ? ms : WATCH_TIMEOUT_MS;
+}
+
+/* Returns how long the next watch waits for a change, in milliseconds.  */
+static uint64_t
+watch_wait_ms (const struct store_cache *c)
+{
+  int64_t beyond = c->entry->store_answers.seen_ms - USUAL_ANSWER_MS;
+  int64_t wait = (int64_t)c->watch_wait_ms - (beyond > 0 ? beyond : 0);
+  return c->unresponsive || wait < RESUMED_WATCH_WAIT_MS
+             ? RESUMED_WATCH_WAIT_MS
+             : (uint64_t)wait;
+}
+
+static uint64_t
+range_timeout_ms (const struct store_cache *c)
+{
+  return entry_store_timeout_ms (c->entry, RANGE_TIMEOUT_MS);
+}
+
 /* Returns whether a full read has completed.  */
 bool
 store_cache_synced (const struct store_cache *c)
@@ -311,7 +339,7 @@
              (long long)rr_time_diff (check->sent, c->request_sent));
   uv_timer_start (&c->check_timer, on_check_timer, CHECK_INTERVAL_MS, 0);
   struct store_read how
-      = { .timeout_ms = RANGE_TIMEOUT_MS, .new_connection = true };
+      = { .timeout_ms = range_timeout_ms (c), .new_connection = true };
   store_range (c->entry->store, c->prefix, "", &how, on_checked, check);
 }
 
@@ -327,7 +355,7 @@
 page_read (struct store_cache *c)
 {
   c->request_sent = entry_now ();
-  struct store_read how = { .timeout_ms = RANGE_TIMEOUT_MS,
+  struct store_read how = { .timeout_ms = range_timeout_ms (c),
                             .may_be_stale = c->read_interval_ms > 0,
                             .new_connection = c->unresponsive };
   check_later (c, 0);
@@ -379,7 +407,7 @@
     return;
   c->catching_up = true;
   c->catch_up_sent = entry_now ();
-  struct store_read how = { .timeout_ms = WATCH_TIMEOUT_MS };
+  struct store_read how = { .timeout_ms = watch_timeout_ms (c, 1) };
   store_watch (c->entry->store, c->prefix, c->revision, 1, &how, on_caught_up,
                c);
 }
@@ -422,10 +450,9 @@
 watch_start (struct store_cache *c)
 {
   c->request_sent = entry_now ();
-  uint64_t wait_ms
-      = c->unresponsive ? RESUMED_WATCH_WAIT_MS : c->watch_wait_ms;
-  struct store_read how
-      = { .timeout_ms = WATCH_TIMEOUT_MS, .new_connection = c->unresponsive };
+  uint64_t wait_ms = watch_wait_ms (c);
+  struct store_read how = { .timeout_ms = watch_timeout_ms (c, wait_ms),
+                            .new_connection = c->unresponsive };
   check_later (c, wait_ms);
   store_watch (c->entry->store, c->prefix, c->revision, wait_ms, &how,
                on_watch, c);
--- a/tests/entry/cache_script.c
+++ b/tests/entry/cache_script.c
@@ -21,6 +21,7 @@
      gone                        answers it: the history was dropped
      check MS                    reads when a call has no answer MS after its
                                  wait, and after a lost one
+     answers MS                  the store answers other calls after MS
      run MS                      runs the loop
      state                       prints what the cache knows  */
 
@@ -43,6 +44,13 @@
 static size_t call_count;
 static struct entry script_entry;
 
+uint64_t
+entry_store_timeout_ms (const struct entry *e, int64_t min_ms)
+{
+  return rr_answer_timeout_ms (&e->store_answers, min_ms,
+                               STORE_TIMEOUT_MAX_MS);
+}
+
 struct rr_time
 entry_now (void)
 {
@@ -176,6 +184,8 @@
     answer_without_items (STORE_UNKNOWN);
   else if (strcmp (name, "gone") == 0)
     answer_without_items (STORE_COMPACTED);
+  else if (strcmp (name, "answers") == 0)
+    script_entry.store_answers.seen_ms = first;
   else if (strcmp (name, "check") == 0)
     store_cache_set_check (c, (uint64_t)first);
   else if (strcmp (name, "run") == 0)
