--- a/standins/rr-permits.c
+++ b/standins/rr-permits.c
@@ -10,8 +10,9 @@
    machine: handles one call at a time, in turn, and answers with status 429
    when 32 are waiting.  A call takes --decision-ms and --per-worker-ms for
    each worker listed.  Which workers are permitted follows from their ids and
-   the step and never changes.  A token reads WORKER/STEP/TIME, where TIME is
-   the time of day in ms at which it expires; rr-taskworker checks it.  */
+   the step and never changes.  A token reads WORKER/STEP/TIME/PADDING,
+   where TIME is the time of day in ms at which it expires; rr-taskworker
+   checks it.  */
 
 enum
 {
@@ -34,6 +35,7 @@
 static int per_worker_ms;
 static int valid_ms;
 static int permitted_percent;
+static int padding_bytes;
 static FILE *log_file;
 
 static int64_t
@@ -83,13 +85,15 @@
           = json_object_get_string (json_object_array_get_idx (workers, i));
       if (!permitted (step, worker))
         continue;
-      char token[256];
-      snprintf (token, sizeof token, "%s/%s/%lld", worker, step,
-                (long long)wall_ms () + valid_ms);
+      size_t size = 256 + (size_t)padding_bytes;
+      char *token = tool_alloc (size);
+      snprintf (token, size, "%s/%s/%lld/%0*d", worker, step,
+                (long long)wall_ms () + valid_ms, padding_bytes, 0);
       struct json_object *row = json_object_new_array ();
       json_object_array_add (row, json_object_new_string (worker));
       json_object_array_add (row, json_object_new_string (token));
       json_object_array_add (rows, row);
+      free (token);
     }
   return rows;
 }
@@ -159,6 +163,7 @@
           INT_FLAG ("per-worker-ms", "and for each worker listed", 8),
           INT_FLAG ("valid-ms", "time for which a permit is valid", 3000),
           INT_FLAG ("permitted", "percentage of permitted workers", 100),
+          INT_FLAG ("padding", "bytes added to each token", 1),
           TEXT_FLAG ("log", "file for the calls", "/dev/stdout") };
   uv_loop_t *loop = uv_default_loop ();
   struct rr_error err = { 0 };
@@ -171,7 +176,8 @@
   per_worker_ms = flags[2].number;
   valid_ms = flags[3].number;
   permitted_percent = flags[4].number;
-  log_file = fopen (flags[5].text, "a");
+  padding_bytes = flags[5].number;
+  log_file = fopen (flags[6].text, "a");
   if (log_file == NULL
       || tool_listen (loop, flags[0].number, on_request, NULL, &err) == NULL)
     return tool_fail ("rr-permits", &err);
--- a/tests/entry/permits_lib.sh
+++ b/tests/entry/permits_lib.sh
@@ -2,12 +2,12 @@
 layout=1
 permits_port=25003
 
-# start_permits MS PER_WORKER_MS VALID_MS [PERMITTED]: starts the permit
-# service.  The configuration declares the same times, unless $advice is set.
+# start_permits MS PER_WORKER_MS VALID_MS [PERMITTED [PADDING]]: starts the
+# permit service.  The configuration declares the same times, unless $advice is set.
 start_permits() {
   "$build/standins/rr-permits" --address "$address" --port $permits_port \
     --decision-ms "$1" --per-worker-ms "$2" --valid-ms "$3" \
-    --permitted "${4:-100}" --log "$work/permits.jsonl" >>"$work/permits.log" 2>&1 &
+    --permitted "${4:-100}" --padding "${5:-1}" --log "$work/permits.jsonl" >>"$work/permits.log" 2>&1 &
   pid[permits]=$!
   permits="$address:$permits_port"
   advice=${advice:-"{\"decisionMs\":$1,\"perWorkerMs\":$2,\"validMs\":$3}"}
