--- a/common/rpc_client.c
+++ b/common/rpc_client.c
@@ -32,6 +32,7 @@
   size_t length;
   bool sent;
   uint64_t input_count_at_send; /* of the client, if SENT */
+  uint64_t silence_max_ms;      /* 0: the timeout is for the whole call */
   rpc_done_fn *done;
   void *data;
 };
@@ -177,6 +178,9 @@
     }
   rpc_counters.bytes_in += (uint64_t)n;
   c->input_count++;
+  for (struct pending_call *p = c->calls; p != NULL; p = p->next)
+    if (p->sent && p->silence_max_ms > 0)
+      call_timeout_start (&p->timeout, p->silence_max_ms);
   bool ok = rpc_record_feed (&conn->reader, buf->base, (size_t)n);
   const char *record;
   size_t length;
@@ -295,12 +299,9 @@
   uv_close ((uv_handle_t *)&c->close_handle, on_client_closed);
 }
 
-/* Calls PROCEDURE with the XDR-encoded ARGS, which are copied.  DONE runs
-   exactly once, at the latest when TIMEOUT_MS has passed.  */
-void
-rpc_client_call (struct rpc_client *c, uint32_t procedure, const char *args,
-                 size_t length, uint64_t timeout_ms, rpc_done_fn *done,
-                 void *data)
+static struct pending_call *
+call_begin (struct rpc_client *c, uint32_t procedure, const char *args,
+            size_t length, uint64_t timeout_ms, rpc_done_fn *done, void *data)
 {
   struct pending_call *call = calloc (1, sizeof *call);
   assert (call != NULL);
@@ -321,4 +322,27 @@
     client_connect (c);
   else if (c->state == CLIENT_CONNECTED)
     call_write (call);
+  return call;
+}
+
+/* Calls PROCEDURE with the XDR-encoded ARGS, which are copied.  DONE runs
+   exactly once, at the latest when TIMEOUT_MS has passed.  */
+void
+rpc_client_call (struct rpc_client *c, uint32_t procedure, const char *args,
+                 size_t length, uint64_t timeout_ms, rpc_done_fn *done,
+                 void *data)
+{
+  call_begin (c, procedure, args, length, timeout_ms, done, data);
+}
+
+/* As rpc_client_call, for a reply that may take long to arrive: the call ends
+   once nothing has been received for SILENCE_MAX_MS.  */
+void
+rpc_client_fetch (struct rpc_client *c, uint32_t procedure, const char *args,
+                  size_t length, uint64_t silence_max_ms, rpc_done_fn *done,
+                  void *data)
+{
+  call_begin (c, procedure, args, length, silence_max_ms, done, data)
+      ->silence_max_ms
+      = silence_max_ms;
 }
--- a/include/common/rpc.h
+++ b/include/common/rpc.h
@@ -56,9 +56,16 @@
                                     uint16_t port, uint32_t program,
                                     uint32_t version);
 void rpc_client_close (struct rpc_client *c);
+/* rpc_client_call or rpc_client_fetch.  */
+typedef void rpc_call_fn (struct rpc_client *c, uint32_t procedure,
+                          const char *args, size_t length, uint64_t ms,
+                          rpc_done_fn *done, void *data);
 void rpc_client_call (struct rpc_client *c, uint32_t procedure,
                       const char *args, size_t length, uint64_t timeout_ms,
                       rpc_done_fn *done, void *data);
+void rpc_client_fetch (struct rpc_client *c, uint32_t procedure,
+                       const char *args, size_t length,
+                       uint64_t silence_max_ms, rpc_done_fn *done, void *data);
 
 const struct rpc_counters *rpc_counters_get (void);
 
--- a/rosemaryentryd/peers.c
+++ b/rosemaryentryd/peers.c
@@ -22,7 +22,7 @@
   /* A call takes a few milliseconds.  HTTP callers wait for the reply.  */
   PHASE_TIMEOUT_MS = 150,
   STATISTICS_TIMEOUT_MS = 1000,
-  CONFIG_TIMEOUT_MS = 1000, /* for 1 MB over a slow link */
+  CONFIG_SILENCE_MS = 1000, /* while 1 MB arrives over a slow link */
   /* Time until a daemon that did not answer is called again.  */
   UNREACHABLE_RETRY_MS = 1000,
   PEERS_MAX = 256
@@ -321,11 +321,12 @@
   return c->client == NULL ? NULL : c;
 }
 
-/* Calls PROCEDURE of C with OBJECT, which PROC encodes.  Returns false, and
-   does not call DONE, when it can't be encoded.  */
+/* Calls PROCEDURE of C with OBJECT, which PROC encodes, by SEND.  Returns
+   false, and does not call DONE, when it can't be encoded.  */
 static bool
-call_peer (struct peer *c, uint32_t procedure, xdrproc_t proc, void *object,
-           uint64_t timeout_ms, rpc_done_fn *done, void *data)
+call_peer (struct peer *c, rpc_call_fn *send, uint32_t procedure,
+           xdrproc_t proc, void *object, uint64_t timeout_ms,
+           rpc_done_fn *done, void *data)
 {
   char *bytes = NULL;
   size_t length = 0;
@@ -335,8 +336,7 @@
                  (unsigned)procedure);
       return false;
     }
-  rpc_client_call (c->client, procedure, bytes, length, timeout_ms, done,
-                   data);
+  send (c->client, procedure, bytes, length, timeout_ms, done, data);
   free (bytes);
   return true;
 }
@@ -357,8 +357,8 @@
   *call = (struct phase_call){ .peer = c, .done = done, .data = data };
   struct peer_job query;
   snprintf (query.id, sizeof query.id, "%s", job);
-  if (!call_peer (c, PEER_JOB_PHASE, (xdrproc_t)xdr_peer_job, &query,
-                  PHASE_TIMEOUT_MS, on_phase, call))
+  if (!call_peer (c, rpc_client_call, PEER_JOB_PHASE, (xdrproc_t)xdr_peer_job,
+                  &query, PHASE_TIMEOUT_MS, on_phase, call))
     {
       free (call);
       done (data, NULL);
@@ -413,8 +413,8 @@
   static char empty[] = "";
   struct peer_config query
       = { .known = true, .version = version, .age_ms = -1, .text = empty };
-  if (!call_peer (c, PEER_CONFIG, (xdrproc_t)xdr_peer_config, &query,
-                  CONFIG_TIMEOUT_MS, on_config, call))
+  if (!call_peer (c, rpc_client_fetch, PEER_CONFIG, (xdrproc_t)xdr_peer_config,
+                  &query, CONFIG_SILENCE_MS, on_config, call))
     {
       free (call);
       done (data, NULL);
@@ -428,8 +428,9 @@
 {
   struct peer *c = peer_connect (p, peer_find (p, daemon));
   if (c != NULL)
-    call_peer (c, PEER_STATISTICS, (xdrproc_t)xdr_statistics_list,
-               (void *)list, STATISTICS_TIMEOUT_MS, on_statistics_sent, c);
+    call_peer (c, rpc_client_call, PEER_STATISTICS,
+               (xdrproc_t)xdr_statistics_list, (void *)list,
+               STATISTICS_TIMEOUT_MS, on_statistics_sent, c);
 }
 
 /* Adds the daemons that the settings name.  They are known before the store
--- a/tests/entry/test_peers.c
+++ b/tests/entry/test_peers.c
@@ -54,6 +54,14 @@
   done (data, RPC_CALL_UNKNOWN, NULL, 0);
 }
 
+void
+rpc_client_fetch (struct rpc_client *c, uint32_t procedure, const char *args,
+                  size_t length, uint64_t silence_max_ms, rpc_done_fn *done,
+                  void *data)
+{
+  rpc_client_call (c, procedure, args, length, silence_max_ms, done, data);
+}
+
 struct job_record *
 records_job (struct records *r, const char *id)
 {
