--- a/include/rosemaryentryd/settings.h
+++ b/include/rosemaryentryd/settings.h
@@ -44,6 +44,7 @@
   struct settings_peer
       seeds[ENTRY_SEEDS_MAX]; /* other daemons, perhaps gone */
   size_t seed_count;
+  int64_t value_max_bytes; /* of one key in the store */
   double remote_factor; /* slowdown of a task outside the rack of its data */
 };
 
--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -213,7 +213,9 @@
   /* No task starts while the workers' registrations are older than this,
      compared with the store's last response.  */
   int64_t registration_age_max_ms;
-  double remote_factor;   /* slowdown on a rack without the data */
+  double remote_factor; /* slowdown on a rack without the data */
+  /* Progress that would be longer is stored without checkpoints; 0: none.  */
+  size_t progress_max_bytes;
   int64_t wall_offset_ms; /* wall clock minus the clock of rr_time */
   void (*send_command) (void *data, const struct rr_command *command);
   void (*log_decision) (void *data, const char *event, const char *text);
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -254,6 +254,15 @@
   struct request *q = request_new (f, x, route, id);
   q->kind = REQUEST_SUBMIT;
   q->text = rr_job_graph_encode (g);
+  if (strlen (q->text) > (size_t)e->settings.value_max_bytes)
+    {
+      log_event (LOG_LEVEL_WARN, "job_rejected",
+                 "job=%s status=413 bytes=%zu max=%lld", id, strlen (q->text),
+                 (long long)e->settings.value_max_bytes);
+      request_finish (q, 413, "job-too-large");
+      rr_job_graph_free (g);
+      return;
+    }
   log_event (LOG_LEVEL_INFO, "job_submitted",
              "job=%s queue=%s shard=%s steps=%zu config=%lld", id, g->queue,
              s->name, g->step_count, (long long)e->queues->version);
--- a/rosemaryentryd/settings.c
+++ b/rosemaryentryd/settings.c
@@ -10,7 +10,8 @@
 
 enum
 {
-  SETTINGS_MAX_BYTES = 1 << 20
+  SETTINGS_MAX_BYTES = 1 << 20,
+  VALUE_DEFAULT_BYTES = 1 << 20
 };
 
 static bool
@@ -135,6 +136,8 @@
       s->shutdown_ms = read_scaled_number_or (o, "shutdown_s", 1000, 6000);
       s->retention_ms = read_scaled_number_or (o, "retention_s", 1000, 120000);
       s->late_ms = read_scaled_number_or (o, "late_s", 1000, 60000);
+      s->value_max_bytes = read_scaled_number_or (o, "value_max_bytes", 1,
+                                                  VALUE_DEFAULT_BYTES);
       s->config_apply_ms
           = read_scaled_number_or (o, "config_apply_ms", 1, 2000);
       read_seeds (o, s);
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -469,6 +469,7 @@
           .registration_age_max_ms
           = registration_age_max_ms (e->settings.drain_ms),
           .remote_factor = e->settings.remote_factor,
+          .progress_max_bytes = (size_t)e->settings.value_max_bytes,
           .wall_offset_ms = entry_wall_ms () - entry_now ().ms,
           .send_command = on_command,
           .log_decision = on_decision,
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -171,8 +171,9 @@
   struct store_condition conds[COMMIT_JOBS_MAX + 1];
   struct store_write writes[COMMIT_JOBS_MAX];
   conds[0] = (struct store_condition){ s->owner_key, s->fencing_token };
-  s->commit_count = n;
-  for (size_t i = 0; i < n; i++)
+  size_t bytes = 0;
+  size_t i = 0;
+  for (; i < n && bytes <= (size_t)s->entry->settings.value_max_bytes; i++)
     {
       struct commit_entry *c = &s->commit[i];
       snprintf (c->id, sizeof c->id, "%s", ids[i]);
@@ -184,7 +185,9 @@
           = (struct store_condition){ keys[i],
                                       j == NULL ? 0 : j->progress_revision };
       writes[i] = (struct store_write){ .key = keys[i], .value = c->text };
+      bytes += strlen (c->text);
     }
+  s->commit_count = n = i;
   struct store_txn txn = { .conditions = conds,
                            .condition_count = n + 1,
                            .writes = writes,
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -97,8 +97,9 @@
   struct rr_time last_run_seen; /* last time when run_count was not 0 */
   enum rr_job_phase phase;
   bool cancelled;
-  bool held;        /* being transferred to another shard */
-  uint64_t version; /* incremented with each change to store */
+  bool held;                 /* being transferred to another shard */
+  bool checkpoints_left_out; /* of its stored progress, as logged */
+  uint64_t version;          /* incremented with each change to store */
   uint64_t stored_version;
   struct rr_time accepted;
 };
--- a/rosemaryrail/dispatch_progress.c
+++ b/rosemaryrail/dispatch_progress.c
@@ -75,14 +75,27 @@
   r->checkpoint_run = t->checkpoint_run;
 }
 
+static char *
+encode_without_checkpoints (struct rr_progress *p)
+{
+  for (size_t i = 0; i < p->row_count; i++)
+    {
+      p->rows[i].checkpoint = NULL;
+      p->rows[i].checkpoint_run = 0;
+    }
+  return rr_progress_encode (p);
+}
+
 /* Returns the progress of job ID in its stored form, and its VERSION for
    rr_dispatch_progress_stored.  Returns null when the dispatcher does not have
-   the job.  */
+   the job.  What the store would refuse, it would refuse each time, and the
+   job's ends would never be stored, so checkpoints that are too long are left
+   out: tasks of a later owner then start anew.  */
 char *
 rr_dispatch_progress_encode (struct rr_dispatch *d, const char *id,
                              uint64_t *version)
 {
-  const struct dispatch_job *j = dispatch_job_find (d, id);
+  struct dispatch_job *j = dispatch_job_find (d, id);
   if (j == NULL)
     return NULL;
   struct rr_progress p = { .phase = j->phase };
@@ -91,6 +104,18 @@
   for (uint32_t i = 0; i < j->task_count && !job_finished (j); i++)
     add_row (j, i, &p);
   char *text = rr_progress_encode (&p);
+  size_t max = d->o.progress_max_bytes;
+  bool too_long = max > 0 && strlen (text) > max;
+  if (too_long)
+    {
+      if (!j->checkpoints_left_out)
+        dispatch_log_decision (d, "checkpoints_not_stored",
+                               "job=%s bytes=%zu max=%zu", id, strlen (text),
+                               max);
+      free (text);
+      text = encode_without_checkpoints (&p);
+    }
+  j->checkpoints_left_out = too_long;
   free (p.rows);
   *version = j->version;
   return text;
--- a/standins/rr-kv.c
+++ b/standins/rr-kv.c
@@ -12,6 +12,7 @@
 enum
 {
   TICK_MS = 20,
+  VALUE_BYTES = 1 << 20,
   PAGE_ITEMS = 500,     /* of a range, and by default of a watch */
   HEARTBEATS_MS = 1300, /* a worker's entry is removed after this silence */
   TEXT_MAX = 256
@@ -80,6 +81,7 @@
 static struct late_read_list late_reads;
 static enum mode mode;
 static bool watches_unanswered; /* other calls are answered */
+static int value_bytes;
 static int watch_items; /* in an answer to a watch, unless of one revision */
 static int64_t config_from_us; /* reads of the configuration wait until then */
 
@@ -400,6 +402,21 @@
         json_object_get_string (json_object_array_get_idx (removals, i)));
 }
 
+/* Returns whether no value of PUT, in base64, is longer than allowed.  */
+static bool
+values_fit (struct json_object *put)
+{
+  size_t n = put == NULL ? 0 : json_object_array_length (put);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *p = json_object_array_get_idx (put, i);
+      size_t length = strlen (json_string_or (p, "value", ""));
+      if (length / 4 * 3 > (size_t)value_bytes)
+        return false;
+    }
+  return true;
+}
+
 static void
 on_txn (struct http_exchange *x)
 {
@@ -414,7 +431,9 @@
                && lease_exists (json_int_or (
                    json_object_array_get_idx (put, i), "lease", 0));
   struct json_object *o = json_object_new_object ();
-  if (!conditions_hold (tool_member (body, "expectedRevision"), present))
+  if (!values_fit (put))
+    respond (x, 400, o);
+  else if (!conditions_hold (tool_member (body, "expectedRevision"), present))
     {
       json_object_object_add (o, "items", json_object_get (present));
       respond (x, 412, o);
@@ -600,18 +619,20 @@
 int
 main (int argc, char **argv)
 {
-  struct tool_flag flags[]
-      = { PORT_FLAG ("port", "port to listen on"),
-          INT_FLAG ("watch-items", "changes in an answer to a watch",
-                    PAGE_ITEMS) };
+  struct tool_flag flags[] = {
+    PORT_FLAG ("port", "port to listen on"),
+    INT_FLAG ("watch-items", "changes in an answer to a watch", PAGE_ITEMS),
+    INT_FLAG ("value-bytes", "longest value in a transaction", VALUE_BYTES)
+  };
   uv_loop_t *loop = uv_default_loop ();
   struct rr_error err = { 0 };
   int code;
   if (!tool_start (argc, argv, "rr-kv",
-                   "Stand-in of the users' key-value store.", flags, 2, loop,
+                   "Stand-in of the users' key-value store.", flags, 3, loop,
                    &code))
     return code;
   watch_items = flags[1].number;
+  value_bytes = flags[2].number;
   items = rr_table_new (sizeof (struct item));
   item_index = rr_key_index_new ();
   if (tool_listen (loop, flags[0].number, on_request, NULL, &err) == NULL)
--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -13,8 +13,9 @@
    the first), "fail=PERCENT", "fails_off_peak" (runs fail early) and
    "cpu=" in thousandths of a core, or "tail=MS" for a latency-critical task,
    which has the tail latency "peak=MS" between one SIGUSR2 and the next.
-   "permit" stands in the spec of a task that starts only with a valid permit
-   of rr-permits.  */
+   "fails_first" lets the first run fail, and "save=BYTES" is the size of the
+   task's checkpoint.  "permit" stands in the spec of a task that starts only
+   with a valid permit of rr-permits.  */
 
 enum
 {
--- a/standins/taskworker_runs.c
+++ b/standins/taskworker_runs.c
@@ -28,6 +28,7 @@
   int64_t tail_ms; /* of a latency-critical task, else 0 */
   int64_t peak_tail_ms;
   int64_t percent; /* speed */
+  long saved_bytes;
   bool fails;
 };
 
@@ -37,6 +38,7 @@
   char task[TASKWORKER_TEXT_MAX];
   int64_t run;
   const char *how;
+  long saved_bytes;
   int64_t at_us;
   bool noted;
 };
@@ -157,7 +159,9 @@
   r->tail_ms = spec_value (spec, "tail=");
   r->peak_tail_ms = spec_value (spec, "peak=");
   r->percent = 100;
-  r->fails = rand () % 100 < spec_value (spec, "fail=");
+  r->saved_bytes = spec_value (spec, "save=");
+  r->fails = rand () % 100 < spec_value (spec, "fail=")
+             || (run == 1 && strstr (spec, "fails_first") != NULL);
   if (!peak && strstr (spec, "fails_off_peak") != NULL)
     {
       r->fails = true;
@@ -227,6 +231,7 @@
   snprintf (e->task, sizeof e->task, "%s", r->task);
   e->run = r->run;
   e->how = how;
+  e->saved_bytes = r->saved_bytes;
   e->at_us = tool_now_us ();
   struct seal *s = seal_of (r->task);
   if (s->run < r->run)
@@ -294,6 +299,17 @@
   json_object_array_add (row, json_object_new_string (text));
 }
 
+/* Adds a checkpoint of BYTES zeros.  */
+static void
+add_checkpoint (struct json_object *row, long bytes)
+{
+  char *text = tool_alloc ((size_t)bytes + 1);
+  memset (text, '0', (size_t)bytes);
+  text[bytes] = '\0';
+  add_text (row, text);
+  free (text);
+}
+
 /* Returns the rows of the runs at work.  Latency-critical tasks are at work
    from their start on.  */
 struct json_object *
@@ -307,7 +323,7 @@
       bool serves = r->tail_ms > 0;
       add_text (row, r->task);
       add_int (row, r->run);
-      add_text (row, "");
+      add_checkpoint (row, r->saved_bytes);
       add_int (row, serves ? 100 : r->done_us * 100 / (r->work_us + 1));
       if (serves)
         add_int (row, peak ? r->peak_tail_ms : r->tail_ms);
@@ -332,7 +348,7 @@
       add_text (row, ends[i].task);
       add_int (row, ends[i].run);
       add_text (row, ends[i].how);
-      add_text (row, "");
+      add_checkpoint (row, ends[i].saved_bytes);
       json_object_array_add (rows, row);
     }
   return rows;
--- a/tests/entry/lib.sh
+++ b/tests/entry/lib.sh
@@ -35,10 +35,12 @@
     "$(jq -cn --arg key "$1" --arg value "$2" '{key: $key, value: $value}')"
 }
 
-# The store's answers to watches have $watch_items changes if that is set.
+# The store's answers to watches have $watch_items changes, and its values
+# $value_bytes at most, if these are set.
 start_store() {
   "$build/standins/rr-kv" --address "$address" --port $store_port \
     ${watch_items:+--watch-items $watch_items} \
+    ${value_bytes:+--value-bytes $value_bytes} \
     >>"$work/store.log" 2>&1 &
   pid[store]=$!
 }
@@ -80,6 +82,7 @@
  "seeds": [${seeds:-}], "permits": "${permits:-}", "store": "$address:$((25100 + $1))",
  "lease_max_ms": 10000, "drain_ms": 2000,
  "cpu_share": 0.1, "link_mbps": 1000, "shutdown_s": 6,
+ "value_max_bytes": ${value_bytes:-1048576},
  "retention_s": ${retention_s:-120}, "late_s": ${late_s:-60},
  "remote_factor": 3}
 SETTINGS
