--- a/rosemaryentryd/permit_queue.c
+++ b/rosemaryentryd/permit_queue.c
@@ -7,6 +7,7 @@
 #include "common/upstream.h"
 #include "platform/permits.h"
 #include "rosemaryentryd/entry.h"
+#include "rosemaryentryd/metrics.h"
 #include "rosemaryentryd/owners.h"
 #include "rosemaryentryd/shard.h"
 #include "rosemaryrail/permit_calls.h"
@@ -58,11 +59,12 @@
 {
   log_event (LOG_LEVEL_WARN, "permits_failed",
              "shard=%s job=%s step=%d.%d workers=%zu after_ms=%lld status=%d "
-             "reason=\"%s\"",
+             "slowdown=%.1f reason=\"%s\"",
              shard_name (c->shard), c->name.job, c->name.occurrence,
              c->name.step, c->asked,
              (long long)rr_time_diff (entry_now (), c->sent), r->status,
-             r->reason);
+             c->queue->calls.slowdown, r->reason);
+  entry_metrics_event (c->queue->entry->metrics, "permits_failed");
 }
 
 static void
--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -482,8 +482,9 @@
   struct dispatch_step *s = dispatch_step_of (j, name);
   s->request_in_flight = false;
   dispatch_log_decision (
-      d, "permits", "job=%s step=%d.%d allowed=%zu valid_ms=%lld", name->job,
-      name->occurrence, name->step, count, (long long)valid_ms);
+      d, "permits", "job=%s step=%d.%d allowed=%zu valid_ms=%lld age_ms=%lld",
+      name->job, name->occurrence, name->step, count, (long long)valid_ms,
+      (long long)rr_time_diff (now, issued));
   if (permits == NULL)
     {
       denials_settle (s, false, now);
