--- a/common/upstream.c
+++ b/common/upstream.c
@@ -16,7 +16,16 @@
   /* Each call has its own deadline timer; this only bounds the I/O timeout of
      h2o.  */
   IO_TIMEOUT_MS = 600000,
-  HEADERS_MAX_BYTES = 8192
+  HEADERS_MAX_BYTES = 8192,
+  /* Connections whose age is known; the oldest is forgotten.  */
+  CONNECTIONS_KNOWN_MAX = 16
+};
+
+/* When a connection was opened, by its local port.  */
+struct upstream_connection
+{
+  uint16_t port;
+  uint64_t opened; /* on the loop's clock */
 };
 
 struct upstream
@@ -28,6 +37,8 @@
   h2o_timeout_t timeout;
   h2o_http1client_ctx_t context;
   unsigned calls;
+  struct upstream_connection connections[CONNECTIONS_KNOWN_MAX];
+  size_t next_connection;
   bool closed;
   uv_timer_t free_handle; /* its close callback runs after the timers inside
                          POOL and TIMEOUT are closed, and frees this struct */
@@ -43,7 +54,9 @@
   uint64_t silence_max_ms; /* 0: DEADLINE is for the whole call */
   http_done_fn *done;
   void *data;
+  bool connecting; /* h2o is looking for an idle connection */
   bool sent;
+  uint64_t connected; /* when the connection was opened, or the request sent */
   bool ended;
   int status;
   size_t response_body_max;
@@ -109,6 +122,8 @@
           .body = c->response_body == NULL ? "" : c->response_body,
           .body_length = c->response_body_length,
           .headers = c->headers == NULL ? "" : c->headers };
+  if (c->sent)
+    r.connection_age_ms = (int64_t)(uv_now (c->u->loop) - c->connected);
   if (reason != NULL)
     {
       r.state = c->sent ? HTTP_CALL_UNKNOWN : HTTP_CALL_NOT_SENT;
@@ -263,6 +278,26 @@
   return on_body;
 }
 
+/* Returns when the connection of SOCK was opened, which is now unless it was
+   REUSED.  */
+static uint64_t
+connection_opened (struct upstream *u, h2o_socket_t *sock, bool reused)
+{
+  uint64_t now = uv_now (u->loop);
+  struct sockaddr_in sin = { 0 };
+  if (h2o_socket_getsockname (sock, (struct sockaddr *)&sin) == 0)
+    return now;
+  size_t i = 0;
+  while (i < CONNECTIONS_KNOWN_MAX && u->connections[i].port != sin.sin_port)
+    i++;
+  if (reused)
+    return i < CONNECTIONS_KNOWN_MAX ? u->connections[i].opened : now;
+  if (i == CONNECTIONS_KNOWN_MAX)
+    i = u->next_connection++ % CONNECTIONS_KNOWN_MAX;
+  u->connections[i] = (struct upstream_connection){ sin.sin_port, now };
+  return now;
+}
+
 static h2o_http1client_head_cb
 on_connect (h2o_http1client_t *client, const char *error, h2o_iovec_t **bufs,
             size_t *count, int *method_is_head)
@@ -275,6 +310,8 @@
       return NULL;
     }
   c->sent = true;
+  /* An idle connection is there at once, a new one later.  */
+  c->connected = connection_opened (c->u, client->sock, c->connecting);
   *bufs = &c->request_buf;
   *count = 1;
   *method_is_head = 0;
@@ -355,6 +392,7 @@
   build_request (c, call);
   call_timeout_init (&c->deadline, u->loop, &deadline_type, c);
   call_timeout_start (&c->deadline, call->timeout_ms);
+  c->connecting = true;
   if (call->idempotent && !call->new_connection)
     h2o_http1client_connect_with_pool (&c->client, c, &u->context, &u->pool,
                                        on_connect);
@@ -362,4 +400,5 @@
     h2o_http1client_connect (&c->client, c, &u->context,
                              h2o_iovec_init (u->host, strlen (u->host)),
                              u->port, 0, on_connect);
+  c->connecting = false;
 }
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -47,6 +47,9 @@
   size_t body_length;
   const char *reason;  /* why there is no response; null if answered */
   const void *headers; /* read by http_result_header */
+  /* How long ago the connection was opened on which the request was sent, in
+     ms; only upstream_send.  0 if that is not known.  */
+  int64_t connection_age_ms;
 };
 
 typedef void http_done_fn (void *data, const struct http_result *r);
--- a/include/platform/worker.h
+++ b/include/platform/worker.h
@@ -24,9 +24,12 @@
                                       enum rr_command_outcome outcome,
                                       const struct rr_worker_report *report);
 
+/* CONNECTION_AGE_MS: how long ago the connection was opened on which the
+   command was sent; 0 if that is not known.  */
 typedef void platform_worker_command_fn (void *data,
                                          enum rr_command_outcome outcome,
-                                         int64_t clock_ms);
+                                         int64_t clock_ms,
+                                         int64_t connection_age_ms);
 
 void platform_worker_poll (struct upstream *u,
                            const struct platform_worker_poll *poll,
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -322,7 +322,8 @@
 static void send_commands (struct worker_connection *c);
 
 static void
-on_command_done (void *data, enum rr_command_outcome outcome, int64_t clock_ms)
+on_command_done (void *data, enum rr_command_outcome outcome, int64_t clock_ms,
+                 int64_t connection_age_ms)
 {
   struct queued_command *q = data;
   struct worker_connection *c = q->connection;
@@ -350,6 +351,9 @@
                    q->command.name.step, q->command.name.task,
                    (unsigned long long)q->command.name.run,
                    rr_command_outcome_name (outcome));
+      rr_dispatch_command_connected (
+          c->owner.dispatch, c->worker, &q->command.name,
+          rr_time_add (entry_now (), -connection_age_ms));
       rr_dispatch_command_answered (c->owner.dispatch, c->worker,
                                     q->command.kind, &q->command.name, outcome,
                                     clock_ms, entry_now ());
@@ -392,7 +396,7 @@
   c->commands_in_flight++;
   if (!wanted)
     {
-      on_command_done (q, RR_OUTCOME_NOT_SENT, 0);
+      on_command_done (q, RR_OUTCOME_NOT_SENT, 0, 0);
       return;
     }
   q->token = rr_dispatch_worker_token (c->owner.dispatch, c->worker);
--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -69,9 +69,32 @@
       || (r->needs_permit && !rr_time_before (now, r->permit_until)))
     return false;
   r->queued = false;
+  r->connected = now;
   return true;
 }
 
+/* The connection on which the start NAME was sent to worker H was open at
+   CONNECTED, which may be later than the start left this daemon.  Until this
+   is known, it counts as opened when the start left.  */
+void
+rr_dispatch_command_connected (struct rr_dispatch *d, struct rr_handle h,
+                               const struct rr_run_name *name,
+                               struct rr_time connected)
+{
+  struct dispatch_worker *w = dispatch_worker_get (d, h);
+  struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
+  if (r != NULL)
+    r->connected = connected;
+}
+
+static void
+start_unanswered (struct dispatch_run *r, struct rr_time now)
+{
+  r->phase = RUN_UNRESOLVED;
+  r->unanswered = now;
+  dispatch_run_stop (r, "start-unanswered");
+}
+
 /* The connection to worker H was closed and another is opened: commands that
    were queued are not sent, and those in flight get no answer.  */
 void
@@ -90,10 +113,7 @@
       if (r->queued)
         dispatch_run_requeue (d, w, r, "not-sent", now);
       else
-        {
-          r->phase = RUN_UNRESOLVED;
-          dispatch_run_stop (r, "start-unanswered");
-        }
+        start_unanswered (r, now);
     }
 }
 
@@ -174,10 +194,7 @@
         }
     }
   else if (outcome == RR_OUTCOME_UNKNOWN)
-    {
-      r->phase = RUN_UNRESOLVED;
-      dispatch_run_stop (r, "start-unanswered");
-    }
+    start_unanswered (r, now);
   else
     start_refused (d, w, r, outcome, now);
 }
--- a/rosemaryrail/dispatch_leases.c
+++ b/rosemaryrail/dispatch_leases.c
@@ -86,13 +86,20 @@
   return rr_time_add (w->clock_received, (int64_t)ahead + KILL_MARGIN_MS);
 }
 
-/* Returns whether a life of W that this owner has not heard has carried out
-   the start of R: the answer has an earlier time than W's clock has shown.  */
+/* Returns whether a life of W that this owner has not heard may have carried
+   out the start of R: the answer has an earlier time than W's clock has shown,
+   or there was none, and W has not been heard since the connection was
+   opened.  */
 static bool
 start_in_unheard_life (const struct dispatch_worker *w,
                        const struct dispatch_run *r)
 {
-  return r->phase == RUN_RUNNING && !r->reported && w->has_clock
+  if (r->reported)
+    return false;
+  if (r->phase == RUN_UNRESOLVED)
+    return r->unanswered.ms != 0
+           && !rr_time_before (r->connected, w->heard_sent);
+  return r->phase == RUN_RUNNING && w->has_clock
          && r->settled_clock < w->clock_ms;
 }
 
@@ -105,8 +112,9 @@
   struct rr_time expiry = dispatch_lease_expiry (w);
   if (!start_in_unheard_life (w, r))
     return expiry;
+  struct rr_time begun = r->phase == RUN_RUNNING ? r->accepted : r->unanswered;
   struct rr_time longest = rr_time_add (
-      r->accepted,
+      begun,
       (int64_t)((double)d->o.lease_max_ms / CLOCK_RATE_MIN) + KILL_MARGIN_MS);
   return rr_time_before (expiry, longest) ? longest : expiry;
 }
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -154,6 +154,8 @@
   int64_t measurement;
   struct rr_time started;
   struct rr_time accepted;   /* when its start was answered */
+  struct rr_time connected;  /* when the connection of its start was opened */
+  struct rr_time unanswered; /* when its start was given up */
   struct rr_time progressed; /* last change of PERCENT */
   int image;                 /* class in the interference model */
   double load; /* of a latency-critical task: utilisation without best-effort
@@ -233,6 +235,9 @@
   bool reported; /* this incarnation has answered this owner */
   struct rr_time unregistered_at;
   struct rr_time last_report;
+  /* When the latest poll that was answered left.  A connection that was opened
+     before is to the life that is known, or to an earlier one.  */
+  struct rr_time heard_sent;
   bool has_clock;
   int64_t clock_ms; /* in its last report, read after CLOCK_SENT */
   struct rr_time clock_sent;
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -304,6 +304,8 @@
     dispatch_lease_assume (w, d->o.lease_max_ms);
   skip_silence (w, now);
   w->last_report = now;
+  if (rr_time_before (w->heard_sent, r->sent))
+    w->heard_sent = r->sent;
   w->heard = true;
   w->loss_noted = false;
   dispatch_crash_worker_heard (d, w);
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -220,6 +220,11 @@
                                     script.now);
       return;
     }
+  if (w->disconnected)
+    w->connected = script.now;
+  w->disconnected = false;
+  rr_dispatch_command_connected (script.dispatch, w->handle, &command->name,
+                                 w->connected);
   printf ("%s %s %d.%d run %llu on %s", kinds[command->kind],
           command->name.job, command->name.step, command->name.task,
           (unsigned long long)command->name.run, command->worker_id);
@@ -457,6 +462,7 @@
 static void
 worker_restart (struct fake_worker *w)
 {
+  w->disconnected = true;
   w->run_count = 0;
   w->ends = 0;
   w->forgotten = 0;
@@ -563,6 +569,7 @@
     {
       w->queueing = false;
       w->queue_count = 0;
+      w->disconnected = true;
       rr_dispatch_commands_abandoned (script.dispatch, w->handle, script.now);
     }
   else
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -48,7 +48,7 @@
   bool blocked;
   bool delaying;
   bool queueing;
-  bool refusing; /* starts, for their permits */
+  bool refusing;               /* starts, for their permits */
   int64_t answer_ms;           /* between a poll and its answer */
   struct rr_command queue[64]; /* names and kinds of commands that wait */
   size_t queue_count;
@@ -61,7 +61,10 @@
   int64_t clock_start;   /* on the script's clock, when its own showed 0 */
   int64_t lease_end;     /* on its own clock */
   int64_t token;         /* the highest that it has seen */
-  int64_t late_lease;    /* of a poll under way; 0: none */
+  /* When the connection for commands to it was opened.  */
+  struct rr_time connected;
+  bool disconnected;  /* the next command opens another */
+  int64_t late_lease; /* of a poll under way; 0: none */
   int64_t late_token;
   struct fake_start late_starts[16];
   size_t late_start_count;
