--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -23,6 +23,23 @@
     }
 }
 
+/* Records that RUN of task NUMBER has failed.  A gang has failed once in a
+   run, however many of its members have.  */
+static void
+failure_record (struct dispatch_job *j, uint32_t number, uint64_t run)
+{
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  const struct rr_job_graph_step *s = &j->graph->steps[name.step];
+  uint32_t first = s->gang ? number - (uint32_t)name.task : number;
+  uint32_t count = s->gang ? (uint32_t)s->task_count : 1;
+  bool counted = false;
+  for (uint32_t i = first; i < first + count; i++)
+    counted = counted || (i != number && j->tasks[i].failed_run == run);
+  j->tasks[number].failed_run = run;
+  j->tasks[number].failures += counted ? 0 : 1;
+}
+
 static uint32_t
 failure_count (const struct dispatch_job *j, uint32_t number)
 {
@@ -145,18 +162,19 @@
   t->not_before = now;
   if (end->kind != RR_END_FAILED)
     return;
-  t->failures++;
+  failure_record (j, number, end->name.run);
   t->failed_worker = worker;
+  uint32_t failures = failure_count (j, number);
   int64_t backoff = FAILURE_BACKOFF_MS;
-  for (uint32_t i = 1; i < t->failures && i < FAILURE_BACKOFF_DOUBLINGS; i++)
+  for (uint32_t i = 1; i < failures && i < FAILURE_BACKOFF_DOUBLINGS; i++)
     backoff *= 2;
   t->not_before = rr_time_add (now, backoff);
   int32_t max = dispatch_attempts_max (d, j);
-  if (s->long_running || (int32_t)failure_count (j, number) < max)
+  if (s->long_running || (int32_t)failures < max)
     return;
   dispatch_log_decision (
       d, "job_failed", "job=%s task=%d.%d.%d failures=%u max=%d", j->graph->id,
-      end->name.occurrence, end->name.step, end->name.task, t->failures, max);
+      end->name.occurrence, end->name.step, end->name.task, failures, max);
   dispatch_job_fail (d, j);
 }
 
