--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -278,6 +278,29 @@
       w->runs[i].progressed = now;
 }
 
+static int
+compare_ends (const void *a, const void *b)
+{
+  const struct rr_run_end *x = a;
+  const struct rr_run_end *y = b;
+  return (x->number > y->number) - (x->number < y->number);
+}
+
+/* Processes the ends in R that W has not reported before, by rising numbers,
+   which R may have in any order.  */
+static void
+ends_apply (struct rr_dispatch *d, struct dispatch_worker *w,
+            const struct rr_worker_report *r, struct rr_time now)
+{
+  qsort (r->ended, r->ended_count, sizeof *r->ended, compare_ends);
+  for (size_t i = 0; i < r->ended_count; i++)
+    if (r->ended[i].number > w->ends_seen)
+      {
+        w->ends_seen = r->ended[i].number;
+        end_apply (d, w, &r->ended[i], now);
+      }
+}
+
 /* Processes a status report of worker H.  */
 void
 rr_dispatch_report_apply (struct rr_dispatch *d, struct rr_handle h,
@@ -312,12 +335,7 @@
   w->unresponsive = false;
   if (rr_time_diff (r->received, r->sent) > SLOW_REPORT_MS)
     w->slow_until = rr_time_add (now, SLOW_AVOID_MS);
-  for (size_t i = 0; i < r->ended_count; i++)
-    if (r->ended[i].number > w->ends_seen)
-      {
-        w->ends_seen = r->ended[i].number;
-        end_apply (d, w, &r->ended[i], now);
-      }
+  ends_apply (d, w, r, now);
   for (size_t i = 0; i < r->running_count; i++)
     status_apply (d, w, &r->running[i], now);
   /* A run that is not listed may be among the ends that are left out.  */
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -379,6 +379,12 @@
       r.ended_count = w->listed_max;
       r.ends_partial = true;
     }
+  for (size_t i = 0; w->reversing && i < r.ended_count / 2; i++)
+    {
+      struct rr_run_end e = ended[i];
+      ended[i] = ended[r.ended_count - 1 - i];
+      ended[r.ended_count - 1 - i] = e;
+    }
   rr_dispatch_report_apply (script.dispatch, w->handle, &r, script.now);
 }
 
@@ -557,6 +563,8 @@
     lease_take (w, w->late_lease, w->late_token);
   else if (strcmp (word[0], "deliver_starts") == 0)
     late_starts_deliver (w);
+  else if (strcmp (word[0], "reverse_ends") == 0)
+    w->reversing = true;
   else if (strcmp (word[0], "refuse_permits") == 0)
     w->refusing = true;
   else if (strcmp (word[0], "accept_permits") == 0)
--- a/tests/dispatch/fake_worker.h
+++ b/tests/dispatch/fake_worker.h
@@ -53,6 +53,7 @@
   struct rr_command queue[64]; /* names and kinds of commands that wait */
   size_t queue_count;
   size_t listed_max; /* ends in a report; 0: all */
+  bool reversing;    /* lists the latest end first */
   bool withholding;  /* answers to commands come later */
   struct fake_answer answers[16];
   size_t answer_count;
