--- a/tests/common/test_connection_age.c
+++ b/tests/common/test_connection_age.c
@@ -89,7 +89,7 @@
   struct upstream *u = upstream_open (&loop, "127.0.0.1", ntohs (at.sin_port));
   ck_assert_int_lt (call_age (u, false), WAIT_MS);
   ck_assert_int_ge (call_age (u, false), WAIT_MS);
-  ck_assert_int_ge (call_age (u, false), 2 * WAIT_MS);
+  ck_assert_int_ge (call_age (u, false), (int64_t)2 * WAIT_MS);
   ck_assert_int_lt (call_age (u, true), WAIT_MS);
 }
 END_TEST
--- a/tests/common/test_rpc_slow_reply.c
+++ b/tests/common/test_rpc_slow_reply.c
@@ -13,6 +13,7 @@
   PIECE_MS = 60,
   PIECES = 12,
   PIECE_BYTES = 1000,
+  REPLY_BYTES = PIECES * PIECE_BYTES,
   HEADER_WORDS = 7, /* record mark, xid, reply, accepted, verifier, success */
   TIMEOUT_MS = 300,
   PROGRAM = 0x20524e46,
@@ -47,7 +48,7 @@
   if (pieces++ == 0)
     {
       uint32_t header[HEADER_WORDS] = { 0 };
-      size_t length = sizeof header - sizeof header[0] + PIECES * PIECE_BYTES;
+      size_t length = sizeof header - sizeof header[0] + REPLY_BYTES;
       header[0] = htonl (0x80000000U | (uint32_t)length);
       header[1] = htonl (1); /* the client's first call */
       header[2] = htonl (1); /* a reply */
@@ -103,7 +104,7 @@
 {
   call_run (rpc_client_fetch, PIECES);
   ck_assert_int_eq (state, RPC_CALL_ANSWERED);
-  ck_assert_uint_eq (received, PIECES * PIECE_BYTES);
+  ck_assert_uint_eq (received, REPLY_BYTES);
 }
 END_TEST
 
--- a/tests/entry/slow_commands.sh
+++ b/tests/entry/slow_commands.sh
@@ -2,19 +2,8 @@
 # Guards against starts that are given up before their answers come, over and
 # over: all workers answer after 0.8 s.  Every task must run, and only once.
 . "$(dirname "$0")/lib.sh"
-layout=1
+. "$(dirname "$0")/slow_lib.sh"
 deploy 2 4
-: >"$work/none"
-completed() { case $(request GET 1 "$1") in *completed*) true ;; *) false ;; esac; }
 for i in 1 2 3 4; do relay_delay "w$i" 400; done
 sleep 3
-step='"count":2,"cpu":1000,"memMb":100,"estimateMs":2000'
-for i in $(seq 4); do
-  answer=$(request POST $((i % 2 + 1)) "$(printf '%016x' "$i")" \
-    "{\"spec\":\"work=2000\",\"steps\":[{$step},{$step,\"after\":[0]}]}")
-  case $answer in *200*) ;; *) fail "submission $i: $answer" ;; esac
-done
-for i in $(seq 4); do wait_for "job $i" 40 completed "$(printf '%016x' "$i")"; done
-echo "all jobs completed"
-echo "starts: $(cat "$work"/runs.*.jsonl | grep -c '"event":"start"')"
-verify "$work/none"
+run_jobs 4 2000
--- a/tests/entry/stored_sizes.sh
+++ b/tests/entry/stored_sizes.sh
@@ -11,7 +11,7 @@
 task='"count":4,"cpu":1000,"memMb":100,"estimateMs":300'
 submit() { request POST $(($1 % 2 + 1)) "$(printf '%016x' "$1")" "$2" | grep -o '...$'; }
 submit 1 "{\"spec\":\"work=200 again=20000 fails_first save=3000\",\"steps\":[{$task,\"checkpointing\":true}]}"
-failed() { [ "$(cat "$work"/runs.*.jsonl | grep -c '"how":"failed"')" = 4 ]; }
+failed() { [ "$(cat "$work"/runs.*.jsonl | grep -c '"event":"end".*"how":"failed"')" = 4 ]; }
 wait_for "four failed runs" 8 failed
 for i in 2 3; do submit $i "{\"spec\":\"work=300\",\"steps\":[{$task}]}"; done
 for i in 2 3; do wait_for "job $i" 10 completed "$(printf '%016x' $i)"; done
