--- a/include/rosemaryentryd/shard_selection.h
+++ b/include/rosemaryentryd/shard_selection.h
@@ -31,5 +31,7 @@
     enum shard_verdict *verdict);
 void shard_selection_add_demand (struct shard_record *s,
                                  const struct rr_job_graph *g);
+void shard_selection_add_tasks (struct shard_record *s,
+                                const struct rr_job_graph *g, size_t count);
 
 #endif
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -244,8 +244,7 @@
           to->share[to->share_count - 1].moves = moves;
           rr_dispatch_task_withhold (s->dispatch, from->id, tasks[i].number);
         }
-      target->non_best_effort_cores_milli
-          += (int64_t)v->tasks * from->steps[0].cores_milli;
+      shard_selection_add_tasks (target, from, v->tasks);
       v->source.text = rr_job_graph_encode (from);
       v->destination.text = rr_job_graph_encode (to);
     }
--- a/rosemaryentryd/shard_selection.c
+++ b/rosemaryentryd/shard_selection.c
@@ -237,6 +237,18 @@
   return best;
 }
 
+/* Adds COUNT tasks of the long-running job G to the load of S, until its owner
+   publishes the next one.  Where only a worker has room left, they take it. */
+void
+shard_selection_add_tasks (struct shard_record *s,
+                           const struct rr_job_graph *g, size_t count)
+{
+  int64_t cores = (int64_t)count * g->steps[0].cores_milli;
+  if (free_milli (s, g) < 2 * g->steps[0].cores_milli)
+    s->largest_free_cores_milli -= cores;
+  s->non_best_effort_cores_milli += cores;
+}
+
 /* Returns the shard to which the job G goes, which waits in FROM, with what is
    left of its steps in STATES: one that can run it if FROM can't, or one with
    more free capacity if FOR_CAPACITY.  Null when there is none.  */
@@ -256,9 +268,11 @@
 }
 
 /* Returns the shard with the most free capacity for tasks of the long-running
-   job G, of which some wait in FROM; null when none has capacity for one, and
-   FROM can run them or no shard can.  Sets TASKS_MAX to the number of tasks
-   that can be transferred there, and CERTAIN if by its load there is room on
+   job G, of which some wait in FROM; null when none has a worker with room for
+   one, and FROM can run them or no shard can.  What waits in a shard counts
+   against its free capacity, though it may fit on none of its workers: then
+   one task goes there at a time.  Sets TASKS_MAX to the number of tasks that
+   can be transferred there, and CERTAIN if by its load there is room on
    workers that can run them, not only on others.  */
 struct shard_record *
 shard_selection_for_task_transfer (struct entry *e,
@@ -276,7 +290,6 @@
     {
       struct shard_record *s = records_shard_at (e->records, i);
       if (s->largest_free_cores_milli >= cores
-          && free_milli (s, g) >= 2 * cores
           && (best == NULL || free_milli (s, g) > free_milli (best, g))
           && shard_fits_step (&f, i, 0)
           && can_transfer (e, &f, from, s, states))
@@ -291,7 +304,8 @@
   *verdict = SHARD_FITS;
   /* Half of the free capacity, since published loads are out of date and other
      shards transfer tasks there too.  */
-  *tasks_max = best == NULL ? 0 : (size_t)(free_milli (best, g) / (2 * cores));
+  int64_t half = best == NULL ? 0 : free_milli (best, g) / (2 * cores);
+  *tasks_max = best == NULL ? 0 : half < 1 ? 1 : (size_t)half;
   if (fits)
     return best;
   struct shard_record *fitting = select_fitting (e, from, g, states, verdict);
--- a/tests/entry/test_shard_selection.c
+++ b/tests/entry/test_shard_selection.c
@@ -165,6 +165,30 @@
 }
 END_TEST
 
+/* Guards against a long-running task that waits for 40 s beside a shard with a
+   worker that has room for it: what waits in that shard, and fits nowhere,
+   counted against it.  One task goes there, and the next one only when the
+   owner has published that there is room.  */
+START_TEST (room_on_one_worker)
+{
+  struct rr_job_graph *g = graph (1);
+  size_t tasks_max = 0;
+  shards[0].non_best_effort_cores_milli = 8000;
+  shards[0].largest_free_cores_milli = 0;
+  shards[1].non_best_effort_cores_milli = 9000;
+  shards[1].largest_free_cores_milli = 1500;
+  ck_assert_ptr_eq (shard_selection_for_task_transfer (
+                        &entry, &shards[0], g, &tasks_max, &certain, &verdict),
+                    &shards[1]);
+  ck_assert_uint_eq (tasks_max, 1);
+  ck_assert (!certain);
+  shard_selection_add_tasks (&shards[1], g, 1);
+  ck_assert_ptr_null (shard_selection_for_task_transfer (
+      &entry, &shards[0], g, &tasks_max, &certain, &verdict));
+  rr_job_graph_free (g);
+}
+END_TEST
+
 /* Fails unless G, new or waiting in shard 1, goes to shard 0, and back from
    there to no other one.  */
 static void
@@ -432,6 +456,7 @@
   tcase_add_test (tc, no_worker_can_run_it);
   tcase_add_test (tc, transfers_to_a_worker_are_not_limited);
   tcase_add_test (tc, long_running_tasks_without_a_worker);
+  tcase_add_test (tc, room_on_one_worker);
   tcase_add_test (tc, one_move_for_a_worker);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
