--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -302,6 +302,7 @@
                                 const struct rr_run_name *name,
                                 struct rr_time now);
 void rr_dispatch_command_connected (struct rr_dispatch *d, struct rr_handle h,
+                                    enum rr_command_kind kind,
                                     const struct rr_run_name *name,
                                     struct rr_time connected);
 void rr_dispatch_commands_abandoned (struct rr_dispatch *d, struct rr_handle h,
--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -73,17 +73,19 @@
   return true;
 }
 
-/* The connection on which the start NAME was sent to worker H was open at
-   CONNECTED, which may be later than the start left this daemon.  Until this
-   is known, it counts as opened when the start left.  */
+/* The connection on which the command KIND was sent to worker H was open at
+   CONNECTED, which may be later than the command left this daemon.  Of a start
+   it is kept: until this is known, it counts as opened when the start left.
+   A later stop of the run may use another connection.  */
 void
 rr_dispatch_command_connected (struct rr_dispatch *d, struct rr_handle h,
+                               enum rr_command_kind kind,
                                const struct rr_run_name *name,
                                struct rr_time connected)
 {
   struct dispatch_worker *w = dispatch_worker_get (d, h);
   struct dispatch_run *r = w == NULL ? NULL : dispatch_run_find (w, name);
-  if (r != NULL)
+  if (r != NULL && kind == RR_COMMAND_START)
     r->connected = connected;
 }
 
--- a/tests/dispatch/dispatch_script.c
+++ b/tests/dispatch/dispatch_script.c
@@ -47,6 +47,7 @@
      deliver W                carries these throttles out
      mute W | unmute W        loses the answers of W
      list_ends W N            W lists N ends at a time
+     drop_connections W       the next command to W opens another connection
      reverse_ends W           W lists the latest end first
      withhold_answers W       answers of W to commands come later
      deliver_answers W        these answers come
--- a/tests/dispatch/fake_worker.c
+++ b/tests/dispatch/fake_worker.c
@@ -223,8 +223,8 @@
   if (w->disconnected)
     w->connected = script.now;
   w->disconnected = false;
-  rr_dispatch_command_connected (script.dispatch, w->handle, &command->name,
-                                 w->connected);
+  rr_dispatch_command_connected (script.dispatch, w->handle, command->kind,
+                                 &command->name, w->connected);
   printf ("%s %s %d.%d run %llu on %s", kinds[command->kind],
           command->name.job, command->name.step, command->name.task,
           (unsigned long long)command->name.run, command->worker_id);
@@ -563,6 +563,8 @@
     lease_take (w, w->late_lease, w->late_token);
   else if (strcmp (word[0], "deliver_starts") == 0)
     late_starts_deliver (w);
+  else if (strcmp (word[0], "drop_connections") == 0)
+    w->disconnected = true;
   else if (strcmp (word[0], "reverse_ends") == 0)
     w->reversing = true;
   else if (strcmp (word[0], "refuse_permits") == 0)
