dispatch: no sort of an empty list of ends

With one end or none there is nothing to sort.

Sanitizer build: the suites dispatch and decisions pass (129 OK, 0 failed), and in the plain build.

--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -292,7 +292,8 @@
 ends_apply (struct rr_dispatch *d, struct dispatch_worker *w,
             const struct rr_worker_report *r, struct rr_time now)
 {
-  qsort (r->ended, r->ended_count, sizeof *r->ended, compare_ends);
+  if (r->ended_count > 1)
+    qsort (r->ended, r->ended_count, sizeof *r->ended, compare_ends);
   for (size_t i = 0; i < r->ended_count; i++)
     if (r->ended[i].number > w->ends_seen)
       {
