permits, select, standins: simpler after a second reading

No behaviour changes. Whether a start has a permit follows from the latest time to send it. A command's connection is looked up only when it has no answer, not for each one. The timeout of a caller's calls to the store is a plain clamp. The stand-ins had the time of day three times; tool_wall_ms has it.

--- a/common/rpc_client.c
+++ b/common/rpc_client.c
@@ -342,7 +342,7 @@
                   size_t length, uint64_t silence_max_ms, rpc_done_fn *done,
                   void *data)
 {
-  call_begin (c, procedure, args, length, silence_max_ms, done, data)
-      ->silence_max_ms
-      = silence_max_ms;
+  struct pending_call *call
+      = call_begin (c, procedure, args, length, silence_max_ms, done, data);
+  call->silence_max_ms = silence_max_ms;
 }
--- a/include/standins/tool.h
+++ b/include/standins/tool.h
@@ -57,6 +57,7 @@
 const char *tool_address (void);
 int tool_fail (const char *program, const struct rr_error *err);
 int64_t tool_now_us (void);
+int64_t tool_wall_ms (void);
 struct http_server *tool_listen (uv_loop_t *loop, int port,
                                  http_handler_fn *handler, void *data,
                                  struct rr_error *err);
--- a/rosemaryentryd/front.c
+++ b/rosemaryentryd/front.c
@@ -123,10 +123,9 @@
   int64_t left_ms = rr_time_diff (q->deadline, entry_now ());
   uint64_t ms
       = entry_store_timeout_ms (q->front->entry, STORE_CALL_TIMEOUT_MS);
-  if (ms <= STORE_CALL_TIMEOUT_MS || left_ms >= (int64_t)ms)
-    return ms;
-  return left_ms > STORE_CALL_TIMEOUT_MS ? (uint64_t)left_ms
-                                         : STORE_CALL_TIMEOUT_MS;
+  if (left_ms < STORE_CALL_TIMEOUT_MS)
+    return STORE_CALL_TIMEOUT_MS;
+  return left_ms < (int64_t)ms ? (uint64_t)left_ms : ms;
 }
 
 /* Continues a query for a job that is not in the records, with the result of
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -351,9 +351,10 @@
                    q->command.name.step, q->command.name.task,
                    (unsigned long long)q->command.name.run,
                    rr_command_outcome_name (outcome));
-      rr_dispatch_command_connected (
-          c->owner.dispatch, c->worker, q->command.kind, &q->command.name,
-          rr_time_add (entry_now (), -connection_age_ms));
+      if (outcome == RR_OUTCOME_UNKNOWN)
+        rr_dispatch_command_connected (
+            c->owner.dispatch, c->worker, q->command.kind, &q->command.name,
+            rr_time_add (entry_now (), -connection_age_ms));
       rr_dispatch_command_answered (c->owner.dispatch, c->worker,
                                     q->command.kind, &q->command.name, outcome,
                                     clock_ms, entry_now ());
--- a/rosemaryrail/dispatch_commands.c
+++ b/rosemaryrail/dispatch_commands.c
@@ -66,7 +66,7 @@
     return !r->queued;
   if (!r->queued || r->stop_wanted || !w->registered || w->info.draining
       || d->registrations_stale
-      || (r->needs_permit && !rr_time_before (now, r->permit_until)))
+      || (r->permit_until.ms != 0 && !rr_time_before (now, r->permit_until)))
     return false;
   r->queued = false;
   r->connected = now;
@@ -187,7 +187,7 @@
       r->accepted = now;
       r->progressed = now;
       struct dispatch_job *j = dispatch_job_get (d, r->job);
-      if (j != NULL && r->needs_permit)
+      if (j != NULL && r->permit_until.ms != 0)
         dispatch_permit_accepted (j, &r->name);
       if (j != NULL && j->phase == RR_PHASE_QUEUED)
         {
--- a/rosemaryrail/dispatch_permits.c
+++ b/rosemaryrail/dispatch_permits.c
@@ -123,7 +123,7 @@
 
 static void
 permit_set (struct rr_dispatch *d, struct dispatch_step *s,
-            const struct rr_permit *permit, struct rr_time expires,
+            const struct rr_permit *permit, struct rr_time issued,
             int64_t valid_ms)
 {
   struct rr_handle h = rr_key_index_get (d->worker_ids, permit->worker);
@@ -144,7 +144,7 @@
     }
   p->worker = h;
   p->started_ms = w->info.started_ms;
-  p->expires = expires;
+  p->expires = rr_time_add (issued, valid_ms);
   p->delivery_ms = rr_permit_delivery_ms (valid_ms);
   rr_text_assign (&p->token, permit->permit_token);
   for (size_t i = s->denial_count; i-- > 0;)
@@ -181,6 +181,6 @@
   s->answer_refused = false;
   s->permit_refusals = count == 0 ? s->permit_refusals + 1 : 0;
   for (size_t i = 0; i < count; i++)
-    permit_set (d, s, &permits[i], rr_time_add (issued, valid_ms), valid_ms);
+    permit_set (d, s, &permits[i], issued, valid_ms);
   denials_settle (s, true, now);
 }
--- a/rosemaryrail/dispatch_place.c
+++ b/rosemaryrail/dispatch_place.c
@@ -59,7 +59,6 @@
   rr_text_assign (&r->start_checkpoint, t->checkpoint);
   const struct dispatch_permit *permit
       = dispatch_permit_find (j, name, w, now);
-  r->needs_permit = permit != NULL;
   if (permit != NULL)
     r->permit_until = rr_time_add (permit->expires, -permit->delivery_ms);
   struct rr_command command
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -129,10 +129,10 @@
   struct rr_text *start_checkpoint;
   enum run_phase phase;
   bool queued; /* its start has not left this daemon yet */
-  bool needs_permit;
-  struct rr_time permit_until; /* latest time to send its start */
-  bool reported;               /* by the worker's present incarnation */
-  bool survived;               /* ... some time after its start */
+  struct rr_time
+      permit_until; /* latest time to send its start; 0: no permit */
+  bool reported;    /* by the worker's present incarnation */
+  bool survived;    /* ... some time after its start */
   bool crash_counted;
   bool suspected; /* its task is suspected to crash workers */
   bool on_trial;  /* ... and nothing else starts beside it until it survives */
--- a/rosemaryrail/dispatch_select.c
+++ b/rosemaryrail/dispatch_select.c
@@ -278,6 +278,21 @@
              : (int64_t)(lost_ms / 2);
 }
 
+/* Returns the constraints on workers for the step of NAME, without those that
+   depend on a task.  */
+static struct constraints
+step_constraints (const struct rr_dispatch *d, struct dispatch_job *j,
+                  const struct rr_run_name *name)
+{
+  const struct rr_queue_policy *q = dispatch_queue_policy (d, j);
+  return (struct constraints){ .job = j,
+                               .step = &j->graph->steps[name->step],
+                               .name = name,
+                               .service = q->service[0] != '\0'
+                                              ? q->service
+                                              : j->graph->service };
+}
+
 /* Returns for how long the task NAME, which is NUMBER, could have started.  */
 static int64_t
 waited_ms (const struct rr_dispatch *d, const struct dispatch_job *j,
@@ -297,16 +312,11 @@
                         const char *gang_rack, struct rr_time now)
 {
   const struct rr_job_graph_step *s = &j->graph->steps[name->step];
-  const struct rr_queue_policy *q = dispatch_queue_policy (d, j);
-  struct constraints c
-      = { .job = j,
-          .step = s,
-          .name = name,
-          .service = q->service[0] != '\0' ? q->service : j->graph->service,
-          .rack = gang_rack,
-          .needs_permits = dispatch_needs_permits (d, j),
-          .suspected = dispatch_crash_suspected (&j->tasks[number]),
-          .on_trial = dispatch_crash_on_trial (&j->tasks[number]) };
+  struct constraints c = step_constraints (d, j, name);
+  c.rack = gang_rack;
+  c.needs_permits = dispatch_needs_permits (d, j);
+  c.suspected = dispatch_crash_suspected (&j->tasks[number]);
+  c.on_trial = dispatch_crash_on_trial (&j->tasks[number]);
   struct rr_handle failed_worker = j->tasks[number].failed_worker;
   int64_t waited = waited_ms (d, j, name, number, now);
   c.slow_too = waited >= SLOW_AVOID_MS;
@@ -331,14 +341,9 @@
                       struct rr_time now)
 {
   const struct rr_job_graph_step *s = &j->graph->steps[name->step];
-  const struct rr_queue_policy *q = dispatch_queue_policy (d, j);
   struct rr_time since = dispatch_occurrence_start (d, j, name->occurrence);
-  struct constraints c
-      = { .job = j,
-          .step = s,
-          .name = name,
-          .service = q->service[0] != '\0' ? q->service : j->graph->service,
-          .slow_too = rr_time_diff (now, since) >= SLOW_AVOID_MS };
+  struct constraints c = step_constraints (d, j, name);
+  c.slow_too = rr_time_diff (now, since) >= SLOW_AVOID_MS;
   if (!worker_allowed (w, &c, now) || !worker_fits (w, s))
     return 0;
   int64_t room = s->task_count;
@@ -363,14 +368,9 @@
 dispatch_hold_capacity (struct rr_dispatch *d, struct dispatch_job *j,
                         const struct rr_run_name *name, struct rr_time now)
 {
-  const struct rr_queue_policy *q = dispatch_queue_policy (d, j);
-  struct constraints c
-      = { .job = j,
-          .step = &j->graph->steps[name->step],
-          .name = name,
-          .service = q->service[0] != '\0' ? q->service : j->graph->service,
-          .needs_permits = dispatch_needs_permits (d, j),
-          .slow_too = true };
+  struct constraints c = step_constraints (d, j, name);
+  c.needs_permits = dispatch_needs_permits (d, j);
+  c.slow_too = true;
   struct dispatch_worker *best = NULL;
   int64_t best_ms = -1;
   struct rr_handle h = { 0 };
--- a/standins/rr-permits.c
+++ b/standins/rr-permits.c
@@ -1,7 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <time.h>
 #include <xxhash.h>
 
 #include "standins/tool.h"
@@ -38,21 +37,13 @@
 static int padding_bytes;
 static FILE *log_file;
 
-static int64_t
-wall_ms (void)
-{
-  struct timespec t;
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
-}
-
 static void
 log_call (const char *event, const struct call *c)
 {
-  fprintf (log_file,
-           "{\"t\":%lld,\"event\":\"%s\",\"step\":\"%s\",\"ms\":%lld}\n",
-           (long long)wall_ms (), event, json_string_or (c->body, "step", ""),
-           (long long)(tool_now_us () - c->arrived_us) / 1000);
+  fprintf (
+      log_file, "{\"t\":%lld,\"event\":\"%s\",\"step\":\"%s\",\"ms\":%lld}\n",
+      (long long)tool_wall_ms (), event, json_string_or (c->body, "step", ""),
+      (long long)(tool_now_us () - c->arrived_us) / 1000);
   fflush (log_file);
 }
 
@@ -88,7 +79,7 @@
       size_t size = 256 + (size_t)padding_bytes;
       char *token = tool_alloc (size);
       snprintf (token, size, "%s/%s/%lld/%0*d", worker, step,
-                (long long)wall_ms () + valid_ms, padding_bytes, 0);
+                (long long)tool_wall_ms () + valid_ms, padding_bytes, 0);
       struct json_object *row = json_object_new_array ();
       json_object_array_add (row, json_object_new_string (worker));
       json_object_array_add (row, json_object_new_string (token));
--- a/standins/rr-taskworker.c
+++ b/standins/rr-taskworker.c
@@ -1,7 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <time.h>
 
 #include "common/http_client.h"
 #include "standins/taskworker.h"
@@ -56,14 +55,6 @@
   return (tool_now_us () - born_us) / 1000;
 }
 
-static int64_t
-wall_ms (void)
-{
-  struct timespec t;
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
-}
-
 static void
 hold_answer (struct hold *h)
 {
@@ -124,7 +115,7 @@
     return "missing";
   if (strncmp (token, prefix, (size_t)n) != 0)
     return "foreign";
-  return strtoll (token + n, NULL, 10) < wall_ms () ? "expired" : NULL;
+  return strtoll (token + n, NULL, 10) < tool_wall_ms () ? "expired" : NULL;
 }
 
 static void
@@ -343,7 +334,7 @@
       || tool_listen (loop, port, on_request, NULL, &err) == NULL)
     return tool_fail ("rr-taskworker", &err);
   taskruns_init (id, log);
-  started_ms = wall_ms ();
+  started_ms = tool_wall_ms ();
   born_us = tool_now_us ();
   srand ((unsigned)started_ms);
   taskruns_log ("born", "", 0, "");
--- a/standins/taskworker_runs.c
+++ b/standins/taskworker_runs.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <time.h>
 
 #include "standins/tool.h"
 
@@ -75,13 +74,11 @@
 taskruns_log (const char *event, const char *task, int64_t run,
               const char *how)
 {
-  struct timespec t;
-  clock_gettime (CLOCK_REALTIME, &t);
   fprintf (log_file,
            "{\"t\":%lld,\"vm\":\"%s\",\"event\":\"%s\",\"task\":\"%s\","
            "\"run\":%lld,\"how\":\"%s\",\"token\":%lld}\n",
-           (long long)t.tv_sec * 1000 + t.tv_nsec / 1000000, id, event, task,
-           (long long)run, how, (long long)token);
+           (long long)tool_wall_ms (), id, event, task, (long long)run, how,
+           (long long)token);
   fflush (log_file);
 }
 
--- a/standins/tool.c
+++ b/standins/tool.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -179,6 +180,15 @@
   return (int64_t)(uv_hrtime () / 1000);
 }
 
+/* Returns the time of day in milliseconds since 1970.  */
+int64_t
+tool_wall_ms (void)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_REALTIME, &t);
+  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
 /* Starts an HTTP server with the limits all stand-ins share.  */
 struct http_server *
 tool_listen (uv_loop_t *loop, int port, http_handler_fn *handler, void *data,
