entry: start only jobs that were stored while the shard was certainly owned

A daemon whose lease had ended while it was cut off from the store had a submission confirmed when the cut ended, before its watch told it that the owner key had gone, and started the job. Its successor, which had claimed the shard before the job was stored, took the job for one that nobody can have started, and started it too.

A job now waits until the store is known to have reached a later revision while the owner key was unchanged: by the watch of the records, or by a write on the condition of that key. The claim of a successor then has a later revision than the job, so the successor inherits it and asks the workers first. That holds for jobs and shares of jobs from whatever source: the daemon's own writes, the watch, a read of all keys (which delivers jobs before owner keys) and other shards. Weighed against it: the owner key as a condition of submissions, which covers only the daemon's own; and successors that take every job that comes while they inherit for started, which makes new jobs wait up to 6 s for a lost worker.

Ruled out: late writes of the former owner, which have its key as condition.

--- a/include/rosemaryentryd/shard.h
+++ b/include/rosemaryentryd/shard.h
@@ -19,6 +19,7 @@
 int64_t shard_fencing_token (const struct shard *s);
 void shard_job_update (struct shard *s, const struct job_record *j,
                        bool inherited);
+void shard_jobs_confirm (struct shard *s);
 void shard_job_remove (struct shard *s, const char *id);
 void shard_job_cancel (struct shard *s, const struct job_record *j);
 void shard_worker_update (struct shard *s, const struct platform_worker *w);
--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -111,6 +111,15 @@
   struct divided_record destination;
 };
 
+/* A job that was stored when this daemon may not have owned the shard any
+   more.  */
+struct unconfirmed_job
+{
+  char id[RR_JOB_NAME_SIZE]; /* of its record */
+  bool inherited;            /* as of shard_job_update */
+  struct rr_time since;
+};
+
 /* The membership record that this owner sent last.  */
 struct membership_write
 {
@@ -132,6 +141,11 @@
   struct shard_record *record;
   char owner_key[KEY_SIZE];
   int64_t fencing_token;
+  /* The last one at which the store has confirmed that this daemon owned the
+     shard, by a write.  */
+  int64_t owned_revision;
+  struct unconfirmed_job *unconfirmed;
+  size_t unconfirmed_count;
   struct rr_dispatch *dispatch;
   struct rr_table *connections;          /* of struct worker_connection * */
   struct rr_key_index *connection_index; /* by worker id */
@@ -181,6 +195,8 @@
 bool shard_write_ended (struct shard *s, const struct store_result *r,
                         const char *why);
 
+void shard_ownership_confirmed (struct shard *s, int64_t revision);
+void shard_jobs_log_unconfirmed (const struct shard *s);
 void shard_commit (struct shard *s);
 void shard_schedule_commit (struct shard *s, uint64_t ms);
 void shard_commit_clear (struct shard *s);
--- a/include/rosemaryentryd/store_cache.h
+++ b/include/rosemaryentryd/store_cache.h
@@ -12,6 +12,9 @@
    store has discarded the history that the watch needs.  */
 typedef void store_cache_item_fn (void *data, const struct store_item *item);
 
+/* Called when the cache has applied all changes up to a later revision.  */
+typedef void store_cache_advanced_fn (void *data);
+
 struct store_cache *store_cache_open (struct entry *e, const char *prefix,
                                       store_cache_item_fn *on_item,
                                       void *data);
@@ -19,6 +22,9 @@
 struct rr_time store_cache_answered_at (const struct store_cache *c);
 struct rr_time store_cache_complete_at (const struct store_cache *c);
 int64_t store_cache_revision (const struct store_cache *c);
+void store_cache_set_advanced (struct store_cache *c,
+                               store_cache_advanced_fn *on_advanced,
+                               void *data);
 void store_cache_catch_up (struct store_cache *c);
 void store_cache_set_read_interval (struct store_cache *c,
                                     uint64_t interval_ms);
--- a/rosemaryentryd/owners.c
+++ b/rosemaryentryd/owners.c
@@ -200,10 +200,21 @@
       owner || starting ? OWNER_WORKERS_BATCH_MS : FOLLOWER_WORKERS_BATCH_MS);
 }
 
+/* All changes up to a later revision of the store are known.  */
+static void
+on_records_advanced (void *data)
+{
+  struct owners *o = data;
+  for (size_t i = 0; i < SHARDS_MAX; i++)
+    if (o->shards[i] != NULL)
+      shard_jobs_confirm (o->shards[i]);
+}
+
 /* The caches of the store are open; the daemon owns no shard yet.  */
 void
 owners_caches_opened (struct owners *o)
 {
+  store_cache_set_advanced (o->entry->records_cache, on_records_advanced, o);
   store_cache_set_watch_wait (o->entry->workers_cache, WORKERS_WATCH_WAIT_MS);
   set_batch_intervals (o);
 }
--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -31,6 +31,7 @@
     return;
   shard_transfer_clear (s);
   shard_divide_clear (s);
+  free (s->unconfirmed);
   rr_dispatch_free (s->dispatch);
   rr_table_free (s->connections);
   rr_key_index_free (s->connection_index);
@@ -56,6 +57,7 @@
 shard_close (struct shard *s)
 {
   s->closed = true;
+  shard_jobs_log_unconfirmed (s);
   struct rr_handle h = { 0 };
   struct worker_connection **c;
   while ((c = rr_table_next (s->connections, &h)) != NULL)
@@ -346,54 +348,6 @@
   shard_schedule_planning (s);
 }
 
-/* Adds the job J, or updates which of its tasks belong to this shard.
-   INHERITED: it comes from a former owner, who may have started tasks.  */
-void
-shard_job_update (struct shard *s, const struct job_record *j, bool inherited)
-{
-  if (j->graph_text == NULL || rr_job_phase_final (records_job_phase (j)))
-    return;
-  struct rr_error err = { 0 };
-  struct rr_job_graph *g
-      = rr_job_graph_decode (j->graph_text, strlen (j->graph_text), &err);
-  struct rr_progress *p
-      = j->progress_text == NULL
-            ? NULL
-            : rr_progress_decode (j->progress_text, strlen (j->progress_text),
-                                  &err);
-  if (g == NULL)
-    log_event (LOG_LEVEL_ERROR, "job_unreadable", "job=%s %s", j->id,
-               err.message);
-  else if (rr_dispatch_job_known (s->dispatch, g->id))
-    {
-      rr_dispatch_job_set_share (s->dispatch, g);
-      rr_job_graph_free (g);
-    }
-  else
-    {
-      rr_dispatch_job_add (s->dispatch, g, p, inherited, entry_now ());
-      s->load_stale = true;
-    }
-  rr_progress_free (p);
-  shard_schedule_planning (s);
-}
-
-/* Removes the job ID, which belongs to another shard now.  */
-void
-shard_job_remove (struct shard *s, const char *id)
-{
-  if (!rr_dispatch_job_drop (s->dispatch, id))
-    log_event (LOG_LEVEL_WARN, "moved_job_runs", "shard=%s token=%lld job=%s",
-               s->record->name, (long long)s->fencing_token, id);
-}
-
-void
-shard_job_cancel (struct shard *s, const struct job_record *j)
-{
-  rr_dispatch_job_cancel (s->dispatch, j->job, entry_now ());
-  shard_schedule_planning (s);
-}
-
 /* Passes the current policies of the queues to the dispatcher.  */
 void
 shard_queues_update (struct shard *s)
--- a/rosemaryentryd/shard_commit.c
+++ b/rosemaryentryd/shard_commit.c
@@ -53,6 +53,8 @@
       shard_abandon (s, why);
       return false;
     }
+  if (r->state == STORE_OK)
+    shard_ownership_confirmed (s, r->revision);
   return true;
 }
 
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -37,18 +37,17 @@
 }
 
 /* Discards the division.  Tasks that the source record still has may start in
-   this shard.  */
+   this shard, unless it is closed.  */
 void
 shard_divide_clear (struct shard *s)
 {
   struct division *v = &s->division;
   if (!v->active)
     return;
-  struct rr_job_graph *g
-      = decode_record (records_job (s->entry->records, v->source.id));
-  if (g != NULL)
-    rr_dispatch_job_set_share (s->dispatch, g);
-  rr_job_graph_free (g);
+  const struct job_record *source
+      = records_job (s->entry->records, v->source.id);
+  if (source != NULL && !s->closed)
+    shard_job_update (s, source, false);
   free (v->source.text);
   free (v->destination.text);
   memset (v, 0, sizeof *v);
--- a/rosemaryentryd/store_cache.c
+++ b/rosemaryentryd/store_cache.c
@@ -42,6 +42,8 @@
   char prefix[64];
   store_cache_item_fn *on_item;
   void *data;
+  store_cache_advanced_fn *on_advanced; /* null: not wanted */
+  void *advanced_data;
   struct rr_table *rows;
   struct rr_key_index *index;
   uv_timer_t timer;
@@ -131,6 +133,26 @@
   return c->revision;
 }
 
+/* Calls ON_ADVANCED whenever all changes up to a later revision than before
+   are applied.  */
+void
+store_cache_set_advanced (struct store_cache *c,
+                          store_cache_advanced_fn *on_advanced, void *data)
+{
+  c->on_advanced = on_advanced;
+  c->advanced_data = data;
+}
+
+/* All changes up to REVISION are applied.  */
+static void
+advance (struct store_cache *c, int64_t revision)
+{
+  bool later = revision > c->revision;
+  c->revision = revision;
+  if (later && c->on_advanced != NULL)
+    c->on_advanced (c->advanced_data);
+}
+
 static void
 on_timer (uv_timer_t *timer)
 {
@@ -294,7 +316,7 @@
     }
   remove_missing_rows (c);
   c->full_read = false;
-  c->revision = c->full_read_revision;
+  advance (c, c->full_read_revision);
   if (c->read_interval_ms == 0)
     note_completeness (c, r, c->full_read_sent);
   c->synced = !c->read_wanted;
@@ -382,7 +404,7 @@
     if (r->items[i].revision > c->revision)
       item_apply (c, &r->items[i]);
   if (r->revision > c->revision)
-    c->revision = r->revision;
+    advance (c, r->revision);
 }
 
 static void
