dispatch: count failed runs by number, however far apart the numbers are

The ends that an owner had processed were stored as the highest run number and 64 bits below it, and what was further below counted as processed. Each owner takes the next 16 numbers, so after a few owners the runs of two owners in a row are more than 64 apart: the end that is heard second, of the lower number, was passed over and yet taken note of.

The runs that were counted are now stored with the task. A failure counts once for each run, in any order; an end that nothing is known of counts as new. The same list ends a fault in the other direction: of a gang only the last failed run was known, and only to the owner that saw it, so a run in which two members failed counted twice across a hand-over and the job was given up too early.

Progress of an earlier version has no list: its count is kept.

--- a/include/rosemaryrail/progress.h
+++ b/include/rosemaryrail/progress.h
@@ -7,6 +7,7 @@
 
 #include "rosemaryrail/error.h"
 #include "rosemaryrail/job_graph.h"
+#include "rosemaryrail/run_set.h"
 
 enum rr_job_phase
 {
@@ -30,6 +31,9 @@
   bool done;
   struct rr_text *checkpoint;
   uint64_t checkpoint_run; /* that saved it; 0: unknown */
+  /* Runs 64 or more below RUN whose ends have been processed.  */
+  struct rr_run_set older_ends;
+  struct rr_run_set failed_runs; /* counted in FAILURES */
 };
 
 /* The stored progress of a job.  */
--- a/include/rosemaryrail/stored_fields.h
+++ b/include/rosemaryrail/stored_fields.h
@@ -21,7 +21,8 @@
   RR_STORED_COUNT, /* uint64_t up to INT64_MAX */
   RR_STORED_BITS,  /* uint64_t, as the signed number with the same bits */
   RR_STORED_NAME,  /* char[RR_JOB_NAME_SIZE] */
-  RR_STORED_TEXT   /* struct rr_text *, which the reader unreferences */
+  RR_STORED_TEXT,  /* struct rr_text *, which the reader unreferences */
+  RR_STORED_RUNS   /* struct rr_run_set, which the reader clears */
 };
 
 struct rr_stored_field
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -49,7 +49,11 @@
 {
   dispatch_permits_free (j);
   for (size_t i = 0; i < j->task_count; i++)
-    rr_text_unref (j->tasks[i].checkpoint);
+    {
+      rr_text_unref (j->tasks[i].checkpoint);
+      rr_run_set_clear (&j->tasks[i].older_ends);
+      rr_run_set_clear (&j->tasks[i].failed_runs);
+    }
   rr_job_graph_free (j->graph);
   free (j->tasks);
   free (j->steps);
@@ -265,7 +269,9 @@
   t->ended_run = row->run;
   t->recorded_ends = row->recorded_ends;
   t->next_run = row->run + 1;
+  rr_run_set_assign (&t->older_ends, &row->older_ends);
   t->failures = row->failures;
+  rr_run_set_assign (&t->failed_runs, &row->failed_runs);
   dispatch_crash_restore (d, j, row->number, row->crashes, now);
   rr_text_assign (&t->checkpoint, row->checkpoint);
   t->checkpoint_run = row->checkpoint_run;
--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -6,7 +6,15 @@
 {
   /* Delay before a failed task starts again; doubles with each failure.  */
   FAILURE_BACKOFF_MS = 50,
-  FAILURE_BACKOFF_DOUBLINGS = 5
+  FAILURE_BACKOFF_DOUBLINGS = 5,
+  RECENT_ENDS = 64, /* run numbers that recorded_ends covers */
+  /* Ends of older runs of one task that are known to be processed.  One beyond
+     them counts as new: that is without effect, but for a suspicion that it
+     withdraws, and failures are counted by run.  */
+  OLDER_ENDS_MAX = 64,
+  /* Failed runs that are known of a long-running task, whose attempts are not
+     limited.  */
+  LONG_RUNNING_FAILED_RUNS_MAX = 8
 };
 
 /* A gang whose run is completed by one member is done as a whole.  */
@@ -23,8 +31,8 @@
     }
 }
 
-/* Records that RUN of task NUMBER has failed.  A gang has failed once in a
-   run, however many of its members have.  */
+/* Records that RUN of task NUMBER has failed, unless that has been counted.  A
+   gang has failed once in a run, however many of its members have.  */
 static void
 failure_record (struct dispatch_job *j, uint32_t number, uint64_t run)
 {
@@ -33,11 +41,14 @@
   const struct rr_job_graph_step *s = &j->graph->steps[name.step];
   uint32_t first = s->gang ? number - (uint32_t)name.task : number;
   uint32_t count = s->gang ? (uint32_t)s->task_count : 1;
-  bool counted = false;
   for (uint32_t i = first; i < first + count; i++)
-    counted = counted || (i != number && j->tasks[i].failed_run == run);
-  j->tasks[number].failed_run = run;
-  j->tasks[number].failures += counted ? 0 : 1;
+    if (rr_run_set_contains (&j->tasks[i].failed_runs, run))
+      return;
+  struct dispatch_task *t = &j->tasks[number];
+  t->failures++;
+  rr_run_set_add (&t->failed_runs, run);
+  if (s->long_running)
+    rr_run_set_keep_highest (&t->failed_runs, LONG_RUNNING_FAILED_RUNS_MAX);
 }
 
 static uint32_t
@@ -55,6 +66,13 @@
   return sum;
 }
 
+static void
+older_end_add (struct dispatch_task *t, uint64_t run)
+{
+  rr_run_set_add (&t->older_ends, run);
+  rr_run_set_keep_highest (&t->older_ends, OLDER_ENDS_MAX);
+}
+
 /* Advances T's highest ended run to RUN.  */
 static void
 ended_run_advance (struct dispatch_task *t, uint64_t run)
@@ -62,7 +80,11 @@
   if (run <= t->ended_run)
     return;
   uint64_t ahead = run - t->ended_run;
-  t->recorded_ends = ahead >= 64 ? 0 : t->recorded_ends << ahead;
+  for (uint64_t age = ahead < RECENT_ENDS ? RECENT_ENDS - ahead : 0;
+       age < RECENT_ENDS; age++)
+    if ((t->recorded_ends >> age & 1) != 0)
+      older_end_add (t, t->ended_run - age);
+  t->recorded_ends = ahead < RECENT_ENDS ? t->recorded_ends << ahead : 0;
   t->ended_run = run;
 }
 
@@ -70,19 +92,21 @@
 end_record (struct dispatch_task *t, uint64_t run)
 {
   ended_run_advance (t, run);
-  if (t->ended_run - run < 64)
+  if (t->ended_run - run < RECENT_ENDS)
     t->recorded_ends |= UINT64_C (1) << (t->ended_run - run);
+  else
+    older_end_add (t, run);
 }
 
-/* Returns true when the end of RUN has been processed, or is too old to be
-   tracked.  */
+/* Returns whether the end of RUN is known to have been processed.  */
 bool
 dispatch_run_end_recorded (const struct dispatch_task *t, uint64_t run)
 {
   if (run > t->ended_run)
     return false;
   uint64_t age = t->ended_run - run;
-  return age >= 64 || (t->recorded_ends >> age & 1) != 0;
+  return age < RECENT_ENDS ? (t->recorded_ends >> age & 1) != 0
+                           : rr_run_set_contains (&t->older_ends, run);
 }
 
 /* Keeps CHECKPOINT, which RUN of T has saved, unless it is empty or a later
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -24,9 +24,10 @@
   /* Bit I: the end of run ENDED_RUN - I has been processed.  Ends can be
      reported in any order when several workers were unreachable.  */
   uint64_t recorded_ends;
-  uint32_t failures;   /* of a gang member: runs in which it failed first */
-  uint64_t failed_run; /* the last one that failed, or of the gang */
-  uint32_t crashes;    /* of workers in a row, soon after a start */
+  struct rr_run_set older_ends; /* processed ones that are further below */
+  uint32_t failures; /* of a gang member: runs in which it failed first */
+  struct rr_run_set failed_runs;  /* counted in FAILURES */
+  uint32_t crashes;               /* of workers in a row, soon after a start */
   uint32_t restored_crashes;      /* of these, counted by former owners */
   struct rr_handle worker;        /* while placed */
   struct rr_handle failed_worker; /* of its last failure or crash; avoided */
--- a/rosemaryrail/dispatch_progress.c
+++ b/rosemaryrail/dispatch_progress.c
@@ -71,6 +71,8 @@
   r->done = t->state == TASK_DONE;
   if (r->done)
     return;
+  r->older_ends = t->older_ends;
+  r->failed_runs = t->failed_runs;
   r->checkpoint = t->checkpoint;
   r->checkpoint_run = t->checkpoint_run;
 }
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -73,8 +73,7 @@
     }
   const struct dispatch_task *t = &j->tasks[number];
   bool current = dispatch_task_placed_as (t, end->name.run, w->handle);
-  /* Ends are tracked for a number of runs only, so an older one may not have
-     been processed.  */
+  /* A task counts as done however its other runs have ended.  */
   bool settles = end->kind == RR_END_DONE && t->state != TASK_DONE
                  && !j->graph->steps[end->name.step].long_running;
   if (current || settles || !dispatch_run_end_recorded (t, end->name.run))
--- a/rosemaryrail/progress.c
+++ b/rosemaryrail/progress.c
@@ -36,6 +36,8 @@
   { "checkpoint", RR_STORED_TEXT, ROW (checkpoint) },
   { "crashes", RR_STORED_UINT32, ROW (crashes) },
   { "checkpoint_run", RR_STORED_COUNT, ROW (checkpoint_run) },
+  { "older_ends", RR_STORED_RUNS, ROW (older_ends) },
+  { "failed_runs", RR_STORED_RUNS, ROW (failed_runs) },
 };
 
 enum
@@ -120,7 +122,11 @@
   if (p == NULL)
     return;
   for (size_t i = 0; i < p->row_count; i++)
-    rr_text_unref (p->rows[i].checkpoint);
+    {
+      rr_text_unref (p->rows[i].checkpoint);
+      rr_run_set_clear (&p->rows[i].older_ends);
+      rr_run_set_clear (&p->rows[i].failed_runs);
+    }
   free (p->rows);
   free (p);
 }
--- a/rosemaryrail/stored_fields.c
+++ b/rosemaryrail/stored_fields.c
@@ -7,6 +7,19 @@
 #include <string.h>
 
 #include "rosemaryrail/job_graph.h"
+#include "rosemaryrail/run_set.h"
+
+/* Returns S as an array of numbers, or null if it is empty.  */
+static struct json_object *
+runs_new (const struct rr_run_set *s)
+{
+  if (s->count == 0)
+    return NULL;
+  struct json_object *runs = json_object_new_array ();
+  for (size_t i = 0; i < s->count; i++)
+    json_object_array_add (runs, json_object_new_int64 ((int64_t)s->runs[i]));
+  return runs;
+}
 
 /* Returns the value of field F in BASE, or null if it is 0 or empty.  */
 static struct json_object *
@@ -40,6 +53,8 @@
             = *(struct rr_text *const *)(const void *)member;
         return rr_text_length (t) == 0 ? NULL : rr_text_to_json (t);
       }
+    case RR_STORED_RUNS:
+      return runs_new ((const struct rr_run_set *)(const void *)member);
     }
   return n == 0 ? NULL : json_object_new_int64 (n);
 }
@@ -51,6 +66,26 @@
   return json_object_is_type (v, json_type_int) && *out >= min && *out <= max;
 }
 
+/* Reads the array V into OUT.  Returns false if V is no array of rising run
+   numbers.  */
+static bool
+runs_read (struct json_object *v, struct rr_run_set *out)
+{
+  if (!json_object_is_type (v, json_type_array))
+    return false;
+  int64_t last = 0;
+  for (size_t i = 0; i < json_object_array_length (v); i++)
+    {
+      int64_t run = 0;
+      if (!int_read (json_object_array_get_idx (v, i), last + 1, INT64_MAX - 1,
+                     &run))
+        return false;
+      rr_run_set_add (out, (uint64_t)run);
+      last = run;
+    }
+  return true;
+}
+
 /* Reads V into field F of BASE.  Returns false if V is no value of the field's
    kind.  */
 static bool
@@ -96,6 +131,8 @@
       rr_text_unref (*(struct rr_text **)member);
       *(struct rr_text **)member = rr_text_from_json (v);
       return true;
+    case RR_STORED_RUNS:
+      return runs_read (v, member);
     }
   return false;
 }
@@ -135,6 +172,28 @@
   return true;
 }
 
+/* Returns the value of a field of KIND that is 0 or empty.  */
+static struct json_object *
+empty_value_new (enum rr_stored_kind kind)
+{
+  switch (kind)
+    {
+    case RR_STORED_NAME:
+    case RR_STORED_TEXT:
+      return json_object_new_string ("");
+    case RR_STORED_RUNS:
+      return json_object_new_array ();
+    case RR_STORED_BOOL:
+    case RR_STORED_INT32:
+    case RR_STORED_INT64:
+    case RR_STORED_UINT32:
+    case RR_STORED_COUNT:
+    case RR_STORED_BITS:
+      break;
+    }
+  return json_object_new_int64 (0);
+}
+
 /* Returns a new array with the FIELDS of BASE, in their order, without those
    at its end that are 0 or empty.  */
 struct json_object *
@@ -152,11 +211,8 @@
           continue;
         }
       for (; left_out > 0; left_out--)
-        json_object_array_add (row, fields[i - left_out].kind == RR_STORED_NAME
-                                            || fields[i - left_out].kind
-                                                   == RR_STORED_TEXT
-                                        ? json_object_new_string ("")
-                                        : json_object_new_int64 (0));
+        json_object_array_add (row,
+                               empty_value_new (fields[i - left_out].kind));
       json_object_array_add (row, v);
     }
   return row;
--- a/tests/entry/test_stored_forms.c
+++ b/tests/entry/test_stored_forms.c
@@ -226,6 +226,14 @@
 }
 END_TEST
 
+static void
+assert_same_runs (const struct rr_run_set *a, const struct rr_run_set *b)
+{
+  ck_assert_uint_eq (a->count, b->count);
+  for (size_t i = 0; i < a->count; i++)
+    ck_assert_uint_eq (a->runs[i], b->runs[i]);
+}
+
 /* Guards against a checkpoint that is cut or lost in the stored progress, so
    that a start gets one that no run has saved, and against other members of a
    row that are read back as something else.  */
@@ -248,6 +256,9 @@
       rows[1].checkpoint = rr_text_new (bytes, lengths[i]);
       rows[1].checkpoint_run = INT64_MAX;
       rows[2].crashes = 1;
+      rr_run_set_add (&rows[0].failed_runs, 7);
+      rr_run_set_add (&rows[1].older_ends, INT64_MAX - 1);
+      rr_run_set_add (&rows[1].older_ends, 1);
       struct rr_progress p
           = { .phase = RR_PHASE_ACTIVE, .rows = rows, .row_count = 3 };
       char *text = rr_progress_encode (&p);
@@ -260,9 +271,15 @@
           struct rr_progress_row a = rows[k];
           struct rr_progress_row b = copy->rows[k];
           ck_assert (rr_text_equal (a.checkpoint, b.checkpoint));
+          assert_same_runs (&a.older_ends, &b.older_ends);
+          assert_same_runs (&a.failed_runs, &b.failed_runs);
           a.checkpoint = b.checkpoint = NULL;
+          a.older_ends = b.older_ends = (struct rr_run_set){ 0 };
+          a.failed_runs = b.failed_runs = (struct rr_run_set){ 0 };
           ck_assert_mem_eq (&a, &b, sizeof a);
           rr_text_unref (rows[k].checkpoint);
+          rr_run_set_clear (&rows[k].older_ends);
+          rr_run_set_clear (&rows[k].failed_runs);
         }
       free (rows);
       free (text);
@@ -289,12 +306,35 @@
       = { "{\"phase\":null,\"tasks\":[]}",
           "{\"phase\":\"active\",\"tasks\":[null]}",
           "{\"phase\":\"active\",\"tasks\":[[0,-1]]}",
-          "{\"phase\":\"active\",\"tasks\":[[0,1,0,0,1,7]]}" };
+          "{\"phase\":\"active\",\"tasks\":[[0,1,0,0,1,7]]}",
+          "{\"phase\":\"active\",\"tasks\":[[0,1,0,0,1,\"\",0,0,7]]}",
+          "{\"phase\":\"active\",\"tasks\":[[0,1,0,0,1,\"\",0,0,[0]]]}",
+          "{\"phase\":\"active\",\"tasks\":[[0,1,0,0,1,\"\",0,0,[],[2,2]]]}" };
   for (size_t i = 0; i < sizeof odd / sizeof odd[0]; i++)
     ck_assert_msg (rr_progress_decode (odd[i], strlen (odd[i]), &err) == NULL,
                    "%s", odd[i]);
 }
 END_TEST
 
-SUITE ("stored forms", specs_pass_whole, spec_limits, graphs_at_their_limits,
-       shares, odd_stored_graphs, progress_rows, other_progress)
+/* Guards against a full set of runs that drops the highest ones or has one
+   twice.  */
+START_TEST (run_sets)
+{
+  struct rr_run_set s = { 0 };
+  for (uint64_t run = 90; run > 0; run -= 3)
+    rr_run_set_add (&s, run);
+  rr_run_set_add (&s, 45);
+  ck_assert_uint_eq (s.count, 30);
+  ck_assert (rr_run_set_contains (&s, 3) && rr_run_set_contains (&s, 90));
+  ck_assert (!rr_run_set_contains (&s, 4) && !rr_run_set_contains (&s, 93));
+  rr_run_set_keep_highest (&s, 2);
+  ck_assert (rr_run_set_contains (&s, 87) && rr_run_set_contains (&s, 90));
+  ck_assert_uint_eq (s.count, 2);
+  rr_run_set_clear (&s);
+  ck_assert (!rr_run_set_contains (&s, 90));
+}
+END_TEST
+
+SUITE ("stored forms", run_sets, specs_pass_whole, spec_limits,
+       graphs_at_their_limits, shares, odd_stored_graphs, progress_rows,
+       other_progress)
