dispatch: tasks of adopted runs wait for workers that were not heard

A new owner took an adopted run for its own at once: when the run ended, it started the task again, or what depends on it, although some workers on record had not been heard. Two faults follow.

TWICE: a poll of the former owner that left before the claim may still wait at the worker, for 0.6 s, and tell that owner how the run ends. It then starts the task again, or its dependents, on a worker that doesn't know the new owner yet. BUDGET: the worker that was not heard may list failed runs of the task which the former owner could not store.

A task whose adopted run ends is now uncertain until the workers on record were heard or their leases have ended, unless the run is still listed 0.7 s after it was adopted and no earlier run of it can have failed unheard. Dependents are released after the same 0.7 s, not at once.

--- a/include/rosemaryrail/dispatch.h
+++ b/include/rosemaryrail/dispatch.h
@@ -21,6 +21,7 @@
 enum
 {
   RR_WORKER_LABELS = 8,
+  RR_POLL_WAIT_MAX_MS = 600, /* that a poll waits at a worker for an end */
   /* A lease may end this much later than its length after it was granted,
      since the worker's clock is known only as of its last report.  */
   RR_LEASE_EXCESS_MAX_MS = 700,
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -11,7 +11,8 @@
 
 enum
 {
-  POLL_WAIT_MS = 600, /* longest time between two status reports */
+  /* Longest time between two status reports.  */
+  POLL_WAIT_MS = RR_POLL_WAIT_MAX_MS,
   /* For an answer over a slow network, besides the wait.  */
   ANSWER_TIMEOUT_MS = 600,
   /* The same for a worker whose answers take longer.  */
--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -298,6 +298,7 @@
       if (t->state != TASK_WAITING)
         continue;
       dispatch_task_set (j, i, TASK_UNCERTAIN);
+      t->inherited = true;
       uint64_t first = d->first_run + t->first_run;
       if (t->next_run < first)
         t->next_run = first;
--- a/rosemaryrail/dispatch_ends.c
+++ b/rosemaryrail/dispatch_ends.c
@@ -143,6 +143,31 @@
       }
 }
 
+/* Returns whether workers that were not heard may list failed runs of task
+   NUMBER, whose present run has ended.  */
+static bool
+failures_uncertain (const struct dispatch_job *j, uint32_t number)
+{
+  struct rr_run_name name;
+  dispatch_task_name (j, number, &name);
+  const struct dispatch_task *t = &j->tasks[number];
+  return !j->graph->steps[name.step].long_running && t->current_run > 1
+         && t->current_run > j->graph->run_base;
+}
+
+/* Task NUMBER may start again, since its present run has ended.  While there
+   are workers that were not heard, one of them may run it for a former owner
+   that has heard of that end, or list failed runs that count as attempts.  */
+void
+dispatch_task_release (struct rr_dispatch *d, struct dispatch_job *j,
+                       uint32_t number)
+{
+  const struct dispatch_task *t = &j->tasks[number];
+  bool certain = !d->inheriting || !t->inherited
+                 || (t->run_exclusive && !failures_uncertain (j, number));
+  dispatch_task_set (j, number, certain ? TASK_WAITING : TASK_UNCERTAIN);
+}
+
 /* Processes END, the first report of how a run of task NUMBER ended.  */
 void
 dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
@@ -182,7 +207,7 @@
   /* While workers of a former owner have not responded, a later run of the
      task may be in progress on one of them.  */
   if (t->state != TASK_UNCERTAIN && !old)
-    dispatch_task_set (j, number, TASK_WAITING);
+    dispatch_task_release (d, j, number);
   t->not_before = now;
   if (end->kind != RR_END_FAILED)
     return;
@@ -208,7 +233,6 @@
 dispatch_task_requeue (struct rr_dispatch *d, struct dispatch_job *j,
                        uint32_t number, struct rr_time now)
 {
-  (void)d;
   struct dispatch_task *t = &j->tasks[number];
   if (t->state != TASK_PLACED)
     return;
@@ -216,6 +240,6 @@
   if (t->next_run <= t->current_run)
     t->next_run = t->current_run + 1;
   t->not_before = now;
-  dispatch_task_set (j, number, TASK_WAITING);
+  dispatch_task_release (d, j, number);
   j->version++;
 }
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -17,6 +17,9 @@
 struct dispatch_task
 {
   enum task_state state;
+  bool inherited; /* a former owner may have started it */
+  /* No former owner can have heard how its present run ends.  */
+  bool run_exclusive;
   uint64_t current_run; /* while placed */
   uint64_t next_run;
   uint64_t first_run; /* lowest run number that this shard may use */
@@ -158,6 +161,7 @@
   struct rr_time accepted;   /* when its start was answered */
   struct rr_time connected;  /* when the connection of its start was opened */
   struct rr_time unanswered; /* when its start was given up */
+  struct rr_time adopted;    /* from a former owner; 0: it was not */
   struct rr_time progressed; /* last change of PERCENT */
   int image;                 /* class in the interference model */
   double load; /* of a latency-critical task: utilisation without best-effort
@@ -462,6 +466,8 @@
 void dispatch_task_end (struct rr_dispatch *d, struct dispatch_job *j,
                         uint32_t number, const struct rr_run_end *end,
                         struct rr_handle worker, struct rr_time now);
+void dispatch_task_release (struct rr_dispatch *d, struct dispatch_job *j,
+                            uint32_t number);
 void dispatch_task_requeue (struct rr_dispatch *d, struct dispatch_job *j,
                             uint32_t number, struct rr_time now);
 void dispatch_job_stop_runs (struct rr_dispatch *d, struct dispatch_job *j,
--- a/rosemaryrail/dispatch_report.c
+++ b/rosemaryrail/dispatch_report.c
@@ -14,7 +14,11 @@
   MISSING_REPORTS_MAX = 2,
   /* A worker whose report took longer is avoided for a while: a start would
      have to wait as long for its answer.  */
-  SLOW_REPORT_MS = 1200
+  SLOW_REPORT_MS = 1200,
+  /* A poll of a former owner that a worker took before it refused that owner
+     waits no longer: the worker's clock may be 2% slow, and its timers late.
+   */
+  FORMER_POLL_MS = RR_POLL_WAIT_MAX_MS + 100
 };
 
 /* Stops runs that W's new incarnation may have started and did not report.  */
@@ -108,8 +112,8 @@
 }
 
 /* Makes the dependents of the step of NAME startable, when NAME is a run that
-   the last owner started and that still runs: that owner has not seen it end,
-   so it has started none of the dependents.  */
+   the last owner started and of whose end no former owner can have heard: none
+   has started any of the dependents.  */
 static void
 settle_dependents (struct rr_dispatch *d, struct dispatch_job *j,
                    const struct rr_run_name *name)
@@ -127,10 +131,25 @@
       if (j->tasks[i].state != TASK_UNCERTAIN || !depends[other.step])
         continue;
       dispatch_task_set (j, i, TASK_WAITING);
+      j->tasks[i].inherited = false;
     }
   free (depends);
 }
 
+/* W has listed the adopted run R as running.  A poll of a former owner, which
+   W refuses now, may still wait there for ends, for FORMER_POLL_MS at most. */
+static void
+adopted_run_check (struct rr_dispatch *d, struct dispatch_worker *w,
+                   struct dispatch_job *j, const struct dispatch_run *r)
+{
+  struct dispatch_task *t = &j->tasks[r->number];
+  if (!d->inheriting || t->run_exclusive || r->adopted.ms == 0
+      || rr_time_diff (w->clock_sent, r->adopted) < FORMER_POLL_MS)
+    return;
+  t->run_exclusive = true;
+  settle_dependents (d, j, &r->name);
+}
+
 static void
 run_adopt (struct rr_dispatch *d, struct dispatch_worker *w,
            struct dispatch_job *j, uint32_t number,
@@ -145,6 +164,8 @@
   struct dispatch_run *r = dispatch_run_add (d, w, j, &status->name, now);
   r->phase = RUN_RUNNING;
   r->survived = true;
+  r->adopted = w->clock_received;
+  t->run_exclusive = false;
   /* The worker keeps the speed that a former owner has set.  */
   if (r->best_effort)
     r->speed_percent = SPEED_UNKNOWN;
@@ -154,7 +175,6 @@
       j->phase = RR_PHASE_ACTIVE;
       j->version++;
     }
-  settle_dependents (d, j, &status->name);
   dispatch_log_decision (
       d, "run_adopted", "job=%s task=%d.%d.%d run=%llu vm=%s",
       status->name.job, status->name.occurrence, status->name.step,
@@ -216,9 +236,12 @@
     }
   r->measurement = status->measurement;
   struct dispatch_job *j = dispatch_job_get (d, r->job);
-  if (j != NULL
-      && dispatch_task_placed_as (&j->tasks[r->number], r->name.run, w->handle)
-      && !rr_text_equal (status->checkpoint, r->start_checkpoint))
+  if (j == NULL
+      || !dispatch_task_placed_as (&j->tasks[r->number], r->name.run,
+                                   w->handle))
+    return;
+  adopted_run_check (d, w, j, r);
+  if (!rr_text_equal (status->checkpoint, r->start_checkpoint))
     dispatch_checkpoint_keep (&j->tasks[r->number], r->name.run,
                               status->checkpoint);
 }
