--- a/rosemaryrail/dispatch.c
+++ b/rosemaryrail/dispatch.c
@@ -39,6 +39,8 @@
   d->worker_ids = rr_key_index_new ();
   d->jobs = rr_table_new (sizeof (struct dispatch_job));
   d->job_ids = rr_key_index_new ();
+  d->queues = rr_table_new (sizeof (struct rr_queue_policy));
+  d->queue_names = rr_key_index_new ();
   dispatch_interference_init (d);
   return d;
 }
@@ -78,7 +80,8 @@
   rr_key_index_free (d->job_ids);
   rr_table_free (d->workers);
   rr_key_index_free (d->worker_ids);
-  free (d->queues);
+  rr_table_free (d->queues);
+  rr_key_index_free (d->queue_names);
   free (d->inherited);
   free (d->dropped);
   free (d->suspicions);
@@ -88,28 +91,25 @@
   free (d);
 }
 
-/* Sets or replaces the policy of the queue that P names.  */
-void
-rr_dispatch_queue_set (struct rr_dispatch *d, const struct rr_queue_policy *p)
+static struct rr_queue_policy *
+queue_find (const struct rr_dispatch *d, const char *queue)
 {
-  for (size_t i = 0; i < d->queue_count; i++)
-    if (strcmp (d->queues[i].queue, p->queue) == 0)
-      {
-        d->queues[i] = *p;
-        return;
-      }
-  d->queues = realloc (d->queues, (d->queue_count + 1) * sizeof *d->queues);
-  assert (d->queues != NULL);
-  d->queues[d->queue_count++] = *p;
+  return rr_table_get (d->queues, rr_key_index_get (d->queue_names, queue));
 }
 
-static const struct rr_queue_policy *
-queue_find (const struct rr_dispatch *d, const char *queue)
+/* Sets or replaces the policy of the queue that P names.  */
+void
+rr_dispatch_queue_set (struct rr_dispatch *d, const struct rr_queue_policy *p)
 {
-  for (size_t i = 0; i < d->queue_count; i++)
-    if (strcmp (d->queues[i].queue, queue) == 0)
-      return &d->queues[i];
-  return NULL;
+  struct rr_queue_policy *known = queue_find (d, p->queue);
+  if (known == NULL)
+    {
+      struct rr_handle h;
+      known = rr_table_insert (d->queues, &h);
+      assert (known != NULL);
+      rr_key_index_put (d->queue_names, p->queue, h);
+    }
+  *known = *p;
 }
 
 /* Returns the policy of J's queue.  A removed queue keeps its last policy; an
--- a/rosemaryrail/dispatch_private.h
+++ b/rosemaryrail/dispatch_private.h
@@ -298,8 +298,8 @@
   struct rr_key_index *worker_ids;
   struct rr_table *jobs;
   struct rr_key_index *job_ids;
-  struct rr_queue_policy *queues;
-  size_t queue_count;
+  struct rr_table *queues; /* of struct rr_queue_policy */
+  struct rr_key_index *queue_names;
   struct dispatch_inherited *inherited;
   size_t inherited_count;
   size_t inherited_expired; /* workers that have not reported in time */
