entry: one command to a worker at a time

An owner kept up to five connections open to each worker, those of its up to four commands in flight and its poll's, and what a machine has open when it loses power stays open at the worker, which takes 64. Later owners were turned away there.

--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -32,8 +32,10 @@
   /* Between polls that may not renew leases, until the membership record says
      that the worker is back.  */
   RECORD_WAIT_MS = 100,
-  /* Each command in flight uses a connection of its own, which has a cost.  */
-  COMMANDS_IN_FLIGHT_MAX = 4,
+  /* A command and the poll beside it are all that uses connections.  Those of
+     an owner that loses power stay open at the worker, which takes only so
+     many connections, so each one that is left idle counts.  */
+  COMMANDS_IN_FLIGHT_MAX = 1,
   /* A command without its spec: headers and the other fields.  */
   COMMAND_BYTES = 500,
   COMMAND_WAIT_REPORT_MS = 400 /* a longer wait in the queue is logged */
--- a/tests/entry/test_worker_connection.c
+++ b/tests/entry/test_worker_connection.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "../check_suite.h"
 
@@ -13,6 +14,9 @@
 
 static platform_worker_poll_fn *poll_done;
 static void *poll_data;
+static platform_worker_command_fn *command_done;
+static void *command_data;
+static int commands_in_flight;
 static int fenced_count;
 
 struct rr_time
@@ -54,7 +58,17 @@
                               platform_worker_command_fn *done, void *data)
 {
   (void)u, (void)command, (void)fencing_token, (void)lease_end;
-  (void)timeout_ms, (void)done, (void)data;
+  (void)timeout_ms;
+  command_done = done;
+  command_data = data;
+  commands_in_flight++;
+}
+
+static void
+command_answer (void)
+{
+  commands_in_flight--;
+  command_done (command_data, RR_OUTCOME_ACCEPTED, 1, 0);
 }
 
 static struct rr_time
@@ -131,4 +145,52 @@
 }
 END_TEST
 
-SUITE ("worker connection", refused_after_close, refused)
+/* Guards against owners that use up the connections of a worker (LOST): what
+   one has open when it loses power stays open at the worker, so an owner has
+   one connection there for its commands, beside that of its poll.  */
+START_TEST (one_connection_for_commands)
+{
+  enum
+  {
+    COMMANDS = 6
+  };
+  uv_loop_t loop;
+  uv_loop_init (&loop);
+  struct rr_dispatch *d;
+  struct worker_connection *c = connection_open (&loop, &d);
+  struct rr_worker_report report
+      = { .started_ms = 5, .token = 7, .clock_ms = 1 };
+  struct rr_run_status runs[COMMANDS];
+  memset (runs, 0, sizeof runs);
+  for (int i = 0; i < COMMANDS; i++)
+    {
+      runs[i].name.task = i;
+      runs[i].name.run = 1;
+      snprintf (runs[i].name.job, sizeof runs[i].name.job, "unknown");
+    }
+  report.running = runs;
+  report.running_count = COMMANDS;
+  poll_done (poll_data, RR_OUTCOME_ACCEPTED, &report);
+  /* Runs of an unknown job are stopped.  */
+  for (int i = 0; i < COMMANDS; i++)
+    {
+      struct rr_command stop = { .kind = RR_COMMAND_STOP,
+                                 .worker_id = "w1",
+                                 .name = runs[i].name };
+      worker_connection_send (c, &stop);
+    }
+  for (int i = 0; i < COMMANDS; i++)
+    {
+      ck_assert_int_eq (commands_in_flight, 1);
+      command_answer ();
+    }
+  ck_assert_int_eq (commands_in_flight, 0);
+  worker_connection_close (c);
+  rr_dispatch_free (d);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&loop), 0);
+}
+END_TEST
+
+SUITE ("worker connection", refused_after_close, refused,
+       one_connection_for_commands)
