entry: ask for the store's changes when a job waits for them

An owner starts a job once its watch has shown that the shard was still its own. On a dead connection the watch shows that only after 1.8 s.

--- a/rosemaryentryd/shard.c
+++ b/rosemaryentryd/shard.c
@@ -289,6 +289,7 @@
   struct shard *s = timer->data;
   struct rr_time now = entry_now ();
   drop_idle_workers (s, now);
+  shard_jobs_catch_up (s, now);
   shard_write_membership (s);
   shard_write_load (s, now);
   shard_forget_jobs (s, now);
--- a/rosemaryentryd/shard_jobs.c
+++ b/rosemaryentryd/shard_jobs.c
@@ -19,6 +19,7 @@
   /* A longer wait for the confirmation is logged: several times what the watch
      takes.  */
   UNCONFIRMED_REPORT_MS = 200,
+  CATCH_UP_AFTER_MS = 60,
   UNCONFIRMED_LINES_MAX = 8 /* in the log, when the shard is lost */
 };
 
@@ -72,14 +73,21 @@
   shard_schedule_planning (s);
 }
 
+/* Returns whether tasks of J may start in this shard.  */
+static bool
+job_open (const struct shard *s, const struct job_record *j)
+{
+  return j->graph_text != NULL && !rr_job_phase_final (records_job_phase (j))
+         && strcmp (j->shard, s->record->name) == 0;
+}
+
 /* Adds the job J, or updates which of its tasks belong to this shard, once
    this daemon is known to have owned the shard when J was stored.  INHERITED:
    it comes from a former owner, who may have started tasks.  */
 void
 shard_job_update (struct shard *s, const struct job_record *j, bool inherited)
 {
-  if (j->graph_text == NULL || rr_job_phase_final (records_job_phase (j))
-      || strcmp (j->shard, s->record->name) != 0)
+  if (!job_open (s, j))
     return;
   if (j->job_revision > owned_revision (s))
     unconfirmed_add (s, j, inherited);
@@ -102,28 +110,38 @@
 void
 shard_jobs_confirm (struct shard *s)
 {
-  if (s->unconfirmed_count == 0)
-    return;
-  struct unconfirmed_job *waiting = s->unconfirmed;
-  size_t count = s->unconfirmed_count;
-  s->unconfirmed = NULL;
-  s->unconfirmed_count = 0;
-  for (size_t i = 0; i < count; i++)
+  int64_t owned = owned_revision (s);
+  size_t kept = 0;
+  for (size_t i = 0; i < s->unconfirmed_count; i++)
     {
-      const struct job_record *j
-          = records_job (s->entry->records, waiting[i].id);
-      if (j == NULL)
+      const struct unconfirmed_job u = s->unconfirmed[i];
+      const struct job_record *j = records_job (s->entry->records, u.id);
+      if (j == NULL || !job_open (s, j))
         continue;
-      int64_t waited_ms = rr_time_diff (entry_now (), waiting[i].since);
-      if (waited_ms > UNCONFIRMED_REPORT_MS
-          && j->job_revision <= owned_revision (s))
+      if (j->job_revision > owned)
+        {
+          s->unconfirmed[kept++] = u;
+          continue;
+        }
+      int64_t waited_ms = rr_time_diff (entry_now (), u.since);
+      if (waited_ms > UNCONFIRMED_REPORT_MS)
         log_event (LOG_LEVEL_INFO, "job_confirmed",
                    "job=%s shard=%s token=%lld revision=%lld waited_ms=%lld",
                    j->id, s->record->name, (long long)s->fencing_token,
                    (long long)j->job_revision, (long long)waited_ms);
-      shard_job_update (s, j, waiting[i].inherited);
+      job_apply (s, j, u.inherited);
     }
-  free (waiting);
+  s->unconfirmed_count = kept;
+}
+
+/* Asks the store for its changes if a job waits for longer than the watch
+   usually takes, which may be on a dead connection.  */
+void
+shard_jobs_catch_up (struct shard *s, struct rr_time now)
+{
+  if (s->unconfirmed_count > 0
+      && rr_time_diff (now, s->unconfirmed[0].since) > CATCH_UP_AFTER_MS)
+    store_cache_catch_up (s->entry->records_cache);
 }
 
 /* Logs the jobs that are left to the next owner, since it is not known whether
