entry: divide a job only once its record is confirmed

A share that waits for its confirmation is set when that comes, and would release tasks that a division of the meantime withholds: they could start here and in the shard that they move to.

--- a/include/rosemaryentryd/shard_private.h
+++ b/include/rosemaryentryd/shard_private.h
@@ -196,6 +196,7 @@
                         const char *why);
 
 void shard_ownership_confirmed (struct shard *s, int64_t revision);
+bool shard_job_confirmed (const struct shard *s, const struct job_record *j);
 void shard_jobs_catch_up (struct shard *s, struct rr_time now);
 void shard_jobs_log_unconfirmed (const struct shard *s);
 void shard_commit (struct shard *s);
--- a/rosemaryentryd/shard_divide.c
+++ b/rosemaryentryd/shard_divide.c
@@ -207,8 +207,12 @@
   struct division *v = &s->division;
   shard_record_id (s, tasks[0].job, v->source.id);
   struct job_record *j = records_job (s->entry->records, v->source.id);
-  struct rr_job_graph *from
-      = j == NULL || shard_unfit_recently (j, now) ? NULL : decode_record (j);
+  /* A share that is not confirmed yet is set later, which would release the
+     tasks that this division withholds.  */
+  struct rr_job_graph *from = j == NULL || !shard_job_confirmed (s, j)
+                                      || shard_unfit_recently (j, now)
+                                  ? NULL
+                                  : decode_record (j);
   if (from == NULL)
     return;
   size_t tasks_max;
--- a/rosemaryentryd/shard_jobs.c
+++ b/rosemaryentryd/shard_jobs.c
@@ -32,6 +32,14 @@
   return followed > s->owned_revision ? followed : s->owned_revision;
 }
 
+/* Returns whether this daemon is known to have owned the shard when J was
+   stored as it is.  */
+bool
+shard_job_confirmed (const struct shard *s, const struct job_record *j)
+{
+  return j->job_revision <= owned_revision (s);
+}
+
 static void
 unconfirmed_add (struct shard *s, const struct job_record *j, bool inherited)
 {
@@ -89,10 +97,10 @@
 {
   if (!job_open (s, j))
     return;
-  if (j->job_revision > owned_revision (s))
-    unconfirmed_add (s, j, inherited);
-  else
+  if (shard_job_confirmed (s, j))
     job_apply (s, j, inherited);
+  else
+    unconfirmed_add (s, j, inherited);
 }
 
 /* The store has confirmed a write on the condition that this daemon owns the
@@ -110,7 +118,6 @@
 void
 shard_jobs_confirm (struct shard *s)
 {
-  int64_t owned = owned_revision (s);
   size_t kept = 0;
   for (size_t i = 0; i < s->unconfirmed_count; i++)
     {
@@ -118,7 +125,7 @@
       const struct job_record *j = records_job (s->entry->records, u.id);
       if (j == NULL || !job_open (s, j))
         continue;
-      if (j->job_revision > owned)
+      if (!shard_job_confirmed (s, j))
         {
           s->unconfirmed[kept++] = u;
           continue;
