--- a/rosemaryentryd/shard_jobs.c
+++ b/rosemaryentryd/shard_jobs.c
@@ -19,6 +19,7 @@
   /* A longer wait for the confirmation is logged: several times what the watch
      takes.  */
   UNCONFIRMED_REPORT_MS = 200,
+  /* Until the store is asked beside the watch, which usually takes 15 ms.  */
   CATCH_UP_AFTER_MS = 60,
   UNCONFIRMED_LINES_MAX = 8 /* in the log, when the shard is lost */
 };
--- a/rosemaryentryd/worker_connection.c
+++ b/rosemaryentryd/worker_connection.c
@@ -32,9 +32,8 @@
   /* Between polls that may not renew leases, until the membership record says
      that the worker is back.  */
   RECORD_WAIT_MS = 100,
-  /* A command and the poll beside it are all that uses connections.  Those of
-     an owner that loses power stay open at the worker, which takes only so
-     many connections, so each one that is left idle counts.  */
+  /* Connections of an owner that has lost power stay open at the worker, which
+     takes only so many.  So one is used for commands, beside the poll's.  */
   COMMANDS_IN_FLIGHT_MAX = 1,
   /* A command without its spec: headers and the other fields.  */
   COMMAND_BYTES = 500,
